--- /dev/null
+++ b/packages/config/src/state.ts
@@ -0,0 +1,64 @@
+import type {CellId, Incarnation, Offset} from '@banyandrum/base/ids.js';
+import type {Inventory} from './inventory.js';
+import type {Rules} from './rules.js';
+
+/** Who leads a cell; its epoch is the log offset of the record. */
+export interface View {
+  readonly cell: CellId;
+  readonly epoch: Offset;
+  readonly leader: Incarnation;
+  readonly standby: Incarnation | null;
+}
+
+/** A publication in force. */
+export interface Publication {
+  /** Log offset; 0 before the first one. */
+  readonly version: Offset;
+  readonly changeId: string;
+  readonly author: string;
+  readonly reason: string;
+  /** The author's wall clock, for people only. */
+  readonly publishedAt: string;
+  readonly inventoryToml: string;
+  readonly rulesToml: string;
+}
+
+export type AuditKind = 'publication' | 'drain' | 'attestation';
+export type AuditOutcome = 'accepted' | 'conflict' | 'invalid' | 'duplicate';
+
+/** One line of the audit trail: who, when, what, why. */
+export interface AuditEntry {
+  readonly offset: Offset;
+  readonly kind: AuditKind;
+  readonly changeId: string;
+  readonly author: string;
+  readonly reason: string;
+  readonly at: string;
+  readonly outcome: AuditOutcome;
+  readonly detail: string;
+}
+
+/** An operator's word that a router's host is lost for good. */
+export interface Attestation {
+  readonly offset: Offset;
+  readonly host: string;
+  /** The run of the process that it is about. */
+  readonly boot: string;
+}
+
+/** What the log yields when read up to an offset, alike for every reader. */
+export interface ClusterState {
+  /** The next offset to apply. */
+  readonly next: Offset;
+  readonly publication: Publication | null;
+  readonly inventory: Inventory;
+  readonly rules: Rules;
+  readonly views: ReadonlyMap<CellId, View>;
+  /** Names of servers and routers that an operator drains. */
+  readonly drains: ReadonlySet<string>;
+  readonly attestations: readonly Attestation[];
+  /** The newest entries, bounded. */
+  readonly audit: readonly AuditEntry[];
+  /** Change ids seen of late, bounded, so that a repeat is harmless. */
+  readonly changeIds: ReadonlyMap<string, AuditEntry>;
+}
--- /dev/null
+++ b/packages/router/bin/banyandrum-router.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import {main} from '../dist/main.js';
+
+await main();
