Views keep former pairs that nobody has shown to be over

Cause: on paper, a claimant that is lost before it cleared leaves its successor waiting for the claimant alone, while the first leader and its standby, cut off together, go on by consent: two leaders. A leader that replaces its standby has a like hole when the reply of that append is lost.

--- a/packages/config/src/records.ts
+++ b/packages/config/src/records.ts
@@ -18,6 +18,11 @@
   readonly previous: Offset;
   readonly leader: Incarnation;
   readonly standby: Incarnation | null;
+  /**
+   * Set by a leader that has been cleared, when it claims its cell once more
+   * (with a standby): every former pair is over. See `View.unsettled`.
+   */
+  readonly settled: boolean;
 }
 
 /** Claims of cells; each counts only if its `previous` is still current. */
--- a/packages/config/src/state.ts
+++ b/packages/config/src/state.ts
@@ -2,12 +2,29 @@
 import type {Inventory} from './inventory.js';
 import type {Rules} from './rules.js';
 
+/** A leader of an earlier epoch and the standby that may consent to it. */
+export interface FormerPair {
+  readonly epoch: Offset;
+  readonly leader: Incarnation;
+  readonly standby: Incarnation | null;
+}
+
 /** Who leads a cell; its epoch is the log offset of the record. */
 export interface View {
   readonly cell: CellId;
   readonly epoch: Offset;
   readonly leader: Incarnation;
   readonly standby: Incarnation | null;
+  /**
+   * Former pairs that nobody has shown to be over, oldest first. A third
+   * router's claim over a leader and a standby that are cut off together
+   * leaves them living on consent; if the claimant is then lost, its
+   * successor must still wait for that pair. The fold of a claim W over a
+   * view V keeps V's list, empties it where `W.settled` is set and W and V
+   * have the same leader, and adds V's own pair unless W's leader is V's
+   * leader or V's standby (which withdrew before it claimed).
+   */
+  readonly unsettled: readonly FormerPair[];
 }
 
 /** A publication in force. */
