--- a/packages/log/src/client.ts
+++ b/packages/log/src/client.ts
@@ -37,6 +37,8 @@
   readonly maxRecords: number;
   /** How long the log may wait for a record to arrive, in ms. */
   readonly waitMs: number;
+  /** How long the answer may take beyond `waitMs`, in ms; else the client's. */
+  readonly timeoutMs?: number;
 }
 
 /**
