--- /dev/null
+++ b/packages/requests/src/entry.ts
@@ -0,0 +1,89 @@
+import type {Clock} from '@banyandrum/base/clock.js';
+import {failure, type FailureCode} from '@banyandrum/base/failure.js';
+import {cellOfKey} from '@banyandrum/base/hash.js';
+import type {CellId, Incarnation} from '@banyandrum/base/ids.js';
+import type {RequestHandler, ServiceRequest} from '@banyandrum/base/request.js';
+import {Err} from '@banyandrum/base/result.js';
+import type {Limits} from '@banyandrum/config/rules.js';
+import type {View} from '@banyandrum/config/state.js';
+import {createDeadlineWheel} from './deadline.js';
+import type {LeaderQueue} from './queue.js';
+import {createRetryBudget} from './retry-budget.js';
+import {createRoute} from './route.js';
+import {trackBody} from './tracked-body.js';
+import {createViewWatch} from './view-watch.js';
+
+/** How a service's keys are divided; fixed for the life of the service. */
+export interface ServiceTopology {
+  readonly shards: number;
+  readonly cells: number;
+}
+
+/** Called at events that somebody counts; must not throw. */
+export interface EntryEvents {
+  /** A request is sent once more because of `code`. */
+  retried(cell: CellId, code: FailureCode): void;
+}
+
+export interface EntryOptions {
+  readonly self: Incarnation;
+  readonly topology: (service: string) => ServiceTopology | null;
+  readonly leaderOf: (cell: CellId) => View | null;
+  /** Calls back after each change of the views; returns how to stop. */
+  readonly subscribe: (listener: () => void) => () => void;
+  /** The queue of a cell that this process leads, else null. */
+  readonly localLeader: (cell: CellId) => LeaderQueue | null;
+  /** Carries a request to another router: `Peers.send`. */
+  readonly send: (
+    to: Incarnation,
+    req: ServiceRequest,
+  ) => ReturnType<RequestHandler>;
+  readonly limits: () => Limits;
+  readonly clock: Clock;
+  /** Uniform in [0, 1). */
+  readonly random: () => number;
+  readonly events?: Partial<EntryEvents>;
+}
+
+/** The way of callers' requests into the system. */
+export interface Entry {
+  readonly handle: RequestHandler;
+  /** Stops watching the views; requests under way go on. */
+  close(): void;
+}
+
+/**
+ * Makes the entry: it finds the leader of a key's cell, hands the request to
+ * it, and follows the leadership where that changes. Failures are retried by
+ * verdict only, within the retry budget and the request's deadline.
+ *
+ * @example
+ * ```ts
+ * const entry = createEntry({self, topology, leaderOf, subscribe,
+ *   localLeader: queues.queueOf, send: peers.send, limits, clock,
+ *   random: Math.random});
+ * const result = await entry.handle(req);
+ * ```
+ */
+export function createEntry(options: EntryOptions): Entry {
+  const wheel = createDeadlineWheel(options.clock);
+  const {leaderOf, subscribe} = options;
+  const watch = createViewWatch({leaderOf, subscribe, wheel});
+  const budget = createRetryBudget(() => options.limits().retryPercent);
+  const route = createRoute({...options, wheel, watch, budget});
+
+  const handle: RequestHandler = async req => {
+    const topology = options.topology(req.service);
+    if (topology === null) return Err(unknownService(req.service));
+    const {shards, cells} = topology;
+    const cell = cellOfKey(req.service, req.key, shards, cells);
+    budget.earn();
+    return route(cell, trackBody(req));
+  };
+
+  return {handle, close: watch.close};
+}
+
+function unknownService(service: string): ReturnType<typeof failure> {
+  return failure('not-run', 'unknown-service', `no service ${service}`);
+}
--- /dev/null
+++ b/packages/requests/test/fakes.ts
@@ -0,0 +1,192 @@
+import {setImmediate} from 'node:timers/promises';
+import type {Clock} from '@banyandrum/base/clock.js';
+import type {Failure} from '@banyandrum/base/failure.js';
+import {shardOfKey} from '@banyandrum/base/hash.js';
+import type {Incarnation} from '@banyandrum/base/ids.js';
+import {
+  EMPTY_BODY,
+  type ServiceAnswer,
+  type ServiceRequest,
+} from '@banyandrum/base/request.js';
+import {Err, Ok, type Result} from '@banyandrum/base/result.js';
+import type {Limits} from '@banyandrum/config/rules.js';
+import type {LedCell, Location, Owned} from '@banyandrum/ownership/led-cell.js';
+import type {
+  Dispatch,
+  ServerClient,
+  ServerRef,
+} from '@banyandrum/servers/client.js';
+
+export type Outcome = Result<ServiceAnswer, Failure>;
+
+export const SHARDS = 16;
+export const ANSWER: ServiceAnswer = {
+  status: 200,
+  headers: [],
+  body: EMPTY_BODY,
+};
+
+export const LIMITS: Limits = {
+  maxBodyBytes: 1000,
+  maxQueued: 100,
+  maxQueuedBytes: 100_000,
+  maxDeadlineMs: 60_000,
+  retryPercent: 10,
+};
+
+export function router(host: string, boot = 'a'): Incarnation {
+  return {host, address: `${host}:1`, boot, dataCentre: 'dc1'};
+}
+
+export function server(name: string, slots = 2): ServerRef {
+  const address = `${name}:1`;
+  return {name, service: 'holds', address, slots, connections: 10};
+}
+
+let nextId = 0;
+
+/** A request for key `k`, due in a second of a clock at 0. */
+export function request(over: Partial<ServiceRequest> = {}): ServiceRequest {
+  return {
+    id: `r${nextId++}`,
+    service: 'holds',
+    key: 'k',
+    method: 'POST',
+    path: '',
+    headers: [],
+    body: EMPTY_BODY,
+    deadline: 1000,
+    once: false,
+    precedence: 0,
+    caller: 'c',
+    signal: new AbortController().signal,
+    ...over,
+  };
+}
+
+/** A cell whose table the test holds in its hands. */
+export interface FakeCell extends LedCell {
+  acting: boolean;
+  leaseEnd: number;
+  /** Replaces the answer for single shards. */
+  readonly where: Map<string, Location>;
+}
+
+export function fakeCell(ref: ServerRef, cell = 'holds/0'): FakeCell {
+  return {
+    cell,
+    epoch: 1,
+    acting: true,
+    leaseEnd: Infinity,
+    where: new Map(),
+    mayAct() {
+      return this.acting;
+    },
+    locate(key) {
+      const shard = shardOfKey(key, SHARDS);
+      return this.where.get(shard) ?? owned(ref, shard, this.leaseEnd);
+    },
+  };
+}
+
+export function owned(
+  ref: ServerRef,
+  shard: string,
+  leaseEnd = Infinity,
+): Owned {
+  return {
+    kind: 'owned',
+    shard,
+    server: ref,
+    fence: {epoch: 1, sequence: 1},
+    leaseEnd,
+    toServerTime: ms => ({boot: ref.name, ms}),
+  };
+}
+
+/** One request at a fake server, in the test's hands. */
+export interface Sent {
+  readonly server: string;
+  readonly dispatch: Dispatch;
+  /** Whether `mayWrite` let it pass. */
+  readonly written: boolean;
+  answer(answer?: ServiceAnswer): Promise<void>;
+  fail(failed: Failure): Promise<void>;
+}
+
+export interface FakeClient extends Pick<ServerClient, 'send'> {
+  /** In the order of sending; answered ones stay. */
+  readonly sent: Sent[];
+  /** In flight now and at most, by server. */
+  readonly inFlight: Map<string, number>;
+  readonly peak: Map<string, number>;
+}
+
+export function fakeClient(): FakeClient {
+  const sent: Sent[] = [];
+  const inFlight = new Map<string, number>();
+  const peak = new Map<string, number>();
+  const move = (name: string, by: number): void => {
+    const count = (inFlight.get(name) ?? 0) + by;
+    inFlight.set(name, count);
+    peak.set(name, Math.max(count, peak.get(name) ?? 0));
+  };
+  return {
+    sent,
+    inFlight,
+    peak,
+    send(ref, dispatch) {
+      const written = dispatch.mayWrite();
+      move(ref.name, 1);
+      return new Promise(resolve => {
+        const finish = async (outcome: Outcome): Promise<void> => {
+          move(ref.name, -1);
+          resolve(outcome);
+          await settle();
+        };
+        sent.push({
+          server: ref.name,
+          dispatch,
+          written,
+          answer: (answer = ANSWER) => finish(Ok(answer)),
+          fail: failed => finish(Err(failed)),
+        });
+      });
+    },
+  };
+}
+
+/** A client that answers each request after `serviceMs` of the clock. */
+export function timedClient(
+  clock: Clock,
+  serviceMs: (ref: ServerRef) => number,
+): Pick<ServerClient, 'send'> {
+  return {
+    send: ref =>
+      new Promise(resolve => {
+        clock.after(serviceMs(ref), () => resolve(Ok(ANSWER)));
+      }),
+  };
+}
+
+/** Lets pending promises settle. */
+export async function settle(): Promise<void> {
+  await setImmediate();
+  await setImmediate();
+}
+
+/** Watches an outcome without waiting for it. */
+export function watch(promise: Promise<Outcome>): {outcome: Outcome | null} {
+  const seen: {outcome: Outcome | null} = {outcome: null};
+  void promise.then(outcome => {
+    seen.outcome = outcome;
+  });
+  return seen;
+}
+
+/** `ok`, `verdict code`, or `waiting`. */
+export function told(seen: {readonly outcome: Outcome | null}): string {
+  if (seen.outcome === null) return 'waiting';
+  if (seen.outcome.ok) return 'ok';
+  return `${seen.outcome.val.verdict} ${seen.outcome.val.code}`;
+}
