--- a/packages/requests/test/entry.test.ts
+++ b/packages/requests/test/entry.test.ts
@@ -52,7 +52,13 @@
   });
   const setView = (leader: Incarnation | null): void => {
     const cell = 'holds/0';
-    view = leader && {cell, epoch: epoch++, leader, standby: null};
+    view = leader && {
+      cell,
+      epoch: epoch++,
+      leader,
+      standby: null,
+      unsettled: [],
+    };
     for (const listener of listeners) listener();
   };
   return {clock, entry, sent, setView};
