--- a/packages/config/src/state.ts
+++ b/packages/config/src/state.ts
@@ -1,5 +1,5 @@
 import type {CellId, Incarnation, Offset} from '@banyandrum/base/ids.js';
-import type {Inventory} from './inventory.js';
+import type {Inventory, Service} from './inventory.js';
 import type {Rules} from './rules.js';
 
 /** A leader of an earlier epoch and the standby that may consent to it. */
@@ -40,7 +40,8 @@
   readonly rulesToml: string;
 }
 
-export type AuditKind = 'publication' | 'drain' | 'attestation';
+/** `unreadable`: bytes in the stream that are no record of ours. */
+export type AuditKind = 'publication' | 'drain' | 'attestation' | 'unreadable';
 export type AuditOutcome = 'accepted' | 'conflict' | 'invalid' | 'duplicate';
 
 /** One line of the audit trail: who, when, what, why. */
@@ -70,6 +71,8 @@
   readonly publication: Publication | null;
   readonly inventory: Inventory;
   readonly rules: Rules;
+  /** Services once removed; their shards and cells stay as they were. */
+  readonly retired?: readonly Service[];
   readonly views: ReadonlyMap<CellId, View>;
   /** Names of servers and routers that an operator drains. */
   readonly drains: ReadonlySet<string>;
