--- /dev/null
+++ b/packages/servers/src/body-stream.ts
@@ -0,0 +1,94 @@
+/** What a streamed body asks of its connection. */
+export interface BodySource {
+  /** Goes on reading after `push` returned false. */
+  resume(): void;
+  /** The reader wants no more. */
+  abandon(): void;
+}
+
+/** A body on its way from a connection to one reader. */
+export interface BodyStream {
+  readonly body: AsyncIterable<Uint8Array>;
+  /** False where the source should pause until `resume`. */
+  push(chunk: Uint8Array): boolean;
+  end(): void;
+  /** The reader gets what came before, then `error`. */
+  fail(error: Error): void;
+}
+
+const MAX_QUEUED_BYTES = 64 * 1024;
+
+const DONE: IteratorResult<Uint8Array> = {done: true, value: undefined};
+
+/**
+ * Makes a body stream with back pressure, to be read once.
+ *
+ * @example
+ * ```ts
+ * const stream = createBodyStream({resume, abandon});
+ * if (!stream.push(chunk)) pause();
+ * for await (const chunk of stream.body) await write(chunk);
+ * ```
+ */
+export function createBodyStream(source: BodySource): BodyStream {
+  const queue: Uint8Array[] = [];
+  let queuedBytes = 0;
+  let paused = false;
+  let ended = false;
+  let error: Error | null = null;
+  let wake: (() => void) | null = null;
+
+  const notify = (): void => {
+    const waiting = wake;
+    wake = null;
+    waiting?.();
+  };
+
+  const shift = (): Uint8Array | undefined => {
+    const chunk = queue.shift();
+    queuedBytes -= chunk?.byteLength ?? 0;
+    if (paused && queuedBytes < MAX_QUEUED_BYTES) {
+      paused = false;
+      source.resume();
+    }
+    return chunk;
+  };
+
+  const next = async (): Promise<IteratorResult<Uint8Array>> => {
+    for (;;) {
+      const value = shift();
+      if (value !== undefined) return {done: false, value};
+      if (error !== null) throw error;
+      if (ended) return DONE;
+      await new Promise<void>(resolve => (wake = resolve));
+    }
+  };
+
+  const abandon = (): Promise<IteratorResult<Uint8Array>> => {
+    const wasOpen = !ended && error === null;
+    ended = true;
+    queue.length = 0;
+    if (wasOpen) source.abandon();
+    return Promise.resolve(DONE);
+  };
+
+  const iterator: AsyncIterator<Uint8Array> = {next, return: abandon};
+  return {
+    body: {[Symbol.asyncIterator]: () => iterator},
+    push(chunk) {
+      queue.push(chunk);
+      queuedBytes += chunk.byteLength;
+      paused = queuedBytes >= MAX_QUEUED_BYTES;
+      notify();
+      return !paused;
+    },
+    end() {
+      ended = true;
+      notify();
+    },
+    fail(failed) {
+      error ??= failed;
+      notify();
+    },
+  };
+}
--- a/packages/servers/src/client.ts
+++ b/packages/servers/src/client.ts
@@ -86,10 +86,12 @@
 
 /** The way to all backend servers, within each one's connection limit. */
 export interface ServerClient {
+  /** `mayWrite` is asked as in a `Dispatch`; `false` gives `unreachable`. */
   order(
     server: ServerRef,
     order: LeaseOrder,
     signal?: AbortSignal,
+    mayWrite?: () => boolean,
   ): Promise<Result<LeaseAck, ServerError>>;
   load(
     server: ServerRef,
--- /dev/null
+++ b/packages/servers/src/fields.ts
@@ -0,0 +1,134 @@
+import type {HeaderField} from '@banyandrum/base/request.js';
+import * as names from './headers.js';
+
+/** The parts of an answer's head that the product itself reads. */
+export interface AnswerHead {
+  readonly status: number;
+  /** What goes on to the caller. */
+  readonly fields: readonly HeaderField[];
+  /** The answer to an explicit refusal says `not-run`. */
+  readonly verdict: string | null;
+  readonly retryAfterMs: number | null;
+  /** Whose answer it is, where the server says so. */
+  readonly requestId: string | null;
+  /** Bytes of the body, null where it is chunked. */
+  readonly length: number | null;
+  /** Whether a cut body can be told from a whole one. */
+  readonly isDelimited: boolean;
+}
+
+/**
+ * Fields that concern one connection (RFC 9110, section 7.6.1), or that the
+ * HTTP client writes itself.
+ */
+const HOP_BY_HOP: ReadonlySet<string> = new Set([
+  'connection',
+  'expect',
+  'host',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+
+const PLAIN = /^[\x21-\x24\x26-\x7e]*$/;
+const NOT_PLAIN = /[^\x21-\x24\x26-\x7e]+/gu;
+
+/**
+ * Adds the caller's fields to a flat list of names and values, without those
+ * of one connection and the product's own. `content-length` stays out too,
+ * except where `keepsLength`.
+ */
+export function addForwarded(
+  list: string[],
+  fields: readonly HeaderField[],
+  keepsLength: boolean,
+): void {
+  const named = namedByConnection(fields);
+  for (const {name, value} of fields) {
+    if (isDropped(name, named)) continue;
+    if (name === 'content-length' && !keepsLength) continue;
+    list.push(name, value);
+  }
+}
+
+/**
+ * A value for a header field in printable ASCII; other characters are
+ * percent-encoded, since a hot key's shard holds the key itself.
+ *
+ * @example
+ * ```ts
+ * encodeField('k:વોર્ડ'); // 'k:%E0%AA%B5...'
+ * ```
+ */
+export function encodeField(value: string): string {
+  if (PLAIN.test(value)) return value;
+  return value.replace(NOT_PLAIN, encodeURIComponent);
+}
+
+/** Reads an answer's head from undici's flat list of names and values. */
+export function readHead(status: number, raw: readonly Buffer[]): AnswerHead {
+  const all = decodeFields(raw);
+  const named = namedByConnection(all);
+  const own = new Map<string, string>();
+  const fields: HeaderField[] = [];
+  for (const field of all) {
+    if (OWN_NAMES.has(field.name)) own.set(field.name, field.value);
+    if (!isDropped(field.name, named)) fields.push(field);
+  }
+  const length = own.get('content-length');
+  const retry = Number(own.get(names.RETRY_AFTER_MS) ?? NaN);
+  return {
+    status,
+    fields,
+    verdict: own.get(names.VERDICT) ?? null,
+    retryAfterMs: retry >= 0 ? retry : null,
+    requestId: own.get(names.REQUEST_ID) ?? null,
+    length: length === undefined ? null : Number(length),
+    isDelimited: length !== undefined || own.has('transfer-encoding'),
+  };
+}
+
+const OWN_NAMES: ReadonlySet<string> = new Set([
+  names.VERDICT,
+  names.REQUEST_ID,
+  names.RETRY_AFTER_MS,
+  'content-length',
+  'transfer-encoding',
+]);
+
+function decodeFields(raw: readonly Buffer[]): HeaderField[] {
+  const fields: HeaderField[] = [];
+  for (let at = 0; at + 1 < raw.length; at += 2) {
+    fields.push({
+      name: raw[at]!.toString('latin1').toLowerCase(),
+      value: raw[at + 1]!.toString('latin1'),
+    });
+  }
+  return fields;
+}
+
+function isDropped(name: string, named: ReadonlySet<string>): boolean {
+  return (
+    HOP_BY_HOP.has(name) || named.has(name) || name.startsWith(names.OWN_PREFIX)
+  );
+}
+
+const NONE: ReadonlySet<string> = new Set();
+
+/** The further fields that `connection` declares hop-by-hop. */
+function namedByConnection(
+  fields: readonly HeaderField[],
+): ReadonlySet<string> {
+  let named: Set<string> | null = null;
+  for (const {name, value} of fields) {
+    if (name !== 'connection') continue;
+    named ??= new Set();
+    for (const token of value.split(',')) named.add(token.trim().toLowerCase());
+  }
+  return named ?? NONE;
+}
--- /dev/null
+++ b/packages/servers/src/headers.ts
@@ -0,0 +1,16 @@
+/** The headers of the protocol towards backend servers. */
+export const REQUEST_ID = 'banyandrum-request-id';
+export const CELL = 'banyandrum-cell';
+export const SHARD = 'banyandrum-shard';
+export const FENCE = 'banyandrum-fence';
+export const DEADLINE = 'banyandrum-deadline';
+export const ONCE = 'banyandrum-once';
+export const VERDICT = 'banyandrum-verdict';
+export const RETRY_AFTER_MS = 'retry-after-ms';
+
+/** Every header of the product begins so; callers can't set or see them. */
+export const OWN_PREFIX = 'banyandrum-';
+
+/** Where orders and load questions go. */
+export const LEASE_PATH = '/control/v1/lease';
+export const LOAD_PATH = '/control/v1/load';
--- /dev/null
+++ b/packages/standins/src/server-lease.ts
@@ -0,0 +1,113 @@
+import type {CellId, Fence, ShardId} from '@banyandrum/base/ids.js';
+import {compareFences} from '@banyandrum/base/ids.js';
+import type {LeaseAck, LeaseOrder, Stamp} from '@banyandrum/servers/client.js';
+
+/** What a server does with an order. */
+export type OrderResult =
+  | {readonly kind: 'ack'; readonly ack: LeaseAck}
+  | {readonly kind: 'fenced'; readonly fence: Fence};
+
+/** The leases of one run of a server. */
+export interface ServerLeases {
+  /** Obeys an order, or not; see `docs/design/ownership.md`. */
+  obey(order: LeaseOrder): OrderResult;
+  /** Whether a request with this fence may run here now. */
+  holds(cell: CellId, shard: ShardId, fence: Fence): boolean;
+  /** The shards held under live leases, by cell. */
+  held(): readonly HeldLease[];
+}
+
+/** A lease that has not ended. */
+export interface HeldLease {
+  readonly cell: CellId;
+  readonly fence: Fence;
+  readonly shards: readonly ShardId[];
+}
+
+interface Lease {
+  readonly fence: Fence;
+  readonly shards: ReadonlySet<ShardId>;
+  /** On the server's own clock, in ms. */
+  readonly endsAt: number;
+}
+
+/**
+ * The leases of one run of a server; `stamp` reads its own clock.
+ *
+ * @example
+ * ```ts
+ * const leases = createServerLeases(true, () => ({boot: 'a', ms: now()}));
+ * const result = leases.obey(order);
+ * ```
+ */
+export function createServerLeases(
+  checksFences: boolean,
+  stamp: () => Stamp,
+): ServerLeases {
+  const leases = new Map<CellId, Lease>();
+
+  const live = (cell: CellId): Lease | undefined => {
+    const lease = leases.get(cell);
+    if (lease === undefined || stamp().ms >= lease.endsAt) return undefined;
+    return lease;
+  };
+
+  // A server that checks fences remembers the fence beyond the lease's end:
+  // otherwise a deposed leader's order would be obeyed in a gap.
+  const fenceOf = (cell: CellId): Fence | null => {
+    const lease = checksFences ? leases.get(cell) : live(cell);
+    return lease?.fence ?? null;
+  };
+
+  const report = (cell: CellId): OrderResult => ({
+    kind: 'ack',
+    ack: {
+      stamp: stamp(),
+      fence: fenceOf(cell),
+      shards: [...(live(cell)?.shards ?? [])],
+    },
+  });
+
+  const obey = (order: LeaseOrder): OrderResult => {
+    if (order.echo === null) return report(order.cell);
+    const fence = fenceOf(order.cell);
+    if (checksFences && fence && compareFences(order.fence, fence) < 0) {
+      return {kind: 'fenced', fence};
+    }
+    const endsAt = endOf(order, order.echo, stamp());
+    if (endsAt === null) return report(order.cell);
+    leases.set(order.cell, {
+      fence: order.fence,
+      shards: new Set(order.shards),
+      endsAt,
+    });
+    return report(order.cell);
+  };
+
+  return {
+    obey,
+    holds(cell, shard, fence) {
+      const lease = live(cell);
+      if (lease === undefined || !lease.shards.has(shard)) return false;
+      return !checksFences || compareFences(fence, lease.fence) >= 0;
+    },
+    held: () =>
+      [...leases.keys()].flatMap(cell => {
+        const lease = live(cell);
+        if (lease === undefined) return [];
+        return [{cell, fence: lease.fence, shards: [...lease.shards]}];
+      }),
+  };
+}
+
+/**
+ * When the ordered lease ends, or null where it is over or was meant for
+ * another run of the server. It counts from the echoed stamp: an order that
+ * was under way for long would else prolong a lease whose grantor has given
+ * it up, and two servers would hold the shard.
+ */
+function endOf(order: LeaseOrder, echo: Stamp, now: Stamp): number | null {
+  if (echo.boot !== now.boot) return null;
+  const endsAt = echo.ms + order.ttlMs;
+  return endsAt > now.ms ? endsAt : null;
+}
