Name undici's handler by its use

The name of the type changed between undici 6 and 7; a checkout in which the workspace's own copy is missing resolves the older one. Derived from dispatch itself it compiles with both.

--- a/packages/servers/src/exchange.ts
+++ b/packages/servers/src/exchange.ts
@@ -63,6 +63,8 @@
 
 type ExchangeResult = Result<ExchangeAnswer, ExchangeError>;
 
+type Handler = Parameters<Dispatcher['dispatch']>[1];
+
 /** Answers to these have no body, whatever their head says. */
 const BODILESS_STATUS: ReadonlySet<number> = new Set([204, 304]);
 
@@ -145,7 +147,7 @@
     connections.release(released, answered);
   };
 
-  const handler: Dispatcher.DispatchHandler = {
+  const handler: Handler = {
     onConnect(abortRequest) {
       if (gaveUp !== null) return abortRequest();
       abort = abortRequest;
