A cell's leader: leases, write-ahead table, recovery, first placement

Cause: nothing granted shards yet, and the whole path waits for it. The table is recorded at the standby before an order names a new shard. Recovery goes by the table or by asking the servers. Without the table nothing is dispatched before every older lease has lapsed (cleared + TTL + margin), for a server that is gone from the inventory may hold a shard that nobody else reports.

--- /dev/null
+++ b/packages/ownership/src/recovery.ts
@@ -0,0 +1,167 @@
+import type {Clock} from '@banyandrum/base/clock.js';
+import type {ShardId} from '@banyandrum/base/ids.js';
+import type {Inheritance} from './authority.js';
+import type {LeaseRegistry} from './lease-registry.js';
+import type {LeaseTask} from './lease-task.js';
+import type {LeaseTiming} from './lease-timing.js';
+import type {ShardLocator} from './shard-locator.js';
+import {
+  type ShardMap,
+  type Slot,
+  type TableRecorder,
+  hotKeyOf,
+} from './shard-table.js';
+import type {ShardEntry, ShardTable} from './table.js';
+import {sleep} from '@banyandrum/base/clock.js';
+
+export interface RecoveryOptions {
+  readonly inheritance: Inheritance;
+  readonly map: ShardMap;
+  readonly registry: LeaseRegistry;
+  readonly recorder: TableRecorder;
+  readonly locator: ShardLocator;
+  readonly clock: Clock;
+  readonly timing: LeaseTiming;
+  readonly signal: AbortSignal;
+}
+
+/** Takes a cell over from its former leader. */
+export interface Recovery {
+  /** Resolves when shards may be granted. */
+  run(): Promise<void>;
+  /** Takes note of what a server held when it was first asked. */
+  noteReport(task: LeaseTask, shards: readonly ShardId[]): void;
+  /** When every order of a former leader has lapsed; infinite before. */
+  foreignUntil(): number;
+}
+
+/**
+ * Makes the recovery of one cell, with the former leader's table or, where
+ * that is lost, by asking the servers.
+ *
+ * @example
+ * ```ts
+ * await createRecovery(options).run();
+ * ```
+ */
+export function createRecovery(options: RecoveryOptions): Recovery {
+  const {inheritance, map, registry, recorder, clock, signal} = options;
+  const disputed = new Set<ShardId>();
+  let asking = false;
+  let foreignUntil = Infinity;
+
+  const limitForeign = (): void => {
+    const {ttlMs, marginMs} = options.timing;
+    // The former leader wrote its last order before now, with an echo that
+    // it had received before.
+    foreignUntil = clock.now() + ttlMs + marginMs;
+    registry.limitForeign(foreignUntil);
+  };
+
+  const takeOver = async (table: ShardTable): Promise<void> => {
+    for (const entry of table.entries) adoptEntry(entry);
+    for (const task of registry.tasks.values()) {
+      task.add(shardsOf(map, task.server.name));
+    }
+    registry.runChecking();
+    options.locator.start();
+    recorder.touch();
+    await untilCleared(inheritance, signal);
+    if (signal.aborted) return;
+    limitForeign();
+    registry.runAll();
+  };
+
+  const adoptEntry = (entry: ShardEntry): void => {
+    const slot = findSlot(map, entry.shard);
+    if (slot === null || entry.server === null) return;
+    // A shard that was moving is still covered by its old server's lease, or
+    // by none: either way the old server may go on with it.
+    slot.state = 'held';
+    slot.server = entry.server;
+    slot.reason = 'taken over with the table';
+  };
+
+  const ask = async (): Promise<void> => {
+    await untilCleared(inheritance, signal);
+    if (signal.aborted) return;
+    limitForeign();
+    asking = true;
+    registry.runAll();
+    // A server that isn't reached, or is gone from the inventory, may hold a
+    // shard or a hot key that no other one knows of. Only time rules it out.
+    await sleep(clock, foreignUntil - clock.now(), signal);
+    asking = false;
+    if (signal.aborted) return;
+    dropDisputed();
+    recorder.touch();
+    options.locator.start();
+  };
+
+  const noteReport = (task: LeaseTask, shards: readonly ShardId[]): void => {
+    if (!asking) return;
+    for (const shard of shards) noteShard(task, shard);
+  };
+
+  const noteShard = (task: LeaseTask, shard: ShardId): void => {
+    const slot = findSlot(map, shard);
+    if (slot === null || disputed.has(shard)) return;
+    const {name} = task.server;
+    if (slot.server === null) {
+      slot.state = 'held';
+      slot.server = name;
+      slot.reason = 'reported by its server';
+      task.add([shard]);
+      return;
+    }
+    if (slot.server === name) return;
+    disputed.add(shard);
+    registry.tasks.get(slot.server)?.drop([shard]);
+    slot.state = 'free';
+    slot.server = null;
+    slot.reason = 'two servers reported it';
+  };
+
+  const dropDisputed = (): void => {
+    for (const shard of disputed) {
+      const key = hotKeyOf(shard);
+      if (key !== null) map.removeHot(key);
+    }
+  };
+
+  return {
+    run: () =>
+      inheritance.table === null ? ask() : takeOver(inheritance.table),
+    noteReport,
+    foreignUntil: () => foreignUntil,
+  };
+}
+
+function findSlot(map: ShardMap, shard: ShardId): Slot | null {
+  const known = map.get(shard);
+  if (known !== undefined) return known;
+  const key = hotKeyOf(shard);
+  if (key === null || map.rangeOf(key) === null) return null;
+  const slot = map.addHot(key);
+  map.expose(key);
+  return slot;
+}
+
+function shardsOf(map: ShardMap, server: string): readonly ShardId[] {
+  const shards: ShardId[] = [];
+  for (const slot of map.all()) {
+    if (slot.server === server) shards.push(slot.shard);
+  }
+  return shards;
+}
+
+function untilCleared(
+  inheritance: Inheritance,
+  signal: AbortSignal,
+): Promise<void> {
+  return new Promise(resolve => {
+    void inheritance.cleared.then(resolve);
+    signal.addEventListener('abort', () => resolve());
+    if (signal.aborted) resolve();
+  });
+}
--- /dev/null
+++ b/packages/ownership/src/shard-table.ts
@@ -0,0 +1,234 @@
+import type {Clock} from '@banyandrum/base/clock.js';
+import {sleep} from '@banyandrum/base/clock.js';
+import {rangeOf} from '@banyandrum/base/hash.js';
+import type {CellId, Fence, ShardId} from '@banyandrum/base/ids.js';
+import type {Authority} from './authority.js';
+import type {ShardEntry, ShardState, ShardTable} from './table.js';
+
+/** One shard, as its leader keeps it. */
+export interface Slot {
+  readonly shard: ShardId;
+  state: ShardState;
+  server: string | null;
+  next: string | null;
+  /** Dispatch is stopped: the shard moves, splits or merges. */
+  paused: boolean;
+  /** No server can take it at present. */
+  stuck: boolean;
+  /** A handover, grant, split or merge is under way for it. */
+  busy: boolean;
+  /** Monotonic time of its last move. */
+  movedAt: number;
+  /** For operators: why it is where it is. */
+  reason: string;
+  /** Whoever waits until the shard can be served; null where nobody does. */
+  waiting: Settled | null;
+}
+
+/** A promise that somebody else resolves. */
+export interface Settled {
+  readonly promise: Promise<void>;
+  readonly resolve: () => void;
+}
+
+export interface ShardMapOptions {
+  readonly service: string;
+  readonly shards: number;
+  readonly cells: number;
+  /** This cell's index within the service. */
+  readonly index: number;
+}
+
+/** The cell's shards: its hash ranges and its hot keys. */
+export interface ShardMap {
+  /** The slot of a key, or null where the key is another cell's. */
+  find(key: string): Slot | null;
+  get(shard: ShardId): Slot | undefined;
+  /** The hash range that a key falls into, hot or not. */
+  rangeOf(key: string): Slot | null;
+  all(): Iterable<Slot>;
+  size(): number;
+  /** Adds a hot key's slot; `find` yields it only after `expose`. */
+  addHot(key: string): Slot;
+  expose(key: string): void;
+  /** Makes the key part of its hash range again. */
+  removeHot(key: string): void;
+}
+
+const HOT_PREFIX = 'k:';
+
+/** The shard id of a hot key on its own. */
+export function hotShardOf(key: string): ShardId {
+  return `${HOT_PREFIX}${key}`;
+}
+
+/** The key of a hot key's shard, or null for a hash range. */
+export function hotKeyOf(shard: ShardId): string | null {
+  return shard.startsWith(HOT_PREFIX) ? shard.slice(HOT_PREFIX.length) : null;
+}
+
+/**
+ * Makes the map of one cell's shards. Looking a key up takes one hash, and
+ * one map access more while the cell has hot keys.
+ *
+ * @example
+ * ```ts
+ * const map = createShardMap({service, shards: 64, cells: 2, index: 0});
+ * map.find('ward-7')?.server;
+ * ```
+ */
+export function createShardMap(options: ShardMapOptions): ShardMap {
+  const {shards, cells, index} = options;
+  const first = Math.ceil((index * shards) / cells);
+  const end = Math.ceil(((index + 1) * shards) / cells);
+  const ranges: Slot[] = [];
+  for (let range = first; range < end; range++) {
+    ranges.push(createSlot(String(range)));
+  }
+  const hot = new Map<string, Slot>();
+  const hidden = new Map<string, Slot>();
+  const byId = new Map(ranges.map(slot => [slot.shard, slot]));
+
+  const rangeSlot = (key: string): Slot | null =>
+    ranges[rangeOf(key, shards) - first] ?? null;
+
+  return {
+    find(key) {
+      const slot = hot.size === 0 ? undefined : hot.get(key);
+      return slot ?? rangeSlot(key);
+    },
+    get: shard => byId.get(shard),
+    rangeOf: rangeSlot,
+    all: () => byId.values(),
+    size: () => byId.size,
+    addHot(key) {
+      const slot = createSlot(hotShardOf(key));
+      byId.set(slot.shard, slot);
+      hidden.set(key, slot);
+      return slot;
+    },
+    expose(key) {
+      const slot = hidden.get(key);
+      if (slot === undefined) return;
+      hidden.delete(key);
+      hot.set(key, slot);
+    },
+    removeHot(key) {
+      hot.delete(key);
+      hidden.delete(key);
+      byId.delete(hotShardOf(key));
+    },
+  };
+}
+
+/** Puts each change of the table at the standby before it is carried out. */
+export interface TableRecorder {
+  /** Notes that the table changed. */
+  touch(): void;
+  /**
+   * Resolves to true once every change made so far is recorded; repeats what
+   * fails. False only when the signal aborts.
+   */
+  commit(): Promise<boolean>;
+  /** The whole table as it is now. */
+  snapshot(): ShardTable;
+}
+
+export interface TableRecorderOptions {
+  readonly map: ShardMap;
+  readonly authority: Authority;
+  readonly clock: Clock;
+  readonly signal: AbortSignal;
+  readonly fences: () => ReadonlyMap<string, Fence>;
+  /** The version to go on from. */
+  readonly version: number;
+}
+
+const RECORD_RETRY_MS = 50;
+
+/**
+ * Makes the recorder of one cell's table. Changes made while one record is
+ * under way share the next one.
+ *
+ * @example
+ * ```ts
+ * slot.server = 'bed-3';
+ * recorder.touch();
+ * if (await recorder.commit()) task.add([slot.shard]);
+ * ```
+ */
+export function createTableRecorder(
+  options: TableRecorderOptions,
+): TableRecorder {
+  const {map, authority, clock, signal} = options;
+  const cell: CellId = authority.cell;
+  let version = options.version;
+  let recorded = -1;
+  let running: Promise<void> | null = null;
+
+  const snapshot = (): ShardTable => ({
+    cell,
+    epoch: authority.epoch,
+    version,
+    entries: Array.from(map.all(), toEntry),
+    fences: options.fences(),
+  });
+
+  const recordOnce = async (): Promise<void> => {
+    const table = snapshot();
+    if (await authority.record(table)) {
+      recorded = Math.max(recorded, table.version);
+      return;
+    }
+    await sleep(clock, RECORD_RETRY_MS, signal);
+  };
+
+  const commit = async (): Promise<boolean> => {
+    const wanted = version;
+    while (recorded < wanted) {
+      if (signal.aborted) return false;
+      running ??= recordOnce().finally(() => {
+        running = null;
+      });
+      await running;
+    }
+    return !signal.aborted;
+  };
+
+  return {
+    touch() {
+      version++;
+    },
+    commit,
+    snapshot,
+  };
+}
+
+/** Makes a promise that somebody else resolves. */
+export function createSettled(): Settled {
+  let resolve: () => void = () => {};
+  const promise = new Promise<void>(done => {
+    resolve = done;
+  });
+  return {promise, resolve};
+}
+
+function createSlot(shard: ShardId): Slot {
+  return {
+    shard,
+    state: 'free',
+    server: null,
+    next: null,
+    paused: false,
+    stuck: false,
+    busy: false,
+    movedAt: -Infinity,
+    reason: 'not placed yet',
+    waiting: null,
+  };
+}
+
+function toEntry(slot: Slot): ShardEntry {
+  const {shard, state, server, next} = slot;
+  return {shard, state, server, next};
+}
