Views, authority and takeover by the standby

Nothing decided yet who leads a cell. This adds the control messages between routers, election by rendezvous hashing, first claims, the leader's right to act (fresh reading of the log, or consent), consent and withdrawal at the standby, its takeover, and the replacement of a standby that is silent.

--- /dev/null
+++ b/packages/ownership/src/control.ts
@@ -0,0 +1,137 @@
+import {z} from 'zod';
+import type {Peers} from '@banyandrum/routers/peers.js';
+import type {ShardTable} from './table.js';
+
+/*
+ * Control messages between routers. Everything in them is plain JSON; the
+ * sender's incarnation travels with the stream.
+ */
+
+const offsetSchema = z.number().int().min(0);
+
+const fenceSchema = z.object({
+  server: z.string(),
+  epoch: offsetSchema,
+  sequence: z.number().int().min(0),
+});
+
+const entrySchema = z.object({
+  shard: z.string(),
+  state: z.enum(['held', 'moving', 'free']),
+  server: z.string().nullable(),
+  next: z.string().nullable(),
+});
+
+const tableSchema = z.object({
+  cell: z.string(),
+  epoch: offsetSchema,
+  version: z.number().int().min(0),
+  entries: z.array(entrySchema),
+  fences: z.array(fenceSchema),
+});
+
+const cellEpochSchema = z.object({cell: z.string(), epoch: offsetSchema});
+
+const resignedCellSchema = z.object({
+  cell: z.string(),
+  epoch: offsetSchema,
+  cleared: z.boolean(),
+  table: tableSchema.nullable(),
+});
+
+const leadsSchema = z.object({
+  leading: z.array(cellEpochSchema),
+  next: offsetSchema,
+  publication: offsetSchema,
+});
+
+/** Checks of the control messages of ownership, for the peer server. */
+export const ownershipSchemas = {
+  consent: {
+    ask: z.object({cells: z.array(cellEpochSchema)}),
+    answer: z.object({granted: z.array(z.string()), leaving: z.boolean()}),
+  },
+  table: {
+    ask: z.object({table: tableSchema}),
+    answer: z.object({stored: z.boolean()}),
+  },
+  withdraw: {
+    ask: cellEpochSchema,
+    answer: z.object({
+      withdrawnForMs: z.number().nullable(),
+      refused: z.string().nullable(),
+    }),
+  },
+  resign: {
+    ask: z.object({cells: z.array(resignedCellSchema)}),
+    answer: z.object({accepted: z.array(z.string())}),
+  },
+  leads: {
+    ask: z.object({}),
+    answer: leadsSchema,
+  },
+  state: {
+    ask: z.object({next: offsetSchema}),
+    answer: z.object({encoded: z.string().nullable()}),
+  },
+} as const;
+
+type Message<K extends keyof typeof ownershipSchemas> = {
+  readonly ask: z.infer<(typeof ownershipSchemas)[K]['ask']>;
+  readonly answer: z.infer<(typeof ownershipSchemas)[K]['answer']>;
+};
+
+/**
+ * - `consent`: the leader asks its standby whether it may go on, for all
+ *   cells that the two share; also the heartbeat between them. `leaving`
+ *   tells that the standby stops soon.
+ * - `table`: a cell's whole table, put at the standby.
+ * - `withdraw`: a third router asks a standby to consent no more;
+ *   `withdrawnForMs` is null where it refuses.
+ * - `resign`: a leader has stopped acting and hands its cells over;
+ *   `cleared` tells whether its own predecessor was known to have stopped.
+ * - `leads`: what the router leads, and the versions it has in force.
+ * - `state`: the newer state of the log, for a router that cannot read it.
+ */
+export type OwnershipControl = {
+  readonly [K in keyof typeof ownershipSchemas]: Message<K>;
+};
+
+export type ConsentAsk = OwnershipControl['consent']['ask'];
+export type ConsentAnswer = OwnershipControl['consent']['answer'];
+export type CellEpoch = OwnershipControl['withdraw']['ask'];
+export type WithdrawAnswer = OwnershipControl['withdraw']['answer'];
+export type ResignAsk = OwnershipControl['resign']['ask'];
+export type ResignedCell = ResignAsk['cells'][number];
+export type LeadsAnswer = OwnershipControl['leads']['answer'];
+export type TableMessage = OwnershipControl['table']['ask']['table'];
+
+/** The part of the way to other routers that ownership uses. */
+export type OwnershipPeers = Pick<Peers<OwnershipControl>, 'ask' | 'probe'>;
+
+/** A table as it travels. */
+export function toTableMessage(table: ShardTable): TableMessage {
+  return {
+    cell: table.cell,
+    epoch: table.epoch,
+    version: table.version,
+    entries: [...table.entries],
+    fences: [...table.fences].map(([server, fence]) => ({server, ...fence})),
+  };
+}
+
+/** The table that a message carries. */
+export function fromTableMessage(message: TableMessage): ShardTable {
+  return {
+    cell: message.cell,
+    epoch: message.epoch,
+    version: message.version,
+    entries: message.entries,
+    fences: new Map(
+      message.fences.map(({server, epoch, sequence}) => [
+        server,
+        {epoch, sequence},
+      ]),
+    ),
+  };
+}
--- /dev/null
+++ b/packages/ownership/src/election.ts
@@ -0,0 +1,71 @@
+import {rendezvousWeight} from '@banyandrum/base/hash.js';
+import type {CellId} from '@banyandrum/base/ids.js';
+import type {Inventory} from '@banyandrum/config/inventory.js';
+
+/** A router host as a candidate for a role. */
+export interface RouterHost {
+  readonly host: string;
+  /** `ip:port` for other routers. */
+  readonly address: string;
+  readonly dataCentre: string;
+}
+
+/**
+ * All cells of an inventory.
+ *
+ * @example
+ * ```ts
+ * cellsOf(inventory); // ['holds/0', 'holds/1', 'vacancy/0']
+ * ```
+ */
+export function cellsOf(inventory: Inventory): readonly CellId[] {
+  return inventory.services.flatMap(service =>
+    Array.from({length: service.cells}, (_, i) => `${service.name}/${i}`),
+  );
+}
+
+/**
+ * Candidates for a cell by rendezvous hashing, the best one first; alike in
+ * every router that knows the same candidates.
+ *
+ * @example
+ * ```ts
+ * const [leader] = rankRouters('holds/0', routers);
+ * ```
+ */
+export function rankRouters(
+  cell: CellId,
+  routers: readonly RouterHost[],
+): readonly RouterHost[] {
+  const weighed = routers.map(router => ({
+    router,
+    weight: rendezvousWeight(cell, router.host),
+  }));
+  weighed.sort((a, b) => b.weight - a.weight || compare(a.router, b.router));
+  return weighed.map(({router}) => router);
+}
+
+/**
+ * Candidates for a cell's standby, the best one first: those in another data
+ * centre than the leader's go before those in its own.
+ *
+ * @example
+ * ```ts
+ * const [standby] = rankStandbys('holds/0', leader, routers);
+ * ```
+ */
+export function rankStandbys(
+  cell: CellId,
+  leader: RouterHost,
+  routers: readonly RouterHost[],
+): readonly RouterHost[] {
+  const others = routers.filter(router => router.host !== leader.host);
+  const ranked = rankRouters(cell, others);
+  const isAway = (router: RouterHost): boolean =>
+    router.dataCentre !== leader.dataCentre;
+  return [...ranked.filter(isAway), ...ranked.filter(r => !isAway(r))];
+}
+
+function compare(a: RouterHost, b: RouterHost): number {
+  return a.host < b.host ? -1 : 1;
+}
--- /dev/null
+++ b/packages/ownership/src/membership.ts
@@ -0,0 +1,113 @@
+import type {CellId, Incarnation} from '@banyandrum/base/ids.js';
+import type {Host} from '@banyandrum/hosts/client.js';
+import type {OwnershipContext} from './context.js';
+import type {RouterHost} from './election.js';
+import {rankStandbys} from './election.js';
+
+/** The newest host list that was read; null before the first. */
+export interface LiveHosts {
+  current(): readonly Host[] | null;
+}
+
+/** Which routers may take roles, and which run of each is there now. */
+export interface Membership {
+  /** Whether the host list was read at all. */
+  isKnown(): boolean;
+  /** Routers that may take new roles, this one among them if it may. */
+  candidates(): readonly RouterHost[];
+  /** Whether the router may keep its roles: neither drained nor leaving. */
+  isWelcome(host: string): boolean;
+  /**
+   * The best standby for a cell that answers, or null where none does.
+   * `unfit` is a run that must not be chosen.
+   */
+  findStandby(
+    cell: CellId,
+    unfit: Incarnation | null,
+  ): Promise<Incarnation | null>;
+  /** Takes note that a run is about to stop, so that it gets no new role. */
+  noteLeaving(incarnation: Incarnation): void;
+  isLeaving(incarnation: Incarnation): boolean;
+}
+
+interface Sighting {
+  readonly at: number;
+  readonly found: Promise<Incarnation | null>;
+}
+
+/** How long an answer to "who is there" is believed, in ms. */
+const SIGHTING_MS = 1000;
+
+/**
+ * Joins the lagging host list with what this process sees itself. Routers
+ * are probed only when a role is to be given out, and each one once a second
+ * at most, so the number of probes does not grow with the number of routers.
+ *
+ * @example
+ * ```ts
+ * const standby = await membership.findStandby('holds/0', null);
+ * ```
+ */
+export function createMembership(
+  ctx: OwnershipContext,
+  hosts: LiveHosts,
+): Membership {
+  const {self, clock, store} = ctx;
+  const sightings = new Map<string, Sighting>();
+  const leaving = new Set<string>();
+
+  const isWelcome = (host: string): boolean => {
+    if (store.current().drains.has(host)) return false;
+    const listed = routersOf(hosts).find(({name}) => name === host);
+    return listed?.state !== 'leaving';
+  };
+
+  const candidates = (): readonly RouterHost[] => {
+    const others = routersOf(hosts)
+      .filter(({name}) => name !== self.host)
+      .map(toRouterHost);
+    return [self, ...others].filter(({host}) => isWelcome(host));
+  };
+
+  const probe = async (address: string): Promise<Incarnation | null> => {
+    const res = await ctx.peers.probe(address, ctx.timing.answerMs);
+    return res.ok ? res.val : null;
+  };
+
+  const find = (router: RouterHost): Promise<Incarnation | null> => {
+    const known = sightings.get(router.host);
+    const now = clock.now();
+    if (known && now - known.at < SIGHTING_MS) return known.found;
+    const found = probe(router.address);
+    sightings.set(router.host, {at: now, found});
+    return found;
+  };
+
+  const isFit = (found: Incarnation, unfit: Incarnation | null): boolean =>
+    !leaving.has(found.boot) &&
+    found.boot !== self.boot &&
+    found.boot !== unfit?.boot;
+
+  return {
+    isKnown: () => hosts.current() !== null,
+    candidates,
+    isWelcome,
+    async findStandby(cell, unfit) {
+      for (const router of rankStandbys(cell, self, candidates())) {
+        const found = await find(router);
+        if (found !== null && isFit(found, unfit)) return found;
+      }
+      return null;
+    },
+    noteLeaving: ({boot}) => void leaving.add(boot),
+    isLeaving: ({boot}) => leaving.has(boot),
+  };
+}
+
+function routersOf(hosts: LiveHosts): readonly Host[] {
+  return (hosts.current() ?? []).filter(({role}) => role === 'router');
+}
+
+function toRouterHost({name, address, dataCentre}: Host): RouterHost {
+  return {host: name, address, dataCentre};
+}
--- /dev/null
+++ b/packages/ownership/src/run-ownership.ts
@@ -0,0 +1,125 @@
+import type {Clock} from '@banyandrum/base/clock.js';
+import type {CellId, Incarnation} from '@banyandrum/base/ids.js';
+import type {Logger} from '@banyandrum/base/logger.js';
+import type {ClusterState, View} from '@banyandrum/config/state.js';
+import type {StateStore} from '@banyandrum/config/store.js';
+import type {ControlHandlers} from '@banyandrum/routers/peers.js';
+import {createClaimer} from './claims.js';
+import {runConsent} from './consent.js';
+import type {OwnershipContext} from './context.js';
+import type {OwnershipControl, OwnershipPeers} from './control.js';
+import {runFirstClaims} from './first-claims.js';
+import {createHandlers} from './handlers.js';
+import type {StartCell} from './leadership.js';
+import {createLeadership} from './leadership.js';
+import type {LedCell} from './led-cell.js';
+import type {LiveHosts} from './membership.js';
+import {createMembership} from './membership.js';
+import {createPauseDetector} from './pauses.js';
+import {createPeerTasks} from './peer-tasks.js';
+import {createStandby} from './standby.js';
+import {createStandbyKeeper} from './standby-keeper.js';
+import {runStandbyWatch} from './standby-watch.js';
+import {runTakeover} from './takeover.js';
+import type {AuthorityTiming} from './timing.js';
+import {viewsBackedBy} from './views.js';
+
+export interface OwnershipOptions {
+  readonly self: Incarnation;
+  readonly store: StateStore;
+  readonly hosts: LiveHosts;
+  readonly peers: OwnershipPeers;
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly timing: AuthorityTiming;
+  /** Starts the leader's work for a cell, once for each epoch. */
+  readonly startCell: StartCell;
+  /** Encodes the state for a peer that cannot read the log. */
+  readonly encodeState: (state: ClusterState) => string;
+  /** 0 to below 1, for jitter. */
+  readonly random?: () => number;
+}
+
+/** Views, authority and takeover of one router process. */
+export interface Ownership {
+  /** The cell's leader in this process, or null where another leads. */
+  ledCell(cell: CellId): LedCell | null;
+  /** The newest view known; null where nobody leads the cell yet. */
+  leaderOf(cell: CellId): View | null;
+  /** For the peer server. */
+  readonly handlers: ControlHandlers<OwnershipControl>;
+  /** Calls `listener` after each change of views; returns how to stop. */
+  subscribe(listener: () => void): () => void;
+  /**
+   * Gives up every right and ends all tasks. Must be over *before* the peer
+   * server stops listening: once another run of the process can answer at
+   * this address, the others take this one for gone.
+   */
+  stop(): Promise<void>;
+}
+
+/**
+ * Runs ownership in a router: claims cells, keeps and gives consent, takes
+ * over, and starts `startCell` for each cell and epoch that it leads.
+ *
+ * @example
+ * ```ts
+ * const ownership = createOwnership({self, store, hosts, peers, ...});
+ * const led = ownership.ledCell('holds/0');
+ * ```
+ */
+export function createOwnership(options: OwnershipOptions): Ownership {
+  const {self, store, peers, clock, log, timing} = options;
+  const abort = new AbortController();
+  const {signal} = abort;
+  const pauses = createPauseDetector(clock, signal);
+  const random = options.random ?? Math.random;
+  const ctx: OwnershipContext = {
+    ...{self, store, peers, clock, log, timing, pauses, random, signal},
+  };
+  const listeners = new Set<() => void>();
+  const membership = createMembership(ctx, options.hosts);
+  const claimer = createClaimer(ctx);
+  const leadership = createLeadership(ctx, claimer, options.startCell);
+  const standby = createStandby(ctx, () => false);
+  const keeper = createStandbyKeeper(ctx, membership, claimer, leadership);
+  const asking = createPeerTasks((peer, ended) =>
+    runConsent(ctx, membership, leadership, keeper, peer, ended),
+  );
+  const watching = createPeerTasks((peer, ended) =>
+    runStandbyWatch(ctx, standby, peer, ended),
+  );
+
+  const reconcile = (): void => {
+    leadership.reconcile();
+    standby.reconcile();
+    asking.sync(leadership.epochs().flatMap(({view}) => view.standby ?? []));
+    watching.sync(
+      viewsBackedBy(store.current(), self).map(({leader}) => leader),
+    );
+    for (const listener of listeners) listener();
+  };
+
+  const unsubscribe = store.subscribe(reconcile);
+  reconcile();
+  void runFirstClaims(ctx, membership, claimer);
+  void runTakeover(ctx, membership, standby, claimer);
+  void keeper.run();
+
+  return {
+    ledCell: leadership.ledCell,
+    leaderOf: cell => store.current().views.get(cell) ?? null,
+    handlers: createHandlers(ctx, leadership, standby, options.encodeState),
+    subscribe(listener) {
+      listeners.add(listener);
+      return () => void listeners.delete(listener);
+    },
+    async stop() {
+      unsubscribe();
+      abort.abort();
+      asking.stop();
+      watching.stop();
+      await leadership.stop();
+    },
+  };
+}
--- /dev/null
+++ b/packages/ownership/src/standby-watch.ts
@@ -0,0 +1,96 @@
+import {sleep} from '@banyandrum/base/clock.js';
+import type {Incarnation} from '@banyandrum/base/ids.js';
+import {sameIncarnation} from '@banyandrum/base/ids.js';
+import type {OwnershipContext} from './context.js';
+import type {Backing, Standby} from './standby.js';
+import {isAttestedLost} from './views.js';
+
+/**
+ * Watches one leader as its standby, for all cells that it shares with this
+ * process, and withdraws once the leader is lost; until the signal aborts.
+ *
+ * The rule for withdrawing, beside silence of the leader on a new connection
+ * too: this process must have read the log's end *after* it last heard of
+ * the leader, and within T. While the log is down the leader may live on
+ * this very consent, and may only be cut off for a moment: withdrawn, it
+ * would have to stop until the log is back, though nobody could take over.
+ * With the log at hand a claim can follow at once. A leader that is proved
+ * gone needs no consent, so there the log does not matter.
+ */
+export async function runStandbyWatch(
+  ctx: OwnershipContext,
+  standby: Standby,
+  leader: Incarnation,
+  signal: AbortSignal,
+): Promise<void> {
+  while (!signal.aborted) {
+    await sleep(ctx.clock, ctx.timing.tickMs, signal);
+    const doubtful = () => doubtfulRoles(ctx, standby, leader);
+    if (doubtful().length === 0) continue;
+    const proof = await examine(ctx, leader);
+    if (signal.aborted || proof === 'paused') continue;
+    for (const role of doubtful()) {
+      if (!mayWithdraw(ctx, role, proof)) continue;
+      const {cell, epoch} = role.view;
+      ctx.log.warn('leader lost', {cell, epoch, host: leader.host, proof});
+      standby.withdraw(cell, epoch);
+    }
+  }
+}
+
+/**
+ * - `there`: the leader's process answers on a new connection.
+ * - `silent`: nothing answers there.
+ * - `gone`: proved, by another run at its address or an operator's word.
+ * - `paused`: this process stood still meanwhile, so that silence shows
+ *   nothing.
+ */
+type Proof = 'there' | 'silent' | 'gone' | 'paused';
+
+async function examine(
+  ctx: OwnershipContext,
+  leader: Incarnation,
+): Promise<Proof> {
+  if (isAttestedLost(ctx.store.current(), leader)) return 'gone';
+  const startedAt = ctx.clock.now();
+  const res = await ctx.peers.probe(leader.address, ctx.timing.answerMs);
+  if (res.ok) return sameIncarnation(res.val, leader) ? 'there' : 'gone';
+  return ctx.pauses.awakeSince() > startedAt ? 'paused' : 'silent';
+}
+
+function doubtfulRoles(
+  ctx: OwnershipContext,
+  standby: Standby,
+  leader: Incarnation,
+): readonly Backing[] {
+  return standby
+    .backings()
+    .filter(
+      role =>
+        role.withdrawnAt === null &&
+        sameIncarnation(role.view.leader, leader) &&
+        silentFor(ctx, role) > ctx.timing.suspicionMs,
+    );
+}
+
+function mayWithdraw(
+  ctx: OwnershipContext,
+  role: Backing,
+  proof: Proof,
+): boolean {
+  if (proof === 'gone') return true;
+  const confirmedAt = ctx.store.confirmedAt();
+  const isFresh =
+    confirmedAt > role.heardAt &&
+    ctx.clock.now() - confirmedAt < ctx.timing.authorityMs;
+  if (!isFresh) return false;
+  // It answers but doesn't ask: most likely it does not know yet that it
+  // leads. It gets more time, not all of it.
+  const patience = proof === 'there' ? 3 : 1;
+  return silentFor(ctx, role) > patience * ctx.timing.suspicionMs;
+}
+
+function silentFor(ctx: OwnershipContext, role: Backing): number {
+  const heardAt = Math.max(role.heardAt, ctx.pauses.awakeSince());
+  return ctx.clock.now() - heardAt;
+}
--- /dev/null
+++ b/packages/ownership/src/standby.ts
@@ -0,0 +1,172 @@
+import type {CellId, Incarnation, Offset} from '@banyandrum/base/ids.js';
+import {sameIncarnation} from '@banyandrum/base/ids.js';
+import type {View} from '@banyandrum/config/state.js';
+import type {OwnershipContext} from './context.js';
+import type {ConsentAnswer, ConsentAsk, TableMessage} from './control.js';
+import {fromTableMessage} from './control.js';
+import type {ShardTable} from './table.js';
+import {viewAt, viewsBackedBy} from './views.js';
+
+/** What this process keeps as the standby of one cell in one epoch. */
+export interface Backing {
+  readonly view: View;
+  /** When the leader last asked for consent. */
+  readonly heardAt: number;
+  /** When this process withdrew; null while it still consents. */
+  readonly withdrawnAt: number | null;
+  /** Set once the leader said that it has stopped. */
+  readonly resigned: {readonly cleared: boolean} | null;
+  readonly table: ShardTable | null;
+}
+
+/** The standby's side of all cells that this process stands by for. */
+export interface Standby {
+  /** Brings the roles in line with the newest views. */
+  reconcile(): void;
+  /** Roles of epochs that are current as far as this process knows. */
+  backings(): readonly Backing[];
+  backing(cell: CellId, epoch: Offset): Backing | null;
+  answerConsent(from: Incarnation, ask: ConsentAsk): ConsentAnswer;
+  storeTable(from: Incarnation, message: TableMessage): boolean;
+  /** Ends consent for good; there is no way back within the epoch. */
+  withdraw(cell: CellId, epoch: Offset): void;
+  /** Notes the leader's resignation, which also ends consent. */
+  acceptResignation(
+    from: Incarnation,
+    cell: CellId,
+    epoch: Offset,
+    resignation: {
+      readonly cleared: boolean;
+      readonly table: ShardTable | null;
+    },
+  ): boolean;
+}
+
+type MutableBacking = {-readonly [K in keyof Backing]: Backing[K]};
+
+/**
+ * Keeps consent, withdrawal and tables of the cells that this process stands
+ * by for. All of it is lost with the process, which is why views name
+ * incarnations: the next run is no standby and consents to nothing.
+ *
+ * @example
+ * ```ts
+ * const {granted} = standby.answerConsent(from, {cells});
+ * ```
+ */
+export function createStandby(
+  ctx: OwnershipContext,
+  isLeaving: () => boolean,
+): Standby {
+  const roles = new Map<CellId, MutableBacking>();
+
+  const reconcile = (): void => {
+    const state = ctx.store.current();
+    for (const {view} of [...roles.values()]) {
+      if (!viewAt(state, view.cell, view.epoch)) roles.delete(view.cell);
+    }
+    for (const view of viewsBackedBy(state, ctx.self)) {
+      if (roles.has(view.cell)) continue;
+      roles.set(view.cell, createBacking(view, ctx.clock.now()));
+    }
+  };
+
+  // Reconciles first, so that an answer never rests on an older view than
+  // the newest that this process has read.
+  const roleFor = (
+    from: Incarnation,
+    cell: CellId,
+    epoch: Offset,
+  ): MutableBacking | null => {
+    reconcile();
+    const role = roles.get(cell);
+    if (role?.view.epoch !== epoch) return null;
+    return sameIncarnation(role.view.leader, from) ? role : null;
+  };
+
+  const consentTo = (
+    from: Incarnation,
+    cell: CellId,
+    epoch: Offset,
+  ): boolean => {
+    const role = roleFor(from, cell, epoch);
+    if (role === null) return false;
+    role.heardAt = ctx.clock.now();
+    return role.withdrawnAt === null;
+  };
+
+  const withdraw = (role: MutableBacking): void => {
+    role.withdrawnAt ??= ctx.clock.now();
+  };
+
+  return {
+    reconcile,
+    backings() {
+      reconcile();
+      return [...roles.values()];
+    },
+    backing(cell, epoch) {
+      reconcile();
+      const role = roles.get(cell);
+      return role?.view.epoch === epoch ? role : null;
+    },
+    answerConsent(from, {cells}) {
+      const granted = cells
+        .filter(({cell, epoch}) => consentTo(from, cell, epoch))
+        .map(({cell}) => cell);
+      return {granted, leaving: isLeaving()};
+    },
+    storeTable(from, message) {
+      const role = roleFor(from, message.cell, message.epoch);
+      // Once withdrawn, the table is what this process takes over from. A
+      // later change would be acknowledged to the old leader, carried out at
+      // a server, and missing from what the new leader knows.
+      if (role === null || role.withdrawnAt !== null) return false;
+      return storeNewer(role, message);
+    },
+    withdraw(cell, epoch) {
+      reconcile();
+      const role = roles.get(cell);
+      if (role?.view.epoch === epoch) withdraw(role);
+    },
+    acceptResignation(from, cell, epoch, {cleared, table}) {
+      const role = roleFor(from, cell, epoch);
+      if (role === null) return false;
+      // A table that came before the withdrawal is no newer than this one.
+      if (table !== null) role.table = table;
+      role.resigned = {cleared};
+      withdraw(role);
+      return true;
+    },
+  };
+}
+
+function createBacking(view: View, now: number): MutableBacking {
+  return {
+    view,
+    heardAt: now,
+    withdrawnAt: null,
+    resigned: null,
+    table: null,
+  };
+}
+
+/**
+ * Keeps the newer table. Of two with one version the first stays, and the
+ * second is acknowledged only if it is the same one sent again.
+ */
+function storeNewer(role: MutableBacking, message: TableMessage): boolean {
+  const table = fromTableMessage(message);
+  const known = role.table;
+  if (known === null || table.version > known.version) {
+    role.table = table;
+    return true;
+  }
+  return table.version === known.version && isSameTable(known, table);
+}
+
+function isSameTable(a: ShardTable, b: ShardTable): boolean {
+  const encode = (table: ShardTable): string =>
+    JSON.stringify([table.entries, [...table.fences]]);
+  return encode(a) === encode(b);
+}
--- /dev/null
+++ b/packages/ownership/test/support/fake-log.ts
@@ -0,0 +1,145 @@
+import type {Offset} from '@banyandrum/base/ids.js';
+import type {Result} from '@banyandrum/base/result.js';
+import {Err, Ok} from '@banyandrum/base/result.js';
+import {sleep} from '@banyandrum/base/clock.js';
+import type {StateRecord} from '@banyandrum/config/records.js';
+import type {ClusterState} from '@banyandrum/config/state.js';
+import type {Appended, StateStore} from '@banyandrum/config/store.js';
+import type {LogError} from '@banyandrum/log/client.js';
+import type {Network} from './network.js';
+import type {FakeProcess} from './process.js';
+
+export const LOG = 'log';
+
+/** The records of the fake log; a record's offset is its index plus one. */
+export type FakeLog = StateRecord[];
+
+/** How the log treats the next appends. */
+export interface LogFaults {
+  /** Refuses, so that appends are proved not applied. */
+  refuses: boolean;
+  /** Takes appends but loses the replies. */
+  losesReplies: boolean;
+  /** Further delay of an append on its way, in ms. */
+  appendDelay: () => number;
+}
+
+const POLL_MS = 100;
+const REPLY_MS = 1000;
+
+/** One process's reading of the fake log, over the network. */
+export function createFakeStore(
+  process: FakeProcess,
+  network: Network,
+  log: FakeLog,
+  faults: LogFaults,
+  initial: ClusterState,
+): StateStore {
+  const {clock} = process;
+  const host = process.incarnation.host;
+  const listeners = new Set<(state: ClusterState) => void>();
+  let state = initial;
+  let confirmedAt = -Infinity;
+
+  const accept = (records: readonly StateRecord[], sentAt: number): void => {
+    confirmedAt = Math.max(confirmedAt, sentAt);
+    const before = state;
+    for (const record of records.slice(state.next - 1)) {
+      state = fold(state, record);
+    }
+    if (state === before) return;
+    for (const listener of listeners) listener(state);
+  };
+
+  const poll = (): void => {
+    const sentAt = clock.now();
+    network.carry(host, LOG, () => {
+      if (faults.refuses) return;
+      const seen = [...log];
+      network.carry(LOG, host, () =>
+        process.deliver(() => accept(seen, sentAt)),
+      );
+    });
+  };
+
+  const run = async (): Promise<void> => {
+    while (process.isAlive()) {
+      poll();
+      await sleep(clock, POLL_MS);
+    }
+  };
+  void run();
+
+  const send = (record: StateRecord): Promise<Offset | 'refused' | 'silent'> =>
+    new Promise(resolve => {
+      clock.after(REPLY_MS, () => resolve('silent'));
+      const apply = (): void => {
+        const reply = faults.refuses ? 'refused' : log.push(record);
+        if (faults.losesReplies) return;
+        network.carry(LOG, host, () => process.deliver(() => resolve(reply)));
+      };
+      network.carry(host, LOG, () => {
+        const delay = faults.appendDelay();
+        if (delay === 0) apply();
+        else network.later(delay, apply);
+      });
+    });
+
+  const readBack = async (
+    record: StateRecord,
+  ): Promise<Result<Appended, LogError>> => {
+    const deadline = clock.now() + REPLY_MS;
+    while (clock.now() < deadline) {
+      const offset = log.indexOf(record) + 1;
+      if (offset > 0 && state.next > offset) return Ok({offset, state});
+      poll();
+      await sleep(clock, 10);
+    }
+    return Err({kind: 'unknown', detail: 'not read back'});
+  };
+
+  return {
+    current: () => state,
+    confirmedAt: () => confirmedAt,
+    subscribe(listener) {
+      listeners.add(listener);
+      return () => void listeners.delete(listener);
+    },
+    async append(record) {
+      const reply = await send(record);
+      if (reply === 'refused') return Err({kind: 'unavailable', detail: reply});
+      return readBack(record);
+    },
+    adopt(encoded) {
+      const records = JSON.parse(encoded) as StateRecord[];
+      if (records.length < state.next) return false;
+      const kept = confirmedAt;
+      accept(records, kept);
+      return true;
+    },
+    close: () => Promise.resolve(),
+  };
+}
+
+function fold(state: ClusterState, record: StateRecord): ClusterState {
+  const offset = state.next;
+  const next = {...state, next: offset + 1};
+  if (record.kind === 'attestation') {
+    const {host, boot} = record;
+    const attestations = [...state.attestations, {offset, host, boot}];
+    return {...next, attestations};
+  }
+  if (record.kind === 'drain') {
+    const drains = new Set(state.drains);
+    if (record.draining) drains.add(record.target);
+    else drains.delete(record.target);
+    return {...next, drains};
+  }
+  if (record.kind !== 'views') return next;
+  const views = new Map(state.views);
+  for (const {cell, previous, leader, standby} of record.claims) {
+    if ((views.get(cell)?.epoch ?? 0) !== previous) continue;
+    views.set(cell, {cell, epoch: offset, leader, standby});
+  }
+  return {...next, views};
+}
--- /dev/null
+++ b/packages/ownership/test/support/network.ts
@@ -0,0 +1,132 @@
+import type {Clock} from '@banyandrum/base/clock.js';
+import type {Incarnation} from '@banyandrum/base/ids.js';
+import type {Result} from '@banyandrum/base/result.js';
+import {Err, Ok} from '@banyandrum/base/result.js';
+import {ownershipSchemas} from '@banyandrum/ownership/control.js';
+import type {
+  OwnershipControl,
+  OwnershipPeers,
+} from '@banyandrum/ownership/control.js';
+import type {ControlHandlers, PeerError} from '@banyandrum/routers/peers.js';
+import type {FakeProcess} from './process.js';
+
+/** One-way links between hosts (and the log), each up or cut. */
+export interface Network {
+  /** Time that a message takes, in ms; changed by tests. */
+  latency: () => number;
+  cut(from: string, to: string): void;
+  join(from: string, to: string): void;
+  heal(): void;
+  /** Carries a message; it is lost where the link is cut on arrival. */
+  carry(from: string, to: string, task: () => void): void;
+  /** Keeps a message on its way for longer. */
+  later(ms: number, task: () => void): void;
+}
+
+export function createNetwork(world: Clock): Network {
+  const cuts = new Set<string>();
+  const isCut = (from: string, to: string): boolean =>
+    cuts.has(`${from}>${to}`);
+  const network: Network = {
+    latency: () => 2,
+    cut: (from, to) => void cuts.add(`${from}>${to}`),
+    join: (from, to) => void cuts.delete(`${from}>${to}`),
+    heal: () => cuts.clear(),
+    later: (ms, task) => void world.after(ms, task),
+    carry(from, to, task) {
+      if (isCut(from, to)) return;
+      world.after(network.latency(), () => {
+        if (!isCut(from, to)) task();
+      });
+    },
+  };
+  return network;
+}
+
+/** What a network needs to know of the router at an address. */
+export interface Endpoint {
+  readonly process: FakeProcess;
+  readonly handlers: () => ControlHandlers<OwnershipControl>;
+}
+
+type Kind = keyof OwnershipControl & string;
+
+/** The way of one process to all endpoints, by address. */
+export function createFakePeers(
+  process: FakeProcess,
+  network: Network,
+  endpoints: ReadonlyMap<string, Endpoint>,
+): OwnershipPeers {
+  const self = process.incarnation;
+
+  // Resolves with the first of the answer and the timeout.
+  const exchange = <T>(
+    address: string,
+    timeoutMs: number,
+    serve: (endpoint: Endpoint) => Promise<Result<T, PeerError>>,
+  ): Promise<Result<T, PeerError>> =>
+    new Promise(resolve => {
+      const cancel = process.clock.after(timeoutMs, () =>
+        resolve(failed('silent')),
+      );
+      const finish = (res: Result<T, PeerError>): void => {
+        cancel();
+        resolve(res);
+      };
+      const endpoint = endpoints.get(address);
+      if (!endpoint) return;
+      const there = endpoint.process.incarnation.host;
+      network.carry(self.host, there, () => {
+        const now = endpoints.get(address);
+        now?.process.deliver(() => {
+          void serve(now).then(res => {
+            network.carry(there, self.host, () =>
+              process.deliver(() => finish(res)),
+            );
+          });
+        });
+      });
+    });
+
+  const handle = async <K extends Kind>(
+    endpoint: Endpoint,
+    to: Incarnation,
+    kind: K,
+    ask: OwnershipControl[K]['ask'],
+  ): Promise<Result<OwnershipControl[K]['answer'], PeerError>> => {
+    const there = endpoint.process.incarnation;
+    if (there.boot !== to.boot) return failed('other-incarnation', there);
+    const {ask: askSchema, answer: answerSchema} = ownershipSchemas[kind];
+    const parsed = askSchema.parse(overWire(ask));
+    const handler = endpoint.handlers()[kind] as (
+      from: Incarnation,
+      ask: unknown,
+    ) => Promise<unknown>;
+    const answer = await handler(self, parsed);
+    return Ok(
+      answerSchema.parse(overWire(answer)) as OwnershipControl[K]['answer'],
+    );
+  };
+
+  return {
+    ask: (to, kind, ask, timeoutMs) =>
+      exchange(to.address, timeoutMs, endpoint =>
+        handle(endpoint, to, kind, ask),
+      ),
+    probe: (address, timeoutMs) =>
+      exchange(address, timeoutMs, async ({process: {incarnation}}) =>
+        Ok(incarnation),
+      ),
+  };
+}
+
+function overWire(data: unknown): unknown {
+  return JSON.parse(JSON.stringify(data));
+}
+
+function failed(
+  kind: PeerError['kind'],
+  found?: Incarnation,
+): Result<never, PeerError> {
+  return Err(found ? {kind, detail: kind, found} : {kind, detail: kind});
+}
