Ownership: claims carry settled; tests fold with the real codec

Cause: views gained former pairs and claims `settled`. Change: claims say so (never set yet, since no third router claims so far); the tests' log holds encoded records and is folded by the config package.

--- a/packages/ownership/src/first-claims.ts
+++ b/packages/ownership/src/first-claims.ts
@@ -59,7 +59,7 @@
 ): Promise<ClaimPlan> {
   const standby = await membership.findStandby(cell, null);
   return {
-    claim: {cell, previous: 0, leader: ctx.self, standby},
+    claim: {cell, previous: 0, leader: ctx.self, standby, settled: false},
     evidence: 'first',
     table: null,
     clearedBefore: true,
--- a/packages/ownership/src/standby-keeper.ts
+++ b/packages/ownership/src/standby-keeper.ts
@@ -46,7 +46,7 @@
     const standby = await membership.findStandby(cell, old);
     if (standby === null && old === null) return null;
     return {
-      claim: {cell, previous, leader: ctx.self, standby},
+      claim: {cell, previous, leader: ctx.self, standby, settled: false},
       evidence: 'own-cell',
       table: null,
       clearedBefore: false,
--- a/packages/ownership/src/takeover.ts
+++ b/packages/ownership/src/takeover.ts
@@ -49,7 +49,7 @@
   const standby = await membership.findStandby(cell, leader);
   const evidence: Evidence = role.resigned ? 'resigned' : 'own-withdrawal';
   return {
-    claim: {cell, previous: epoch, leader: ctx.self, standby},
+    claim: {cell, previous: epoch, leader: ctx.self, standby, settled: false},
     evidence,
     table: role.table,
     clearedBefore: role.resigned?.cleared ?? false,
--- a/packages/ownership/test/support/fake-log.ts
+++ b/packages/ownership/test/support/fake-log.ts
@@ -2,7 +2,9 @@
 import type {Result} from '@banyandrum/base/result.js';
 import {Err, Ok} from '@banyandrum/base/result.js';
 import {sleep} from '@banyandrum/base/clock.js';
-import type {StateRecord} from '@banyandrum/config/records.js';
+import {encodeRecord} from '@banyandrum/config/codec.js';
+import {applyRecord} from '@banyandrum/config/fold.js';
+import {decodeState} from '@banyandrum/config/snapshot.js';
 import type {ClusterState} from '@banyandrum/config/state.js';
 import type {Appended, StateStore} from '@banyandrum/config/store.js';
 import type {LogError} from '@banyandrum/log/client.js';
@@ -12,7 +14,7 @@
 export const LOG = 'log';
 
 /** The records of the fake log; a record's offset is its index plus one. */
-export type FakeLog = StateRecord[];
+export type FakeLog = Uint8Array[];
 
 /** How the log treats the next appends. */
 export interface LogFaults {
@@ -41,11 +43,11 @@
   let state = initial;
   let confirmedAt = -Infinity;
 
-  const accept = (records: readonly StateRecord[], sentAt: number): void => {
+  const accept = (records: readonly Uint8Array[], sentAt: number): void => {
     confirmedAt = Math.max(confirmedAt, sentAt);
     const before = state;
-    for (const record of records.slice(state.next - 1)) {
-      state = fold(state, record);
+    for (let offset = state.next; offset <= records.length; offset++) {
+      state = applyRecord(state, offset, records[offset - 1] as Uint8Array);
     }
     if (state === before) return;
     for (const listener of listeners) listener(state);
@@ -70,7 +72,7 @@
   };
   void run();
 
-  const send = (record: StateRecord): Promise<Offset | 'refused' | 'silent'> =>
+  const send = (record: Uint8Array): Promise<Offset | 'refused' | 'silent'> =>
     new Promise(resolve => {
       clock.after(REPLY_MS, () => resolve('silent'));
       const apply = (): void => {
@@ -86,7 +88,7 @@
     });
 
   const readBack = async (
-    record: StateRecord,
+    record: Uint8Array,
   ): Promise<Result<Appended, LogError>> => {
     const deadline = clock.now() + REPLY_MS;
     while (clock.now() < deadline) {
@@ -105,41 +107,19 @@
       listeners.add(listener);
       return () => void listeners.delete(listener);
     },
-    async append(record) {
+    async append(wanted) {
+      const record = encodeRecord(wanted);
       const reply = await send(record);
       if (reply === 'refused') return Err({kind: 'unavailable', detail: reply});
       return readBack(record);
     },
     adopt(encoded) {
-      const records = JSON.parse(encoded) as StateRecord[];
-      if (records.length < state.next) return false;
-      const kept = confirmedAt;
-      accept(records, kept);
+      const newer = decodeState(encoded);
+      if (newer === null || newer.next <= state.next) return false;
+      state = newer;
+      for (const listener of listeners) listener(state);
       return true;
     },
     close: () => Promise.resolve(),
   };
 }
-
-function fold(state: ClusterState, record: StateRecord): ClusterState {
-  const offset = state.next;
-  const next = {...state, next: offset + 1};
-  if (record.kind === 'attestation') {
-    const {host, boot} = record;
-    const attestations = [...state.attestations, {offset, host, boot}];
-    return {...next, attestations};
-  }
-  if (record.kind === 'drain') {
-    const drains = new Set(state.drains);
-    if (record.draining) drains.add(record.target);
-    else drains.delete(record.target);
-    return {...next, drains};
-  }
-  if (record.kind !== 'views') return next;
-  const views = new Map(state.views);
-  for (const {cell, previous, leader, standby} of record.claims) {
-    if ((views.get(cell)?.epoch ?? 0) !== previous) continue;
-    views.set(cell, {cell, epoch: offset, leader, standby});
-  }
-  return {...next, views};
-}
--- a/packages/ownership/test/support/world.ts
+++ b/packages/ownership/test/support/world.ts
@@ -1,5 +1,7 @@
 import {createSilentLogger} from '@banyandrum/base/logger.js';
 import type {Incarnation} from '@banyandrum/base/ids.js';
+import {EMPTY_STATE} from '@banyandrum/config/fold.js';
+import {encodeState} from '@banyandrum/config/snapshot.js';
 import type {ClusterState} from '@banyandrum/config/state.js';
 import type {Host} from '@banyandrum/hosts/client.js';
 import type {StartCell} from '@banyandrum/ownership/leadership.js';
@@ -107,7 +109,7 @@
       log: createSilentLogger(),
       timing: deriveTiming(initial.rules.timing),
       startCell: createStartCell(checked, process, holders),
-      encodeState: state => JSON.stringify(log.slice(0, state.next - 1)),
+      encodeState,
       random: options.random ?? (() => 0.5),
     });
     endpoints.set(incarnation.address, {
@@ -213,27 +215,6 @@
 
 function initialState(cells: number): ClusterState {
   const holds = {name: 'holds', shards: 64, cells, checksFences: false};
-  return {
-    next: 1,
-    publication: null,
-    inventory: {places: [], services: [holds], servers: []},
-    rules: {
-      precedence: [],
-      operations: [],
-      weights: {imbalance: 1, churn: 1, unavailable: 1},
-      limits: {
-        ...{maxBodyBytes: 1, maxQueued: 1, maxQueuedBytes: 1},
-        ...{maxDeadlineMs: 1, retryPercent: 1},
-      },
-      timing: {
-        ...{renewMs: 500, leaseMs: 2000, authorityMs: 1000},
-        ...{suspicionMs: 750, driftPpm: 10_000},
-      },
-    },
-    views: new Map(),
-    drains: new Set(),
-    attestations: [],
-    audit: [],
-    changeIds: new Map(),
-  };
+  const inventory = {places: [], services: [holds], servers: []};
+  return {...EMPTY_STATE, inventory};
 }
