--- /dev/null
+++ b/packages/callers/src/exchange.ts
@@ -0,0 +1,299 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Clock} from '@banyandrum/base/clock.js';
+import type {Failure} from '@banyandrum/base/failure.js';
+import {failure, failureOf} from '@banyandrum/base/failure.js';
+import {createId} from '@banyandrum/base/ids.js';
+import type {Logger} from '@banyandrum/base/logger.js';
+import type {
+  HeaderField,
+  RequestHandler,
+  ServiceAnswer,
+  ServiceRequest,
+} from '@banyandrum/base/request.js';
+import {EMPTY_BODY} from '@banyandrum/base/request.js';
+import type {Result} from '@banyandrum/base/result.js';
+import {Err, Ok} from '@banyandrum/base/result.js';
+import {closeBody, writeAnswer} from './answer.js';
+import type {StreamedBody} from './body.js';
+import {
+  WHOLE_BODY_BYTES,
+  declaredLength,
+  readWhole,
+  streamBody,
+} from './body.js';
+import type {Controls} from './controls.js';
+import {CORRELATION_HEADER, parseControls} from './controls.js';
+import {selectEndToEnd, toFields} from './headers.js';
+import {endAfterRequest} from './linger.js';
+import type {PolicyLookup, RequestPolicy} from './policy.js';
+import {sendProblem, toProblem} from './problem.js';
+import type {Target} from './target.js';
+import {parseTarget} from './target.js';
+
+/** What the exchanges of one interface share. */
+export interface ExchangeConfig {
+  readonly handle: RequestHandler;
+  readonly policyOf: PolicyLookup;
+  readonly clock: Clock;
+  readonly log: Logger;
+  /** How long a caller may take nothing of its answer, in ms. */
+  readonly stallMs: number;
+  /** Whether connections are to be closed after their answer. */
+  readonly draining: () => boolean;
+}
+
+/** What the server saw before the request's body. */
+export interface Arrival {
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  /** Aborted when the caller went away or the process must stop. */
+  readonly controller: AbortController;
+  /** The caller waits for `100 Continue` before it sends its body. */
+  readonly expectsContinue: boolean;
+}
+
+/** How long a handler may overrun its deadline before it is given up. */
+const OVERRUN_MS = 250;
+
+interface Head {
+  readonly target: Target;
+  readonly controls: Controls;
+  readonly fields: readonly HeaderField[];
+}
+
+interface Exchange extends Arrival {
+  readonly cfg: ExchangeConfig;
+  readonly id: string;
+  readonly arrivedAt: number;
+}
+
+interface Admitted extends Head {
+  readonly policy: RequestPolicy;
+  readonly deadline: number;
+}
+
+interface TakenBody {
+  readonly body: ServiceRequest['body'];
+  readonly streamed: StreamedBody | null;
+}
+
+/**
+ * Carries one request from its headers to the end of its answer; never
+ * rejects.
+ *
+ * @example
+ * ```ts
+ * server.on('request', (req, res) => {
+ *   const controller = new AbortController();
+ *   void serveRequest(cfg, {req, res, controller, expectsContinue: false});
+ * });
+ * ```
+ */
+export async function serveRequest(
+  cfg: ExchangeConfig,
+  arrival: Arrival,
+): Promise<void> {
+  const {clock} = cfg;
+  const exchange = {
+    ...arrival,
+    cfg,
+    id: createId(),
+    arrivedAt: clock.now(),
+  };
+  const fields = toFields(arrival.req.rawHeaders);
+  const admitted = admit(exchange, fields);
+  if (admitted.err) return refuse(exchange, null, admitted.val);
+  const {controls, deadline} = admitted.val;
+  if (arrival.expectsContinue) arrival.res.writeContinue();
+  const taken = await takeBody(exchange, admitted.val);
+  if (taken.err) return refuse(exchange, controls, taken.val);
+  const req = toServiceRequest(exchange, admitted.val, taken.val.body);
+  const result = await runUntil(exchange, req, deadline + OVERRUN_MS);
+  if (result.err) {
+    const cause = taken.val.streamed?.fault() ?? null;
+    return refuse(exchange, controls, explain(result.val, cause));
+  }
+  return answer(exchange, controls, result.val);
+}
+
+/** Everything that can be decided from the headers alone. */
+function admit(
+  {cfg, req, arrivedAt}: Exchange,
+  fields: readonly HeaderField[],
+): Result<Admitted, Failure> {
+  const hostFault = findHostFault(req, fields);
+  if (hostFault !== null) return Err(badRequest(hostFault));
+  const target = parseTarget(req.url ?? '');
+  if (target.err) return target;
+  const controls = parseControls(fields);
+  if (controls.err) return controls;
+  const {service, path} = target.val;
+  const policy = cfg.policyOf(service, req.method ?? '', path);
+  if (!policy.known) {
+    const detail = `no service is named ${service}`;
+    return Err(failure('not-run', 'unknown-service', detail));
+  }
+  const length = declaredLength(req);
+  if (length !== null && length > policy.maxBodyBytes) {
+    const detail = `the body is larger than ${policy.maxBodyBytes} bytes`;
+    return Err(failure('not-run', 'too-large', detail));
+  }
+  const deadlineMs = controls.val.deadlineMs ?? policy.deadlineMs;
+  const deadline = arrivedAt + Math.min(deadlineMs, policy.maxDeadlineMs);
+  return Ok({
+    target: target.val,
+    controls: controls.val,
+    fields,
+    policy,
+    deadline,
+  });
+}
+
+function findHostFault(
+  req: IncomingMessage,
+  fields: readonly HeaderField[],
+): string | null {
+  const hosts = fields.filter(({name}) => name === 'host').length;
+  if (hosts > 1) return 'the header host is given twice';
+  if (hosts === 0 && req.httpVersion === '1.1') return 'no header host';
+  return null;
+}
+
+async function takeBody(
+  exchange: Exchange,
+  {policy, deadline}: Admitted,
+): Promise<Result<TakenBody, Failure>> {
+  const {req} = exchange;
+  const length = declaredLength(req);
+  if (length === 0) return Ok({body: EMPTY_BODY, streamed: null});
+  if (length === null || length > WHOLE_BODY_BYTES) {
+    const streamed = streamBody(req, policy.maxBodyBytes);
+    return Ok({body: streamed.chunks, streamed});
+  }
+  const {clock} = exchange.cfg;
+  const late = failure('not-run', 'deadline', 'the body came too slowly');
+  const reading = readWhole(req, exchange.controller.signal);
+  const body = await within(clock, deadline, reading, late);
+  return body.map(bytes => ({body: bytes, streamed: null}));
+}
+
+function toServiceRequest(
+  {id, req, controller}: Exchange,
+  {target, controls, fields, policy, deadline}: Admitted,
+  body: ServiceRequest['body'],
+): ServiceRequest {
+  return {
+    id,
+    service: target.service,
+    key: target.key,
+    method: req.method ?? '',
+    path: target.path,
+    headers: selectEndToEnd(fields),
+    body,
+    deadline,
+    // A caller may only make it stricter: the rules know what repeats harm.
+    once: policy.once || controls.once,
+    precedence: policy.precedence,
+    caller: controls.caller ?? req.socket.remoteAddress ?? 'unknown',
+    signal: controller.signal,
+  };
+}
+
+/**
+ * Runs the handler, which keeps the deadline itself. One that doesn't is given
+ * up a little later, so that no caller waits for ever.
+ */
+async function runUntil(
+  {cfg, controller}: Exchange,
+  req: ServiceRequest,
+  limit: number,
+): Promise<Result<ServiceAnswer, Failure>> {
+  const late = failure('may-have-run', 'deadline', 'no answer in time');
+  const running = runHandler(cfg.handle, req);
+  const result = await within(cfg.clock, limit, running, late);
+  if (result.ok || result.val !== late) return result;
+  controller.abort();
+  void running.then(left => (left.ok ? closeBody(left.val.body) : undefined));
+  return result;
+}
+
+async function runHandler(
+  handle: RequestHandler,
+  req: ServiceRequest,
+): Promise<Result<ServiceAnswer, Failure>> {
+  try {
+    return await handle(req);
+  } catch (err) {
+    return Err(failureOf(err, 'may-have-run'));
+  }
+}
+
+/** The task's result, or `late` as the error once `limit` has come. */
+function within<T>(
+  clock: Clock,
+  limit: number,
+  task: Promise<Result<T, Failure>>,
+  late: Failure,
+): Promise<Result<T, Failure>> {
+  return new Promise(resolve => {
+    const cancel = clock.after(Math.max(0, limit - clock.now()), () =>
+      resolve(Err(late)),
+    );
+    void task.then(result => {
+      cancel();
+      resolve(result);
+    });
+  });
+}
+
+/** The verdict is the handler's; the cause may be the caller's own body. */
+function explain(failed: Failure, cause: Failure | null): Failure {
+  if (cause === null) return failed;
+  return failure(failed.verdict, cause.code, cause.detail);
+}
+
+async function answer(
+  exchange: Exchange,
+  controls: Controls,
+  answered: ServiceAnswer,
+): Promise<void> {
+  const {cfg, res, req, id} = exchange;
+  if (res.destroyed) return closeBody(answered.body);
+  const extra = ['banyandrum-request-id', id];
+  extra.push(...commonHeaders(exchange, controls, true));
+  const context = {res, clock: cfg.clock, extra, stallMs: cfg.stallMs};
+  const outcome = await writeAnswer(context, answered);
+  if (outcome.kind === 'sent') return;
+  const {code, detail} = outcome.failure;
+  cfg.log.warn('answer not given whole', {id, code, detail, url: req.url});
+  if (outcome.kind === 'unsent') refuse(exchange, controls, outcome.failure);
+}
+
+function refuse(
+  exchange: Exchange,
+  controls: Controls | null,
+  failed: Failure,
+): void {
+  const {cfg, req, res, id} = exchange;
+  if (res.destroyed) return;
+  const reusable = req.complete;
+  const extra = commonHeaders(exchange, controls, reusable);
+  sendProblem(res, toProblem(failed, id), extra);
+  endAfterRequest(req, res, cfg.clock);
+}
+
+function commonHeaders(
+  {cfg}: Exchange,
+  controls: Controls | null,
+  reusable: boolean,
+): string[] {
+  const headers: string[] = [];
+  const correlation = controls?.correlation ?? null;
+  if (correlation !== null) headers.push(CORRELATION_HEADER, correlation);
+  if (!reusable || cfg.draining()) headers.push('connection', 'close');
+  return headers;
+}
+
+function badRequest(detail: string): Failure {
+  return failure('not-run', 'bad-request', detail);
+}
--- /dev/null
+++ b/packages/callers/src/linger.ts
@@ -0,0 +1,51 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+import type {Clock} from '@banyandrum/base/clock.js';
+
+const LINGER_MS = 1000;
+const LINGER_BYTES = 1024 * 1024;
+
+/**
+ * Ends an answer that was written before its request was read to the end.
+ *
+ * A connection that is closed while the caller still sends is reset, and the
+ * caller's system may then drop the answer unread: the caller sees a lost
+ * connection instead of its verdict. So the rest of the request is read and
+ * dropped first, within bounds of time and bytes.
+ */
+export function endAfterRequest(
+  req: IncomingMessage,
+  res: ServerResponse,
+  clock: Clock,
+): void {
+  if (req.readableEnded || req.destroyed || req.complete) {
+    res.end();
+    req.resume();
+    return;
+  }
+  let left = LINGER_BYTES;
+  const finish = (): void => {
+    cancel();
+    req.off('data', drop);
+    res.end();
+  };
+  const drop = (chunk: Buffer): void => {
+    left -= chunk.length;
+    if (left <= 0) finish();
+  };
+  const cancel = clock.after(LINGER_MS, finish);
+  req.on('data', drop);
+  req.once('end', finish);
+  req.once('close', finish);
+}
+
+/** The same for a connection that carries no valid request. */
+export function lingerOnSocket(socket: Socket, clock: Clock): void {
+  let left = LINGER_BYTES;
+  const cancel = clock.after(LINGER_MS, () => socket.destroy());
+  socket.once('close', cancel);
+  socket.on('data', chunk => {
+    left -= chunk.length;
+    if (left <= 0) socket.destroy();
+  });
+}
