Leader's queue: fair turns, ageing, eviction, adaptive windows

Cause: first come, first served lets one noisy caller or one contested key starve the rest, and a server that sheds load is sent as much as one that does not.

Change: turns by caller and key (the later of two accounts), one turn in eight for what has aged, eviction of the lowest level's latest turn, refusal on arrival of what can't finish by its deadline, additive increase and multiplicative decrease of each server's window, requests refused unrun go back to their place, own observation as LoadSource.

Conclusion: parts are in place; their gain is still to be measured.

--- a/packages/requests/src/answer-end.ts
+++ b/packages/requests/src/answer-end.ts
@@ -1,24 +1,38 @@
-import type {ServiceAnswer} from '@banyandrum/base/request.js';
+import type {Body, ServiceAnswer} from '@banyandrum/base/request.js';
+
+/** An answer and how to learn of its end. */
+export interface WatchedAnswer {
+  readonly answer: ServiceAnswer;
+  /** Counts the answer as ended, if it has not ended yet. */
+  end(): void;
+}
 
 /**
- * Calls `end` once, when the answer's body has ended, failed or was given up
- * by its reader: until then the server is still busy with it. A body in one
- * piece has ended already.
+ * Calls `ended` once, when the answer's body came whole, failed or was given
+ * up by its reader: until then the server is still busy with it. A body in
+ * one piece has ended already.
  *
  * @example
  * ```ts
- * const answer = watchAnswerEnd(received, () => slots.give());
+ * const {answer} = watchAnswerEnd(received, whole => slots.give());
  * ```
  */
 export function watchAnswerEnd(
-  answer: ServiceAnswer,
-  end: () => void,
-): ServiceAnswer {
-  if (answer.body instanceof Uint8Array) {
-    end();
-    return answer;
+  received: ServiceAnswer,
+  ended: (whole: boolean) => void,
+): WatchedAnswer {
+  if (received.body instanceof Uint8Array) {
+    ended(true);
+    return {answer: received, end: () => {}};
   }
-  return {...answer, body: watched(answer.body, end)};
+  let open = true;
+  const finish = (whole: boolean): void => {
+    if (!open) return;
+    open = false;
+    ended(whole);
+  };
+  const body = watched(received.body, finish);
+  return {answer: {...received, body}, end: () => finish(false)};
 }
 
 /**
@@ -27,8 +41,8 @@
  */
 function watched(
   body: AsyncIterable<Uint8Array>,
-  end: () => void,
-): AsyncIterable<Uint8Array> {
+  finish: (whole: boolean) => void,
+): Body {
   return {
     [Symbol.asyncIterator]() {
       const inner = body[Symbol.asyncIterator]();
@@ -36,10 +50,10 @@
         async next() {
           try {
             const step = await inner.next();
-            if (step.done) end();
+            if (step.done) finish(true);
             return step;
           } catch (err) {
-            end();
+            finish(false);
             throw err;
           }
         },
@@ -47,7 +61,7 @@
           try {
             await inner.return?.();
           } finally {
-            end();
+            finish(false);
           }
           return {done: true, value: undefined};
         },
--- /dev/null
+++ b/packages/requests/src/dispatch.ts
@@ -0,0 +1,93 @@
+import type {Clock} from '@banyandrum/base/clock.js';
+import type {Failure, FailureCode} from '@banyandrum/base/failure.js';
+import type {LedCell, Owned} from '@banyandrum/ownership/led-cell.js';
+import type {Dispatch} from '@banyandrum/servers/client.js';
+import type {Pending} from './pending.js';
+import type {ShardGate} from './shard-gate.js';
+
+/** A dispatch that remembers what `mayWrite` said. */
+export interface TrackedDispatch extends Dispatch {
+  /** It was let through, so it may have been written. */
+  readonly written: boolean;
+  /** It was held back at the last moment, so nothing was written. */
+  readonly held: boolean;
+}
+
+/**
+ * Why a request that was proved not to have run goes back into the queue.
+ *
+ * - `held`: this leader held it back itself.
+ * - `shed`: the server has no capacity for it now.
+ * - `away`: the server can't be reached, or doesn't own the shard (yet).
+ */
+export type ReturnReason = 'held' | 'shed' | 'away';
+
+/** Times that a request is sent again after `fenced`, before it is passed on:
+ * the server may just have restarted, and its next lease order is on the way;
+ * or another leader's fence is in force, which only the entry can follow. */
+const MAX_FENCED = 4;
+
+const REASONS: Readonly<Partial<Record<FailureCode, ReturnReason>>> = {
+  overloaded: 'shed',
+  refused: 'shed',
+  fenced: 'away',
+  'connection-lost': 'away',
+};
+
+/**
+ * Makes the order to send a request to its owner. The deadline ends with the
+ * lease: a server that doesn't check fences still honours deadlines, so that
+ * it never runs a request after it may have lost the shard.
+ *
+ * @example
+ * ```ts
+ * const dispatch = createDispatch({led, pending, where, gate, clock});
+ * const outcome = await client.send(where.server, dispatch);
+ * ```
+ */
+export function createDispatch(target: {
+  readonly led: LedCell;
+  readonly pending: Pending;
+  readonly where: Owned;
+  readonly gate: ShardGate;
+  readonly clock: Clock;
+}): TrackedDispatch {
+  const {led, pending, where, gate, clock} = target;
+  const {req} = pending;
+  const deadline = Math.min(req.deadline, where.leaseEnd);
+  let written = false;
+  let held = false;
+  return {
+    req: deadline < req.deadline ? {...req, deadline} : req,
+    cell: led.cell,
+    shard: where.shard,
+    fence: where.fence,
+    serverDeadline: where.toServerTime(deadline),
+    get written() {
+      return written;
+    },
+    get held() {
+      return held;
+    },
+    mayWrite() {
+      // A process that was paused here has no authority any more, and its
+      // successor may have given the shard away: nothing may be written.
+      const may = led.mayAct() && clock.now() < deadline && !gate.closed;
+      if (may) written = true;
+      else held = true;
+      return may;
+    },
+  };
+}
+
+/** Why the failed request goes back, or null where its failure is final. */
+export function returnReason(
+  failed: Failure,
+  dispatch: TrackedDispatch,
+  pending: Pending,
+): ReturnReason | null {
+  if (failed.verdict !== 'not-run' || !pending.isWhole()) return null;
+  if (dispatch.held && !dispatch.written) return 'held';
+  if (failed.code === 'fenced' && ++pending.fenced > MAX_FENCED) return null;
+  return REASONS[failed.code] ?? null;
+}
--- a/packages/requests/src/entry.ts
+++ b/packages/requests/src/entry.ts
@@ -1,13 +1,14 @@
 import type {Clock} from '@banyandrum/base/clock.js';
-import {failure, type FailureCode} from '@banyandrum/base/failure.js';
+import type {FailureCode} from '@banyandrum/base/failure.js';
 import {cellOfKey} from '@banyandrum/base/hash.js';
 import type {CellId, Incarnation} from '@banyandrum/base/ids.js';
 import type {RequestHandler, ServiceRequest} from '@banyandrum/base/request.js';
 import {Err} from '@banyandrum/base/result.js';
-import type {Limits} from '@banyandrum/config/rules.js';
+import type {Rules} from '@banyandrum/config/rules.js';
 import type {View} from '@banyandrum/config/state.js';
 import {createDeadlineWheel} from './deadline.js';
 import type {LeaderQueue} from './queue.js';
+import {unknownService} from './refusals.js';
 import {createRetryBudget} from './retry-budget.js';
 import {createRoute} from './route.js';
 import {trackBody} from './tracked-body.js';
@@ -38,7 +39,7 @@
     to: Incarnation,
     req: ServiceRequest,
   ) => ReturnType<RequestHandler>;
-  readonly limits: () => Limits;
+  readonly rules: () => Pick<Rules, 'limits' | 'precedence'>;
   readonly clock: Clock;
   /** Uniform in [0, 1). */
   readonly random: () => number;
@@ -60,7 +61,7 @@
  * @example
  * ```ts
  * const entry = createEntry({self, topology, leaderOf, subscribe,
- *   localLeader: queues.queueOf, send: peers.send, limits, clock,
+ *   localLeader: queues.queueOf, send: peers.send, rules, clock,
  *   random: Math.random});
  * const result = await entry.handle(req);
  * ```
@@ -69,7 +70,7 @@
   const wheel = createDeadlineWheel(options.clock);
   const {leaderOf, subscribe} = options;
   const watch = createViewWatch({leaderOf, subscribe, wheel});
-  const budget = createRetryBudget(() => options.limits().retryPercent);
+  const budget = createRetryBudget(() => options.rules().limits.retryPercent);
   const route = createRoute({...options, wheel, watch, budget});
 
   const handle: RequestHandler = async req => {
@@ -83,7 +84,3 @@
 
   return {handle, close: watch.close};
 }
-
-function unknownService(service: string): ReturnType<typeof failure> {
-  return failure('not-run', 'unknown-service', `no service ${service}`);
-}
--- a/packages/requests/src/fair-queue.ts
+++ b/packages/requests/src/fair-queue.ts
@@ -1,72 +1,151 @@
-/** What the queue needs to know of a request. */
-export interface QueueItem {
-  /** Index into the levels of precedence; 0 goes first. */
-  readonly level: number;
-  readonly bytes: number;
-}
+import type {PrecedenceLevel} from '@banyandrum/config/rules.js';
+import {
+  createFairLevel,
+  type FairLevel,
+  type QueueItem,
+  type Ticket,
+} from './fair-level.js';
 
-/** The requests that wait for one server, by precedence. */
+/** The requests that wait for one server, by precedence with ageing. */
 export interface FairQueue<T extends QueueItem> {
-  push(item: T): void;
-  /** Puts an item back that was taken, ahead of its level. */
-  putBack(item: T): void;
+  push(item: T): Ticket<T>;
+  /** Puts a ticket back that was taken; it is next within its level. */
+  putBack(ticket: Ticket<T>): void;
   /** Takes the next one, or null where none waits. */
-  take(): T | null;
+  take(now: number): Ticket<T> | null;
   /** `false` where it doesn't wait here. */
-  remove(item: T): boolean;
+  remove(ticket: Ticket<T>): boolean;
+  /**
+   * The one to give up when there is no room for `newcomer`, which waits
+   * already: the latest turn of the lowest level, be it the newcomer itself.
+   * Whoever has aged up to the newcomer's level is spared.
+   */
+  victim(newcomer: Ticket<T>, now: number): Ticket<T>;
+  /** At most how many of `level` are served before the ticket. */
+  ahead(ticket: Ticket<T>, level: number): number;
   /** All that wait, in no particular order. */
   items(): T[];
   size(): number;
   bytes(): number;
+  sizeOf(level: number): number;
+}
+
+export interface FairQueueOptions {
+  /** Levels of precedence from the rules. */
+  readonly levels: () => readonly PrecedenceLevel[];
+  /** `false`: first come, first served within a level. */
+  readonly fair: boolean;
 }
 
+/**
+ * While higher levels wait too, one turn in this many goes to a request that
+ * has aged up to them. Without a share of its own a low level would starve;
+ * without a bound on it, a backlog of old reports would push aside the
+ * requests that can't wait.
+ */
+const AGED_TURN = 8;
+
 /**
  * Makes an empty queue.
  *
  * @example
  * ```ts
- * const queue = createFairQueue<Pending>();
+ * const queue = createFairQueue<Pending>({levels, fair: true});
  * queue.push(pending);
- * const next = queue.take();
+ * const next = queue.take(clock.now());
  * ```
  */
-export function createFairQueue<T extends QueueItem>(): FairQueue<T> {
-  const levels: T[][] = [];
+export function createFairQueue<T extends QueueItem>(
+  options: FairQueueOptions,
+): FairQueue<T> {
+  const levels: FairLevel<T>[] = [];
   let size = 0;
   let bytes = 0;
+  let turnsSinceAged = 0;
 
-  const levelOf = (item: T): T[] => (levels[item.level] ??= []);
+  const levelAt = (level: number): FairLevel<T> => {
+    while (levels.length <= level) levels.push(createFairLevel(options.fair));
+    return levels[level] as FairLevel<T>;
+  };
 
   const count = (item: T, sign: 1 | -1): void => {
     size += sign;
     bytes += sign * item.bytes;
   };
 
+  /** The level that the item counts as by now. */
+  const agedLevel = (item: T, now: number): number => {
+    const ageAfterMs = options.levels()[item.level]?.ageAfterMs ?? 0;
+    if (ageAfterMs <= 0) return item.level;
+    return item.level - Math.floor((now - item.queuedAt) / ageAfterMs);
+  };
+
+  /** The oldest of a lower level that counts as `level` or higher by now. */
+  const agedUpTo = (level: number, now: number): Ticket<T> | null => {
+    let best: Ticket<T> | null = null;
+    for (let lower = level + 1; lower < levels.length; lower++) {
+      const oldest = levelAt(lower).oldest();
+      if (oldest === null || agedLevel(oldest.item, now) > level) continue;
+      if (best === null || isOlder(oldest, best)) best = oldest;
+    }
+    return best;
+  };
+
+  const choose = (now: number): Ticket<T> | null => {
+    const first = levels.findIndex(level => level.size() > 0);
+    if (first < 0) return null;
+    const next = levelAt(first).next();
+    const aged = agedUpTo(first, now);
+    if (aged === null) return next;
+    if (++turnsSinceAged < AGED_TURN) return next;
+    turnsSinceAged = 0;
+    return aged;
+  };
+
   return {
     push(item) {
-      levelOf(item).push(item);
       count(item, 1);
+      return levelAt(item.level).push(item);
     },
-    putBack(item) {
-      levelOf(item).unshift(item);
-      count(item, 1);
+    putBack(ticket) {
+      count(ticket.item, 1);
+      levelAt(ticket.item.level).putBack(ticket);
     },
-    take() {
-      const item = levels.find(level => level?.length)?.shift();
-      if (item === undefined) return null;
-      count(item, -1);
-      return item;
+    take(now) {
+      const ticket = choose(now);
+      if (ticket === null) return null;
+      levelAt(ticket.item.level).remove(ticket, true);
+      count(ticket.item, -1);
+      return ticket;
     },
-    remove(item) {
-      const level = levelOf(item);
-      const index = level.indexOf(item);
-      if (index < 0) return false;
-      level.splice(index, 1);
-      count(item, -1);
+    remove(ticket) {
+      if (!levelAt(ticket.item.level).remove(ticket, false)) return false;
+      count(ticket.item, -1);
       return true;
     },
-    items: () => levels.flat(),
+    victim(newcomer, now) {
+      const own = newcomer.item.level;
+      const isYoung = (item: T): boolean => agedLevel(item, now) > own;
+      for (let lower = levels.length - 1; lower > own; lower--) {
+        const last = levelAt(lower).last(isYoung);
+        if (last !== null) return last;
+      }
+      return levelAt(own).last(() => true) ?? newcomer;
+    },
+    ahead(ticket, level) {
+      const own = ticket.item.level;
+      if (level > own) return 0;
+      if (level < own) return levelAt(level).size();
+      return levelAt(level).ahead(ticket);
+    },
+    items: () =>
+      levels.flatMap(level => level.tickets().map(ticket => ticket.item)),
     size: () => size,
     bytes: () => bytes,
+    sizeOf: level => levels[level]?.size() ?? 0,
   };
 }
+
+function isOlder<T extends QueueItem>(a: Ticket<T>, b: Ticket<T>): boolean {
+  return a.item.queuedAt < b.item.queuedAt;
+}
--- a/packages/requests/src/leader-queues.ts
+++ b/packages/requests/src/leader-queues.ts
@@ -1,6 +1,6 @@
 import type {CellId} from '@banyandrum/base/ids.js';
 import type {Clock} from '@banyandrum/base/clock.js';
-import type {Limits} from '@banyandrum/config/rules.js';
+import type {Rules} from '@banyandrum/config/rules.js';
 import type {
   CellLoad,
   DispatchGate,
@@ -9,12 +9,21 @@
 } from '@banyandrum/ownership/led-cell.js';
 import type {ServerClient} from '@banyandrum/servers/client.js';
 import {createDeadlineWheel} from './deadline.js';
-import {createCellQueue, type CellQueue, type LeaderQueue} from './queue.js';
+import type {HotKeyMeter} from './load-meter.js';
+import {
+  createCellQueue,
+  type CellQueue,
+  type LeaderQueue,
+  type QueuePolicy,
+} from './queue.js';
 
 export interface LeaderQueuesOptions {
   readonly client: Pick<ServerClient, 'send'>;
-  readonly limits: () => Limits;
+  readonly rules: () => Pick<Rules, 'limits' | 'precedence' | 'timing'>;
   readonly clock: Clock;
+  /** Makes the sketch of one cell's keys; without it no key is hot. */
+  readonly createHotKeys?: () => HotKeyMeter;
+  readonly policy?: Partial<QueuePolicy>;
 }
 
 /** The admission of all cells that this process leads. */
@@ -35,6 +44,8 @@
   active: boolean;
 }
 
+const FULL_POLICY: QueuePolicy = {fair: true, refuseEarly: true};
+
 const NO_LOAD: CellLoad = {shards: [], servers: [], hotKeys: []};
 
 /**
@@ -42,7 +53,7 @@
  *
  * @example
  * ```ts
- * const queues = createLeaderQueues({client, limits, clock});
+ * const queues = createLeaderQueues({client, rules, clock});
  * queues.lead(led);
  * const result = await queues.queueOf('holds/0')?.handle(req);
  * ```
@@ -58,7 +69,12 @@
         known.active = true;
         return known.queue;
       }
-      const queue = createCellQueue(led, {...options, wheel});
+      const queue = createCellQueue(led, {
+        ...options,
+        wheel,
+        hotKeys: options.createHotKeys?.() ?? null,
+        policy: {...FULL_POLICY, ...options.policy},
+      });
       cells.set(led.cell, {queue, active: true});
       return queue;
     },
@@ -79,6 +95,6 @@
     open(cell, shard) {
       cells.get(cell)?.queue.open(shard);
     },
-    read: () => NO_LOAD,
+    read: cell => cells.get(cell)?.queue.load() ?? NO_LOAD,
   };
 }
--- /dev/null
+++ b/packages/requests/src/load-meter.ts
@@ -0,0 +1,111 @@
+import type {Clock} from '@banyandrum/base/clock.js';
+import type {ShardId} from '@banyandrum/base/ids.js';
+import type {
+  HotKey,
+  ServerObservation,
+  ShardLoad,
+} from '@banyandrum/ownership/led-cell.js';
+import {createDecayingSum, type DecayingSum} from './decaying-sum.js';
+
+/** Finds the hottest keys in bounded memory. */
+export interface HotKeyMeter {
+  /** One request for the key kept a slot busy for `busyMs`. */
+  record(key: string, busyMs: number): void;
+  hottest(): readonly HotKey[];
+}
+
+/** One answered or failed dispatch. */
+export interface Served {
+  readonly shard: ShardId;
+  readonly server: string;
+  readonly key: string;
+  readonly busyMs: number;
+}
+
+/** The leader's own observation of one cell. */
+export interface LoadMeter {
+  arrived(shard: ShardId): void;
+  served(served: Served): void;
+  shed(server: string): void;
+  shards(): readonly ShardLoad[];
+  /** What was seen of one server, beside its queue. */
+  server(name: string): Pick<ServerObservation, 'busy' | 'shed'>;
+  hotKeys(): readonly HotKey[];
+}
+
+/** Over how long loads are averaged. */
+export const LOAD_PERIOD_MS = 10_000;
+
+/** A shard below this is left out and forgotten, in requests a second. */
+const MIN_RATE = 0.01;
+
+interface ShardSums {
+  readonly arrivals: DecayingSum;
+  readonly busyMs: DecayingSum;
+}
+
+interface ServerSums {
+  readonly busyMs: DecayingSum;
+  readonly shed: DecayingSum;
+}
+
+/**
+ * Makes the meter of one cell.
+ *
+ * @example
+ * ```ts
+ * const load = createLoadMeter(clock, createHotKeys());
+ * load.arrived('12');
+ * load.shards(); // [{shard: '12', rate: 10, busy: 0}]
+ * ```
+ */
+export function createLoadMeter(
+  clock: Clock,
+  hotKeys: HotKeyMeter | null,
+): LoadMeter {
+  const shards = new Map<ShardId, ShardSums>();
+  const servers = new Map<string, ServerSums>();
+  const sum = (): DecayingSum => createDecayingSum(clock, LOAD_PERIOD_MS);
+
+  const shardOf = (shard: ShardId): ShardSums => {
+    const known = shards.get(shard);
+    if (known !== undefined) return known;
+    const sums = {arrivals: sum(), busyMs: sum()};
+    shards.set(shard, sums);
+    return sums;
+  };
+
+  const serverOf = (name: string): ServerSums => {
+    const known = servers.get(name);
+    if (known !== undefined) return known;
+    const sums = {busyMs: sum(), shed: sum()};
+    servers.set(name, sums);
+    return sums;
+  };
+
+  return {
+    arrived: shard => shardOf(shard).arrivals.add(1),
+    served({shard, server, key, busyMs}) {
+      shardOf(shard).busyMs.add(busyMs);
+      serverOf(server).busyMs.add(busyMs);
+      hotKeys?.record(key, busyMs);
+    },
+    shed: server => serverOf(server).shed.add(1),
+    shards() {
+      const loads: ShardLoad[] = [];
+      for (const [shard, sums] of shards) {
+        const rate = sums.arrivals.perMs() * 1000;
+        const busy = sums.busyMs.perMs();
+        if (rate < MIN_RATE && busy === 0) shards.delete(shard);
+        else loads.push({shard, rate, busy});
+      }
+      return loads;
+    },
+    server(name) {
+      const sums = servers.get(name);
+      if (sums === undefined) return {busy: 0, shed: 0};
+      return {busy: sums.busyMs.perMs(), shed: sums.shed.value()};
+    },
+    hotKeys: () => hotKeys?.hottest() ?? [],
+  };
+}
--- /dev/null
+++ b/packages/requests/src/pending.ts
@@ -0,0 +1,90 @@
+import type {Failure} from '@banyandrum/base/failure.js';
+import type {ServiceRequest} from '@banyandrum/base/request.js';
+import {Err} from '@banyandrum/base/result.js';
+import type {Outcome} from './deadline-guard.js';
+import type {DeadlineWheel} from './deadline.js';
+import type {QueueItem, Ticket} from './fair-level.js';
+import type {FairQueue} from './fair-queue.js';
+import {cancelled} from './refusals.js';
+import {trackBody} from './tracked-body.js';
+
+/** One request in the leader's hands. */
+export interface Pending extends QueueItem {
+  readonly req: ServiceRequest;
+  /** Whether the body can be sent once more. */
+  isWhole(): boolean;
+  resolve(outcome: Outcome): void;
+  /** Where it waits, if it does. */
+  spot: Spot | null;
+  /** Times that a server refused it as not the owner. */
+  fenced: number;
+  /** Stops what `guard` started. */
+  unguard: () => void;
+}
+
+/** A place in one of the queues. */
+export interface Spot {
+  readonly queue: FairQueue<Pending>;
+  readonly ticket: Ticket<Pending>;
+}
+
+/** Takes a request into the leader's hands. */
+export function createPending(
+  req: ServiceRequest,
+  now: number,
+  resolve: (outcome: Outcome) => void,
+): Pending {
+  const tracked = trackBody(req);
+  return {
+    req: tracked.req,
+    isWhole: tracked.isWhole,
+    resolve,
+    level: req.precedence,
+    caller: req.caller,
+    key: req.key,
+    bytes: req.body instanceof Uint8Array ? req.body.length : 0,
+    queuedAt: now,
+    spot: null,
+    fenced: 0,
+    unguard: noop,
+  };
+}
+
+/** Ends a waiting request with the reason why it was not run. */
+export function refuse(pending: Pending, why: Failure): void {
+  leaveSpot(pending);
+  pending.unguard();
+  pending.resolve(Err(why));
+}
+
+/** Takes a request out of the queue that it waits in. */
+export function leaveSpot(pending: Pending): void {
+  pending.spot?.queue.remove(pending.spot.ticket);
+  pending.spot = null;
+}
+
+/**
+ * Ends a waiting request when its caller gives up, or at `until`, where it
+ * calls `expire`. Requests that are sent at once never come here, which
+ * saves them a listener and a timer.
+ */
+export function guard(
+  pending: Pending,
+  wheel: DeadlineWheel,
+  until: number,
+  expire: () => void,
+): void {
+  pending.unguard();
+  const {signal} = pending.req;
+  if (signal.aborted) return refuse(pending, cancelled());
+  const giveUp = (): void => refuse(pending, cancelled());
+  const cancel = wheel.schedule(until, expire);
+  signal.addEventListener('abort', giveUp);
+  pending.unguard = () => {
+    cancel();
+    signal.removeEventListener('abort', giveUp);
+    pending.unguard = noop;
+  };
+}
+
+function noop(): void {}
--- a/packages/requests/src/queue.ts
+++ b/packages/requests/src/queue.ts
@@ -1,26 +1,45 @@
 import type {Clock} from '@banyandrum/base/clock.js';
-import {failure, type Failure} from '@banyandrum/base/failure.js';
 import type {CellId, ShardId} from '@banyandrum/base/ids.js';
-import type {RequestHandler, ServiceRequest} from '@banyandrum/base/request.js';
+import type {RequestHandler} from '@banyandrum/base/request.js';
 import {Err} from '@banyandrum/base/result.js';
-import type {Limits} from '@banyandrum/config/rules.js';
-import type {LedCell, Location, Owned} from '@banyandrum/ownership/led-cell.js';
-import type {Dispatch, ServerClient} from '@banyandrum/servers/client.js';
-import {watchAnswerEnd} from './answer-end.js';
-import {
-  guardDeadline,
-  VERDICT_GRACE_MS,
-  type Outcome,
-} from './deadline-guard.js';
+import type {Rules} from '@banyandrum/config/rules.js';
+import type {
+  CellLoad,
+  LedCell,
+  Location,
+  Owned,
+  ServerObservation,
+} from '@banyandrum/ownership/led-cell.js';
+import type {ServerClient} from '@banyandrum/servers/client.js';
 import type {DeadlineWheel} from './deadline.js';
-import {createFairQueue, type FairQueue, type QueueItem} from './fair-queue.js';
-import {createServerSlots, type ServerSlots} from './server-slots.js';
+import type {Ticket} from './fair-level.js';
+import type {FairQueue, FairQueueOptions} from './fair-queue.js';
+import {createHold} from './hold.js';
+import {
+  createLoadMeter,
+  type HotKeyMeter,
+  type LoadMeter,
+} from './load-meter.js';
+import {
+  createPending,
+  guard,
+  leaveSpot,
+  refuse,
+  type Pending,
+} from './pending.js';
+import {cancelled, expired, moved, noOwner, overloaded} from './refusals.js';
+import {createSender, type Flight} from './sender.js';
+import {createServerQueue, type ServerQueue} from './server-queue.js';
+import {createShardGate, type ShardGate} from './shard-gate.js';
+import {snapshotOf, type QueueSnapshot} from './snapshot.js';
 
 /** The leader's admission for one cell. */
 export interface LeaderQueue {
   readonly cell: CellId;
   /** Queues the request, sends it when its turn comes, yields its answer. */
   readonly handle: RequestHandler;
+  /** What waits and runs now; with a key, also what waits for it. */
+  snapshot(key?: string): QueueSnapshot;
 }
 
 /** What the process that leads the cell may do with its queue. */
@@ -32,45 +51,35 @@
   open(shard: ShardId): void;
   /** Refuses what waits; resolves when nothing is in flight any more. */
   stop(): Promise<void>;
+  load(): CellLoad;
+}
+
+/** Parts that can be switched off, so that their gain can be measured. */
+export interface QueuePolicy {
+  /** Turns by caller and key; else first come, first served. */
+  readonly fair: boolean;
+  /** Refuses on arrival what its deadline leaves no time for. */
+  readonly refuseEarly: boolean;
 }
 
 export interface QueueOptions {
   readonly client: Pick<ServerClient, 'send'>;
-  readonly limits: () => Limits;
+  readonly rules: () => Pick<Rules, 'limits' | 'precedence' | 'timing'>;
   readonly clock: Clock;
   readonly wheel: DeadlineWheel;
-}
-
-/** One request in the leader's hands. */
-interface Pending extends QueueItem {
-  readonly req: ServiceRequest;
-  readonly resolve: (outcome: Outcome) => void;
-  readonly release: () => void;
-  /** Where it waits. */
-  place: FairQueue<Pending> | null;
-}
-
-interface ServerQueue {
-  readonly name: string;
-  readonly slots: ServerSlots;
-  readonly waiting: FairQueue<Pending>;
-}
-
-/** One shard's gate and what waits behind it. */
-interface ShardGate {
-  readonly shard: ShardId;
-  readonly waiting: FairQueue<Pending>;
-  closed: boolean;
-  inFlight: number;
-  /** Those who wait for the shard's last answer. */
-  emptied: (() => void)[];
-  /** What `waiting` waits for, beside the gate. */
-  settled: Promise<void> | null;
+  readonly hotKeys: HotKeyMeter | null;
+  readonly policy: QueuePolicy;
 }
 
 /** How often a held queue looks whether it may go on. */
 const HOLD_POLL_MS = 10;
 
+/** Part of a lease that must be left for a request that outlives it. */
+const SHORT_LEASE = 1 / 4;
+
+/** A server that kept less than this busy of late is forgotten. */
+const IDLE_BUSY = 1e-5;
+
 /**
  * Makes the admission of a cell that this process leads: exactly the slots
  * in flight at each server and a queue for each, while requests of a shard
@@ -78,7 +87,7 @@
  *
  * @example
  * ```ts
- * const queue = createCellQueue(led, {client, limits, clock, wheel});
+ * const queue = createCellQueue(led, options);
  * const outcome = await queue.handle(req);
  * ```
  */
@@ -86,119 +95,114 @@
   first: LedCell,
   options: QueueOptions,
 ): CellQueue {
-  const {clock, wheel} = options;
+  const {clock, wheel, rules, policy} = options;
+  const fairness: FairQueueOptions = {
+    levels: () => rules().precedence,
+    fair: policy.fair,
+  };
   const servers = new Map<string, ServerQueue>();
   const gates = new Map<ShardId, ShardGate>();
+  const load = createLoadMeter(clock, options.hotKeys);
   let led = first;
   let stopped = false;
-  let holding = false;
-  let inFlight = 0;
-  let emptied: (() => void)[] = [];
 
   const handle: RequestHandler = req => {
-    if (stopped) return Promise.resolve(Err(moved()));
+    if (stopped) return Promise.resolve(Err(moved('no longer leading')));
     if (req.signal.aborted) return Promise.resolve(Err(cancelled()));
-    return new Promise(resolve => place(createPending(req, resolve)));
-  };
-
-  const createPending = (
-    req: ServiceRequest,
-    resolve: (outcome: Outcome) => void,
-  ): Pending => {
-    const giveUp = (): void => refuse(pending, cancelled());
-    const cancel = wheel.schedule(req.deadline, () =>
-      refuse(pending, expired()),
-    );
-    req.signal.addEventListener('abort', giveUp);
-    const pending: Pending = {
-      req,
-      resolve,
-      release() {
-        cancel();
-        req.signal.removeEventListener('abort', giveUp);
-      },
-      level: req.precedence,
-      bytes: req.body instanceof Uint8Array ? req.body.length : 0,
-      place: null,
-    };
-    return pending;
-  };
-
-  const refuse = (pending: Pending, why: Failure): void => {
-    pending.place?.remove(pending);
-    pending.place = null;
-    pending.release();
-    pending.resolve(Err(why));
+    return new Promise(resolve => {
+      const pending = createPending(req, clock.now(), resolve);
+      const where = led.locate(req.key);
+      load.arrived(where.shard);
+      place(pending, where);
+    });
   };
 
   /** Puts a request where its shard is now. */
-  const place = (pending: Pending): void => {
-    const where = led.locate(pending.req.key);
+  const place = (pending: Pending, where: Location): void => {
     if (where.kind === 'unowned') return refuse(pending, noOwner(where.reason));
     const gate = gateOf(where.shard);
-    if (where.kind === 'moving') return park(pending, gate, where.settled);
-    if (gate.closed) return park(pending, gate, null);
-    const server = serverOf(where);
-    if (isFull(server.waiting, pending)) return refuse(pending, full());
-    server.waiting.push(pending);
-    pending.place = server.waiting;
+    if (where.kind === 'moving') follow(gate, where.settled);
+    if (where.kind === 'moving' || gate.closed) return park(pending, gate);
+    enqueue(pending, serverOf(where));
+  };
+
+  const replace = (pending: Pending): void =>
+    place(pending, led.locate(pending.key));
+
+  const enqueue = (pending: Pending, server: ServerQueue): void => {
+    const ticket = server.waiting.push(pending);
+    pending.spot = {queue: server.waiting, ticket};
     pump(server);
+    if (pending.spot?.ticket !== ticket) return;
+    const waitMs = server.waitMs(ticket);
+    const endsAt = clock.now() + waitMs + server.lowMs(pending.level);
+    if (policy.refuseEarly && endsAt > pending.req.deadline) {
+      return refuse(pending, overloaded('the queue is too long', waitMs));
+    }
+    trim(server.waiting, pending, waitMs);
+    if (pending.spot !== null) guardWaiting(pending, server);
   };
 
-  const isFull = (queue: FairQueue<Pending>, pending: Pending): boolean => {
-    const {maxQueued, maxQueuedBytes} = options.limits();
-    if (queue.size() >= maxQueued) return true;
-    return queue.bytes() + pending.bytes > maxQueuedBytes;
+  const park = (pending: Pending, gate: ShardGate): void => {
+    const ticket = gate.waiting.push(pending);
+    pending.spot = {queue: gate.waiting, ticket};
+    trim(gate.waiting, pending, HOLD_POLL_MS);
+    if (pending.spot !== null) guardWaiting(pending, null);
   };
 
-  const park = (
-    pending: Pending,
-    gate: ShardGate,
-    settled: Promise<void> | null,
+  /** Makes room for a newcomer, or refuses it where it is the last. */
+  const trim = (
+    queue: FairQueue<Pending>,
+    newcomer: Pending,
+    waitMs: number,
   ): void => {
-    if (isFull(gate.waiting, pending)) return refuse(pending, full());
-    gate.waiting.push(pending);
-    pending.place = gate.waiting;
-    if (settled !== null) follow(gate, settled);
+    const {maxQueued, maxQueuedBytes} = rules().limits;
+    while (queue.size() > maxQueued || queue.bytes() > maxQueuedBytes) {
+      if (newcomer.spot === null) return;
+      const {item} = queue.victim(newcomer.spot.ticket, clock.now());
+      refuse(item, overloaded('the queue is full', waitMs));
+    }
+  };
+
+  const guardWaiting = (pending: Pending, server: ServerQueue | null): void => {
+    const lowMs = server?.lowMs(pending.level) ?? 0;
+    const until = pending.req.deadline - lowMs;
+    guard(pending, wheel, until, () => {
+      const ticket = pending.spot?.ticket;
+      const waitMs = ticket && server ? server.waitMs(ticket) : HOLD_POLL_MS;
+      refuse(pending, expired(waitMs));
+    });
   };
 
   /** Places the shard's waiting requests anew once it has settled. */
   const follow = (gate: ShardGate, settled: Promise<void>): void => {
-    if (gate.settled === settled) return;
-    gate.settled = settled;
+    if (gate.settling === settled) return;
+    gate.settling = settled;
     const go = (): void => {
-      if (gate.settled === settled) gate.settled = null;
+      if (gate.settling === settled) gate.settling = null;
       if (!gate.closed) release(gate);
     };
-    // The pause keeps a location that stays unsettled from spinning.
+    // The pause keeps a location that never settles from spinning.
     const later = (): void => void clock.after(HOLD_POLL_MS, go);
     settled.then(later, later);
   };
 
-  const release = (gate: ShardGate): void => {
-    for (let next = gate.waiting.take(); next; next = gate.waiting.take()) {
-      next.place = null;
-      place(next);
-    }
-  };
+  const release = (gate: ShardGate): void =>
+    gate.drain(clock.now()).forEach(replace);
 
   const gateOf = (shard: ShardId): ShardGate => {
     const known = gates.get(shard);
     if (known !== undefined) return known;
-    const gate = createGate(shard);
+    const gate = createShardGate(shard, fairness);
     gates.set(shard, gate);
     return gate;
   };
 
   const serverOf = ({server}: Owned): ServerQueue => {
     const known = servers.get(server.name);
-    known?.slots.resize(server.slots);
+    known?.update(server);
     if (known !== undefined) return known;
-    const queue: ServerQueue = {
-      name: server.name,
-      slots: createServerSlots(server.slots),
-      waiting: createFairQueue(),
-    };
+    const queue = createServerQueue(server, fairness, clock);
     servers.set(server.name, queue);
     return queue;
   };
@@ -206,195 +210,179 @@
   /** Sends what may be sent now. */
   const pump = (server: ServerQueue): void => {
     while (server.slots.isFree() && server.waiting.size() > 0) {
-      if (!led.mayAct()) return hold();
-      const next = server.waiting.take();
-      if (next === null) return;
-      next.place = null;
-      const where = led.locate(next.req.key);
-      if (!isAt(server, where) || gateOf(where.shard).closed) {
-        place(next);
-        continue;
-      }
-      if (where.leaseEnd <= clock.now()) return retain(server, next);
-      void dispatch(server, next, where);
+      if (!led.mayAct()) return hold.lost();
+      hold.found();
+      const ticket = server.waiting.take(clock.now());
+      if (ticket === null) return;
+      if (!launch(server, ticket)) return;
     }
+    wakeAfterPause(server);
   };
 
-  const pumpAll = (): void => {
-    for (const server of servers.values()) pump(server);
+  /** `false` where the server must be left alone for a while. */
+  const launch = (server: ServerQueue, ticket: Ticket<Pending>): boolean => {
+    const pending = ticket.item;
+    pending.spot = null;
+    const where = led.locate(pending.key);
+    const gate = gateOf(where.shard);
+    if (!isAt(server, where) || gate.closed) {
+      place(pending, where);
+      return true;
+    }
+    if (isLeaseShort(server, pending, where)) {
+      putBack(server, ticket);
+      hold.poll();
+      return false;
+    }
+    if (isTooLate(server, pending)) {
+      refuse(pending, expired(server.meanMs(pending.level)));
+      return true;
+    }
+    pending.unguard();
+    sender.send({led, pending, where, gate, server, ticket});
+    return true;
   };
 
-  /** Looks again a little later: the authority or the lease may return. */
-  const hold = (): void => {
-    if (holding) return;
-    holding = true;
-    clock.after(HOLD_POLL_MS, () => {
-      holding = false;
-      pumpAll();
-    });
+  const putBack = (server: ServerQueue, ticket: Ticket<Pending>): void => {
+    server.waiting.putBack(ticket);
+    ticket.item.spot = {queue: server.waiting, ticket};
   };
 
-  const retain = (server: ServerQueue, pending: Pending): void => {
-    server.waiting.putBack(pending);
-    pending.place = server.waiting;
-    hold();
+  const isLeaseShort = (
+    server: ServerQueue,
+    {level, req}: Pending,
+    {leaseEnd}: Owned,
+  ): boolean => {
+    const left = leaseEnd - clock.now();
+    if (left <= 0) return true;
+    if (req.deadline <= leaseEnd) return false;
+    const enough = rules().timing.leaseMs * SHORT_LEASE;
+    return left < Math.min(server.meanMs(level), enough);
   };
 
-  const dispatch = async (
-    server: ServerQueue,
-    pending: Pending,
-    where: Owned,
-  ): Promise<void> => {
-    const {req} = pending;
-    const gate = gateOf(where.shard);
-    const deadline = Math.min(req.deadline, where.leaseEnd);
-    const send = createSend(led, pending, where, gate, clock, deadline);
-    pending.release();
-    begin(server, gate);
-    const end = once(() => finish(server, gate));
-    const outcome = await guardDeadline(
-      () => options.client.send(where.server, send),
-      {
-        wheel,
-        deadline,
-        verdict: () => (send.written ? 'may-have-run' : 'not-run'),
-      },
-    );
-    if (outcome.err) {
-      end();
-      pending.resolve(outcome);
-      return;
+  /** With nothing in flight it is sent all the same, to learn anew. */
+  const isTooLate = (server: ServerQueue, {level, req}: Pending): boolean => {
+    const left = req.deadline - clock.now();
+    if (left <= 0) return true;
+    return server.slots.inFlight() > 0 && left < server.lowMs(level);
+  };
+
+  const wakeAfterPause = (server: ServerQueue): void => {
+    const {slots, waiting} = server;
+    if (waiting.size() === 0 || slots.pausedUntil() <= clock.now()) return;
+    hold.wake(server, slots.pausedUntil());
+  };
+
+  /** A request comes back from a server without having run. */
+  const takeBack = (flight: Flight): void => {
+    const {pending, server, ticket} = flight;
+    if (stopped) return refuse(pending, moved('no longer leading'));
+    const where = led.locate(pending.key);
+    if (!isAt(server, where) || gateOf(where.shard).closed) {
+      return place(pending, where);
     }
-    const cancel = wheel.schedule(deadline + VERDICT_GRACE_MS, end);
-    const answer = watchAnswerEnd(outcome.val, () => {
-      cancel();
-      end();
-    });
-    pending.resolve(outcome.map(() => answer));
+    putBack(server, ticket);
+    guardWaiting(pending, server);
   };
 
-  const begin = (server: ServerQueue, gate: ShardGate): void => {
-    server.slots.take();
-    gate.inFlight++;
-    inFlight++;
+  /** Those in the servers' queues that ask for the shard, oldest first. */
+  const waitingFor = (shard: ShardId): readonly Pending[] =>
+    [...servers.values()]
+      .flatMap(server => server.waiting.items())
+      .filter(pending => led.locate(pending.key).shard === shard)
+      .sort((a, b) => a.queuedAt - b.queuedAt);
+
+  /** Forgets shards and servers that nothing is left of. */
+  const prune = (): void => {
+    for (const [shard, gate] of gates) if (gate.isIdle()) gates.delete(shard);
+    for (const [name, {slots, waiting}] of servers) {
+      const empty = slots.inFlight() === 0 && waiting.size() === 0;
+      if (empty && load.server(name).busy < IDLE_BUSY) servers.delete(name);
+    }
   };
 
-  const finish = (server: ServerQueue, gate: ShardGate): void => {
-    server.slots.give();
-    gate.inFlight--;
-    inFlight--;
-    if (gate.inFlight === 0) gate.emptied = callAll(gate.emptied);
-    if (inFlight === 0) emptied = callAll(emptied);
-    pump(server);
+  const pumpAll = (): void => servers.forEach(pump);
+
+  const refuseAll = (): void => {
+    const queues = [...servers.values(), ...gates.values()];
+    for (const {waiting} of queues) {
+      for (const pending of waiting.items()) {
+        refuse(pending, moved('no longer leading'));
+      }
+    }
   };
 
-  const waitingItems = (): Pending[] => [
-    ...[...servers.values()].flatMap(server => server.waiting.items()),
-    ...[...gates.values()].flatMap(gate => gate.waiting.items()),
-  ];
+  const hold = createHold({
+    clock,
+    wheel,
+    pollMs: HOLD_POLL_MS,
+    limitMs: () => rules().timing.authorityMs,
+    pump,
+    pumpAll,
+    giveUp: refuseAll,
+  });
+  const sender = createSender({
+    client: options.client,
+    clock,
+    wheel,
+    load,
+    takeBack,
+    ended: pump,
+  });
 
   return {
     cell: first.cell,
     handle,
+    snapshot: key => snapshotOf(servers, gates, key),
     adopt(next) {
       led = next;
       if (stopped) for (const gate of gates.values()) gate.closed = false;
       stopped = false;
       pumpAll();
     },
-    async close(shard) {
+    close(shard) {
       const gate = gateOf(shard);
       gate.closed = true;
-      if (gate.inFlight === 0) return;
-      await new Promise<void>(resolve => gate.emptied.push(resolve));
+      for (const pending of waitingFor(shard)) {
+        leaveSpot(pending);
+        park(pending, gate);
+      }
+      return gate.idle();
     },
     open(shard) {
       const gate = gateOf(shard);
       gate.closed = false;
       release(gate);
     },
-    async stop() {
+    stop() {
       stopped = true;
-      for (const pending of waitingItems()) refuse(pending, moved());
-      if (inFlight === 0) return;
-      await new Promise<void>(resolve => emptied.push(resolve));
+      refuseAll();
+      return sender.idle();
+    },
+    load() {
+      prune();
+      return loadOf(load, servers);
     },
   };
 }
 
-function createGate(shard: ShardId): ShardGate {
+function loadOf(
+  load: LoadMeter,
+  servers: ReadonlyMap<string, ServerQueue>,
+): CellLoad {
+  const observe = (server: ServerQueue): ServerObservation => ({
+    server: server.name,
+    queued: server.waiting.size(),
+    serviceMs: server.meanMs(),
+    ...load.server(server.name),
+  });
   return {
-    shard,
-    waiting: createFairQueue(),
-    closed: false,
-    inFlight: 0,
-    emptied: [],
-    settled: null,
+    shards: load.shards(),
+    servers: [...servers.values()].map(observe),
+    hotKeys: load.hotKeys(),
   };
 }
 
 function isAt(server: ServerQueue, where: Location): where is Owned {
   return where.kind === 'owned' && where.server.name === server.name;
 }
-
-function createSend(
-  led: LedCell,
-  pending: Pending,
-  where: Owned,
-  gate: ShardGate,
-  clock: Clock,
-  deadline: number,
-): Dispatch & {written: boolean} {
-  const {req} = pending;
-  return {
-    req: deadline < req.deadline ? {...req, deadline} : req,
-    cell: led.cell,
-    shard: where.shard,
-    fence: where.fence,
-    serverDeadline: where.toServerTime(deadline),
-    written: false,
-    mayWrite() {
-      const may = led.mayAct() && clock.now() < deadline && !gate.closed;
-      if (may) this.written = true;
-      return may;
-    },
-  };
-}
-
-function callAll(waiters: readonly (() => void)[]): (() => void)[] {
-  for (const wake of waiters) wake();
-  return [];
-}
-
-function once(task: () => void): () => void {
-  let done = false;
-  return () => {
-    if (done) return;
-    done = true;
-    task();
-  };
-}
-
-const MOVED_RETRY_MS = 100;
-const NO_OWNER_RETRY_MS = 1000;
-const FULL_RETRY_MS = 200;
-
-function moved(): Failure {
-  return failure('not-run', 'moved', 'no longer leading', MOVED_RETRY_MS);
-}
-
-function cancelled(): Failure {
-  return failure('not-run', 'cancelled', 'the caller gave up');
-}
-
-function expired(): Failure {
-  return failure('not-run', 'deadline', 'its turn did not come in time');
-}
-
-function noOwner(reason: string): Failure {
-  return failure('not-run', 'no-owner', reason, NO_OWNER_RETRY_MS);
-}
-
-function full(): Failure {
-  return failure('not-run', 'overloaded', 'the queue is full', FULL_RETRY_MS);
-}
--- /dev/null
+++ b/packages/requests/src/refusals.ts
@@ -0,0 +1,39 @@
+import {failure, type Failure} from '@banyandrum/base/failure.js';
+
+const MOVED_RETRY_MS = 100;
+const NO_OWNER_RETRY_MS = 1000;
+const MIN_OVERLOAD_RETRY_MS = 20;
+const MAX_OVERLOAD_RETRY_MS = 30_000;
+
+/** This process doesn't lead the cell, or not any more. */
+export function moved(detail: string): Failure {
+  return failure('not-run', 'moved', detail, MOVED_RETRY_MS);
+}
+
+export function cancelled(): Failure {
+  return failure('not-run', 'cancelled', 'the caller gave up');
+}
+
+/** Its turn came too late to finish; `waitMs` is what others wait now. */
+export function expired(waitMs: number): Failure {
+  const detail = 'its turn did not come in time';
+  return failure('not-run', 'deadline', detail, overloadRetryMs(waitMs));
+}
+
+export function noOwner(reason: string): Failure {
+  return failure('not-run', 'no-owner', reason, NO_OWNER_RETRY_MS);
+}
+
+/** Refused at once; what is ahead now will be done after `waitMs`. */
+export function overloaded(detail: string, waitMs: number): Failure {
+  return failure('not-run', 'overloaded', detail, overloadRetryMs(waitMs));
+}
+
+export function unknownService(service: string): Failure {
+  return failure('not-run', 'unknown-service', `no service ${service}`);
+}
+
+function overloadRetryMs(waitMs: number): number {
+  const bounded = Math.min(MAX_OVERLOAD_RETRY_MS, waitMs);
+  return Math.round(Math.max(MIN_OVERLOAD_RETRY_MS, bounded));
+}
--- /dev/null
+++ b/packages/requests/src/server-queue.ts
@@ -0,0 +1,107 @@
+import type {Clock} from '@banyandrum/base/clock.js';
+import type {ServerRef} from '@banyandrum/servers/client.js';
+import {createDecayingSum, type DecayingSum} from './decaying-sum.js';
+import type {Ticket} from './fair-level.js';
+import {
+  createFairQueue,
+  type FairQueue,
+  type FairQueueOptions,
+} from './fair-queue.js';
+import type {Pending} from './pending.js';
+import {createServerSlots, type ServerSlots} from './server-slots.js';
+import {createServiceTimes, type ServiceTimes} from './service-times.js';
+
+/** What waits for one server, and how fast it is served. */
+export interface ServerQueue {
+  readonly name: string;
+  readonly slots: ServerSlots;
+  readonly waiting: FairQueue<Pending>;
+  /** Takes up what the inventory says now. */
+  update(ref: ServerRef): void;
+  /** An answer of `level` came whole. */
+  answered(level: number, ms: number): void;
+  /** A request of `level` ended without an answer. */
+  cut(level: number, ms: number): void;
+  /** Nearly no request of `level` takes less, in ms. */
+  lowMs(level: number): number;
+  /** Mean service time of `level`, or of all where it has none yet. */
+  meanMs(level?: number): number;
+  /** Time until the ticket's turn, in ms, as things stand. */
+  waitMs(ticket: Ticket<Pending>): number;
+}
+
+/** Over how long the share of each level is averaged. */
+const SHARE_PERIOD_MS = 5000;
+
+/** However busy the levels above are, this part is left for the rest. */
+const MIN_SHARE = 0.1;
+
+/**
+ * Makes the queue of one server.
+ *
+ * @example
+ * ```ts
+ * const server = createServerQueue(ref, {levels, fair: true}, clock);
+ * const ticket = server.waiting.push(pending);
+ * const inTime = clock.now() + server.waitMs(ticket) < req.deadline;
+ * ```
+ */
+export function createServerQueue(
+  ref: ServerRef,
+  options: FairQueueOptions,
+  clock: Clock,
+): ServerQueue {
+  const slots = createServerSlots(ref.slots, clock);
+  const waiting = createFairQueue<Pending>(options);
+  const overall = createServiceTimes();
+  const times: ServiceTimes[] = [];
+  const busyMs: DecayingSum[] = [];
+
+  const timesOf = (level: number): ServiceTimes =>
+    (times[level] ??= createServiceTimes());
+
+  const busyOf = (level: number): DecayingSum =>
+    (busyMs[level] ??= createDecayingSum(clock, SHARE_PERIOD_MS));
+
+  const meanMs = (level?: number): number => {
+    const own = level === undefined ? 0 : (times[level]?.mean() ?? 0);
+    return own > 0 ? own : overall.mean();
+  };
+
+  /** Part of the slots that the levels above leave. */
+  const shareOf = (level: number): number => {
+    let busy = 0;
+    for (let upper = 0; upper < level; upper++) {
+      busy += busyMs[upper]?.perMs() ?? 0;
+    }
+    return Math.max(MIN_SHARE, 1 - busy / slots.window());
+  };
+
+  return {
+    name: ref.name,
+    slots,
+    waiting,
+    update: next => slots.resize(next.slots),
+    answered(level, ms) {
+      timesOf(level).record(ms);
+      overall.record(ms);
+      busyOf(level).add(ms);
+    },
+    cut(level, ms) {
+      timesOf(level).recordCut(ms);
+      overall.recordCut(ms);
+      busyOf(level).add(ms);
+    },
+    lowMs: level => times[level]?.low() ?? 0,
+    meanMs,
+    waitMs(ticket) {
+      const own = ticket.item.level;
+      let work = meanMs(own) / 2;
+      for (let level = 0; level <= own; level++) {
+        work += waiting.ahead(ticket, level) * meanMs(level);
+      }
+      const pause = Math.max(0, slots.pausedUntil() - clock.now());
+      return pause + work / slots.window() / shareOf(own);
+    },
+  };
+}
--- a/packages/requests/test/entry.test.ts
+++ b/packages/requests/test/entry.test.ts
@@ -8,7 +8,7 @@
 import {createManualClock} from '@banyandrum/standins/manual-clock.js';
 import {
   ANSWER,
-  LIMITS,
+  RULES,
   request,
   router,
   settle,
@@ -46,7 +46,7 @@
       sent.push(to.host);
       return send(to, req);
     },
-    limits: () => ({...LIMITS, retryPercent}),
+    rules: () => ({...RULES, limits: {...RULES.limits, retryPercent}}),
     clock,
     random: () => 0.5,
   });
--- a/packages/requests/test/fakes.ts
+++ b/packages/requests/test/fakes.ts
@@ -9,7 +9,7 @@
   type ServiceRequest,
 } from '@banyandrum/base/request.js';
 import {Err, Ok, type Result} from '@banyandrum/base/result.js';
-import type {Limits} from '@banyandrum/config/rules.js';
+import type {Rules} from '@banyandrum/config/rules.js';
 import type {LedCell, Location, Owned} from '@banyandrum/ownership/led-cell.js';
 import type {
   Dispatch,
@@ -26,12 +26,28 @@
   body: EMPTY_BODY,
 };
 
-export const LIMITS: Limits = {
-  maxBodyBytes: 1000,
-  maxQueued: 100,
-  maxQueuedBytes: 100_000,
-  maxDeadlineMs: 60_000,
-  retryPercent: 10,
+export type TestRules = Pick<Rules, 'limits' | 'precedence' | 'timing'>;
+
+export const RULES: TestRules = {
+  limits: {
+    maxBodyBytes: 1000,
+    maxQueued: 100,
+    maxQueuedBytes: 100_000,
+    maxDeadlineMs: 60_000,
+    retryPercent: 10,
+  },
+  precedence: [
+    {name: 'holds', ageAfterMs: 0},
+    {name: 'lookups', ageAfterMs: 10_000},
+    {name: 'reports', ageAfterMs: 1000},
+  ],
+  timing: {
+    renewMs: 500,
+    leaseMs: 2000,
+    authorityMs: 1000,
+    suspicionMs: 750,
+    driftPpm: 10_000,
+  },
 };
 
 export function router(host: string, boot = 'a'): Incarnation {
--- a/packages/requests/test/queue.test.ts
+++ b/packages/requests/test/queue.test.ts
@@ -8,7 +8,7 @@
 import {
   fakeCell,
   fakeClient,
-  LIMITS,
+  RULES,
   owned,
   request,
   server,
@@ -34,7 +34,7 @@
   const clock = createManualClock();
   const client = fakeClient();
   const led = fakeCell(server('s1', slots));
-  const queues = createLeaderQueues({client, limits: () => LIMITS, clock});
+  const queues = createLeaderQueues({client, rules: () => RULES, clock});
   const queue = queues.lead(led);
   const ask: Bench['ask'] = over => watch(queue.handle(request(over)));
   return {clock, client, led, queues, ask};
