--- a/packages/config/src/fold.ts
+++ b/packages/config/src/fold.ts
@@ -2,6 +2,7 @@
 import type {CellId, Offset} from '@banyandrum/base/ids.js';
 import {checkPublication} from './check-publication.js';
 import {decodeRecord} from './codec.js';
+import type {DecodedRecord} from './codec.js';
 import type {Inventory, Service} from './inventory.js';
 import {DEFAULT_RULES} from './parse-rules.js';
 import {formatProblem} from './problem.js';
@@ -59,15 +60,23 @@
   state: ClusterState,
   offset: Offset,
   data: Uint8Array,
+): ClusterState {
+  return applyDecoded(state, offset, decodeRecord(data));
+}
+
+/** `applyRecord` for a record that has been decoded already. */
+export function applyDecoded(
+  state: ClusterState,
+  offset: Offset,
+  decoded: DecodedRecord,
 ): ClusterState {
   if (offset < state.next) return state;
   const moved = {...state, next: offset + 1};
-  const decoded = decodeRecord(data);
   if (decoded.kind === 'newer') return moved;
   if (decoded.kind === 'unreadable') {
     return addAudit(moved, unreadableEntry(offset, decoded.detail));
   }
-  return applyDecoded(moved, offset, decoded.record);
+  return applyKind(moved, offset, decoded.record);
 }
 
 /** The version in force; 0 before the first publication. */
@@ -80,7 +89,7 @@
   return [...state.inventory.services, ...(state.retired ?? [])];
 }
 
-function applyDecoded(
+function applyKind(
   state: ClusterState,
   offset: Offset,
   record: StateRecord,
--- a/packages/config/src/parse-inventory.ts
+++ b/packages/config/src/parse-inventory.ts
@@ -4,7 +4,7 @@
 import type {Inventory, Server, Service} from './inventory.js';
 import type {Problem} from './problem.js';
 import {describeValue} from './problem.js';
-import {limitProblems, readToml} from './read-toml.js';
+import {checkTable, readToml, reportProblems} from './read-toml.js';
 import {
   addressSchema,
   flagSchema,
@@ -59,11 +59,14 @@
 export function parseInventory(
   input: string | Uint8Array,
 ): Result<Inventory, readonly Problem[]> {
-  const read = readToml(input, inventorySchema);
+  const read = readToml(input);
   if (read.err) return read;
-  const inventory = toInventory(read.val);
+  const {text, table} = read.val;
+  const checked = checkTable(table, inventorySchema);
+  if (checked.err) return Err(reportProblems(text, checked.val));
+  const inventory = toInventory(checked.val);
   const problems = checkInventory(inventory);
-  if (problems.length > 0) return Err(limitProblems(problems));
+  if (problems.length > 0) return Err(reportProblems(text, problems));
   return Ok(inventory);
 }
 
--- a/packages/config/src/parse-rules.ts
+++ b/packages/config/src/parse-rules.ts
@@ -3,7 +3,7 @@
 import {z} from 'zod';
 import type {Problem} from './problem.js';
 import {describeValue} from './problem.js';
-import {limitProblems, readToml} from './read-toml.js';
+import {checkTable, readToml, reportProblems} from './read-toml.js';
 import type {
   Limits,
   Operation,
@@ -135,11 +135,14 @@
 export function parseRules(
   input: string | Uint8Array,
 ): Result<Rules, readonly Problem[]> {
-  const read = readToml(input, rulesSchema);
+  const read = readToml(input);
   if (read.err) return read;
-  const rules = toRules(read.val);
-  const problems = checkRules(read.val, rules);
-  if (problems.length > 0) return Err(limitProblems(problems));
+  const {text, table} = read.val;
+  const checked = checkTable(table, rulesSchema);
+  if (checked.err) return Err(reportProblems(text, checked.val));
+  const rules = toRules(checked.val);
+  const problems = checkRules(checked.val, rules);
+  if (problems.length > 0) return Err(reportProblems(text, problems));
   return Ok(rules);
 }
 
--- a/packages/config/src/problem.ts
+++ b/packages/config/src/problem.ts
@@ -4,6 +4,8 @@
   readonly file?: string;
   /** `servers[3].slots`, or `line 4, column 7` where the text is no TOML. */
   readonly place: string;
+  /** The line that it is on, from 1, where that is known. */
+  readonly line?: number;
   readonly expected: string;
   readonly found: string;
 }
@@ -20,9 +22,10 @@
  * ```
  */
 export function formatProblem(problem: Problem): string {
+  const {expected, found} = problem;
   const file = problem.file === undefined ? '' : `${problem.file}: `;
-  const {place, expected, found} = problem;
-  return `${file}${place}: expected ${expected}, found ${found}`;
+  const line = problem.line === undefined ? '' : ` (line ${problem.line})`;
+  return `${file}${problem.place}${line}: expected ${expected}, found ${found}`;
 }
 
 /** The same problems, each naming the file that it is in. */
--- a/packages/config/src/read-toml.ts
+++ b/packages/config/src/read-toml.ts
@@ -2,6 +2,7 @@
 import type {Result} from '@banyandrum/base/result.js';
 import {TomlError, parse} from 'smol-toml';
 import type {z} from 'zod';
+import {locateProblems} from './locate.js';
 import type {Problem} from './problem.js';
 import {describeValue, formatPath} from './problem.js';
 
@@ -10,35 +11,58 @@
 const MAX_PROBLEMS = 50;
 const MAX_DEPTH = 16;
 
+/** A TOML text, read but not checked. */
+export interface TomlText {
+  readonly text: string;
+  readonly table: Readonly<Record<string, unknown>>;
+}
+
 /**
- * Reads a TOML text and checks it against a schema; never throws. A schema's
- * own messages say what was expected.
+ * Reads a TOML text; never throws.
  *
  * @example
  * ```ts
- * const result = readToml('slots = 2', z.strictObject({slots: z.number()}));
- * if (result.err) for (const problem of result.val) report(problem);
+ * const read = readToml(await readFile('settings.toml'));
+ * if (read.err) for (const problem of read.val) report(problem);
  * ```
  */
-export function readToml<T>(
+export function readToml(
   input: string | Uint8Array,
-  schema: z.ZodType<T>,
-): Result<T, readonly Problem[]> {
+): Result<TomlText, readonly Problem[]> {
   const text = decodeText(input);
   if (text.err) return Err([text.val]);
   const table = parseTable(text.val);
   if (table.err) return Err([table.val]);
-  const checked = schema.safeParse(table.val);
+  return Ok({text: text.val, table: table.val});
+}
+
+/**
+ * Checks a table against a schema, whose messages say what was expected.
+ *
+ * @example
+ * ```ts
+ * const checked = checkTable(table, z.strictObject({slots: z.number()}));
+ * ```
+ */
+export function checkTable<T>(
+  table: Readonly<Record<string, unknown>>,
+  schema: z.ZodType<T>,
+): Result<T, readonly Problem[]> {
+  const checked = schema.safeParse(table);
   if (checked.success) return Ok(checked.data);
-  return Err(limitProblems(toProblems(checked.error, table.val)));
+  return Err(toProblems(checked.error, table));
 }
 
-/** At most so many problems as a person would read. */
-export function limitProblems(problems: readonly Problem[]): Problem[] {
-  if (problems.length <= MAX_PROBLEMS) return [...problems];
-  const rest = problems.length - MAX_PROBLEMS;
+/** The problems with their lines, and no more than a person would read. */
+export function reportProblems(
+  text: string,
+  problems: readonly Problem[],
+): readonly Problem[] {
+  const located = locateProblems(text, problems.slice(0, MAX_PROBLEMS));
+  const rest = problems.length - located.length;
+  if (rest === 0) return located;
   return [
-    ...problems.slice(0, MAX_PROBLEMS),
+    ...located,
     {place: 'the file', expected: 'no more', found: `${rest} more problems`},
   ];
 }
@@ -62,7 +86,7 @@
   }
 }
 
-function parseTable(text: string): Result<unknown, Problem> {
+function parseTable(text: string): Result<TomlText['table'], Problem> {
   try {
     return Ok(parse(text, {maxDepth: MAX_DEPTH}));
   } catch (err) {
--- a/packages/config/test/parse.test.ts
+++ b/packages/config/test/parse.test.ts
@@ -4,6 +4,7 @@
 import {parseInventory} from '@banyandrum/config/parse-inventory.js';
 import {DEFAULT_RULES, parseRules} from '@banyandrum/config/parse-rules.js';
 import {formatProblem} from '@banyandrum/config/problem.js';
+import type {Problem} from '@banyandrum/config/problem.js';
 import {MAX_FILE_BYTES} from '@banyandrum/config/read-toml.js';
 
 const INVENTORY = `
@@ -145,10 +146,15 @@
   },
 ];
 
+/** The problems without their lines, which a test of its own looks at. */
+function formatAll(problems: readonly Problem[]): readonly string[] {
+  return problems.map(one => formatProblem(one).replace(/ \(line \d+\)/, ''));
+}
+
 void tap.test('inventory with a fault', async t => {
   for (const {name, input, problem} of BAD_INVENTORIES) {
     const result = parseInventory(input);
-    const lines = result.err ? result.val.map(formatProblem) : [];
+    const lines = result.err ? formatAll(result.val) : [];
     const hit = lines.some(line => line.startsWith(problem));
     t.ok(hit, `${name}: ${lines.join('; ')}`);
     t.notMatch(lines.join(''), /\n/, `${name} fits on one line`);
@@ -218,12 +224,44 @@
 void tap.test('rules with a fault', async t => {
   for (const {name, input, problem} of BAD_RULES) {
     const result = parseRules(input);
-    const lines = result.err ? result.val.map(formatProblem) : [];
+    const lines = result.err ? formatAll(result.val) : [];
     const hit = lines.some(line => line.startsWith(problem));
     t.ok(hit, `${name}: ${lines.join('; ')}`);
   }
 });
 
+void tap.test('problems name their line', async t => {
+  const second = INVENTORY.slice(INVENTORY.indexOf('[[servers]]'))
+    .replace('holds-1', 'holds-2')
+    .replace('9001', '9002')
+    .replace('slots = 4\n', '')
+    .replace('"vadaj"', '"naroda"');
+  const lineOf = (text: string): number =>
+    (INVENTORY + second).split('\n').lastIndexOf(text) + 1;
+  const cases: readonly (readonly [string, string, number])[] = [
+    ['servers[1].slots', INVENTORY + second, lineOf('[[servers]]')],
+    [
+      'servers[1].place',
+      INVENTORY + second.replace('naroda"', 'naroda"\nslots = 1'),
+      lineOf('place = "naroda"'),
+    ],
+    ['services[0].cells', INVENTORY.replace('= 2', '= 0'), 9],
+  ];
+  for (const [place, input, line] of cases) {
+    const result = parseInventory(input);
+    const problems = result.err ? result.val : [];
+    const lines = problems
+      .filter(problem => problem.place === place)
+      .map(problem => problem.line);
+    t.strictSame(lines, [line], place);
+  }
+  const result = parseRules('[timing]\nrenew_ms = 5\n');
+  t.strictSame(result.err && result.val.map(formatProblem), [
+    'timing.renew_ms (line 2): expected a whole number from 10 to 60000, ' +
+      'found 5',
+  ]);
+});
+
 void tap.test('rules left out take their defaults', async t => {
   t.strictSame(parseRules('').val, DEFAULT_RULES);
   t.strictSame(DEFAULT_RULES.timing, {
@@ -281,7 +319,7 @@
   const rulesToml = '[[operations]]\nservice = "vacancy"';
   const known = [{name: 'holds', shards: 32, cells: 2, checksFences: true}];
   const result = checkPublication({inventoryToml: INVENTORY, rulesToml}, known);
-  const lines = result.err ? result.val.map(formatProblem) : [];
+  const lines = result.err ? formatAll(result.val) : [];
   t.strictSame(lines, [
     'inventory: services[0].shards: expected 32 as published first; ' +
       'it cannot change, found 64',
