--- a/packages/log/src/exchange.ts
+++ b/packages/log/src/exchange.ts
@@ -11,29 +11,37 @@
   readonly signal: AbortSignal | undefined;
 }
 
-/** A whole answer, or why there is none and whether anything may have left. */
-export type Exchange =
-  | {readonly kind: 'answered'; readonly status: number; readonly body: string}
-  | {readonly kind: 'failed'; readonly sent: boolean; readonly detail: string};
-
 /**
- * Sends one HTTP request and takes in its whole answer; never rejects.
+ * Why there is no whole answer.
  *
- * A time-out or an abort closes the connection, so that the next call doesn't
- * meet a connection that has gone silent for good.
+ * - `unsent`: proved that nothing was written.
+ * - `oversize`: the answer exceeds the client's bound.
+ * - `timeout`: no whole answer in time; the request may have arrived.
+ * - `lost`: anything else; the request may have arrived.
  */
+export type ExchangeFailure = 'unsent' | 'oversize' | 'timeout' | 'lost';
+
+export type Exchange =
+  | {readonly kind: 'answered'; readonly status: number; readonly body: string}
+  | {
+      readonly kind: 'failed';
+      readonly reason: ExchangeFailure;
+      readonly detail: string;
+    };
+
+/** Sends one HTTP request and takes in its whole answer; never rejects. */
 export async function exchange(
   pool: Pool,
   options: ExchangeOptions,
 ): Promise<Exchange> {
   const {method, path, body, timeoutMs, clock, signal} = options;
   if (signal?.aborted) {
-    return {kind: 'failed', sent: false, detail: 'aborted'};
+    return {kind: 'failed', reason: 'unsent', detail: 'aborted'};
   }
   const stop = new AbortController();
   const onAbort = (): void => stop.abort(new Error('aborted'));
   const cancel = clock.after(timeoutMs, () =>
-    stop.abort(new Error(`no answer within ${timeoutMs} ms`)),
+    stop.abort(new AnswerTimeoutError(timeoutMs)),
   );
   signal?.addEventListener('abort', onAbort);
   try {
@@ -46,17 +54,27 @@
     const text = await res.body.text();
     return {kind: 'answered', status: res.statusCode, body: text};
   } catch (err) {
-    return {kind: 'failed', sent: !isUnsent(err), detail: describe(err)};
+    return {kind: 'failed', reason: reasonOf(err), detail: describe(err)};
   } finally {
     cancel();
     signal?.removeEventListener('abort', onAbort);
   }
 }
 
-/** Whether the error proves that no connection came about. */
-function isUnsent(err: unknown): boolean {
+class AnswerTimeoutError extends Error {
+  constructor(timeoutMs: number) {
+    super(`no answer within ${timeoutMs} ms`);
+    this.name = 'AnswerTimeoutError';
+  }
+}
+
+function reasonOf(err: unknown): ExchangeFailure {
+  if (err instanceof AnswerTimeoutError) return 'timeout';
   const {code, syscall} = err as NodeJS.ErrnoException;
-  return syscall === 'connect' || code === 'UND_ERR_CONNECT_TIMEOUT';
+  if (code === 'UND_ERR_RES_EXCEEDED_MAX_SIZE') return 'oversize';
+  const unconnected =
+    syscall === 'connect' || code === 'UND_ERR_CONNECT_TIMEOUT';
+  return unconnected ? 'unsent' : 'lost';
 }
 
 function describe(err: unknown): string {
--- a/packages/log/src/http-client.ts
+++ b/packages/log/src/http-client.ts
@@ -1,9 +1,9 @@
-import {createClock, type Clock} from '@banyandrum/base/clock.js';
+import type {Clock} from '@banyandrum/base/clock.js';
 import {Err, Ok, type Result} from '@banyandrum/base/result.js';
-import {Pool} from 'undici';
 import {z} from 'zod';
-import type {LogClient, LogError, LogPage} from './client.js';
-import {exchange, type Exchange} from './exchange.js';
+import type {LogClient, LogError, LogPage, ReadOptions} from './client.js';
+import {createConnections} from './connections.js';
+import type {Exchange} from './exchange.js';
 
 export interface LogClientOptions {
   /** `ip:port` of the log. */
@@ -18,11 +18,6 @@
   readonly clock?: Clock;
 }
 
-const DEFAULT_MAX_ANSWER_BYTES = 16 * 1024 * 1024;
-
-/** Enough for the long poll, a catch-up and some appends at once. */
-const MAX_CONNECTIONS = 8;
-
 const OFFSET = z.int().positive();
 const APPENDED = z.object({offset: OFFSET});
 const EXPIRED = z.object({first: OFFSET});
@@ -51,46 +46,51 @@
  * ```
  */
 export function createLogClient(options: LogClientOptions): LogClient {
-  const clock = options.clock ?? createClock();
-  const pool = new Pool(`http://${options.address}`, {
-    connections: MAX_CONNECTIONS,
-    connect: {timeout: options.timeoutMs},
-    maxResponseSize: options.maxAnswerBytes ?? DEFAULT_MAX_ANSWER_BYTES,
-  });
+  const connections = createConnections(options);
   const path = `/v1/streams/${encodeURIComponent(options.stream)}/records`;
 
+  const get = (
+    {from, maxRecords, waitMs, timeoutMs}: ReadOptions,
+    signal: AbortSignal | undefined,
+  ): Promise<Exchange> =>
+    connections.exchange({
+      method: 'GET',
+      path: `${path}?from=${from}&max=${maxRecords}&waitMs=${waitMs}`,
+      timeoutMs: waitMs + (timeoutMs ?? options.timeoutMs),
+      signal,
+    });
+
   return {
     async append(data, signal) {
       if (data.byteLength > options.maxRecordBytes) {
         return fail('too-large', `record of ${data.byteLength} bytes`);
       }
-      const exchanged = await exchange(pool, {
+      const exchanged = await connections.exchange({
         method: 'POST',
         path,
         body: data,
         timeoutMs: options.timeoutMs,
-        clock,
         signal,
       });
       return appendResult(exchanged);
     },
-    async read({from, maxRecords, waitMs, timeoutMs}, signal) {
-      const exchanged = await exchange(pool, {
-        method: 'GET',
-        path: `${path}?from=${from}&max=${maxRecords}&waitMs=${waitMs}`,
-        timeoutMs: waitMs + (timeoutMs ?? options.timeoutMs),
-        clock,
-        signal,
-      });
-      return readResult(exchanged, from);
+    async read(wanted, signal) {
+      for (let max = wanted.maxRecords; ; max = Math.ceil(max / 2)) {
+        const exchanged = await get({...wanted, maxRecords: max}, signal);
+        // Large records together may exceed the bound though each is within.
+        if (!isOversize(exchanged) || max <= 1) {
+          return readResult(exchanged, wanted.from);
+        }
+      }
     },
-    close: () => pool.destroy(),
+    close: () => connections.close(),
   };
 }
 
 function appendResult(exchanged: Exchange): Result<number, LogError> {
   if (exchanged.kind === 'failed') {
-    return fail(exchanged.sent ? 'unknown' : 'unavailable', exchanged.detail);
+    const unsent = exchanged.reason === 'unsent';
+    return fail(unsent ? 'unavailable' : 'unknown', exchanged.detail);
   }
   const {status} = exchanged;
   if (status === 413) return fail('too-large', 'refused by the log');
@@ -117,8 +117,10 @@
   const {first, end, records} = parsed.data;
   // A page with a hole would lose a record for good and let the reader count
   // as up to date; so a page counts only if its records follow one another.
-  const whole = records.every(({offset}, index) => offset === from + index);
-  if (!whole || first > from || from + records.length > Math.max(end, from)) {
+  const consecutive = records.every(({offset}, i) => offset === from + i);
+  const next = from + records.length;
+  const stuck = end > from && next === from;
+  if (!consecutive || stuck || first > from || next > Math.max(end, from)) {
     return fail('unavailable', 'page with a hole');
   }
   return Ok({
@@ -131,6 +133,10 @@
   });
 }
 
+function isOversize(exchanged: Exchange): boolean {
+  return exchanged.kind === 'failed' && exchanged.reason === 'oversize';
+}
+
 function expiredResult(json: unknown, from: number): Result<LogPage, LogError> {
   const parsed = EXPIRED.safeParse(json);
   if (!parsed.success || parsed.data.first <= from) {
--- a/packages/standins/src/faulty-listener.ts
+++ b/packages/standins/src/faulty-listener.ts
@@ -5,8 +5,22 @@
 } from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 
-/** How a listener misbehaves as a whole. */
-export const DOWN_MODES = ['none', 'refuse', 'hang', 'reset'] as const;
+/**
+ * How a listener misbehaves as a whole.
+ *
+ * - `refuse`: nobody listens.
+ * - `hang`: takes requests and never answers.
+ * - `reset`: resets each connection on which a request arrives.
+ * - `silent`: connections that were open when the mode began stay open and
+ *   silent for good; new ones work.
+ */
+export const DOWN_MODES = [
+  'none',
+  'refuse',
+  'hang',
+  'reset',
+  'silent',
+] as const;
 export type DownMode = (typeof DOWN_MODES)[number];
 
 /**
@@ -58,6 +72,7 @@
   handler: StandinHandler,
 ): Promise<FaultyListener> {
   const sockets = new Set<Socket>();
+  const silent = new WeakSet<Socket>();
   let down: DownMode = 'none';
 
   const server = createServer((req, res) => {
@@ -65,40 +80,37 @@
   });
   server.keepAliveTimeout = 0;
   server.on('connection', socket => {
-    if (down === 'reset') {
-      socket.resetAndDestroy();
-      return;
-    }
     sockets.add(socket);
     socket.on('error', () => {});
     socket.on('close', () => sockets.delete(socket));
   });
 
+  const isMute = (socket: Socket): boolean =>
+    silent.has(socket) || (down !== 'none' && down !== 'silent');
+
   const answer = async (
     req: IncomingMessage,
     res: ServerResponse,
   ): Promise<void> => {
+    const {socket} = req;
+    if (down === 'reset') socket.resetAndDestroy();
     const body = await readBody(req);
-    if (body === null || down !== 'none') return;
+    if (body === null || isMute(socket)) return;
     const url = new URL(req.url ?? '/', `http://${LOOPBACK}`);
     const reply = await handler({method: req.method ?? 'GET', url, body});
     // The mode may have changed meanwhile: a listener that went down then
     // says nothing any more, as a machine that was cut off would.
-    if (down !== 'none' || res.destroyed) return;
+    if (isMute(socket) || res.destroyed) return;
     send(res, reply);
   };
 
   await listen(server, 0);
   const {port} = server.address() as AddressInfo;
 
-  const resetAll = (): void => {
-    for (const socket of sockets) socket.resetAndDestroy();
-  };
-
   const stopListening = async (): Promise<void> => {
     if (!server.listening) return;
     const closed = new Promise(resolve => server.close(resolve));
-    resetAll();
+    resetEach(sockets);
     await closed;
   };
 
@@ -108,7 +120,7 @@
       if (mode === down) return;
       down = mode;
       if (mode === 'refuse') return stopListening();
-      if (mode !== 'hang') resetAll();
+      SWITCHES[mode](sockets, silent);
       if (!server.listening) await listen(server, port);
     },
     async close() {
@@ -117,6 +129,27 @@
   };
 }
 
+const resetEach = (sockets: ReadonlySet<Socket>): void => {
+  for (const socket of sockets) socket.resetAndDestroy();
+};
+
+/** What happens to open connections when a mode begins. */
+const SWITCHES: Readonly<
+  Record<
+    DownMode,
+    (sockets: ReadonlySet<Socket>, silent: WeakSet<Socket>) => void
+  >
+> = {
+  // What was asked while it hung stays without an answer.
+  none: () => {},
+  refuse: resetEach,
+  hang: () => {},
+  reset: resetEach,
+  silent: (sockets, silent) => {
+    for (const socket of sockets) silent.add(socket);
+  },
+};
+
 /** A whole JSON answer. */
 export function jsonReply(status: number, value: unknown): StandinReply {
   return {kind: 'json', status, value};
--- a/packages/standins/src/host-list.ts
+++ b/packages/standins/src/host-list.ts
@@ -58,7 +58,8 @@
   close(): Promise<void>;
 }
 
-const OVERSIZE_BYTES = 64 * 1024 * 1024;
+/** Just beyond what the clients accept unless told otherwise. */
+const OVERSIZE_BYTES = 17 * 1024 * 1024;
 
 const HOSTS_SCHEMA = z.object({
   hosts: z.array(
--- a/packages/standins/src/log.ts
+++ b/packages/standins/src/log.ts
@@ -22,6 +22,8 @@
   /** The most bytes of records in one page. */
   readonly maxPageBytes?: number;
   readonly faults?: Partial<LogFaults>;
+  /** Called for each whole request as it arrives, so that tests can wait. */
+  readonly onRequest?: (req: StandinRequest) => void;
 }
 
 /** The platform's log, in memory, with faults that switch at run time. */
@@ -47,7 +49,8 @@
 
 const DEFAULT_MAX_PAGE_BYTES = 4 * 1024 * 1024;
 const MAX_WAIT_MS = 30_000;
-const OVERSIZE_BYTES = 64 * 1024 * 1024;
+/** Just beyond what the clients accept unless told otherwise. */
+const OVERSIZE_BYTES = 17 * 1024 * 1024;
 const RECORDS_PATH = /^\/v1\/streams\/([^/]+)\/records$/;
 
 const READ_QUERY = z.object({
@@ -113,6 +116,7 @@
   const handle = async (req: StandinRequest): Promise<StandinReply> => {
     const stream = RECORDS_PATH.exec(req.url.pathname)?.[1];
     if (stream === undefined) return jsonReply(404, {});
+    options.onRequest?.(req);
     const reply =
       req.method === 'POST'
         ? await append(stream, req.body)
