--- a/packages/config/src/settings.ts
+++ b/packages/config/src/settings.ts
@@ -18,8 +18,8 @@
   whole,
 } from './schema.js';
 
-/** A `reader` may look at everything and change nothing. */
-export const OPERATOR_ROLES = ['reader', 'operator'] as const;
+/** A `viewer` changes nothing; a `publisher` may do all. */
+export const OPERATOR_ROLES = ['viewer', 'publisher'] as const;
 export type OperatorRole = (typeof OPERATOR_ROLES)[number];
 
 export interface OperatorToken {
--- a/packages/config/test/settings.test.ts
+++ b/packages/config/test/settings.test.ts
@@ -14,7 +14,7 @@
 listen = "127.0.0.1:8081"
 [[operators.tokens]]
 operator = "night-desk"
-role = "operator"
+role = "publisher"
 sha256 = "${SHA256}"
 [peers]
 listen = "0.0.0.0:8082"
@@ -32,7 +32,7 @@
     operators: {
       listen: '127.0.0.1:8081',
       openMetrics: false,
-      tokens: [{operator: 'night-desk', role: 'operator', sha256: SHA256}],
+      tokens: [{operator: 'night-desk', role: 'publisher', sha256: SHA256}],
     },
     peers: {listen: '0.0.0.0:8082', advertise: '10.0.0.1:8082'},
     log: {
@@ -79,11 +79,11 @@
         '1 to 64 characters, found nothing',
     },
     {
-      from: 'role = "operator"',
+      from: 'role = "publisher"',
       to: 'role = "root"',
       line:
         's.toml: operators.tokens[0].role (line 11): expected ' +
-        'one of reader, operator, found "root"',
+        'one of viewer, publisher, found "root"',
     },
     {
       from: 'advertise = "10.0.0.1:8082"',
