--- a/packages/routers/src/asked-requests.ts
+++ b/packages/routers/src/asked-requests.ts
@@ -181,7 +181,8 @@
   };
 }
 
-function refuse(req: ServiceRequest, clock: Clock): Failure | null {
+/** Why a request cannot be sent, whatever the stream; null where it can. */
+export function refuse(req: ServiceRequest, clock: Clock): Failure | null {
   if (req.signal.aborted) {
     return failure('not-run', 'cancelled', 'caller gave up');
   }
--- a/packages/routers/src/link.ts
+++ b/packages/routers/src/link.ts
@@ -54,7 +54,18 @@
  * if (link.ok) await link.val.requests.send(req);
  * ```
  */
-export function openLink<M extends ControlKinds>(
+export async function openLink<M extends ControlKinds>(
+  options: LinkOptions<M>,
+): Promise<Result<Link<M>, PeerError>> {
+  try {
+    return await greet(options);
+  } catch (err) {
+    // An address that cannot be parsed is thrown by the channel.
+    return Err({kind: 'unreachable', detail: String(err)});
+  }
+}
+
+function greet<M extends ControlKinds>(
   options: LinkOptions<M>,
 ): Promise<Result<Link<M>, PeerError>> {
   const {clock, credentials, log, timing} = options;
--- a/packages/routers/src/peer.ts
+++ b/packages/routers/src/peer.ts
@@ -40,8 +40,7 @@
   let failed: {readonly at: number; readonly error: PeerError} | null = null;
 
   const connect = async (): Promise<Result<Link<M>, PeerError>> => {
-    const opened = await open(onSilent, onEnd);
-    opening = null;
+    const opened = await open(onSilent, onEnd).finally(() => (opening = null));
     if (opened.err) {
       failed = {at: clock.now(), error: opened.val};
       return opened;
--- a/packages/routers/src/peers.ts
+++ b/packages/routers/src/peers.ts
@@ -12,6 +12,7 @@
   ServiceRequest,
 } from '@banyandrum/base/request.js';
 import {Err, Ok, type Result} from '@banyandrum/base/result.js';
+import {refuse} from './asked-requests.js';
 import {DEFAULT_TIMING, RETRY_AFTER_MS, type Timing} from './limits.js';
 import {openLink, type LinkOptions} from './link.js';
 import {createPeer, withinTime, type Peer} from './peer.js';
@@ -170,7 +171,7 @@
       const ms = req.deadline - clock.now();
       const opened = await withinTime(link, clock, ms, req.signal);
       if (opened.ok) return opened.val.requests.send(req);
-      return Err(toSendFailure(opened.val));
+      return Err(refuse(req, clock) ?? toSendFailure(opened.val));
     },
     async ask(to, kind, ask, timeoutMs) {
       const link = peerOf(to).link();
