--- a/packages/routers/src/link.ts
+++ b/packages/routers/src/link.ts
@@ -96,8 +96,12 @@
       }
     };
     const onEnd = (end: WireEnd): void => {
-      if (link === null) refuse(describeEnd(end));
-      else link.cut(`stream lost: ${end.detail}`);
+      if (link === null) return refuse(describeEnd(end));
+      const {detail} = end;
+      if (link.isOpen()) {
+        log.warn('stream lost', {address: options.address, detail});
+      }
+      link.cut(`stream lost: ${detail}`);
     };
     const wire = openWire(options.address, credentials, {onMessage, onEnd});
     const sender = createSender({
--- a/packages/routers/src/session.ts
+++ b/packages/routers/src/session.ts
@@ -96,7 +96,12 @@
     }
   };
 
-  const wire = acceptWire(call, {onMessage, onEnd: ({detail}) => cut(detail)});
+  const onWireEnd = ({detail}: WireEnd): void => {
+    if (open) log.info('stream ended', {peer: call.getPeer(), detail});
+    cut(detail);
+  };
+
+  const wire = acceptWire(call, {onMessage, onEnd: onWireEnd});
   const {maxBatchFrames} = server;
   const sender = createSender({
     clock,
@@ -108,7 +113,10 @@
     heartbeatMs: timing.heartbeatMs,
     silentMs: timing.silentMs * SILENT_TERMS,
     onBeat: () => {},
-    onSilent: () => cut('silent'),
+    onSilent: () => {
+      log.warn('closed a silent stream', {peer: call.getPeer()});
+      cut('silent');
+    },
   });
   const session: Session = {
     count: () => requests?.count() ?? 0,
--- a/packages/routers/src/wire.ts
+++ b/packages/routers/src/wire.ts
@@ -113,7 +113,7 @@
   call.on('data', (bytes: Buffer) => {
     if (!ended) listener.onMessage(bytes);
   });
-  call.on('cancelled', lost('cancelled by the other side'));
+  call.on('cancelled', lost('cancelled, or a message too long'));
   call.on('error', (err: Error) =>
     end({code: grpc.status.UNKNOWN, detail: err.message}),
   );
--- a/packages/routers/test/kit.ts
+++ b/packages/routers/test/kit.ts
@@ -1,4 +1,5 @@
 import {createClock, type Clock} from '@banyandrum/base/clock.js';
+import {failureOf, type Failure} from '@banyandrum/base/failure.js';
 import {createSilentLogger} from '@banyandrum/base/logger.js';
 import type {Incarnation} from '@banyandrum/base/ids.js';
 import type {
@@ -118,3 +119,19 @@
   for await (const piece of body) pieces.push(piece);
   return Buffer.concat(pieces);
 }
+
+/** The text of the answer's body, or how the request failed. */
+export async function outcome(
+  peers: Peers<Kinds>,
+  clock: Clock,
+  to: Incarnation,
+  fields: Partial<ServiceRequest> = {},
+): Promise<string | Failure> {
+  const answer = await peers.send(to, createRequest(clock, fields));
+  if (answer.err) return answer.val;
+  try {
+    return (await readBody(answer.val.body)).toString();
+  } catch (err) {
+    return failureOf(err, 'not-run');
+  }
+}
