Contract tests of the servers' protocol, fault cases in tables

Now by table, against the stand-in and against raw bytes: lease orders (late, without an echo, of another run, lower fence at servers of both kinds, lost, unanswered, delayed, silent connection), every verdict of a request (cut heads and bodies, refusals, foreign answers, what must not be written at all, header hygiene), deadlines, cancellation, frozen servers, connection limits, answers under cancellation.

They showed one fault, mended here: an answer that names another request gave "ran", though nothing is known of the request that was sent; it is "may-have-run" now.

--- a/packages/servers/src/exchange.ts
+++ b/packages/servers/src/exchange.ts
@@ -160,11 +160,14 @@
     },
     onHeaders(status, raw, resume) {
       if (status < 200) return true;
-      stage = 'answering';
       head = readHead(status, raw);
-      const fault = faultOf(head, spec);
-      if (fault !== null) {
-        giveUp(fault.code, fault.detail);
+      if (isForeign(head, spec)) {
+        giveUp('connection-lost', "another request's answer");
+        return false;
+      }
+      stage = 'answering';
+      if (!isDelimited(head, spec)) {
+        giveUp('truncated', 'the answer does not say where it ends');
         return false;
       }
       if (isGathered(head, spec)) return true;
@@ -274,15 +277,14 @@
   beforeWrite();
 }
 
-function faultOf(head: AnswerHead, spec: ExchangeSpec): GaveUp | null {
-  if (spec.requestId !== null && head.requestId !== null) {
-    if (head.requestId !== spec.requestId) {
-      return {code: 'connection-lost', detail: "another request's answer"};
-    }
-  }
-  // A body that ends with its connection looks whole wherever it is cut.
-  if (head.isDelimited || isBodiless(head, spec)) return null;
-  return {code: 'truncated', detail: 'the answer does not say where it ends'};
+function isForeign(head: AnswerHead, spec: ExchangeSpec): boolean {
+  if (spec.requestId === null || head.requestId === null) return false;
+  return head.requestId !== spec.requestId;
+}
+
+/** A body that ends with its connection looks whole wherever it is cut. */
+function isDelimited(head: AnswerHead, spec: ExchangeSpec): boolean {
+  return head.isDelimited || isBodiless(head, spec);
 }
 
 function isBodiless(head: AnswerHead, spec: ExchangeSpec): boolean {
--- a/packages/servers/test/setup.ts
+++ b/packages/servers/test/setup.ts
@@ -12,6 +12,11 @@
 
 const realClock = createClock();
 
+/** Resolves once `isTrue`; the test's own timeout ends a wait in vain. */
+export async function until(isTrue: () => boolean): Promise<void> {
+  while (!isTrue()) await new Promise(resolve => setImmediate(resolve));
+}
+
 /** An order for `SHARD` that the server obeys for `LONG_MS`. */
 export function orderFor(
   server: ServerStandin,
@@ -29,7 +34,7 @@
 
 /** A dispatch of a request that the server will run. */
 export function dispatchTo(
-  server: ServerStandin,
+  server: Pick<ServerStandin, 'stamp'>,
   req: Partial<ServiceRequest> = {},
   change: Partial<Dispatch> = {},
   clock: Clock = realClock,
--- a/packages/standins/src/server.ts
+++ b/packages/standins/src/server.ts
@@ -18,6 +18,9 @@
   readonly connections: number;
   readonly peakConnections: number;
   readonly peakBusy: number;
+  readonly queued: number;
+  /** Heads of orders, load questions and requests that came in. */
+  readonly received: number;
 }
 
 /** A backend server that keeps to the protocol, but for its faults. */
@@ -58,6 +61,7 @@
   const clock = options.clock ?? createClock();
   const record = createExecutionRecord(options.name, () => clock.now());
   let run = createServerRun(options, clock, record);
+  let received = 0;
 
   const handle = async (
     req: IncomingMessage,
@@ -66,6 +70,7 @@
     const exchange = {req, res};
     const harness = harnessRoute(req);
     if (harness) return harness({record, change}, exchange);
+    received++;
     if (listener.isSilent(req.socket)) return;
     const {control, requests} = run;
     if (control.faults.current().frozen) await control.faults.thawed();
@@ -101,6 +106,8 @@
       boot: run.boot,
       ...listener.counts(),
       peakBusy: run.requests.slots.peak,
+      queued: run.requests.slots.queued,
+      received,
     }),
     change,
     close: () => listener.stop(),
