Placement weighs moves, and a sketch finds hot keys

Cause: shards were only placed when nobody owned them. A space-saving sketch with fading counts finds the hottest keys.

--- /dev/null
+++ b/packages/placement/src/hot-keys.ts
@@ -0,0 +1,149 @@
+/** A key that is asked for often. */
+export interface CountedKey {
+  readonly key: string;
+  /** Weight over the last while, at most `error` too high. */
+  readonly weight: number;
+  readonly error: number;
+}
+
+/** Finds the keys that are asked for most, in bounded memory. */
+export interface HotKeySketch {
+  /** Counts a key, at a monotonic time in ms that never goes back. */
+  add(key: string, now: number, weight?: number): void;
+  /** The heaviest keys, the heaviest first. */
+  top(count: number, now: number): readonly CountedKey[];
+  /** Weight of all keys over the last while. */
+  total(now: number): number;
+  size(): number;
+}
+
+export interface HotKeyOptions {
+  /** Keys remembered at most. */
+  readonly capacity: number;
+  /** After this time a count is worth half. */
+  readonly halfLifeMs: number;
+}
+
+interface Counter {
+  key: string;
+  /** In units that grow with time, so that old counts fade by themselves. */
+  weight: number;
+  error: number;
+  /** Its place in the heap. */
+  place: number;
+}
+
+/** Units are brought back to size before they lose precision. */
+const LARGEST_UNIT = 2 ** 40;
+
+/**
+ * Makes a space-saving sketch with fading counts. A key that is new to a full
+ * sketch takes the place, and the count, of the lightest one: a key whose
+ * share of all weight is above 1 / capacity is always in it.
+ *
+ * Counts fade by letting the unit of new counts grow, so that a count costs
+ * one step through a heap and nothing is swept over.
+ *
+ * @example
+ * ```ts
+ * const sketch = createHotKeySketch({capacity: 512, halfLifeMs: 20_000});
+ * sketch.add('ward-7', clock.now());
+ * sketch.top(73, clock.now());
+ * ```
+ */
+export function createHotKeySketch(options: HotKeyOptions): HotKeySketch {
+  const {capacity, halfLifeMs} = options;
+  const counters = new Map<string, Counter>();
+  /** A heap with the lightest counter first. */
+  const heap: Counter[] = [];
+  let origin = 0;
+  let total = 0;
+
+  const unitAt = (now: number): number => {
+    const unit = 2 ** ((now - origin) / halfLifeMs);
+    if (unit <= LARGEST_UNIT) return unit;
+    for (const counter of heap) {
+      counter.weight /= unit;
+      counter.error /= unit;
+    }
+    total /= unit;
+    origin = now;
+    return 1;
+  };
+
+  const sink = (counter: Counter): void => {
+    for (;;) {
+      const left = heap[2 * counter.place + 1];
+      const right = heap[2 * counter.place + 2];
+      const lighter =
+        right !== undefined && left !== undefined && right.weight < left.weight
+          ? right
+          : left;
+      if (lighter === undefined || lighter.weight >= counter.weight) return;
+      swap(heap, counter, lighter);
+    }
+  };
+
+  const rise = (counter: Counter): void => {
+    while (counter.place > 0) {
+      const parent = heap[(counter.place - 1) >> 1];
+      if (parent === undefined || parent.weight <= counter.weight) return;
+      swap(heap, counter, parent);
+    }
+  };
+
+  const insert = (key: string, weight: number): void => {
+    const counter = {key, weight, error: 0, place: heap.length};
+    counters.set(key, counter);
+    heap.push(counter);
+    rise(counter);
+  };
+
+  const replaceLightest = (key: string, weight: number): void => {
+    const lightest = heap[0];
+    if (lightest === undefined) return;
+    counters.delete(lightest.key);
+    counters.set(key, lightest);
+    lightest.key = key;
+    lightest.error = lightest.weight;
+    lightest.weight += weight;
+    sink(lightest);
+  };
+
+  return {
+    add(key, now, weight = 1) {
+      const scaled = weight * unitAt(now);
+      total += scaled;
+      const counter = counters.get(key);
+      if (counter !== undefined) {
+        counter.weight += scaled;
+        sink(counter);
+      } else if (heap.length < capacity) {
+        insert(key, scaled);
+      } else {
+        replaceLightest(key, scaled);
+      }
+    },
+    top(count, now) {
+      const unit = unitAt(now);
+      return [...heap]
+        .sort((a, b) => b.weight - a.weight || (a.key < b.key ? -1 : 1))
+        .slice(0, count)
+        .map(({key, weight, error}) => ({
+          key,
+          weight: weight / unit,
+          error: error / unit,
+        }));
+    },
+    total: now => total / unitAt(now),
+    size: () => heap.length,
+  };
+}
+
+function swap(heap: Counter[], a: Counter, b: Counter): void {
+  const place = a.place;
+  a.place = b.place;
+  b.place = place;
+  heap[a.place] = a;
+  heap[b.place] = b;
+}
--- a/packages/placement/src/plan-moves.ts
+++ b/packages/placement/src/plan-moves.ts
@@ -1,12 +1,12 @@
-import {
-  createCarriers,
-  createShardWeight,
-  placeOrphans,
-} from './place-orphans.js';
+import {balance} from './balance.js';
+import {createCarriers} from './carriers.js';
+import {placeOrphans} from './place-orphans.js';
 import type {Move, PlanInput} from './plan.js';
 
 /**
- * Plans which shards should go where. The same input yields the same plan.
+ * Plans which shards should go where: first those that have to move, then
+ * those whose move is worth more than it costs. The same input yields the
+ * same plan.
  *
  * @example
  * ```ts
@@ -14,7 +14,36 @@
  * ```
  */
 export function planMoves(input: PlanInput): readonly Move[] {
-  const weigh = createShardWeight(input);
-  const carriers = createCarriers(input, weigh);
-  return placeOrphans(input.shards, carriers, weigh);
+  const sorted = sortInput(input);
+  const carriers = createCarriers(sorted);
+  const forced = placeOrphans(sorted.shards, carriers);
+  const placed = new Set(forced.map(({shard}) => shard));
+  const shards = sorted.shards.filter(({shard}) => !placed.has(shard));
+  return [...forced, ...balance({...sorted, shards}, carriers)];
+}
+
+/**
+ * Plans only what has to move: shards that nobody owns, and those of servers
+ * that may be given nothing any more.
+ *
+ * @example
+ * ```ts
+ * const moves = planForcedMoves(input);
+ * ```
+ */
+export function planForcedMoves(input: PlanInput): readonly Move[] {
+  return placeOrphans(input.shards, createCarriers(input));
+}
+
+/** Ties are decided by order, which must not depend on the caller's. */
+function sortInput(input: PlanInput): PlanInput {
+  return {
+    ...input,
+    candidates: [...input.candidates].sort((a, b) => compare(a.name, b.name)),
+    shards: [...input.shards].sort((a, b) => compare(a.shard, b.shard)),
+  };
+}
+
+function compare(a: string, b: string): number {
+  return a < b ? -1 : Number(a > b);
 }
--- a/packages/placement/src/plan.ts
+++ b/packages/placement/src/plan.ts
@@ -21,6 +21,8 @@
   readonly load: number;
   /** Monotonic time in ms of its last move. */
   readonly movedAt: number;
+  /** It counts, but can't be moved now. */
+  readonly pinned?: boolean;
 }
 
 export interface Weights {
