Leader's queue: fewer clock reads and allocations per request

Cause: a request cost 35 to 50 µs in the queue; accessors on each dispatch, a promise and an await for each guard, some fifteen clock reads and four exponentials stood out in a CPU profile.

Change: plain fields, a callback in place of the inner promise, sums that fade once every 10 ms, times passed on.

--- a/packages/requests/src/deadline-guard.ts
+++ b/packages/requests/src/deadline-guard.ts
@@ -12,10 +12,13 @@
 
 /** How an attempt is judged that ends without a word of its own. */
 export interface GuardOptions {
+  readonly run: () => Promise<Outcome>;
   readonly wheel: DeadlineWheel;
   readonly deadline: number;
   /** Verdict where the attempt ends without one. */
   readonly verdict: () => Verdict;
+  /** Called once. */
+  readonly done: (outcome: Outcome) => void;
 }
 
 /**
@@ -26,31 +29,28 @@
  *
  * @example
  * ```ts
- * const outcome = await guardDeadline(() => client.send(server, dispatch), {
+ * guardDeadline({
+ *   run: () => client.send(server, dispatch),
  *   wheel,
  *   deadline: req.deadline,
  *   verdict: () => (written ? 'may-have-run' : 'not-run'),
+ *   done: outcome => pending.resolve(outcome),
  * });
  * ```
  */
-export function guardDeadline(
-  run: () => Promise<Outcome>,
-  options: GuardOptions,
-): Promise<Outcome> {
-  return new Promise(resolve => {
-    let open = true;
-    const settle = (outcome: Outcome): void => {
-      if (!open) return discard(outcome);
-      open = false;
-      cancel();
-      resolve(outcome);
-    };
-    const cancel = options.wheel.schedule(
-      options.deadline + VERDICT_GRACE_MS,
-      () => settle(Err(silence(options.verdict()))),
-    );
-    run().then(settle, err => settle(Err(failureOf(err, options.verdict()))));
-  });
+export function guardDeadline(options: GuardOptions): void {
+  const {wheel, deadline, verdict} = options;
+  let open = true;
+  const settle = (outcome: Outcome): void => {
+    if (!open) return discard(outcome);
+    open = false;
+    cancel();
+    options.done(outcome);
+  };
+  const cancel = wheel.schedule(deadline + VERDICT_GRACE_MS, () =>
+    settle(Err(silence(verdict()))),
+  );
+  options.run().then(settle, err => settle(Err(failureOf(err, verdict()))));
 }
 
 function silence(verdict: Verdict): Failure {
--- a/packages/requests/src/decaying-sum.ts
+++ b/packages/requests/src/decaying-sum.ts
@@ -1,49 +1,51 @@
-import type {Clock} from '@banyandrum/base/clock.js';
-
 /** A sum whose older parts fade. */
 export interface DecayingSum {
-  add(amount: number): void;
+  add(amount: number, now: number): void;
   /** The sum, as if nothing older than the period counted. */
-  value(): number;
+  value(now: number): number;
   /** Mean amount a millisecond, right from the start on. */
-  perMs(): number;
+  perMs(now: number): number;
 }
 
 /** Below this age a rate is counted as if over so long, in ms. */
 const MIN_AGE_MS = 100;
 
+/** Additions closer together than this fade as one, in ms. */
+const GRAIN_MS = 10;
+
 /**
- * Makes a sum that fades exponentially with `periodMs`.
+ * Makes a sum that fades exponentially with `periodMs`. Times are monotonic,
+ * in ms.
  *
  * @example
  * ```ts
- * const arrivals = createDecayingSum(clock, 10_000);
- * arrivals.add(1);
- * const perSecond = arrivals.perMs() * 1000;
+ * const arrivals = createDecayingSum(10_000, clock.now());
+ * arrivals.add(1, clock.now());
+ * const perSecond = arrivals.perMs(clock.now()) * 1000;
  * ```
  */
-export function createDecayingSum(clock: Clock, periodMs: number): DecayingSum {
-  const startedAt = clock.now();
+export function createDecayingSum(
+  periodMs: number,
+  startedAt: number,
+): DecayingSum {
   let sum = 0;
   let at = startedAt;
 
-  const fade = (): number => {
-    const now = clock.now();
-    if (now > at) {
-      sum *= Math.exp((at - now) / periodMs);
-      at = now;
-    }
+  const value = (now: number): number => {
+    if (now - at < GRAIN_MS) return sum;
+    sum *= Math.exp((at - now) / periodMs);
+    at = now;
     return sum;
   };
 
   return {
-    add(amount) {
-      sum = fade() + amount;
+    add(amount, now) {
+      sum = value(now) + amount;
     },
-    value: fade,
-    perMs() {
-      const age = Math.max(MIN_AGE_MS, clock.now() - startedAt);
-      return fade() / (periodMs * (1 - Math.exp(-age / periodMs)));
+    value,
+    perMs(now) {
+      const age = Math.max(MIN_AGE_MS, now - startedAt);
+      return value(now) / (periodMs * (1 - Math.exp(-age / periodMs)));
     },
   };
 }
--- a/packages/requests/src/dispatch.ts
+++ b/packages/requests/src/dispatch.ts
@@ -5,12 +5,19 @@
 import type {Pending} from './pending.js';
 import type {ShardGate} from './shard-gate.js';
 
+export interface DispatchOptions {
+  readonly led: LedCell;
+  readonly pending: Pending;
+  readonly where: Owned;
+  readonly gate: ShardGate;
+}
+
 /** A dispatch that remembers what `mayWrite` said. */
 export interface TrackedDispatch extends Dispatch {
   /** It was let through, so it may have been written. */
-  readonly written: boolean;
-  /** It was held back at the last moment, so nothing was written. */
-  readonly held: boolean;
+  written: boolean;
+  /** It was held back at the last moment. */
+  held: boolean;
 }
 
 /**
@@ -41,43 +48,35 @@
  *
  * @example
  * ```ts
- * const dispatch = createDispatch({led, pending, where, gate, clock});
+ * const dispatch = createDispatch({led, pending, where, gate}, clock);
  * const outcome = await client.send(where.server, dispatch);
  * ```
  */
-export function createDispatch(target: {
-  readonly led: LedCell;
-  readonly pending: Pending;
-  readonly where: Owned;
-  readonly gate: ShardGate;
-  readonly clock: Clock;
-}): TrackedDispatch {
-  const {led, pending, where, gate, clock} = target;
+export function createDispatch(
+  flight: DispatchOptions,
+  clock: Clock,
+): TrackedDispatch {
+  const {led, pending, where, gate} = flight;
   const {req} = pending;
   const deadline = Math.min(req.deadline, where.leaseEnd);
-  let written = false;
-  let held = false;
-  return {
+  const dispatch: TrackedDispatch = {
     req: deadline < req.deadline ? {...req, deadline} : req,
     cell: led.cell,
     shard: where.shard,
     fence: where.fence,
     serverDeadline: where.toServerTime(deadline),
-    get written() {
-      return written;
-    },
-    get held() {
-      return held;
-    },
+    written: false,
+    held: false,
     mayWrite() {
       // A process that was paused here has no authority any more, and its
       // successor may have given the shard away: nothing may be written.
       const may = led.mayAct() && clock.now() < deadline && !gate.closed;
-      if (may) written = true;
-      else held = true;
+      if (may) dispatch.written = true;
+      else dispatch.held = true;
       return may;
     },
   };
+  return dispatch;
 }
 
 /** Why the failed request goes back, or null where its failure is final. */
--- a/packages/requests/src/load-meter.ts
+++ b/packages/requests/src/load-meter.ts
@@ -24,8 +24,8 @@
 
 /** The leader's own observation of one cell. */
 export interface LoadMeter {
-  arrived(shard: ShardId): void;
-  served(served: Served): void;
+  arrived(shard: ShardId, now: number): void;
+  served(served: Served, now: number): void;
   shed(server: string): void;
   shards(): readonly ShardLoad[];
   /** What was seen of one server, beside its queue. */
@@ -55,7 +55,7 @@
  * @example
  * ```ts
  * const load = createLoadMeter(clock, createHotKeys());
- * load.arrived('12');
+ * load.arrived('12', clock.now());
  * load.shards(); // [{shard: '12', rate: 10, busy: 0}]
  * ```
  */
@@ -65,7 +65,7 @@
 ): LoadMeter {
   const shards = new Map<ShardId, ShardSums>();
   const servers = new Map<string, ServerSums>();
-  const sum = (): DecayingSum => createDecayingSum(clock, LOAD_PERIOD_MS);
+  const sum = (): DecayingSum => createDecayingSum(LOAD_PERIOD_MS, clock.now());
 
   const shardOf = (shard: ShardId): ShardSums => {
     const known = shards.get(shard);
@@ -84,18 +84,19 @@
   };
 
   return {
-    arrived: shard => shardOf(shard).arrivals.add(1),
-    served({shard, server, key, busyMs}) {
-      shardOf(shard).busyMs.add(busyMs);
-      serverOf(server).busyMs.add(busyMs);
+    arrived: (shard, now) => shardOf(shard).arrivals.add(1, now),
+    served({shard, server, key, busyMs}, now) {
+      shardOf(shard).busyMs.add(busyMs, now);
+      serverOf(server).busyMs.add(busyMs, now);
       hotKeys?.record(key, busyMs);
     },
-    shed: server => serverOf(server).shed.add(1),
+    shed: server => serverOf(server).shed.add(1, clock.now()),
     shards() {
+      const now = clock.now();
       const loads: ShardLoad[] = [];
       for (const [shard, sums] of shards) {
-        const rate = sums.arrivals.perMs() * 1000;
-        const busy = sums.busyMs.perMs();
+        const rate = sums.arrivals.perMs(now) * 1000;
+        const busy = sums.busyMs.perMs(now);
         if (rate < MIN_RATE && busy === 0) shards.delete(shard);
         else loads.push({shard, rate, busy});
       }
@@ -104,7 +105,8 @@
     server(name) {
       const sums = servers.get(name);
       if (sums === undefined) return {busy: 0, shed: 0};
-      return {busy: sums.busyMs.perMs(), shed: sums.shed.value()};
+      const now = clock.now();
+      return {busy: sums.busyMs.perMs(now), shed: sums.shed.value(now)};
     },
     hotKeys: () => hotKeys?.hottest() ?? [],
   };
--- a/packages/requests/src/queue.ts
+++ b/packages/requests/src/queue.ts
@@ -110,9 +110,10 @@
     if (stopped) return Promise.resolve(Err(moved('no longer leading')));
     if (req.signal.aborted) return Promise.resolve(Err(cancelled()));
     return new Promise(resolve => {
-      const pending = createPending(req, clock.now(), resolve);
+      const now = clock.now();
+      const pending = createPending(req, now, resolve);
       const where = led.locate(req.key);
-      load.arrived(where.shard);
+      load.arrived(where.shard, now);
       place(pending, where);
     });
   };
--- a/packages/requests/src/route.ts
+++ b/packages/requests/src/route.ts
@@ -77,11 +77,15 @@
       const queue = options.localLeader(trip.cell);
       return queue === null ? notYetLeading(trip) : queue.handle(req);
     }
-    return guardDeadline(() => options.send(view.leader, req), {
-      wheel: options.wheel,
-      deadline: req.deadline,
-      verdict: () => 'may-have-run',
-    });
+    return new Promise(done =>
+      guardDeadline({
+        run: () => options.send(view.leader, req),
+        wheel: options.wheel,
+        deadline: req.deadline,
+        verdict: () => 'may-have-run',
+        done,
+      }),
+    );
   };
 
   const waitLimit = (cell: CellId, epoch: number): number => {
--- a/packages/requests/src/sender.ts
+++ b/packages/requests/src/sender.ts
@@ -1,6 +1,7 @@
 import type {Clock} from '@banyandrum/base/clock.js';
 import type {Failure} from '@banyandrum/base/failure.js';
-import {Ok} from '@banyandrum/base/result.js';
+import type {ServiceAnswer} from '@banyandrum/base/request.js';
+import {Err, Ok} from '@banyandrum/base/result.js';
 import type {LedCell, Owned} from '@banyandrum/ownership/led-cell.js';
 import type {ServerClient} from '@banyandrum/servers/client.js';
 import {watchAnswerEnd} from './answer-end.js';
@@ -61,21 +62,51 @@
   const {client, clock, wheel, load} = options;
   const flying = createCountdown();
 
-  const begin = ({server, gate}: Flight): number => {
+  const begin = ({server, gate}: Flight): void => {
+    server.slots.take();
     gate.begin();
     flying.begin();
-    return server.slots.take();
   };
 
-  const end = ({server, gate, where, pending}: Flight, ms: number): void => {
+  const end = (flight: Flight, busyMs: number, now: number): void => {
+    const {server, gate, where, pending} = flight;
     const {shard} = where;
-    load.served({shard, server: server.name, key: pending.key, busyMs: ms});
+    load.served({shard, server: server.name, key: pending.key, busyMs}, now);
     server.slots.give();
     gate.end();
     flying.end();
     options.ended(server);
   };
 
+  const answered = (flight: Flight, sentAt: number, whole: boolean): void => {
+    const {server, pending} = flight;
+    const now = clock.now();
+    const busyMs = now - sentAt;
+    if (whole) {
+      server.slots.succeeded();
+      server.answered(pending.level, busyMs, now);
+    }
+    end(flight, busyMs, now);
+  };
+
+  const pass = (
+    flight: Flight,
+    answer: ServiceAnswer,
+    deadline: number,
+    sentAt: number,
+  ): void => {
+    let cancel = (): void => {};
+    const watched = watchAnswerEnd(answer, whole => {
+      cancel();
+      answered(flight, sentAt, whole);
+    });
+    // The server stops at the deadline, whether or not somebody still reads.
+    if (watched.answer !== answer) {
+      cancel = wheel.schedule(deadline + VERDICT_GRACE_MS, watched.end);
+    }
+    flight.pending.resolve(Ok(watched.answer));
+  };
+
   const handleReturn: Readonly<
     Record<ReturnReason, (flight: Flight, failed: Failure, at: number) => void>
   > = {
@@ -92,59 +123,40 @@
     dispatch: TrackedDispatch,
     failed: Failure,
     sentAt: number,
-  ): boolean => {
+  ): void => {
     const {pending, server} = flight;
+    const now = clock.now();
+    const busyMs = now - sentAt;
     const reason = returnReason(failed, dispatch, pending);
-    const ms = clock.now() - sentAt;
     if (reason === null) {
-      if (failed.verdict !== 'not-run') server.cut(pending.level, ms);
-      end(flight, ms);
-      return false;
+      if (failed.verdict !== 'not-run') server.cut(pending.level, busyMs, now);
+      end(flight, busyMs, now);
+      return pending.resolve(Err(failed));
     }
     handleReturn[reason](flight, failed, sentAt);
     // Back in its place before the slot is free, else another one takes it.
     options.takeBack(flight);
-    end(flight, ms);
-    return true;
+    end(flight, busyMs, now);
   };
 
-  const send = async (flight: Flight): Promise<void> => {
-    const {pending, where, server} = flight;
-    const dispatch = createDispatch({...flight, clock});
-    const sentAt = begin(flight);
-    const {deadline} = dispatch.req;
-    const outcome = await guardDeadline(
-      () => client.send(where.server, dispatch),
-      {
+  return {
+    send(flight) {
+      const {server} = flight.where;
+      const dispatch = createDispatch(flight, clock);
+      const {deadline} = dispatch.req;
+      const sentAt = clock.now();
+      begin(flight);
+      guardDeadline({
+        run: () => client.send(server, dispatch),
         wheel,
         deadline,
         verdict: () => (dispatch.written ? 'may-have-run' : 'not-run'),
-      },
-    );
-    if (outcome.err) {
-      if (!fail(flight, dispatch, outcome.val, sentAt))
-        pending.resolve(outcome);
-      return;
-    }
-    let cancel = (): void => {};
-    const watched = watchAnswerEnd(outcome.val, whole => {
-      cancel();
-      const ms = clock.now() - sentAt;
-      if (whole) {
-        server.slots.succeeded();
-        server.answered(pending.level, ms);
-      }
-      end(flight, ms);
-    });
-    // The server stops at the deadline, whether or not somebody still reads.
-    if (watched.answer !== outcome.val) {
-      cancel = wheel.schedule(deadline + VERDICT_GRACE_MS, watched.end);
-    }
-    pending.resolve(Ok(watched.answer));
-  };
-
-  return {
-    send: flight => void send(flight),
+        done(outcome) {
+          if (outcome.err) fail(flight, dispatch, outcome.val, sentAt);
+          else pass(flight, outcome.val, deadline, sentAt);
+        },
+      });
+    },
     idle: flying.idle,
   };
 }
--- a/packages/requests/src/server-queue.ts
+++ b/packages/requests/src/server-queue.ts
@@ -19,9 +19,9 @@
   /** Takes up what the inventory says now. */
   update(ref: ServerRef): void;
   /** An answer of `level` came whole. */
-  answered(level: number, ms: number): void;
+  answered(level: number, ms: number, now: number): void;
   /** A request of `level` ended without an answer. */
-  cut(level: number, ms: number): void;
+  cut(level: number, ms: number, now: number): void;
   /** Nearly no request of `level` takes less, in ms. */
   lowMs(level: number): number;
   /** Mean service time of `level`, or of all where it has none yet. */
@@ -61,7 +61,7 @@
     (times[level] ??= createServiceTimes());
 
   const busyOf = (level: number): DecayingSum =>
-    (busyMs[level] ??= createDecayingSum(clock, SHARE_PERIOD_MS));
+    (busyMs[level] ??= createDecayingSum(SHARE_PERIOD_MS, clock.now()));
 
   const meanMs = (level?: number): number => {
     const own = level === undefined ? 0 : (times[level]?.mean() ?? 0);
@@ -70,9 +70,10 @@
 
   /** Part of the slots that the levels above leave. */
   const shareOf = (level: number): number => {
+    const now = clock.now();
     let busy = 0;
     for (let upper = 0; upper < level; upper++) {
-      busy += busyMs[upper]?.perMs() ?? 0;
+      busy += busyMs[upper]?.perMs(now) ?? 0;
     }
     return Math.max(MIN_SHARE, 1 - busy / slots.window());
   };
@@ -82,15 +83,15 @@
     slots,
     waiting,
     update: next => slots.resize(next.slots),
-    answered(level, ms) {
+    answered(level, ms, now) {
       timesOf(level).record(ms);
       overall.record(ms);
-      busyOf(level).add(ms);
+      busyOf(level).add(ms, now);
     },
-    cut(level, ms) {
+    cut(level, ms, now) {
       timesOf(level).recordCut(ms);
       overall.recordCut(ms);
-      busyOf(level).add(ms);
+      busyOf(level).add(ms, now);
     },
     lowMs: level => times[level]?.low() ?? 0,
     meanMs,
--- a/packages/requests/src/server-slots.ts
+++ b/packages/requests/src/server-slots.ts
@@ -7,8 +7,7 @@
 export interface ServerSlots {
   /** Whether one more may be sent now. */
   isFree(): boolean;
-  /** Takes a slot; yields the time, for `shed`. */
-  take(): number;
+  take(): void;
   give(): void;
   inFlight(): number;
   /** How many may be in flight now. */
@@ -63,10 +62,12 @@
   };
 
   return {
-    isFree: () => used < Math.floor(window) && clock.now() >= pausedUntil,
+    isFree() {
+      if (used >= Math.floor(window)) return false;
+      return pausedUntil === -Infinity || clock.now() >= pausedUntil;
+    },
     take() {
       used++;
-      return clock.now();
     },
     give() {
       used--;
