Entry: limits in flight, throttle learned from the leader's refusals

Cause: at several times the capacity every refusal still costs the way to the leader and its work.

Overflow behind a moving shard says `no-owner`, not `overloaded`, and a request in too much of a hurry says `deadline`, so that neither throttles the cell.

--- /dev/null
+++ b/packages/requests/src/entry-limits.ts
@@ -0,0 +1,89 @@
+import {failure, type Failure} from '@banyandrum/base/failure.js';
+import type {ServiceRequest} from '@banyandrum/base/request.js';
+import type {Rules} from '@banyandrum/config/rules.js';
+import {overloaded} from './refusals.js';
+
+/** What one entry process holds at most at the same time. */
+export interface EntryCapacity {
+  readonly requests: number;
+  /** Bytes of bodies; a streamed one counts as its window. */
+  readonly bytes: number;
+}
+
+/** Bounds what is under way in this process. */
+export interface EntryLimits {
+  /** Takes the request in, or says why not. */
+  enter(req: ServiceRequest): Failure | null;
+  /** The request that was taken in has its answer. */
+  leave(req: ServiceRequest): void;
+}
+
+export const DEFAULT_CAPACITY: EntryCapacity = {
+  requests: 8192,
+  bytes: 128 * 1024 * 1024,
+};
+
+/** What a streamed body holds in memory at most, in bytes. */
+const STREAM_WINDOW_BYTES = 64 * 1024;
+
+/** Part of the capacity that the lowest level of precedence may fill. */
+const LOWEST_SHARE = 0.5;
+
+const FULL_RETRY_MS = 200;
+
+/**
+ * Makes the limits of one entry process. Lower levels may fill less of it:
+ * reports that wait long for their turn must not keep the process from
+ * taking in a hold.
+ *
+ * @example
+ * ```ts
+ * const refusal = limits.enter(req);
+ * if (refusal !== null) return Err(refusal);
+ * ```
+ */
+export function createEntryLimits(
+  capacity: EntryCapacity,
+  rules: () => Pick<Rules, 'limits' | 'precedence'>,
+): EntryLimits {
+  let requests = 0;
+  let bytes = 0;
+  return {
+    enter(req) {
+      const size = sizeOf(req);
+      if (isTooLarge(req, rules().limits.maxBodyBytes)) return tooLarge(size);
+      const share = shareOf(req.precedence, rules().precedence.length);
+      const fits = bytes + size <= capacity.bytes * share;
+      if (!fits || requests >= capacity.requests * share) {
+        return overloaded('too many requests under way', FULL_RETRY_MS);
+      }
+      requests++;
+      bytes += size;
+      return null;
+    },
+    leave(req) {
+      requests--;
+      bytes -= sizeOf(req);
+    },
+  };
+}
+
+/** A streamed body is counted where it arrives. */
+function isTooLarge({body}: ServiceRequest, maxBytes: number): boolean {
+  return body instanceof Uint8Array && body.length > maxBytes;
+}
+
+function sizeOf({body}: ServiceRequest): number {
+  return body instanceof Uint8Array ? body.length : STREAM_WINDOW_BYTES;
+}
+
+function shareOf(level: number, levels: number): number {
+  if (levels < 2) return 1;
+  const depth = Math.min(1, level / (levels - 1));
+  return 1 - depth * (1 - LOWEST_SHARE);
+}
+
+function tooLarge(size: number): Failure {
+  const detail = `the body of ${size} bytes is larger than the rules allow`;
+  return failure('not-run', 'too-large', detail);
+}
--- a/packages/requests/src/entry.ts
+++ b/packages/requests/src/entry.ts
@@ -6,12 +6,19 @@
 import {Err} from '@banyandrum/base/result.js';
 import type {Rules} from '@banyandrum/config/rules.js';
 import type {View} from '@banyandrum/config/state.js';
+import type {Outcome} from './deadline-guard.js';
 import {createDeadlineWheel} from './deadline.js';
+import {
+  createEntryLimits,
+  DEFAULT_CAPACITY,
+  type EntryCapacity,
+} from './entry-limits.js';
 import type {LeaderQueue} from './queue.js';
-import {unknownService} from './refusals.js';
+import {overloaded, unknownService} from './refusals.js';
 import {createRetryBudget} from './retry-budget.js';
 import {createRoute} from './route.js';
 import {trackBody} from './tracked-body.js';
+import {createThrottle} from './throttle.js';
 import {createViewWatch} from './view-watch.js';
 
 /** How a service's keys are divided; fixed for the life of the service. */
@@ -24,6 +31,8 @@
 export interface EntryEvents {
   /** A request is sent once more because of `code`. */
   retried(cell: CellId, code: FailureCode): void;
+  /** A request is refused, since its cell refuses most of its level. */
+  throttled(cell: CellId, level: number): void;
 }
 
 export interface EntryOptions {
@@ -44,6 +53,7 @@
   /** Uniform in [0, 1). */
   readonly random: () => number;
   readonly events?: Partial<EntryEvents>;
+  readonly capacity?: EntryCapacity;
 }
 
 /** The way of callers' requests into the system. */
@@ -72,14 +82,40 @@
   const watch = createViewWatch({leaderOf, subscribe, wheel});
   const budget = createRetryBudget(() => options.rules().limits.retryPercent);
   const route = createRoute({...options, wheel, watch, budget});
+  const limits = createEntryLimits(
+    options.capacity ?? DEFAULT_CAPACITY,
+    options.rules,
+  );
+  const throttle = createThrottle(options);
+
+  const admit = async (cell: CellId, req: ServiceRequest): Promise<Outcome> => {
+    const retryAfterMs = throttle.refuses(cell, req);
+    if (retryAfterMs !== null) {
+      options.events?.throttled?.(cell, req.precedence);
+      return Err(overloaded('the cell is overloaded', retryAfterMs));
+    }
+    budget.earn();
+    const outcome = await route(cell, trackBody(req));
+    if (outcome.ok || outcome.val.code !== 'overloaded') {
+      throttle.accepted(cell, req);
+    } else {
+      throttle.refused(cell, req, outcome.val.retryAfterMs ?? 0);
+    }
+    return outcome;
+  };
 
   const handle: RequestHandler = async req => {
     const topology = options.topology(req.service);
     if (topology === null) return Err(unknownService(req.service));
     const {shards, cells} = topology;
     const cell = cellOfKey(req.service, req.key, shards, cells);
-    budget.earn();
-    return route(cell, trackBody(req));
+    const refusal = limits.enter(req);
+    if (refusal !== null) return Err(refusal);
+    try {
+      return await admit(cell, req);
+    } finally {
+      limits.leave(req);
+    }
   };
 
   return {handle, close: watch.close};
--- a/packages/requests/src/queue.ts
+++ b/packages/requests/src/queue.ts
@@ -1,4 +1,5 @@
 import type {Clock} from '@banyandrum/base/clock.js';
+import type {Failure} from '@banyandrum/base/failure.js';
 import type {CellId, ShardId} from '@banyandrum/base/ids.js';
 import type {RequestHandler} from '@banyandrum/base/request.js';
 import {Err} from '@banyandrum/base/result.js';
@@ -27,7 +28,14 @@
   refuse,
   type Pending,
 } from './pending.js';
-import {cancelled, expired, moved, noOwner, overloaded} from './refusals.js';
+import {
+  cancelled,
+  expired,
+  moved,
+  noOwner,
+  overloaded,
+  tooManyWait,
+} from './refusals.js';
 import {createSender, type Flight} from './sender.js';
 import {createServerQueue, type ServerQueue} from './server-queue.js';
 import {createShardGate, type ShardGate} from './shard-gate.js';
@@ -74,6 +82,13 @@
 /** How often a held queue looks whether it may go on. */
 const HOLD_POLL_MS = 10;
 
+/**
+ * A request that leaves time for so many service times and still can't be
+ * served in time shows an overload; one in more of a hurry shows only that.
+ * The entry throttles its cell for the first kind alone.
+ */
+const PATIENCE = 4;
+
 /** Part of a lease that must be left for a request that outlives it. */
 const SHORT_LEASE = 1 / 4;
 
@@ -136,18 +151,24 @@
     pump(server);
     if (pending.spot?.ticket !== ticket) return;
     const waitMs = server.waitMs(ticket);
-    const endsAt = clock.now() + waitMs + server.lowMs(pending.level);
-    if (policy.refuseEarly && endsAt > pending.req.deadline) {
-      return refuse(pending, overloaded('the queue is too long', waitMs));
+    const spareMs = pending.req.deadline - clock.now();
+    if (policy.refuseEarly && waitMs + server.lowMs(pending.level) > spareMs) {
+      const patient = spareMs >= PATIENCE * server.meanMs(pending.level);
+      const why = patient
+        ? overloaded('the queue is too long', waitMs)
+        : expired(waitMs);
+      return refuse(pending, why);
     }
-    trim(server.waiting, pending, waitMs);
+    trim(server.waiting, pending, () =>
+      overloaded('the queue is full', waitMs),
+    );
     if (pending.spot !== null) guardWaiting(pending, server);
   };
 
   const park = (pending: Pending, gate: ShardGate): void => {
     const ticket = gate.waiting.push(pending);
     pending.spot = {queue: gate.waiting, ticket};
-    trim(gate.waiting, pending, HOLD_POLL_MS);
+    trim(gate.waiting, pending, tooManyWait);
     if (pending.spot !== null) guardWaiting(pending, null);
   };
 
@@ -155,13 +176,13 @@
   const trim = (
     queue: FairQueue<Pending>,
     newcomer: Pending,
-    waitMs: number,
+    why: () => Failure,
   ): void => {
     const {maxQueued, maxQueuedBytes} = rules().limits;
     while (queue.size() > maxQueued || queue.bytes() > maxQueuedBytes) {
       if (newcomer.spot === null) return;
       const {item} = queue.victim(newcomer.spot.ticket, clock.now());
-      refuse(item, overloaded('the queue is full', waitMs));
+      refuse(item, why());
     }
   };
 
--- a/packages/requests/src/refusals.ts
+++ b/packages/requests/src/refusals.ts
@@ -2,6 +2,7 @@
 
 const MOVED_RETRY_MS = 100;
 const NO_OWNER_RETRY_MS = 1000;
+const SETTLING_RETRY_MS = 500;
 const MIN_OVERLOAD_RETRY_MS = 20;
 const MAX_OVERLOAD_RETRY_MS = 30_000;
 
@@ -24,6 +25,15 @@
   return failure('not-run', 'no-owner', reason, NO_OWNER_RETRY_MS);
 }
 
+/**
+ * The shard is on its way and its waiting room is full. Not `overloaded`:
+ * the entries would throttle the cell for seconds after the move is over.
+ */
+export function tooManyWait(): Failure {
+  const detail = 'its shard is moving and too many wait for it';
+  return failure('not-run', 'no-owner', detail, SETTLING_RETRY_MS);
+}
+
 /** Refused at once; what is ahead now will be done after `waitMs`. */
 export function overloaded(detail: string, waitMs: number): Failure {
   return failure('not-run', 'overloaded', detail, overloadRetryMs(waitMs));
