Log stand-in: doors that can be cut apart, control of its own module

Cause: a failure test needs one router split from the log while the others reach it, also from another process.

Change: openDoor and POST /standin/doors give one more address to the same records; each door goes down on its own. The control moves to a module of its own.

--- a/packages/standins/src/host-list.ts
+++ b/packages/standins/src/host-list.ts
@@ -9,6 +9,7 @@
   type StandinReply,
   type StandinRequest,
 } from './faulty-listener.js';
+import {parseJsonBody} from './json-body.js';
 
 export interface HostListStandinOptions {
   readonly clock?: Clock;
@@ -167,13 +168,13 @@
 
 const CONTROLS: Readonly<Record<string, ControlHandler>> = {
   'PUT /standin/hosts': async (req, target) => {
-    const parsed = HOSTS_SCHEMA.safeParse(parseJson(req.body));
+    const parsed = HOSTS_SCHEMA.safeParse(parseJsonBody(req.body));
     if (!parsed.success) return jsonReply(400, {});
     target.update(parsed.data.hosts);
     return jsonReply(200, {});
   },
   'POST /standin/faults': async (req, target) => {
-    const parsed = FAULTS_SCHEMA.safeParse(parseJson(req.body));
+    const parsed = FAULTS_SCHEMA.safeParse(parseJsonBody(req.body));
     if (!parsed.success) return jsonReply(400, {});
     await target.setFaults(parsed.data as Partial<HostListFaults>);
     return jsonReply(200, {});
@@ -196,11 +197,3 @@
   }),
   failed: () => jsonReply(500, {}),
 };
-
-function parseJson(body: Uint8Array): unknown {
-  try {
-    return JSON.parse(Buffer.from(body).toString()) as unknown;
-  } catch {
-    return undefined;
-  }
-}
--- a/packages/standins/src/log.ts
+++ b/packages/standins/src/log.ts
@@ -5,16 +5,18 @@
 import {
   createFaultyListener,
   jsonReply,
+  type DownMode,
+  type FaultyListener,
   type StandinReply,
   type StandinRequest,
 } from './faulty-listener.js';
 import {
-  LOG_FAULTS_SCHEMA,
   NO_LOG_FAULTS,
   type AppendFault,
   type LogFaults,
   type ReadFault,
 } from './log-faults.js';
+import {createLogControl} from './log-control.js';
 import {createLogStore} from './log-store.js';
 
 export interface LogStandinOptions {
@@ -26,19 +28,34 @@
   readonly onRequest?: (req: StandinRequest) => void;
 }
 
+/** One more way to the same log, that can be cut on its own. */
+export interface LogDoor {
+  readonly address: string;
+  setDown(mode: DownMode): Promise<void>;
+}
+
 /** The platform's log, in memory, with faults that switch at run time. */
 export interface LogStandin {
   /** `127.0.0.1:port` of the log itself. */
   readonly address: string;
   /**
-   * `127.0.0.1:port` of `POST /standin/faults`, which works while the log is
-   * down; its body is JSON with some fields of `LogFaults`.
+   * `127.0.0.1:port` for control from other processes, also while the log is
+   * down. All bodies are JSON.
+   *
+   * - `POST /standin/faults` with some fields of `LogFaults` → all of them.
+   * - `POST /standin/doors` → `{"address": ...}` of a new door.
+   * - `POST /standin/doors/{address}` with `{"down": mode}`.
    */
   readonly controlAddress: string;
   faults(): LogFaults;
   /** Changes the named faults and leaves the others. */
   setFaults(change: Partial<LogFaults>): Promise<void>;
   clearFaults(): Promise<void>;
+  /**
+   * Opens one more address, so that a client of its own can be split from the
+   * log while the others reach it.
+   */
+  openDoor(): Promise<LogDoor>;
   /** Appends past every fault. */
   append(stream: string, data: Uint8Array): Offset;
   records(stream: string): readonly LogRecord[];
@@ -133,14 +150,18 @@
     await listener.setDown(faults.down);
   };
 
-  const control = await createFaultyListener(async req => {
-    if (req.method !== 'POST' || req.url.pathname !== '/standin/faults') {
-      return jsonReply(404, {});
-    }
-    const change = parseFaults(req.body);
-    if (change === null) return jsonReply(400, {});
-    await setFaults(change);
-    return jsonReply(200, faults);
+  const doors = new Map<string, FaultyListener>();
+  const openDoor = async (): Promise<LogDoor> => {
+    const door = await createFaultyListener(handle);
+    doors.set(door.address, door);
+    return door;
+  };
+
+  const control = await createLogControl({
+    setFaults,
+    faults: () => faults,
+    openDoor,
+    door: address => doors.get(address),
   });
 
   await setFaults({});
@@ -150,12 +171,13 @@
     faults: () => faults,
     setFaults,
     clearFaults: () => setFaults(NO_LOG_FAULTS),
+    openDoor,
     append: (stream, data) => store.append(stream, data),
     records: stream => store.all(stream),
     expire: (stream, first) => store.expire(stream, first),
     async close() {
-      await listener.close();
-      await control.close();
+      const open = [listener, control, ...doors.values()];
+      await Promise.all(open.map(one => one.close()));
     },
   };
 }
@@ -197,12 +219,3 @@
   }));
   return {first: page.first, end: page.end, records};
 }
-
-function parseFaults(body: Uint8Array): Partial<LogFaults> | null {
-  try {
-    const json: unknown = JSON.parse(Buffer.from(body).toString());
-    return LOG_FAULTS_SCHEMA.partial().parse(json) as Partial<LogFaults>;
-  } catch {
-    return null;
-  }
-}
