--- /dev/null
+++ b/packages/bench/src/deployment.ts
@@ -0,0 +1,363 @@
+import {createHash, randomBytes} from 'node:crypto';
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {fileURLToPath} from 'node:url';
+import {createId} from '@banyandrum/base/ids.js';
+import {
+  createOperatorsClient,
+  type OperatorsClient,
+} from '@banyandrum/operators/client.js';
+import {request} from 'undici';
+import {z} from 'zod';
+import {startChild, type Child} from './child.js';
+
+/** A service of the deployment and its stand-in servers. */
+export interface ServiceSpec {
+  readonly name: string;
+  readonly servers: number;
+  readonly slots: number;
+  readonly connections: number;
+  readonly shards: number;
+  readonly cells: number;
+  readonly checksFences: boolean;
+  /** Mean service time, in ms. */
+  readonly serviceMs: number;
+}
+
+export interface DeploymentSpec {
+  readonly routers: number;
+  /** Names of data centres; hosts and servers go round them. */
+  readonly dataCentres: readonly string[];
+  readonly services: readonly ServiceSpec[];
+  readonly rulesToml: string;
+  readonly logLevel: 'debug' | 'info' | 'warn' | 'error';
+  readonly onLog?: (router: string, line: string) => void;
+}
+
+export interface ServerAddress {
+  readonly name: string;
+  readonly service: string;
+  readonly address: string;
+}
+
+export interface RouterProcess {
+  readonly host: string;
+  readonly dataCentre: string;
+  readonly callers: string;
+  readonly operators: string;
+  readonly peers: string;
+  readonly child: Child;
+}
+
+/** Stand-ins and routers as separate processes on loopback. */
+export interface Deployment {
+  /** Addresses at which the stand-ins' faults are set. */
+  readonly logControl: string;
+  readonly hostListControl: string;
+  readonly servers: readonly ServerAddress[];
+  /** Routers that run now, by host. */
+  readonly routers: ReadonlyMap<string, RouterProcess>;
+  readonly token: string;
+  /** A client of one router's operators' interface. */
+  operatorsOf(host: string): OperatorsClient;
+  /** Starts a router on a host, once more if it ran before. */
+  startRouter(host: string): Promise<RouterProcess>;
+  /** Ends a router by a signal; SIGTERM is a planned stop. */
+  endRouter(host: string, signal: NodeJS.Signals): Promise<void>;
+  /** Publishes the first inventory and rules. */
+  publish(): Promise<void>;
+  /** Resolves when every shard has an owner. */
+  settled(timeoutMs: number): Promise<void>;
+  stop(): Promise<void>;
+}
+
+const RUN_LOG = scriptPath('@banyandrum/standins/run-log.js');
+const RUN_HOST_LIST = scriptPath('@banyandrum/standins/run-host-list.js');
+const RUN_SERVERS = scriptPath('@banyandrum/standins/run-servers.js');
+const RUN_ROUTER = fileURLToPath(
+  new URL('../../router/bin/banyandrum-router.js', import.meta.url),
+);
+
+const addressHello = z.object({
+  address: z.string(),
+  controlAddress: z.string(),
+});
+const serversHello = z.object({
+  servers: z.array(
+    z.object({name: z.string(), service: z.string(), address: z.string()}),
+  ),
+});
+const routerHello = z.object({
+  callers: z.string(),
+  operators: z.string(),
+  peers: z.string(),
+});
+
+const POLL_MS = 50;
+
+/**
+ * Starts stand-ins of the log, the host list and all servers, and the
+ * routers, each on a free port of loopback.
+ *
+ * @example
+ * ```ts
+ * const deployment = await startDeployment(spec);
+ * await deployment.publish();
+ * await deployment.settled(10_000);
+ * await deployment.stop();
+ * ```
+ */
+export async function startDeployment(
+  spec: DeploymentSpec,
+): Promise<Deployment> {
+  const folder = await mkdtemp(join(tmpdir(), 'banyandrum-'));
+  const token = randomBytes(16).toString('hex');
+  const [logChild, listChild, serversChild] = await Promise.all([
+    startChild({name: 'log', args: [RUN_LOG]}),
+    startChild({name: 'host list', args: [RUN_HOST_LIST]}),
+    startServers(folder, spec),
+  ]);
+  const log = addressHello.parse(logChild.hello);
+  const hostList = addressHello.parse(listChild.hello);
+  const {servers} = serversHello.parse(serversChild.hello);
+  const platform = {log: log.address, hostList: hostList.address, token};
+  const routers = new Map<string, RouterProcess>();
+  const listed = new Map<string, ListedHost>();
+  const list = (): Promise<void> =>
+    putHosts(hostList.controlAddress, [...listed.values()]);
+
+  const startRouter = async (host: string): Promise<RouterProcess> => {
+    const index = hostIndex(host);
+    const dataCentre = spec.dataCentres[index % spec.dataCentres.length]!;
+    const settings = join(folder, `${host}.toml`);
+    const port = routerPort(routers.get(host) ?? null, listed.get(host));
+    const place = {host, dataCentre, port};
+    await writeFile(settings, settingsToml(spec, platform, place));
+    const child = await startChild({
+      name: host,
+      args: [RUN_ROUTER, '--settings', settings],
+      onLog: line => spec.onLog?.(host, line),
+    });
+    const hello = routerHello.parse(child.hello);
+    const router = {host, dataCentre, child, ...hello};
+    routers.set(host, router);
+    listed.set(host, {
+      name: host,
+      role: 'router',
+      address: hello.peers,
+      dataCentre,
+      state: 'live',
+    });
+    await list();
+    return router;
+  };
+
+  const operatorsOf = (host: string): OperatorsClient =>
+    createOperatorsClient({address: routers.get(host)!.operators, token});
+
+  const anyRouter = (): string => [...routers.keys()][0]!;
+
+  const deployment: Deployment = {
+    logControl: log.controlAddress,
+    hostListControl: hostList.controlAddress,
+    servers,
+    routers,
+    token,
+    operatorsOf,
+    startRouter,
+    async endRouter(host, signal) {
+      const router = routers.get(host);
+      if (router === undefined) return;
+      if (signal === 'SIGTERM') {
+        listed.set(host, {...listed.get(host)!, state: 'leaving'});
+        await list();
+      }
+      router.child.signal(signal);
+      await router.child.exited;
+      routers.delete(host);
+    },
+    async publish() {
+      const client = operatorsOf(anyRouter());
+      const published = await client.publish({
+        changeId: createId(),
+        basedOn: 0,
+        reason: 'first publication',
+        inventoryToml: inventoryToml(spec, servers),
+        rulesToml: spec.rulesToml,
+      });
+      await client.close();
+      if (published.err) throw new Error(published.val.detail);
+    },
+    async settled(timeoutMs) {
+      const end = performance.now() + timeoutMs;
+      while (performance.now() < end) {
+        if (await isSettled(operatorsOf(anyRouter()), spec)) return;
+        await new Promise(resolve => setTimeout(resolve, POLL_MS));
+      }
+      throw new Error(`not every shard has an owner after ${timeoutMs} ms`);
+    },
+    async stop() {
+      const children = [...routers.values()].map(({child}) => child);
+      await endAll(children);
+      await endAll([logChild, listChild, serversChild]);
+      await rm(folder, {recursive: true});
+    },
+  };
+
+  const hosts = Array.from({length: spec.routers}, (_, i) => `router-${i + 1}`);
+  await Promise.all(hosts.map(startRouter));
+  return deployment;
+}
+
+interface ListedHost {
+  readonly name: string;
+  readonly role: 'router';
+  readonly address: string;
+  readonly dataCentre: string;
+  readonly state: 'live' | 'leaving';
+}
+
+interface Platform {
+  readonly log: string;
+  readonly hostList: string;
+  readonly token: string;
+}
+
+interface RouterPlace {
+  readonly host: string;
+  readonly dataCentre: string;
+  /** Where the interface for peers listens; 0 the first time. */
+  readonly port: number;
+}
+
+function scriptPath(name: string): string {
+  return fileURLToPath(import.meta.resolve(name));
+}
+
+function hostIndex(host: string): number {
+  return Number(host.slice(host.lastIndexOf('-') + 1)) - 1;
+}
+
+/** A restarted router answers at the address it had before. */
+function routerPort(
+  running: RouterProcess | null,
+  listed: ListedHost | undefined,
+): number {
+  const address = running?.peers ?? listed?.address;
+  return address === undefined ? 0 : Number(address.split(':')[1]);
+}
+
+async function startServers(
+  folder: string,
+  spec: DeploymentSpec,
+): Promise<Child> {
+  const groups = spec.services.map(service => ({
+    service: service.name,
+    count: service.servers,
+    slots: service.slots,
+    checksFences: service.checksFences,
+    serviceMs: {kind: 'fixed', ms: service.serviceMs},
+  }));
+  const path = join(folder, 'servers.json');
+  await writeFile(path, JSON.stringify({groups}));
+  return startChild({name: 'servers', args: [RUN_SERVERS, path]});
+}
+
+function settingsToml(
+  spec: DeploymentSpec,
+  platform: Platform,
+  {host, dataCentre, port}: RouterPlace,
+): string {
+  const sha256 = createHash('sha256').update(platform.token).digest('hex');
+  return `[router]
+host = "${host}"
+place = "${dataCentre}"
+data_centre = "${dataCentre}"
+
+[callers]
+listen = "127.0.0.1:0"
+
+[operators]
+listen = "127.0.0.1:0"
+open_metrics = true
+
+[[operators.tokens]]
+operator = "bench"
+role = "publisher"
+sha256 = "${sha256}"
+
+[peers]
+listen = "127.0.0.1:${port}"
+
+[log]
+address = "${platform.log}"
+
+[host_list]
+address = "${platform.hostList}"
+poll_ms = 500
+
+[logging]
+level = "${spec.logLevel}"
+`;
+}
+
+function inventoryToml(
+  spec: DeploymentSpec,
+  servers: readonly ServerAddress[],
+): string {
+  const places = spec.dataCentres.map(
+    name => `[[places]]\nname = "${name}"\ndata_centre = "${name}"\n`,
+  );
+  const services = spec.services.map(
+    ({name, shards, cells, checksFences}) => `[[services]]
+name = "${name}"
+shards = ${shards}
+cells = ${cells}
+checks_fences = ${checksFences}
+`,
+  );
+  const entries = servers.map((server, index) => {
+    const service = spec.services.find(({name}) => name === server.service)!;
+    return `[[servers]]
+name = "${server.name}"
+service = "${server.service}"
+place = "${spec.dataCentres[index % spec.dataCentres.length]}"
+address = "${server.address}"
+slots = ${service.slots}
+connections = ${service.connections}
+`;
+  });
+  return [...places, ...services, ...entries].join('\n');
+}
+
+async function putHosts(
+  hostList: string,
+  hosts: readonly ListedHost[],
+): Promise<void> {
+  const res = await request(`http://${hostList}/standin/hosts`, {
+    method: 'PUT',
+    headers: {'content-type': 'application/json'},
+    body: JSON.stringify({hosts}),
+  });
+  const text = await res.body.text();
+  if (res.statusCode >= 300) throw new Error(`host list: ${text}`);
+}
+
+async function isSettled(
+  client: OperatorsClient,
+  spec: DeploymentSpec,
+): Promise<boolean> {
+  const status = await client.status();
+  await client.close();
+  if (status.err) return false;
+  const wanted = spec.services.reduce((sum, {shards}) => sum + shards, 0);
+  const shards = status.val.cells.flatMap(cell => cell.shards);
+  const owned = shards.filter(({owner}) => owner !== null);
+  return owned.length >= wanted;
+}
+
+async function endAll(children: readonly Child[]): Promise<void> {
+  for (const child of children) child.signal('SIGTERM');
+  await Promise.all(children.map(({exited}) => exited));
+}
--- a/packages/operators/src/messages.ts
+++ b/packages/operators/src/messages.ts
@@ -101,7 +101,7 @@
 export const auditMessage = z
   .object({
     offset,
-    kind: z.enum(['publication', 'drain', 'attestation']),
+    kind: z.enum(['publication', 'drain', 'attestation', 'unreadable']),
     changeId: z.string(),
     author: z.string(),
     reason: z.string(),
@@ -153,7 +153,7 @@
   .readonly();
 export type ServerStatus = z.infer<typeof serverStatus>;
 
-const cellStatus = z
+export const cellStatus = z
   .object({
     cell: z.string(),
     epoch: offset,
--- /dev/null
+++ b/packages/router/src/main.ts
@@ -0,0 +1,61 @@
+import {readFile} from 'node:fs/promises';
+import {setLogLevel} from '@banyandrum/base/logger.js';
+import {formatProblem, inFile} from '@banyandrum/config/problem.js';
+import {parseSettings} from '@banyandrum/config/settings.js';
+import {defineCommand, runMain} from 'citty';
+import {startRouter} from './start-router.js';
+
+/** Exit codes: 0 stopped gracefully, 2 bad settings, 3 cannot listen. */
+const EXIT = {badSettings: 2, cannotStart: 3} as const;
+
+const command = defineCommand({
+  meta: {
+    name: 'banyandrum-router',
+    version: '0.1.0',
+    description: 'Routes requests to the backend servers that own their keys.',
+  },
+  args: {
+    settings: {
+      type: 'string',
+      description: 'the TOML file with the settings of this process',
+      required: true,
+    },
+    'grace-ms': {
+      type: 'string',
+      description: 'how long a graceful stop may take',
+      default: '30000',
+    },
+  },
+  run: ({args}) => run(args.settings, Number(args['grace-ms'])),
+});
+
+/** The router's command line. */
+export async function main(): Promise<void> {
+  await runMain(command);
+}
+
+async function run(path: string, graceMs: number): Promise<void> {
+  const text = await readFile(path).catch((err: Error) => err);
+  if (text instanceof Error) return fail(EXIT.badSettings, text.message);
+  const settings = parseSettings(text, process.env);
+  if (settings.err) {
+    const [problem] = inFile(path, settings.val);
+    return fail(EXIT.badSettings, formatProblem(problem!));
+  }
+  setLogLevel(settings.val.logging.level);
+  const router = await startRouter(settings.val).catch((err: Error) => err);
+  if (router instanceof Error) return fail(EXIT.cannotStart, router.message);
+  const {callers, operators, peers} = router;
+  const addresses = JSON.stringify({callers, operators, peers});
+  process.stdout.write(`${addresses}\n`);
+  const stop = (): void => {
+    void router.stop(graceMs).then(() => process.exit(0));
+  };
+  process.once('SIGTERM', stop);
+  process.once('SIGINT', stop);
+}
+
+function fail(code: number, message: string): void {
+  process.stderr.write(`banyandrum-router: ${message}\n`);
+  process.exitCode = code;
+}
