Ownership: random schedules of faults over four routers

Cause: tables of faults cover what was thought of.

Change: seeded runs with up to four faults at once (one-way cuts, isolated hosts and pairs, pauses, losses, restarts, refused appends, lost replies, late appends), drifting clocks, and leaders that change their tables all the time. Checked after every event: one holder at most, and no acknowledged change of a table missing from a takeover. The watch of cells without a role places its watchers on a ring, so that its cost for a cell does not grow with the routers.

--- a/packages/ownership/src/election.ts
+++ b/packages/ownership/src/election.ts
@@ -1,4 +1,4 @@
-import {rendezvousWeight} from '@banyandrum/base/hash.js';
+import {hash32, rendezvousWeight} from '@banyandrum/base/hash.js';
 import type {CellId} from '@banyandrum/base/ids.js';
 import type {Inventory} from '@banyandrum/config/inventory.js';
 
@@ -66,6 +66,55 @@
   return [...ranked.filter(isAway), ...ranked.filter(r => !isAway(r))];
 }
 
+/** Candidates in the order of their hashes. */
+export type Ring = readonly {
+  readonly router: RouterHost;
+  readonly hash: number;
+}[];
+
+/** Puts candidates on a ring, for `pickFromRing`. */
+export function createRing(routers: readonly RouterHost[]): Ring {
+  return routers
+    .map(router => ({router, hash: hash32(router.host)}))
+    .sort((a, b) => a.hash - b.hash || compare(a.router, b.router));
+}
+
+/**
+ * The first `count` candidates on the ring behind a cell's hash that fit. It
+ * spreads cells less evenly than ranking does, but its cost for a cell does
+ * not grow with the number of routers.
+ *
+ * @example
+ * ```ts
+ * pickFromRing('holds/0', ring, 2, ({host}) => host !== leader.host);
+ * ```
+ */
+export function pickFromRing(
+  cell: CellId,
+  ring: Ring,
+  count: number,
+  isFit: (router: RouterHost) => boolean,
+): readonly RouterHost[] {
+  const start = firstBehind(ring, hash32(cell));
+  const picked: RouterHost[] = [];
+  for (let i = 0; i < ring.length && picked.length < count; i++) {
+    const router = ring[(start + i) % ring.length]?.router;
+    if (router && isFit(router)) picked.push(router);
+  }
+  return picked;
+}
+
+function firstBehind(ring: Ring, hash: number): number {
+  let low = 0;
+  let high = ring.length;
+  while (low < high) {
+    const middle = (low + high) >> 1;
+    if ((ring[middle]?.hash ?? 0) < hash) low = middle + 1;
+    else high = middle;
+  }
+  return low;
+}
+
 function compare(a: RouterHost, b: RouterHost): number {
   return a.host < b.host ? -1 : 1;
 }
--- a/packages/ownership/src/orphan-watch.ts
+++ b/packages/ownership/src/orphan-watch.ts
@@ -5,8 +5,8 @@
 import type {ClaimPlan, Claimer} from './claims.js';
 import {isGone} from './clearance.js';
 import type {OwnershipContext} from './context.js';
-import type {RouterHost} from './election.js';
-import {rankRouters} from './election.js';
+import type {Ring, RouterHost} from './election.js';
+import {createRing, pickFromRing} from './election.js';
 import type {Membership} from './membership.js';
 import {examineLeader} from './standby-watch.js';
 
@@ -31,9 +31,10 @@
 export function watchedLeaders(
   options: OrphanWatchOptions,
 ): readonly Incarnation[] {
-  const {ctx} = options;
+  const {ctx, membership} = options;
+  const ring = createRing(membership.candidates());
   return [...ctx.store.current().views.values()]
-    .filter(view => watchRank(options, view) !== null)
+    .filter(view => watchRank(ctx, ring, view) !== null)
     .map(({leader}) => leader);
 }
 
@@ -87,13 +88,14 @@
   lostForMs: number,
   isLeaderGone: boolean,
 ): readonly View[] {
-  const {ctx} = options;
+  const {ctx, membership} = options;
   const {clock, store, timing} = ctx;
+  const ring = createRing(membership.candidates());
   // Without the log at hand no claim can follow, so don't end a consent.
   if (clock.now() - store.confirmedAt() >= timing.authorityMs) return [];
   return [...store.current().views.values()].filter(view => {
     if (!sameIncarnation(view.leader, leader)) return false;
-    const rank = watchRank(options, view);
+    const rank = watchRank(ctx, ring, view);
     if (rank === null) return false;
     // The standby, if there is one, is to have its chance first.
     const isAlone = view.standby === null || isGone(ctx, view.standby);
@@ -183,18 +185,19 @@
 
 /** This router's place among those that watch the cell, or null. */
 function watchRank(
-  {ctx, membership}: OrphanWatchOptions,
+  {self}: OwnershipContext,
+  ring: Ring,
   view: View,
 ): number | null {
-  const {self} = ctx;
   if (sameIncarnation(view.leader, self)) return null;
   if (sameIncarnation(view.standby, self)) return null;
   const hasRole = ({host}: RouterHost): boolean =>
     host === view.leader.host || host === view.standby?.host;
-  const ranked = rankRouters(view.cell, membership.candidates());
+  const isOther = (router: RouterHost): boolean => !hasRole(router);
+  // A host with a role comes last: it may be lost, or back as another run.
   const order = [
-    ...ranked.filter(router => !hasRole(router)),
-    ...ranked.filter(hasRole),
+    ...pickFromRing(view.cell, ring, WATCHERS, isOther),
+    ...pickFromRing(view.cell, ring, WATCHERS, hasRole),
   ];
   const rank = order.findIndex(({host}) => host === self.host);
   return rank >= 0 && rank < WATCHERS ? rank : null;
--- a/packages/ownership/src/standby.ts
+++ b/packages/ownership/src/standby.ts
@@ -1,6 +1,6 @@
 import type {CellId, Incarnation, Offset} from '@banyandrum/base/ids.js';
 import {sameIncarnation} from '@banyandrum/base/ids.js';
-import type {View} from '@banyandrum/config/state.js';
+import type {ClusterState, View} from '@banyandrum/config/state.js';
 import type {OwnershipContext} from './context.js';
 import type {ConsentAnswer, ConsentAsk, TableMessage} from './control.js';
 import {fromTableMessage} from './control.js';
@@ -68,9 +68,12 @@
   options: StandbyOptions,
 ): Standby {
   const roles = new Map<CellId, MutableBacking>();
+  let reconciled: ClusterState | null = null;
 
   const reconcile = (): void => {
     const state = ctx.store.current();
+    if (state === reconciled) return;
+    reconciled = state;
     for (const {view} of [...roles.values()]) {
       if (!viewAt(state, view.cell, view.epoch)) roles.delete(view.cell);
     }
--- /dev/null
+++ b/packages/ownership/test/random.test.ts
@@ -0,0 +1,129 @@
+import tap from 'tap';
+import {LOG} from './support/fake-log.js';
+import type {World} from './support/world.js';
+import {createWorld} from './support/world.js';
+
+const HOSTS = ['a', 'b', 'c', 'd'];
+const CELLS = ['holds/0', 'holds/1'];
+const SEEDS = [1, 2, 3, 4, 5, 6];
+const STEPS = 250;
+const MAX_STEP_MS = 800;
+const MAX_FAULTS = 4;
+/** Two clocks differ by less than the 1 % that the rules allow for. */
+const RATES = [0.9955, 1, 1.002, 1.0045];
+const SETTLE_MS = 20_000;
+
+// Callers must never be served by two owners, whatever fails in whatever
+// order: links cut one way, processes paused, lost and started anew, the log
+// refusing, losing replies and taking appends late, up to four of these at
+// once. When everything is well again, every cell must be led again.
+for (const seed of SEEDS) {
+  void tap.test(`random faults, seed ${seed}`, async t => {
+    const random = createRandom(seed);
+    const checksFences = seed % 2 === 0;
+    const world = createWorld({
+      ...{hosts: HOSTS, cells: CELLS.length, random, checksFences},
+      rates: RATES,
+    });
+    world.network.latency = () => 1 + Math.floor(random() * 30);
+    await world.clock.advance(3000);
+    await makeTrouble(world, random);
+    t.strictSame(world.violations, []);
+    await world.clock.advance(SETTLE_MS);
+    t.strictSame(world.violations, [], 'nor when all is well again');
+    for (const cell of CELLS) t.ok(world.acting(cell), `${cell} is led again`);
+    t.ok(world.holders.length > 2 * CELLS.length, 'leadership did change');
+  });
+}
+
+/** Starts and ends faults at random; all are over in the end. */
+async function makeTrouble(world: World, random: () => number): Promise<void> {
+  const ongoing: (() => void)[] = [];
+  for (let step = 0; step < STEPS; step++) {
+    const starts = random() * MAX_FAULTS > ongoing.length;
+    if (starts) ongoing.push(pick(random, FAULTS)(world, random));
+    else ongoing.splice(Math.floor(random() * ongoing.length), 1)[0]?.();
+    await world.clock.advance(random() * MAX_STEP_MS);
+    if (world.violations.length > 0) return;
+  }
+  for (const mend of ongoing) mend();
+}
+
+/** Brings a fault about; yields how to end it. */
+type Fault = (world: World, random: () => number) => () => void;
+
+const FAULTS: readonly Fault[] = [
+  cutLink,
+  cutLink,
+  (world, random) => isolate(world, [pick(random, HOSTS)]),
+  (world, random) => isolate(world, [pick(random, HOSTS)]),
+  // Two that hear each other, but neither the log nor the others.
+  (world, random) => isolate(world, [pick(random, HOSTS), pick(random, HOSTS)]),
+  (world, random) => isolate(world, [pick(random, HOSTS), pick(random, HOSTS)]),
+  (world, random) => {
+    const {process} = world.router(pick(random, HOSTS));
+    process.pause();
+    return () => process.resume();
+  },
+  (world, random) => {
+    const host = pick(random, HOSTS);
+    world.router(host).process.kill();
+    return () =>
+      void (world.router(host).process.isAlive() || world.start(host));
+  },
+  (world, random) => {
+    world.start(pick(random, HOSTS));
+    return () => {};
+  },
+  world => {
+    world.faults.refuses = true;
+    return () => void (world.faults.refuses = false);
+  },
+  world => {
+    world.faults.losesReplies = true;
+    return () => void (world.faults.losesReplies = false);
+  },
+  (world, random) => {
+    world.faults.appendDelay = () =>
+      random() < 0.5 ? 0 : Math.floor(random() * 6000);
+    return () => void (world.faults.appendDelay = () => 0);
+  },
+];
+
+function cutLink(world: World, random: () => number): () => void {
+  const nodes = [...HOSTS, LOG];
+  const from = pick(random, nodes);
+  const to = pick(random, nodes);
+  world.network.cut(from, to);
+  return () => world.network.join(from, to);
+}
+
+function isolate(world: World, group: readonly string[]): () => void {
+  const rest = [...HOSTS, LOG].filter(node => !group.includes(node));
+  const links = group.flatMap(a => rest.flatMap(b => [[a, b] as const]));
+  for (const [a, b] of links) {
+    world.network.cut(a, b);
+    world.network.cut(b, a);
+  }
+  return () => {
+    for (const [a, b] of links) {
+      world.network.join(a, b);
+      world.network.join(b, a);
+    }
+  };
+}
+
+function pick<T>(random: () => number, items: readonly T[]): T {
+  return items[Math.floor(random() * items.length)] as T;
+}
+
+/** A seeded generator (mulberry32), the same numbers every run. */
+function createRandom(seed: number): () => number {
+  let state = seed;
+  return () => {
+    state = (state + 0x6d2b79f5) | 0;
+    let mixed = Math.imul(state ^ (state >>> 15), state | 1);
+    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61);
+    return ((mixed ^ (mixed >>> 14)) >>> 0) / 2 ** 32;
+  };
+}
--- a/packages/ownership/test/support/world.ts
+++ b/packages/ownership/test/support/world.ts
@@ -28,12 +28,19 @@
   readonly process: FakeProcess;
   /** The table that it started from. */
   readonly inherited: ShardTable | null;
-  /** Records one more version of its table. */
-  change(): Promise<boolean>;
   mayAct(): boolean;
   isCleared(): boolean;
 }
 
+interface MutableHolder extends Holder {
+  readonly name: string;
+  cleared: boolean;
+  /** Newest version of the table that was acknowledged. */
+  recorded: number;
+  /** The version that a successor started from. */
+  passedOn: number;
+}
+
 export interface FakeRouter {
   readonly process: FakeProcess;
   readonly ownership: Ownership;
@@ -49,7 +56,7 @@
   /** What went wrong with "one holder at most", if anything. */
   readonly violations: readonly string[];
   /** Starts, or starts anew, the router on a host. */
-  start(host: string, rate?: number): FakeRouter;
+  start(host: string): FakeRouter;
   router(host: string): FakeRouter;
   hosts: Host[];
   /** The holder that may act for the cell without limits, or null. */
@@ -71,6 +78,8 @@
   readonly cells?: number;
   readonly checksFences?: boolean;
   readonly random?: () => number;
+  /** Speeds of the routers' clocks, in the order of the hosts. */
+  readonly rates?: readonly number[];
 }
 
 const STEP_MS = 10;
@@ -88,15 +97,17 @@
   };
   const endpoints = new Map<string, Endpoint>();
   const routers = new Map<string, FakeRouter>();
-  const holders: Holder[] = [];
+  const holders: MutableHolder[] = [];
   const violations: string[] = [];
   const initial = initialState(options);
   const withdrawals = new Map<string, number>();
   let boots = 0;
 
+  const violate = (what: string): void =>
+    void violations.push(`${clock.now().toFixed(0)} ms: ${what}`);
   const check = (): void => {
     const found = findViolation(holders);
-    if (found) violations.push(`${clock.now().toFixed(0)} ms: ${found}`);
+    if (found) violate(found);
   };
   // Checks after every single timer, since what one event makes possible
   // may be over before the next.
@@ -109,9 +120,10 @@
       }),
   };
 
-  const start = (host: string, rate = 1): FakeRouter => {
+  const start = (host: string): FakeRouter => {
     routers.get(host)?.process.kill();
     const incarnation = incarnationOf(host, ++boots);
+    const rate = options.rates?.[options.hosts.indexOf(host)] ?? 1;
     const process = createFakeProcess(checked, incarnation, rate);
     const ownership = createOwnership({
       self: incarnation,
@@ -127,7 +139,7 @@
         },
       },
       timing: deriveTiming(initial.rules.timing),
-      startCell: createStartCell(checked, process, holders),
+      startCell: createStartCell(process, holders, violate),
       encodeState,
       random: options.random ?? (() => 0.5),
     });
@@ -201,38 +213,56 @@
   return null;
 }
 
+const CHANGE_MS = 200;
+
+/** Stands for the cell's leader: changes the table from time to time. */
 function createStartCell(
-  clock: ManualClock,
   process: FakeProcess,
-  holders: Holder[],
+  holders: MutableHolder[],
+  violate: (what: string) => void,
 ): StartCell {
   return ({cell, authority, inheritance, signal}) => {
-    let isCleared = false;
-    let version = inheritance.table?.version ?? 0;
+    const {table: inherited, cleared} = inheritance;
+    const name = `${process.incarnation.host} #${holders.length}`;
+    let version = inherited?.version ?? 0;
     const table = (): ShardTable => {
       const {epoch} = authority;
-      return {cell, epoch, version, entries: [], fences: new Map()};
+      const owner = {shard: '0', server: name, next: null};
+      const entries = [{...owner, state: 'held'} as const];
+      return {cell, epoch, version, entries, fences: new Map()};
     };
-    const change = async (): Promise<boolean> => {
-      version++;
-      return authority.record(table());
-    };
-    void inheritance.cleared.then(async () => {
-      isCleared = true;
-      while (!signal.aborted && !(await change())) await sleep(clock, 50);
-    });
-    holders.push({
+    const holder: MutableHolder = {
+      name,
       host: process.incarnation.host,
       cell,
       get epoch() {
         return authority.epoch;
       },
       process,
-      inherited: inheritance.table,
-      change,
+      inherited,
+      recorded: 0,
+      passedOn: Infinity,
       mayAct: authority.mayAct,
-      isCleared: () => isCleared,
-    });
+      cleared: false,
+      isCleared: () => holder.cleared,
+    };
+    const change = async (): Promise<void> => {
+      const wanted = ++version;
+      if (!(await authority.record(table()))) return;
+      holder.recorded = wanted;
+      if (wanted > holder.passedOn) violate(`${name} lost a change`);
+    };
+    const run = async (): Promise<void> => {
+      await cleared;
+      holder.cleared = true;
+      while (!signal.aborted) {
+        await change();
+        await sleep(process.clock, CHANGE_MS, signal);
+      }
+    };
+    if (inherited) passOn(holders, inherited, violate);
+    holders.push(holder);
+    void run();
     const locate = (): never => {
       throw new Error('not part of these tests');
     };
@@ -243,6 +273,19 @@
   };
 }
 
+/** A table that is taken over must have every change that was recorded. */
+function passOn(
+  holders: readonly MutableHolder[],
+  table: ShardTable,
+  violate: (what: string) => void,
+): void {
+  const [entry] = table.entries;
+  const before = holders.find(({name}) => name === entry?.server);
+  if (!before) return;
+  before.passedOn = table.version;
+  if (before.recorded > table.version) violate(`change of ${before.name} lost`);
+}
+
 function toHost(name: string, index: number): Host {
   const dataCentre = index % 2 === 0 ? 'dc-a' : 'dc-b';
   return {
