Callers, operators: unread bodies are dropped; smaller modules

A handler may answer when it has read only the start of a long body (a server that refuses early). Node drops the rest of a body by itself only where nobody has begun to read it; with 2 MB left the connection's next request was never answered (seen with plain node:http too; 20 kB went through). The exchange resumes such a request now; the new test fails without that.

The operators' service and client are split into routes and calls, with tests of a stop with a publication under way, an address in use and open metrics.

--- a/packages/callers/src/exchange.ts
+++ b/packages/callers/src/exchange.ts
@@ -200,7 +200,9 @@
   extra.push(...commonHeaders(exchange, controls, true));
   const context = {res, clock: cfg.clock, extra, stallMs: cfg.stallMs};
   const outcome = await writeAnswer(context, answered);
-  if (outcome.kind === 'sent') return;
+  // A body that the handler left unread would block the connection's next
+  // request: node only drops what nobody has begun to read.
+  if (outcome.kind === 'sent') return void req.resume();
   const {code, detail} = outcome.failure;
   cfg.log.warn('answer not given whole', {id, code, detail, url: req.url});
   if (outcome.kind === 'unsent') refuse(exchange, controls, outcome.failure);
--- a/packages/callers/test/bodies.test.ts
+++ b/packages/callers/test/bodies.test.ts
@@ -106,6 +106,31 @@
   t.ok(read.bytes <= 65_536);
 });
 
+// The server answers when it has seen the first bytes of a long body. The rest
+// must not be taken for the connection's next request, nor block it.
+void tap.test('an answer before the body was read', async t => {
+  const length = 1_000_000;
+  const answerEarly: RequestHandler = async req => {
+    if (req.body instanceof Uint8Array) return Ok(HELLO);
+    const chunks = req.body[Symbol.asyncIterator]();
+    await chunks.next();
+    await chunks.return?.();
+    return Ok(HELLO);
+  };
+  const callers = await startCallers(answerEarly, {maxBodyBytes: length});
+  t.teardown(callers.close);
+  const exchange = exchangeRaw(
+    callers.port,
+    'POST /v1/holds/w7 HTTP/1.1\r\nhost: h\r\n',
+    `content-length: ${length}\r\n\r\n`,
+    'GET / HTTP/1.1\r\n\r\n'.padEnd(length, 'b'),
+    `${HEAD}\r\n`,
+  );
+  const {text} = await finish(callers.clock, exchange);
+  t.equal(text.split('HTTP/1.1 200 OK').length - 1, 2);
+  t.equal(callers.seen.length, 2);
+});
+
 interface CutCase {
   readonly name: string;
   readonly sent: string;
--- a/packages/operators/src/client.ts
+++ b/packages/operators/src/client.ts
@@ -1,8 +1,8 @@
 import {Pool} from 'undici';
 import type {LogLevel} from '@banyandrum/base/logger.js';
-import type {Result} from '@banyandrum/base/result.js';
-import {Err, Ok} from '@banyandrum/base/result.js';
 import type {z} from 'zod';
+import type {ClientResult} from './call.js';
+import {send} from './call.js';
 import type {
   AttestationRequest,
   AuditMessage,
@@ -20,24 +20,17 @@
 import {
   auditMessage,
   changeAccepted,
-  changeUnknown,
   explainMessage,
   historyMessage,
   logLevelRequest,
-  problemMessage,
   publicationMessage,
   stateMessage,
   statusMessage,
   watchEvent,
 } from './messages.js';
 import {readLines} from './lines.js';
-import type {ApiError} from './problem.js';
 import {ACTION_MS, ALIVE_MS} from './timing.js';
 
-/** A client's error; `unknown` where a change may have been accepted. */
-export type ClientError = ApiError;
-export type ClientResult<T> = Promise<Result<T, ClientError>>;
-
 export interface OperatorsClientConfig {
   /** `ip:port` of a router's interface for operators. */
   readonly address: string;
@@ -64,34 +57,10 @@
   close(): Promise<void>;
 }
 
-type Method = 'GET' | 'POST' | 'PUT';
-
-interface Call<T> {
-  readonly method: Method;
-  readonly path: string;
-  readonly message?: object;
-  readonly reply: z.ZodType<T>;
-  /** What a lost reply means. */
-  readonly lost: 'unavailable' | 'unknown';
-}
-
-interface RawReply {
-  readonly status: number;
-  readonly text: string;
-}
-
 const CONNECT_MS = 5000;
 const REPLY_MARGIN_MS = 5000;
 const MISSED_ALIVES = 3;
 
-/** Codes of errors that came before any byte of the request was sent. */
-const NOTHING_SENT: ReadonlySet<string> = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'UND_ERR_CONNECT_TIMEOUT',
-]);
-
 /**
  * A client of one router's interface for operators. Requests are never
  * repeated by it: a change is repeated safely by its change id.
@@ -152,59 +121,6 @@
   };
 }
 
-async function send<T>(
-  pool: Pool,
-  headers: Readonly<Record<string, string>>,
-  call: Call<T>,
-): ClientResult<T> {
-  const {method, path, message, lost} = call;
-  let reply: RawReply;
-  try {
-    const type = message && {'content-type': 'application/json'};
-    const res = await pool.request({
-      method,
-      path,
-      headers: {...headers, ...type},
-      body: message ? JSON.stringify(message) : null,
-    });
-    reply = {status: res.statusCode, text: await res.body.text()};
-  } catch (err) {
-    return Err({
-      kind: nothingSent(err) ? 'unavailable' : lost,
-      detail: describe(err),
-    });
-  }
-  return readReply(call, reply);
-}
-
-function readReply<T>(
-  {reply, lost}: Call<T>,
-  {status, text}: RawReply,
-): Result<T, ClientError> {
-  const body = parseJson(text);
-  if (status === 202) {
-    const unknown = changeUnknown.safeParse(body);
-    const detail = unknown.data?.detail ?? 'it may have been accepted';
-    return Err({kind: 'unknown', detail});
-  }
-  if (status >= 200 && status < 300) {
-    const parsed = reply.safeParse(body);
-    if (parsed.success) return Ok(parsed.data);
-    return Err({kind: lost, detail: 'the reply is not as it should be'});
-  }
-  const problem = problemMessage.safeParse(body);
-  if (!problem.success) {
-    return Err({kind: lost, detail: `status ${status} without a problem`});
-  }
-  const {kind, detail, problems, inForce} = problem.data;
-  return Err({
-    kind,
-    detail,
-    ...(problems === undefined ? {} : {problems}),
-    ...(inForce === undefined ? {} : {inForce}),
-  });
-}
-
 async function* watch(
   pool: Pool,
   headers: Readonly<Record<string, string>>,
@@ -230,23 +146,6 @@
   }
 }
 
-function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text) as unknown;
-  } catch {
-    return null;
-  }
-}
-
-function nothingSent(err: unknown): boolean {
-  return NOTHING_SENT.has(String((err as {code?: unknown}).code));
-}
-
-function describe(err: unknown): string {
-  const {code, message} = err as {code?: unknown; message?: unknown};
-  return [code, message].filter(Boolean).join(': ') || String(err);
-}
-
 function encode(part: string): string {
   return encodeURIComponent(part);
 }
--- a/packages/operators/test/watch.test.ts
+++ b/packages/operators/test/watch.test.ts
@@ -1,9 +1,17 @@
 import {createServer} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import tap from 'tap';
+import {request} from 'undici';
+import {Ok} from '@banyandrum/base/result.js';
 import {createOperatorsClient} from '@banyandrum/operators/client.js';
 import type {WatchEvent} from '@banyandrum/operators/messages.js';
-import {PUBLISH, VIEWER_TOKEN, finish, startOperators} from './fixture.js';
+import {
+  PUBLISH,
+  PUBLISHER_TOKEN,
+  VIEWER_TOKEN,
+  finish,
+  startOperators,
+} from './fixture.js';
 
 const EVENT: WatchEvent = {
   kind: 'publication',
@@ -77,3 +85,47 @@
   t.match((await late.publish(PUBLISH)).val, {kind: 'unavailable'});
   await late.close();
 });
+
+// The router stops while a publication waits for the log. The operator gets
+// its outcome within the grace; a request that takes longer loses its reply,
+// which the client tells as unknown.
+void tap.test('a stop with a publication under way', async t => {
+  let accept = (): void => {};
+  let received = 0;
+  const operators = await startOperators({
+    publish: async (_operator, {changeId}) => {
+      received++;
+      if (changeId === 'c-2') return new Promise(() => {});
+      await new Promise<void>(resolve => {
+        accept = resolve;
+      });
+      return Ok({changeId, offset: 4});
+    },
+  });
+  t.teardown(operators.close);
+  const client = operators.client(PUBLISHER_TOKEN);
+  const first = client.publish(PUBLISH);
+  const second = client.publish({...PUBLISH, changeId: 'c-2'});
+  while (received < 2) await operators.clock.advance(0);
+  const stopped = operators.service.stop(1000);
+  accept();
+  t.match((await first).val, {offset: 4});
+  await finish(operators.clock, stopped);
+  t.match((await second).val, {kind: 'unknown'});
+});
+
+void tap.test('an address in use fails the start', async t => {
+  const operators = await startOperators();
+  t.teardown(operators.close);
+  const port = Number(new URL(operators.origin).port);
+  const again = startOperators({}, {listen: {ip: '127.0.0.1', port}});
+  await t.rejects(again, {code: 'EADDRINUSE'});
+});
+
+void tap.test('open metrics need no token', async t => {
+  const operators = await startOperators({}, {openMetrics: true});
+  t.teardown(operators.close);
+  const res = await request(`${operators.origin}/metrics`);
+  t.equal(res.statusCode, 200);
+  await res.body.dump();
+});
