--- a/packages/routers/src/pump.ts
+++ b/packages/routers/src/pump.ts
@@ -60,11 +60,10 @@
       while (!stopped && credit < bytes.length) {
         await new Promise<void>(resolve => (wake = resolve));
       }
-      for (let room = sender.room(); room !== null; room = sender.room()) {
-        await Promise.race([room, stop]);
-        if (stopped) return;
-      }
       if (stopped) return;
+      const room = sender.reserve(bytes.length);
+      if (room !== null) await room;
+      if (stopped) return sender.release(bytes.length);
       credit -= bytes.length;
       const chunk = {bytes, last: false};
       sender.push(LANES.chunks, {id, chunk}, bytes.length);
--- a/packages/routers/src/sender.ts
+++ b/packages/routers/src/sender.ts
@@ -1,5 +1,6 @@
 import type {Clock} from '@banyandrum/base/clock.js';
 import {encodeBatch, type Frame} from './frames.js';
+import {createQueue} from './queue.js';
 
 /**
  * What goes first when frames wait. Frames of one request keep their order,
@@ -24,8 +25,14 @@
 
 export interface Sender {
   push(lane: Lane, frame: Frame, bytes?: number, deadline?: number): Outgoing;
-  /** Null where a chunk may be pushed now, else what to wait for. */
-  room(): Promise<void> | null;
+  /**
+   * Asks for room for a chunk of so many bytes, which is then pushed or
+   * released: null where it has room now, else what to wait for. Room is
+   * given in the order in which it was asked for, so bodies take turns.
+   */
+  reserve(bytes: number): Promise<void> | null;
+  /** Gives back what was reserved and is not pushed. */
+  release(bytes: number): void;
   /** Resolves when all that was pushed has been written, or it is closed. */
   flushed(): Promise<void>;
   /** Drops what is queued; nothing is written from now on. */
@@ -60,12 +67,16 @@
 export function createSender(options: SenderOptions): Sender {
   const {clock, write} = options;
   const maxFrames = options.maxBatchFrames ?? MAX_BATCH_FRAMES;
-  const queues = [createQueue(), createQueue(), createQueue()] as const;
+  const queues = [
+    createQueue<Outgoing>(),
+    createQueue<Outgoing>(),
+    createQueue<Outgoing>(),
+  ] as const;
   let underWay = 0;
   let chunkBytes = 0;
+  const waiting = createQueue<Reservation>();
   let scheduled = false;
   let closed = false;
-  let roomWaiters: (() => void)[] = [];
   let flushWaiters: (() => void)[] = [];
 
   const isIdle = (): boolean =>
@@ -98,6 +109,15 @@
     return frames;
   };
 
+  const giveRoom = (): void => {
+    while (closed || chunkBytes < MAX_QUEUED_CHUNK_BYTES) {
+      const next = waiting.shift();
+      if (next === null) return;
+      chunkBytes += next.bytes;
+      next.resolve();
+    }
+  };
+
   const flush = (): void => {
     scheduled = false;
     while (!closed && underWay < MAX_MESSAGES_UNDER_WAY) {
@@ -106,7 +126,7 @@
       underWay++;
       write(encodeBatch(frames), onWritten);
     }
-    if (chunkBytes < MAX_QUEUED_CHUNK_BYTES) roomWaiters = wake(roomWaiters);
+    giveRoom();
     if (isIdle()) flushWaiters = wake(flushWaiters);
   };
 
@@ -117,14 +137,20 @@
         out.state = 'dropped';
         return out;
       }
-      if (frame.chunk) chunkBytes += bytes;
       queues[lane].push(out);
       schedule();
       return out;
     },
-    room() {
-      if (closed || chunkBytes < MAX_QUEUED_CHUNK_BYTES) return null;
-      return new Promise(resolve => roomWaiters.push(resolve));
+    reserve(bytes) {
+      if (closed || chunkBytes < MAX_QUEUED_CHUNK_BYTES) {
+        chunkBytes += bytes;
+        return null;
+      }
+      return new Promise(resolve => waiting.push({bytes, resolve}));
+    },
+    release(bytes) {
+      chunkBytes -= bytes;
+      giveRoom();
     },
     flushed() {
       if (isIdle()) return Promise.resolve();
@@ -133,7 +159,7 @@
     close() {
       closed = true;
       for (const queue of queues) queue.clear();
-      roomWaiters = wake(roomWaiters);
+      giveRoom();
       flushWaiters = wake(flushWaiters);
     },
   };
@@ -160,35 +186,7 @@
   return [];
 }
 
-interface Queue {
-  push(out: Outgoing): void;
-  shift(): Outgoing | null;
-  size(): number;
-  clear(): void;
-}
-
-/** First in, first out; `shift` of a long array would copy it each time. */
-function createQueue(): Queue {
-  let items: Outgoing[] = [];
-  let head = 0;
-  return {
-    push(out) {
-      items.push(out);
-    },
-    shift() {
-      const out = items[head];
-      if (out === undefined) return null;
-      head++;
-      if (head === items.length) {
-        items = [];
-        head = 0;
-      }
-      return out;
-    },
-    size: () => items.length - head,
-    clear() {
-      items = [];
-      head = 0;
-    },
-  };
+interface Reservation {
+  readonly bytes: number;
+  readonly resolve: () => void;
 }
