Routers: one task for each peer; closing ends openings too

Cause: the moves between streams were spread over callbacks, and closing left an opening under way until its time was over.

Change: one task for each peer, written straight down, opens on demand, follows the stream until it is silent or has ended, and moves on. All streams and openings end with one signal. Deadlines too far away for a timer of Node.js no longer fire at once; a request's head without a time left is refused.

--- a/packages/routers/src/asked-requests.ts
+++ b/packages/routers/src/asked-requests.ts
@@ -45,6 +45,9 @@
   inbox: Inbox | null;
 }
 
+/** Timers of Node.js fire at once where they are set for longer. */
+const MAX_TIMER_MS = 2 ** 31 - 1;
+
 /**
  * Keeps the table of requests under way. Ids are never used twice and the
  * table belongs to one stream, so that an answer that comes late finds no
@@ -106,8 +109,9 @@
     const bytes = frame.requestHead?.body.length ?? 0;
     const head = sender.push(LANES.heads, frame, bytes, req.deadline);
     const onAbort = (): void => giveUp(id, 'cancelled', 'caller gave up');
-    const stopTimer: CancelTimer = clock.after(req.deadline - clock.now(), () =>
-      giveUp(id, 'deadline', 'no answer by the deadline'),
+    const stopTimer: CancelTimer = clock.after(
+      Math.min(MAX_TIMER_MS, req.deadline - clock.now()),
+      () => giveUp(id, 'deadline', 'no answer by the deadline'),
     );
     req.signal.addEventListener('abort', onAbort);
     const release = (): void => {
--- a/packages/routers/src/link.ts
+++ b/packages/routers/src/link.ts
@@ -14,12 +14,16 @@
 import {createSender, LANES, type Sender} from './sender.js';
 import {openWire, type Wire, type WireEnd} from './wire.js';
 
+export type Trouble = 'silent' | 'ended';
+
 /** One open stream to another router, from the asker's side. */
 export interface Link<M extends ControlKinds> {
   readonly found: Incarnation;
   readonly requests: Pick<AskedRequests, 'send' | 'count'>;
   readonly controls: Pick<AskedControls<M>, 'ask'>;
   isOpen(): boolean;
+  /** Resolves when it is silent or has ended, at once if it is so now. */
+  trouble(): Promise<Trouble>;
   /** Whether nothing has been heard on it for `silentMs`. */
   isSilent(): boolean;
   /** Closes it once its requests have ended. */
@@ -39,8 +43,8 @@
   readonly credentials: ChannelCredentials;
   readonly timing: Timing;
   readonly maxBatchFrames?: number;
-  readonly onSilent: (link: Link<M>) => void;
-  readonly onEnd: (link: Link<M>) => void;
+  /** Cuts it, whether open or opening. */
+  readonly signal: AbortSignal;
 }
 
 /**
@@ -68,19 +72,24 @@
 function greet<M extends ControlKinds>(
   options: LinkOptions<M>,
 ): Promise<Result<Link<M>, PeerError>> {
-  const {clock, credentials, log, timing} = options;
+  const {clock, credentials, log, signal, timing} = options;
   return new Promise(resolve => {
     let link: OpenLink<M> | null = null;
+    const release = (): void => {
+      stopTimer();
+      signal.removeEventListener('abort', onAbort);
+    };
     const refuse = (error: PeerError): void => {
       resolve(Err(error));
-      stopTimer();
+      release();
       sender.close();
       wire.close();
     };
+    const onAbort = (): void => refuse({kind: 'unreachable', detail: CLOSED});
     const onHello = (hello: HelloFrame): void => {
-      stopTimer();
       const found = toIncarnation(hello.self);
       if (isOther(options.expected, found)) return refuse(describeOther(found));
+      release();
       link = createLink(options, found, hello.windowBytes, wire, sender);
       resolve(Ok(link));
     };
@@ -115,6 +124,7 @@
         detail: `nobody answered within ${timing.openMs} ms`,
       }),
     );
+    signal.addEventListener('abort', onAbort);
     sender.push(LANES.control, {id: 0, hello: toHello(options)});
   });
 }
@@ -131,7 +141,8 @@
   wire: Wire,
   sender: Sender,
 ): OpenLink<M> {
-  const {clock, schemas, timing, onSilent, onEnd} = options;
+  const {clock, schemas, signal, timing} = options;
+  let onTrouble: (trouble: Trouble) => void = () => {};
   let open = true;
   let silent = false;
   let retired = false;
@@ -144,8 +155,10 @@
     requests.end(detail);
     controls.end(detail);
     wire.close();
-    onEnd(link);
+    signal.removeEventListener('abort', onAbort);
+    onTrouble('ended');
   };
+  const onAbort = (): void => cut(CLOSED);
   const closeIfIdle = (): void => {
     if (!retired || requests.count() + controls.count() > 0) return;
     cut('replaced by a new stream');
@@ -169,10 +182,11 @@
       sender.push(LANES.control, {id: 0, heartbeat: {reply: false}}),
     onSilent: () => {
       silent = true;
-      onSilent(link);
+      onTrouble('silent');
     },
   });
-  const link: OpenLink<M> = {
+  signal.addEventListener('abort', onAbort);
+  return {
     found,
     requests,
     controls,
@@ -186,6 +200,11 @@
       watch.heard();
     },
     isOpen: () => open,
+    trouble() {
+      if (!open) return Promise.resolve('ended');
+      if (silent) return Promise.resolve('silent');
+      return new Promise(resolve => (onTrouble = resolve));
+    },
     isSilent: () => silent,
     retire() {
       retired = true;
@@ -193,9 +212,10 @@
     },
     cut,
   };
-  return link;
 }
 
+const CLOSED = 'closed here';
+
 function pickBatchFrames<M extends ControlKinds>({
   maxBatchFrames,
 }: LinkOptions<M>): {readonly maxBatchFrames?: number} {
--- a/packages/routers/src/peer.ts
+++ b/packages/routers/src/peer.ts
@@ -8,9 +8,8 @@
 
 /** The way to one run of another router, over whichever stream works. */
 export interface Peer<M extends ControlKinds> {
-  /** The open stream, or the opening of one; openings are shared. */
+  /** The open stream, or the opening of one, which all askers share. */
   link(): Link<M> | Promise<Result<Link<M>, PeerError>>;
-  close(): void;
 }
 
 export interface PeerOptions<M extends ControlKinds> {
@@ -18,85 +17,80 @@
   readonly clock: Clock;
   readonly log: Logger;
   readonly timing: Timing;
-  readonly open: (
-    onSilent: (link: Link<M>) => void,
-    onEnd: (link: Link<M>) => void,
-  ) => Promise<Result<Link<M>, PeerError>>;
+  /** Ends it, with all its streams. */
+  readonly signal: AbortSignal;
+  readonly open: () => Promise<Result<Link<M>, PeerError>>;
 }
 
 /**
- * Keeps one stream open. A silent stream is not trusted nor cut at once: a
- * new connection is tried next to it, because a single broken connection
- * must not count as the loss of the router.
+ * Keeps one stream open, from first use. A silent stream is neither trusted
+ * nor cut at once: a new connection is tried next to it, because a single
+ * broken connection must not count as the loss of the router.
  */
 export function createPeer<M extends ControlKinds>(
   options: PeerOptions<M>,
 ): Peer<M> {
-  const {to, clock, log, timing, open} = options;
-  const end = new AbortController();
-  const links = new Set<Link<M>>();
+  const {to, clock, log, timing, signal, open} = options;
+  const asked = createAskers<M>(signal);
   let current: Link<M> | null = null;
-  let opening: Promise<Result<Link<M>, PeerError>> | null = null;
-  let failed: {readonly at: number; readonly error: PeerError} | null = null;
+  let failed: PeerError | null = null;
 
-  const connect = async (): Promise<Result<Link<M>, PeerError>> => {
-    const opened = await open(onSilent, onEnd).finally(() => (opening = null));
-    if (opened.err) {
-      failed = {at: clock.now(), error: opened.val};
-      return opened;
+  const run = async (): Promise<void> => {
+    while (!signal.aborted) {
+      await asked.some();
+      let link = await openNext();
+      while (link !== null) link = await follow(link);
+      if (failed !== null) await sleep(clock, timing.reopenMs, signal);
+      failed = null;
     }
-    if (end.signal.aborted) {
-      opened.val.cut(CLOSED.detail);
-      return Err(CLOSED);
-    }
-    failed = null;
-    current = opened.val;
-    links.add(current);
-    return opened;
-  };
-
-  const onEnd = (link: Link<M>): void => {
-    links.delete(link);
-    if (current === link) current = null;
+    asked.answer(Err(CLOSED));
   };
 
-  const onSilent = (link: Link<M>): void => {
-    if (current === link) void replace(link);
-    else link.cut(SILENT);
+  const openNext = async (): Promise<Link<M> | null> => {
+    if (signal.aborted) return null;
+    const opened = await open();
+    if (opened.ok) current = opened.val;
+    else failed = opened.val;
+    asked.answer(opened);
+    return current;
   };
 
-  const replace = async (old: Link<M>): Promise<void> => {
-    log.warn('stream is silent, trying a new one', {host: to.host});
+  /** Waits for trouble, and returns the stream to go on with. */
+  const follow = async (link: Link<M>): Promise<Link<M> | null> => {
+    const trouble = await link.trouble();
     current = null;
-    opening ??= connect();
-    const opened = await opening;
-    if (opened.ok) {
+    if (trouble === 'ended') return null;
+    log.warn('stream is silent, trying a new one', {host: to.host});
+    const next = await openNext();
+    if (next !== null) {
       log.info('moved to a new stream', {host: to.host});
-      old.retire();
-      await sleep(clock, timing.silentMs, end.signal);
-      if (old.isSilent()) old.cut(SILENT);
-    } else if (old.isOpen() && !old.isSilent()) {
-      current ??= old;
-    } else {
-      log.warn('no new stream', {host: to.host, ...opened.val, found: null});
-      old.cut(SILENT);
+      void retire(link);
+      return next;
     }
+    if (link.isOpen() && !link.isSilent()) {
+      current = link;
+      return link;
+    }
+    log.warn('no new stream', {host: to.host, detail: failed?.detail});
+    link.cut(SILENT);
+    return null;
+  };
+
+  /** Lets a replaced stream finish its requests, if it is heard again. */
+  const retire = async (old: Link<M>): Promise<void> => {
+    old.retire();
+    await sleep(clock, timing.silentMs, signal);
+    if (!old.isSilent()) await old.trouble();
+    old.cut(SILENT);
   };
 
+  void run();
   return {
     link() {
-      if (current !== null) return current;
-      if (end.signal.aborted) return Promise.resolve(Err(CLOSED));
-      if (opening !== null) return opening;
-      if (failed !== null && clock.now() - failed.at < timing.reopenMs) {
-        return Promise.resolve(Err(failed.error));
-      }
-      opening = connect();
-      return opening;
-    },
-    close() {
-      end.abort();
-      for (const link of [...links]) link.cut(CLOSED.detail);
+      if (current?.isOpen()) return current;
+      if (signal.aborted) return Promise.resolve(Err(CLOSED));
+      if (failed !== null) return Promise.resolve(Err(failed));
+      return asked.wait();
     },
   };
 }
@@ -104,7 +98,41 @@
 const SILENT = 'stream is silent';
 const CLOSED: PeerError = {kind: 'unreachable', detail: 'closed here'};
 
-/** Settles as `opening` does, or with `late` once `ms` have passed. */
+/** Those who wait for a stream. */
+interface Askers<M extends ControlKinds> {
+  wait(): Promise<Result<Link<M>, PeerError>>;
+  /** Resolves once somebody waits, or at the end. */
+  some(): Promise<void>;
+  answer(result: Result<Link<M>, PeerError>): void;
+}
+
+function createAskers<M extends ControlKinds>(signal: AbortSignal): Askers<M> {
+  let waiting: ((result: Result<Link<M>, PeerError>) => void)[] = [];
+  let wake = (): void => {};
+  signal.addEventListener('abort', () => wake());
+  return {
+    wait() {
+      return new Promise(resolve => {
+        waiting.push(resolve);
+        wake();
+      });
+    },
+    async some() {
+      if (waiting.length > 0 || signal.aborted) return;
+      await new Promise<void>(resolve => (wake = resolve));
+    },
+    answer(result) {
+      const all = waiting;
+      waiting = [];
+      for (const resolve of all) resolve(result);
+    },
+  };
+}
+
+/**
+ * Settles as `opening` does, or with an error once `ms` have passed or
+ * `signal` aborts.
+ */
 export async function withinTime<T>(
   opening: Promise<Result<T, PeerError>>,
   clock: Clock,
--- a/packages/routers/src/peers.ts
+++ b/packages/routers/src/peers.ts
@@ -1,3 +1,4 @@
+import {setMaxListeners} from 'node:events';
 import grpc, {
   type ChannelCredentials,
   type ServerCredentials,
@@ -144,7 +145,10 @@
 ): Peers<M> {
   const {clock = createClock()} = options;
   const table = new Map<string, Peer<M>>();
-  const openings = toLinkOptions(options, clock);
+  const end = new AbortController();
+  // Each stream listens to it, and there is no limit to their number.
+  setMaxListeners(0, end.signal);
+  const openings = toLinkOptions(options, clock, end.signal);
   const {timing, log} = openings;
 
   const peerOf = (to: Incarnation): Peer<M> => {
@@ -157,8 +161,8 @@
       clock,
       log,
       timing,
-      open: (onSilent, onEnd) =>
-        openLink({...openings, address, expected: to, onSilent, onEnd}),
+      signal: end.signal,
+      open: () => openLink({...openings, address, expected: to}),
     });
     table.set(name, peer);
     return peer;
@@ -185,21 +189,18 @@
       return opened.val.controls.ask(kind, ask, left);
     },
     async probe(address, timeoutMs) {
-      const ignore = (): void => {};
       const opened = await openLink({
         ...openings,
         address,
         expected: null,
         timing: {...timing, openMs: timeoutMs},
-        onSilent: ignore,
-        onEnd: ignore,
       });
       if (opened.err) return opened;
       opened.val.cut('probe done');
       return Ok(opened.val.found);
     },
     close() {
-      for (const peer of table.values()) peer.close();
+      end.abort();
       return Promise.resolve();
     },
   };
@@ -207,18 +208,20 @@
 
 type CommonLinkOptions<M extends ControlKinds> = Omit<
   LinkOptions<M>,
-  'address' | 'expected' | 'onSilent' | 'onEnd'
+  'address' | 'expected'
 >;
 
 function toLinkOptions<M extends ControlKinds>(
   options: PeersOptions<M>,
   clock: Clock,
+  signal: AbortSignal,
 ): CommonLinkOptions<M> {
   const {self, schemas, maxBatchFrames} = options;
   return {
     self,
     schemas,
     clock,
+    signal,
     log: options.log ?? createLogger('routers'),
     credentials: options.credentials ?? grpc.credentials.createInsecure(),
     timing: {...DEFAULT_TIMING, ...options.timing},
--- a/packages/routers/src/served-requests.ts
+++ b/packages/routers/src/served-requests.ts
@@ -147,6 +147,7 @@
         // Else a repeated id could join one request's body to another's.
         if (!(id > lastId)) throw new Error(`request id ${id} used before`);
         lastId = id;
+        if (!(head.remainingMs >= 0)) throw new Error('no time left is given');
         if (options.isStopping()) sendFailure(id, STOPPING);
         else if (table.size >= options.maxRequests) sendFailure(id, FULL);
         else start(id, head);
