Leader's queue: fault tables; a deadline cancelled in its own tick

Cause: tests of faults by table were missing. The one of the timer wheel found that a deadline cancelled by another task of the same tick still ran: a request just sent could have been refused as well.

--- a/packages/requests/src/deadline.ts
+++ b/packages/requests/src/deadline.ts
@@ -78,6 +78,8 @@
       pending++;
       arm(tick);
       return () => {
+        // It may be due in this very tick, behind the task that cancels it.
+        entry.task = noop;
         if (unlink(entry)) pending--;
       };
     },
@@ -86,7 +88,7 @@
 }
 
 function createHead(): Entry {
-  const head = {tick: 0, task: () => {}} as Entry;
+  const head = {tick: 0, task: noop} as Entry;
   head.prev = head;
   head.next = head;
   return head;
@@ -125,3 +127,5 @@
     entry = following;
   }
 }
+
+function noop(): void {}
--- a/packages/requests/src/dispatch.ts
+++ b/packages/requests/src/dispatch.ts
@@ -16,7 +16,7 @@
 export interface TrackedDispatch extends Dispatch {
   /** It was let through, so it may have been written. */
   written: boolean;
-  /** It was held back at the last moment. */
+  /** It was held back when it was last asked about. */
   held: boolean;
 }
 
@@ -72,7 +72,7 @@
       // successor may have given the shard away: nothing may be written.
       const may = led.mayAct() && clock.now() < deadline && !gate.closed;
       if (may) dispatch.written = true;
-      else dispatch.held = true;
+      dispatch.held = !may;
       return may;
     },
   };
@@ -86,7 +86,7 @@
   pending: Pending,
 ): ReturnReason | null {
   if (failed.verdict !== 'not-run' || !pending.isWhole()) return null;
-  if (dispatch.held && !dispatch.written) return 'held';
+  if (dispatch.held) return 'held';
   if (failed.code === 'fenced' && ++pending.fenced > MAX_FENCED) return null;
   return REASONS[failed.code] ?? null;
 }
--- /dev/null
+++ b/packages/requests/test/queue-faults.test.ts
@@ -0,0 +1,194 @@
+import tap from 'tap';
+import {failure, type Failure} from '@banyandrum/base/failure.js';
+import {queueBench} from './bench.js';
+import {settle, told} from './fakes.js';
+
+interface FaultCase {
+  readonly name: string;
+  /** Answers of the server, one after the other; then it answers well. */
+  readonly faults: readonly Failure[];
+  readonly once?: boolean;
+  /** Streamed, and the server read some of it before it refused. */
+  readonly partlyRead?: boolean;
+  readonly sent: number;
+  readonly told: string;
+}
+
+const SHED = failure('not-run', 'overloaded', '', 30);
+const FENCED = failure('not-run', 'fenced', '');
+const UNREACHED = failure('not-run', 'connection-lost', '');
+
+const FAULT_CASES: readonly FaultCase[] = [
+  {
+    name: 'the server sheds load, twice',
+    faults: [SHED, SHED],
+    once: true,
+    sent: 3,
+    told: 'ok',
+  },
+  {
+    name: 'the server has just restarted and owns nothing yet',
+    faults: [FENCED, FENCED],
+    once: true,
+    sent: 3,
+    told: 'ok',
+  },
+  {
+    name: 'another fence is in force',
+    faults: [FENCED, FENCED, FENCED, FENCED, FENCED, FENCED],
+    sent: 5,
+    told: 'not-run fenced',
+  },
+  {
+    name: 'the server cannot be reached for a moment',
+    faults: [UNREACHED, UNREACHED, UNREACHED],
+    once: true,
+    sent: 4,
+    told: 'ok',
+  },
+  {
+    name: 'the connection breaks after the write',
+    faults: [failure('may-have-run', 'connection-lost', '')],
+    sent: 1,
+    told: 'may-have-run connection-lost',
+  },
+  {
+    name: 'the answer is cut short',
+    faults: [failure('ran', 'truncated', '')],
+    sent: 1,
+    told: 'ran truncated',
+  },
+  {
+    name: 'the deadline had passed on arrival',
+    faults: [failure('not-run', 'deadline', '')],
+    sent: 1,
+    told: 'not-run deadline',
+  },
+  {
+    name: 'a streamed body is gone when the server sheds',
+    faults: [SHED],
+    partlyRead: true,
+    sent: 1,
+    told: 'not-run overloaded',
+  },
+];
+
+void tap.test('faults of a server, by verdict', async t => {
+  for (const c of FAULT_CASES) {
+    const b = queueBench({slots: 1});
+    const body = c.partlyRead ? pieces() : new Uint8Array(3);
+    const seen = b.ask({once: c.once ?? false, body});
+    await settle();
+    for (const [i, fault] of c.faults.entries()) {
+      const sent = b.client.sent[i];
+      if (sent === undefined) break;
+      if (c.partlyRead) await readSome(sent.dispatch.req.body);
+      await sent.fail(fault);
+      await b.clock.advance(200);
+    }
+    await b.client.sent[c.faults.length]?.answer();
+    t.equal(told(seen), c.told, c.name);
+    t.equal(b.client.sent.length, c.sent, `${c.name}: times sent`);
+  }
+});
+
+void tap.test('a refused request keeps its place', async t => {
+  // The caller sees its answer in turn. The server refuses the first one
+  // for lack of capacity; it goes ahead of those that came after it.
+  const b = queueBench({slots: 1});
+  b.ask({id: 'first'});
+  b.ask({id: 'second'});
+  await settle();
+  await b.client.sent[0]?.fail(SHED);
+  t.equal(b.client.sent.length, 1, 'the hint of 30 ms is kept');
+  await b.clock.advance(40);
+  t.equal(b.client.sent[1]?.dispatch.req.id, 'first');
+});
+
+void tap.test('a client that breaks its promise costs no slot', async t => {
+  // The caller is told the truth in bounded time: nothing says whether the
+  // request ran, unless it was never let through to be written.
+  const cases = [
+    {write: true, throws: false, told: 'may-have-run deadline'},
+    {write: false, throws: false, told: 'not-run deadline'},
+    {write: true, throws: true, told: 'may-have-run internal'},
+    {write: false, throws: true, told: 'not-run internal'},
+  ];
+  for (const c of cases) {
+    const b = queueBench({
+      slots: 1,
+      send: (_, dispatch) => {
+        if (c.write) dispatch.mayWrite();
+        return c.throws
+          ? Promise.reject(new Error('broken'))
+          : new Promise(() => {});
+      },
+    });
+    const seen = b.ask();
+    await b.clock.advance(1300);
+    t.equal(told(seen), c.told);
+    t.equal(b.queue.snapshot().servers[0]?.inFlight, 0);
+  }
+});
+
+void tap.test('a request never outlives the lease', async t => {
+  // The server may lose the shard when the lease ends, and not all servers
+  // check fences: what it is sent ends with the lease. With no lease left
+  // nothing is sent until it is renewed.
+  const b = queueBench({slots: 2});
+  b.led.leaseEnd = 700;
+  b.ask({deadline: 5000});
+  await settle();
+  const dispatch = b.client.sent[0]?.dispatch;
+  t.equal(dispatch?.req.deadline, 700);
+  t.same(dispatch?.serverDeadline, {boot: 's1', ms: 700});
+  await b.clock.advance(701);
+  t.equal(dispatch?.mayWrite(), false);
+  b.ask({deadline: 5000});
+  await b.clock.advance(50);
+  t.equal(b.client.sent.length, 1);
+  b.led.leaseEnd = 2600;
+  await b.clock.advance(20);
+  t.equal(b.client.sent.length, 2);
+});
+
+void tap.test('held back at the last moment, it waits again', async t => {
+  // The process was paused between its decision and the write. The client
+  // asks once more, is told no, and the request, of which nothing was
+  // written, goes back to its place until the leader may act again.
+  const b = queueBench({slots: 1});
+  const seen = b.ask({once: true});
+  await settle();
+  b.led.acting = false;
+  const [first] = b.client.sent;
+  t.equal(first?.dispatch.mayWrite(), false);
+  await first?.fail(failure('not-run', 'moved', ''));
+  await b.clock.advance(30);
+  t.equal(told(seen), 'waiting');
+  b.led.acting = true;
+  await b.clock.advance(30);
+  await b.client.sent[1]?.answer();
+  t.equal(told(seen), 'ok');
+});
+
+void tap.test('without authority the wait is bounded', async t => {
+  // The caller's entry gets the request back and finds the next leader,
+  // instead of waiting here for an authority that is gone for good.
+  const b = queueBench();
+  b.led.acting = false;
+  const seen = b.ask({deadline: 60_000});
+  await b.clock.advance(1100);
+  t.equal(told(seen), 'not-run moved');
+});
+
+async function* pieces(): AsyncGenerator<Uint8Array> {
+  yield new Uint8Array(1);
+  yield new Uint8Array(2);
+}
+
+async function readSome(
+  body: Uint8Array | AsyncIterable<Uint8Array>,
+): Promise<void> {
+  if (body instanceof Uint8Array) return;
+  await body[Symbol.asyncIterator]().next();
+}
--- a/packages/requests/test/queue.test.ts
+++ b/packages/requests/test/queue.test.ts
@@ -1,47 +1,12 @@
 import tap from 'tap';
-import {createManualClock} from '@banyandrum/standins/manual-clock.js';
-import {
-  createLeaderQueues,
-  type LeaderQueues,
-} from '@banyandrum/requests/leader-queues.js';
 import {shardOfKey} from '@banyandrum/base/hash.js';
-import {
-  fakeCell,
-  fakeClient,
-  RULES,
-  owned,
-  request,
-  server,
-  settle,
-  SHARDS,
-  told,
-  watch,
-  type FakeCell,
-  type FakeClient,
-} from './fakes.js';
+import {queueBench} from './bench.js';
+import {owned, server, settle, SHARDS, told} from './fakes.js';
 
 const CELL = 'holds/0';
 
-interface Bench {
-  readonly clock: ReturnType<typeof createManualClock>;
-  readonly client: FakeClient;
-  readonly led: FakeCell;
-  readonly queues: LeaderQueues;
-  ask(over?: Parameters<typeof request>[0]): ReturnType<typeof watch>;
-}
-
-function bench(slots = 2): Bench {
-  const clock = createManualClock();
-  const client = fakeClient();
-  const led = fakeCell(server('s1', slots));
-  const queues = createLeaderQueues({client, rules: () => RULES, clock});
-  const queue = queues.lead(led);
-  const ask: Bench['ask'] = over => watch(queue.handle(request(over)));
-  return {clock, client, led, queues, ask};
-}
-
 void tap.test('never more in flight than slots', async t => {
-  const {client, ask} = bench(2);
+  const {client, ask} = queueBench({slots: 2});
   const all = Array.from({length: 5}, () => ask());
   await settle();
   t.equal(client.sent.length, 2);
@@ -51,7 +16,7 @@
 });
 
 void tap.test('a cancelled request gives up its place', async t => {
-  const {client, ask} = bench(1);
+  const {client, ask} = queueBench({slots: 1});
   const caller = new AbortController();
   ask();
   const second = ask({signal: caller.signal, id: 'second'});
@@ -64,7 +29,7 @@
 });
 
 void tap.test('a streamed answer keeps its slot until it ends', async t => {
-  const {client, ask} = bench(1);
+  const {client, ask} = queueBench({slots: 1});
   const first = ask();
   ask();
   await settle();
@@ -86,7 +51,7 @@
   // The caller sees one answer, a little later than usual. The gate closes
   // while a request is in flight; close() ends only with its answer. What
   // comes meanwhile waits at the shard and is sent to the new server.
-  const {client, led, queues, ask} = bench();
+  const {client, led, queues, ask} = queueBench();
   const shard = shardOfKey('k', SHARDS);
   ask();
   await settle();
@@ -110,7 +75,7 @@
   // The caller sees its answer once the leader may act again, or `not-run`.
   // The process was paused and its authority lapsed; it must not write,
   // since a successor may already have given the shard away.
-  const {clock, client, led, queues, ask} = bench();
+  const {clock, client, led, queues, ask} = queueBench();
   led.acting = false;
   const held = ask();
   await clock.advance(50);
@@ -129,7 +94,7 @@
 });
 
 void tap.test('what waits too long is refused, never sent', async t => {
-  const {clock, client, ask} = bench(1);
+  const {clock, client, ask} = queueBench({slots: 1});
   ask({deadline: 5000});
   const late = ask({deadline: 100});
   await clock.advance(110);
