Faults bench: real processes, cut relays, servers' own records

Cause: nothing showed the whole system under failure. Ids are drawn from a pool of random bytes, as the callers' profile suggested.

--- a/packages/base/src/ids.ts
+++ b/packages/base/src/ids.ts
@@ -28,9 +28,22 @@
   readonly sequence: number;
 }
 
+const ID_BYTES = 8;
+const POOL_IDS = 512;
+
+// One call for many ids: a call for each took some 6 % of the time of a
+// small request at the callers' interface.
+let pool = Buffer.alloc(0);
+let poolUsed = 0;
+
 /** A random id of 64 bits, as 16 hexadecimal digits. */
 export function createId(): string {
-  return randomBytes(8).toString('hex');
+  if (poolUsed === pool.length) {
+    pool = randomBytes(ID_BYTES * POOL_IDS);
+    poolUsed = 0;
+  }
+  poolUsed += ID_BYTES;
+  return pool.toString('hex', poolUsed - ID_BYTES, poolUsed);
 }
 
 /** Below 0 where `a` is older than `b`, 0 where equal. */
--- a/packages/bench/src/deployment.ts
+++ b/packages/bench/src/deployment.ts
@@ -11,6 +11,7 @@
 import {request} from 'undici';
 import {z} from 'zod';
 import {startChild, type Child} from './child.js';
+import {createRelay, type Relay} from './relay.js';
 
 /** A service of the deployment and its stand-in servers. */
 export interface ServiceSpec {
@@ -33,6 +34,18 @@
   readonly rulesToml: string;
   readonly logLevel: 'debug' | 'info' | 'warn' | 'error';
   readonly onLog?: (router: string, line: string) => void;
+  /** Whether connections pass through relays that can be cut. */
+  readonly relays?: boolean;
+}
+
+/** The relays of a deployment, by host or server; empty without relays. */
+export interface Relays {
+  /** In front of each router's interface for peers. */
+  readonly peers: ReadonlyMap<string, Relay>;
+  /** Between each router and the log. */
+  readonly logs: ReadonlyMap<string, Relay>;
+  /** In front of each server. */
+  readonly servers: ReadonlyMap<string, Relay>;
 }
 
 export interface ServerAddress {
@@ -47,6 +60,7 @@
   readonly callers: string;
   readonly operators: string;
   readonly peers: string;
+  readonly peersListen: string;
   readonly child: Child;
 }
 
@@ -59,6 +73,7 @@
   /** Routers that run now, by host. */
   readonly routers: ReadonlyMap<string, RouterProcess>;
   readonly token: string;
+  readonly relays: Relays;
   /** A client of one router's operators' interface. */
   operatorsOf(host: string): OperatorsClient;
   /** Starts a router on a host, once more if it ran before. */
@@ -92,6 +107,7 @@
   callers: z.string(),
   operators: z.string(),
   peers: z.string(),
+  peersListen: z.string(),
 });
 
 const POLL_MS = 50;
@@ -121,9 +137,17 @@
   const log = addressHello.parse(logChild.hello);
   const hostList = addressHello.parse(listChild.hello);
   const {servers} = serversHello.parse(serversChild.hello);
-  const platform = {log: log.address, hostList: hostList.address, token};
+  const platform = {hostList: hostList.address, token};
   const routers = new Map<string, RouterProcess>();
+  const ports = new Map<string, number>();
   const listed = new Map<string, ListedHost>();
+  const relays = createRelays(spec.relays ?? false);
+  const inventory = await Promise.all(
+    servers.map(async server => ({
+      ...server,
+      address: await relays.add(relays.servers, server.name, server.address),
+    })),
+  );
   const list = (): Promise<void> =>
     putHosts(hostList.controlAddress, [...listed.values()]);
 
@@ -131,8 +155,18 @@
     const index = hostIndex(host);
     const dataCentre = spec.dataCentres[index % spec.dataCentres.length]!;
     const settings = join(folder, `${host}.toml`);
-    const port = routerPort(routers.get(host) ?? null, listed.get(host));
-    const place = {host, dataCentre, port};
+    const port = ports.get(host) ?? 0;
+    const place = {
+      host,
+      dataCentre,
+      port,
+      log: await relays.add(relays.logs, host, log.address),
+      advertise: await relays.addLate(
+        relays.peers,
+        host,
+        () => `127.0.0.1:${ports.get(host)}`,
+      ),
+    };
     await writeFile(settings, settingsToml(spec, platform, place));
     const child = await startChild({
       name: host,
@@ -142,6 +176,7 @@
     const hello = routerHello.parse(child.hello);
     const router = {host, dataCentre, child, ...hello};
     routers.set(host, router);
+    ports.set(host, Number(hello.peersListen.split(':')[1]));
     listed.set(host, {
       name: host,
       role: 'router',
@@ -164,6 +199,7 @@
     servers,
     routers,
     token,
+    relays,
     operatorsOf,
     startRouter,
     async endRouter(host, signal) {
@@ -183,7 +219,7 @@
         changeId: createId(),
         basedOn: 0,
         reason: 'first publication',
-        inventoryToml: inventoryToml(spec, servers),
+        inventoryToml: inventoryToml(spec, inventory),
         rulesToml: spec.rulesToml,
       });
       await client.close();
@@ -201,6 +237,7 @@
       const children = [...routers.values()].map(({child}) => child);
       await endAll(children);
       await endAll([logChild, listChild, serversChild]);
+      await relays.close();
       await rm(folder, {recursive: true});
     },
   };
@@ -219,7 +256,6 @@
 }
 
 interface Platform {
-  readonly log: string;
   readonly hostList: string;
   readonly token: string;
 }
@@ -229,6 +265,8 @@
   readonly dataCentre: string;
   /** Where the interface for peers listens; 0 the first time. */
   readonly port: number;
+  readonly log: string;
+  readonly advertise: string | null;
 }
 
 function scriptPath(name: string): string {
@@ -239,13 +277,46 @@
   return Number(host.slice(host.lastIndexOf('-') + 1)) - 1;
 }
 
-/** A restarted router answers at the address it had before. */
-function routerPort(
-  running: RouterProcess | null,
-  listed: ListedHost | undefined,
-): number {
-  const address = running?.peers ?? listed?.address;
-  return address === undefined ? 0 : Number(address.split(':')[1]);
+interface RelaySet extends Relays {
+  /** The address to use: the relay's, or the target itself without relays. */
+  add(
+    group: ReadonlyMap<string, Relay>,
+    name: string,
+    target: string,
+  ): Promise<string>;
+  /** A relay to a target that is known later; null without relays. */
+  addLate(
+    group: ReadonlyMap<string, Relay>,
+    name: string,
+    target: () => string,
+  ): Promise<string | null>;
+  close(): Promise<void>;
+}
+
+function createRelays(wanted: boolean): RelaySet {
+  const peers = new Map<string, Relay>();
+  const logs = new Map<string, Relay>();
+  const servers = new Map<string, Relay>();
+  const addLate: RelaySet['addLate'] = async (group, name, target) => {
+    if (!wanted) return null;
+    const known = group.get(name);
+    if (known !== undefined) return known.address;
+    const relay = await createRelay(target);
+    (group as Map<string, Relay>).set(name, relay);
+    return relay.address;
+  };
+  return {
+    peers,
+    logs,
+    servers,
+    addLate,
+    add: async (group, name, target) =>
+      (await addLate(group, name, () => target)) ?? target,
+    async close() {
+      const all = [...peers.values(), ...logs.values(), ...servers.values()];
+      await Promise.all(all.map(relay => relay.close()));
+    },
+  };
 }
 
 async function startServers(
@@ -267,7 +338,7 @@
 function settingsToml(
   spec: DeploymentSpec,
   platform: Platform,
-  {host, dataCentre, port}: RouterPlace,
+  {host, dataCentre, port, log, advertise}: RouterPlace,
 ): string {
   const sha256 = createHash('sha256').update(platform.token).digest('hex');
   return `[router]
@@ -289,9 +360,10 @@
 
 [peers]
 listen = "127.0.0.1:${port}"
+${advertise === null ? '' : `advertise = "${advertise}"`}
 
 [log]
-address = "${platform.log}"
+address = "${log}"
 
 [host_list]
 address = "${platform.hostList}"
--- a/packages/router/src/main.ts
+++ b/packages/router/src/main.ts
@@ -45,9 +45,9 @@
   setLogLevel(settings.val.logging.level);
   const router = await startRouter(settings.val).catch((err: Error) => err);
   if (router instanceof Error) return fail(EXIT.cannotStart, router.message);
-  const {callers, operators, peers} = router;
-  const addresses = JSON.stringify({callers, operators, peers});
-  process.stdout.write(`${addresses}\n`);
+  const {callers, operators, peers, peersListen} = router;
+  const addresses = {callers, operators, peers, peersListen};
+  process.stdout.write(`${JSON.stringify(addresses)}\n`);
   const stop = (): void => {
     void router.stop(graceMs).then(() => process.exit(0));
   };
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -40,8 +40,10 @@
   readonly callers: string;
   /** `ip:port` of the operators' interface. */
   readonly operators: string;
-  /** `ip:port` of the interface for other routers. */
+  /** `ip:port` of the interface for other routers, as it is advertised. */
   readonly peers: string;
+  /** `ip:port` that the interface for other routers listens on. */
+  readonly peersListen: string;
   readonly store: StateStore;
   readonly cells: Cells;
   readonly ownership: () => Ownership | null;
@@ -219,6 +221,7 @@
     callers: callers.address(),
     operators: operators.address(),
     peers: address,
+    peersListen: peerServer.address,
     store,
     cells,
     ownership: () => ownership,
--- a/packages/standins/src/server-control.ts
+++ b/packages/standins/src/server-control.ts
@@ -6,6 +6,7 @@
 import {leaseOrderSchema} from '@banyandrum/servers/schemas.js';
 import {answerJson} from './server-answer.js';
 import type {Exchange} from './server-answer.js';
+import type {BeliefRecord} from './server-beliefs.js';
 import {faultChangeSchema} from './server-faults.js';
 import type {FaultChange, FaultSwitch} from './server-faults.js';
 import type {ServerLeases} from './server-lease.js';
@@ -20,6 +21,7 @@
 
 export interface HarnessParts {
   readonly record: ExecutionRecord;
+  readonly beliefs: BeliefRecord;
   change(change: FaultChange): Promise<void>;
 }
 
@@ -36,6 +38,9 @@
   'GET /standin/executions': ({record}, exchange) => {
     answerJson(exchange, 200, {executions: record.list()});
   },
+  'GET /standin/beliefs': ({beliefs}, exchange) => {
+    answerJson(exchange, 200, {beliefs: beliefs.list()});
+  },
   'DELETE /standin/executions': ({record}, exchange) => {
     record.clear();
     answerJson(exchange, 200, {});
--- a/packages/standins/src/server-lease.ts
+++ b/packages/standins/src/server-lease.ts
@@ -17,6 +17,11 @@
   held(): readonly HeldLease[];
 }
 
+/** An order that took effect; `endsAt` is on the server's own clock. */
+export interface ObeyedOrder extends HeldLease {
+  readonly endsAt: number;
+}
+
 /** A lease that has not ended. */
 export interface HeldLease {
   readonly cell: CellId;
@@ -43,6 +48,7 @@
 export function createServerLeases(
   checksFences: boolean,
   stamp: () => Stamp,
+  onObeyed: (obeyed: ObeyedOrder) => void = () => {},
 ): ServerLeases {
   const leases = new Map<CellId, Lease>();
 
@@ -81,6 +87,8 @@
       shards: new Set(order.shards),
       endsAt,
     });
+    const {cell, fence: obeyed, shards} = order;
+    onObeyed({cell, fence: obeyed, shards, endsAt});
     return report(order.cell);
   };
 
--- a/packages/standins/src/server-run.ts
+++ b/packages/standins/src/server-run.ts
@@ -2,6 +2,7 @@
 import {createId} from '@banyandrum/base/ids.js';
 import type {Stamp} from '@banyandrum/servers/client.js';
 import type {ControlParts} from './server-control.js';
+import type {BeliefRecord} from './server-beliefs.js';
 import {createFaultSwitch} from './server-faults.js';
 import {createServerLeases} from './server-lease.js';
 import {createLoadReports} from './server-load.js';
@@ -32,12 +33,17 @@
   options: ServerStandinOptions,
   clock: Clock,
   record: ExecutionRecord,
+  beliefs: BeliefRecord,
 ): ServerRun {
   const boot = createId();
   const stamp = createStamps(clock, boot, options.clockRate ?? 1);
   const faults = createFaultSwitch();
   const slots = createServerSlots(options.slots, options.queueLimit ?? 0);
-  const leases = createServerLeases(options.checksFences, stamp);
+  const rate = options.clockRate ?? 1;
+  const leases = createServerLeases(options.checksFences, stamp, obeyed => {
+    const leftMs = (obeyed.endsAt - stamp().ms) / rate;
+    beliefs.begin({...obeyed, untilMs: clock.now() + leftMs});
+  });
   const warmAt = clock.now() + (options.coldStartMs ?? 0);
   const isCold = (): boolean => clock.now() < warmAt;
   const draw = createServiceTimes(
--- a/packages/standins/src/server.ts
+++ b/packages/standins/src/server.ts
@@ -7,6 +7,7 @@
 import type {FaultChange} from './server-faults.js';
 import type {HeldLease} from './server-lease.js';
 import type {ServerStandinOptions} from './server-options.js';
+import {createBeliefRecord} from './server-beliefs.js';
 import {createExecutionRecord} from './server-record.js';
 import type {Execution} from './server-record.js';
 import {serveRequest} from './server-requests.js';
@@ -60,7 +61,8 @@
 ): Promise<ServerStandin> {
   const clock = options.clock ?? createClock();
   const record = createExecutionRecord(options.name, () => clock.now());
-  let run = createServerRun(options, clock, record);
+  const beliefs = createBeliefRecord(options.name, () => clock.now());
+  let run = createServerRun(options, clock, record, beliefs);
   let received = 0;
 
   const handle = async (
@@ -69,7 +71,7 @@
   ): Promise<void> => {
     const exchange = {req, res};
     const harness = harnessRoute(req);
-    if (harness) return harness({record, change}, exchange);
+    if (harness) return harness({record, beliefs, change}, exchange);
     received++;
     if (listener.isSilent(req.socket)) return;
     const {control, requests} = run;
@@ -85,10 +87,11 @@
     run.control.faults.set(lasting);
     if (silence) listener.silence();
     if (!die) return;
+    beliefs.endAll();
     await listener.stop();
     if (restartAfterMs === undefined) return;
     await sleep(clock, restartAfterMs);
-    run = createServerRun(options, clock, record);
+    run = createServerRun(options, clock, record, beliefs);
     await listener.start(port);
   };
 
