--- a/packages/cli/test/run-cli.test.ts
+++ b/packages/cli/test/run-cli.test.ts
@@ -206,6 +206,26 @@
   }
 });
 
+void tap.test('history shows bytes that are no record', async t => {
+  const entry = {
+    offset: 9,
+    kind: 'unreadable',
+    changeId: '',
+    author: '',
+    reason: '',
+    at: '',
+    outcome: 'invalid',
+    detail: 'no envelope of a record',
+  } as const;
+  const operators = await start(t, {
+    history: async () => Ok({entries: [entry]}),
+  });
+  t.match(await run(['history'], operators), {
+    code: 0,
+    out: /9 .*unreadable +invalid: no envelope of a record/,
+  });
+});
+
 void tap.test('access is refused', async t => {
   const operators = await start(t);
   const as = (token: string): readonly string[] => [
--- a/packages/config/src/log-reader.ts
+++ b/packages/config/src/log-reader.ts
@@ -5,8 +5,8 @@
 import {decodeRecord} from './codec.js';
 import type {DecodedRecord} from './codec.js';
 import {EMPTY_STATE, applyDecoded} from './fold.js';
-import {createLateStart} from './late-start.js';
-import type {LateStart} from './late-start.js';
+import {createCatchUp} from './catch-up.js';
+import type {CatchUp} from './catch-up.js';
 import type {ClusterState} from './state.js';
 
 /** Turns the log's pages into a state that only moves forward. */
@@ -49,39 +49,33 @@
   const {log, onRecord, onMoved} = options;
   let state = EMPTY_STATE;
   let confirmedAt = -Infinity;
-  let lateStart: LateStart | null = null;
+  let isWaiting = false;
+  let catchUp: CatchUp | null = createCatchUp(EMPTY_STATE.next);
 
   const move = (next: ClusterState): void => {
     if (next.next > state.next) state = next;
   };
 
-  const applyAll = async (records: readonly LogRecord[]): Promise<void> => {
-    let bytes = 0;
-    for (const {offset, data} of records) {
+  const applyAll = (records: readonly LogRecord[]): Promise<void> =>
+    inTurns(records, ({offset, data}) => {
       const decoded = decodeRecord(data);
       move(applyDecoded(state, offset, decoded));
       onRecord(offset, decoded, state);
-      bytes += data.byteLength;
-      if (bytes < BYTES_IN_A_TURN) continue;
-      bytes = 0;
-      await new Promise(resolve => setImmediate(resolve));
-    }
-  };
-
-  const takeRecord = async (record: LogRecord): Promise<void> => {
-    if (lateStart === null) return applyAll([record]);
-    const loaded = lateStart.push(record);
-    if (loaded !== null) await endLateStart(loaded, lateStart);
-  };
+    });
 
-  const endLateStart = (
-    loaded: ClusterState,
-    late: LateStart,
-  ): Promise<void> => {
-    log.info('state taken over', {next: loaded.next});
-    lateStart = null;
-    move(loaded);
-    return applyAll(late.records());
+  /** At the log's end: goes on from the newest state without a gap. */
+  const endCatchUp = async (ending: CatchUp): Promise<void> => {
+    const base = ending.base(state);
+    if (base === null) {
+      if (!isWaiting) log.warn('waiting for a snapshot', {next: state.next});
+      isWaiting = true;
+      return;
+    }
+    catchUp = null;
+    isWaiting = false;
+    move(base);
+    await applyAll(ending.records());
+    log.info('caught up with the log', {base: base.next, next: state.next});
   };
 
   return {
@@ -89,20 +83,21 @@
     confirmedAt: () => confirmedAt,
     async takePage({page, confirmedAt: at}) {
       const before = state;
-      if (lateStart?.covers(state)) await endLateStart(state, lateStart);
-      for (const record of page.records) await takeRecord(record);
+      if (catchUp === null) await applyAll(page.records);
+      else await inTurns(page.records, catchUp.push);
+      if (catchUp !== null && at !== null) await endCatchUp(catchUp);
       // Without the records that expired, or told of an end other than what
       // it has read up to, this reader must not count as having read all: a
       // leader would go on though the log names another.
-      const isWhole = lateStart === null && page.end === state.next;
+      const isWhole = catchUp === null && page.end === state.next;
       if (at !== null && isWhole) confirmedAt = at;
       if (state !== before) onMoved(state);
     },
     takeExpired(first) {
-      if (state.next >= first) return state.next;
-      log.warn('waiting for a snapshot', {first, next: state.next});
-      lateStart = createLateStart(first);
-      return first;
+      log.warn('records expired', {first, next: state.next});
+      const from = Math.max(first, state.next);
+      catchUp = createCatchUp(from);
+      return from;
     },
     adopt(adopted) {
       if (adopted.next <= state.next) return false;
@@ -112,3 +107,18 @@
     },
   };
 }
+
+/** Gives other tasks a turn now and then: leases are renewed meanwhile. */
+async function inTurns(
+  records: readonly LogRecord[],
+  task: (record: LogRecord) => void,
+): Promise<void> {
+  let bytes = 0;
+  for (const record of records) {
+    task(record);
+    bytes += record.data.byteLength;
+    if (bytes < BYTES_IN_A_TURN) continue;
+    bytes = 0;
+    await new Promise(resolve => setImmediate(resolve));
+  }
+}
--- a/packages/config/src/log-store.ts
+++ b/packages/config/src/log-store.ts
@@ -5,7 +5,7 @@
 import type {Result} from '@banyandrum/base/result.js';
 import type {LogClient, LogError} from '@banyandrum/log/client.js';
 import {runTail} from '@banyandrum/log/tail.js';
-import {encodeRecord} from './codec.js';
+import {decodeRecord, encodeRecord} from './codec.js';
 import {createLogReader} from './log-reader.js';
 import type {LogReader} from './log-reader.js';
 import {createPendingAppends} from './pending-appends.js';
@@ -39,7 +39,7 @@
 const DEFAULT_MAX_RECORDS = 256;
 const DEFAULT_READ_BACK_MS = 10_000;
 const DEFAULT_RETENTION_MS = 3_600_000;
-const DEFAULT_SNAPSHOT_AFTER_RECORDS = 2_000;
+const DEFAULT_SNAPSHOT_AFTER_RECORDS = 500;
 const DEFAULT_SNAPSHOT_JITTER_MS = 5_000;
 
 const RESTART_PAUSE_MS = 1_000;
@@ -172,7 +172,12 @@
     pending: PendingAppend,
     signal: AbortSignal,
   ): Promise<Result<Appended, LogError>> => {
-    const reply = await client.append(encodeRecord(record, pending.id), signal);
+    const data = encodeRecord(record, pending.id);
+    // Readers would skip it: its author would wait for a change never made.
+    if (decodeRecord(data).kind !== 'record') {
+      return Err({kind: 'unavailable', detail: `no valid ${record.kind}`});
+    }
+    const reply = await client.append(data, signal);
     if (reply.err && reply.val.kind !== 'unknown') return reply;
     if (reply.ok) {
       pending.confirm(reply.val);
--- a/packages/config/test/log-store.test.ts
+++ b/packages/config/test/log-store.test.ts
@@ -59,6 +59,11 @@
   };
 }
 
+function drain(target: string): StateRecord {
+  const by = {author: 'a', reason: 'r', at: '2026-01-01'};
+  return {kind: 'drain', changeId: target, ...by, target, draining: true};
+}
+
 function foldAll(log: MemoryLog, from = EMPTY_STATE): ClusterState {
   return log
     .records()
@@ -126,6 +131,18 @@
   }
 });
 
+void tap.test('a record that readers would skip is refused', async t => {
+  const {clock, log, open} = createBench(t);
+  const store = open();
+  await clock.advance(10);
+  const appended = await store.append({
+    ...drain('s'),
+    target: '',
+  } as StateRecord);
+  t.equal(appended.err && appended.val.kind, 'unavailable');
+  t.equal(log.records().length, 0);
+});
+
 void tap.test('a caller that gives up is told what is not known', async t => {
   const {clock, log, open} = createBench(t);
   const store = open();
@@ -204,6 +221,27 @@
   t.ok(store.confirmedAt() > 0);
 });
 
+void tap.test('a start goes on from the newest snapshot', async t => {
+  // With a month of changes in the log, applying each of them would keep a
+  // router from serving for minutes. The snapshots here hold a drain that the
+  // records before them lack, to show where the state came from.
+  const {clock, log, open} = createBench(t);
+  for (const target of ['first', 'second']) {
+    log.append(Buffer.from('{}'));
+    const state = {...foldAll(log), drains: new Set([target])};
+    const {next} = state;
+    log.append(
+      encodeRecord({kind: 'snapshot', next, state: encodeState(state)}),
+    );
+  }
+  log.append(encodeRecord(drain('after')));
+  const store = open({maxRecords: 2});
+  await clock.advance(500);
+  t.strictSame([...store.current().drains], ['second', 'after']);
+  t.equal(store.current().next, 6);
+  t.equal(store.current().audit.length, 3, 'the same audit trail');
+});
+
 void tap.test('a peer helps a start without the log', async t => {
   // A router restarts while the log is down. A peer's state lets it serve;
   // an older one, a second peer's, must not take it back. When the log is up
