--- a/packages/requests/src/queue.ts
+++ b/packages/requests/src/queue.ts
@@ -177,7 +177,7 @@
   const learnWait = (pending: Pending, server: ServerQueue): void => {
     if (pending.spot === null) return;
     const {since, expectedMs} = pending.spot;
-    server.waited(pending.level, expectedMs, clock.now() - since);
+    server.waited(pending.level, since, expectedMs);
   };
 
   const park = (pending: Pending, gate: ShardGate): void => {
@@ -248,7 +248,10 @@
   /** Sends what may be sent now. */
   const pump = (server: ServerQueue): void => {
     while (server.slots.isFree() && server.waiting.size() > 0) {
-      if (!led.mayAct()) return hold.lost();
+      if (!led.mayAct()) {
+        server.heldBack();
+        return hold.lost();
+      }
       hold.found();
       const ticket = server.waiting.take(clock.now());
       if (ticket === null) return;
@@ -270,6 +273,7 @@
     }
     if (isLeaseShort(server, pending, where)) {
       putBack(server, ticket);
+      server.heldBack();
       hold.poll();
       return false;
     }
--- a/packages/requests/src/server-queue.ts
+++ b/packages/requests/src/server-queue.ts
@@ -29,8 +29,13 @@
   meanMs(level?: number): number;
   /** Time until the ticket's turn, in ms, as things stand. */
   waitMs(ticket: Ticket<Pending>): number;
-  /** Its turn came, or had not come yet, after `ms`. */
-  waited(level: number, expectedMs: number, ms: number): void;
+  /**
+   * A request that came at `since` had its turn now, or gave up. Waits while
+   * the leader itself was held back say nothing of the queue's speed.
+   */
+  waited(level: number, since: number, expectedMs: number): void;
+  /** The leader may not send to the server now. */
+  heldBack(): void;
 }
 
 /** Over how long the share of each level is averaged. */
@@ -61,6 +66,8 @@
   const errors: WaitError[] = [];
   const busyMs: DecayingSum[] = [];
 
+  let heldAt = -Infinity;
+
   const timesOf = (level: number): ServiceTimes =>
     (times[level] ??= createServiceTimes());
 
@@ -112,8 +119,12 @@
       const ms = pause + work / slots.window() / shareOf(own);
       return ms * errorOf(own).factor();
     },
-    waited(level, expectedMs, ms) {
-      if (expectedMs > 0) errorOf(level).observe(ms / expectedMs);
+    waited(level, since, expectedMs) {
+      if (expectedMs <= 0 || since <= heldAt) return;
+      errorOf(level).observe((clock.now() - since) / expectedMs);
+    },
+    heldBack() {
+      heldAt = clock.now();
     },
   };
 }
--- a/packages/requests/src/throttle.ts
+++ b/packages/requests/src/throttle.ts
@@ -6,8 +6,9 @@
 /** Refuses at the entry what the leader would most likely refuse. */
 export interface Throttle {
   /**
-   * Counts one request. A number where it is to be refused at once: the
-   * leader's own retry hint in ms.
+   * Null where the request may go to the leader; then `accepted` or `refused`
+   * is called once with its outcome. A number where it is to be refused at
+   * once: the leader's own retry hint in ms.
    */
   refuses(cell: CellId, req: ServiceRequest): number | null;
   /** The request was not refused for lack of capacity. */
@@ -42,9 +43,11 @@
 
 /** Requests of one cell and one level of precedence. */
 interface Ledger {
-  /** By bucket of the key, then by bucket of the caller. */
+  /** All by bucket of the key, then by bucket of the caller. */
   readonly asked: Float64Array;
   readonly accepted: Float64Array;
+  /** With the leader now; it refuses fast, so they count as accepted. */
+  readonly underWay: Float64Array;
   fadedAt: number;
   retryAfterMs: number;
 }
@@ -78,20 +81,27 @@
       const ledger = ledgerOf(cell, req.precedence);
       const [key, caller] = bucketsOf(req);
       fade(ledger, clock.now());
-      count(ledger.asked, key);
-      count(ledger.asked, caller);
       const share = Math.min(excess(ledger, key), excess(ledger, caller));
-      if (share <= 0) return null;
-      return random() < share ? ledger.retryAfterMs : null;
+      if (share > 0 && random() < share) {
+        count(ledger.asked, key, caller, 1);
+        return ledger.retryAfterMs;
+      }
+      count(ledger.underWay, key, caller, 1);
+      return null;
     },
     accepted(cell, req) {
       const ledger = ledgerOf(cell, req.precedence);
       const [key, caller] = bucketsOf(req);
-      count(ledger.accepted, key);
-      count(ledger.accepted, caller);
+      count(ledger.underWay, key, caller, -1);
+      count(ledger.asked, key, caller, 1);
+      count(ledger.accepted, key, caller, 1);
     },
     refused(cell, req, retryAfterMs) {
-      ledgerOf(cell, req.precedence).retryAfterMs = retryAfterMs;
+      const ledger = ledgerOf(cell, req.precedence);
+      const [key, caller] = bucketsOf(req);
+      count(ledger.underWay, key, caller, -1);
+      count(ledger.asked, key, caller, 1);
+      ledger.retryAfterMs = retryAfterMs;
     },
   };
 }
@@ -100,6 +110,7 @@
   return {
     asked: new Float64Array(2 * BUCKETS),
     accepted: new Float64Array(2 * BUCKETS),
+    underWay: new Float64Array(2 * BUCKETS),
     fadedAt: now,
     retryAfterMs: 0,
   };
@@ -111,14 +122,22 @@
   return [key, BUCKETS + caller];
 }
 
-function count(sums: Float64Array, bucket: number): void {
-  sums[bucket] = (sums[bucket] ?? 0) + 1;
+function count(
+  sums: Float64Array,
+  key: number,
+  caller: number,
+  by: 1 | -1,
+): void {
+  sums[key] = (sums[key] ?? 0) + by;
+  sums[caller] = (sums[caller] ?? 0) + by;
 }
 
 /** The part of a bucket's requests that is too much; below 0 where none is. */
-function excess({asked, accepted}: Ledger, bucket: number): number {
-  const wanted = (accepted[bucket] ?? 0) * HEADROOM + FREE_REQUESTS;
-  return 1 - wanted / Math.max(1, asked[bucket] ?? 0);
+function excess(ledger: Ledger, bucket: number): number {
+  const underWay = ledger.underWay[bucket] ?? 0;
+  const asked = (ledger.asked[bucket] ?? 0) + underWay;
+  const accepted = (ledger.accepted[bucket] ?? 0) + underWay;
+  return 1 - (accepted * HEADROOM + FREE_REQUESTS) / Math.max(1, asked);
 }
 
 function fade(ledger: Ledger, now: number): void {
