--- a/packages/cli/src/commands/diff.ts
+++ b/packages/cli/src/commands/diff.ts
@@ -1,5 +1,6 @@
 import {parseInventory} from '@banyandrum/config/parse-inventory.js';
-import {DEFAULT_RULES, parseRules} from '@banyandrum/config/parse-rules.js';
+import {DEFAULT_RULES} from '@banyandrum/config/default-rules.js';
+import {parseRules} from '@banyandrum/config/parse-rules.js';
 import {diffPublications, formatChange} from '@banyandrum/config/diff.js';
 import type {DiffSide} from '@banyandrum/config/diff.js';
 import type {OperatorsClient} from '@banyandrum/operators/client.js';
--- a/packages/config/src/fold.ts
+++ b/packages/config/src/fold.ts
@@ -1,26 +1,18 @@
-import {sameIncarnation} from '@banyandrum/base/ids.js';
-import type {CellId, Offset} from '@banyandrum/base/ids.js';
+import type {Offset} from '@banyandrum/base/ids.js';
 import {checkPublication} from './check-publication.js';
 import {decodeRecord} from './codec.js';
 import type {DecodedRecord} from './codec.js';
 import type {Inventory, Service} from './inventory.js';
-import {DEFAULT_RULES} from './parse-rules.js';
+import {DEFAULT_RULES} from './default-rules.js';
+import {applyViews} from './fold-views.js';
 import {formatProblem} from './problem.js';
 import type {
   AttestationRecord,
-  Claim,
   DrainRecord,
   PublicationRecord,
   StateRecord,
-  ViewsRecord,
 } from './records.js';
-import type {
-  AuditEntry,
-  AuditOutcome,
-  ClusterState,
-  FormerPair,
-  View,
-} from './state.js';
+import type {AuditEntry, AuditOutcome, ClusterState} from './state.js';
 
 export const MAX_AUDIT_ENTRIES = 500;
 export const MAX_CHANGE_IDS = 5_000;
@@ -169,43 +161,6 @@
   return drains;
 }
 
-function applyViews(
-  state: ClusterState,
-  offset: Offset,
-  record: ViewsRecord,
-): ClusterState {
-  const views = new Map<CellId, View>(state.views);
-  let changed = false;
-  for (const claim of record.claims) {
-    const current = views.get(claim.cell) ?? null;
-    if ((current?.epoch ?? 0) !== claim.previous) continue;
-    views.set(claim.cell, {
-      cell: claim.cell,
-      epoch: offset,
-      leader: claim.leader,
-      standby: claim.standby,
-      unsettled: unsettledAfter(current, claim),
-    });
-    changed = true;
-  }
-  return changed ? {...state, views} : state;
-}
-
-// See `View.unsettled`: former pairs are never dropped for their number, since
-// each may still have a leader that lives on its standby's consent.
-function unsettledAfter(
-  current: View | null,
-  claim: Claim,
-): readonly FormerPair[] {
-  if (current === null) return [];
-  const {epoch, leader, standby, unsettled} = current;
-  if (sameIncarnation(claim.leader, leader)) {
-    return claim.settled ? [] : unsettled;
-  }
-  if (sameIncarnation(claim.leader, standby)) return unsettled;
-  return [...unsettled, {epoch, leader, standby}];
-}
-
 function applyDrain(
   state: ClusterState,
   offset: Offset,
--- a/packages/config/src/match-operation.ts
+++ b/packages/config/src/match-operation.ts
@@ -1,5 +1,5 @@
 import type {Operation, Rules} from './rules.js';
-import {DEFAULT_DEADLINE_MS, ONCE_METHODS} from './parse-rules.js';
+import {DEFAULT_DEADLINE_MS, ONCE_METHODS} from './default-rules.js';
 
 /** What the rules say about a request. */
 export interface MatchedOperation {
--- a/packages/config/src/parse-rules.ts
+++ b/packages/config/src/parse-rules.ts
@@ -1,13 +1,20 @@
 import {Err, Ok} from '@banyandrum/base/result.js';
 import type {Result} from '@banyandrum/base/result.js';
 import {z} from 'zod';
+import {
+  DEFAULT_DEADLINE_MS,
+  DEFAULT_LIMITS,
+  DEFAULT_PRECEDENCE,
+  DEFAULT_TIMING,
+  DEFAULT_WEIGHTS,
+  ONCE_METHODS,
+} from './default-rules.js';
 import type {Problem} from './problem.js';
 import {describeValue} from './problem.js';
 import {checkTable, readToml, reportProblems} from './read-toml.js';
 import type {
   Limits,
   Operation,
-  PlacementWeights,
   PrecedenceLevel,
   Rules,
   Timing,
@@ -21,47 +28,6 @@
 const MAX_WEIGHT = 1_000_000;
 const MAX_DRIFT_PPM = 100_000;
 
-/** Deadline where neither the caller nor an operation names one. */
-export const DEFAULT_DEADLINE_MS = 10_000;
-
-/** Methods that aren't to be repeated unless the rules say otherwise. */
-export const ONCE_METHODS: readonly string[] = ['POST', 'PATCH'];
-
-export const DEFAULT_PRECEDENCE: readonly PrecedenceLevel[] = [
-  {name: 'normal', ageAfterMs: DAY_MS},
-];
-
-export const DEFAULT_WEIGHTS: PlacementWeights = {
-  imbalance: 1,
-  churn: 1,
-  unavailable: 1,
-};
-
-export const DEFAULT_LIMITS: Limits = {
-  maxBodyBytes: 16 * 1024 ** 2,
-  maxQueued: 256,
-  maxQueuedBytes: 32 * 1024 ** 2,
-  maxDeadlineMs: 10 * MINUTE_MS,
-  retryPercent: 10,
-};
-
-export const DEFAULT_TIMING: Timing = {
-  renewMs: 500,
-  leaseMs: 2_000,
-  authorityMs: 1_000,
-  suspicionMs: 750,
-  driftPpm: 10_000,
-};
-
-/** The rules in force before the first publication. */
-export const DEFAULT_RULES: Rules = {
-  precedence: DEFAULT_PRECEDENCE,
-  operations: [],
-  weights: DEFAULT_WEIGHTS,
-  limits: DEFAULT_LIMITS,
-  timing: DEFAULT_TIMING,
-};
-
 const methodError = 'a method in capitals, such as "POST"';
 const prefixError = 'a path that starts with "/", or an empty text';
 
