--- a/packages/ownership/src/claims.ts
+++ b/packages/ownership/src/claims.ts
@@ -30,6 +30,13 @@
   planOf(view: View): ClaimPlan | null;
 }
 
+/**
+ * How long to wait for one append, in ms. A second claim for the same epoch is
+ * void, so trying again does no harm, while a request that was lost on its
+ * way would cost the cell all the time that the store waits for it.
+ */
+const PATIENCE_MS = 2000;
+
 /** Keeps a record well below any log's limit for one record. */
 const MAX_CLAIMS = 64;
 
@@ -51,7 +58,11 @@
   ): Promise<ClaimOutcome> => {
     for (const plan of batch) plans.set(plan.claim.cell, plan);
     const claims = batch.map(({claim}) => claim);
-    const res = await ctx.store.append({kind: 'views', claims}, ctx.signal);
+    const patience = new AbortController();
+    const cancel = ctx.clock.after(PATIENCE_MS, () => patience.abort());
+    const ended = AbortSignal.any([ctx.signal, patience.signal]);
+    const res = await ctx.store.append({kind: 'views', claims}, ended);
+    cancel();
     if (res.ok) return 'appended';
     const {kind, detail} = res.val;
     ctx.log.warn('claim failed', {cells: batch.length, kind, detail});
--- /dev/null
+++ b/packages/ownership/test/chains.test.ts
@@ -0,0 +1,115 @@
+import tap from 'tap';
+import {LOG} from './support/fake-log.js';
+import {createScene, isolate, viewOf} from './support/scene.js';
+
+const HOSTS = ['a', 'b', 'c', 'd', 'e'];
+
+// A leader whose standby pauses puts another in its place. Its append takes
+// effect, but in the same moment leader and old standby are cut off, and the
+// standby wakes up and consents on. The new standby hears of neither and
+// takes over, without a reason to ask the old standby. Callers on both sides
+// would be served, were the old consent still counted.
+void tap.test('a lost reply to the claim of a new standby', async t => {
+  const {world, leader, standby} = await createScene(HOSTS);
+  const records = world.log.length;
+  world.router(standby).process.pause();
+  await world.until(() => world.log.length > records, 3000);
+  t.equal(world.log.length, records + 1, 'the claim is in the log');
+  isolate(world, [leader, standby]);
+  world.router(standby).process.resume();
+  await world.clock.advance(8000);
+  t.strictSame(world.violations, []);
+  const {host} = world.acting() ?? {host: 'nobody'};
+  t.ok(![leader, standby, 'nobody'].includes(host), `${host} took over`);
+});
+
+// Leader and standby are cut off together and go on by consent. A third
+// router claims the cell, for its servers check fences, and is lost before
+// it has cleared. Its standby must not take only the claimant for its
+// predecessor: the first pair still acts.
+void tap.test('a claimant lost before it cleared', async t => {
+  const scene = await createScene(HOSTS, {checksFences: true});
+  const {world, leader, standby} = scene;
+  isolate(world, [leader, standby]);
+  const claimed = await world.until(() => world.holders.length > 1, 8000);
+  t.ok(claimed > 0, 'a third router claims');
+  const third = world.holders.at(-1);
+  t.notOk(third?.isCleared(), 'and is not cleared');
+  await world.clock.advance(3000);
+  third?.process.kill();
+  await world.until(() => world.holders.length > 2, 8000);
+  await world.clock.advance(6000);
+  t.equal(world.acting()?.host, leader, 'the first pair goes on');
+  const last = world.holders.at(-1);
+  t.not(last?.host, third?.host);
+  t.notOk(last?.isCleared(), 'so the second claimant may not move anything');
+  // As soon as the pair hears of the later view, the way is clear.
+  world.network.heal();
+  await world.clock.advance(5000);
+  t.equal(world.acting()?.host, last?.host);
+  t.strictSame(world.violations, []);
+  const unsettled = viewOf(world)?.unsettled ?? [];
+  t.strictSame(unsettled, [], 'and the log says that the pairs are over');
+});
+
+// The standby withdraws from a leader that pauses for a moment. The leader is
+// back and reads the log just before the claim gets there, so it may act for
+// up to T more. The new leader is stopped as planned at once: it must tell
+// its own standby that it was not cleared, or that one acts beside the first.
+void tap.test('a leader that resigns before it was cleared', async t => {
+  const {world, leader, standby} = await createScene(HOSTS);
+  world.router(leader).process.pause();
+  world.faults.appendDelay = () => 300;
+  const records = world.log.length;
+  await world.until(() => world.withdrawals(standby) > 0, 3000);
+  world.router(leader).process.resume();
+  await world.until(() => world.log.length > records, 3000);
+  isolate(world, [leader]);
+  world.faults.appendDelay = () => 0;
+  await world.until(() => world.holders.length > 1, 1000);
+  t.ok(world.holders[0]?.mayAct(), 'the first leader may still act');
+  void world.router(standby).ownership.stop();
+  await world.clock.advance(3000);
+  t.strictSame(world.violations, []);
+  const {host} = world.acting() ?? {host: 'nobody'};
+  t.ok(![leader, standby, 'nobody'].includes(host), `${host} took over`);
+});
+
+// The leader is cut off for a moment, its standby withdraws and claims. The
+// claim takes effect, but now the standby is cut off from the log together
+// with the old leader, and doesn't know. Its own standby takes over from it
+// and never asks about the old leader, which must get no consent any more.
+void tap.test('a standby cut off after its claim was appended', async t => {
+  const {world, leader, standby} = await createScene(HOSTS);
+  world.network.cut(LOG, leader);
+  world.network.cut(leader, standby);
+  world.network.cut(standby, leader);
+  const records = world.log.length;
+  await world.until(() => world.log.length > records, 3000);
+  t.equal(world.withdrawals(standby), 1, 'the standby withdrew and claimed');
+  world.network.heal();
+  isolate(world, [leader, standby]);
+  await world.clock.advance(8000);
+  t.strictSame(world.violations, []);
+  const {host} = world.acting() ?? {host: 'nobody'};
+  t.ok(![leader, standby, 'nobody'].includes(host), `${host} took over`);
+});
+
+// The leader is cut off, and its standby does not reach the log. Another
+// router that does asks the standby to withdraw, and claims. When the old
+// leader and its standby hear of each other again, but of nobody else, the
+// standby must keep its word.
+void tap.test('a standby that withdrew for another router', async t => {
+  const {world, leader, standby} = await createScene(HOSTS);
+  world.network.cut(LOG, standby);
+  isolate(world, [leader]);
+  const records = world.log.length;
+  const took = await world.until(() => world.log.length > records, 8000);
+  t.ok(took > 0, `another router claims after ${took} ms`);
+  world.network.heal();
+  isolate(world, [leader, standby]);
+  await world.clock.advance(5000);
+  t.strictSame(world.violations, []);
+  const {host} = world.acting() ?? {host: 'nobody'};
+  t.ok(![leader, standby, 'nobody'].includes(host), `${host} took over`);
+});
--- a/packages/ownership/test/support/fake-log.ts
+++ b/packages/ownership/test/support/fake-log.ts
@@ -22,6 +22,8 @@
   refuses: boolean;
   /** Takes appends but loses the replies. */
   losesReplies: boolean;
+  /** Called in the moment in which an append of a host takes effect. */
+  onAppend: (host: string) => void;
   /** Further delay of an append on its way, in ms. */
   appendDelay: () => number;
 }
@@ -77,6 +79,7 @@
       clock.after(REPLY_MS, () => resolve('silent'));
       const apply = (): void => {
         const reply = faults.refuses ? 'refused' : log.push(record);
+        if (reply !== 'refused') faults.onAppend(host);
         if (faults.losesReplies) return;
         network.carry(LOG, host, () => process.deliver(() => resolve(reply)));
       };
--- a/packages/ownership/test/support/world.ts
+++ b/packages/ownership/test/support/world.ts
@@ -93,6 +93,7 @@
   const faults: LogFaults = {
     refuses: false,
     losesReplies: false,
+    onAppend: () => {},
     appendDelay: () => 0,
   };
   const endpoints = new Map<string, Endpoint>();
