Leader's queue: rules of waiting, gates and checks in their own files

Change: waiting-room, shard-gates, launch-checks, cell-load; the pause only where the same `moving` comes again; precedence clamped; streamed bodies count as their window; tests for each, and for a caller who gives up a request in flight.

--- a/packages/requests/src/entry-limits.ts
+++ b/packages/requests/src/entry-limits.ts
@@ -1,6 +1,7 @@
 import {failure, type Failure} from '@banyandrum/base/failure.js';
 import type {ServiceRequest} from '@banyandrum/base/request.js';
 import type {Rules} from '@banyandrum/config/rules.js';
+import {bodySize} from './body-size.js';
 import {overloaded} from './refusals.js';
 
 /** What one entry process holds at most at the same time. */
@@ -23,9 +24,6 @@
   bytes: 128 * 1024 * 1024,
 };
 
-/** What a streamed body holds in memory at most, in bytes. */
-const STREAM_WINDOW_BYTES = 64 * 1024;
-
 /** Part of the capacity that the lowest level of precedence may fill. */
 const LOWEST_SHARE = 0.5;
 
@@ -50,7 +48,7 @@
   let bytes = 0;
   return {
     enter(req) {
-      const size = sizeOf(req);
+      const size = bodySize(req.body);
       if (isTooLarge(req, rules().limits.maxBodyBytes)) return tooLarge(size);
       const share = shareOf(req.precedence, rules().precedence.length);
       const fits = bytes + size <= capacity.bytes * share;
@@ -63,7 +61,7 @@
     },
     leave(req) {
       requests--;
-      bytes -= sizeOf(req);
+      bytes -= bodySize(req.body);
     },
   };
 }
@@ -73,10 +71,6 @@
   return body instanceof Uint8Array && body.length > maxBytes;
 }
 
-function sizeOf({body}: ServiceRequest): number {
-  return body instanceof Uint8Array ? body.length : STREAM_WINDOW_BYTES;
-}
-
 function shareOf(level: number, levels: number): number {
   if (levels < 2) return 1;
   const depth = Math.min(1, level / (levels - 1));
--- a/packages/requests/src/load-meter.ts
+++ b/packages/requests/src/load-meter.ts
@@ -36,8 +36,9 @@
 /** Over how long loads are averaged. */
 export const LOAD_PERIOD_MS = 10_000;
 
-/** A shard below this is left out and forgotten, in requests a second. */
+/** A shard below both is left out and forgotten; in requests a second. */
 const MIN_RATE = 0.01;
+const MIN_BUSY = 1e-4;
 
 interface ShardSums {
   readonly arrivals: DecayingSum;
@@ -97,7 +98,7 @@
       for (const [shard, sums] of shards) {
         const rate = sums.arrivals.perMs(now) * 1000;
         const busy = sums.busyMs.perMs(now);
-        if (rate < MIN_RATE && busy === 0) shards.delete(shard);
+        if (rate < MIN_RATE && busy < MIN_BUSY) shards.delete(shard);
         else loads.push({shard, rate, busy});
       }
       return loads;
--- a/packages/requests/src/pending.ts
+++ b/packages/requests/src/pending.ts
@@ -1,6 +1,7 @@
 import type {Failure} from '@banyandrum/base/failure.js';
 import type {ServiceRequest} from '@banyandrum/base/request.js';
 import {Err} from '@banyandrum/base/result.js';
+import {bodySize} from './body-size.js';
 import type {Outcome} from './deadline-guard.js';
 import type {DeadlineWheel} from './deadline.js';
 import type {QueueItem, Ticket} from './fair-level.js';
@@ -31,9 +32,10 @@
   expectedMs: number;
 }
 
-/** Takes a request into the leader's hands. */
+/** Takes a request into the leader's hands; `levels` are in the rules. */
 export function createPending(
   req: ServiceRequest,
+  levels: number,
   now: number,
   resolve: (outcome: Outcome) => void,
 ): Pending {
@@ -42,10 +44,10 @@
     req: tracked.req,
     isWhole: tracked.isWhole,
     resolve,
-    level: req.precedence,
+    level: clampLevel(req.precedence, levels),
     caller: req.caller,
     key: req.key,
-    bytes: req.body instanceof Uint8Array ? req.body.length : 0,
+    bytes: bodySize(req.body),
     queuedAt: now,
     spot: null,
     fenced: 0,
@@ -90,4 +92,9 @@
   };
 }
 
+/** Another router's rules may be older and name more levels. */
+function clampLevel(precedence: number, levels: number): number {
+  return Math.max(0, Math.min(levels - 1, precedence));
+}
+
 function noop(): void {}
--- a/packages/requests/src/queue.ts
+++ b/packages/requests/src/queue.ts
@@ -1,5 +1,4 @@
 import type {Clock} from '@banyandrum/base/clock.js';
-import type {Failure} from '@banyandrum/base/failure.js';
 import type {CellId, ShardId} from '@banyandrum/base/ids.js';
 import type {RequestHandler} from '@banyandrum/base/request.js';
 import {Err} from '@banyandrum/base/result.js';
@@ -9,38 +8,22 @@
   LedCell,
   Location,
   Owned,
-  ServerObservation,
 } from '@banyandrum/ownership/led-cell.js';
 import type {ServerClient} from '@banyandrum/servers/client.js';
+import {cellLoadOf} from './cell-load.js';
 import type {DeadlineWheel} from './deadline.js';
 import type {Ticket} from './fair-level.js';
-import type {FairQueue, FairQueueOptions} from './fair-queue.js';
+import type {FairQueueOptions} from './fair-queue.js';
 import {createHold} from './hold.js';
-import {
-  createLoadMeter,
-  type HotKeyMeter,
-  type LoadMeter,
-} from './load-meter.js';
-import {
-  createPending,
-  guard,
-  leaveSpot,
-  refuse,
-  type Pending,
-  type Spot,
-} from './pending.js';
-import {
-  cancelled,
-  expired,
-  moved,
-  noOwner,
-  overloaded,
-  tooManyWait,
-} from './refusals.js';
+import {isAt, isLeaseShort, isTooLate} from './launch-checks.js';
+import {createLoadMeter, type HotKeyMeter} from './load-meter.js';
+import {createPending, leaveSpot, refuse, type Pending} from './pending.js';
+import {cancelled, expired, moved, noOwner} from './refusals.js';
 import {createSender, type Flight} from './sender.js';
 import {createServerQueue, type ServerQueue} from './server-queue.js';
-import {createShardGate, type ShardGate} from './shard-gate.js';
+import {createShardGates} from './shard-gates.js';
 import {snapshotOf, type QueueSnapshot} from './snapshot.js';
+import {createWaitingRoom} from './waiting-room.js';
 
 /** The leader's admission for one cell. */
 export interface LeaderQueue {
@@ -83,16 +66,6 @@
 /** How often a held queue looks whether it may go on. */
 const HOLD_POLL_MS = 10;
 
-/**
- * A request that leaves time for so many service times and still can't be
- * served in time shows an overload; one in more of a hurry shows only that.
- * The entry throttles its cell for the first kind alone.
- */
-const PATIENCE = 4;
-
-/** Part of a lease that must be left for a request that outlives it. */
-const SHORT_LEASE = 1 / 4;
-
 /** A server that kept less than this busy of late is forgotten. */
 const IDLE_BUSY = 1e-5;
 
@@ -117,7 +90,6 @@
     fair: policy.fair,
   };
   const servers = new Map<string, ServerQueue>();
-  const gates = new Map<ShardId, ShardGate>();
   const load = createLoadMeter(clock, options.hotKeys);
   let led = first;
   let stopped = false;
@@ -127,7 +99,8 @@
     if (req.signal.aborted) return Promise.resolve(Err(cancelled()));
     return new Promise(resolve => {
       const now = clock.now();
-      const pending = createPending(req, now, resolve);
+      const levels = rules().precedence.length;
+      const pending = createPending(req, levels, now, resolve);
       const where = led.locate(req.key);
       load.arrived(where.shard, now);
       place(pending, where);
@@ -137,103 +110,16 @@
   /** Puts a request where its shard is now. */
   const place = (pending: Pending, where: Location): void => {
     if (where.kind === 'unowned') return refuse(pending, noOwner(where.reason));
-    const gate = gateOf(where.shard);
-    if (where.kind === 'moving') follow(gate, where.settled);
-    if (where.kind === 'moving' || gate.closed) return park(pending, gate);
-    enqueue(pending, serverOf(where));
-  };
-
-  const replace = (pending: Pending): void =>
-    place(pending, led.locate(pending.key));
-
-  const enqueue = (pending: Pending, server: ServerQueue): void => {
-    const ticket = server.waiting.push(pending);
-    pending.spot = createSpot(server.waiting, ticket);
-    pump(server);
-    if (pending.spot?.ticket !== ticket) return;
-    const waitMs = server.waitMs(ticket);
-    const spareMs = pending.req.deadline - clock.now();
-    if (policy.refuseEarly && waitMs + server.lowMs(pending.level) > spareMs) {
-      const patient = spareMs >= PATIENCE * server.meanMs(pending.level);
-      const why = patient
-        ? overloaded('the queue is too long', waitMs)
-        : expired(waitMs);
-      return refuse(pending, why);
-    }
-    trim(server.waiting, pending, () =>
-      overloaded('the queue is full', waitMs),
-    );
-    if (pending.spot === null) return;
-    pending.spot.expectedMs = waitMs;
-    guardWaiting(pending, server);
-  };
-
-  const createSpot = (
-    queue: FairQueue<Pending>,
-    ticket: Ticket<Pending>,
-  ): Spot => ({queue, ticket, since: clock.now(), expectedMs: 0});
-
-  /** Compares the estimate of its wait with what came of it. */
-  const learnWait = (pending: Pending, server: ServerQueue): void => {
-    if (pending.spot === null) return;
-    const {since, expectedMs} = pending.spot;
-    server.waited(pending.level, since, expectedMs);
-  };
-
-  const park = (pending: Pending, gate: ShardGate): void => {
-    const ticket = gate.waiting.push(pending);
-    pending.spot = createSpot(gate.waiting, ticket);
-    trim(gate.waiting, pending, tooManyWait);
-    if (pending.spot !== null) guardWaiting(pending, null);
-  };
-
-  /** Makes room for a newcomer, or refuses it where it is the last. */
-  const trim = (
-    queue: FairQueue<Pending>,
-    newcomer: Pending,
-    why: () => Failure,
-  ): void => {
-    const {maxQueued, maxQueuedBytes} = rules().limits;
-    while (queue.size() > maxQueued || queue.bytes() > maxQueuedBytes) {
-      if (newcomer.spot === null) return;
-      const {item} = queue.victim(newcomer.spot.ticket, clock.now());
-      refuse(item, why());
+    const gate = gates.of(where.shard);
+    if (where.kind === 'moving') {
+      room.park(pending, gate);
+      return gates.follow(gate, where.settled);
     }
-  };
-
-  const guardWaiting = (pending: Pending, server: ServerQueue | null): void => {
-    const lowMs = server?.lowMs(pending.level) ?? 0;
-    const until = pending.req.deadline - lowMs;
-    guard(pending, wheel, until, () => {
-      const ticket = pending.spot?.ticket;
-      const waitMs = ticket && server ? server.waitMs(ticket) : HOLD_POLL_MS;
-      if (server !== null) learnWait(pending, server);
-      refuse(pending, expired(waitMs));
-    });
-  };
-
-  /** Places the shard's waiting requests anew once it has settled. */
-  const follow = (gate: ShardGate, settled: Promise<void>): void => {
-    if (gate.settling === settled) return;
-    gate.settling = settled;
-    const go = (): void => {
-      if (gate.settling === settled) gate.settling = null;
-      if (!gate.closed) release(gate);
-    };
-    // The pause keeps a location that never settles from spinning.
-    const later = (): void => void clock.after(HOLD_POLL_MS, go);
-    settled.then(later, later);
-  };
-
-  const release = (gate: ShardGate): void =>
-    gate.drain(clock.now()).forEach(replace);
-
-  const gateOf = (shard: ShardId): ShardGate => {
-    const known = gates.get(shard);
-    if (known !== undefined) return known;
-    const gate = createShardGate(shard, fairness);
-    gates.set(shard, gate);
-    return gate;
+    if (gate.closed) return room.park(pending, gate);
+    const server = serverOf(where);
+    const ticket = room.enter(pending, server);
+    pump(server);
+    if (pending.spot?.ticket === ticket) room.admit(pending, server);
   };
 
   const serverOf = ({server}: Owned): ServerQueue => {
@@ -254,8 +140,7 @@
       }
       hold.found();
       const ticket = server.waiting.take(clock.now());
-      if (ticket === null) return;
-      if (!launch(server, ticket)) return;
+      if (ticket === null || !launch(server, ticket)) return;
     }
     wakeAfterPause(server);
   };
@@ -263,21 +148,20 @@
   /** `false` where the server must be left alone for a while. */
   const launch = (server: ServerQueue, ticket: Ticket<Pending>): boolean => {
     const pending = ticket.item;
-    learnWait(pending, server);
-    pending.spot = null;
+    room.leave(pending, server);
     const where = led.locate(pending.key);
-    const gate = gateOf(where.shard);
+    const gate = gates.of(where.shard);
     if (!isAt(server, where) || gate.closed) {
       place(pending, where);
       return true;
     }
-    if (isLeaseShort(server, pending, where)) {
-      putBack(server, ticket);
+    if (mustAwaitRenewal(server, pending, where)) {
+      room.putBack(ticket, server);
       server.heldBack();
       hold.poll();
       return false;
     }
-    if (isTooLate(server, pending)) {
+    if (isTooLate(server, pending, clock.now())) {
       refuse(pending, expired(server.meanMs(pending.level)));
       return true;
     }
@@ -286,28 +170,15 @@
     return true;
   };
 
-  const putBack = (server: ServerQueue, ticket: Ticket<Pending>): void => {
-    server.waiting.putBack(ticket);
-    ticket.item.spot = createSpot(server.waiting, ticket);
-  };
-
-  const isLeaseShort = (
+  const mustAwaitRenewal = (
     server: ServerQueue,
     {level, req}: Pending,
     {leaseEnd}: Owned,
   ): boolean => {
-    const left = leaseEnd - clock.now();
-    if (left <= 0) return true;
-    if (req.deadline <= leaseEnd) return false;
-    const enough = rules().timing.leaseMs * SHORT_LEASE;
-    return left < Math.min(server.meanMs(level), enough);
-  };
-
-  /** With nothing in flight it is sent all the same, to learn anew. */
-  const isTooLate = (server: ServerQueue, {level, req}: Pending): boolean => {
-    const left = req.deadline - clock.now();
-    if (left <= 0) return true;
-    return server.slots.inFlight() > 0 && left < server.lowMs(level);
+    const leftMs = leaseEnd - clock.now();
+    const outlives = req.deadline > leaseEnd;
+    const {leaseMs} = rules().timing;
+    return isLeaseShort(leftMs, leaseMs, outlives, server.meanMs(level));
   };
 
   const wakeAfterPause = (server: ServerQueue): void => {
@@ -317,15 +188,12 @@
   };
 
   /** A request comes back from a server without having run. */
-  const takeBack = (flight: Flight): void => {
-    const {pending, server, ticket} = flight;
+  const takeBack = ({pending, server, ticket}: Flight): void => {
     if (stopped) return refuse(pending, moved('no longer leading'));
     const where = led.locate(pending.key);
-    if (!isAt(server, where) || gateOf(where.shard).closed) {
-      return place(pending, where);
-    }
-    putBack(server, ticket);
-    guardWaiting(pending, server);
+    const stays = isAt(server, where) && !gates.of(where.shard).closed;
+    if (stays) room.putBack(ticket, server);
+    else place(pending, where);
   };
 
   /** Those in the servers' queues that ask for the shard, oldest first. */
@@ -335,19 +203,8 @@
       .filter(pending => led.locate(pending.key).shard === shard)
       .sort((a, b) => a.queuedAt - b.queuedAt);
 
-  /** Forgets shards and servers that nothing is left of. */
-  const prune = (): void => {
-    for (const [shard, gate] of gates) if (gate.isIdle()) gates.delete(shard);
-    for (const [name, {slots, waiting}] of servers) {
-      const empty = slots.inFlight() === 0 && waiting.size() === 0;
-      if (empty && load.server(name).busy < IDLE_BUSY) servers.delete(name);
-    }
-  };
-
-  const pumpAll = (): void => servers.forEach(pump);
-
   const refuseAll = (): void => {
-    const queues = [...servers.values(), ...gates.values()];
+    const queues = [...servers.values(), ...gates.all()];
     for (const {waiting} of queues) {
       for (const pending of waiting.items()) {
         refuse(pending, moved('no longer leading'));
@@ -355,6 +212,26 @@
     }
   };
 
+  const pruneServers = (): void => {
+    for (const [name, {slots, waiting}] of servers) {
+      const empty = slots.inFlight() === 0 && waiting.size() === 0;
+      if (empty && load.server(name).busy < IDLE_BUSY) servers.delete(name);
+    }
+  };
+
+  const pumpAll = (): void => servers.forEach(pump);
+
+  const room = createWaitingRoom({
+    clock,
+    wheel,
+    rules,
+    refuseEarly: policy.refuseEarly,
+  });
+  const gates = createShardGates({
+    clock,
+    fairness,
+    replace: pending => place(pending, led.locate(pending.key)),
+  });
   const hold = createHold({
     clock,
     wheel,
@@ -376,56 +253,32 @@
   return {
     cell: first.cell,
     handle,
-    snapshot: key => snapshotOf(servers, gates, key),
+    snapshot: key => snapshotOf([...servers.values()], gates.all(), key),
     adopt(next) {
       led = next;
-      if (stopped) for (const gate of gates.values()) gate.closed = false;
+      if (stopped) gates.all().forEach(gates.open);
       stopped = false;
       pumpAll();
     },
     close(shard) {
-      const gate = gateOf(shard);
+      const gate = gates.of(shard);
       gate.closed = true;
       for (const pending of waitingFor(shard)) {
         leaveSpot(pending);
-        park(pending, gate);
+        room.park(pending, gate);
       }
       return gate.idle();
     },
-    open(shard) {
-      const gate = gateOf(shard);
-      gate.closed = false;
-      release(gate);
-    },
+    open: shard => gates.open(gates.of(shard)),
     stop() {
       stopped = true;
       refuseAll();
       return sender.idle();
     },
     load() {
-      prune();
-      return loadOf(load, servers);
+      gates.prune();
+      pruneServers();
+      return cellLoadOf(load, servers.values());
     },
   };
 }
-
-function loadOf(
-  load: LoadMeter,
-  servers: ReadonlyMap<string, ServerQueue>,
-): CellLoad {
-  const observe = (server: ServerQueue): ServerObservation => ({
-    server: server.name,
-    queued: server.waiting.size(),
-    serviceMs: server.meanMs(),
-    ...load.server(server.name),
-  });
-  return {
-    shards: load.shards(),
-    servers: [...servers.values()].map(observe),
-    hotKeys: load.hotKeys(),
-  };
-}
-
-function isAt(server: ServerQueue, where: Location): where is Owned {
-  return where.kind === 'owned' && where.server.name === server.name;
-}
--- a/packages/requests/src/refusals.ts
+++ b/packages/requests/src/refusals.ts
@@ -1,8 +1,10 @@
 import {failure, type Failure} from '@banyandrum/base/failure.js';
 
+/** A shard that moves or recovers arrives within some such time. */
+export const SETTLING_RETRY_MS = 500;
+
 const MOVED_RETRY_MS = 100;
 const NO_OWNER_RETRY_MS = 1000;
-const SETTLING_RETRY_MS = 500;
 const MIN_OVERLOAD_RETRY_MS = 20;
 const MAX_OVERLOAD_RETRY_MS = 30_000;
 
--- a/packages/requests/src/shard-gate.ts
+++ b/packages/requests/src/shard-gate.ts
@@ -13,6 +13,8 @@
   closed: boolean;
   /** What the requests wait for where ownership says `moving`. */
   settling: Promise<void> | null;
+  /** What they waited for the last time. */
+  settled: Promise<void> | null;
   begin(): void;
   end(): void;
   /** Resolves once nothing of the shard is in flight. */
@@ -43,6 +45,7 @@
     waiting,
     closed: false,
     settling: null,
+    settled: null,
     begin: inFlight.begin,
     end: inFlight.end,
     idle: inFlight.idle,
--- a/packages/requests/src/snapshot.ts
+++ b/packages/requests/src/snapshot.ts
@@ -32,13 +32,13 @@
 
 /** Describes a cell's queue; takes time in proportion to what waits. */
 export function snapshotOf(
-  servers: ReadonlyMap<string, ServerQueue>,
-  gates: ReadonlyMap<ShardId, ShardGate>,
+  servers: readonly ServerQueue[],
+  gates: readonly ShardGate[],
   key: string | undefined,
 ): QueueSnapshot {
   return {
-    servers: [...servers.values()].map(describeServer),
-    shards: [...gates.values()].filter(isWaitedFor).map(describeShard),
+    servers: servers.map(describeServer),
+    shards: gates.filter(isWaitedFor).map(describeShard),
     queuedForKey: key === undefined ? 0 : countKey(servers, gates, key),
   };
 }
@@ -64,12 +64,12 @@
 }
 
 function countKey(
-  servers: ReadonlyMap<string, ServerQueue>,
-  gates: ReadonlyMap<ShardId, ShardGate>,
+  servers: readonly ServerQueue[],
+  gates: readonly ShardGate[],
   key: string,
 ): number {
   let count = 0;
-  for (const {waiting} of [...servers.values(), ...gates.values()]) {
+  for (const {waiting} of [...servers, ...gates]) {
     for (const pending of waiting.items()) if (pending.key === key) count++;
   }
   return count;
--- a/packages/requests/test/queue.test.ts
+++ b/packages/requests/test/queue.test.ts
@@ -1,7 +1,16 @@
 import tap from 'tap';
+import {failure} from '@banyandrum/base/failure.js';
 import {shardOfKey} from '@banyandrum/base/hash.js';
 import {queueBench} from './bench.js';
-import {owned, server, settle, SHARDS, told} from './fakes.js';
+import {
+  owned,
+  RULES,
+  server,
+  settle,
+  SHARDS,
+  told,
+  type Outcome,
+} from './fakes.js';
 
 const CELL = 'holds/0';
 
@@ -102,3 +111,87 @@
   await client.sent[0]?.answer();
   t.equal(client.sent.length, 1);
 });
+
+void tap.test('a request in flight is not called `not-run`', async t => {
+  // The caller gives up after its request has left the queue. Only the
+  // client knows what became of it, so its verdict counts.
+  const {client, ask} = queueBench({slots: 1});
+  const caller = new AbortController();
+  ask();
+  const second = ask({signal: caller.signal});
+  await settle();
+  await client.sent[0]?.answer();
+  t.equal(client.sent.length, 2);
+  caller.abort();
+  await settle();
+  t.equal(told(second), 'waiting');
+  await client.sent[1]?.fail(failure('may-have-run', 'cancelled', ''));
+  t.equal(told(second), 'may-have-run cancelled');
+});
+
+void tap.test('what waits for a shard on its way goes with it', async t => {
+  // The caller sees its answer when the shard has settled. Its old server
+  // was lost and ownership asks around; the first answer is `moving` again.
+  const {clock, client, led, ask} = queueBench();
+  const shard = shardOfKey('k', SHARDS);
+  let settleShard = (): void => {};
+  const settled = new Promise<void>(resolve => (settleShard = resolve));
+  led.where.set(shard, {kind: 'moving', shard, settled});
+  const seen = ask({deadline: 5000});
+  await clock.advance(100);
+  settleShard();
+  await clock.advance(100);
+  t.equal(told(seen), 'waiting');
+  led.where.set(shard, owned(server('s2'), shard));
+  await clock.advance(20);
+  t.equal(client.sent[0]?.server, 's2');
+  await client.sent[0]?.answer();
+  t.equal(told(seen), 'ok');
+  led.where.set(shard, {kind: 'unowned', shard, reason: 'no server'});
+  t.equal(await refusal(ask()), 'not-run no-owner');
+});
+
+void tap.test('the queue is bounded, in requests and in bytes', async t => {
+  const cases = [
+    {limits: {maxQueued: 2}, bytes: 1},
+    {limits: {maxQueuedBytes: 250}, bytes: 100},
+  ];
+  for (const {limits, bytes} of cases) {
+    const rules = {...RULES, limits: {...RULES.limits, ...limits}};
+    const {ask, queue} = queueBench({slots: 1, rules});
+    const body = new Uint8Array(bytes);
+    const reports = Array.from({length: 4}, (_, i) =>
+      ask({body, precedence: 2, caller: `c${i}`, key: `k${i}`}),
+    );
+    t.equal(await refusal(reports[3]), 'not-run overloaded');
+    const hold = ask({body, precedence: 0, key: 'k9'});
+    t.equal(await refusal(reports[2]), 'not-run overloaded');
+    t.equal(told(hold), 'waiting');
+    t.equal(queue.snapshot('k9').queuedForKey, 1);
+    t.equal(queue.snapshot().servers[0]?.queued, 2);
+  }
+});
+
+void tap.test('the load is what the leader saw', async t => {
+  const {clock, client, queues, ask} = queueBench({slots: 1});
+  for (let i = 0; i < 20; i++) {
+    ask({deadline: clock.now() + 1000});
+    await clock.advance(30);
+    await client.sent[i]?.answer();
+    await clock.advance(70);
+  }
+  const {shards, servers} = queues.read(CELL);
+  const [shard] = shards;
+  t.ok(Math.abs((shard?.rate ?? 0) - 10) < 1, `${shard?.rate} a second`);
+  t.ok(Math.abs((shard?.busy ?? 0) - 0.3) < 0.05, `${shard?.busy} busy`);
+  t.equal(Math.round(servers[0]?.serviceMs ?? 0), 30);
+  await clock.advance(300_000);
+  t.same(queues.read(CELL), {shards: [], servers: [], hotKeys: []});
+});
+
+async function refusal(
+  seen: {readonly outcome: Outcome | null} | undefined,
+): Promise<string> {
+  await settle();
+  return seen === undefined ? 'none' : told(seen);
+}
