--- a/packages/requests/test/entry.test.ts
+++ b/packages/requests/test/entry.test.ts
@@ -5,7 +5,10 @@
 import type {ServiceRequest} from '@banyandrum/base/request.js';
 import type {View} from '@banyandrum/config/state.js';
 import {createEntry, type Entry} from '@banyandrum/requests/entry.js';
+import type {LeaderQueue} from '@banyandrum/requests/queue.js';
+import {createPeerHandler} from '@banyandrum/requests/peer-handler.js';
 import {createManualClock} from '@banyandrum/standins/manual-clock.js';
+import {queueBench} from './bench.js';
 import {
   ANSWER,
   RULES,
@@ -23,6 +26,8 @@
   /** Hosts that requests were sent to. */
   readonly sent: string[];
   setView(leader: Incarnation | null): void;
+  /** From now on this process leads, if the view says so. */
+  startLeading(): void;
 }
 
 type Send = (to: Incarnation, req: ServiceRequest) => Outcome;
@@ -32,6 +37,7 @@
   const sent: string[] = [];
   const listeners = new Set<() => void>();
   let view: View | null = null;
+  let local: LeaderQueue | null = null;
   let epoch = 1;
   const entry = createEntry({
     self: router('me'),
@@ -41,7 +47,7 @@
       listeners.add(listener);
       return () => listeners.delete(listener);
     },
-    localLeader: () => null,
+    localLeader: () => local,
     async send(to, req) {
       sent.push(to.host);
       return send(to, req);
@@ -61,7 +67,12 @@
     };
     for (const listener of listeners) listener();
   };
-  return {clock, entry, sent, setView};
+  const startLeading = (): void => {
+    const {queue, client} = queueBench();
+    client.answersAtOnce = true;
+    local = queue;
+  };
+  return {clock, entry, sent, setView, startLeading};
 }
 
 void tap.test('a request finds the next leader', async t => {
@@ -90,6 +101,77 @@
   t.ok(seen.outcome?.err && seen.outcome.val.retryAfterMs);
 });
 
+void tap.test('a new leader is waited for until it is ready', async t => {
+  // The view names this process already; it answers once it may act.
+  const b = bench(() => Ok(ANSWER), 0);
+  b.setView(router('me'));
+  const seen = watch(b.entry.handle(request({deadline: 4000, once: true})));
+  await b.clock.advance(1500);
+  t.equal(told(seen), 'waiting');
+  b.startLeading();
+  await b.clock.advance(30);
+  t.equal(told(seen), 'ok');
+  t.same(b.sent, [], 'nothing went to another router');
+});
+
+void tap.test('a caller may give up while there is no leader', async t => {
+  const b = bench(() => Ok(ANSWER));
+  const caller = new AbortController();
+  const {signal} = caller;
+  const seen = watch(b.entry.handle(request({deadline: 4000, signal})));
+  await b.clock.advance(100);
+  caller.abort();
+  await settle();
+  t.equal(told(seen), 'not-run cancelled');
+});
+
+void tap.test('a leader that never answers costs no caller', async t => {
+  // The stream is silent for good. The caller is told by its deadline, with
+  // some grace for the leader's own verdict, that it may have run.
+  const clock = createManualClock();
+  const entry = createEntry({
+    self: router('me'),
+    topology: () => ({shards: 16, cells: 1}),
+    leaderOf: cell => {
+      const leader = router('a');
+      return {cell, epoch: 1, leader, standby: null, unsettled: []};
+    },
+    subscribe: () => () => {},
+    localLeader: () => null,
+    send: () => new Promise(() => {}),
+    rules: () => RULES,
+    clock,
+    random: () => 0.5,
+  });
+  const seen = watch(entry.handle(request({deadline: 1000})));
+  await clock.advance(1300);
+  t.equal(told(seen), 'may-have-run deadline');
+});
+
+void tap.test('what another router passes on ends here', async t => {
+  const {queue, client} = queueBench();
+  client.answersAtOnce = true;
+  const led: readonly (LeaderQueue | null)[] = [queue, null];
+  const answers: string[] = [];
+  for (const localLeader of led) {
+    const handle = createPeerHandler({
+      topology: name => (name === 'holds' ? {shards: 16, cells: 1} : null),
+      localLeader: () => localLeader,
+    });
+    for (const service of ['holds', 'beds']) {
+      const seen = watch(handle(request({service})));
+      await settle();
+      answers.push(told(seen));
+    }
+  }
+  t.same(answers, [
+    'ok',
+    'not-run unknown-service',
+    'not-run moved',
+    'not-run unknown-service',
+  ]);
+});
+
 interface RetryCase {
   readonly name: string;
   readonly failed: Failure;
--- a/packages/requests/test/fakes.ts
+++ b/packages/requests/test/fakes.ts
@@ -1,5 +1,4 @@
 import {setImmediate} from 'node:timers/promises';
-import type {Clock} from '@banyandrum/base/clock.js';
 import type {Failure} from '@banyandrum/base/failure.js';
 import {shardOfKey} from '@banyandrum/base/hash.js';
 import type {Incarnation} from '@banyandrum/base/ids.js';
@@ -136,6 +135,8 @@
   /** In flight now and at most, by server. */
   readonly inFlight: Map<string, number>;
   readonly peak: Map<string, number>;
+  /** Answers by itself instead of waiting for the test. */
+  answersAtOnce: boolean;
 }
 
 export function fakeClient(): FakeClient {
@@ -151,8 +152,10 @@
     sent,
     inFlight,
     peak,
+    answersAtOnce: false,
     send(ref, dispatch) {
       const written = dispatch.mayWrite();
+      if (this.answersAtOnce) return Promise.resolve(Ok(ANSWER));
       move(ref.name, 1);
       return new Promise(resolve => {
         const finish = async (outcome: Outcome): Promise<void> => {
@@ -172,19 +175,6 @@
   };
 }
 
-/** A client that answers each request after `serviceMs` of the clock. */
-export function timedClient(
-  clock: Clock,
-  serviceMs: (ref: ServerRef) => number,
-): Pick<ServerClient, 'send'> {
-  return {
-    send: ref =>
-      new Promise(resolve => {
-        clock.after(serviceMs(ref), () => resolve(Ok(ANSWER)));
-      }),
-  };
-}
-
 /** Lets pending promises settle. */
 export async function settle(): Promise<void> {
   await setImmediate();
