Ownership: no work at each tick that grows with the whole system

A router that led one cell and stood by for another, idle, spent its processor on lists of all hosts and cells: `candidates` searched the host list once for each host, at every look for first claims (75 ms); the watch of other leaders looked round the whole ring of routers for each cell, every 750 ms; and each cell sorted all servers of its service twice a second.

The lists are now derived once for each host list, inventory and set of views, which are replaced when they change; the second walk round the ring is only made where the first did not find all watchers, since its result was dropped otherwise.

--- a/packages/ownership/src/first-claims.ts
+++ b/packages/ownership/src/first-claims.ts
@@ -1,8 +1,11 @@
 import type {CellId} from '@banyandrum/base/ids.js';
 import type {Condition} from './condition.js';
 import type {ClaimPlan, Claimer} from './claims.js';
+import type {ClusterState} from '@banyandrum/config/state.js';
 import type {OwnershipContext} from './context.js';
 import {cellsOf, rankRouters} from './election.js';
+import type {RouterHost} from './election.js';
+import {createMemo} from './memo.js';
 import type {Membership} from './membership.js';
 
 /**
@@ -17,9 +20,9 @@
   changed: Condition,
 ): Promise<void> {
   const {timing, signal} = ctx;
-  const firstSeen = new Map<CellId, number>();
+  const dueCells = createDueCells(ctx, membership);
   while (!signal.aborted) {
-    const due = dueCells(ctx, membership, firstSeen);
+    const due = dueCells();
     if (due.length > 0) {
       const plans = await Promise.all(
         due.map(cell => planFirst(ctx, membership, cell)),
@@ -30,27 +33,52 @@
   }
 }
 
-function dueCells(
+/** Tells which cells without a view it is this router's turn to claim. */
+function createDueCells(
   ctx: OwnershipContext,
   membership: Membership,
-  firstSeen: Map<CellId, number>,
+): () => readonly CellId[] {
+  const {clock, store, timing} = ctx;
+  // Found out once for each state of things: with thousands of cells and
+  // routers, each tick would else take longer than the time between two.
+  const unclaimedOf = createMemo(listUnclaimed);
+  const known = new WeakMap<readonly RouterHost[], Map<CellId, number>>();
+  let firstSeen: ReadonlyMap<CellId, number> = new Map();
+
+  const rankOf = (cell: CellId, routers: readonly RouterHost[]): number => {
+    const ranks = known.get(routers) ?? new Map<CellId, number>();
+    known.set(routers, ranks);
+    const before = ranks.get(cell);
+    if (before !== undefined) return before;
+    const rank = rankRouters(cell, routers).findIndex(
+      ({host}) => host === ctx.self.host,
+    );
+    ranks.set(cell, rank);
+    return rank;
+  };
+
+  return () => {
+    const now = clock.now();
+    const isFresh = now - store.confirmedAt() < timing.authorityMs;
+    if (!isFresh || !membership.isKnown()) return [];
+    const {inventory, views} = store.current();
+    const cells = unclaimedOf(inventory, views);
+    const seen = cells.map(cell => [cell, firstSeen.get(cell) ?? now] as const);
+    firstSeen = new Map(seen);
+    const routers = membership.candidates();
+    return cells.filter(cell => {
+      const rank = rankOf(cell, routers);
+      const waited = now - (firstSeen.get(cell) ?? now);
+      return rank >= 0 && waited >= rank * timing.rankMs;
+    });
+  };
+}
+
+function listUnclaimed(
+  inventory: ClusterState['inventory'],
+  views: ClusterState['views'],
 ): readonly CellId[] {
-  const state = ctx.store.current();
-  const now = ctx.clock.now();
-  const isFresh = now - ctx.store.confirmedAt() < ctx.timing.authorityMs;
-  if (!isFresh || !membership.isKnown()) return [];
-  const routers = membership.candidates();
-  return cellsOf(state.inventory).filter(cell => {
-    if (state.views.has(cell)) {
-      firstSeen.delete(cell);
-      return false;
-    }
-    const since = firstSeen.get(cell) ?? now;
-    firstSeen.set(cell, since);
-    const ranked = rankRouters(cell, routers);
-    const rank = ranked.findIndex(({host}) => host === ctx.self.host);
-    return rank >= 0 && now - since >= rank * ctx.timing.rankMs;
-  });
+  return cellsOf(inventory).filter(cell => !views.has(cell));
 }
 
 async function planFirst(
--- a/packages/ownership/src/lease-registry.ts
+++ b/packages/ownership/src/lease-registry.ts
@@ -2,6 +2,7 @@
 import type {Clock} from '@banyandrum/base/clock.js';
 import type {Fence, ShardId} from '@banyandrum/base/ids.js';
 import type {Logger} from '@banyandrum/base/logger.js';
+import type {Inventory} from '@banyandrum/config/inventory.js';
 import type {StateStore} from '@banyandrum/config/store.js';
 import type {ServerClient, ServerRef} from '@banyandrum/servers/client.js';
 import type {Authority} from './authority.js';
@@ -16,6 +17,7 @@
 } from './lease-servers.js';
 import {type LeaseTask, createLeaseTask} from './lease-task.js';
 import type {LeaseTiming} from './lease-timing.js';
+import {createMemo} from './memo.js';
 
 export interface LeaseRegistryOptions {
   readonly authority: Authority;
@@ -78,6 +80,19 @@
   let permitted: 'none' | 'checking' | 'all' = 'none';
   let foreignUntil = Infinity;
 
+  // Made anew only with a new inventory: the cell asks at every tick, and the
+  // list of all servers grows with the whole system.
+  const wantedOf = createMemo((inventory: Inventory) => {
+    const found = inventory.services.find(({name}) => name === service);
+    const servers = found
+      ? serversOfCell(inventory.servers, service, index, found.cells)
+      : [];
+    return {
+      found,
+      wanted: new Map(servers.map(s => [s.name, toServerRef(s)])),
+    };
+  });
+
   const open = (server: ServerRef, checksFences: boolean): void => {
     const stopper = new AbortController();
     const signal = AbortSignal.any([options.signal, stopper.signal]);
@@ -112,12 +127,7 @@
     task.wanted().size === 0 && task.mayHoldAnyUntil() <= clock.now();
 
   const refresh = (): void => {
-    const {inventory} = store.current();
-    const found = inventory.services.find(({name}) => name === service);
-    const servers = found
-      ? serversOfCell(inventory.servers, service, index, found.cells)
-      : [];
-    const wanted = new Map(servers.map(s => [s.name, toServerRef(s)]));
+    const {found, wanted} = wantedOf(store.current().inventory);
     for (const [name, member] of members) {
       // Another address is another process: its lease is a new one, and the
       // boot id that answers there proves nothing about the old process.
--- a/packages/ownership/src/membership.ts
+++ b/packages/ownership/src/membership.ts
@@ -1,8 +1,9 @@
 import type {CellId, Incarnation} from '@banyandrum/base/ids.js';
 import type {Host} from '@banyandrum/hosts/client.js';
 import type {OwnershipContext} from './context.js';
-import type {RouterHost} from './election.js';
-import {rankStandbys} from './election.js';
+import type {Ring, RouterHost} from './election.js';
+import {createRing, rankStandbys} from './election.js';
+import {createMemo} from './memo.js';
 
 /** The newest host list that was read; null before the first. */
 export interface LiveHosts {
@@ -13,10 +14,15 @@
 export interface Membership {
   /** Whether the host list was read at all. */
   isKnown(): boolean;
-  /** Routers that may take new roles, this one among them if it may. */
+  /**
+   * Routers that may take new roles, this one among them if it may; the same
+   * array for as long as nothing changes.
+   */
   candidates(): readonly RouterHost[];
   /** The same without this one. */
   others(): readonly RouterHost[];
+  /** The candidates on a ring, made once for each list of them. */
+  ring(): Ring;
   /** The run of the process at a router, or null where none answers. */
   find(router: RouterHost): Promise<Incarnation | null>;
   /** Those of the others that answer. */
@@ -63,22 +69,37 @@
   const sightings = new Map<string, Sighting>();
   const leaving = new Set<string>();
 
+  const routersByName = createMemo(indexRouters);
+
   const isWelcome = (host: string): boolean => {
     if (host === self.host && isStopping()) return false;
     if (store.current().drains.has(host)) return false;
-    const listed = routersOf(hosts).find(({name}) => name === host);
-    return listed?.state !== 'leaving';
+    return routersByName(hosts.current()).get(host)?.state !== 'leaving';
   };
 
-  const candidates = (): readonly RouterHost[] => {
-    const others = routersOf(hosts)
-      .filter(({name}) => name !== self.host)
-      .map(toRouterHost);
-    return [self, ...others].filter(({host}) => isWelcome(host));
-  };
+  const listOthers = createMemo(
+    (
+      routers: ReadonlyMap<string, Host>,
+      drains: ReadonlySet<string>,
+    ): readonly RouterHost[] =>
+      [...routers.values()]
+        .filter(({name}) => name !== self.host && !drains.has(name))
+        .filter(({state}) => state !== 'leaving')
+        .map(toRouterHost),
+  );
 
   const others = (): readonly RouterHost[] =>
-    candidates().filter(({host}) => host !== self.host);
+    listOthers(routersByName(hosts.current()), store.current().drains);
+
+  const withSelf = createMemo(
+    (known: readonly RouterHost[], isWelcomeHere: boolean) =>
+      isWelcomeHere ? [self, ...known] : known,
+  );
+
+  const candidates = (): readonly RouterHost[] =>
+    withSelf(others(), isWelcome(self.host));
+
+  const ringOf = createMemo(createRing);
 
   const probe = async (address: string): Promise<Incarnation | null> => {
     const res = await ctx.peers.probe(address, ctx.timing.answerMs);
@@ -98,6 +119,7 @@
     isKnown: () => hosts.current() !== null,
     candidates,
     others,
+    ring: () => ringOf(candidates()),
     find,
     async findOthers() {
       const found = await Promise.all(others().map(find));
@@ -117,8 +139,15 @@
   };
 }
 
-function routersOf(hosts: LiveHosts): readonly Host[] {
-  return (hosts.current() ?? []).filter(({role}) => role === 'router');
+function indexRouters(
+  hosts: readonly Host[] | null,
+): ReadonlyMap<string, Host> {
+  const routers = new Map<string, Host>();
+  for (const host of hosts ?? []) {
+    if (host.role !== 'router' || routers.has(host.name)) continue;
+    routers.set(host.name, host);
+  }
+  return routers;
 }
 
 function toRouterHost({name, address, dataCentre}: Host): RouterHost {
--- a/packages/ownership/src/orphan-watch.ts
+++ b/packages/ownership/src/orphan-watch.ts
@@ -6,7 +6,7 @@
 import {isGone} from './clearance.js';
 import type {OwnershipContext} from './context.js';
 import type {Ring, RouterHost} from './election.js';
-import {createRing, pickFromRing} from './election.js';
+import {pickFromRing} from './election.js';
 import type {Membership} from './membership.js';
 import {examineLeader} from './standby-watch.js';
 
@@ -32,7 +32,7 @@
   options: OrphanWatchOptions,
 ): readonly Incarnation[] {
   const {ctx, membership} = options;
-  const ring = createRing(membership.candidates());
+  const ring = membership.ring();
   return [...ctx.store.current().views.values()]
     .filter(view => watchRank(ctx, ring, view) !== null)
     .map(({leader}) => leader);
@@ -90,7 +90,7 @@
 ): readonly View[] {
   const {ctx, membership} = options;
   const {clock, store, timing} = ctx;
-  const ring = createRing(membership.candidates());
+  const ring = membership.ring();
   // Without the log at hand no claim can follow, so don't end a consent.
   if (clock.now() - store.confirmedAt() >= timing.authorityMs) return [];
   return [...store.current().views.values()].filter(view => {
@@ -194,11 +194,12 @@
   const hasRole = ({host}: RouterHost): boolean =>
     host === view.leader.host || host === view.standby?.host;
   const isOther = (router: RouterHost): boolean => !hasRole(router);
+  const order = [...pickFromRing(view.cell, ring, WATCHERS, isOther)];
   // A host with a role comes last: it may be lost, or back as another run.
-  const order = [
-    ...pickFromRing(view.cell, ring, WATCHERS, isOther),
-    ...pickFromRing(view.cell, ring, WATCHERS, hasRole),
-  ];
+  // Looking for one goes round the whole ring, so only where it is needed.
+  if (order.length < WATCHERS) {
+    order.push(...pickFromRing(view.cell, ring, WATCHERS, hasRole));
+  }
   const rank = order.findIndex(({host}) => host === self.host);
   return rank >= 0 && rank < WATCHERS ? rank : null;
 }
