--- a/packages/requests/test/load.ts
+++ b/packages/requests/test/load.ts
@@ -2,9 +2,15 @@
 import {createEntry} from '@banyandrum/requests/entry.js';
 import {createLeaderQueues} from '@banyandrum/requests/leader-queues.js';
 import type {QueuePolicy} from '@banyandrum/requests/queue.js';
+import type {Clock} from '@banyandrum/base/clock.js';
+import type {RequestHandler} from '@banyandrum/base/request.js';
 import {Ok} from '@banyandrum/base/result.js';
-import type {ServerRef} from '@banyandrum/servers/client.js';
-import {createManualClock} from '@banyandrum/standins/manual-clock.js';
+import type {LedCell} from '@banyandrum/ownership/led-cell.js';
+import type {ServerClient, ServerRef} from '@banyandrum/servers/client.js';
+import {
+  createManualClock,
+  type ManualClock,
+} from '@banyandrum/standins/manual-clock.js';
 import {
   ANSWER,
   fakeCell,
@@ -64,45 +70,32 @@
 /** A refusal within this counts as early, in ms. */
 const AT_ONCE_MS = 1;
 
-/** Offers an open load to an entry that leads the cell itself. */
-export async function offer(options: LoadOptions): Promise<readonly Tally[]> {
+/** An entry that leads the cell itself, over servers of the given speed. */
+export interface LoadedSystem {
+  readonly clock: ManualClock;
+  readonly random: () => number;
+  readonly handle: RequestHandler;
+}
+
+export type SystemOptions = Omit<LoadOptions, 'kinds' | 'seconds'>;
+
+export function createLoadedSystem(options: SystemOptions): LoadedSystem {
   const clock = createManualClock();
   const random = createRandom(42);
-  const refs = Array.from({length: options.servers}, (_, i) =>
-    server(`s${i}`, options.slots),
-  );
-  const led = {
-    ...fakeCell(refs[0] as ServerRef),
-    locate(key: string) {
-      const shard = String(hash32(key) % 64);
-      return owned(refs[Number(shard) % refs.length] as ServerRef, shard);
-    },
-  };
   const serviceMs = (): number => options.serviceMs * (0.5 + random());
   const queues = createLeaderQueues({
-    client: {
-      send: (_, {req}) =>
-        new Promise(resolve => {
-          const ms = serviceMs();
-          const answer = (): void => resolve(Ok(ANSWER));
-          clock.after(Math.min(ms, req.deadline - clock.now()), answer);
-        }),
-    },
+    client: timedClient(clock, serviceMs),
     rules: () => options.rules,
     clock,
     policy: options.policy,
   });
+  const led = spreadCell(options);
   queues.lead(led);
-  const self = router('me');
-  const view = {
-    cell: led.cell,
-    epoch: 1,
-    leader: self,
-    standby: null,
-    unsettled: [],
-  };
-  const entry = createEntry({
-    self,
+  const leader = router('me');
+  const {cell, epoch} = led;
+  const view = {cell, epoch, leader, standby: null, unsettled: []};
+  const {handle} = createEntry({
+    self: leader,
     topology: () => ({shards: 64, cells: 1}),
     leaderOf: () => view,
     subscribe: () => () => {},
@@ -112,35 +105,69 @@
     clock,
     random,
   });
+  return {clock, random, handle};
+}
 
-  const tallies = options.kinds.map(createTally);
+/** Offers an open load; yields what became of each kind. */
+export async function offer(options: LoadOptions): Promise<readonly Tally[]> {
+  const {clock, random, handle} = createLoadedSystem(options);
   const ask = async (tally: Tally): Promise<void> => {
     const {kind} = tally;
     const start = clock.now();
-    const outcome = await entry.handle(
-      request({
-        key: kind.pickKey(random),
-        caller: kind.pickCaller(random),
-        precedence: options.levelOf(kind),
-        deadline: start + kind.deadlineMs,
-      }),
-    );
-    record(tally, outcome, clock.now() - start);
+    const req = request({
+      key: kind.pickKey(random),
+      caller: kind.pickCaller(random),
+      precedence: options.levelOf(kind),
+      deadline: start + kind.deadlineMs,
+    });
+    record(tally, await handle(req), clock.now() - start);
   };
   const endAt = options.seconds * 1000;
   const arrive = (tally: Tally): void => {
-    const gapMs = (-Math.log(1 - random()) * 1000) / tally.kind.rate;
+    const gapMs = nextGap(random, tally.kind.rate);
     if (clock.now() + gapMs > endAt) return;
     clock.after(gapMs, () => {
       void ask(tally);
       arrive(tally);
     });
   };
+  const tallies = options.kinds.map(createTally);
   tallies.forEach(arrive);
   await clock.advance(endAt);
   return tallies;
 }
 
+/** Time to the next arrival of a Poisson stream, in ms. */
+export function nextGap(random: () => number, perSecond: number): number {
+  return (-Math.log(1 - random()) * 1000) / perSecond;
+}
+
+/** A cell whose shards are spread over all servers. */
+function spreadCell({servers, slots}: SystemOptions): LedCell {
+  const refs = Array.from({length: servers}, (_, i) => server(`s${i}`, slots));
+  return {
+    ...fakeCell(refs[0] as ServerRef),
+    locate(key) {
+      const shard = hash32(key) % 64;
+      return owned(refs[shard % servers] as ServerRef, String(shard));
+    },
+  };
+}
+
+/** Servers that answer after some time, and stop at the deadline. */
+function timedClient(
+  clock: Clock,
+  serviceMs: () => number,
+): Pick<ServerClient, 'send'> {
+  return {
+    send: (_, {req}) =>
+      new Promise(resolve => {
+        const ms = Math.min(serviceMs(), req.deadline - clock.now());
+        clock.after(ms, () => resolve(Ok(ANSWER)));
+      }),
+  };
+}
+
 function createTally(kind: Kind): Tally {
   return {
     kind,
--- a/packages/requests/test/overload.test.ts
+++ b/packages/requests/test/overload.test.ts
@@ -1,7 +1,9 @@
 import tap from 'tap';
-import {RULES, type TestRules} from './fakes.js';
+import {request, RULES, type TestRules} from './fakes.js';
 import {
+  createLoadedSystem,
   DEFAULT_LOAD,
+  nextGap,
   offer,
   quantile,
   usefulRate,
@@ -130,3 +132,49 @@
     t.ok(served(starved) < 0.9, `${name}, in plain order: ${served(starved)}`);
   }
 });
+
+void tap.test('refused callers are told when to come back', async t => {
+  // For two seconds three times the capacity is asked for. Callers who are
+  // refused come back when they were told to, and nearly all are served
+  // after a few attempts; asking again every 100 ms would cost many more.
+  const told = await comeBack(hintMs => hintMs);
+  const impatient = await comeBack(() => 100);
+  t.equal(told.served, told.asked);
+  t.ok(told.attempts < 4 * told.asked, `${told.attempts / told.asked}`);
+  t.ok(impatient.attempts > 2 * told.attempts, `${impatient.attempts}`);
+});
+
+interface Returns {
+  asked: number;
+  served: number;
+  attempts: number;
+}
+
+/** A burst of callers who come back after each refusal. */
+async function comeBack(pauseOf: (hintMs: number) => number): Promise<Returns> {
+  const options = {...DEFAULT_LOAD, rules: AGEING};
+  const {clock, random, handle} = createLoadedSystem(options);
+  const returns = {asked: 0, served: 0, attempts: 0};
+  const ask = async (): Promise<void> => {
+    returns.attempts++;
+    const key = ANYBODY.pickKey(random);
+    const caller = ANYBODY.pickCaller(random);
+    const deadline = clock.now() + 1500;
+    const outcome = await handle(request({key, caller, deadline}));
+    if (outcome.ok) {
+      returns.served++;
+      return;
+    }
+    const pauseMs = pauseOf(outcome.val.retryAfterMs ?? 0);
+    clock.after(pauseMs * (0.75 + random() / 2), () => void ask());
+  };
+  const arrive = (): void => {
+    if (clock.now() > 2000) return;
+    returns.asked++;
+    void ask();
+    clock.after(nextGap(random, 3 * CAPACITY), arrive);
+  };
+  arrive();
+  await clock.advance(20_000);
+  return returns;
+}
