--- a/packages/ownership/src/cell-leader.ts
+++ b/packages/ownership/src/cell-leader.ts
@@ -85,9 +85,10 @@
   readonly led: LedCell;
   /**
    * Ends it: no order is sent any more when it resolves. The table is for the
-   * successor.
+   * successor; null where this leader didn't know it yet itself: a successor
+   * that took the shards for free would give them a second owner.
    */
-  stop(): Promise<ShardTable>;
+  stop(): Promise<ShardTable | null>;
   describe(): CellDescription;
 }
 
@@ -136,6 +137,7 @@
     clock,
     signal,
     fences: registry.fences,
+    addresses: () => recovery.addresses(),
     version: (inheritance.table?.version ?? 0) + 1,
   });
   const recovery = createRecovery({
@@ -167,18 +169,19 @@
     await recovery.run();
     await placer.run();
   };
+  // Nobody may be left waiting behind a gate that this leader closed.
+  signal.addEventListener('abort', locator.stop);
   const unsubscribe = options.store.subscribe(() => wake.notify());
   const leading = lead().catch((err: unknown) => {
     log.error('leading a cell failed', {cell, detail: String(err)});
   });
 
-  const stop = async (): Promise<ShardTable> => {
+  const stop = async (): Promise<ShardTable | null> => {
     stopper.abort();
     unsubscribe();
-    locator.stop();
     await leading;
     await registry.ended();
-    return recorder.snapshot();
+    return recovery.knowsTable() ? recorder.snapshot() : null;
   };
 
   const describeServers = (): readonly ServerDescription[] =>
--- a/packages/ownership/src/leadership.ts
+++ b/packages/ownership/src/leadership.ts
@@ -24,8 +24,11 @@
 /** The leader's work for one cell. */
 export interface RunningCell {
   readonly led: LedCell;
-  /** Stops all orders and dispatch; resolves with the final table. */
-  stop(): Promise<ShardTable>;
+  /**
+   * Stops all orders and dispatch; resolves with the final table, or null
+   * where it isn't known yet.
+   */
+  stop(): Promise<ShardTable | null>;
 }
 
 export type StartCell = (
--- a/packages/ownership/src/lease-registry.ts
+++ b/packages/ownership/src/lease-registry.ts
@@ -47,6 +47,7 @@
   leaving(task: LeaseTask): LeavingReason | null;
   probe(task: LeaseTask): LoadProbe | undefined;
   fences(): ReadonlyMap<string, Fence>;
+  addresses(): ReadonlyMap<string, string>;
   /** Resolves when all tasks have ended. */
   ended(): Promise<void>;
 }
@@ -185,6 +186,8 @@
     probe: task => members.get(task.server.name)?.probe,
     fences: () =>
       new Map(Array.from(tasks, ([name, task]) => [name, task.fence()])),
+    addresses: () =>
+      new Map(Array.from(tasks, ([name, {server}]) => [name, server.address])),
     async ended() {
       await Promise.all(runs);
     },
--- a/packages/ownership/src/led-cell.ts
+++ b/packages/ownership/src/led-cell.ts
@@ -46,7 +46,10 @@
 export interface DispatchGate {
   /**
    * Stops dispatch of the shard and resolves when none of its requests is
-   * in flight any more. Newcomers wait in the queue.
+   * in flight any more. Newcomers wait in the queue. A request that was
+   * written and has no answer counts as in flight until its deadline on the
+   * server has passed, although its caller has been told: the server may
+   * still run it, and the shard's next owner must not be granted meanwhile.
    */
   close(cell: CellId, shard: ShardId): Promise<void>;
   /** Lets the shard's waiting requests go, wherever it is now. */
--- a/packages/ownership/src/placer.ts
+++ b/packages/ownership/src/placer.ts
@@ -111,7 +111,9 @@
   const isLapsed = (slot: Slot, server: string): boolean => {
     const now = clock.now();
     const task = tasks.get(server);
-    if (task === undefined) return options.foreignUntil() <= now;
+    // Taken over with the table, but not with the server: it wasn't in the
+    // inventory, or had another address. Only the former leader's orders count.
+    if (!task?.wanted().has(slot.shard)) return options.foreignUntil() <= now;
     if (task.health() === 'ok') return false;
     return task.mayHoldUntil(slot.shard) <= now;
   };
@@ -119,6 +121,8 @@
   const untilNextLapse = (): number => {
     const now = clock.now();
     let next = now + TICK_MS;
+    const foreign = options.foreignUntil();
+    if (foreign > now) next = Math.min(next, foreign);
     for (const task of tasks.values()) {
       if (task.health() === 'ok') continue;
       const until = task.mayHoldAnyUntil();
--- a/packages/ownership/src/recovery.ts
+++ b/packages/ownership/src/recovery.ts
@@ -31,6 +31,10 @@
   run(): Promise<void>;
   /** Takes note of what a server held when it was first asked. */
   noteReport(task: LeaseTask, shards: readonly ShardId[]): void;
+  /** Whether the cell's table is known by now. */
+  knowsTable(): boolean;
+  /** Where the servers are that the table's entries are about. */
+  addresses(): ReadonlyMap<string, string>;
   /** When every order of a former leader has lapsed; infinite before. */
   foreignUntil(): number;
 }
@@ -47,7 +51,9 @@
 export function createRecovery(options: RecoveryOptions): Recovery {
   const {inheritance, map, registry, recorder, clock, signal} = options;
   const disputed = new Set<ShardId>();
+  let inherited: ReadonlyMap<string, string> = new Map();
   let asking = false;
+  let knowsTable = false;
   let foreignUntil = Infinity;
 
   const limitForeign = (): void => {
@@ -59,19 +65,29 @@
   };
 
   const takeOver = async (table: ShardTable): Promise<void> => {
+    inherited = table.addresses ?? inherited;
     for (const entry of table.entries) adoptEntry(entry);
+    knowsTable = true;
     for (const task of registry.tasks.values()) {
-      task.add(shardsOf(map, task.server.name));
+      if (isKnownAt(table, task)) {
+        task.add(shardsOf(map, task.server.name));
+      }
     }
     registry.runChecking();
     options.locator.start();
-    recorder.touch();
+    record();
     await untilAborted(inheritance.cleared, signal);
     if (signal.aborted) return;
     limitForeign();
     registry.runAll();
   };
 
+  /** The new standby should have the table soon, though nothing changes. */
+  const record = (): void => {
+    recorder.touch();
+    void recorder.commit();
+  };
+
   const adoptEntry = (entry: ShardEntry): void => {
     const slot = findSlot(map, entry.shard);
     if (slot === null || entry.server === null) return;
@@ -94,7 +110,8 @@
     asking = false;
     if (signal.aborted) return;
     dropDisputed();
-    recorder.touch();
+    knowsTable = true;
+    record();
     options.locator.start();
   };
 
@@ -133,10 +150,30 @@
     run: () =>
       inheritance.table === null ? ask() : takeOver(inheritance.table),
     noteReport,
+    knowsTable: () => knowsTable,
+    // Until older leases have lapsed, entries may be about the old addresses.
+    addresses: () =>
+      new Map([
+        ...registry.addresses(),
+        ...(clock.now() < foreignUntil ? inherited : []),
+      ]),
     foreignUntil: () => foreignUntil,
   };
 }
 
+/**
+ * Whether the table's entries for this server's name are about the process at
+ * this address. If an operator gave the server another address meanwhile,
+ * they are about a process that may still hold its lease at the old one:
+ * ordering the shards at the new address would give them two owners. They
+ * wait until every older lease has lapsed.
+ */
+function isKnownAt(table: ShardTable, task: LeaseTask): boolean {
+  const {name, address} = task.server;
+  const known = table.addresses?.get(name);
+  return known === undefined || known === address;
+}
+
 function findSlot(map: ShardMap, shard: ShardId): Slot | null {
   const known = map.get(shard);
   if (known !== undefined) return known;
--- a/packages/ownership/src/shard-table.ts
+++ b/packages/ownership/src/shard-table.ts
@@ -145,6 +145,7 @@
   readonly clock: Clock;
   readonly signal: AbortSignal;
   readonly fences: () => ReadonlyMap<string, Fence>;
+  readonly addresses: () => ReadonlyMap<string, string>;
   /** The version to go on from. */
   readonly version: number;
 }
@@ -177,6 +178,7 @@
     version,
     entries: Array.from(map.all(), toEntry),
     fences: options.fences(),
+    addresses: options.addresses(),
   });
 
   const recordOnce = async (): Promise<void> => {
--- a/packages/ownership/src/table.ts
+++ b/packages/ownership/src/table.ts
@@ -25,4 +25,9 @@
   readonly entries: readonly ShardEntry[];
   /** The highest fence used for each server, by name. */
   readonly fences: ReadonlyMap<string, Fence>;
+  /**
+   * The address at which each server was led, by name. A server that has
+   * another one by now is another process.
+   */
+  readonly addresses?: ReadonlyMap<string, string>;
 }
--- a/packages/ownership/test/fake-servers.ts
+++ b/packages/ownership/test/fake-servers.ts
@@ -55,6 +55,11 @@
   thaw(): void;
   stamp(): Stamp;
   belief(cell: CellId): Belief | null;
+  /**
+   * The latest end, on its own clock, of a lease of the shard that this run
+   * obeyed. A late order may have ended its belief earlier.
+   */
+  grantedUntil(cell: CellId, shard: ShardId): number;
 }
 
 export interface FakeServers {
@@ -209,6 +214,14 @@
     },
     stamp,
     belief,
+    grantedUntil: (cell, shard) =>
+      Math.max(
+        -Infinity,
+        ...server.obeyed
+          .filter(({echo}) => echo?.boot === stamp().boot)
+          .filter(order => order.cell === cell && order.shards.includes(shard))
+          .map(({echo, ttlMs}) => (echo?.ms ?? -Infinity) + ttlMs),
+      ),
   };
 
   const arrive: Arrive = async order => {
--- a/packages/ownership/test/lease-fixture.ts
+++ b/packages/ownership/test/lease-fixture.ts
@@ -51,7 +51,7 @@
   drainMs: number;
   lead(options?: LeadOptions): Led;
   /** Ends a leadership; yields its last table. */
-  stop(led: Led): Promise<ShardTable>;
+  stop(led: Led): Promise<ShardTable | null>;
   /** What broke the rules of ownership so far; empty is right. */
   readonly violations: ReadonlySet<string>;
   /** Moves time on in steps of 20 ms and checks locations at each. */
--- a/packages/ownership/test/ownership-checker.ts
+++ b/packages/ownership/test/ownership-checker.ts
@@ -52,11 +52,9 @@
       }
     }
     const fake = fakes.get(server.name);
-    const belief = fake.belief(cell);
     const deadline = location.toServerTime(leaseEnd);
     if (deadline.boot !== fake.stamp().boot) return;
-    if (!belief?.shards.includes(shard)) return;
-    if (deadline.ms <= belief.endsAt) return;
+    if (deadline.ms <= fake.grantedUntil(cell, shard)) return;
     violations.add(
       `${clock.now()}: deadline at ${server.name} after its lease`,
     );
