A planned stop answers what is in flight

Cause: moleculer's broker handles SIGTERM itself and ends the process at once. Change: the broker registers no handlers; the hand-over of roles takes half of the grace at most.

--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -53,6 +53,8 @@
 
 const MAX_RECORD_BYTES = 1024 * 1024;
 const HOST_LIST_TIMEOUT_MS = 1_000;
+/** Time to find a router for every role, where one is there at all. */
+const HAND_OVER_MS = 5_000;
 const OPERATORS_GRACE_MS = 2_000;
 /** Time that the balancer gets to see that this router is not ready. */
 const NOTICE_MS = 500;
@@ -144,7 +146,13 @@
     clock,
     random: Math.random,
   });
-  const broker = new ServiceBroker({transporter: null, logger: false});
+  const broker = new ServiceBroker({
+    transporter: null,
+    logger: false,
+    // The broker's own handler of SIGTERM ends the process at once: callers
+    // whose requests are in flight would see their connections cut.
+    skipProcessEventRegistration: true,
+  });
   const callers = createCallersService({
     listen: parseAddress(settings.callers.listen),
     handle: metrics.measure(entry.handle),
@@ -231,7 +239,7 @@
       // Cells go to their standbys first; requests that still arrive are
       // passed on to the new leaders until the last caller has its answer.
       abort.abort();
-      await ownership?.stop();
+      await ownership?.stop(Math.min(HAND_OVER_MS, graceMs / 2));
       await callers.stop(graceMs, NOTICE_MS);
       await operators.stop(OPERATORS_GRACE_MS);
       await peerServer.close(graceMs);
