--- a/packages/servers/src/exchange.ts
+++ b/packages/servers/src/exchange.ts
@@ -1,16 +1,15 @@
 import type {Clock} from '@banyandrum/base/clock.js';
-import {FailureError, failure} from '@banyandrum/base/failure.js';
 import type {FailureCode} from '@banyandrum/base/failure.js';
 import type {Body} from '@banyandrum/base/request.js';
-import {EMPTY_BODY} from '@banyandrum/base/request.js';
 import {Err, Ok} from '@banyandrum/base/result.js';
 import type {Result} from '@banyandrum/base/result.js';
 import type {Dispatcher} from 'undici';
-import {createBodyStream} from './body-stream.js';
-import type {BodyStream} from './body-stream.js';
+import {createAnswerReader, isBodiless} from './answer-reader.js';
+import type {ServerAnswer} from './answer-reader.js';
 import type {Connection, Connections, ConnectionUse} from './connections.js';
 import {readHead} from './fields.js';
 import type {AnswerHead} from './fields.js';
+import {toDispatchBody} from './request-body.js';
 
 /** One request to a server, and when to give it up. */
 export interface ExchangeSpec {
@@ -31,44 +30,47 @@
   mayWrite(): boolean;
 }
 
-export interface ExchangeAnswer {
-  readonly head: AnswerHead;
-  readonly body: Body;
-}
-
 /** How far an exchange came. */
 export type ExchangeStage = 'unwritten' | 'written' | 'answering';
 
-export type ExchangeErrorCode = Extract<
-  FailureCode,
-  | 'bad-request'
-  | 'cancelled'
-  | 'connection-lost'
-  | 'deadline'
-  | 'no-leader'
-  | 'stopping'
-  | 'truncated'
->;
-
 export interface ExchangeError {
   readonly stage: ExchangeStage;
-  readonly code: ExchangeErrorCode;
+  readonly code: FailureCode;
   readonly detail: string;
 }
 
-interface GaveUp {
-  readonly code: ExchangeErrorCode;
-  readonly detail: string;
-}
+export type ExchangeResult = Result<ServerAnswer, ExchangeError>;
 
-type ExchangeResult = Result<ExchangeAnswer, ExchangeError>;
+/** Why an exchange ends without a whole answer. */
+type Reason = Omit<ExchangeError, 'stage'>;
 
 type Handler = Parameters<Dispatcher['dispatch']>[1];
 
-/** Answers to these have no body, whatever their head says. */
-const BODILESS_STATUS: ReadonlySet<number> = new Set([204, 304]);
+/** An exchange under way, as the parts of this module see it. */
+interface Exchange {
+  readonly spec: ExchangeSpec;
+  readonly connections: Connections;
+  readonly clock: Clock;
+  readonly settle: (result: ExchangeResult) => void;
+  stage: ExchangeStage;
+  writtenAt: number;
+  /** Null before it is granted, and after it was given back. */
+  connection: Connection | null;
+  /** Set once undici is about to write; drops request and connection. */
+  abort: (() => void) | null;
+  reason: Reason | null;
+  /** Takes a failure once the answer's head is out; false before. */
+  failStream: (code: FailureCode, detail: string) => boolean;
+  /** Ends waiting for a connection, a deadline and a cancellation. */
+  stopWaiting: () => void;
+}
+
+const FORBIDDEN: Reason = {
+  code: 'no-leader',
+  detail: 'no authority any more when the request was due',
+};
 
-/** Errors of undici that mean: the request was refused before any byte. */
+/** Errors of undici that say that the request can't be written at all. */
 const INVALID_CODES: ReadonlySet<unknown> = new Set([
   'UND_ERR_INVALID_ARG',
   'UND_ERR_NOT_SUPPORTED',
@@ -91,223 +93,174 @@
   clock: Clock,
   spec: ExchangeSpec,
 ): Promise<ExchangeResult> {
-  return new Promise(resolve => {
-    startExchange(connections, clock, spec, resolve);
+  const {signal, deadline} = spec;
+  if (signal?.aborted) return unwritten('cancelled', 'the caller gave up');
+  if (deadline <= clock.now()) {
+    return unwritten('deadline', 'the deadline has passed');
+  }
+  return new Promise(settle => {
+    const ex: Exchange = {
+      spec,
+      connections,
+      clock,
+      settle,
+      stage: 'unwritten',
+      writtenAt: 0,
+      connection: null,
+      abort: null,
+      reason: null,
+      failStream: () => false,
+      stopWaiting: () => {},
+    };
+    waitFor(ex);
   });
 }
 
-function startExchange(
-  connections: Connections,
-  clock: Clock,
-  spec: ExchangeSpec,
-  settle: (result: ExchangeResult) => void,
-): void {
-  let stage: ExchangeStage = 'unwritten';
-  let writtenAt = 0;
-  let connection: Connection | null = null;
-  let gaveUp: GaveUp | null = null;
-  let abort: (() => void) | null = null;
-  let isStarted = false;
-  let head: AnswerHead | null = null;
-  let stream: BodyStream | null = null;
-  const pieces: Uint8Array[] = [];
+function unwritten(code: FailureCode, detail: string): Promise<ExchangeResult> {
+  return Promise.resolve(Err({stage: 'unwritten', code, detail}));
+}
 
-  const stopWatching = (): void => {
+function waitFor(ex: Exchange): void {
+  const {spec, clock} = ex;
+  const onCancelled = (): void => {
+    giveUp(ex, {code: 'cancelled', detail: 'the caller gave up'});
+  };
+  const cancelTimer = clock.after(spec.deadline - clock.now(), () => {
+    giveUp(ex, {code: 'deadline', detail: 'no whole answer by the deadline'});
+  });
+  spec.signal?.addEventListener('abort', onCancelled);
+  let cancelGrant = (): void => {};
+  ex.stopWaiting = () => {
     cancelTimer();
+    cancelGrant();
     spec.signal?.removeEventListener('abort', onCancelled);
   };
+  cancelGrant = ex.connections.acquire(spec.use, connection => {
+    if (connection === null) {
+      return giveUp(ex, {code: 'stopping', detail: 'the server is given up'});
+    }
+    ex.connection = connection;
+    dispatch(ex, connection);
+  });
+}
 
-  const fail = (code: ExchangeErrorCode, detail: string): void => {
-    stopWatching();
-    if (stream === null) return settle(Err({stage, code, detail}));
-    stream.fail(new FailureError(failure('ran', code, detail)));
-  };
-
-  const giveUp = (code: ExchangeErrorCode, detail: string): void => {
-    if (gaveUp !== null) return;
-    gaveUp = {code, detail};
-    cancelWait();
-    // Without a connection, or before it stands, nothing has been written,
-    // and `onConnect` will see that it must not be.
-    if (abort === null) return fail(code, detail);
-    abort();
-  };
-
-  const onCancelled = (): void => giveUp('cancelled', 'the caller gave up');
-
-  const markWritten = (): void => {
-    stage = 'written';
-    writtenAt = clock.now();
-  };
-
-  const release = (answered: boolean): void => {
-    if (connection === null) return;
-    const released = connection;
-    connection = null;
-    connections.release(released, answered);
-  };
+function dispatch(ex: Exchange, {client}: Connection): void {
+  const {spec} = ex;
+  const body = toDispatchBody(spec.body, {
+    mayWrite: () => spec.mayWrite(),
+    onWrite: () => markWritten(ex),
+    onForbidden: () => {
+      ex.reason ??= FORBIDDEN;
+    },
+    onCut: err => {
+      const detail = `the request's body was cut: ${String(err)}`;
+      ex.reason ??= {code: 'truncated', detail};
+    },
+  });
+  const method = spec.method as Dispatcher.HttpMethod;
+  const headers = spec.headers as string[];
+  client.dispatch({method, path: spec.path, headers, body}, createHandler(ex));
+}
 
-  const handler: Handler = {
-    onConnect(abortRequest) {
-      if (gaveUp !== null) return abortRequest();
-      abort = abortRequest;
+function createHandler(ex: Exchange): Handler {
+  const {spec} = ex;
+  const reader = createAnswerReader(spec.method, spec.gatherBytes);
+  let isStarted = false;
+  return {
+    onConnect(abort) {
+      ex.abort = abort;
+      // Given up while it connected: it was reported as unwritten.
+      if (ex.reason !== null) return abort();
       // undici may write a request again after some losses; a second write
       // could run it twice, so the first one's outcome stays open instead.
-      if (isStarted) return giveUp('connection-lost', 'lost after the write');
+      if (isStarted) return giveUp(ex, lost('lost after it was written'));
       isStarted = true;
-      if (!spec.mayWrite()) return giveUp('no-leader', NOT_PERMITTED);
-      if (spec.body instanceof Uint8Array) markWritten();
+      if (!spec.mayWrite()) return giveUp(ex, FORBIDDEN);
+      if (spec.body instanceof Uint8Array) markWritten(ex);
     },
     onHeaders(status, raw, resume) {
       if (status < 200) return true;
-      head = readHead(status, raw);
-      if (isForeign(head, spec)) {
-        giveUp('connection-lost', "another request's answer");
-        return false;
-      }
-      stage = 'answering';
-      if (!isDelimited(head, spec)) {
-        giveUp('truncated', 'the answer does not say where it ends');
-        return false;
-      }
-      if (isGathered(head, spec)) return true;
-      stream = createBodyStream({
-        resume,
-        abandon: () => giveUp('cancelled', 'the reader gave up'),
-      });
-      settle(Ok({head, body: stream.body}));
-      return true;
-    },
-    onData(chunk) {
-      if (stream !== null) return stream.push(chunk);
-      pieces.push(chunk);
+      const head = readHead(status, raw);
+      if (!acceptHead(ex, head)) return false;
+      ex.failStream = reader.fail;
+      const abandon = (): void => {
+        giveUp(ex, {code: 'cancelled', detail: 'the reader gave up'});
+      };
+      const streamed = reader.begin(head, {resume, abandon});
+      if (streamed !== null) ex.settle(Ok(streamed));
       return true;
     },
+    onData: chunk => reader.push(chunk),
     onComplete() {
-      stopWatching();
-      release(true);
-      if (stream !== null) return stream.end();
-      if (head !== null) settle(Ok({head, body: joinPieces(pieces)}));
+      ex.stopWaiting();
+      release(ex, true);
+      const gathered = reader.end();
+      if (gathered !== null) ex.settle(Ok(gathered));
     },
     onError(err) {
-      const silent = gaveUp?.code === 'deadline' && stage === 'written';
-      release(false);
-      if (silent) connections.dropUnproved(writtenAt);
-      const {code, detail} = gaveUp ?? errorOf(err, stage);
-      fail(code, detail);
+      const reason = ex.reason ?? reasonOf(err, ex.stage);
+      release(ex, false);
+      if (reason.code === 'deadline' && ex.stage === 'written') {
+        ex.connections.dropUnproved(ex.writtenAt);
+      }
+      fail(ex, reason);
     },
   };
-
-  const cancelTimer = clock.after(spec.deadline - clock.now(), () =>
-    giveUp('deadline', 'no whole answer by the deadline'),
-  );
-  let cancelWait = (): void => {};
-  if (spec.signal?.aborted) return onCancelled();
-  if (spec.deadline <= clock.now()) {
-    return giveUp('deadline', 'the deadline has passed');
-  }
-  spec.signal?.addEventListener('abort', onCancelled);
-
-  const onBodyError = (code: ExchangeErrorCode, detail: string): void => {
-    gaveUp ??= {code, detail};
-  };
-  cancelWait = connections.acquire(spec.use, granted => {
-    if (granted === null) return giveUp('stopping', 'the server is given up');
-    connection = granted;
-    granted.client.dispatch(
-      {
-        method: spec.method as Dispatcher.HttpMethod,
-        path: spec.path,
-        headers: spec.headers as string[],
-        body: bodyOf(spec, markWritten, onBodyError),
-      },
-      handler,
-    );
-  });
-}
-
-const NOT_PERMITTED = 'no authority any more when the request was due';
-
-type DispatchBody = NonNullable<Dispatcher.DispatchOptions['body']> | null;
-
-/** The body as undici takes it; it knows iterables, though its types don't. */
-function bodyOf(
-  spec: ExchangeSpec,
-  markWritten: () => void,
-  onError: (code: ExchangeErrorCode, detail: string) => void,
-): DispatchBody {
-  if (!(spec.body instanceof Uint8Array)) {
-    const guarded = guardBody(spec.body, spec, markWritten, onError);
-    return guarded as unknown as DispatchBody;
-  }
-  return spec.body.byteLength === 0 ? null : spec.body;
 }
 
-/**
- * A streamed request's head is written together with the first bytes of the
- * body, which may come long after `onConnect`. So permission is asked again
- * right before those.
- */
-async function* guardBody(
-  body: AsyncIterable<Uint8Array>,
-  spec: ExchangeSpec,
-  markWritten: () => void,
-  onError: (code: ExchangeErrorCode, detail: string) => void,
-): AsyncGenerator<Uint8Array> {
-  let isWritten = false;
-  const beforeWrite = (): void => {
-    if (isWritten) return;
-    if (!spec.mayWrite()) {
-      onError('no-leader', NOT_PERMITTED);
-      throw new Error(NOT_PERMITTED);
-    }
-    isWritten = true;
-    markWritten();
-  };
-  try {
-    for await (const chunk of body) {
-      if (chunk.byteLength === 0) continue;
-      beforeWrite();
-      yield chunk;
-    }
-  } catch (err) {
-    onError('truncated', `the request's body was cut: ${String(err)}`);
-    throw err;
+/** Whether the answer goes on; else the exchange is given up. */
+function acceptHead(ex: Exchange, head: AnswerHead): boolean {
+  const {requestId, method} = ex.spec;
+  // The connection's answers have slipped: nothing is known of this request.
+  if (requestId !== null && (head.requestId ?? requestId) !== requestId) {
+    giveUp(ex, lost("another request's answer"));
+    return false;
   }
-  beforeWrite();
+  ex.stage = 'answering';
+  if (head.isDelimited || isBodiless(method, head.status)) return true;
+  // A body that ends with its connection looks whole wherever it is cut.
+  const detail = 'the answer does not say where it ends';
+  giveUp(ex, {code: 'truncated', detail});
+  return false;
 }
 
-function isForeign(head: AnswerHead, spec: ExchangeSpec): boolean {
-  if (spec.requestId === null || head.requestId === null) return false;
-  return head.requestId !== spec.requestId;
+function markWritten(ex: Exchange): void {
+  ex.stage = 'written';
+  ex.writtenAt = ex.clock.now();
 }
 
-/** A body that ends with its connection looks whole wherever it is cut. */
-function isDelimited(head: AnswerHead, spec: ExchangeSpec): boolean {
-  return head.isDelimited || isBodiless(head, spec);
+function giveUp(ex: Exchange, reason: Reason): void {
+  if (ex.reason !== null) return;
+  ex.reason = reason;
+  // Without a connection, or before it stands, nothing has been written, and
+  // `onConnect` will see that nothing must be.
+  if (ex.abort === null) return fail(ex, reason);
+  ex.abort();
 }
 
-function isBodiless(head: AnswerHead, spec: ExchangeSpec): boolean {
-  return spec.method === 'HEAD' || BODILESS_STATUS.has(head.status);
+function fail(ex: Exchange, {code, detail}: Reason): void {
+  ex.stopWaiting();
+  if (ex.failStream(code, detail)) return;
+  ex.settle(Err({stage: ex.stage, code, detail}));
 }
 
-function isGathered(head: AnswerHead, spec: ExchangeSpec): boolean {
-  if (isBodiless(head, spec)) return true;
-  return head.length !== null && head.length <= spec.gatherBytes;
+function release(ex: Exchange, answered: boolean): void {
+  const {connection} = ex;
+  if (connection === null) return;
+  ex.connection = null;
+  ex.connections.release(connection, answered);
 }
 
-function joinPieces(pieces: readonly Uint8Array[]): Uint8Array {
-  const [first] = pieces;
-  if (first === undefined) return EMPTY_BODY;
-  return pieces.length === 1 ? first : Buffer.concat(pieces);
-}
-
-function errorOf(err: Error, stage: ExchangeStage): GaveUp {
+function reasonOf(err: Error, stage: ExchangeStage): Reason {
   const detail = err.message;
   if (stage === 'answering') return {code: 'truncated', detail};
-  const code = (err as NodeJS.ErrnoException).code;
+  const {code} = err as NodeJS.ErrnoException;
   if (stage === 'unwritten' && INVALID_CODES.has(code)) {
     return {code: 'bad-request', detail};
   }
+  return lost(detail);
+}
+
+function lost(detail: string): Reason {
   return {code: 'connection-lost', detail};
 }
--- a/packages/servers/src/lease-orders.ts
+++ b/packages/servers/src/lease-orders.ts
@@ -4,6 +4,7 @@
 import {Err, Ok} from '@banyandrum/base/result.js';
 import type {Result} from '@banyandrum/base/result.js';
 import type {z} from 'zod';
+import type {ServerAnswer} from './answer-reader.js';
 import type {
   LeaseAck,
   LeaseOrder,
@@ -13,7 +14,7 @@
 } from './client.js';
 import type {Connections} from './connections.js';
 import {exchange} from './exchange.js';
-import type {ExchangeAnswer, ExchangeError, ExchangeStage} from './exchange.js';
+import type {ExchangeError, ExchangeStage} from './exchange.js';
 import {LEASE_PATH, LOAD_PATH} from './headers.js';
 import {fencedSchema, leaseAckSchema, serverLoadSchema} from './schemas.js';
 
@@ -117,7 +118,7 @@
 async function readAnswer({
   head,
   body,
-}: ExchangeAnswer): Promise<Result<ControlAnswer, ServerError>> {
+}: ServerAnswer): Promise<Result<ControlAnswer, ServerError>> {
   const bytes = await readWhole(body);
   if (bytes === null) {
     return Err({kind: 'unknown', detail: 'answer cut or too long'});
--- a/packages/servers/src/requests.ts
+++ b/packages/servers/src/requests.ts
@@ -5,10 +5,11 @@
 import {Err, Ok} from '@banyandrum/base/result.js';
 import type {Result} from '@banyandrum/base/result.js';
 import type {Verdict} from '@banyandrum/base/verdict.js';
+import type {ServerAnswer} from './answer-reader.js';
 import type {Dispatch} from './client.js';
 import type {Connections} from './connections.js';
 import {exchange} from './exchange.js';
-import type {ExchangeAnswer, ExchangeError, ExchangeStage} from './exchange.js';
+import type {ExchangeError, ExchangeStage} from './exchange.js';
 import {addForwarded, encodeField} from './fields.js';
 import type {AnswerHead} from './fields.js';
 import * as names from './headers.js';
@@ -69,10 +70,7 @@
   return answerOf(result.val);
 }
 
-function answerOf({
-  head,
-  body,
-}: ExchangeAnswer): Result<ServiceAnswer, Failure> {
+function answerOf({head, body}: ServerAnswer): Result<ServiceAnswer, Failure> {
   if (head.verdict !== 'not-run') {
     return Ok({status: head.status, headers: head.fields, body});
   }
--- a/packages/standins/src/server-requests.ts
+++ b/packages/standins/src/server-requests.ts
@@ -56,8 +56,7 @@
   if (head === null) return refuse(exchange, 400, 'malformed head');
   const early = refusalOf(parts, head);
   if (early) return refuseWith(exchange, early);
-  const closed = closedSignal(exchange.res);
-  const entry = await parts.slots.enter(closed);
+  const entry = await parts.slots.enter(() => closedSignal(exchange.res));
   if (entry === 'closed') return;
   if (entry === 'shed') {
     return refuse(exchange, 503, 'all slots taken', SHED_RETRY_MS);
@@ -66,7 +65,6 @@
     // The lease or the deadline may have ended while it waited.
     const late = refusalOf(parts, head);
     if (late) return refuseWith(exchange, late);
-    if (closed.aborted) return;
     await execute(parts, exchange, head);
   } finally {
     parts.slots.leave();
--- a/packages/standins/src/server-slots.ts
+++ b/packages/standins/src/server-slots.ts
@@ -3,8 +3,11 @@
 
 /** The slots of a server, with the queue before them. */
 export interface ServerSlots {
-  /** Takes a slot, now or in turn; `leave` gives it back. */
-  enter(closed: AbortSignal): Entry | Promise<Entry>;
+  /**
+   * Takes a slot, now or in turn; `leave` gives it back. `closed` is asked
+   * only where it has to wait, and ends the wait.
+   */
+  enter(closed: () => AbortSignal): Entry | Promise<Entry>;
   leave(): void;
   readonly busy: number;
   readonly queued: number;
@@ -18,7 +21,7 @@
  *
  * @example
  * ```ts
- * if ((await slots.enter(signal)) === 'entered') {
+ * if ((await slots.enter(() => signal)) === 'entered') {
  *   await run();
  *   slots.leave();
  * }
@@ -54,13 +57,12 @@
 
   return {
     enter(closed) {
-      if (closed.aborted) return 'closed';
       if (busy < slots) {
         take();
         return 'entered';
       }
       if (queue.size >= queueLimit) return 'shed';
-      return wait(closed);
+      return wait(closed());
     },
     leave() {
       busy--;
