Ownership: new standbys get the table at once; start help apart

Cause: a standby that replaced another got the table with the next change only, so a quiet cell would have been taken over by asking its servers. A start during an outage asked peers only once ownership ran, which needs the publication that the peers are to be asked for.

Change: the first consent of a new epoch is followed by the table; a leader, standby or router that an operator attested lost steps back if it is there after all; createCatchUp stands on its own; stopping a single router does not wait for others; cells are claimed without a host list after 10 s.

Conclusion: the router process can call createCatchUp before it starts ownership.

--- a/packages/ownership/src/authority-holder.ts
+++ b/packages/ownership/src/authority-holder.ts
@@ -11,8 +11,8 @@
   /** The view that the right rests on. */
   view(): View;
   /**
-   * Goes on under the next view, in which this process leads as well. The
-   * new standby is sent the table at once.
+   * Goes on under the next view, in which this process leads as well. Its
+   * standby does not have the table yet; see `synchronise`.
    */
   moveTo(view: View): void;
   /** Counts a consent for an epoch from when it was asked for. */
@@ -30,8 +30,12 @@
   regainConsent(epoch: Offset): void;
   /** Whether such a claim may take effect, or already has. */
   hasOpenClaim(): boolean;
-  /** Whether the standby has the whole table; asks it if need be. */
-  isSynchronised(): Promise<boolean>;
+  /**
+   * Sends the standby the whole table unless it has one of this epoch;
+   * whether it has one in the end. Without it a successor has to ask all
+   * servers and to wait for those that do not answer.
+   */
+  synchronise(): Promise<boolean>;
   /** Whether a complete table was recorded since the right began. */
   hasRecorded(): boolean;
   /** Ends the right for good. */
@@ -58,6 +62,7 @@
   let consentedAt = -Infinity;
   let openClaims = 0;
   let recorded: ShardTable | null = null;
+  let synchronisedEpoch = 0;
 
   const isRecent = (at: number): boolean =>
     clock.now() - at < timing.authorityMs;
@@ -77,7 +82,15 @@
     const message = {table: toTableMessage(table)};
     const {answerMs} = timing;
     const res = await peers.ask(standby, 'table', message, answerMs);
-    return res.ok && res.val.stored;
+    const isStored = res.ok && res.val.stored;
+    if (isStored) synchronisedEpoch = table.epoch;
+    return isStored;
+  };
+
+  const synchronise = async (): Promise<boolean> => {
+    if (recorded === null) return false;
+    if (synchronisedEpoch === view.epoch) return true;
+    return putAtStandby({...recorded, epoch: view.epoch});
   };
 
   return {
@@ -99,8 +112,6 @@
       view = next;
       consentedAt = -Infinity;
       openClaims = 0;
-      if (recorded === null) return;
-      void putAtStandby({...recorded, epoch: next.epoch});
     },
     consented(epoch, askedAt) {
       if (epoch !== view.epoch) return;
@@ -112,10 +123,7 @@
       if (epoch === view.epoch) openClaims--;
     },
     hasOpenClaim: () => openClaims > 0,
-    isSynchronised: () =>
-      recorded === null
-        ? Promise.resolve(false)
-        : putAtStandby({...recorded, epoch: view.epoch}),
+    synchronise,
     hasRecorded: () => recorded !== null,
     end() {
       ended = true;
--- a/packages/ownership/src/catch-up.ts
+++ b/packages/ownership/src/catch-up.ts
@@ -1,18 +1,41 @@
+import type {Clock} from '@banyandrum/base/clock.js';
 import {sleep} from '@banyandrum/base/clock.js';
 import type {Incarnation} from '@banyandrum/base/ids.js';
-import type {OwnershipContext} from './context.js';
-import type {Membership} from './membership.js';
+import type {Logger} from '@banyandrum/base/logger.js';
+import type {StateStore} from '@banyandrum/config/store.js';
+import type {OwnershipPeers} from './control.js';
+import type {LiveHosts} from './membership.js';
 import {incarnationKey} from './views.js';
 
+export interface CatchUpOptions {
+  readonly self: {readonly host: string};
+  readonly store: StateStore;
+  readonly peers: OwnershipPeers;
+  readonly hosts: LiveHosts;
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly signal: AbortSignal;
+  /** 0 to below 1. */
+  readonly random: () => number;
+}
+
 /** Fetches newer state from peers while the log cannot be read. */
 export interface CatchUp {
   /** Fetches the state of a peer that knows more than this process. */
   pull(from: Incarnation): void;
-  /** Helps a start during an outage of the log; until everything ends. */
-  run(): Promise<void>;
+  /**
+   * Until the log was read for the first time, fetches the state from some of
+   * the other routers again and again: a router that starts during an outage
+   * of the log learns the publication and the views from them.
+   */
+  runUntilRead(): Promise<void>;
 }
 
-const START_RETRY_MS = 2000;
+/** Before peers are asked, the log gets this long, in ms. */
+const FIRST_READ_MS = 1000;
+const RETRY_MS = 2000;
+const ANSWER_MS = 1000;
+const PEERS_ASKED = 5;
 
 /**
  * Takes over the newer state of other routers. What they know comes from the
@@ -21,36 +44,46 @@
  *
  * @example
  * ```ts
- * catchUp.pull(leader);
+ * const catchUp = createCatchUp({self, store, peers, hosts, ...});
+ * await catchUp.runUntilRead();
  * ```
  */
-export function createCatchUp(
-  ctx: OwnershipContext,
-  membership: Membership,
-): CatchUp {
-  const {store, peers, clock, timing, signal} = ctx;
+export function createCatchUp(options: CatchUpOptions): CatchUp {
+  const {store, peers, clock, log, signal, random} = options;
   const pulling = new Set<string>();
 
-  const pullOnce = async (from: Incarnation): Promise<void> => {
+  const pull = async (from: Incarnation): Promise<void> => {
     const key = incarnationKey(from);
     if (pulling.has(key)) return;
     pulling.add(key);
     const ask = {next: store.current().next};
-    const res = await peers.ask(from, 'state', ask, timing.authorityMs);
+    const res = await peers.ask(from, 'state', ask, ANSWER_MS);
     pulling.delete(key);
     if (!res.ok || res.val.encoded === null || signal.aborted) return;
-    const isTaken = store.adopt(res.val.encoded);
-    if (isTaken) ctx.log.info('took over the state of a peer', {from: key});
+    if (store.adopt(res.val.encoded)) log.info('state of a peer', {from: key});
   };
 
+  const pullFrom = async (address: string): Promise<void> => {
+    const found = await peers.probe(address, ANSWER_MS);
+    if (found.ok) await pull(found.val);
+  };
+
+  const someAddresses = (): readonly string[] =>
+    (options.hosts.current() ?? [])
+      .filter(({role}) => role === 'router')
+      .filter(({name}) => name !== options.self.host)
+      .map(({address}) => ({address, order: random()}))
+      .sort((a, b) => a.order - b.order)
+      .slice(0, PEERS_ASKED)
+      .map(({address}) => address);
+
   return {
-    pull: from => void pullOnce(from),
-    async run() {
-      await sleep(clock, timing.authorityMs, signal);
+    pull: from => void pull(from),
+    async runUntilRead() {
+      await sleep(clock, FIRST_READ_MS, signal);
       while (!signal.aborted && store.confirmedAt() === -Infinity) {
-        const found = await membership.findOthers();
-        await Promise.all(found.map(pullOnce));
-        await sleep(clock, START_RETRY_MS * (0.5 + ctx.random()), signal);
+        await Promise.all(someAddresses().map(pullFrom));
+        await sleep(clock, RETRY_MS * (0.5 + random()), signal);
       }
     },
   };
--- a/packages/ownership/src/consent.ts
+++ b/packages/ownership/src/consent.ts
@@ -56,7 +56,10 @@
   }
   const granted = new Set(res.val.granted);
   for (const {tenure, cell, epoch} of asked) {
-    if (granted.has(cell)) tenure.holder.consented(epoch, askedAt);
+    if (!granted.has(cell)) continue;
+    tenure.holder.consented(epoch, askedAt);
+    // Its consent shows that it knows the epoch, so it takes the table now.
+    void tenure.holder.synchronise();
   }
   if (res.val.leaving) membership.noteLeaving(standby);
 }
--- a/packages/ownership/src/departure.ts
+++ b/packages/ownership/src/departure.ts
@@ -27,16 +27,16 @@
 }
 
 /**
- * Resolves once this router has no role left, or after `limitMs`. Its
- * standby roles go because the leaders hear that it leaves.
+ * Resolves once this router has no role left, or after `limitMs`, or at once
+ * where there is no other router to take them. Its standby roles go because the leaders hear that it leaves.
  */
 export async function waitUntilFree(
-  ctx: OwnershipContext,
+  {ctx, membership}: DepartureOptions,
   limitMs: number,
 ): Promise<void> {
   const {clock, timing, store, self} = ctx;
   const deadline = clock.now() + limitMs;
-  while (clock.now() < deadline) {
+  while (clock.now() < deadline && membership.others().length > 0) {
     const state = store.current();
     const roles = [...viewsLedBy(state, self), ...viewsBackedBy(state, self)];
     if (roles.length === 0) return;
--- a/packages/ownership/src/membership.ts
+++ b/packages/ownership/src/membership.ts
@@ -4,6 +4,7 @@
 import type {Ring, RouterHost} from './election.js';
 import {createRing, rankStandbys} from './election.js';
 import {createMemo} from './memo.js';
+import {isAttestedLost} from './views.js';
 
 /** The newest host list that was read; null before the first. */
 export interface LiveHosts {
@@ -12,7 +13,7 @@
 
 /** Which routers may take roles, and which run of each is there now. */
 export interface Membership {
-  /** Whether the host list was read at all. */
+  /** Whether the host list was read, or is not to be waited for longer. */
   isKnown(): boolean;
   /**
    * Routers that may take new roles, this one among them if it may; the same
@@ -50,6 +51,9 @@
 /** How long an answer to "who is there" is believed, in ms. */
 const SIGHTING_MS = 1000;
 
+/** How long cells wait for the first host list before they are claimed. */
+const HOSTS_PATIENCE_MS = 10_000;
+
 /**
  * Joins the lagging host list with what this process sees itself. Routers
  * are probed only when a role is to be given out, and each one once a second
@@ -66,13 +70,17 @@
   isStopping: () => boolean,
 ): Membership {
   const {self, clock, store} = ctx;
+  const startedAt = clock.now();
   const sightings = new Map<string, Sighting>();
   const leaving = new Set<string>();
 
   const routersByName = createMemo(indexRouters);
 
+  const isSelfUnfit = (): boolean =>
+    isStopping() || isAttestedLost(store.current(), self);
+
   const isWelcome = (host: string): boolean => {
-    if (host === self.host && isStopping()) return false;
+    if (host === self.host && isSelfUnfit()) return false;
     if (store.current().drains.has(host)) return false;
     return routersByName(hosts.current()).get(host)?.state !== 'leaving';
   };
@@ -116,7 +124,8 @@
   };
 
   return {
-    isKnown: () => hosts.current() !== null,
+    isKnown: () =>
+      hosts.current() !== null || clock.now() - startedAt > HOSTS_PATIENCE_MS,
     candidates,
     others,
     ring: () => ringOf(candidates()),
--- a/packages/ownership/src/rebalance.ts
+++ b/packages/ownership/src/rebalance.ts
@@ -62,7 +62,7 @@
   const isReady =
     leadership.tenures().includes(tenure) &&
     tenure.holder.view().standby?.host === target.host &&
-    (await tenure.holder.isSynchronised());
+    (await tenure.holder.synchronise());
   if (isReady) await resignCells(ctx, leadership, [tenure]);
 }
 
--- a/packages/ownership/src/run-ownership.ts
+++ b/packages/ownership/src/run-ownership.ts
@@ -93,12 +93,13 @@
   const membership = createMembership(ctx, options.hosts, () => isStopping);
   const claimer = createClaimer(ctx);
   const leadership = createLeadership(ctx, claimer, options.startCell);
-  const catchUp = createCatchUp(ctx, membership);
+  const catchUp = createCatchUp({...ctx, hosts: options.hosts});
   const standby = createStandby(ctx, {
     isLeaving: () => !membership.isWelcome(self.host),
     onWithdrawn: withdrawn.notify,
     onNewerEpoch: catchUp.pull,
   });
+  const departure = {ctx, membership, leadership};
   const keeper = createStandbyKeeper(
     ctx,
     membership,
@@ -140,11 +141,11 @@
 
   const unsubscribe = store.subscribe(reconcile);
   reconcile();
-  void catchUp.run();
+  void catchUp.runUntilRead();
   void runFirstClaims(ctx, membership, claimer, changed);
   void runTakeover(ctx, membership, standby, claimer, withdrawn);
   void runRebalance({ctx, membership, claimer, leadership});
-  void runDeparture({ctx, membership, leadership});
+  void runDeparture(departure);
   void keeper.run();
   void watchOrphans();
 
@@ -158,7 +159,7 @@
     },
     async stop(limitMs = STOP_LIMIT_MS) {
       isStopping = true;
-      await waitUntilFree(ctx, limitMs);
+      await waitUntilFree(departure, limitMs);
       unsubscribe();
       abort.abort();
       for (const tasks of [asking, backed, watched]) tasks.stop();
--- a/packages/ownership/src/standby-keeper.ts
+++ b/packages/ownership/src/standby-keeper.ts
@@ -1,4 +1,5 @@
 import type {ClaimPlan, Claimer} from './claims.js';
+import {isGone} from './clearance.js';
 import type {Condition} from './condition.js';
 import type {OwnershipContext} from './context.js';
 import type {Leadership, Tenure} from './leadership.js';
@@ -40,7 +41,7 @@
     const {standby} = tenure.holder.view();
     if (standby === null) return membership.candidates().length > 1;
     if (isDoubted(tenure) || membership.isLeaving(standby)) return true;
-    return !membership.isWelcome(standby.host);
+    return !membership.isWelcome(standby.host) || isGone(ctx, standby);
   };
 
   const needsClaim = (tenure: Tenure): boolean =>
--- a/packages/ownership/src/standby-watch.ts
+++ b/packages/ownership/src/standby-watch.ts
@@ -90,7 +90,7 @@
     .filter(
       role =>
         isConsentedTo(role, leader) &&
-        silentFor(ctx, role) > ctx.timing.suspicionMs,
+        (isGone(ctx, leader) || silentFor(ctx, role) > ctx.timing.suspicionMs),
     );
 }
 
--- a/packages/ownership/src/standby.ts
+++ b/packages/ownership/src/standby.ts
@@ -5,7 +5,7 @@
 import type {ConsentAnswer, ConsentAsk, TableMessage} from './control.js';
 import {fromTableMessage} from './control.js';
 import type {ShardTable} from './table.js';
-import {viewAt, viewsBackedBy} from './views.js';
+import {isAttestedLost, viewAt, viewsBackedBy} from './views.js';
 
 /** What this process keeps as the standby of one cell in one epoch. */
 export interface Backing {
@@ -106,7 +106,9 @@
     const role = roleFor(from, cell, epoch);
     if (role === null) return false;
     role.heardAt = ctx.clock.now();
-    return role.withdrawnAt === null;
+    // An operator's word that this run is lost may have cleared a successor.
+    const isLost = isAttestedLost(ctx.store.current(), ctx.self);
+    return role.withdrawnAt === null && !isLost;
   };
 
   const withdraw = (role: MutableBacking): void => {
--- a/packages/ownership/test/chains.test.ts
+++ b/packages/ownership/test/chains.test.ts
@@ -120,3 +120,17 @@
   const {host} = world.acting() ?? {host: 'nobody'};
   t.ok(![leader, standby, 'nobody'].includes(host), `${host} took over`);
 });
+
+// The standby is lost and replaced, and nothing changes in the cell. Then the
+// leader is lost. Its servers would have to be asked what they hold, and the
+// silent ones waited for, had the new standby no table of its epoch.
+void tap.test('a new standby gets the table without a change', async t => {
+  const {world, leader, standby} = await createScene(HOSTS);
+  world.router(standby).process.kill();
+  await world.clock.advance(3000);
+  t.equal(world.acting()?.host, leader);
+  world.router(leader).process.kill();
+  await world.until(() => world.acting() !== null, 5000);
+  t.ok(world.holders.at(-1)?.inherited, 'the successor has the table');
+  t.strictSame(world.violations, []);
+});
--- a/packages/ownership/test/random.test.ts
+++ b/packages/ownership/test/random.test.ts
@@ -24,7 +24,7 @@
     const checksFences = seed % 2 === 0;
     const world = createWorld({
       ...{hosts: HOSTS, cells: CELLS.length, random, checksFences},
-      rates: RATES,
+      ...{rates: RATES, changeMs: 200},
     });
     world.network.latency = () => 1 + Math.floor(random() * 30);
     await world.clock.advance(3000);
--- a/packages/ownership/test/support/world.ts
+++ b/packages/ownership/test/support/world.ts
@@ -77,6 +77,8 @@
   readonly hosts: readonly string[];
   readonly cells?: number;
   readonly checksFences?: boolean;
+  /** Between two changes of a cell's table; none by default. */
+  readonly changeMs?: number;
   readonly random?: () => number;
   /** Speeds of the routers' clocks, in the order of the hosts. */
   readonly rates?: readonly number[];
@@ -140,7 +142,7 @@
         },
       },
       timing: deriveTiming(initial.rules.timing),
-      startCell: createStartCell(process, holders, violate),
+      startCell: createStartCell(process, holders, violate, options.changeMs),
       encodeState,
       random: options.random ?? (() => 0.5),
     });
@@ -214,13 +216,14 @@
   return null;
 }
 
-const CHANGE_MS = 200;
+const RETRY_MS = 50;
 
 /** Stands for the cell's leader: changes the table from time to time. */
 function createStartCell(
   process: FakeProcess,
   holders: MutableHolder[],
   violate: (what: string) => void,
+  changeMs: number | undefined,
 ): StartCell {
   return ({cell, authority, inheritance, signal}) => {
     const {table: inherited, cleared} = inheritance;
@@ -247,18 +250,20 @@
       cleared: false,
       isCleared: () => holder.cleared,
     };
-    const change = async (): Promise<void> => {
+    const change = async (): Promise<boolean> => {
       const wanted = ++version;
-      if (!(await authority.record(table()))) return;
+      if (!(await authority.record(table()))) return false;
       holder.recorded = wanted;
       if (wanted > holder.passedOn) violate(`${name} lost a change`);
+      return true;
     };
     const run = async (): Promise<void> => {
       await cleared;
       holder.cleared = true;
       while (!signal.aborted) {
-        await change();
-        await sleep(process.clock, CHANGE_MS, signal);
+        const isRecorded = await change();
+        if (isRecorded && changeMs === undefined) return;
+        await sleep(process.clock, changeMs ?? RETRY_MS, signal);
       }
     };
     if (inherited) passOn(holders, inherited, violate);
