Leases: an early acknowledgement doesn't end the old leader's orders

Cause: the model check of the lease rules found that a server that checks fences may obey a successor, restart, forget that, and obey the old leader again while that one may still act. The successor counted its own lease alone and granted the shard elsewhere. Change: a server's acknowledgement ends the count of a former leader's orders only if the order was sent after that leader was known to have stopped. A failure test shows the double owner without this; the random schedules cut servers off from the newest leader alone.

--- a/packages/ownership/src/lease-holding.ts
+++ b/packages/ownership/src/lease-holding.ts
@@ -21,12 +21,26 @@
   readonly fence: Fence;
   readonly shards: ReadonlySet<ShardId>;
   readonly echo: Reading;
+  readonly sentAt: number;
   /** Until then the server surely obeys it, once it has acknowledged it. */
   readonly surelyUntil: number;
   /** From then on the server surely doesn't obey it any more. */
   readonly possiblyUntil: number;
 }
 
+/** How long orders of former leaders may count at a server. */
+export interface ForeignLimit {
+  /** When they had surely stopped sending; infinite while that isn't known. */
+  readonly clearedAt: number;
+  /** When the last of their orders has surely lapsed. */
+  readonly until: number;
+}
+
+export const NOT_CLEARED: ForeignLimit = {
+  clearedAt: Infinity,
+  until: Infinity,
+};
+
 /** The account of one server. */
 export interface Holding {
   /** The newest reading of its clock. */
@@ -43,8 +57,8 @@
   noteRefused(order: SentOrder): void;
   /** Until when a former leader's orders may count; past: none does. */
   foreignUntil(): number;
-  /** Lessens that time; it never grows. */
-  limitForeign(until: number): void;
+  /** The former leaders are known to have stopped. */
+  limitForeign(limit: ForeignLimit): void;
   /** When the server surely doesn't hold the shard; past: it doesn't now. */
   mayHoldUntil(shard: ShardId): number;
   /** When the server surely holds nothing at all. */
@@ -56,24 +70,28 @@
  *
  * @example
  * ```ts
- * const holding = createHolding(true, Infinity);
+ * const holding = createHolding(true, NOT_CLEARED);
  * if (holding.mayHoldUntil('12') < clock.now()) grantElsewhere('12');
  * ```
  */
 export function createHolding(
   checksFences: boolean,
-  foreignUntil: number,
+  foreignLimit: ForeignLimit,
 ): Holding {
   let reading: Reading | null = null;
   let acknowledged: SentOrder | null = null;
   let unanswered: SentOrder[] = [];
-  let foreign = foreignUntil;
+  let foreign = foreignLimit;
 
-  // Late orders of the former leader may still reach the server. One that
-  // checks fences refuses them once this run of it obeyed our epoch; after a
-  // restart it has forgotten that, so a new run counts anew.
-  const foreignLimit = (): number =>
-    checksFences && acknowledged !== null ? -Infinity : foreign;
+  // Late orders of a former leader may still reach the server. One that
+  // checks fences refuses them once it obeyed our epoch. But it forgets that
+  // when it restarts, and while the former leader still acts it may be told
+  // anew, out of our sight. So only what we sent after that leader had
+  // stopped proves that its orders are shut out.
+  const foreignUntil = (): number => {
+    if (!checksFences || acknowledged === null) return foreign.until;
+    return acknowledged.sentAt >= foreign.clearedAt ? -Infinity : foreign.until;
+  };
 
   const forget = (order: SentOrder): void => {
     unanswered = unanswered.filter(other => other !== order);
@@ -95,7 +113,7 @@
   };
 
   const latest = (matches: (order: SentOrder) => boolean): number => {
-    let until = foreignLimit();
+    let until = foreignUntil();
     if (acknowledged !== null && matches(acknowledged)) {
       until = Math.max(until, acknowledged.possiblyUntil);
     }
@@ -116,9 +134,9 @@
     },
     noteObeyed,
     noteRefused: forget,
-    foreignUntil: foreignLimit,
-    limitForeign(until) {
-      foreign = Math.min(foreign, until);
+    foreignUntil,
+    limitForeign(limit) {
+      foreign = limit;
     },
     mayHoldUntil: shard => latest(order => order.shards.has(shard)),
     mayHoldAnyUntil: () => latest(order => order.shards.size > 0),
@@ -133,6 +151,7 @@
   fence: Fence,
   shards: ReadonlySet<ShardId>,
   echo: Reading,
+  sentAt: number,
   timing: LeaseTiming,
 ): SentOrder {
   const {ttlMs, marginMs} = timing;
@@ -140,6 +159,7 @@
     fence,
     shards,
     echo,
+    sentAt,
     surelyUntil: echo.askedAt + ttlMs - marginMs,
     possiblyUntil: echo.receivedAt + ttlMs + marginMs,
   };
--- a/packages/ownership/src/lease-registry.ts
+++ b/packages/ownership/src/lease-registry.ts
@@ -6,6 +6,7 @@
 import type {StateStore} from '@banyandrum/config/store.js';
 import type {ServerClient, ServerRef} from '@banyandrum/servers/client.js';
 import type {Authority} from './authority.js';
+import {type ForeignLimit, NOT_CLEARED} from './lease-holding.js';
 import {type LoadProbe, createLoadProbe} from './lease-probe.js';
 import {
   type HostWatch,
@@ -41,8 +42,8 @@
   runChecking(): void;
   /** Runs all tasks, now and later ones. */
   runAll(): void;
-  /** Tells all that no former leader's order counts after `until`. */
-  limitForeign(until: number): void;
+  /** Tells all that the former leaders are known to have stopped. */
+  limitForeign(limit: ForeignLimit): void;
   /** Why the server is being emptied, or null. */
   leaving(task: LeaseTask): LeavingReason | null;
   probe(task: LeaseTask): LoadProbe | undefined;
@@ -79,7 +80,7 @@
   const tasks = new Map<string, LeaseTask>();
   const runs = new Set<Promise<void>>();
   let permitted: 'none' | 'checking' | 'all' = 'none';
-  let foreignUntil = Infinity;
+  let foreign = NOT_CLEARED;
 
   // Made anew only with a new inventory: the cell asks at every tick, and the
   // list of all servers grows with the whole system.
@@ -102,7 +103,7 @@
       ...options,
       server,
       checksFences,
-      foreignUntil,
+      foreign,
       signal,
     });
     const probe = createLoadProbe({...options, server, signal});
@@ -169,9 +170,9 @@
       permitted = 'all';
       runPermitted();
     },
-    limitForeign(until) {
-      foreignUntil = until;
-      for (const task of tasks.values()) task.limitForeign(until);
+    limitForeign(limit) {
+      foreign = limit;
+      for (const task of tasks.values()) task.limitForeign(limit);
     },
     leaving(task) {
       const member = members.get(task.server.name);
--- a/packages/ownership/src/lease-task.ts
+++ b/packages/ownership/src/lease-task.ts
@@ -12,6 +12,7 @@
 import type {Authority} from './authority.js';
 import {createCondition, withTimeout} from './condition.js';
 import {
+  type ForeignLimit,
   type Holding,
   type Reading,
   type SentOrder,
@@ -40,8 +41,8 @@
   readonly clock: Clock;
   readonly timing: LeaseTiming;
   readonly log: Logger;
-  /** Until when a former leader's orders may reach it; may be infinite. */
-  readonly foreignUntil: number;
+  /** How long a former leader's orders may count at it. */
+  readonly foreign: ForeignLimit;
   /** Ends the task. */
   readonly signal: AbortSignal;
   /** Called after each exchange, and whether the server's health changed. */
@@ -82,7 +83,7 @@
   mayHoldAnyUntil(): number;
   /** Until when a former leader's orders may count; past: none does. */
   foreignUntil(): number;
-  limitForeign(until: number): void;
+  limitForeign(limit: ForeignLimit): void;
   /** Runs until the signal aborts. */
   run(): Promise<void>;
 }
@@ -110,7 +111,7 @@
 export function createLeaseTask(options: LeaseTaskOptions): LeaseTask {
   const {server, authority, clock, timing, signal, checksFences} = options;
   const cell: CellId = authority.cell;
-  const holding = createHolding(checksFences, options.foreignUntil);
+  const holding = createHolding(checksFences, options.foreign);
   const changed = createCondition(clock);
   const answered = createCondition(clock);
   const wanted = new Set<ShardId>();
@@ -142,7 +143,8 @@
     if (!authority.mayAct()) return 'no-authority';
     const askedAt = clock.now();
     if (echo === null) return askClock(askedAt);
-    const order = createSentOrder(nextFence(), sentShards, echo, timing);
+    const fence = nextFence();
+    const order = createSentOrder(fence, sentShards, echo, askedAt, timing);
     holding.noteSent(order);
     const result = await send(order);
     if (result.err) return refuse(order, result.val);
@@ -289,8 +291,8 @@
     mayHoldUntil: shard => holding.mayHoldUntil(shard),
     mayHoldAnyUntil: () => holding.mayHoldAnyUntil(),
     foreignUntil: () => holding.foreignUntil(),
-    limitForeign(until) {
-      holding.limitForeign(until);
+    limitForeign(limit) {
+      holding.limitForeign(limit);
       answered.notify();
     },
     run,
--- a/packages/ownership/src/recovery.ts
+++ b/packages/ownership/src/recovery.ts
@@ -60,8 +60,9 @@
     const {ttlMs, marginMs} = options.timing;
     // The former leader wrote its last order before now, with an echo that
     // it had received before.
-    foreignUntil = clock.now() + ttlMs + marginMs;
-    registry.limitForeign(foreignUntil);
+    const clearedAt = clock.now();
+    foreignUntil = clearedAt + ttlMs + marginMs;
+    registry.limitForeign({clearedAt, until: foreignUntil});
   };
 
   const takeOver = async (table: ShardTable): Promise<void> => {
--- a/packages/ownership/test/lease-faults.test.ts
+++ b/packages/ownership/test/lease-faults.test.ts
@@ -398,3 +398,33 @@
     await finish(t, fixture, next);
   }
 });
+
+// The standby takes over and a server obeys it, while the old leader may
+// still act. Then the server restarts, which makes it forget whom it obeyed,
+// and is cut off from the new leader, and the old one orders it its keys once
+// more. The new leader must wait for that lease too, not only for its own.
+void tap.test('server restarted and told by the old leader', async t => {
+  const {fixture, led, key} = await start(true);
+  const server = fixture.fakes.get('a');
+  let clear: () => void = () => {};
+  const cleared = new Promise<void>(resolve => (clear = resolve));
+  led.authority.records = false;
+  const next = fixture.lead({epoch: 2, table: led.recorded(), cleared});
+  await fixture.advance(100);
+  t.equal(next.where(key), 'a');
+  server.fate = ({fence}) => ({lost: fence.epoch === 2});
+  await fixture.advance(600);
+  server.restart();
+  await fixture.advance(600);
+  const belief = server.belief(CELL);
+  t.equal(belief?.fence.epoch, 1, 'the old leader is obeyed');
+  t.equal(belief?.shards.length, SHARDS / 3);
+  led.authority.until = fixture.clock.now();
+  clear();
+  await fixture.advance(FOREIGN_MS - 100);
+  t.equal(next.where(key), 'moving');
+  await fixture.advance(200);
+  t.equal(next.owners().size, SHARDS);
+  await fixture.stop(led);
+  await finish(t, fixture, next);
+});
--- a/packages/ownership/test/random-schedule.ts
+++ b/packages/ownership/test/random-schedule.ts
@@ -90,6 +90,7 @@
   heatUp,
   refuseOrRecord,
   pauseLeader,
+  cutOff,
   takeOver,
   stopAsPlanned,
 ];
@@ -120,6 +121,12 @@
   };
 }
 
+/** One server gets no orders of the newest leader; a former one's go on. */
+function cutOff(scene: Scene): void {
+  const {epoch} = scene;
+  pick(scene).fate = ({fence}) => ({lost: fence.epoch >= epoch});
+}
+
 function freezeOrThaw(scene: Scene): void {
   const server = pick(scene);
   if (server.frozen) server.thaw();
