Publications keep servers' addresses, kinds and times of the protocol

Cause: the fold took a server at another address under its old name, a service whose servers turn from checking fences to not, and other lease or authority times. Routers that had read it and those that had not would count by different processes or numbers, so two servers could own a key. Change: checkPublication holds a publication against what is in force. A router that lags behind no longer calls a publication on a later version a conflict; attest-lost takes the newest run of a host.

--- a/packages/config/src/fold.ts
+++ b/packages/config/src/fold.ts
@@ -1,5 +1,5 @@
 import type {Offset} from '@banyandrum/base/ids.js';
-import {checkPublication} from './check-publication.js';
+import {checkPublication, type InForce} from './check-publication.js';
 import {decodeRecord} from './codec.js';
 import type {DecodedRecord} from './codec.js';
 import type {Inventory, Service} from './inventory.js';
@@ -71,6 +71,12 @@
   return applyKind(moved, offset, decoded.record);
 }
 
+/** What later publications are held to; null before the first one. */
+export function inForceOf(state: ClusterState): InForce | null {
+  if (state.publication === null) return null;
+  return {servers: state.inventory.servers, timing: state.rules.timing};
+}
+
 /** The version in force; 0 before the first publication. */
 export function versionOf(state: ClusterState): Offset {
   return state.publication?.version ?? 0;
@@ -113,7 +119,11 @@
     const detail = `based on ${record.basedOn}, in force is ${version}`;
     return refuse('conflict', detail);
   }
-  const checked = checkPublication(record, knownServices(state));
+  const checked = checkPublication(
+    record,
+    knownServices(state),
+    inForceOf(state),
+  );
   if (checked.err) {
     const first = checked.val[0];
     return refuse('invalid', first === undefined ? '' : formatProblem(first));
--- a/packages/router/src/operator-changes.ts
+++ b/packages/router/src/operator-changes.ts
@@ -1,6 +1,6 @@
 import {Err, Ok, type Result} from '@banyandrum/base/result.js';
 import {checkPublication} from '@banyandrum/config/check-publication.js';
-import {knownServices, versionOf} from '@banyandrum/config/fold.js';
+import {inForceOf, knownServices, versionOf} from '@banyandrum/config/fold.js';
 import {formatProblem} from '@banyandrum/config/problem.js';
 import type {StateRecord} from '@banyandrum/config/records.js';
 import type {AuditEntry} from '@banyandrum/config/state.js';
@@ -37,14 +37,20 @@
     publish: async (operator, req) => {
       const known = findOutcome(store, req.changeId);
       if (known !== null) return known;
-      const checked = checkPublication(req, knownServices(store.current()));
+      const state = store.current();
+      const checked = checkPublication(
+        req,
+        knownServices(state),
+        inForceOf(state),
+      );
       if (checked.err) {
         const problems = checked.val.map(formatProblem);
         const detail = problems[0] ?? 'invalid';
         return Err({kind: 'invalid', detail, problems});
       }
       const inForce = versionOf(store.current());
-      if (req.basedOn !== inForce) return Err(conflict(req.basedOn, inForce));
+      // Above it: this router lags behind; the log's order decides.
+      if (req.basedOn < inForce) return Err(conflict(req.basedOn, inForce));
       const author = operator.name;
       const at = new Date().toISOString();
       return append(store, {kind: 'publication', ...req, author, at});
@@ -120,12 +126,12 @@
 
 /** The run of a host's router that last had a role, as far as known. */
 function lastBoot(store: StateStore, host: string): string | null {
-  for (const view of store.current().views.values()) {
-    const pairs = [view, ...view.unsettled];
-    for (const {leader, standby} of pairs) {
-      if (leader.host === host) return leader.boot;
-      if (standby?.host === host) return standby.boot;
-    }
+  const views = [...store.current().views.values()];
+  const pairs = views.flatMap(view => [view, ...view.unsettled]);
+  const newestFirst = pairs.sort((a, b) => b.epoch - a.epoch);
+  for (const {leader, standby} of newestFirst) {
+    if (leader.host === host) return leader.boot;
+    if (standby?.host === host) return standby.boot;
   }
   return null;
 }
