Two tests of connections that could not fail

Not caught: dropping the unproved connections after a silent one (the next order happened to reopen the same one), and the whole limit (only requests came near it). Both tests now use several connections at once, and fail without the safeguard.

--- a/packages/servers/test/lease-orders.test.ts
+++ b/packages/servers/test/lease-orders.test.ts
@@ -210,7 +210,8 @@
   await until(() => server.stats().received === 3);
   await clock.advance(500);
   t.match((await lost).val, {kind: 'unknown'});
-  t.ok((await client.order(ref, orderFor(server))).ok, 'on a new one');
+  const next = [1, 2].map(() => client.order(ref, orderFor(server)));
+  for (const result of await Promise.all(next)) t.ok(result.ok, 'new ones');
 });
 
 void tap.test('a cancelled order, and one that may not be written', async t => {
--- a/packages/servers/test/requests.test.ts
+++ b/packages/servers/test/requests.test.ts
@@ -240,7 +240,10 @@
     dispatchTo(server, {signal: cancel.signal}, {}, clock),
   );
   await until(() => server.executions().length === 2);
-  t.ok((await client.order(ref, orderFor(server))).ok, 'not behind requests');
+  const orders = [1, 2, 3].map(() => client.order(ref, orderFor(server)));
+  for (const order of await Promise.all(orders)) {
+    t.ok(order.ok, 'not behind requests');
+  }
   cancel.abort();
   t.match((await waiting).val, {verdict: 'not-run', code: 'cancelled'});
   for (const running of [4, 6, 8]) {
