Ownership: tests of drift, late tables, claimants lost in a row

Cause: trials showed safeguards whose removal no test saw: the margin for drift, the list of former pairs beyond its last, the time from which consent counts.

Change: a test for each; a router that is back at the address of a lost leader or standby claims by itself where the watchers are lost too (found by one of these tests: both watchers were in the part that was cut off).

--- a/packages/ownership/src/orphan-watch.ts
+++ b/packages/ownership/src/orphan-watch.ts
@@ -201,7 +201,14 @@
     order.push(...pickFromRing(view.cell, ring, WATCHERS, hasRole));
   }
   const rank = order.findIndex(({host}) => host === self.host);
-  return rank >= 0 && rank < WATCHERS ? rank : null;
+  if (rank >= 0 && rank < WATCHERS) return rank;
+  // Back as another run at the address of the leader or the standby, this
+  // process needs no message to know that the old one is over. It comes last,
+  // for the others may be lost as well.
+  const isBack = [view.leader, view.standby].some(
+    run => run?.address === self.address,
+  );
+  return isBack ? WATCHERS : null;
 }
 
 function checksFences(ctx: OwnershipContext, {cell}: View): boolean {
--- /dev/null
+++ b/packages/ownership/test/authority.test.ts
@@ -0,0 +1,138 @@
+import tap from 'tap';
+import {sleep} from '@banyandrum/base/clock.js';
+import {Ok} from '@banyandrum/base/result.js';
+import type {Incarnation} from '@banyandrum/base/ids.js';
+import {createSilentLogger} from '@banyandrum/base/logger.js';
+import {EMPTY_STATE} from '@banyandrum/config/fold.js';
+import type {View} from '@banyandrum/config/state.js';
+import type {AuthorityHolder} from '@banyandrum/ownership/authority-holder.js';
+import {createAuthorityHolder} from '@banyandrum/ownership/authority-holder.js';
+import {runConsent} from '@banyandrum/ownership/consent.js';
+import type {OwnershipContext} from '@banyandrum/ownership/context.js';
+import type {ShardTable} from '@banyandrum/ownership/table.js';
+import {createStandby} from '@banyandrum/ownership/standby.js';
+import {toTableMessage} from '@banyandrum/ownership/control.js';
+import {deriveTiming} from '@banyandrum/ownership/timing.js';
+import {createManualClock} from '@banyandrum/standins/manual-clock.js';
+
+const LEADER: Incarnation = {
+  ...{host: 'a', address: 'a:1', boot: '1', dataCentre: 'dc-a'},
+};
+const STANDBY: Incarnation = {
+  ...{host: 'b', address: 'b:1', boot: '2', dataCentre: 'dc-b'},
+};
+const VIEW: View = {
+  cell: 'holds/0',
+  epoch: 5,
+  leader: LEADER,
+  standby: STANDBY,
+  unsettled: [],
+};
+const ANSWER_MS = 200;
+
+// The standby's answer takes 200 ms. The leader may act for T after it *asked*:
+// the standby may have withdrawn right after it answered, and whoever takes
+// over counts T from the withdrawal.
+void tap.test('consent counts from when it was asked for', async t => {
+  const ctx = createContext(LEADER);
+  const holder = createAuthorityHolder(ctx, VIEW);
+  const asks: number[] = [];
+  const ended = new AbortController();
+  void runConsent(
+    {
+      ctx: {
+        ...ctx,
+        peers: {
+          ...ctx.peers,
+          ask: async () => {
+            asks.push(ctx.clock.now());
+            await sleep(ctx.clock, ANSWER_MS);
+            const granted = ['holds/0'];
+            return Ok({granted, leaving: false} as never);
+          },
+        },
+      },
+      membership: {noteLeaving: () => {}} as never,
+      leadership: {tenures: () => [tenureOf(holder)]} as never,
+      doubt: () => {},
+    },
+    STANDBY,
+    ended.signal,
+  );
+  await ctx.clock.advance(1100);
+  t.ok(holder.mayAct());
+  ended.abort();
+  const end = (asks.at(-1) ?? 0) + ctx.timing.authorityMs;
+  await ctx.clock.advance(end - ctx.clock.now() - 1);
+  t.ok(holder.mayAct(), 'up to T after the question');
+  await ctx.clock.advance(1);
+  t.notOk(holder.mayAct(), 'and not a moment longer');
+});
+
+// Tables arrive late, twice, and after the withdrawal. What the standby takes
+// over from must be the newest that it has acknowledged.
+const tables = [
+  {name: 'the first table', sent: [1], stored: true, kept: 1},
+  {name: 'a newer one', sent: [1, 2], stored: true, kept: 2},
+  {name: 'an older one, late', sent: [2, 1], stored: false, kept: 2},
+  {name: 'the same one again', sent: [2, 2], stored: true, kept: 2},
+  {name: 'another one of that version', sent: [2, -2], stored: false, kept: 2},
+  {name: 'one of another epoch', sent: [1], epoch: 4, stored: false, kept: 0},
+  {name: 'one from another run', sent: [1], boot: '9', stored: false, kept: 0},
+  {name: 'one after the withdrawal', sent: [1, 0, 2], stored: false, kept: 1},
+];
+
+for (const {name, sent, stored, kept, epoch = 5, boot = '1'} of tables) {
+  void tap.test(`standby: ${name}`, t => {
+    const standby = createStandby(createContext(STANDBY), {
+      isLeaving: () => false,
+      onWithdrawn: () => {},
+      onNewerEpoch: () => {},
+    });
+    const from = {...LEADER, boot};
+    let answer = false;
+    for (const version of sent) {
+      if (version === 0) standby.withdraw('holds/0', 5);
+      else answer = standby.storeTable(from, message(version, epoch));
+    }
+    t.equal(answer, stored);
+    t.equal(standby.backing('holds/0', 5)?.table?.version ?? 0, kept);
+    t.end();
+  });
+}
+
+/** Below 0: the same version with other contents. */
+function message(
+  version: number,
+  epoch: number,
+): ReturnType<typeof toTableMessage> {
+  const shard = version > 0 ? '1' : '2';
+  const entry = {shard, state: 'free', server: null, next: null} as const;
+  const table: ShardTable = {
+    ...{cell: 'holds/0', epoch, version: Math.abs(version)},
+    ...{entries: [entry], fences: new Map()},
+  };
+  return toTableMessage(table);
+}
+
+function tenureOf(holder: AuthorityHolder): object {
+  return {holder, viewSince: () => 0, isCleared: () => true};
+}
+
+function createContext(self: Incarnation) {
+  const clock = createManualClock();
+  const state = {...EMPTY_STATE, views: new Map([[VIEW.cell, VIEW]])};
+  return {
+    ...{self, clock},
+    store: {
+      current: () => state,
+      confirmedAt: () => -Infinity,
+    } as unknown as OwnershipContext['store'],
+    peers: {} as OwnershipContext['peers'],
+    log: createSilentLogger(),
+    timing: deriveTiming(EMPTY_STATE.rules.timing),
+    pauses: {awakeSince: () => -Infinity},
+    random: () => 0.5,
+    signal: new AbortController().signal,
+  };
+}
--- a/packages/ownership/test/chains.test.ts
+++ b/packages/ownership/test/chains.test.ts
@@ -134,3 +134,55 @@
   t.ok(world.holders.at(-1)?.inherited, 'the successor has the table');
   t.strictSame(world.violations, []);
 });
+
+// As above, a third router has claimed over a pair that lives on consent. It
+// replaces its own standby, and is then lost. Or it is lost together with its
+// standby, and both come back as other runs, which proves *them* to be over.
+// Neither says anything about the first pair.
+for (const loss of ['its standby first', 'its standby as well'] as const) {
+  void tap.test(`a claimant lost before it cleared, ${loss}`, async t => {
+    const hosts = [...HOSTS, 'f'];
+    const scene = await createScene(hosts, {checksFences: true});
+    const {world, leader, standby} = scene;
+    isolate(world, [leader, standby]);
+    await world.until(() => world.holders.length > 1, 8000);
+    const claimant = world.holders.at(-1)?.host ?? '';
+    const second = viewOf(world)?.standby?.host ?? '';
+    world.router(second).process.kill();
+    if (loss === 'its standby first') await world.clock.advance(4000);
+    world.router(claimant).process.kill();
+    await world.clock.advance(100);
+    if (loss === 'its standby as well') {
+      world.start(claimant);
+      world.start(second);
+    }
+    await world.until(() => world.holders.length > 2, 8000);
+    await world.clock.advance(5000);
+    t.equal(world.acting()?.host, leader, 'the first pair goes on');
+    t.ok(world.holders.length > 2, 'another router has claimed');
+    t.strictSame(world.violations, []);
+  });
+}
+
+// The leader's clock is slow and the standby's is fast, each within what the
+// rules allow. The leader reads the log right before the claim gets there, and
+// trusts that for T of its own time; the standby must wait for longer than T
+// of its own.
+void tap.test('clocks that drift apart', async t => {
+  for (let delay = 300; delay < 400; delay += 8) {
+    const rates = {rates: [0.995, 0.995, 0.995, 0.995, 0.995]};
+    const {world, leader, standby} = await createScene(HOSTS, rates);
+    world.network.latency = () => 0;
+    world.router(leader).process.pause();
+    world.router(standby).process.setRate(1.0045);
+    world.faults.appendDelay = () => delay;
+    world.faults.onAppend = () => void isolate(world, [leader]);
+    await world.until(() => world.withdrawals(standby) > 0, 3000);
+    world.router(leader).process.resume();
+    await world.until(() => world.holders.length > 1, 3000);
+    t.ok(world.holders[0]?.mayAct(), 'the old leader may still act');
+    await world.clock.advance(2000);
+    t.equal(world.acting()?.host, standby);
+    t.strictSame(world.violations, [], `append after ${delay} ms`);
+  }
+});
--- a/packages/ownership/test/support/process.ts
+++ b/packages/ownership/test/support/process.ts
@@ -12,6 +12,8 @@
   /** Runs what waited: the timers first, then the messages, as Node does. */
   resume(): void;
   kill(): void;
+  /** Makes the clock go faster or slower from now on. */
+  setRate(rate: number): void;
   /** Hands a message to the process. */
   deliver(task: () => void): void;
 }
@@ -19,13 +21,19 @@
 export function createFakeProcess(
   world: Clock,
   incarnation: Incarnation,
-  rate = 1,
+  firstRate = 1,
 ): FakeProcess {
+  let rate = firstRate;
+  // Local time is base + (world time - since) * rate.
+  let base = world.now() * rate;
+  let since = world.now();
   let alive = true;
   let paused = false;
   const dueTimers = new Set<() => void>();
   let inbox: (() => void)[] = [];
 
+  const now = (): number => base + (world.now() - since) * rate;
+
   const after = (ms: number, task: () => void): CancelTimer => {
     const cancel = world.after(ms / rate, () => {
       if (!alive) return;
@@ -44,7 +52,7 @@
 
   return {
     incarnation,
-    clock: {now: () => world.now() * rate, after},
+    clock: {now, after},
     isAlive: () => alive,
     isPaused: () => paused,
     pause: () => void (paused = true),
@@ -56,6 +64,11 @@
       inbox = [];
     },
     kill: () => void (alive = false),
+    setRate(next) {
+      base = now();
+      since = world.now();
+      rate = next;
+    },
     deliver(task) {
       if (!alive) return;
       if (paused) inbox.push(task);
