Router: parts of its start in files of their own; starts in an outage

Cause: startRouter had grown to 200 lines; and a router started while the log was down never asked its peers, since ownership waits for the publication that they were to be asked for. Change: platform, identity and tenure are modules; the tenure asks peers until the log was read once.

--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -1,20 +1,15 @@
 import {createClock, type Clock} from '@banyandrum/base/clock.js';
-import {createId, type Incarnation} from '@banyandrum/base/ids.js';
+import type {Incarnation} from '@banyandrum/base/ids.js';
 import {createLogger} from '@banyandrum/base/logger.js';
-import {createCallersService} from '@banyandrum/callers/service.js';
-import {createStateStore} from '@banyandrum/config/log-store.js';
+import {
+  createCallersService,
+  type ListenAddress,
+} from '@banyandrum/callers/service.js';
+import type {Rules} from '@banyandrum/config/rules.js';
 import type {Settings} from '@banyandrum/config/settings.js';
-import {encodeState} from '@banyandrum/config/snapshot.js';
 import type {StateStore} from '@banyandrum/config/store.js';
-import {createHostListClient} from '@banyandrum/hosts/http-client.js';
-import {createHostWatch} from '@banyandrum/hosts/watch.js';
-import {createLogClient} from '@banyandrum/log/http-client.js';
 import {createOperatorsService} from '@banyandrum/operators/service.js';
-import {
-  createOwnership,
-  type Ownership,
-} from '@banyandrum/ownership/run-ownership.js';
-import {deriveTiming} from '@banyandrum/ownership/timing.js';
+import type {Ownership} from '@banyandrum/ownership/run-ownership.js';
 import {createEntry} from '@banyandrum/requests/entry.js';
 import {createLeaderQueues} from '@banyandrum/requests/leader-queues.js';
 import {createPeerHandler} from '@banyandrum/requests/peer-handler.js';
@@ -29,8 +24,11 @@
   type RouterControl,
 } from './control.js';
 import {createDescriber} from './describe.js';
+import {createIdentity} from './identity.js';
 import {createMetrics} from './metrics.js';
 import {createOperatorActions} from './operator-actions.js';
+import {openHostWatch, openStore} from './platform.js';
+import {createTenure} from './tenure.js';
 import {createPolicyLookup, createServiceLookup} from './topology.js';
 
 /** A router process's parts that outlive its start. */
@@ -51,8 +49,6 @@
   stop(graceMs: number): Promise<void>;
 }
 
-const MAX_RECORD_BYTES = 1024 * 1024;
-const HOST_LIST_TIMEOUT_MS = 1_000;
 /** Time to find a router for every role, where one is there at all. */
 const HAND_OVER_MS = 5_000;
 const OPERATORS_GRACE_MS = 2_000;
@@ -75,69 +71,38 @@
   clock: Clock = createClock(),
 ): Promise<Router> {
   const log = createLogger('router');
-  const abort = new AbortController();
-  const store = createStateStore({
-    client: createLogClient({
-      address: settings.log.address,
-      stream: settings.log.stream,
-      timeoutMs: settings.log.timeoutMs,
-      maxRecordBytes: MAX_RECORD_BYTES,
-      clock,
-    }),
-    clock,
-    log: createLogger('config'),
-    retentionMs: settings.log.retentionMs,
-  });
-  const hostWatch = createHostWatch({
-    client: createHostListClient({
-      address: settings.hostList.address,
-      timeoutMs: HOST_LIST_TIMEOUT_MS,
-      clock,
-    }),
-    pollMs: settings.hostList.pollMs,
-    clock,
-    log: createLogger('hosts'),
-  });
+  const identity = createIdentity(settings);
+  const store = openStore(settings, clock);
+  const hostWatch = openHostWatch(settings, clock);
   const serverClient = createServerClient({clock});
-  const rules = () => store.current().rules;
+  const rules = (): Rules => store.current().rules;
   const queues = createLeaderQueues({client: serverClient, rules, clock});
-  const cells = createCells({
-    store,
-    serverClient,
-    hostWatch,
-    queues,
-    clock,
-    log: createLogger('ownership'),
-  });
+  const platform = {store, serverClient, hostWatch, queues, clock};
+  const cells = createCells({...platform, log: createLogger('ownership')});
   const metrics = createMetrics({store, cells, queues, clock});
-  const topology = createServiceLookup(store);
+  const serviceOf = createServiceLookup(store);
   const late = createLateHandlers();
-  const boot = createId();
-  let address = settings.peers.listen;
-  const self = (): Incarnation => ({
-    host: settings.router.host,
-    address,
-    boot,
-    dataCentre: settings.router.dataCentre,
-  });
   const peerServer = await createPeerServer({
     listen: settings.peers.listen,
-    self,
-    handleRequest: createPeerHandler({topology, localLeader: queues.queueOf}),
+    self: identity.self,
+    handleRequest: createPeerHandler({
+      topology: serviceOf,
+      localLeader: queues.queueOf,
+    }),
     handlers: late.handlers,
     schemas: controlSchemas,
     clock,
   });
-  address = settings.peers.advertise ?? peerServer.address;
-  if (address.endsWith(':0')) address = peerServer.address;
+  identity.listensAt(peerServer.address);
+  const self = identity.self();
   const peers = createPeers<RouterControl>({
-    self,
+    self: identity.self,
     schemas: controlSchemas,
     clock,
   });
   const entry = createEntry({
-    self: self(),
-    topology,
+    self,
+    topology: serviceOf,
     leaderOf: cell => store.current().views.get(cell) ?? null,
     subscribe: store.subscribe,
     localLeader: queues.queueOf,
@@ -146,100 +111,60 @@
     clock,
     random: Math.random,
   });
-  const broker = new ServiceBroker({
-    transporter: null,
-    logger: false,
-    // The broker's own handler of SIGTERM ends the process at once: callers
-    // whose requests are in flight would see their connections cut.
-    skipProcessEventRegistration: true,
-  });
   const callers = createCallersService({
     listen: parseAddress(settings.callers.listen),
     handle: metrics.measure(entry.handle),
-    policyOf: createPolicyLookup(store, topology),
+    policyOf: createPolicyLookup(store, serviceOf),
     log: createLogger('callers'),
     clock,
   });
-  const describer = createDescriber({
-    self: self(),
-    store,
-    cells,
-    queues,
-    serviceOf: topology,
-    ownership: () => ownership,
+  const tenure = createTenure({
+    ...platform,
+    ...{self, peers, cells, late},
+    describer: () => describer,
+    onBegun() {
+      callers.setReady(true);
+      log.info('ready', {callers: callers.address(), peers: self.address});
+    },
   });
-  let ownership: Ownership | null = null;
-  const begin = (): void => {
-    // Times of the protocol must not change while cells are led, so nothing
-    // is led before the first publication states them.
-    if (ownership !== null || store.current().publication === null) return;
-    if (abort.signal.aborted) return;
-    ownership = createOwnership({
-      self: self(),
-      store,
-      hosts: hostWatch,
-      peers,
-      clock,
-      log: createLogger('ownership'),
-      timing: deriveTiming(rules().timing),
-      startCell: cells.start,
-      encodeState,
-    });
-    late.set({
-      ...ownership.handlers,
-      describe: async () => describer.describe(),
-      explain: async (_from, {service, key}) => {
-        const explained = describer.explain(service, key);
-        if (explained === null) throw new Error(`no service ${service}`);
-        return explained;
-      },
-    });
-    callers.setReady(true);
-    log.info('ready', {callers: callers.address(), peers: address});
-  };
+  const {ownership} = tenure;
+  const told = {self, store, cells, queues, serviceOf, ownership};
+  const describer = createDescriber(told);
   const operatorsLog = createLogger('operators');
   const operators = createOperatorsService({
+    ...settings.operators,
     listen: parseAddress(settings.operators.listen),
-    tokens: settings.operators.tokens,
-    openMetrics: settings.operators.openMetrics,
     actions: createOperatorActions({
-      self: self(),
-      store,
-      hostWatch,
-      peers,
-      describer,
-      serviceOf: topology,
-      clock,
+      ...platform,
+      ...{self, peers, describer, serviceOf},
       log: operatorsLog,
     }),
     metrics: metrics.registry,
-    health: {live: () => true, ready: () => ownership !== null},
+    health: {live: () => true, ready: () => ownership() !== null},
     log: operatorsLog,
     clock,
   });
+  const broker = createBroker();
   broker.createService(callers.schema);
   broker.createService(operators.schema);
   await broker.start();
-  store.subscribe(begin);
-  begin();
-  void hostWatch.run(abort.signal);
+  tenure.begin();
 
   return {
-    self: self(),
+    self,
     callers: callers.address(),
     operators: operators.address(),
-    peers: address,
+    peers: self.address,
     peersListen: peerServer.address,
     store,
     cells,
-    ownership: () => ownership,
+    ownership,
     async stop(graceMs) {
       log.info('stopping', {graceMs});
       callers.setReady(false);
       // Cells go to their standbys first; requests that still arrive are
       // passed on to the new leaders until the last caller has its answer.
-      abort.abort();
-      await ownership?.stop(Math.min(HAND_OVER_MS, graceMs / 2));
+      await tenure.stop(Math.min(HAND_OVER_MS, graceMs / 2));
       await callers.stop(graceMs, NOTICE_MS);
       await operators.stop(OPERATORS_GRACE_MS);
       await peerServer.close(graceMs);
@@ -253,7 +178,17 @@
   };
 }
 
-function parseAddress(address: string): {ip: string; port: number} {
+function createBroker(): ServiceBroker {
+  return new ServiceBroker({
+    transporter: null,
+    logger: false,
+    // The broker's own handler of SIGTERM ends the process at once: callers
+    // whose requests are in flight would see their connections cut.
+    skipProcessEventRegistration: true,
+  });
+}
+
+function parseAddress(address: string): ListenAddress {
   const at = address.lastIndexOf(':');
   return {ip: address.slice(0, at), port: Number(address.slice(at + 1))};
 }
--- a/packages/router/test/kit.ts
+++ b/packages/router/test/kit.ts
@@ -1,4 +1,5 @@
 import {createHash} from 'node:crypto';
+import {request} from 'undici';
 import {createId} from '@banyandrum/base/ids.js';
 import {parseSettings, type Settings} from '@banyandrum/config/settings.js';
 import {createOperatorsClient} from '@banyandrum/operators/client.js';
@@ -119,3 +120,13 @@
   await client.close();
   published.unwrap();
 }
+
+/** Resolves once the router says that it is ready. */
+export async function untilReady(callers: string): Promise<void> {
+  for (;;) {
+    const res = await request(`http://${callers}/readyz`);
+    await res.body.dump();
+    if (res.statusCode === 200) return;
+    await new Promise(resolve => setTimeout(resolve, LOOK_MS));
+  }
+}
