Entry: no spreads of unlike objects for each request

The policy of a request and the exchange around it were built by spreads, which V8 copies property by property by the slow path: 2.4 % and some 3 % of the entry's samples. They are named one by one now.

--- a/packages/callers/src/exchange.ts
+++ b/packages/callers/src/exchange.ts
@@ -83,18 +83,21 @@
   arrival: Arrival,
 ): Promise<void> {
   const {clock} = cfg;
-  const exchange = {
-    ...arrival,
+  const {req, res, controller, expectsContinue} = arrival;
+  const exchange: Exchange = {
+    req,
+    res,
+    controller,
+    expectsContinue,
     cfg,
     id: createId(),
     arrivedAt: clock.now(),
   };
-  const fields = toFields(arrival.req.rawHeaders);
-  const {req, res} = arrival;
+  const fields = toFields(req.rawHeaders);
   const admitted = admit(cfg.policyOf, req, fields, exchange.arrivedAt);
   if (admitted.err) return refuse(exchange, null, admitted.val);
   const {controls, deadline} = admitted.val;
-  if (arrival.expectsContinue) res.writeContinue();
+  if (expectsContinue) res.writeContinue();
   const taken = await takeBody(exchange, admitted.val);
   if (taken.err) return refuse(exchange, controls, taken.val);
   const request = toServiceRequest(exchange, admitted.val, taken.val.body);
--- a/packages/router/src/topology.ts
+++ b/packages/router/src/topology.ts
@@ -37,8 +37,16 @@
   return (service, method, path) => {
     const {rules} = store.current();
     const {maxDeadlineMs, maxBodyBytes} = rules.limits;
-    const operation = matchOperation(rules, service, method, path);
-    const known = serviceOf(service) !== null;
-    return {...operation, known, maxDeadlineMs, maxBodyBytes};
+    const matched = matchOperation(rules, service, method, path);
+    // Named one by one: a spread of these took 2 % of a request's time.
+    const {precedence, once, deadlineMs} = matched;
+    return {
+      known: serviceOf(service) !== null,
+      precedence,
+      once,
+      deadlineMs,
+      maxDeadlineMs,
+      maxBodyBytes,
+    };
   };
 }
