Ownership: takeover and new standbys while the log is slow

Cause: a standby withdrew, and a leader replaced its standby, only with a reading of the log younger than T. A log that takes longer than that for a read would have kept every lost cell without a leader for as long as it is slow.

Change: readings up to 5 T old will do for claims (never for acting); a leader that may not act anyway replaces its standby on such a reading; a claim is not cancelled when another one is tried; failed claims of new standbys back off.

--- a/packages/ownership/src/claims.ts
+++ b/packages/ownership/src/claims.ts
@@ -1,3 +1,4 @@
+import {sleep} from '@banyandrum/base/clock.js';
 import type {CellId} from '@banyandrum/base/ids.js';
 import type {Claim} from '@banyandrum/config/records.js';
 import type {View} from '@banyandrum/config/state.js';
@@ -58,11 +59,12 @@
   ): Promise<ClaimOutcome> => {
     for (const plan of batch) plans.set(plan.claim.cell, plan);
     const claims = batch.map(({claim}) => claim);
-    const patience = new AbortController();
-    const cancel = ctx.clock.after(PATIENCE_MS, () => patience.abort());
-    const ended = AbortSignal.any([ctx.signal, patience.signal]);
-    const res = await ctx.store.append({kind: 'views', claims}, ended);
-    cancel();
+    // Not cancelled when patience ends: a slow log may still take it.
+    const res = await Promise.race([
+      ctx.store.append({kind: 'views', claims}, ctx.signal),
+      sleep(ctx.clock, PATIENCE_MS, ctx.signal),
+    ]);
+    if (res === undefined) return 'unknown';
     if (res.ok) return 'appended';
     const {kind, detail} = res.val;
     ctx.log.warn('claim failed', {cells: batch.length, kind, detail});
--- a/packages/ownership/src/first-claims.ts
+++ b/packages/ownership/src/first-claims.ts
@@ -59,7 +59,7 @@
 
   return () => {
     const now = clock.now();
-    const isFresh = now - store.confirmedAt() < timing.authorityMs;
+    const isFresh = now - store.confirmedAt() < timing.logPatienceMs;
     if (!isFresh || !membership.isKnown()) return [];
     const {inventory, views} = store.current();
     const cells = unclaimedOf(inventory, views);
--- a/packages/ownership/src/orphan-watch.ts
+++ b/packages/ownership/src/orphan-watch.ts
@@ -92,7 +92,7 @@
   const {clock, store, timing} = ctx;
   const ring = membership.ring();
   // Without the log at hand no claim can follow, so don't end a consent.
-  if (clock.now() - store.confirmedAt() >= timing.authorityMs) return [];
+  if (clock.now() - store.confirmedAt() >= timing.logPatienceMs) return [];
   return [...store.current().views.values()].filter(view => {
     if (!sameIncarnation(view.leader, leader)) return false;
     const rank = watchRank(ctx, ring, view);
--- a/packages/ownership/src/standby-keeper.ts
+++ b/packages/ownership/src/standby-keeper.ts
@@ -5,6 +5,8 @@
 import type {Leadership, Tenure} from './leadership.js';
 import type {Membership} from './membership.js';
 
+const MAX_BACKOFF_MS = 2000;
+
 /** Sees to it that every cell led here has a standby. */
 export interface StandbyKeeper {
   /** The standby of these cells cannot be relied on any more. */
@@ -67,26 +69,37 @@
     };
   };
 
-  const renew = async (tenures: readonly Tenure[]): Promise<void> => {
+  const renew = async (tenures: readonly Tenure[]): Promise<boolean> => {
     const plans = await Promise.all(tenures.map(plan));
     const wanted = tenures.flatMap((tenure, i) => {
       const claim = plans[i];
       if (!claim || claim.claim.previous !== tenure.holder.epoch) return [];
       return [{tenure, claim}];
     });
-    if (wanted.length === 0 || !isLogFresh()) return;
+    if (wanted.length === 0) return true;
     for (const {tenure} of wanted) tenure.holder.forgoConsent();
     const outcome = await claimer.claim(wanted.map(({claim}) => claim));
-    if (outcome !== 'not-appended') return;
+    if (outcome !== 'not-appended') return outcome === 'appended';
     for (const {tenure, claim} of wanted) {
       tenure.holder.regainConsent(claim.claim.previous);
     }
+    return false;
+  };
+
+  // Consent is forgone for the claim, so while the log is down or slow a claim
+  // would only stop a leader that lives on consent alone. Where the log is
+  // slow, one that may not act anyway has nothing to lose.
+  const mayClaim = (tenure: Tenure): boolean => {
+    const age = clock.now() - store.confirmedAt();
+    if (age < timing.authorityMs / 2) return true;
+    return age < timing.logPatienceMs && !tenure.holder.mayAct();
   };
 
-  // Consent is forgone for the claim, so while the log is down a claim would
-  // only stop a leader that lives on consent alone.
-  const isLogFresh = (): boolean =>
-    clock.now() - store.confirmedAt() < timing.authorityMs / 2;
+  const findNeedy = (): readonly Tenure[] =>
+    [
+      ...leadership.tenures().filter(needsClaim),
+      ...leadership.lapsed().filter(isAbandoned),
+    ].filter(mayClaim);
 
   return {
     doubt(tenures, reason) {
@@ -99,13 +112,14 @@
       if (tenures.length > 0) changed.notify();
     },
     async run() {
+      let backoffMs = timing.consentMs;
       while (!signal.aborted) {
-        const needy = [
-          ...leadership.tenures().filter(needsClaim),
-          ...leadership.lapsed().filter(isAbandoned),
-        ];
-        if (needy.length > 0 && isLogFresh()) await renew(needy);
-        await changed.wait(timing.consentMs, signal);
+        const needy = findNeedy();
+        const isDone = needy.length === 0 || (await renew(needy));
+        backoffMs = isDone
+          ? timing.consentMs
+          : Math.min(MAX_BACKOFF_MS, backoffMs * (1 + ctx.random()));
+        await changed.wait(backoffMs, signal);
       }
     },
   };
--- a/packages/ownership/src/standby-watch.ts
+++ b/packages/ownership/src/standby-watch.ts
@@ -11,7 +11,7 @@
  *
  * The rule for withdrawing, beside silence of the leader on a new connection
  * too: this process must have read the log's end *after* it last heard of
- * the leader, and within T. While the log is down the leader may live on
+ * the leader, and not long ago. While the log is down the leader may live on
  * this very consent, and may only be cut off for a moment: withdrawn, it
  * would have to stop until the log is back, though nobody could take over.
  * With the log at hand a claim can follow at once. A leader that is proved
@@ -103,7 +103,7 @@
   const confirmedAt = ctx.store.confirmedAt();
   const isFresh =
     confirmedAt > role.heardAt &&
-    ctx.clock.now() - confirmedAt < ctx.timing.authorityMs;
+    ctx.clock.now() - confirmedAt < ctx.timing.logPatienceMs;
   if (!isFresh) return false;
   // It answers but doesn't ask: most likely it does not know yet that it
   // leads. It gets more time, not all of it.
--- a/packages/ownership/src/timing.ts
+++ b/packages/ownership/src/timing.ts
@@ -8,6 +8,11 @@
   readonly suspicionMs: number;
   /** Silence after which a leader doubts its standby. */
   readonly standbySilenceMs: number;
+  /**
+   * How old the newest reading of the log may be for a claim to be worth
+   * trying. Longer than T: a slow log is no reason to leave cells alone.
+   */
+  readonly logPatienceMs: number;
   /** Between two questions for consent. */
   readonly consentMs: number;
   /** Longest wait for the answer to a control question or a probe. */
@@ -26,6 +31,7 @@
 const FIXED_MARGIN_MS = 20;
 const PER_MILLION = 1_000_000;
 const REBALANCE_MS = 10_000;
+const LOG_PATIENCE = 5;
 
 /**
  * Derives the times of this package from the published ones.
@@ -47,6 +53,7 @@
     // Shorter than the standby's own suspicion, so that where only the way
     // between the two is cut, the leader keeps its cells.
     standbySilenceMs: (suspicionMs * 2) / 3,
+    logPatienceMs: LOG_PATIENCE * authorityMs,
     consentMs: suspicionMs / 3,
     answerMs: suspicionMs / 3,
     tickMs: suspicionMs / 10,
--- a/packages/ownership/test/support/network.ts
+++ b/packages/ownership/test/support/network.ts
@@ -13,7 +13,7 @@
 /** One-way links between hosts (and the log), each up or cut. */
 export interface Network {
   /** Time that a message takes, in ms; changed by tests. */
-  latency: () => number;
+  latency: (from: string, to: string) => number;
   cut(from: string, to: string): void;
   join(from: string, to: string): void;
   heal(): void;
@@ -35,7 +35,7 @@
     later: (ms, task) => void world.after(ms, task),
     carry(from, to, task) {
       if (isCut(from, to)) return;
-      world.after(network.latency(), () => {
+      world.after(network.latency(from, to), () => {
         if (!isCut(from, to)) task();
       });
     },
--- a/packages/ownership/test/takeover.test.ts
+++ b/packages/ownership/test/takeover.test.ts
@@ -2,6 +2,7 @@
 import {LOG} from './support/fake-log.js';
 import type {Scene} from './support/scene.js';
 import {createScene, isolate} from './support/scene.js';
+import type {World} from './support/world.js';
 
 interface Case {
   readonly name: string;
@@ -166,6 +167,38 @@
     gap: [0, 500],
     by: 'leader',
   },
+  // A read takes 1.4 s, longer than T, so nobody can trust the log any more;
+  // consent carries the leader. That must not keep a standby from claiming
+  // when the leader is lost, though its readings are old when they arrive.
+  {
+    name: 'log slow for 20 s',
+    fault: ({world}) => slowDownLog(world),
+    watchMs: 20_000,
+    gap: NONE,
+    by: 'leader',
+  },
+  {
+    name: 'log slow and leader lost',
+    fault: async ({world, leader}) => {
+      slowDownLog(world);
+      await world.clock.advance(5000);
+      world.router(leader).process.kill();
+    },
+    watchMs: 10_000,
+    gap: [2000, 5000],
+    by: 'standby',
+  },
+  {
+    name: 'log slow and standby lost',
+    fault: async ({world, standby}) => {
+      slowDownLog(world);
+      await world.clock.advance(5000);
+      world.router(standby).process.kill();
+    },
+    watchMs: 10_000,
+    gap: [1000, 4000],
+    by: 'leader',
+  },
   // Nobody can agree on a new leader without the log.
   {
     name: 'log down and leader lost',
@@ -315,6 +348,10 @@
   });
 }
 
+function slowDownLog(world: World): void {
+  world.network.latency = (from, to) => (from === LOG || to === LOG ? 700 : 2);
+}
+
 function roleOf(
   {leader, standby}: Scene,
   host: string | undefined,
