Check warns of deadlines that servers cannot use

Change: `banyandrum check` given inventory and rules warns, on standard error, of each such service whose operations have longer deadlines. It refuses nothing: deadlines cover the wait for a turn too, a refusal would void publications already in the log, and both examples have such a service. The test of `check` expects the warning for the board's rounds, word for word; it was empty before.

--- a/packages/cli/src/commands/check.ts
+++ b/packages/cli/src/commands/check.ts
@@ -3,6 +3,8 @@
 import {parseInventory} from '@banyandrum/config/parse-inventory.js';
 import {parseRules} from '@banyandrum/config/parse-rules.js';
 import {readToml} from '@banyandrum/config/read-toml.js';
+import {warningsOf} from '@banyandrum/config/warnings.js';
+import type {Warning} from '@banyandrum/config/warnings.js';
 import {parseSettings} from '@banyandrum/config/settings.js';
 import type {Result} from '@banyandrum/base/result.js';
 import type {CliCommand} from '../cli.js';
@@ -45,7 +47,9 @@
     }
     const problems = files.flatMap(checkFile);
     if (problems.length > 0) throw problemsError(problems);
-    checkTogether(files);
+    for (const {service, detail} of checkTogether(files)) {
+      io.err(`warning: service ${service}: ${detail}\n`);
+    }
     for (const {path, kind} of files) io.out(`${path}: ${kind} ok\n`);
     return EXIT.ok;
   },
@@ -68,16 +72,17 @@
   return parsed.err ? inFile(path, parsed.val) : [];
 }
 
-function checkTogether(files: readonly CheckedFile[]): void {
+function checkTogether(files: readonly CheckedFile[]): readonly Warning[] {
   const inventories = files.filter(({kind}) => kind === 'inventory');
   const rules = files.filter(({kind}) => kind === 'rules');
   const [inventory] = inventories;
   const [rulesFile] = rules;
-  if (inventory === undefined || rulesFile === undefined) return;
-  if (inventories.length > 1 || rules.length > 1) return;
-  checkFiles(
+  if (inventory === undefined || rulesFile === undefined) return [];
+  if (inventories.length > 1 || rules.length > 1) return [];
+  const checked = checkFiles(
     {inventoryToml: inventory.data, rulesToml: rulesFile.data},
     {inventory: inventory.path, rules: rulesFile.path},
     [],
   );
+  return warningsOf(checked);
 }
--- a/packages/cli/test/run-cli.test.ts
+++ b/packages/cli/test/run-cli.test.ts
@@ -124,7 +124,10 @@
   t.strictSame(ended, {
     code: 0,
     out: `${INVENTORY}: inventory ok\n${RULES}: rules ok\n${settings}: settings ok\n`,
-    err: '',
+    err:
+      'warning: service rounds: deadlines up to 600000 ms, but a request may ' +
+      'run for less than timing.lease_ms (2000) at servers without ' +
+      'checks_fences\n',
   });
 });
 
