Requests may run as long as their lease is renewed

Cause: a request's deadline was cut to the end of the lease in force at dispatch (2 s), so one that needs longer could never finish, though its server's lease was renewed all the while. Change: two limits on the wire, the deadline and banyandrum-start-by, which is bound to the lease at dispatch. Servers that check fences get the caller's deadline and stop what runs when they lose the shard; the others keep the lease-bound deadline. A closed gate waits, at servers that don't check fences, also for requests whose callers gave up: these ended at once before, against the gate's contract, and the next owner could be granted beside them. Splits and merges of hot keys tell the server while the shard is quiet. Interfaces: Owned.checksFences and .heldUntil, Dispatch.serverStartBy, an optional third argument of DispatchGate.close.

--- a/packages/bench/src/experiment-cell.ts
+++ b/packages/bench/src/experiment-cell.ts
@@ -161,6 +161,8 @@
       server,
       fence: {epoch: 1, sequence: 1},
       leaseEnd: Infinity,
+      checksFences: true,
+      heldUntil: () => Infinity,
       toServerTime: ms => ({boot: '', ms}),
     };
   };
--- a/packages/ownership/src/condition.ts
+++ b/packages/ownership/src/condition.ts
@@ -71,6 +71,25 @@
   }
 }
 
+/**
+ * Whether the promise resolves within `ms`.
+ *
+ * @example
+ * ```ts
+ * if (!(await within(clock, 1000, gate.close(cell, shard)))) giveUp();
+ * ```
+ */
+export function within(
+  clock: Clock,
+  ms: number,
+  promise: Promise<unknown>,
+): Promise<boolean> {
+  return new Promise((resolve, reject) => {
+    const cancel = clock.after(ms, () => resolve(false));
+    promise.then(() => resolve(true), reject).finally(cancel);
+  });
+}
+
 /**
  * Runs `task` with a signal that aborts after `ms`, or when `signal` does.
  * One listener for each call and none left behind: `AbortSignal.any` over a
--- a/packages/ownership/src/handover.ts
+++ b/packages/ownership/src/handover.ts
@@ -1,5 +1,5 @@
 import type {Clock} from '@banyandrum/base/clock.js';
-import {untilAborted} from './condition.js';
+import {untilAborted, within} from './condition.js';
 import type {LeaseTask} from './lease-task.js';
 import type {ShardLocator} from './shard-locator.js';
 import type {ShardMap, Slot, TableRecorder} from './shard-table.js';
@@ -57,21 +57,67 @@
   ctx.recorder.touch();
 }
 
+/** How long requests in flight may hold up a change that can wait. */
+export const PATIENCE_MS = 1000;
+
+/** How long such a change is put off then. */
+const PUT_OFF_MS = 30_000;
+
+/**
+ * Stops dispatch of a shard and lets its requests in flight finish. Without
+ * `mustGo`, that is given up where they take long: newcomers would wait, for
+ * a mere gain in balance, until a request that may run for minutes is over.
+ * Returns whether the shard is quiet; dispatch goes on where it isn't.
+ *
+ * @example
+ * ```ts
+ * if (!(await quiesce(ctx, slot, task, false))) return;
+ * ```
+ */
+export async function quiesce(
+  ctx: HandoverContext,
+  slot: Slot,
+  task: LeaseTask,
+  mustGo: boolean,
+): Promise<boolean> {
+  const {locator, clock, signal} = ctx;
+  // A server that checks fences stops what still runs when it loses the shard.
+  const wait = task.checksFences ? 'answered' : 'ended';
+  const quiet = untilAborted(locator.pause(slot, wait), signal);
+  const isQuiet = mustGo
+    ? quiet.then(() => true)
+    : within(clock, PATIENCE_MS, quiet);
+  if (await isQuiet) return !signal.aborted;
+  if (signal.aborted) return false;
+  slot.stayUntil = clock.now() + PUT_OFF_MS;
+  locator.resume(slot);
+  return false;
+}
+
+/** What a shard's way to another server is for. */
+export interface HandoverOrder {
+  readonly to: string;
+  readonly reason: string;
+  /** The old server may not keep it, however long its requests take. */
+  readonly mustGo: boolean;
+}
+
 /**
  * Moves a shard from one server to another: stops dispatch, lets requests in
  * flight finish, releases, grants. Requests that come meanwhile wait. Where
- * the receiver is lost meanwhile, the shard is left free.
+ * the receiver is lost meanwhile, the shard is left free. Where requests take
+ * too long for a move that can wait, the shard stays.
  *
  * @example
  * ```ts
- * await handOver(ctx, slot, 'bed-3', 'bed-2 is leaving');
+ * const order = {to: 'bed-3', reason: 'bed-2 is leaving', mustGo: true};
+ * await handOver(ctx, slot, order);
  * ```
  */
 export async function handOver(
   ctx: HandoverContext,
   slot: Slot,
-  to: string,
-  reason: string,
+  {to, reason, mustGo}: HandoverOrder,
 ): Promise<void> {
   const {signal} = ctx;
   const from = slot.server === null ? undefined : ctx.tasks.get(slot.server);
@@ -80,8 +126,7 @@
   slot.next = to;
   ctx.recorder.touch();
   if (!(await ctx.recorder.commit())) return;
-  await untilAborted(ctx.locator.pause(slot), signal);
-  if (signal.aborted) return;
+  if (!(await quiesce(ctx, slot, from, mustGo))) return stayPut(ctx, slot);
   await from.release(slot.shard);
   if (signal.aborted) return;
   freeShard(ctx, slot, reason);
@@ -89,3 +134,11 @@
   if (isThere) await grantShard(ctx, slot, to, reason);
   else ctx.locator.resume(slot);
 }
+
+/** The move is given up before the old server was told of it. */
+function stayPut({signal, recorder}: HandoverContext, slot: Slot): void {
+  if (signal.aborted) return;
+  slot.state = 'held';
+  slot.next = null;
+  recorder.touch();
+}
--- a/packages/ownership/src/hot-shards.ts
+++ b/packages/ownership/src/hot-shards.ts
@@ -19,6 +19,7 @@
     hotKeys: readonly HotKey[],
     capacity: number,
     busyOf: (shard: string) => number,
+    now: number,
   ): HotChanges;
 }
 
@@ -45,7 +46,7 @@
  *
  * @example
  * ```ts
- * const {split, merge} = hotShards.note(load.hotKeys, 4, loads.busyOf);
+ * const {split, merge} = hotShards.note(hotKeys, 4, loads.busyOf, now);
  * ```
  */
 export function createHotShards(map: ShardMap): HotShards {
@@ -60,7 +61,7 @@
     hotFor = next;
   };
 
-  const findSplits = (): HotPair[] => {
+  const findSplits = (now: number): HotPair[] => {
     const pairs: HotPair[] = [];
     const left = MAX_HOT - [...map.hotKeys()].length;
     for (const [key, periods] of hotFor) {
@@ -68,7 +69,7 @@
       if (periods < SPLIT_PERIODS) continue;
       if (map.get(hotShardOf(key)) !== undefined) continue;
       const range = map.rangeOf(key);
-      if (range === null || !isSettled(range)) continue;
+      if (range === null || !isSettled(range, now)) continue;
       if (pairs.some(pair => pair.range === range)) continue;
       pairs.push({key, hot: map.addHot(key), range});
     }
@@ -78,6 +79,7 @@
   const findMerges = (
     least: number,
     busyOf: (shard: string) => number,
+    now: number,
   ): HotPair[] => {
     const pairs: HotPair[] = [];
     for (const key of map.hotKeys()) {
@@ -87,7 +89,8 @@
       const cold = busyOf(hot.shard) < least ? (coldFor.get(key) ?? 0) + 1 : 0;
       coldFor.set(key, cold);
       if (cold < MERGE_PERIODS) continue;
-      if (isSettled(hot) && isSettled(range)) pairs.push({key, hot, range});
+      if (isSettled(hot, now) && isSettled(range, now))
+        pairs.push({key, hot, range});
     }
     for (const key of coldFor.keys()) {
       if (map.get(hotShardOf(key)) === undefined) coldFor.delete(key);
@@ -96,14 +99,15 @@
   };
 
   return {
-    note(hotKeys, capacity, busyOf) {
+    note(hotKeys, capacity, busyOf, now) {
       countHot(hotKeys, capacity * SPLIT_SHARE);
-      const merge = findMerges(capacity * MERGE_SHARE, busyOf);
-      return {split: findSplits(), merge};
+      const merge = findMerges(capacity * MERGE_SHARE, busyOf, now);
+      return {split: findSplits(now), merge};
     },
   };
 }
 
-function isSettled(slot: Slot): boolean {
+function isSettled(slot: Slot, now: number): boolean {
+  if (now < slot.stayUntil) return false;
   return slot.state === 'held' && !slot.busy && !slot.paused;
 }
--- a/packages/ownership/src/hot-split.ts
+++ b/packages/ownership/src/hot-split.ts
@@ -3,8 +3,7 @@
  * a key goes from one shard id to the other, a request under either id runs
  * where the key is owned.
  */
-import {untilAborted} from './condition.js';
-import type {HandoverContext} from './handover.js';
+import {type HandoverContext, quiesce} from './handover.js';
 import type {Slot} from './shard-table.js';
 
 /** A hot key's slot and that of the hash range that it falls into. */
@@ -31,25 +30,28 @@
   pair: HotPair,
 ): Promise<void> {
   const {key, hot, range} = pair;
-  const {map, recorder, locator, signal} = ctx;
+  const {map, recorder, locator} = ctx;
   const task = range.server === null ? undefined : ctx.tasks.get(range.server);
   if (task === undefined) return map.removeHot(key);
+  // Quiet before the server is told: an undone split would else stop what
+  // runs for the key.
+  if (!(await quiesce(ctx, range, task, false))) return map.removeHot(key);
   hot.state = 'held';
   hot.server = range.server;
   hot.reason = 'split off as a hot key';
   recorder.touch();
-  if (!(await recorder.commit())) return;
-  task.add([hot.shard]);
-  if (!(await task.granted(hot.shard))) return undoSplit(ctx, pair);
-  await untilAborted(locator.pause(range), signal);
-  if (signal.aborted) return;
-  map.expose(key);
+  if (await recorder.commit()) {
+    task.add([hot.shard]);
+    if (await task.granted(hot.shard)) map.expose(key);
+    else await undoSplit(ctx, pair);
+  }
   locator.resume(range);
 }
 
-/** The server doesn't answer: the key never counted under its own id. */
+/** The key never counted under its own id: the server must not keep it. */
 async function undoSplit(ctx: HandoverContext, pair: HotPair): Promise<void> {
   const {hot, key} = pair;
+  if (ctx.signal.aborted) return;
   const task = hot.server === null ? undefined : ctx.tasks.get(hot.server);
   await task?.release(hot.shard);
   if (ctx.signal.aborted) return;
@@ -75,12 +77,13 @@
   const {map, recorder, locator, signal} = ctx;
   const task = hot.server === null ? undefined : ctx.tasks.get(hot.server);
   if (task === undefined) return;
-  await untilAborted(locator.pause(hot), signal);
+  if (!(await quiesce(ctx, hot, task, false))) return;
+  // Given up before the key counts as its range's: with the shard the server
+  // stops whatever runs for the key.
+  await task.release(hot.shard);
   if (signal.aborted) return;
   map.conceal(key);
   locator.dissolve(hot);
-  await task.release(hot.shard);
-  if (signal.aborted) return;
   map.removeHot(key);
   recorder.touch();
 }
--- a/packages/ownership/src/led-cell.ts
+++ b/packages/ownership/src/led-cell.ts
@@ -9,6 +9,17 @@
   readonly fence: Fence;
   /** Local monotonic time at which the lease ends, counted with care. */
   readonly leaseEnd: number;
+  /**
+   * Whether the server stops what runs for a shard when its lease ends or an
+   * order takes the shard. Others honour nothing but the deadline.
+   */
+  readonly checksFences: boolean;
+  /**
+   * Local time at which the server has surely lost the shard unless its lease
+   * is renewed once more; past once it is lost; infinite where this process
+   * no longer knows, since another one may keep the lease now.
+   */
+  heldUntil(): number;
   /** Converts a local time into the server's own clock, erring early. */
   toServerTime(localMs: number): Stamp;
 }
@@ -39,6 +50,17 @@
   mayAct(): boolean;
 }
 
+/**
+ * What a closed gate waits for.
+ *
+ * - `answered`: every caller has its outcome. Enough where an order to the
+ *   server ends what it still runs for the shard.
+ * - `ended`: no server runs a request of the shard any more. One that was
+ *   written and has no answer counts until its deadline on the server has
+ *   passed, although its caller has been told: the server may still run it.
+ */
+export type GateWait = 'answered' | 'ended';
+
 /**
  * What ownership asks of the requests in flight when it moves a shard or
  * hears of a lost server. Implemented by the leader's admission.
@@ -46,12 +68,10 @@
 export interface DispatchGate {
   /**
    * Stops dispatch of the shard and resolves when none of its requests is
-   * in flight any more. Newcomers wait in the queue. A request that was
-   * written and has no answer counts as in flight until its deadline on the
-   * server has passed, although its caller has been told: the server may
-   * still run it, and the shard's next owner must not be granted meanwhile.
+   * in flight any more; without `wait`, none has `ended`. Newcomers wait in
+   * the queue.
    */
-  close(cell: CellId, shard: ShardId): Promise<void>;
+  close(cell: CellId, shard: ShardId, wait?: GateWait): Promise<void>;
   /** Lets the shard's waiting requests go, wherever it is now. */
   open(cell: CellId, shard: ShardId): void;
 }
--- a/packages/ownership/src/placer.ts
+++ b/packages/ownership/src/placer.ts
@@ -6,6 +6,7 @@
 import type {Condition} from './condition.js';
 import {
   type HandoverContext,
+  PATIENCE_MS,
   freeShard,
   grantShard,
   handOver,
@@ -139,21 +140,43 @@
   };
 
   const startHandover = (slot: Slot, to: string, reason: string): void => {
+    const from = slot.server === null ? undefined : tasks.get(slot.server);
+    const mustGo = from !== undefined && registry.leaving(from) !== null;
+    if (!mustGo && clock.now() < slot.stayUntil) return;
     if (handovers >= MAX_HANDOVERS) return;
     handovers++;
     log.info('handing over', {cell, shard: slot.shard, to, reason});
-    const moved = handOver(options, slot, to, reason);
-    start(
-      [slot],
-      moved.finally(() => handovers--),
-    );
+    const moved = handOver(options, slot, {to, reason, mustGo});
+    start([slot], countUntil(moved));
+  };
+
+  /**
+   * A handover that waits for long requests counts no longer: else a few of
+   * them would keep a leaving server's other shards there, and new work with
+   * them, for minutes.
+   */
+  const countUntil = (moved: Promise<void>): Promise<void> => {
+    let counts = true;
+    const uncount = (): void => {
+      if (counts) handovers--;
+      counts = false;
+    };
+    const cancel = clock.after(PATIENCE_MS, () => {
+      uncount();
+      options.wake.notify();
+    });
+    return moved.finally(() => {
+      cancel();
+      uncount();
+    });
   };
 
   const adjustHotKeys = (load: CellLoad, {candidates}: PlanInput): void => {
     if (candidates.length < 2) return;
+    const now = clock.now();
     const total = candidates.reduce((sum, c) => sum + c.capacity, 0);
     const capacity = total / candidates.length;
-    const changes = hotShards.note(load.hotKeys, capacity, watch.busyOf);
+    const changes = hotShards.note(load.hotKeys, capacity, watch.busyOf, now);
     for (const pair of changes.split) {
       log.info('splitting a hot key off', {cell, shard: pair.hot.shard});
       start([pair.hot, pair.range], splitKey(options, pair));
--- a/packages/ownership/src/shard-locator.ts
+++ b/packages/ownership/src/shard-locator.ts
@@ -1,7 +1,13 @@
 import type {Clock} from '@banyandrum/base/clock.js';
-import type {CellId} from '@banyandrum/base/ids.js';
-import type {DispatchGate, Location, Moving, Unowned} from './led-cell.js';
-import type {LeaseTask} from './lease-task.js';
+import type {CellId, ShardId} from '@banyandrum/base/ids.js';
+import type {
+  DispatchGate,
+  GateWait,
+  Location,
+  Moving,
+  Unowned,
+} from './led-cell.js';
+import type {Grant, LeaseTask} from './lease-task.js';
 import {type ShardMap, type Slot, createSettled} from './shard-table.js';
 
 /** Tells where keys are, and those who wait when that is settled. */
@@ -9,7 +15,7 @@
   locate(key: string): Location;
   isServable(slot: Slot): boolean;
   /** Stops dispatch; resolves when no request of the shard is in flight. */
-  pause(slot: Slot): Promise<void>;
+  pause(slot: Slot, wait: GateWait): Promise<void>;
   /** Ends a pause; requests go once the shard's server has its lease. */
   resume(slot: Slot): void;
   /** Ends a pause for good: its requests look for their key elsewhere. */
@@ -69,6 +75,8 @@
         server: task.server,
         fence: task.fence(),
         leaseEnd: grant.leaseEnd,
+        checksFences: task.checksFences,
+        heldUntil: () => heldUntil(task, slot.shard, grant),
         toServerTime: grant.toServerTime,
       };
     }
@@ -76,6 +84,17 @@
     return moving(slot);
   };
 
+  const heldUntil = (
+    task: LeaseTask,
+    shard: ShardId,
+    {toServerTime}: Grant,
+  ): number => {
+    if (phase === 'stopped') return Infinity;
+    const {boot} = toServerTime(0);
+    const isSameRun = task.grant()?.toServerTime(0).boot === boot;
+    return isSameRun ? task.mayHoldUntil(shard) : -Infinity;
+  };
+
   const moving = (slot: Slot): Moving => {
     slot.waiting ??= createSettled();
     unsettled.add(slot);
@@ -105,11 +124,11 @@
   return {
     locate,
     isServable,
-    pause(slot) {
+    pause(slot, wait) {
       slot.paused = true;
       unsettled.add(slot);
       closed.add(slot);
-      return gate.close(cell, slot.shard);
+      return gate.close(cell, slot.shard, wait);
     },
     resume(slot) {
       slot.paused = false;
--- a/packages/ownership/src/shard-table.ts
+++ b/packages/ownership/src/shard-table.ts
@@ -18,6 +18,8 @@
   stuck: boolean;
   /** A handover, grant, split or merge is under way for it. */
   busy: boolean;
+  /** Until then it is not stopped again for a change that can wait. */
+  stayUntil: number;
   /** Monotonic time of its last move. */
   movedAt: number;
   /** For operators: why it is where it is. */
@@ -229,6 +231,7 @@
     paused: false,
     stuck: false,
     busy: false,
+    stayUntil: -Infinity,
     movedAt: -Infinity,
     reason: 'not placed yet',
     waiting: null,
--- a/packages/ownership/test/cell-leader.test.ts
+++ b/packages/ownership/test/cell-leader.test.ts
@@ -149,3 +149,39 @@
   t.same([...fixture.violations], []);
   await fixture.stop(led);
 });
+
+void tap.test('long requests hold up only what must go', async t => {
+  // A report of 5 s runs for every shard. A server joins: its gain would be
+  // balance, so each shard's callers wait a second at most in half a minute,
+  // and the shards stay. An operator drains a server: its reports end in
+  // peace, its shards stay with it until then, and newcomers wait.
+  for (const checksFences of [true, false]) {
+    const fixture = createFixture({names: ['a'], checksFences});
+    const led = fixture.lead();
+    await fixture.advance(40_000);
+    fixture.drainMs = 5000;
+    fixture.fakes.add('c');
+    fixture.servers = [...fixture.servers, toServer('c')];
+    const closed = new Map<string, number>();
+    for (let ms = 0; ms < 20_000; ms += 100) {
+      await fixture.advance(100);
+      for (const shard of led.gateClosed) {
+        closed.set(shard, (closed.get(shard) ?? 0) + 100);
+      }
+    }
+    t.same(led.shardsOf('c'), [], 'nothing moved');
+    t.ok(closed.size > 0, 'it was tried');
+    t.ok(Math.max(...closed.values()) <= 1100, 'for a second each');
+    t.equal(led.gateClosed.size, 0);
+    fixture.drains.add('a');
+    await fixture.advance(4500);
+    t.equal(led.gateClosed.size, SHARDS, 'no new work for any');
+    const held = fixture.fakes.get('a').belief('holds/0')?.shards;
+    t.equal(held?.length, SHARDS, 'none has been taken');
+    await fixture.advance(15_000);
+    t.same(led.shardsOf('a'), []);
+    t.equal(led.owners().size, SHARDS);
+    t.same([...fixture.violations], []);
+    await fixture.stop(led);
+  }
+});
--- a/packages/requests/src/dispatch.ts
+++ b/packages/requests/src/dispatch.ts
@@ -42,35 +42,41 @@
 };
 
 /**
- * Makes the order to send a request to its owner. The deadline ends with the
- * lease: a server that doesn't check fences still honours deadlines, so that
- * it never runs a request after it may have lost the shard.
+ * Makes the order to send a request to its owner; `signal` ends it. It has
+ * to arrive within the lease in force. A server that checks fences stops it
+ * when it loses the shard, so the caller's own deadline holds there. Another
+ * server honours nothing but deadlines: there the deadline ends with the
+ * lease, so that the server never runs a request after it may have lost the
+ * shard.
  *
  * @example
  * ```ts
- * const dispatch = createDispatch({led, pending, where, gate}, clock);
+ * const dispatch = createDispatch({led, pending, where, gate}, ended, clock);
  * const outcome = await client.send(where.server, dispatch);
  * ```
  */
 export function createDispatch(
   flight: DispatchOptions,
+  signal: AbortSignal,
   clock: Clock,
 ): TrackedDispatch {
   const {led, pending, where, gate} = flight;
   const {req} = pending;
-  const deadline = Math.min(req.deadline, where.leaseEnd);
+  const startBy = Math.min(req.deadline, where.leaseEnd);
+  const deadline = where.checksFences ? req.deadline : startBy;
   const dispatch: TrackedDispatch = {
-    req: deadline < req.deadline ? {...req, deadline} : req,
+    req: {...req, deadline, signal},
     cell: led.cell,
     shard: where.shard,
     fence: where.fence,
     serverDeadline: where.toServerTime(deadline),
+    serverStartBy: where.toServerTime(startBy),
     written: false,
     held: false,
     mayWrite() {
       // A process that was paused here has no authority any more, and its
       // successor may have given the shard away: nothing may be written.
-      const may = led.mayAct() && clock.now() < deadline && !gate.closed;
+      const may = led.mayAct() && clock.now() < startBy && !gate.closed;
       if (may) dispatch.written = true;
       dispatch.held = !may;
       return may;
--- a/packages/requests/src/leader-queues.ts
+++ b/packages/requests/src/leader-queues.ts
@@ -89,8 +89,8 @@
       const known = cells.get(cell);
       return known?.active ? known.queue : null;
     },
-    async close(cell, shard) {
-      await cells.get(cell)?.queue.close(shard);
+    async close(cell, shard, wait) {
+      await cells.get(cell)?.queue.close(shard, wait);
     },
     open(cell, shard) {
       cells.get(cell)?.queue.open(shard);
--- a/packages/requests/src/queue.ts
+++ b/packages/requests/src/queue.ts
@@ -5,6 +5,7 @@
 import type {Rules} from '@banyandrum/config/rules.js';
 import type {
   CellLoad,
+  GateWait,
   LedCell,
   Location,
   Owned,
@@ -39,7 +40,7 @@
   /** Goes on under another epoch of the same cell. */
   adopt(led: LedCell): void;
   /** Stops dispatch of a shard; resolves when none of it is in flight. */
-  close(shard: ShardId): Promise<void>;
+  close(shard: ShardId, wait?: GateWait): Promise<void>;
   open(shard: ShardId): void;
   /** Refuses what waits; resolves when nothing is in flight any more. */
   stop(): Promise<void>;
@@ -173,10 +174,10 @@
   const mustAwaitRenewal = (
     server: ServerQueue,
     {level, req}: Pending,
-    {leaseEnd}: Owned,
+    {leaseEnd, checksFences}: Owned,
   ): boolean => {
     const leftMs = leaseEnd - clock.now();
-    const outlives = req.deadline > leaseEnd;
+    const outlives = !checksFences && req.deadline > leaseEnd;
     const {leaseMs} = rules().timing;
     return isLeaseShort(leftMs, leaseMs, outlives, server.meanMs(level));
   };
@@ -260,14 +261,14 @@
       stopped = false;
       pumpAll();
     },
-    close(shard) {
+    close(shard, wait = 'ended') {
       const gate = gates.of(shard);
       gate.closed = true;
       for (const pending of waitingFor(shard)) {
         leaveSpot(pending);
         room.park(pending, gate);
       }
-      return gate.idle();
+      return gate.idle(wait);
     },
     open: shard => gates.open(gates.of(shard)),
     stop() {
--- a/packages/requests/src/shard-gate.ts
+++ b/packages/requests/src/shard-gate.ts
@@ -1,4 +1,5 @@
 import type {ShardId} from '@banyandrum/base/ids.js';
+import type {GateWait} from '@banyandrum/ownership/led-cell.js';
 import {
   createFairQueue,
   type FairQueue,
@@ -16,9 +17,12 @@
   /** What they waited for the last time. */
   settled: Promise<void> | null;
   begin(): void;
-  end(): void;
+  /** The caller has its outcome; the server may still run the request. */
+  answered(): void;
+  /** After `answered`: the server doesn't run the request any more. */
+  ended(): void;
   /** Resolves once nothing of the shard is in flight. */
-  idle(): Promise<void>;
+  idle(wait: GateWait): Promise<void>;
   /** Nothing is left to remember of it. */
   isIdle(): boolean;
   /** Takes out all that wait, in their order. */
@@ -31,7 +35,7 @@
  * @example
  * ```ts
  * gate.closed = true;
- * await gate.idle(); // no request of the shard is at a server now
+ * await gate.idle('ended'); // no request of the shard is at a server now
  * ```
  */
 export function createShardGate(
@@ -39,16 +43,21 @@
   options: FairQueueOptions,
 ): ShardGate {
   const waiting = createFairQueue<Pending>(options);
-  const inFlight = createCountdown();
+  const unanswered = createCountdown();
+  const running = createCountdown();
   const gate: ShardGate = {
     shard,
     waiting,
     closed: false,
     settling: null,
     settled: null,
-    begin: inFlight.begin,
-    end: inFlight.end,
-    idle: inFlight.idle,
+    begin() {
+      unanswered.begin();
+      running.begin();
+    },
+    answered: unanswered.end,
+    ended: running.end,
+    idle: wait => (wait === 'ended' ? running : unanswered).idle(),
     drain(now) {
       const drained: Pending[] = [];
       for (;;) {
@@ -60,7 +69,7 @@
     },
     isIdle() {
       if (gate.closed || gate.settling !== null) return false;
-      return inFlight.count() === 0 && waiting.size() === 0;
+      return running.count() === 0 && waiting.size() === 0;
     },
   };
   return gate;
--- a/packages/servers/src/client.ts
+++ b/packages/servers/src/client.ts
@@ -76,6 +76,11 @@
   readonly fence: Fence;
   /** On the server's own clock; it refuses or stops the request after it. */
   readonly serverDeadline: Stamp;
+  /**
+   * On the server's own clock; it refuses the request when it arrives later.
+   * Bound to the lease in force at dispatch.
+   */
+  readonly serverStartBy: Stamp;
   /**
    * Asked synchronously right before the request is written. A process that
    * was paused between the decision and the write gets `false` and writes
--- a/packages/servers/src/headers.ts
+++ b/packages/servers/src/headers.ts
@@ -4,6 +4,7 @@
 export const SHARD = 'banyandrum-shard';
 export const FENCE = 'banyandrum-fence';
 export const DEADLINE = 'banyandrum-deadline';
+export const START_BY = 'banyandrum-start-by';
 export const ONCE = 'banyandrum-once';
 export const VERDICT = 'banyandrum-verdict';
 export const RETRY_AFTER_MS = 'retry-after-ms';
--- a/packages/servers/src/requests.ts
+++ b/packages/servers/src/requests.ts
@@ -6,7 +6,7 @@
 import type {Result} from '@banyandrum/base/result.js';
 import type {Verdict} from '@banyandrum/base/verdict.js';
 import type {ServerAnswer} from './answer-reader.js';
-import type {Dispatch} from './client.js';
+import type {Dispatch, Stamp} from './client.js';
 import type {Connections} from './connections.js';
 import {exchange} from './exchange.js';
 import type {ExchangeError, ExchangeStage} from './exchange.js';
@@ -111,6 +111,7 @@
   shard,
   fence,
   serverDeadline,
+  serverStartBy,
 }: Dispatch): string[] {
   const list = [
     names.REQUEST_ID,
@@ -122,10 +123,16 @@
     names.FENCE,
     `${fence.epoch}.${fence.sequence}`,
     names.DEADLINE,
-    // Whole ms, rounded to the earlier side.
-    `${serverDeadline.boot}.${Math.floor(serverDeadline.ms)}`,
+    encodeStamp(serverDeadline),
+    names.START_BY,
+    encodeStamp(serverStartBy),
   ];
   if (req.once) list.push(names.ONCE, '1');
   addForwarded(list, req.headers, !(req.body instanceof Uint8Array));
   return list;
 }
+
+/** In whole ms, rounded to the earlier side. */
+function encodeStamp({boot, ms}: Stamp): string {
+  return `${boot}.${Math.floor(ms)}`;
+}
--- a/packages/servers/test/setup.ts
+++ b/packages/servers/test/setup.ts
@@ -46,6 +46,7 @@
     shard: SHARD,
     fence: FENCE,
     serverDeadline: {boot: stamp.boot, ms: stamp.ms + LONG_MS},
+    serverStartBy: {boot: stamp.boot, ms: stamp.ms + LONG_MS},
     mayWrite: () => true,
     ...change,
   };
--- a/packages/servers/test/verdicts.test.ts
+++ b/packages/servers/test/verdicts.test.ts
@@ -282,6 +282,7 @@
     'banyandrum-shard: k:a%20%E0%AA%B5%25',
     'banyandrum-fence: 17.3',
     'banyandrum-deadline: b1.30000',
+    'banyandrum-start-by: b1.30000',
     'banyandrum-once: 1',
     'accept: text/plain',
   ]);
--- a/packages/standins/src/server-record.ts
+++ b/packages/standins/src/server-record.ts
@@ -3,7 +3,8 @@
 /**
  * - `running`: not over yet.
  * - `done`: it took effect and was answered.
- * - `stopped`: stopped at its deadline, or its body was cut; no effect.
+ * - `stopped`: stopped at its deadline or with its lease, or its body
+ *   was cut; no effect.
  */
 export type ExecutionOutcome = 'running' | 'done' | 'stopped';
 
--- a/packages/standins/src/server-work.ts
+++ b/packages/standins/src/server-work.ts
@@ -28,7 +28,7 @@
   readonly body: Uint8Array;
   readonly state: ServerState;
   readonly faults: FaultSwitch;
-  /** Aborted at the deadline. */
+  /** Aborted at the deadline, and when the server loses the shard. */
   readonly signal: AbortSignal;
 }
 
