A leader that nobody can reach hands over

Ruled out: letting the standby withdraw on its own, since its own openings may be what is cut. Change: the standby tries a new connection each second and says with its consent that two in a row got no answer; the leader asks up to three other routers to try, and hands over only if they get none either; if one does, it takes another standby.

--- a/packages/bench/src/slopes-peer-host.ts
+++ b/packages/bench/src/slopes-peer-host.ts
@@ -28,12 +28,14 @@
     consent: async (_, {cells}) => ({
       granted: cells.map(({cell}) => cell),
       leaving: false,
+      unreached: false,
     }),
     table: async () => ({stored: true}),
     withdraw: async () => ({withdrawnForMs: null, refused: 'bench'}),
     resign: async () => ({accepted: []}),
     leads: async () => ({leading: [], next: 1, publication: 0}),
     // As long an answer as the offset asked for says.
+    reach: async () => ({reached: true}),
     state: async (_, {next}) => ({encoded: 'x'.repeat(next)}),
   },
 });
--- a/packages/ownership/src/consent.ts
+++ b/packages/ownership/src/consent.ts
@@ -4,6 +4,7 @@
 import type {OwnershipContext} from './context.js';
 import type {Leadership, Tenure} from './leadership.js';
 import type {Membership} from './membership.js';
+import type {NoteUnreached} from './unreached.js';
 
 /** What a leader's questions for consent work with. */
 export interface ConsentOptions {
@@ -12,6 +13,7 @@
   readonly leadership: Leadership;
   /** Told of cells whose standby cannot be relied on any more. */
   readonly doubt: (tenures: readonly Tenure[], reason: string) => void;
+  readonly noteUnreached: NoteUnreached;
 }
 
 /**
@@ -62,6 +64,8 @@
     void tenure.holder.synchronise();
   }
   if (res.val.leaving) membership.noteLeaving(standby);
+  if (!res.val.unreached) return;
+  options.noteUnreached(standby, tenuresWith(options, standby));
 }
 
 /**
--- a/packages/ownership/src/control.ts
+++ b/packages/ownership/src/control.ts
@@ -49,7 +49,11 @@
 export const ownershipSchemas = {
   consent: {
     ask: z.object({cells: z.array(cellEpochSchema)}),
-    answer: z.object({granted: z.array(z.string()), leaving: z.boolean()}),
+    answer: z.object({
+      granted: z.array(z.string()),
+      leaving: z.boolean(),
+      unreached: z.boolean(),
+    }),
   },
   table: {
     ask: z.object({table: tableSchema}),
@@ -66,6 +70,10 @@
     ask: z.object({cells: z.array(resignedCellSchema)}),
     answer: z.object({accepted: z.array(z.string())}),
   },
+  reach: {
+    ask: z.object({}),
+    answer: z.object({reached: z.boolean()}),
+  },
   leads: {
     ask: z.object({}),
     answer: leadsSchema,
@@ -90,6 +98,7 @@
  *   `withdrawnForMs` is null where it refuses.
  * - `resign`: a leader has stopped acting and hands its cells over;
  *   `cleared` tells whether its own predecessor was known to have stopped.
+ * - `reach`: a router asks whether a new connection to it gets through.
  * - `leads`: what the router leads, and the versions it has in force.
  * - `state`: the newer state of the log, for a router that cannot read it.
  */
--- a/packages/ownership/src/handlers.ts
+++ b/packages/ownership/src/handlers.ts
@@ -32,6 +32,9 @@
       );
       return {accepted: accepted.map(({cell}) => cell)};
     },
+    reach: async from => ({
+      reached: (await examineLeader(ctx, from)) === 'there',
+    }),
     leads: async () => ({
       leading: leadership
         .tenures()
--- a/packages/ownership/src/run-ownership.ts
+++ b/packages/ownership/src/run-ownership.ts
@@ -23,11 +23,13 @@
 import {createPauseDetector} from './pauses.js';
 import {createPeerTasks} from './peer-tasks.js';
 import {runRebalance} from './rebalance.js';
+import {createReachWatch} from './reach-watch.js';
 import {createStandby} from './standby.js';
 import {createStandbyKeeper} from './standby-keeper.js';
 import {runStandbyWatch} from './standby-watch.js';
 import {runTakeover} from './takeover.js';
 import type {AuthorityTiming} from './timing.js';
+import {createUnreached} from './unreached.js';
 import {viewsBackedBy} from './views.js';
 
 export interface OwnershipOptions {
@@ -94,8 +96,10 @@
   const claimer = createClaimer(ctx);
   const leadership = createLeadership(ctx, claimer, options.startCell);
   const catchUp = createCatchUp({...ctx, hosts: options.hosts});
+  const reach = createReachWatch(ctx);
   const standby = createStandby(ctx, {
     isLeaving: () => !membership.isWelcome(self.host),
+    isUnreached: reach.isUnreached,
     onWithdrawn: withdrawn.notify,
     onNewerEpoch: catchUp.pull,
   });
@@ -107,13 +111,16 @@
     leadership,
     changed,
   );
-  const consent = {ctx, membership, leadership, doubt: keeper.doubt};
+  const {doubt} = keeper;
+  const noteUnreached = createUnreached({ctx, membership, leadership, doubt});
+  const consent = {ctx, membership, leadership, doubt, noteUnreached};
   const asking = createPeerTasks((peer, ended) =>
     runConsent(consent, peer, ended),
   );
-  const backed = createPeerTasks((peer, ended) =>
-    runStandbyWatch(ctx, standby, peer, ended),
-  );
+  const backed = createPeerTasks(async (peer, ended) => {
+    void reach.run(peer, ended);
+    await runStandbyWatch(ctx, standby, peer, ended);
+  });
   const orphans = {ctx, membership, claimer};
   const watched = createPeerTasks((peer, ended) =>
     runOrphanWatch(orphans, peer, ended),
--- a/packages/ownership/src/standby.ts
+++ b/packages/ownership/src/standby.ts
@@ -45,6 +45,8 @@
 export interface StandbyOptions {
   /** Whether this process stops soon. */
   readonly isLeaving: () => boolean;
+  /** Whether new connections to a leader get no answer. */
+  readonly isUnreached: (leader: Incarnation) => boolean;
   /** Called after each withdrawal. */
   readonly onWithdrawn: () => void;
   /** Called when a leader names an epoch that is not known here yet. */
@@ -131,7 +133,8 @@
       const granted = cells
         .filter(({cell, epoch}) => consentTo(from, cell, epoch))
         .map(({cell}) => cell);
-      return {granted, leaving: options.isLeaving()};
+      const unreached = options.isUnreached(from);
+      return {granted, leaving: options.isLeaving(), unreached};
     },
     storeTable(from, message) {
       const role = roleFor(from, message.cell, message.epoch);
--- a/packages/ownership/test/authority.test.ts
+++ b/packages/ownership/test/authority.test.ts
@@ -55,6 +55,7 @@
       membership: {noteLeaving: () => {}} as never,
       leadership: {tenures: () => [tenureOf(holder)]} as never,
       doubt: () => {},
+      noteUnreached: () => {},
     },
     STANDBY,
     ended.signal,
@@ -86,6 +87,7 @@
   void tap.test(`standby: ${name}`, t => {
     const standby = createStandby(createContext(STANDBY), {
       isLeaving: () => false,
+      isUnreached: () => false,
       onWithdrawn: () => {},
       onNewerEpoch: () => {},
     });
--- a/packages/ownership/test/support/network.ts
+++ b/packages/ownership/test/support/network.ts
@@ -17,6 +17,8 @@
   cut(from: string, to: string): void;
   join(from: string, to: string): void;
   heal(): void;
+  /** Whether what a host asks of another gets through; answers do. */
+  opens: (from: string, to: string) => boolean;
   /** Carries a message; it is lost where the link is cut on arrival. */
   carry(from: string, to: string, task: () => void): void;
   /** Keeps a message on its way for longer. */
@@ -29,6 +31,7 @@
     cuts.has(`${from}>${to}`);
   const network: Network = {
     latency: () => 2,
+    opens: () => true,
     cut: (from, to) => void cuts.add(`${from}>${to}`),
     join: (from, to) => void cuts.delete(`${from}>${to}`),
     heal: () => cuts.clear(),
@@ -76,6 +79,7 @@
       const endpoint = endpoints.get(address);
       if (!endpoint) return;
       const there = endpoint.process.incarnation.host;
+      if (!network.opens(self.host, there)) return;
       network.carry(self.host, there, () => {
         const now = endpoints.get(address);
         now?.process.deliver(() => {
