Bench: warm processes, failures by code, a check of the leader

With 1.5 s of warm-up a good part of the measured processor time was the compiler's. Each path now gets 10,000 requests first, or 8 s. Failed requests are counted by their code, over all rounds, and a leader that moved during the run is told of, since the routed paths would be mixed.

--- a/packages/bench/src/bench-load.ts
+++ b/packages/bench/src/bench-load.ts
@@ -25,6 +25,8 @@
   /** Requests answered whole with a status below 300. */
   readonly answered: number;
   readonly failed: number;
+  /** Why they failed, by code, such as `overloaded`. */
+  readonly codes: Readonly<Record<string, number>>;
   readonly perSecond: number;
   readonly p50Ms: number;
   readonly p99Ms: number;
@@ -33,6 +35,7 @@
 export const loadResultSchema = z.object({
   answered: z.number(),
   failed: z.number(),
+  codes: z.record(z.string(), z.number()),
   perSecond: z.number(),
   p50Ms: z.number(),
   p99Ms: z.number(),
--- a/packages/bench/src/bench-paths.ts
+++ b/packages/bench/src/bench-paths.ts
@@ -17,6 +17,8 @@
 /** The ways that are compared, with the plain one first. */
 export interface Paths {
   readonly all: readonly Path[];
+  /** Else the last two paths were not what their names say. */
+  isLeaderSame(): Promise<boolean>;
   stop(): Promise<void>;
 }
 
@@ -31,7 +33,9 @@
 const CONCURRENCY = 48;
 const RATE_CONCURRENCY = 512;
 const ROUNDS = 3;
-const WARM_MS = 1_500;
+/** Long enough for the compiler: without it, it is much of what is measured. */
+const WARM_MS = 8_000;
+const WARM_REQUESTS = 10_000;
 const CLOSED_MS = 2_000;
 const RATE_MS = 3_000;
 const BODY_MS = 1_000;
@@ -60,15 +64,16 @@
       routedPath('entry = leader', service, [leader]),
       routedPath('entry, leader', service, [other, leader]),
     ],
+    isLeaderSame: async () => (await findLeader(deployment)) === leader,
     stop: () => direct.stop(),
   };
 }
 
 /** Prints what the paths bear, and returns what the last of them bears. */
 export async function measureSaturation(paths: Paths): Promise<number> {
-  const spec = {...BASE, durationMs: CLOSED_MS};
-  for (const path of paths.all) await send(path, {...BASE});
-  const measured = await measureAll(paths, spec);
+  const warmUp = {...BASE, durationMs: WARM_MS, maxRequests: WARM_REQUESTS};
+  for (const path of paths.all) await send(path, warmUp);
+  const measured = await measureAll(paths, BASE);
   print(`${CONCURRENCY} requests in flight, no body`, measured);
   const [, leading, entry] = measured;
   const perProcess = US_PER_SECOND / leading!.cpuUs[0]!;
@@ -116,7 +121,7 @@
   bodyBytes: 0,
   concurrency: CONCURRENCY,
   ratePerSecond: null,
-  durationMs: WARM_MS,
+  durationMs: CLOSED_MS,
   maxRequests: MAX_REQUESTS,
 };
 
@@ -194,7 +199,7 @@
     path,
     load: {
       answered: median(({load}) => load.answered),
-      failed: Math.max(...rounds.map(({load}) => load.failed)),
+      ...failuresOf(rounds.map(({load}) => load)),
       perSecond: median(({load}) => load.perSecond),
       p50Ms: median(({load}) => load.p50Ms),
       p99Ms: median(({load}) => load.p99Ms),
@@ -203,6 +208,20 @@
   };
 }
 
+/** The failures of all rounds together. */
+function failuresOf(
+  loads: readonly LoadResult[],
+): Pick<LoadResult, 'failed' | 'codes'> {
+  const codes: Record<string, number> = {};
+  for (const load of loads) {
+    for (const [code, times] of Object.entries(load.codes)) {
+      codes[code] = (codes[code] ?? 0) + times;
+    }
+  }
+  const failed = loads.reduce((sum, load) => sum + load.failed, 0);
+  return {failed, codes};
+}
+
 function print(title: string, measured: readonly Measured[]): void {
   const direct = measured[0]!.load;
   const rows = measured.map(({path, load, cpuUs}): Row => {
@@ -217,12 +236,20 @@
       'added p99': load.p99Ms - direct.p99Ms,
       'entry cpu µs': entry ?? '',
       'leader cpu µs': cpuUs.at(-1) ?? '',
-      failed: load.failed,
+      failed: failureText(load),
     };
   });
   say(`\n${title}\n${formatTable(rows)}`);
 }
 
+function failureText({failed, codes}: LoadResult): string {
+  if (failed === 0) return '0';
+  const parts = Object.entries(codes).map(
+    ([code, times]) => `${times} ${code}`,
+  );
+  return parts.join(', ');
+}
+
 function say(line: string): void {
   process.stdout.write(`${line}\n`);
 }
--- a/packages/bench/src/bench-run-load.ts
+++ b/packages/bench/src/bench-run-load.ts
@@ -21,7 +21,7 @@
   readonly endMs: number;
   sent: number;
   inFlight: number;
-  failed: number;
+  readonly codes: Map<string, number>;
 }
 
 async function main(): Promise<void> {
@@ -39,7 +39,7 @@
     endMs: startMs + spec.durationMs,
     sent: 0,
     inFlight: 0,
-    failed: 0,
+    codes: new Map(),
   };
   await (spec.ratePerSecond === null ? sendOnAnswer(run) : sendAtRate(run));
   const tookMs = performance.now() - startMs;
@@ -69,7 +69,7 @@
   let dueMs = performance.now();
   while (!isOver(run)) {
     for (; dueMs <= performance.now(); dueMs += gapMs) {
-      if (run.inFlight >= concurrency) run.failed++;
+      if (run.inFlight >= concurrency) count(run, 'not-sent');
       else asked.push(ask(run, dueMs));
     }
     await new Promise(resolve => setTimeout(resolve, TICK_MS));
@@ -91,21 +91,28 @@
     });
     const bytes = (await res.body.arrayBuffer()).byteLength;
     const isWhole = body === null || bytes === body.length;
-    if (res.statusCode >= 300 || !isWhole) throw new Error('no whole answer');
+    if (res.statusCode >= 300 || !isWhole) {
+      return count(run, String(res.headers['banyandrum-code'] ?? 'not-whole'));
+    }
     run.times.recordValue(Math.round((performance.now() - fromMs) * US_PER_MS));
   } catch {
-    run.failed++;
+    count(run, 'lost');
   } finally {
     run.inFlight--;
   }
 }
 
-function resultOf({times, failed}: Run, tookMs: number): LoadResult {
+function count({codes}: Run, code: string): void {
+  codes.set(code, (codes.get(code) ?? 0) + 1);
+}
+
+function resultOf({times, codes}: Run, tookMs: number): LoadResult {
   const msAt = (percent: number): number =>
     times.getValueAtPercentile(percent) / US_PER_MS;
   return {
     answered: times.totalCount,
-    failed,
+    failed: [...codes.values()].reduce((sum, value) => sum + value, 0),
+    codes: Object.fromEntries(codes),
     perSecond: (times.totalCount * MS_PER_SECOND) / tookMs,
     p50Ms: msAt(50),
     p99Ms: msAt(99),
--- a/packages/bench/src/bench.ts
+++ b/packages/bench/src/bench.ts
@@ -98,6 +98,8 @@
     const perSecond = await measureSaturation(paths);
     await measureHalf(paths, perSecond);
     await measureBodies(paths);
+    if (await paths.isLeaderSame()) return;
+    say('the leader moved meanwhile: figures of both routed paths are mixed');
   } finally {
     await paths.stop();
   }
