Lease orders ask for authority at the write; V8 keeps requests young

Cause: an order may wait for a connection after mayAct was asked, so a leader paused in between wrote an order it had no right to any more; and the servers client's measurement showed V8 pretenuring each request's objects (up to 1.5 times undici's processor time).

--- a/packages/ownership/src/lease-task.ts
+++ b/packages/ownership/src/lease-task.ts
@@ -169,7 +169,7 @@
       shards: order === null ? [] : [...order.shards],
     };
     return withTimeout(clock, timing.orderTimeoutMs, signal, ended =>
-      options.client.order(server, message, ended),
+      options.client.order(server, message, ended, authority.mayAct),
     );
   };
 
--- a/packages/router/src/main.ts
+++ b/packages/router/src/main.ts
@@ -1,10 +1,16 @@
 import {readFile} from 'node:fs/promises';
+import {setFlagsFromString} from 'node:v8';
 import {setLogLevel} from '@banyandrum/base/logger.js';
 import {formatProblem, inFile} from '@banyandrum/config/problem.js';
 import {parseSettings} from '@banyandrum/config/settings.js';
 import {defineCommand, runMain} from 'citty';
 import {startRouter} from './start-router.js';
 
+// V8 otherwise comes to place each request's objects in its old space, where
+// they outlive the request: 5,700 instead of 1,350 bytes a request survived,
+// and processor time was up to 1.5 times that of undici alone (measured).
+setFlagsFromString('--no-allocation-site-pretenuring');
+
 /** Exit codes: 0 stopped gracefully, 2 bad settings, 3 cannot listen. */
 const EXIT = {badSettings: 2, cannotStart: 3} as const;
 
