Placement moves only on clear and lasting imbalance

Cause: on a busy machine shards moved to and fro for no gain. Loads of a service that is hardly used are all chance, a server that stands still for a moment looks loaded, and a new leader judged by a second of counting.

Change: each leadership has a planner that remembers. For balance, a shard leaves a server only if that was at least 30 % busy, and busier than another by 10 % and three standard errors, in every plan for 30 s (15 s where it is nearly full); or goes to a server that for 5 s had less than half its fair share of the shards, which is no matter of chance. Forced moves are as before.

--- a/packages/bench/src/experiment-cell.ts
+++ b/packages/bench/src/experiment-cell.ts
@@ -14,6 +14,8 @@
   LoadSource,
   Location,
 } from '@banyandrum/ownership/led-cell.js';
+import {planMoves} from '@banyandrum/placement/plan-moves.js';
+import {createPlanner, type Planner} from '@banyandrum/placement/planner.js';
 import {
   createLeaderQueues,
   type LeaderQueues,
@@ -72,7 +74,7 @@
 }
 
 function startLed(options: ExperimentCellOptions): ExperimentCell {
-  const {clock} = options;
+  const {clock, policy} = options;
   const service: Service = {
     name: SERVICE,
     shards: options.shards,
@@ -103,6 +105,7 @@
       clock,
       log: createSilentLogger(),
       timing: options.rules.timing,
+      createPlanner: policy.hysteresis ? createPlanner : createRestlessPlanner,
       signal: new AbortController().signal,
     });
     admission.lead(leader.led);
@@ -140,6 +143,11 @@
   };
 }
 
+/** Moves shards whenever a plan gains anything, on whatever evidence. */
+function createRestlessPlanner(): Planner {
+  return {plan: input => planMoves(input)};
+}
+
 /** Rendezvous hashing over the first inventory; nothing ever moves. */
 function startStatic(options: ExperimentCellOptions): ExperimentCell {
   const admission = createAdmission(options);
--- a/packages/bench/src/experiment-policies.ts
+++ b/packages/bench/src/experiment-policies.ts
@@ -9,6 +9,8 @@
   readonly refuseEarly: boolean;
   /** Whether shards follow the load. */
   readonly moves: boolean;
+  /** Whether moves wait until an imbalance is clear and lasts. */
+  readonly hysteresis: boolean;
   /** Who counts the slots: the leader, or each entry its part of them. */
   readonly admission: 'leader' | 'entry';
   /** Whether the entry's own retries are bounded. */
@@ -21,6 +23,7 @@
   fair: true,
   refuseEarly: true,
   moves: true,
+  hysteresis: true,
   admission: 'leader',
   retryBudget: true,
 };
@@ -34,6 +37,7 @@
   ['unfair', {...CHOSEN, fair: false}],
   ['no-early-refusal', {...CHOSEN, refuseEarly: false}],
   ['entry-limits', {...CHOSEN, admission: 'entry'}],
+  ['no-hysteresis', {...CHOSEN, hysteresis: false}],
   ['static', {...CHOSEN, moves: false}],
   ['no-retry-budget', {...CHOSEN, retryBudget: false}],
 ]);
--- a/packages/ownership/src/cell-leader.ts
+++ b/packages/ownership/src/cell-leader.ts
@@ -7,6 +7,7 @@
 import type {StateStore} from '@banyandrum/config/store.js';
 import type {ServerClient} from '@banyandrum/servers/client.js';
 import type {Authority, Inheritance} from './authority.js';
+import type {Planner} from '@banyandrum/placement/planner.js';
 import {createCondition} from './condition.js';
 import type {DispatchGate, LedCell, LoadSource} from './led-cell.js';
 import {createLeaseRegistry} from './lease-registry.js';
@@ -35,6 +36,8 @@
   readonly timing: Timing;
   /** Ends the leadership at once, as `stop` does. */
   readonly signal: AbortSignal;
+  /** Another planner of moves, for experiments. */
+  readonly createPlanner?: () => Planner;
 }
 
 /** One server of a cell, for status and explanations. */
--- a/packages/ownership/src/placer.ts
+++ b/packages/ownership/src/placer.ts
@@ -1,7 +1,8 @@
 import type {Logger} from '@banyandrum/base/logger.js';
 import type {StateStore} from '@banyandrum/config/store.js';
 import type {Move, PlanInput} from '@banyandrum/placement/plan.js';
-import {planForcedMoves, planMoves} from '@banyandrum/placement/plan-moves.js';
+import {planForcedMoves} from '@banyandrum/placement/plan-moves.js';
+import {createPlanner, type Planner} from '@banyandrum/placement/planner.js';
 import type {Authority} from './authority.js';
 import type {Condition} from './condition.js';
 import {
@@ -29,6 +30,8 @@
   readonly wake: Condition;
   /** When every order of a former leader has lapsed. */
   readonly foreignUntil: () => number;
+  /** Another planner, for experiments. */
+  readonly createPlanner?: () => Planner;
 }
 
 /** Decides who gets which shard, and carries it out. */
@@ -62,6 +65,7 @@
   const {map, registry, tasks, clock, signal, log, watch, locator} = options;
   const {cell} = options.authority;
   const hotShards = createHotShards(map);
+  const planner = (options.createPlanner ?? createPlanner)();
   const running = new Set<Promise<void>>();
   let handovers = 0;
   let balancedAt = -Infinity;
@@ -96,7 +100,7 @@
   const plan = (input: PlanInput): readonly Move[] => {
     if (clock.now() - balancedAt < BALANCE_MS) return planForcedMoves(input);
     balancedAt = clock.now();
-    return planMoves(input);
+    return planner.plan(input);
   };
 
   /** Takes shards back from servers that surely hold them no longer. */
--- a/packages/ownership/src/plan-input.ts
+++ b/packages/ownership/src/plan-input.ts
@@ -73,12 +73,14 @@
   if (task.health() !== 'ok' || grant === null) return null;
   if (grant.leaseEnd <= options.now) return null;
   const {name, slots} = task.server;
+  const seen = options.loads.seen(name);
   return {
     name,
     slots,
     readiness: readinessOf(options, task),
     capacity: options.loads.capacityOf(name, slots),
-    busy: options.loads.seen(name)?.busy ?? 0,
+    busy: seen?.busy ?? 0,
+    serviceMs: seen?.serviceMs ?? 0,
   };
 }
 
--- a/packages/placement/src/balance.ts
+++ b/packages/placement/src/balance.ts
@@ -1,3 +1,4 @@
+import type {MayMove} from './calm.js';
 import type {Carrier, Carriers} from './carriers.js';
 import type {Move, PlacedShard, PlanInput, Weights} from './plan.js';
 
@@ -48,6 +49,8 @@
   readonly weights: Weights;
   readonly carriers: readonly Carrier[];
   readonly weigh: (shard: PlacedShard) => number;
+  readonly move: Carriers['move'];
+  readonly mayMove: (from: Carrier, to: Carrier) => boolean;
   readonly totalCapacity: number;
   readonly totalWeight: number;
   readonly totalLoad: number;
@@ -64,11 +67,15 @@
  * const moves = balance(input, createCarriers(input));
  * ```
  */
-export function balance(input: PlanInput, carriers: Carriers): readonly Move[] {
+export function balance(
+  input: PlanInput,
+  carriers: Carriers,
+  mayMove: MayMove = () => true,
+): readonly Move[] {
   const movable = input.shards.filter(shard =>
     isMovable(shard, input, carriers),
   );
-  const search = createSearch(input, carriers);
+  const search = createSearch(input, carriers, mayMove);
   const any = searchGreedily(search, movable);
   const neighbours = movable.filter(shard => !isHot(shard, carriers));
   const cold =
@@ -98,7 +105,11 @@
   });
 }
 
-function createSearch(input: PlanInput, carriers: Carriers): Search {
+function createSearch(
+  input: PlanInput,
+  carriers: Carriers,
+  mayMove: MayMove,
+): Search {
   const list = [...carriers.byName.values()].filter(
     ({candidate}) => candidate.readiness > 0 && candidate.capacity > 0,
   );
@@ -112,6 +123,8 @@
     },
     carriers: list,
     weigh: carriers.weigh,
+    move: carriers.move,
+    mayMove: (from, to) => mayMove(from, to, carriers),
     totalCapacity: sum(list, c => c.candidate.capacity),
     totalWeight: sum(list, c => c.load),
     totalLoad: sum(input.shards, shard => shard.load),
@@ -120,21 +133,16 @@
 }
 
 function searchGreedily(search: Search, movable: readonly PlacedShard[]): Plan {
-  const loads = search.carriers.map(({load}) => load);
   const left = new Set(movable);
   const steps: Step[] = [];
   while (steps.length < MAX_MOVES) {
     const step = bestStep(search, left);
     if (step === null) break;
-    const weight = search.weigh(step.shard);
-    step.from.load -= weight;
-    step.to.load += weight;
+    search.move(step.shard, step.from, step.to);
     left.delete(step.shard);
     steps.push(step);
   }
-  search.carriers.forEach((carrier, index) => {
-    carrier.load = loads[index] ?? 0;
-  });
+  for (const {shard, from, to} of steps) search.move(shard, to, from);
   return {steps, net: sum(steps, ({net}) => net)};
 }
 
@@ -152,6 +160,7 @@
     if (from === undefined) continue;
     for (const to of receivers) {
       if (to === from || !hasRoom(search, shard, to)) continue;
+      if (!search.mayMove(from, to)) continue;
       const net = netOf(search, shard, from, to);
       if (net > (best?.net ?? 0)) best = {shard, from, to, net};
     }
--- a/packages/placement/src/carriers.ts
+++ b/packages/placement/src/carriers.ts
@@ -7,6 +7,10 @@
   readonly room: number;
   /** Weight of its shards. */
   load: number;
+  /** Slots that its shards keep busy. */
+  busy: number;
+  /** How many shards it has. */
+  count: number;
 }
 
 /** All servers of a plan. */
@@ -14,6 +18,8 @@
   readonly byName: ReadonlyMap<string, Carrier>;
   /** The weight that a shard counts with, in slots. */
   weigh(shard: PlacedShard): number;
+  /** Counts a shard at another server; null is no server. */
+  move(shard: PlacedShard, from: Carrier | null, to: Carrier | null): void;
 }
 
 /**
@@ -40,11 +46,19 @@
   const byName = new Map<string, Carrier>();
   for (const candidate of candidates) {
     const room = candidate.capacity * candidate.readiness;
-    byName.set(candidate.name, {candidate, room, load: 0});
+    byName.set(candidate.name, {candidate, room, load: 0, busy: 0, count: 0});
   }
+  const count = (carrier: Carrier, shard: PlacedShard, by: 1 | -1): void => {
+    carrier.load += by * weigh(shard);
+    carrier.busy += by * shard.load;
+    carrier.count += by;
+  };
+  const move: Carriers['move'] = (shard, from, to) => {
+    if (from !== null) count(from, shard, -1);
+    if (to !== null) count(to, shard, 1);
+  };
   for (const shard of shards) {
-    const carrier = shard.server === null ? null : byName.get(shard.server);
-    if (carrier) carrier.load += weigh(shard);
+    move(shard, null, byName.get(shard.server ?? '') ?? null);
   }
-  return {byName, weigh};
+  return {byName, weigh, move};
 }
--- a/packages/placement/src/place-orphans.ts
+++ b/packages/placement/src/place-orphans.ts
@@ -42,11 +42,7 @@
     fillsLess(shard, weight, b, a) ? b : a,
   );
   const from = shard.server;
-  if (from !== null) {
-    const old = carriers.byName.get(from);
-    if (old !== undefined) old.load -= weight;
-  }
-  best.load += weight;
+  carriers.move(shard, carriers.byName.get(from ?? '') ?? null, best);
   return {
     shard: shard.shard,
     from,
--- a/packages/placement/src/plan-moves.ts
+++ b/packages/placement/src/plan-moves.ts
@@ -1,25 +1,29 @@
 import {balance} from './balance.js';
+import type {MayMove} from './calm.js';
 import {createCarriers} from './carriers.js';
 import {placeOrphans} from './place-orphans.js';
 import type {Move, PlanInput} from './plan.js';
 
 /**
  * Plans which shards should go where: first those that have to move, then
- * those whose move is worth more than it costs. The same input yields the
- * same plan.
+ * those whose move is worth more than it costs, between servers that
+ * `mayMove` allows. The same input yields the same plan.
  *
  * @example
  * ```ts
  * for (const move of planMoves(input)) await handOver(move);
  * ```
  */
-export function planMoves(input: PlanInput): readonly Move[] {
+export function planMoves(
+  input: PlanInput,
+  mayMove?: MayMove,
+): readonly Move[] {
   const sorted = sortInput(input);
   const carriers = createCarriers(sorted);
   const forced = placeOrphans(sorted.shards, carriers);
   const placed = new Set(forced.map(({shard}) => shard));
   const shards = sorted.shards.filter(({shard}) => !placed.has(shard));
-  return [...forced, ...balance({...sorted, shards}, carriers)];
+  return [...forced, ...balance({...sorted, shards}, carriers, mayMove)];
 }
 
 /**
--- a/packages/placement/src/plan.ts
+++ b/packages/placement/src/plan.ts
@@ -10,6 +10,8 @@
   readonly capacity: number;
   /** Slots kept busy by its shards, by the leader's own count. */
   readonly busy: number;
+  /** Mean time that a request keeps a slot busy, in ms; 0 if not known. */
+  readonly serviceMs?: number;
 }
 
 /** A shard and where it is. */
