--- a/packages/bench/src/deployment.ts
+++ b/packages/bench/src/deployment.ts
@@ -82,6 +82,8 @@
   endRouter(host: string, signal: NodeJS.Signals): Promise<void>;
   /** Publishes the first inventory and rules. */
   publish(): Promise<void>;
+  /** Resolves when a router says that it is ready. */
+  ready(host: string, timeoutMs: number): Promise<void>;
   /** Resolves when every shard has an owner. */
   settled(timeoutMs: number): Promise<void>;
   stop(): Promise<void>;
@@ -225,14 +227,17 @@
       await client.close();
       if (published.err) throw new Error(published.val.detail);
     },
-    async settled(timeoutMs) {
-      const end = performance.now() + timeoutMs;
-      while (performance.now() < end) {
-        if (await isSettled(operatorsOf(anyRouter()), spec)) return;
-        await new Promise(resolve => setTimeout(resolve, POLL_MS));
-      }
-      throw new Error(`not every shard has an owner after ${timeoutMs} ms`);
-    },
+    ready: (host, timeoutMs) =>
+      poll(timeoutMs, `${host} is not ready`, async () => {
+        const url = `http://${routers.get(host)!.callers}/readyz`;
+        const res = await request(url);
+        await res.body.dump();
+        return res.statusCode === 200;
+      }),
+    settled: timeoutMs =>
+      poll(timeoutMs, 'not every shard has an owner', () =>
+        isSettled(operatorsOf(anyRouter()), spec),
+      ),
     async stop() {
       const children = [...routers.values()].map(({child}) => child);
       await endAll(children);
@@ -247,6 +252,19 @@
   return deployment;
 }
 
+async function poll(
+  timeoutMs: number,
+  failure: string,
+  isDone: () => Promise<boolean>,
+): Promise<void> {
+  const end = performance.now() + timeoutMs;
+  while (performance.now() < end) {
+    if (await isDone()) return;
+    await new Promise(resolve => setTimeout(resolve, POLL_MS));
+  }
+  throw new Error(`${failure} after ${timeoutMs} ms`);
+}
+
 interface ListedHost {
   readonly name: string;
   readonly role: 'router';
--- a/packages/bench/src/fault-table.ts
+++ b/packages/bench/src/fault-table.ts
@@ -32,6 +32,7 @@
 
 const LOSS_MS = 6_000;
 const PAUSE_MS = 10_000;
+const READY_MS = 10_000;
 
 /** The faults, by name. */
 export const FAULTS: readonly Fault[] = [
@@ -79,6 +80,7 @@
   }),
   planned('leader stopped', stopLeader),
   planned('server drained', drainServer),
+  planned('rolling restart of all routers', restartAll),
 ];
 
 function loss(
@@ -196,6 +198,17 @@
   };
 }
 
+async function restartAll({deployment, avoided}: FaultContext): Promise<Undo> {
+  for (const host of [...deployment.routers.keys()]) {
+    avoided.add(host);
+    await deployment.endRouter(host, 'SIGTERM');
+    await deployment.startRouter(host);
+    await deployment.ready(host, READY_MS);
+    avoided.delete(host);
+  }
+  return async () => {};
+}
+
 async function logDown({deployment}: FaultContext): Promise<Undo> {
   await setFaults(deployment.logControl, {down: 'refuse'});
   return () => setFaults(deployment.logControl, {down: 'none'});
