--- a/packages/bench/src/deployment.ts
+++ b/packages/bench/src/deployment.ts
@@ -1,4 +1,4 @@
-import {createHash, randomBytes} from 'node:crypto';
+import {randomBytes} from 'node:crypto';
 import {mkdtemp, rm, writeFile} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
@@ -11,7 +11,8 @@
 import {request} from 'undici';
 import {z} from 'zod';
 import {startChild, type Child} from './child.js';
-import {createRelay, type Relay} from './relay.js';
+import {inventoryToml, settingsToml} from './deployment-files.js';
+import {createRelays, type Relays} from './relays.js';
 
 /** A service of the deployment and its stand-in servers. */
 export interface ServiceSpec {
@@ -38,16 +39,6 @@
   readonly relays?: boolean;
 }
 
-/** The relays of a deployment, by host or server; empty without relays. */
-export interface Relays {
-  /** In front of each router's interface for peers. */
-  readonly peers: ReadonlyMap<string, Relay>;
-  /** Between each router and the log. */
-  readonly logs: ReadonlyMap<string, Relay>;
-  /** In front of each server. */
-  readonly servers: ReadonlyMap<string, Relay>;
-}
-
 export interface ServerAddress {
   readonly name: string;
   readonly service: string;
@@ -273,20 +264,6 @@
   readonly state: 'live' | 'leaving';
 }
 
-interface Platform {
-  readonly hostList: string;
-  readonly token: string;
-}
-
-interface RouterPlace {
-  readonly host: string;
-  readonly dataCentre: string;
-  /** Where the interface for peers listens; 0 the first time. */
-  readonly port: number;
-  readonly log: string;
-  readonly advertise: string | null;
-}
-
 function scriptPath(name: string): string {
   return fileURLToPath(import.meta.resolve(name));
 }
@@ -295,48 +272,6 @@
   return Number(host.slice(host.lastIndexOf('-') + 1)) - 1;
 }
 
-interface RelaySet extends Relays {
-  /** The address to use: the relay's, or the target itself without relays. */
-  add(
-    group: ReadonlyMap<string, Relay>,
-    name: string,
-    target: string,
-  ): Promise<string>;
-  /** A relay to a target that is known later; null without relays. */
-  addLate(
-    group: ReadonlyMap<string, Relay>,
-    name: string,
-    target: () => string,
-  ): Promise<string | null>;
-  close(): Promise<void>;
-}
-
-function createRelays(wanted: boolean): RelaySet {
-  const peers = new Map<string, Relay>();
-  const logs = new Map<string, Relay>();
-  const servers = new Map<string, Relay>();
-  const addLate: RelaySet['addLate'] = async (group, name, target) => {
-    if (!wanted) return null;
-    const known = group.get(name);
-    if (known !== undefined) return known.address;
-    const relay = await createRelay(target);
-    (group as Map<string, Relay>).set(name, relay);
-    return relay.address;
-  };
-  return {
-    peers,
-    logs,
-    servers,
-    addLate,
-    add: async (group, name, target) =>
-      (await addLate(group, name, () => target)) ?? target,
-    async close() {
-      const all = [...peers.values(), ...logs.values(), ...servers.values()];
-      await Promise.all(all.map(relay => relay.close()));
-    },
-  };
-}
-
 async function startServers(
   folder: string,
   spec: DeploymentSpec,
@@ -353,74 +288,6 @@
   return startChild({name: 'servers', args: [RUN_SERVERS, path]});
 }
 
-function settingsToml(
-  spec: DeploymentSpec,
-  platform: Platform,
-  {host, dataCentre, port, log, advertise}: RouterPlace,
-): string {
-  const sha256 = createHash('sha256').update(platform.token).digest('hex');
-  return `[router]
-host = "${host}"
-place = "${dataCentre}"
-data_centre = "${dataCentre}"
-
-[callers]
-listen = "127.0.0.1:0"
-
-[operators]
-listen = "127.0.0.1:0"
-open_metrics = true
-
-[[operators.tokens]]
-operator = "bench"
-role = "publisher"
-sha256 = "${sha256}"
-
-[peers]
-listen = "127.0.0.1:${port}"
-${advertise === null ? '' : `advertise = "${advertise}"`}
-
-[log]
-address = "${log}"
-
-[host_list]
-address = "${platform.hostList}"
-poll_ms = 500
-
-[logging]
-level = "${spec.logLevel}"
-`;
-}
-
-function inventoryToml(
-  spec: DeploymentSpec,
-  servers: readonly ServerAddress[],
-): string {
-  const places = spec.dataCentres.map(
-    name => `[[places]]\nname = "${name}"\ndata_centre = "${name}"\n`,
-  );
-  const services = spec.services.map(
-    ({name, shards, cells, checksFences}) => `[[services]]
-name = "${name}"
-shards = ${shards}
-cells = ${cells}
-checks_fences = ${checksFences}
-`,
-  );
-  const entries = servers.map((server, index) => {
-    const service = spec.services.find(({name}) => name === server.service)!;
-    return `[[servers]]
-name = "${server.name}"
-service = "${server.service}"
-place = "${spec.dataCentres[index % spec.dataCentres.length]}"
-address = "${server.address}"
-slots = ${service.slots}
-connections = ${service.connections}
-`;
-  });
-  return [...places, ...services, ...entries].join('\n');
-}
-
 async function putHosts(
   hostList: string,
   hosts: readonly ListedHost[],
