--- a/packages/routers/src/session.ts
+++ b/packages/routers/src/session.ts
@@ -97,7 +97,7 @@
   };
 
   const onWireEnd = ({detail}: WireEnd): void => {
-    if (open) log.info('stream ended', {peer: call.getPeer(), detail});
+    if (open) log.debug('stream ended', {peer: call.getPeer(), detail});
     cut(detail);
   };
 
