--- a/packages/bench/src/experiment-cell.ts
+++ b/packages/bench/src/experiment-cell.ts
@@ -14,6 +14,7 @@
   LoadSource,
   Location,
 } from '@banyandrum/ownership/led-cell.js';
+import {createHotKeyMeter} from '@banyandrum/placement/hot-key-meter.js';
 import {planMoves} from '@banyandrum/placement/plan-moves.js';
 import {createPlanner, type Planner} from '@banyandrum/placement/planner.js';
 import {
@@ -212,6 +213,7 @@
         client: servers.client satisfies Pick<ServerClient, 'send'>,
         rules: () => rules,
         clock,
+        createHotKeys: () => createHotKeyMeter(clock),
         policy: {fair: policy.fair, refuseEarly: policy.refuseEarly},
       }),
     );
--- a/packages/placement/src/hot-keys.ts
+++ b/packages/placement/src/hot-keys.ts
@@ -4,6 +4,8 @@
   /** Weight over the last while, at most `error` too high. */
   readonly weight: number;
   readonly error: number;
+  /** Times that it was surely counted over the last while. */
+  readonly count: number;
 }
 
 /** Finds the keys that are asked for most, in bounded memory. */
@@ -29,6 +31,7 @@
   /** In units that grow with time, so that old counts fade by themselves. */
   weight: number;
   error: number;
+  count: number;
   /** Its place in the heap. */
   place: number;
 }
@@ -65,6 +68,7 @@
     for (const counter of heap) {
       counter.weight /= unit;
       counter.error /= unit;
+      counter.count /= unit;
     }
     total /= unit;
     origin = now;
@@ -92,14 +96,18 @@
     }
   };
 
-  const insert = (key: string, weight: number): void => {
-    const counter = {key, weight, error: 0, place: heap.length};
+  const insert = (key: string, weight: number, count: number): void => {
+    const counter = {key, weight, error: 0, count, place: heap.length};
     counters.set(key, counter);
     heap.push(counter);
     rise(counter);
   };
 
-  const replaceLightest = (key: string, weight: number): void => {
+  const replaceLightest = (
+    key: string,
+    weight: number,
+    count: number,
+  ): void => {
     const lightest = heap[0];
     if (lightest === undefined) return;
     counters.delete(lightest.key);
@@ -107,21 +115,24 @@
     lightest.key = key;
     lightest.error = lightest.weight;
     lightest.weight += weight;
+    lightest.count = count;
     sink(lightest);
   };
 
   return {
     add(key, now, weight = 1) {
-      const scaled = weight * unitAt(now);
+      const unit = unitAt(now);
+      const scaled = weight * unit;
       total += scaled;
       const counter = counters.get(key);
       if (counter !== undefined) {
         counter.weight += scaled;
+        counter.count += unit;
         sink(counter);
       } else if (heap.length < capacity) {
-        insert(key, scaled);
+        insert(key, scaled, unit);
       } else {
-        replaceLightest(key, scaled);
+        replaceLightest(key, scaled, unit);
       }
     },
     top(count, now) {
@@ -129,10 +140,11 @@
       return [...heap]
         .sort((a, b) => b.weight - a.weight || (a.key < b.key ? -1 : 1))
         .slice(0, count)
-        .map(({key, weight, error}) => ({
+        .map(({key, weight, error, count}) => ({
           key,
           weight: weight / unit,
           error: error / unit,
+          count: count / unit,
         }));
     },
     total: now => total / unitAt(now),
--- a/packages/placement/test/hot-keys.test.ts
+++ b/packages/placement/test/hot-keys.test.ts
@@ -1,5 +1,6 @@
 import tap from 'tap';
 import {createCapacityEstimate} from '@banyandrum/placement/capacity.js';
+import {createHotKeyMeter} from '@banyandrum/placement/hot-key-meter.js';
 import {createHotKeySketch} from '@banyandrum/placement/hot-keys.js';
 import {createSmoothLoads} from '@banyandrum/placement/smooth-loads.js';
 
@@ -49,14 +50,14 @@
   sketch.add('a', 0, 8);
   sketch.add('b', 0, 2);
   t.same(sketch.top(5, 1000), [
-    {key: 'a', weight: 4, error: 0},
-    {key: 'b', weight: 1, error: 0},
+    {key: 'a', weight: 4, error: 0, count: 0.5},
+    {key: 'b', weight: 1, error: 0, count: 0.5},
   ]);
   sketch.add('c', 1000, 1);
-  t.same(sketch.top(5, 1000)[1], {key: 'c', weight: 2, error: 1});
+  t.same(sketch.top(5, 1000)[1], {key: 'c', weight: 2, error: 1, count: 1});
   t.equal(sketch.total(1000), 6);
   sketch.add('d', 1e9, 3);
-  t.same(sketch.top(1, 1e9), [{key: 'd', weight: 3, error: 0}]);
+  t.same(sketch.top(1, 1e9), [{key: 'd', weight: 3, error: 0, count: 1}]);
   t.end();
 });
 
@@ -82,3 +83,26 @@
   t.equal(loads.get('1'), 0);
   t.end();
 });
+
+void tap.test('the meter tells rates, and nothing before it knows', t => {
+  let now = 0;
+  const clock = {now: () => now, after: () => () => {}};
+  const meter = createHotKeyMeter(clock);
+  const ask = (seconds: number): void => {
+    for (const end = now + seconds * 1000; now < end; now += 10) {
+      meter.record('claim-9', 20);
+      meter.record(`claim-${now}`, 1);
+    }
+  };
+  ask(5);
+  t.same(meter.hottest(), [], 'a new leader has counted for too short a time');
+  for (const seconds of [10, 60]) {
+    ask(seconds);
+    const [first] = meter.hottest();
+    t.equal(first?.key, 'claim-9');
+    t.ok(Math.abs((first?.rate ?? 0) - 100) < 5, `${first?.rate} a second`);
+    t.ok(Math.abs((first?.busy ?? 0) - 2) < 0.1, `${first?.busy} slots`);
+  }
+  t.ok(meter.hottest().length <= HOTTEST);
+  t.end();
+});
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -10,6 +10,7 @@
 import type {StateStore} from '@banyandrum/config/store.js';
 import {createOperatorsService} from '@banyandrum/operators/service.js';
 import type {Ownership} from '@banyandrum/ownership/run-ownership.js';
+import {createHotKeyMeter} from '@banyandrum/placement/hot-key-meter.js';
 import {createEntry} from '@banyandrum/requests/entry.js';
 import {createLeaderQueues} from '@banyandrum/requests/leader-queues.js';
 import {createPeerHandler} from '@banyandrum/requests/peer-handler.js';
@@ -76,7 +77,12 @@
   const hostWatch = openHostWatch(settings, clock);
   const serverClient = createServerClient({clock});
   const rules = (): Rules => store.current().rules;
-  const queues = createLeaderQueues({client: serverClient, rules, clock});
+  const queues = createLeaderQueues({
+    client: serverClient,
+    rules,
+    clock,
+    createHotKeys: () => createHotKeyMeter(clock),
+  });
   const platform = {store, serverClient, hostWatch, queues, clock};
   const cells = createCells({...platform, log: createLogger('ownership')});
   const metrics = createMetrics({store, cells, queues, clock});
