Revert "Callers: a small answer is written in one piece with its head"

It gains nothing, and its explanation was wrong: Node appends an empty text with the end's callback, so that the head and body that it joined went out by `writev` of two pieces all the same; the profile after it shows `writev` where it was.

--- a/packages/callers/src/answer.ts
+++ b/packages/callers/src/answer.ts
@@ -29,9 +29,6 @@
 /** HTTP/1.0 cannot mark the end of a body without a length. */
 export const MAX_COLLECTED_BYTES = 4 * 1024 * 1024;
 
-/** Bodies up to this are joined with their head. */
-const JOINED_BYTES = 2 * 1024;
-
 const BODILESS_STATUS: ReadonlySet<number> = new Set([204, 205, 304]);
 const LENGTH = /^[0-9]{1,15}$/;
 
@@ -91,23 +88,11 @@
 ): AnswerOutcome {
   const head = writeHead(context, answer, length);
   if (head.err) return {kind: 'unsent', failure: head.val};
-  endWith(context.res, body);
+  if (body === null) context.res.end();
+  else context.res.end(body);
   return {kind: 'sent'};
 }
 
-/**
- * Node joins a text with the head into one write, but writes a head and bytes
- * as two pieces, which costs more than the copy of a small body. Latin-1
- * carries every byte as it is.
- */
-function endWith(res: ServerResponse, body: Uint8Array | null): void {
-  if (body === null || body.length === 0) return void res.end();
-  if (body.length > JOINED_BYTES) return void res.end(body);
-  const {buffer, byteOffset, byteLength} = body;
-  const bytes = Buffer.from(buffer, byteOffset, byteLength);
-  res.end(bytes.toString('latin1'), 'latin1');
-}
-
 async function writeStream(
   context: AnswerContext,
   answer: ServiceAnswer,
