--- a/packages/config/src/snapshot-writer.ts
+++ b/packages/config/src/snapshot-writer.ts
@@ -10,6 +10,13 @@
 
 const CHECK_MS = 1_000;
 
+/**
+ * How much longer writers wait for each cell. All routers find a snapshot due
+ * at the same moment, and each that draws a wait within the time in which the
+ * first one's is read writes another. Their number grows with the cells'.
+ */
+const JITTER_PER_CELL_MS = 100;
+
 /** How fresh the reading must be, in ms; no snapshots while the log is down. */
 const MAX_READ_AGE_MS = 5_000;
 
@@ -18,7 +25,10 @@
   readonly afterMs: number;
   /** Records since the newest snapshot at which another one is due. */
   readonly afterRecords: number;
-  /** Writers wait up to so long, so that most find that one of them wrote. */
+  /**
+   * Writers wait up to so long, or longer where there are many cells, so that
+   * most find that one of them wrote.
+   */
   readonly jitterMs: number;
 }
 
@@ -93,13 +103,20 @@
   while (!signal.aborted) {
     await sleep(clock, CHECK_MS, signal);
     if (!isDue(options)) continue;
-    await sleep(clock, random() * schedule.jitterMs, signal);
+    await sleep(clock, random() * jitterOf(options), signal);
     if (signal.aborted || !isDue(options)) continue;
     const isWritten = await writeSnapshot(options);
     if (!isWritten) await sleep(clock, schedule.jitterMs, signal);
   }
 }
 
+/** Well below the time that is left until the newest snapshot expires. */
+function jitterOf({schedule, current}: SnapshotWriterOptions): number {
+  const {jitterMs, afterMs} = schedule;
+  const wanted = JITTER_PER_CELL_MS * current().views.size;
+  return Math.max(jitterMs, Math.min(wanted, afterMs / 4));
+}
+
 function isDue(options: SnapshotWriterOptions): boolean {
   const {clock, schedule} = options;
   const now = clock.now();
