--- a/packages/bench/src/slopes-fit.ts
+++ b/packages/bench/src/slopes-fit.ts
@@ -40,10 +40,11 @@
   const meanY = sum(points.map(({y}) => y)) / n;
   const spreadX = sum(points.map(({x}) => (x - meanX) ** 2));
   const joint = sum(points.map(({x, y}) => (x - meanX) * (y - meanY)));
-  const slope = joint / spreadX;
+  const slope = spreadX === 0 ? 0 : joint / spreadX;
   const base = meanY - slope * meanX;
   const rest = sum(points.map(({x, y}) => (y - base - slope * x) ** 2));
-  const error = Math.sqrt(rest / Math.max(1, n - 2) / spreadX);
+  const error =
+    spreadX === 0 ? 0 : Math.sqrt(rest / Math.max(1, n - 2) / spreadX);
   return {name, of, unit, points, slope, error, base};
 }
 
@@ -57,6 +58,12 @@
   return sum(series.points.map(({y}) => y)) / series.points.length;
 }
 
+/** The share of one in a cost that grows in proportion. */
+export function perUnit(series: Series): number {
+  const {points} = series;
+  return sum(points.map(({y}) => y)) / sum(points.map(({x}) => x));
+}
+
 function sum(values: readonly number[]): number {
   return values.reduce((total, value) => total + value, 0);
 }
--- a/packages/bench/src/slopes-loop.ts
+++ b/packages/bench/src/slopes-loop.ts
@@ -4,18 +4,18 @@
 import {DEFAULT_RULES} from '@banyandrum/config/default-rules.js';
 import {encodeState} from '@banyandrum/config/snapshot.js';
 import type {StateStore} from '@banyandrum/config/store.js';
-import type {OwnershipPeers} from '@banyandrum/ownership/control.js';
+import type {
+  ConsentAsk,
+  OwnershipPeers,
+} from '@banyandrum/ownership/control.js';
 import type {RunningCell} from '@banyandrum/ownership/leadership.js';
 import {createOwnership} from '@banyandrum/ownership/run-ownership.js';
 import {deriveTiming} from '@banyandrum/ownership/timing.js';
-import {fitSeries, type Series} from './slopes-fit.js';
+import type {Series} from './slopes-fit.js';
 import {hostOf, routerAt, stateOf} from './slopes-fixture.js';
-import {costOf, ownUsage, pause} from './slopes-probe.js';
+import {pause, readOwn, sweep, type Work} from './slopes-sweep.js';
 
-const SIZES = [300, 1_000, 2_000, 4_700];
-const REPEATS = 2;
-const SETTLE_MS = 2_500;
-const PERIOD_MS = 4_000;
+const IDLE_S = 3;
 const CONSENT_MS = 250;
 
 const clock = createClock();
@@ -25,55 +25,39 @@
  * leads one cell and stands by for another, and as many cells and routers
  * exist. Messages reach nobody and are answered at once.
  */
-export async function measureLoop(): Promise<readonly Series[]> {
-  const cpu: {x: number; y: number}[] = [];
-  const asks: {x: number; y: number}[] = [];
-  for (const x of SIZES) {
-    for (const row of await runOne(x)) {
-      cpu.push({x, y: row.cpuUs});
-      asks.push({x, y: row.asks});
-    }
-  }
-  return [
-    fitSeries('ownership cpu', 'cells', 'us/s', cpu),
-    fitSeries('ownership asks', 'cells', 'asks/s', asks),
-  ];
-}
-
-interface Row {
-  readonly cpuUs: number;
-  readonly asks: number;
+export function measureLoop(): Promise<readonly Series[]> {
+  const own = readOwn();
+  return sweep(async () => [own()], [''], {
+    name: 'ownership',
+    of: 'cells',
+    sizes: [300, 1_000, 2_000, 4_700],
+    per: IDLE_S,
+    unit: '/s',
+    open: startOne,
+  });
 }
 
-async function runOne(size: number): Promise<readonly Row[]> {
+function startOne(size: number): Work {
   const routers = Array.from({length: size}, (_, i) => routerAt(i));
   const hosts = routers.map(hostOf);
   const state = stateOf(routers, size, 10);
   const byAddress = new Map(routers.map(router => [router.address, router]));
-  let asks = 0;
-  const [self] = routers;
   const store = {
     current: () => state,
     confirmedAt: () => clock.now(),
     subscribe: () => () => {},
     append: () => new Promise(() => {}),
   } as unknown as StateStore;
-  const answers: Readonly<Record<string, (ask: never) => unknown>> = {
-    consent: ({cells}: {cells: readonly {cell: string}[]}) => ({
-      granted: cells.map(({cell}) => cell),
-      leaving: false,
-    }),
-    leads: () => ({leading: [], next: state.next, publication: 1}),
-  };
   const peers = {
-    ask: (_to: unknown, kind: string, ask: never) => {
-      asks++;
-      return Promise.resolve(Ok(answers[kind]!(ask)));
+    ask: (_to: unknown, kind: string, ask: ConsentAsk) => {
+      const granted = kind === 'consent' ? ask.cells.map(c => c.cell) : [];
+      const leads = {leading: [], next: state.next, publication: 1};
+      return Promise.resolve(Ok({granted, leaving: false, ...leads}));
     },
     probe: (address: string) => Promise.resolve(Ok(byAddress.get(address)!)),
   } as unknown as OwnershipPeers;
   const ownership = createOwnership({
-    self: self!,
+    self: routers[0]!,
     store,
     hosts: {current: () => hosts},
     peers,
@@ -89,22 +73,11 @@
   const consent = setInterval(() => {
     void ownership.handlers.consent(leader, {cells: [{cell, epoch}]});
   }, CONSENT_MS);
-  await pause(SETTLE_MS);
-  const rows: Row[] = [];
-  for (let i = 0; i < REPEATS; i++) {
-    const asked = asks;
-    const before = ownUsage(() => 0);
-    const startedAt = clock.now();
-    await pause(PERIOD_MS);
-    const seconds = (clock.now() - startedAt) / 1_000;
-    const {cpuUs} = costOf(
-      before,
-      ownUsage(() => 0),
-      seconds,
-    );
-    rows.push({cpuUs, asks: (asks - asked) / seconds});
-  }
-  clearInterval(consent);
-  await ownership.stop(0);
-  return rows;
+  return {
+    run: () => pause(IDLE_S * 1_000),
+    close() {
+      clearInterval(consent);
+      return ownership.stop(0);
+    },
+  };
 }
--- a/packages/bench/src/slopes-peer-control.ts
+++ b/packages/bench/src/slopes-peer-control.ts
@@ -1,13 +1,9 @@
-import type {Incarnation} from '@banyandrum/base/ids.js';
 import {
   type OwnershipControl,
   ownershipSchemas,
 } from '@banyandrum/ownership/control.js';
 import {z} from 'zod';
-import type {Usage} from './slopes-probe.js';
-
-/** What the answering process prints first. */
-export type PeerHostHello = Incarnation;
+import type {Usage} from './slopes-sweep.js';
 
 /** The messages of routers, and one that asks what the other side has used. */
 export type PeerControl = OwnershipControl & {
@@ -22,7 +18,7 @@
       cpuUs: z.number(),
       cpuAfterUs: z.number(),
       rssBytes: z.number(),
-      bytes: z.number().nullable(),
+      bytes: z.number(),
     }),
   },
 } as const;
--- a/packages/bench/src/slopes-peer-host.ts
+++ b/packages/bench/src/slopes-peer-host.ts
@@ -3,10 +3,10 @@
 import {Ok} from '@banyandrum/base/result.js';
 import {createPeerServer} from '@banyandrum/routers/peer-server.js';
 import {type PeerControl, peerSchemas} from './slopes-peer-control.js';
-import {countBytes, ownUsage} from './slopes-probe.js';
+import {readOwn} from './slopes-sweep.js';
 
 /** The answering side of streams, as a process of its own. */
-const bytes = countBytes();
+const read = readOwn();
 const boot = createId();
 let address = '';
 const self = (): Incarnation => ({
@@ -24,7 +24,7 @@
   handleRequest: req =>
     Promise.resolve(Ok({status: 200, headers: [], body: req.body})),
   handlers: {
-    usage: async () => ownUsage(bytes),
+    usage: async () => read(),
     consent: async (_, {cells}) => ({
       granted: cells.map(({cell}) => cell),
       leaving: false,
--- a/packages/bench/src/slopes-tables.ts
+++ b/packages/bench/src/slopes-tables.ts
@@ -12,7 +12,7 @@
   routerAt,
   stateOf,
 } from './slopes-fixture.js';
-import {cpuOf, heapOf} from './slopes-probe.js';
+import {cpuOf, heapOf} from './slopes-sweep.js';
 
 const SIZES = [300, 1_000, 2_000, 4_700];
 // An inventory file may have 512 KiB at most, some 4,000 servers.
