Ownership: what stopping a cell must not wait for

Cause: a cell that waits for its requests in flight before it stops has no leader meanwhile. Change: RunningCell.stop says so.

--- a/packages/ownership/src/leadership.ts
+++ b/packages/ownership/src/leadership.ts
@@ -26,7 +26,9 @@
   readonly led: LedCell;
   /**
    * Stops all orders and dispatch; resolves with the final table, or null
-   * where it isn't known yet.
+   * where it isn't known yet. It must not wait for requests in flight: until
+   * it resolves nobody leads the cell and nobody renews its leases, while the
+   * successor's orders let those requests go on.
    */
   stop(): Promise<ShardTable | null>;
 }
