--- a/packages/ownership/test/chains.test.ts
+++ b/packages/ownership/test/chains.test.ts
@@ -82,7 +82,9 @@
 // and never asks about the old leader, which must get no consent any more.
 void tap.test('a standby cut off after its claim was appended', async t => {
   const {world, leader, standby} = await createScene(HOSTS);
+  // Long enough that the leader has no claim of its own under way.
   world.network.cut(LOG, leader);
+  await world.clock.advance(6000);
   world.network.cut(leader, standby);
   world.network.cut(standby, leader);
   let claims = 0;
@@ -105,6 +107,8 @@
 // standby must keep its word.
 void tap.test('a standby that withdrew for another router', async t => {
   const {world, leader, standby} = await createScene(HOSTS);
+  world.network.cut(LOG, leader);
+  await world.clock.advance(6000);
   world.network.cut(LOG, standby);
   isolate(world, [leader]);
   let claims = 0;
