bench:slopes measures single groups again

The command imported the list of groups from the script that runs one, and that script took the command's own arguments for its own: with a group named, it measured in the wrong process and failed. The list has a file of its own now; `npm run bench:slopes -- tables` ran.

--- a/packages/bench/src/slopes.ts
+++ b/packages/bench/src/slopes.ts
@@ -4,7 +4,7 @@
 import {startChild} from './child.js';
 import type {Series} from './slopes-fit.js';
 import {renderTables} from './slopes-page.js';
-import {GROUPS} from './slopes-run.js';
+import {GROUPS} from './slopes-groups.js';
 
 /*
  * Measures what each role costs by size, one group after the other, and
