Tests: a split waits for requests in flight; a stop hands on no guess

Cause: two safeguards were not seen to by any test of their own: removed in a trial, only long random schedules noticed, or nothing did. Change: a failure test for each.

--- a/packages/ownership/test/cell-leader.test.ts
+++ b/packages/ownership/test/cell-leader.test.ts
@@ -185,3 +185,25 @@
     await fixture.stop(led);
   }
 });
+
+// A key becomes a shard of its own while requests for it are in flight under
+// its hash range. Only once they have finished may it count as another shard:
+// that shard may go elsewhere at once, and a late request would then run at
+// two servers.
+void tap.test('a split waits for requests in flight', async t => {
+  const fixture = createFixture();
+  const led = fixture.lead();
+  await fixture.advance(4000);
+  const key = keyAt(fixture, led.owners());
+  const {shard} = led.leader.led.locate(key);
+  fixture.drainMs = 300;
+  fixture.load = createLoad([{key, rate: 100, busy: 3}]);
+  while (!led.gateClosed.has(shard)) await fixture.advance(20);
+  const closedAt = fixture.clock.now();
+  t.equal(led.where(key), 'moving');
+  while (led.where(key) !== 'a') await fixture.advance(20);
+  t.equal(led.leader.led.locate(key).shard, `k:${key}`);
+  t.ok(fixture.clock.now() - closedAt >= 280);
+  t.same([...led.gateClosed], []);
+  await fixture.stop(led);
+});
--- a/packages/ownership/test/lease-faults.test.ts
+++ b/packages/ownership/test/lease-faults.test.ts
@@ -428,3 +428,18 @@
   await fixture.stop(led);
   await finish(t, fixture, next);
 });
+
+// A router that has just taken a cell over without the table is stopped
+// before all older leases have lapsed. It doesn't know all owners yet, so it
+// hands on no table: a successor would take shards for free that are not.
+void tap.test('leader stopped while it asks the servers', async t => {
+  const {fixture, led} = await start(false);
+  led.process.pause();
+  led.authority.until = fixture.clock.now();
+  fixture.fakes.get('a').fate = () => ({lost: true});
+  const next = fixture.lead({epoch: 2});
+  await fixture.advance(500);
+  t.equal(await fixture.stop(next), null);
+  t.equal(next.recorded(), null);
+  await fixture.stop(led);
+});
