A key that waits to be split off is no free shard in the table

Cause: since a split waits for requests in flight before it tells the server, any other change recorded in that second put the key's own shard into the table as free. A successor gave it to another server, while a long request for the key might still run under its hash range. Change: the entry names the range's server from the start. The failure test shows the free entry without this.

--- a/packages/ownership/src/hot-split.ts
+++ b/packages/ownership/src/hot-split.ts
@@ -33,13 +33,16 @@
   const {map, recorder, locator} = ctx;
   const task = range.server === null ? undefined : ctx.tasks.get(range.server);
   if (task === undefined) return map.removeHot(key);
-  // Quiet before the server is told: an undone split would else stop what
-  // runs for the key.
-  if (!(await quiesce(ctx, range, task, false))) return map.removeHot(key);
+  // Set before anything is awaited: any change of the table records this
+  // entry too. A successor that found it free would give the key to another
+  // server while requests for it still run under the range's id.
   hot.state = 'held';
   hot.server = range.server;
   hot.reason = 'split off as a hot key';
   recorder.touch();
+  // Quiet before the server is told: an undone split would else stop what
+  // runs for the key.
+  if (!(await quiesce(ctx, range, task, false))) return forget(ctx, key);
   if (await recorder.commit()) {
     task.add([hot.shard]);
     if (await task.granted(hot.shard)) map.expose(key);
@@ -55,8 +58,12 @@
   const task = hot.server === null ? undefined : ctx.tasks.get(hot.server);
   await task?.release(hot.shard);
   if (ctx.signal.aborted) return;
-  ctx.map.removeHot(key);
-  ctx.recorder.touch();
+  forget(ctx, key);
+}
+
+function forget({map, recorder}: HandoverContext, key: string): void {
+  map.removeHot(key);
+  recorder.touch();
 }
 
 /**
@@ -74,7 +81,7 @@
   pair: HotPair,
 ): Promise<void> {
   const {key, hot} = pair;
-  const {map, recorder, locator, signal} = ctx;
+  const {map, locator, signal} = ctx;
   const task = hot.server === null ? undefined : ctx.tasks.get(hot.server);
   if (task === undefined) return;
   if (!(await quiesce(ctx, hot, task, false))) return;
@@ -84,6 +91,5 @@
   if (signal.aborted) return;
   map.conceal(key);
   locator.dissolve(hot);
-  map.removeHot(key);
-  recorder.touch();
+  forget(ctx, key);
 }
--- a/packages/ownership/test/lease-faults.test.ts
+++ b/packages/ownership/test/lease-faults.test.ts
@@ -6,6 +6,7 @@
   FOREIGN_MS,
   SHARDS,
   createFixture,
+  createLoad,
   keyOf,
   toServer,
 } from './lease-fixture.js';
@@ -443,3 +444,29 @@
   t.equal(next.recorded(), null);
   await fixture.stop(led);
 });
+
+// A key gets hot, and its hash range waits for a long request before it may
+// be split. Another server is drained, so the table is recorded, and the
+// router is lost in that moment. Its successor finds the key's
+// own shard in the table, and must not take it for free: the long request
+// still runs for the key, at the server that has the hash range.
+void tap.test('leader lost while it waits to split a key', async t => {
+  for (const checksFences of KINDS) {
+    const {fixture, led, key} = await start(checksFences);
+    fixture.drainMs = 900;
+    fixture.load = createLoad([{key, rate: 100, busy: 3}]);
+    await until({fixture}, () => led.gateClosed.size > 0);
+    fixture.drains.add('c');
+    await fixture.advance(600);
+    led.process.pause();
+    led.authority.until = fixture.clock.now();
+    const table = led.recorded();
+    const entry = table?.entries.find(({shard}) => shard === `k:${key}`);
+    t.same([entry?.state, entry?.server], ['held', 'a']);
+    const next = fixture.lead({epoch: 2, table});
+    await fixture.advance(500);
+    t.equal(next.where(key), 'a');
+    await fixture.stop(led);
+    await finish(t, fixture, next);
+  }
+});
