Bench: the direct load sends the time to start by

The protocol towards servers gained a header, which the direct load did not send: the stand-in refused all of it, and the ratios were empty. A load of which nothing is answered whole now ends the benchmark with the codes, instead of filling a table.

--- a/packages/bench/src/bench-direct.ts
+++ b/packages/bench/src/bench-direct.ts
@@ -62,6 +62,7 @@
   const {servers} = serversHello.parse(child.hello);
   const {address} = servers[0]!;
   const {boot, ms} = await grant(address);
+  const deadline = `${boot}.${Math.floor(ms + LEASE_MS)}`;
   return {
     addresses: [address],
     headers: {
@@ -69,7 +70,8 @@
       [names.CELL]: CELL,
       [names.SHARD]: SHARD,
       [names.FENCE]: `${FENCE.epoch}.${FENCE.sequence}`,
-      [names.DEADLINE]: `${boot}.${Math.floor(ms + LEASE_MS)}`,
+      [names.DEADLINE]: deadline,
+      [names.START_BY]: deadline,
     },
     async stop() {
       child.signal('SIGTERM');
--- a/packages/bench/src/bench-load.ts
+++ b/packages/bench/src/bench-load.ts
@@ -56,5 +56,8 @@
   const args = [RUN_LOAD, JSON.stringify(spec)];
   const child = await startChild({name: 'load', args});
   await child.exited;
-  return loadResultSchema.parse(child.hello);
+  const result = loadResultSchema.parse(child.hello);
+  if (result.answered > 0) return result;
+  const codes = JSON.stringify(result.codes);
+  throw new Error(`none of the load was answered whole: ${codes}`);
 }
