Lease task in three modules: set and fence, exchange, loop

Cause: the task had grown to 350 lines, most of it in one closure. Change: no behaviour; the set of shards with its fence, one exchange with the server, the grant and the loop that repeats it stand apart.

--- a/packages/ownership/src/shard-locator.ts
+++ b/packages/ownership/src/shard-locator.ts
@@ -7,7 +7,8 @@
   Moving,
   Unowned,
 } from './led-cell.js';
-import type {Grant, LeaseTask} from './lease-task.js';
+import type {Grant} from './lease-grant.js';
+import type {LeaseTask} from './lease-task.js';
 import {type ShardMap, type Slot, createSettled} from './shard-table.js';
 
 /** Tells where keys are, and those who wait when that is settled. */
