Faults bench: moves while a fault lasts, and afterwards, apart

Cause: a lost server's shards go elsewhere and some come back with it; one figure for both could not be held against the lost server's share.

--- a/packages/bench/src/faults.ts
+++ b/packages/bench/src/faults.ts
@@ -4,6 +4,7 @@
   countViolations,
   findViolations,
   readRecords,
+  type ServerRecords,
   type Violations,
 } from './checker.js';
 import {
@@ -38,7 +39,10 @@
   /** Longest time without an answer, for each affected key, in ms. */
   readonly gaps: readonly number[];
   readonly keys: number;
+  /** Shards that changed their owner while the fault lasted. */
   readonly moves: number;
+  /** Shards that did so after it was put right. */
+  readonly movesAfter: number;
   readonly failures: readonly Sample[];
   readonly violations: Violations;
 }
@@ -105,22 +109,28 @@
   const cell = `${service}/0`;
   const undo = await fault.begin({deployment, cell, turn, avoided});
   await pause(fault.lastsMs);
+  const during = await readRecords(deployment.servers);
   await undo();
   await pause(AFTER_MS);
   await load.stop();
   const after = await readRecords(deployment.servers);
-  const begun = Math.max(...before.beliefs.map(({fromMs}) => fromMs));
   return {
     gaps: keys
       .map(key => longestGap(load.samples, key))
       .filter(gap => gap > AFFECTED_MS),
     keys: keys.length,
-    moves: countMoves(after.beliefs, begun + 1),
+    moves: countMoves(during.beliefs, lastChange(before)),
+    movesAfter: countMoves(after.beliefs, lastChange(during)),
     failures: load.samples.filter(({status}) => status < 200 || status > 299),
     violations: findViolations(after, load.samples),
   };
 }
 
+/** Just after the last change of what a server believed to own, in ms. */
+function lastChange({beliefs}: ServerRecords): number {
+  return Math.max(...beliefs.map(({fromMs}) => fromMs)) + 1;
+}
+
 /** The longest time between two answers for a key, less the usual pause. */
 function longestGap(samples: readonly Sample[], key: string): number {
   const answered = samples
@@ -137,6 +147,7 @@
   const gaps = outcomes.flatMap(outcome => outcome.gaps);
   const keys = outcomes.reduce((sum, outcome) => sum + outcome.keys, 0);
   const moves = outcomes.map(outcome => outcome.moves);
+  const after = outcomes.map(outcome => outcome.movesAfter);
   const failures = outcomes.flatMap(outcome => outcome.failures);
   const broken = outcomes.reduce(
     (sum, {violations}) => sum + countViolations(violations),
@@ -147,7 +158,8 @@
     `${fault.name} (${fault.kind}, ${outcomes.length} runs): ` +
       `affected keys ${gaps.length} of ${keys}, unavailable p50 ${ms(0.5)} ` +
       `p90 ${ms(0.9)} p99 ${ms(0.99)} max ${ms(1)} ms, shards moved p50 ` +
-      `${percentile(moves, 0.5)} max ${percentile(moves, 1)}, ` +
+      `${percentile(moves, 0.5)} max ${percentile(moves, 1)}, afterwards p50 ` +
+      `${percentile(after, 0.5)} max ${percentile(after, 1)}, ` +
       `failures ${describeFailures(failures)}, broken promises ${broken}`,
   );
   for (const {violations} of outcomes) {
