Entry: a new leader that does not lead yet is asked again

A router that the newest view names says moved while it waits to be cleared, or has not read that view; the entry then waited for a newer view, which never came.

--- a/packages/requests/src/route.ts
+++ b/packages/requests/src/route.ts
@@ -98,7 +98,7 @@
   };
 
   const pauseMs = (failed: Failure, trip: Trip): number =>
-    failed.code === 'no-leader'
+    NOT_LEADING.has(failed.code)
       ? LEADING_POLL_MS
       : backoffMs(trip.attempts, options.random);
 
@@ -119,7 +119,7 @@
     const {cell} = trip;
     const newer = await watch.newerThan(cell, epoch, pauseEnd, req.signal);
     if (newer !== null || req.signal.aborted) return newer;
-    const waiting = failed.code === 'no-leader';
+    const waiting = NOT_LEADING.has(failed.code);
     if (waiting && view !== null && clock.now() < limit) return view;
     if (!waiting && budget.spend()) return view;
     if (advice === 'again' || clock.now() >= limit) return null;
@@ -136,6 +136,7 @@
         troubles.delete(cell);
         return outcome;
       }
+      if (outcome.val.code === 'moved') trip.attempts--;
       const failed = worstOf(trip.worst, outcome.val);
       trip.worst = failed;
       if (!ROUTING_CODES.has(outcome.val.code)) troubles.delete(cell);
@@ -156,6 +157,16 @@
   return failure('not-run', 'no-leader', 'the cell has no leader now');
 }
 
+/**
+ * The router that the newest view names does not lead yet: it waits until the
+ * old leader cannot act, or has not read that view itself. A newer view may
+ * never come, so the same one is tried again; nothing was run.
+ */
+const NOT_LEADING: ReadonlySet<FailureCode> = new Set([
+  'no-leader',
+  'moved',
+] as const);
+
 const ROUTING_CODES: ReadonlySet<FailureCode> = new Set([
   'no-leader',
   'moved',
--- a/packages/requests/test/entry.test.ts
+++ b/packages/requests/test/entry.test.ts
@@ -148,6 +148,25 @@
   t.equal(told(seen), 'may-have-run deadline');
 });
 
+// The caller's hold arrives during a takeover. The new leader's view is in
+// force at the entry, but the leader itself waits until the old one cannot
+// act, or has not read that view yet, and says `moved`. No newer view comes;
+// an entry that waited for one kept the caller to the deadline.
+void tap.test('a new leader that does not lead yet is asked again', async t => {
+  let isLeading = false;
+  const {clock, entry, setView} = bench(() =>
+    isLeading ? Ok(ANSWER) : Err(failure('not-run', 'moved', '')),
+  );
+  setView(router('b'));
+  const req = request({once: true, deadline: 5000});
+  const seen = watch(entry.handle(req));
+  await clock.advance(1500);
+  t.equal(told(seen), 'waiting');
+  isLeading = true;
+  await clock.advance(100);
+  t.equal(told(seen), 'ok');
+});
+
 void tap.test('what another router passes on ends here', async t => {
   const {queue, client} = queueBench();
   client.answersAtOnce = true;
