Metrics of churn and unserved time; explain tells what waits

Change: a meter looks once a second at the cells led here; explain adds the queue, the slots and the weights.

--- a/packages/router/src/describe.ts
+++ b/packages/router/src/describe.ts
@@ -110,10 +110,39 @@
     leader: view?.leader.host ?? null,
     standby: view?.standby?.host ?? null,
     owner,
-    steps: listSteps(options, cell, location, shard),
+    steps: [
+      ...listSteps(options, cell, location, shard),
+      ...listWaiting(options, cell, key, owner),
+    ],
   };
 }
 
+/** What waits for the key, and what would move its shard. */
+function listWaiting(
+  {queues, store}: DescriberOptions,
+  cell: string,
+  key: string,
+  owner: string | null,
+): readonly string[] {
+  const snapshot = queues.queueOf(cell)?.snapshot(key);
+  if (snapshot === undefined) return [];
+  const steps = [`${snapshot.queuedForKey} requests wait for this key`];
+  const server = snapshot.servers.find(entry => entry.server === owner);
+  if (server !== undefined) {
+    const {inFlight, window, queued} = server;
+    steps.push(
+      `${owner}: ${inFlight} of ${window} slots in use, ${queued} waiting`,
+    );
+  }
+  const {imbalance, churn, unavailable} = store.current().rules.weights;
+  steps.push(
+    'it moves when its server leaves, is drained or lost, or when a lasting ' +
+      `imbalance outweighs the move (weights: imbalance ${imbalance}, ` +
+      `churn ${churn}, unavailable time ${unavailable})`,
+  );
+  return steps;
+}
+
 function listSteps(
   {queues, self}: DescriberOptions,
   cell: string,
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -28,6 +28,7 @@
 import {createIdentity} from './identity.js';
 import {createMetrics} from './metrics.js';
 import {createOperatorActions} from './operator-actions.js';
+import {runOwnershipMeter} from './ownership-meter.js';
 import {openHostWatch, openStore} from './platform.js';
 import {createTenure} from './tenure.js';
 import {createPolicyLookup, createServiceLookup} from './topology.js';
@@ -155,6 +156,8 @@
   broker.createService(operators.schema);
   await broker.start();
   tenure.begin();
+  const metering = new AbortController();
+  void runOwnershipMeter(metrics.registry, cells, clock, metering.signal);
 
   return {
     self,
@@ -179,6 +182,7 @@
       await serverClient.close();
       await store.close();
       await broker.stop();
+      metering.abort();
       log.info('stopped');
     },
   };
--- a/packages/router/test/hand-over.test.ts
+++ b/packages/router/test/hand-over.test.ts
@@ -35,6 +35,11 @@
   const second = await startRouter(settingsOf(platform, 'router-2'));
   platform.list('router-2', second.peers);
   await untilReady(second.callers);
+  const standbyOf = (): string | undefined =>
+    first.store.current().views.get('holds/0')?.standby?.host;
+  while (standbyOf() !== 'router-2') {
+    await new Promise(resolve => setTimeout(resolve, 10));
+  }
   const stopped = first.stop(60_000);
   const other = ask(second.callers, 'ward-8');
   await platform.started(2);
