--- /dev/null
+++ b/packages/base/src/hop-by-hop.ts
@@ -0,0 +1,17 @@
+/**
+ * Header fields that concern one connection (RFC 9110, section 7.6.1), or
+ * that the HTTP client of each hop writes itself; in lower case.
+ */
+export const HOP_BY_HOP: ReadonlySet<string> = new Set([
+  'connection',
+  'expect',
+  'host',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
--- a/packages/callers/src/headers.ts
+++ b/packages/callers/src/headers.ts
@@ -1,3 +1,4 @@
+import {HOP_BY_HOP} from '@banyandrum/base/hop-by-hop.js';
 import type {HeaderField} from '@banyandrum/base/request.js';
 
 /** Headers of the router itself; never passed on, in either direction. */
@@ -7,19 +8,9 @@
  * Headers that belong to one connection. `content-length` is among them: each
  * hop frames the body anew and checks its length itself.
  */
-const HOP_BY_HOP: ReadonlySet<string> = new Set([
-  'connection',
+const NOT_FORWARDED: ReadonlySet<string> = new Set([
+  ...HOP_BY_HOP,
   'content-length',
-  'expect',
-  'host',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
 ]);
 
 /**
@@ -37,7 +28,7 @@
   const listed = listConnectionOptions(fields);
   return fields.filter(
     ({name}) =>
-      !HOP_BY_HOP.has(name) &&
+      !NOT_FORWARDED.has(name) &&
       !name.startsWith(OWN_PREFIX) &&
       !listed?.has(name),
   );
--- a/packages/router/src/operator-actions.ts
+++ b/packages/router/src/operator-actions.ts
@@ -6,7 +6,7 @@
 import type {StateStore} from '@banyandrum/config/store.js';
 import type {OperatorActions} from '@banyandrum/operators/actions.js';
 import type {StateMessage} from '@banyandrum/operators/messages.js';
-import {createOperatorChanges, toAuditMessage} from './operator-changes.js';
+import {createOperatorChanges} from './operator-changes.js';
 import {createStatus, type StatusOptions} from './operator-status.js';
 import {watchState} from './operator-watch.js';
 
@@ -41,7 +41,7 @@
     },
     history: async limit => {
       const newest = store.current().audit.slice(-limit).reverse();
-      return Ok({entries: newest.map(toAuditMessage)});
+      return Ok({entries: newest});
     },
     status: status.read,
     explain: status.explain,
--- a/packages/router/src/operator-changes.ts
+++ b/packages/router/src/operator-changes.ts
@@ -3,7 +3,6 @@
 import {inForceOf, knownServices, versionOf} from '@banyandrum/config/fold.js';
 import {formatProblem} from '@banyandrum/config/problem.js';
 import type {StateRecord} from '@banyandrum/config/records.js';
-import type {AuditEntry} from '@banyandrum/config/state.js';
 import type {StateStore} from '@banyandrum/config/store.js';
 import type {
   OperatorActions,
@@ -73,16 +72,11 @@
         const detail = `no change ${changeId} has been read`;
         return Err({kind: 'not-found', detail});
       }
-      return Ok(toAuditMessage(entry));
+      return Ok(entry);
     },
   };
 }
 
-/** An entry of the audit trail as operators get it. */
-export function toAuditMessage(entry: AuditEntry): AuditEntry {
-  return entry;
-}
-
 async function append(
   store: StateStore,
   change: Change,
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -5,6 +5,7 @@
   createCallersService,
   type ListenAddress,
 } from '@banyandrum/callers/service.js';
+import {parseAddress} from '@banyandrum/config/address.js';
 import type {Rules} from '@banyandrum/config/rules.js';
 import type {Settings} from '@banyandrum/config/settings.js';
 import type {StateStore} from '@banyandrum/config/store.js';
@@ -119,7 +120,7 @@
     random: Math.random,
   });
   const callers = createCallersService({
-    listen: parseAddress(settings.callers.listen),
+    listen: listenAt(settings.callers.listen),
     handle: metrics.measure(entry.handle),
     policyOf: createPolicyLookup(store, serviceOf),
     log: createLogger('callers'),
@@ -140,7 +141,7 @@
   const operatorsLog = createLogger('operators');
   const operators = createOperatorsService({
     ...settings.operators,
-    listen: parseAddress(settings.operators.listen),
+    listen: listenAt(settings.operators.listen),
     actions: createOperatorActions({
       ...platform,
       ...{self, peers, describer, serviceOf},
@@ -198,7 +199,8 @@
   });
 }
 
-function parseAddress(address: string): ListenAddress {
-  const at = address.lastIndexOf(':');
-  return {ip: address.slice(0, at), port: Number(address.slice(at + 1))};
+function listenAt(address: string): ListenAddress {
+  const parsed = parseAddress(address);
+  if (parsed === null) throw new Error(`${address} is no address by IP number`);
+  return parsed;
 }
--- a/packages/servers/src/fields.ts
+++ b/packages/servers/src/fields.ts
@@ -1,3 +1,4 @@
+import {HOP_BY_HOP} from '@banyandrum/base/hop-by-hop.js';
 import type {HeaderField} from '@banyandrum/base/request.js';
 import * as names from './headers.js';
 
@@ -17,24 +18,6 @@
   readonly isDelimited: boolean;
 }
 
-/**
- * Fields that concern one connection (RFC 9110, section 7.6.1), or that the
- * HTTP client writes itself.
- */
-const HOP_BY_HOP: ReadonlySet<string> = new Set([
-  'connection',
-  'expect',
-  'host',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-]);
-
 const PLAIN = /^[\x21-\x24\x26-\x7e]*$/;
 const NOT_PLAIN = /[^\x21-\x24\x26-\x7e]+/gu;
 
