--- /dev/null
+++ b/packages/dispatch/src/backend.ts
@@ -0,0 +1,145 @@
+import {
+  createServerConnections,
+  type ServerConnections,
+} from './connections.js';
+import type {ReportedLoad} from './wire.js';
+
+/** What the list of backend servers says of one. */
+export interface ServerInfo {
+  /** Names one run of a server; a restarted one is another. */
+  readonly id: string;
+  readonly service: string;
+  /** `ip:port`. */
+  readonly address: string;
+  readonly dataCentre: string;
+  /** Requests that it runs at the same time. */
+  readonly slots: number;
+  readonly isLeaving: boolean;
+  /** How much longer it stays slow after its start, in ms. */
+  readonly coldMs: number;
+}
+
+/** A backend server as this router knows it. */
+export interface Backend {
+  info: ServerInfo;
+  readonly connections: ServerConnections;
+  /** Requests of this router at the server. */
+  inFlight: number;
+  /** Requests of other routers there, as the last answer told. */
+  others: number;
+  /** Monotonic time of that answer, in ms. */
+  othersAt: number;
+  /** Smoothed time for one request without waiting, in ms; 0 unknown. */
+  serviceMs: number;
+  /** Smoothed share of requests that failed, 0 to 1. */
+  failureShare: number;
+  failureAt: number;
+  /** Monotonic time of its last answer, in ms. */
+  lastAnswerAt: number;
+  /** Not chosen before this monotonic time, in ms, while others are. */
+  suspectUntil: number;
+  suspectMs: number;
+  coldUntil: number;
+  /** Another run of a server answers at its address. */
+  isGone: boolean;
+  /** Monotonic time since which it is known to leave, in ms; or null. */
+  leavingSince: number | null;
+  /** Service times measured since they were last reported. */
+  measured: {readonly count: number; readonly totalMs: number};
+}
+
+/** Weight of the newest service time in the smoothed one. */
+const SERVICE_WEIGHT = 0.15;
+/** Weight of the newest outcome in the share of failures. */
+const FAILURE_WEIGHT = 0.12;
+/** The share of failures halves in this time without a request, in ms. */
+const FAILURE_HALF_MS = 3_000;
+/** First and longest time for which a server is passed over, in ms. */
+const SUSPECT_MS = 250;
+const SUSPECT_MAX_MS = 2_000;
+
+/** Makes a backend server's state from its entry in the list. */
+export function createBackend(
+  info: ServerInfo,
+  connectionLimit: number,
+  now: number,
+): Backend {
+  return {
+    info,
+    connections: createServerConnections(
+      `http://${info.address}`,
+      connectionLimit,
+    ),
+    inFlight: 0,
+    others: 0,
+    othersAt: now,
+    serviceMs: 0,
+    failureShare: 0,
+    failureAt: now,
+    lastAnswerAt: -Infinity,
+    suspectUntil: 0,
+    suspectMs: 0,
+    coldUntil: now + info.coldMs,
+    isGone: false,
+    leavingSince: info.isLeaving ? now : null,
+    measured: {count: 0, totalMs: 0},
+  };
+}
+
+/** Takes a server's answer into account. */
+export function noteAnswer(
+  backend: Backend,
+  now: number,
+  tookMs: number,
+  aheadAtSend: number,
+  isFailure: boolean,
+  load: ReportedLoad | null,
+): void {
+  backend.lastAnswerAt = now;
+  backend.suspectUntil = 0;
+  backend.suspectMs = 0;
+  if (load !== null) {
+    const total = load.running + load.waiting;
+    backend.others = Math.max(0, total - backend.inFlight);
+    backend.othersAt = now;
+  }
+  noteOutcome(backend, now, isFailure);
+  if (isFailure) return;
+  const {slots} = backend.info;
+  const rounds = 1 + Math.max(0, aheadAtSend - slots + 1) / slots;
+  const served = tookMs / rounds;
+  const {count, totalMs} = backend.measured;
+  backend.measured = {count: count + 1, totalMs: totalMs + served};
+  backend.serviceMs =
+    backend.serviceMs === 0
+      ? served
+      : backend.serviceMs + SERVICE_WEIGHT * (served - backend.serviceMs);
+}
+
+/** Takes a request without a whole answer into account. */
+export function noteLoss(backend: Backend, now: number): void {
+  noteOutcome(backend, now, true);
+}
+
+/** Passes the server over for a while, longer each time in a row. */
+export function suspect(backend: Backend, now: number): void {
+  if (backend.suspectUntil > now) return;
+  backend.suspectMs = Math.min(
+    SUSPECT_MAX_MS,
+    Math.max(SUSPECT_MS, backend.suspectMs * 2),
+  );
+  backend.suspectUntil = now + backend.suspectMs;
+}
+
+/** The share of failures now, 0 to 1. */
+export function failureShareOf(backend: Backend, now: number): number {
+  const idle = now - backend.failureAt;
+  return backend.failureShare * 0.5 ** (idle / FAILURE_HALF_MS);
+}
+
+function noteOutcome(backend: Backend, now: number, isFailure: boolean): void {
+  const share = failureShareOf(backend, now);
+  const outcome = isFailure ? 1 : 0;
+  backend.failureShare = share + FAILURE_WEIGHT * (outcome - share);
+  backend.failureAt = now;
+}
--- /dev/null
+++ b/packages/dispatch/src/backends.ts
@@ -0,0 +1,94 @@
+import type {Clock} from '@banyandrum/base/clock.js';
+import {createBackend, type Backend, type ServerInfo} from './backend.js';
+
+/** All backend servers that this router knows of. */
+export interface Backends {
+  /** Takes a whole new list; servers that it lacks are given up. */
+  update(servers: readonly ServerInfo[]): void;
+  ofService(service: string): readonly Backend[];
+  get(id: string): Backend | undefined;
+  /** Sets how many connections this router may have to each server. */
+  setConnectionLimit(limitOf: (service: string) => number): void;
+  /** Resolves when a request of the service ended, or after `ms`. */
+  waitForRoom(service: string, ms: number): Promise<void>;
+  /** Wakes the first that waits for room at the service. */
+  notifyRoom(service: string): void;
+}
+
+/**
+ * Keeps what is known of each server across new lists.
+ *
+ * @example
+ * ```ts
+ * const backends = createBackends(clock);
+ * backends.update(list);
+ * ```
+ */
+export function createBackends(clock: Clock): Backends {
+  const byId = new Map<string, Backend>();
+  const byService = new Map<string, Backend[]>();
+  const waiting = new Map<string, Set<() => void>>();
+  let limitOf = (_: string): number => DEFAULT_CONNECTIONS;
+
+  const regroup = (): void => {
+    byService.clear();
+    for (const backend of byId.values()) {
+      const {service} = backend.info;
+      const group = byService.get(service);
+      if (group === undefined) byService.set(service, [backend]);
+      else group.push(backend);
+    }
+  };
+
+  return {
+    update(servers) {
+      const now = clock.now();
+      const listed = new Set(servers.map(({id}) => id));
+      for (const [id, backend] of byId) {
+        if (listed.has(id)) continue;
+        byId.delete(id);
+        backend.connections.retire();
+      }
+      for (const info of servers) {
+        const known = byId.get(info.id);
+        if (known === undefined) {
+          byId.set(info.id, createBackend(info, limitOf(info.service), now));
+        } else {
+          known.info = info;
+          known.leavingSince = info.isLeaving
+            ? (known.leavingSince ?? now)
+            : null;
+        }
+      }
+      regroup();
+    },
+    ofService: service => byService.get(service) ?? [],
+    get: id => byId.get(id),
+    setConnectionLimit(next) {
+      limitOf = next;
+      for (const {info, connections} of byId.values()) {
+        connections.setLimit(limitOf(info.service));
+      }
+    },
+    waitForRoom(service, ms) {
+      return new Promise(resolve => {
+        const group = waiting.get(service) ?? new Set();
+        waiting.set(service, group);
+        const finish = (): void => {
+          cancel();
+          group.delete(finish);
+          resolve();
+        };
+        const cancel = clock.after(ms, finish);
+        group.add(finish);
+      });
+    },
+    notifyRoom(service) {
+      const [first] = waiting.get(service) ?? [];
+      first?.();
+    },
+  };
+}
+
+/** Before the configuration tells more. */
+const DEFAULT_CONNECTIONS = 4;
--- /dev/null
+++ b/packages/dispatch/src/choose.ts
@@ -0,0 +1,109 @@
+import {failureShareOf, type Backend} from './backend.js';
+
+/** How a server is chosen for a request that any server may run. */
+export interface Choice {
+  readonly backend: Backend;
+  /** Expected time until its answer, in ms. */
+  readonly expectedMs: number;
+}
+
+/** A server takes this many times its slots, running and waiting. */
+const MAX_LOAD_PER_SLOT = 3;
+/** Before anything was measured, in ms. */
+const DEFAULT_SERVICE_MS = 200;
+/** Other routers' requests are forgotten in about this time, in ms. */
+const OTHERS_FADE_MS = 400;
+/** Measures of servers differ at random by this share: routers with the same
+ * picture would otherwise all go to the same server. */
+const JITTER = 0.1;
+/** A server that fails this share of its requests is a last resort. */
+const FAILING_SHARE = 0.5;
+const COLD_FACTOR = 2;
+
+/**
+ * The server with the shortest expected answer among those with room; null
+ * where none has any.
+ *
+ * @example
+ * ```ts
+ * const choice = choose(backends.ofService('holds'), tried, 6, now);
+ * ```
+ */
+export function choose(
+  backends: readonly Backend[],
+  excluded: ReadonlySet<string>,
+  routers: number,
+  now: number,
+): Choice | null {
+  const usable = backends.filter(backend => isUsable(backend, excluded));
+  const mean = meanInFlight(usable) * Math.max(0, routers - 1);
+  const typicalMs = typicalServiceMs(usable);
+  const sound = usable.filter(
+    backend =>
+      backend.suspectUntil <= now &&
+      failureShareOf(backend, now) < FAILING_SHARE,
+  );
+  const candidates = sound.length > 0 ? sound : usable;
+  let best: Choice | null = null;
+  for (const backend of candidates) {
+    const load = loadOf(backend, mean, now);
+    if (!hasRoom(backend, load)) continue;
+    const expectedMs = expect(backend, load, typicalMs, now);
+    if (best === null || expectedMs < best.expectedMs) {
+      best = {backend, expectedMs};
+    }
+  }
+  return best;
+}
+
+/** Requests at the server now, of all routers, as far as is known. */
+export function loadOf(backend: Backend, mean: number, now: number): number {
+  const age = now - backend.othersAt;
+  const weight = Math.exp(-age / OTHERS_FADE_MS);
+  return backend.inFlight + backend.others * weight + mean * (1 - weight);
+}
+
+/** Whether one more request finds a slot or a place to wait. */
+export function hasRoom(backend: Backend, load: number): boolean {
+  const {slots} = backend.info;
+  if (backend.inFlight >= slots * MAX_LOAD_PER_SLOT) return false;
+  return load < slots * MAX_LOAD_PER_SLOT;
+}
+
+function isUsable(backend: Backend, excluded: ReadonlySet<string>): boolean {
+  const {info, isGone} = backend;
+  return !info.isLeaving && !isGone && !excluded.has(info.id);
+}
+
+function expect(
+  backend: Backend,
+  load: number,
+  typicalMs: number,
+  now: number,
+): number {
+  const {slots} = backend.info;
+  const serviceMs = backend.serviceMs || typicalMs;
+  const cold = backend.coldUntil > now ? COLD_FACTOR : 1;
+  const rounds = 1 + Math.max(0, load + 1 - slots) / slots;
+  const failures = failureShareOf(backend, now);
+  const jitter = 1 + JITTER * Math.random();
+  return (serviceMs * cold * rounds * jitter) / (1 - failures) ** 2;
+}
+
+function meanInFlight(backends: readonly Backend[]): number {
+  if (backends.length === 0) return 0;
+  let sum = 0;
+  for (const {inFlight} of backends) sum += inFlight;
+  return sum / backends.length;
+}
+
+function typicalServiceMs(backends: readonly Backend[]): number {
+  let sum = 0;
+  let count = 0;
+  for (const {serviceMs} of backends) {
+    if (serviceMs === 0) continue;
+    sum += serviceMs;
+    count++;
+  }
+  return count === 0 ? DEFAULT_SERVICE_MS : sum / count;
+}
--- /dev/null
+++ b/packages/dispatch/src/forward.ts
@@ -0,0 +1,395 @@
+import type {CancelSignal} from '@banyandrum/base/cancel.js';
+import type {Clock} from '@banyandrum/base/clock.js';
+import {failure, type Failure} from '@banyandrum/base/failure.js';
+import type {Route} from '@banyandrum/routing/config.js';
+import {startAttempt, type Answer, type AttemptEnd} from './attempt.js';
+import {noteAnswer, noteLoss, suspect, type Backend} from './backend.js';
+import type {Backends} from './backends.js';
+import {choose, hasRoom, loadOf} from './choose.js';
+import type {Connection} from './connections.js';
+import type {Emit} from './events.js';
+import type {Owners} from './owners.js';
+import type {RetryBudget} from './retry-budget.js';
+import {readLoad, type WireNames} from './wire.js';
+
+/** A caller's request, as it goes to a backend server. */
+export interface ForwardRequest {
+  readonly id: string;
+  readonly method: string;
+  readonly path: string;
+  /** Names and values in turn, without those that each attempt sets. */
+  readonly headers: readonly string[];
+  readonly body: Buffer | null;
+  readonly route: Route;
+  readonly service: string;
+  /** Null where the service isn't divided by key. */
+  readonly key: number | null;
+  /** Monotonic time by which the caller must have its answer, in ms. */
+  readonly deadline: number;
+  readonly signal: CancelSignal;
+}
+
+/** What the caller gets. */
+export type Reply =
+  | {readonly kind: 'answer'; readonly answer: Answer; readonly server: string}
+  | {readonly kind: 'failure'; readonly failure: Failure};
+
+/** What forwarding needs of the process. */
+export interface ForwardConfig {
+  readonly backends: Backends;
+  readonly owners: Owners;
+  readonly budget: RetryBudget;
+  readonly names: WireNames;
+  readonly clock: Clock;
+  readonly emit: Emit;
+  /** Routers that share the servers. */
+  readonly routers: () => number;
+}
+
+/** A request's way through its attempts. */
+interface Journey {
+  readonly cfg: ForwardConfig;
+  readonly req: ForwardRequest;
+  /** Servers that may have run it. */
+  runs: number;
+  /** Requests written, those refused included. */
+  sent: number;
+  /** Attempts, those that reached nobody included. */
+  tries: number;
+  /** Not to be chosen again. */
+  readonly excluded: Set<string>;
+  /** Set when it was written and nobody can tell the outcome. */
+  unproved: Failure | null;
+  /** A server's own failure, given back where nothing better comes. */
+  failed: Reply | null;
+  /** The next repeat's place in the budget is taken already. */
+  prepaid: boolean;
+}
+
+interface Target {
+  readonly backend: Backend;
+  readonly connection: Connection;
+}
+
+/** Attempts that a request may take, those that reached nobody included. */
+const MAX_TRIES = 6;
+/** Less time than this is not worth sending a request for, in ms. */
+const MIN_SEND_MS = 20;
+/** Waits for room or an owner are looked at again after this time, in ms. */
+const WAIT_STEP_MS = 50;
+/** A leaving server still gets its own keys' requests for this time, in ms. */
+const LEAVING_GRACE_MS = 500;
+/** When a caller should come back after a refusal, in ms. */
+const RETRY_AFTER_MS = 150;
+/** A silent server is given up for another after this share of the time. */
+const SILENT_SHARE = 0.45;
+
+/**
+ * Sends a request to a backend server, and to another where that is safe and
+ * promises better. Never throws.
+ *
+ * @example
+ * ```ts
+ * const reply = await forward(cfg, req);
+ * if (reply.kind === 'failure') refuse(reply.failure);
+ * ```
+ */
+export async function forward(
+  cfg: ForwardConfig,
+  req: ForwardRequest,
+): Promise<Reply> {
+  const journey: Journey = {
+    cfg,
+    req,
+    runs: 0,
+    sent: 0,
+    tries: 0,
+    excluded: new Set(),
+    unproved: null,
+    failed: null,
+    prepaid: false,
+  };
+  cfg.budget.earn(req.service);
+  if (req.key !== null) cfg.owners.noteRequest(req.service, req.key);
+  for (;;) {
+    const target = await findTarget(journey);
+    if (target === null) return giveUp(journey);
+    const reply = await tryTarget(journey, target);
+    if (reply !== null) return reply;
+    if (!mayTryAgain(journey)) return giveUp(journey);
+  }
+}
+
+async function findTarget(journey: Journey): Promise<Target | null> {
+  const {cfg, req} = journey;
+  const giveUpAt = waitEnd(journey);
+  for (;;) {
+    if (req.signal.aborted) return null;
+    const target = pickTarget(journey);
+    if (target !== null) return target;
+    const left = giveUpAt - cfg.clock.now();
+    if (left <= 0) return null;
+    const step = Math.min(left, WAIT_STEP_MS);
+    if (req.key === null) await cfg.backends.waitForRoom(req.service, step);
+    else await cfg.owners.waitForChange(req.service, step);
+  }
+}
+
+/**
+ * How long a request waits for a server: as long as its answer can still be
+ * worth most. Later refusals cost the caller time that another try could use.
+ */
+function waitEnd({cfg, req}: Journey): number {
+  const now = cfg.clock.now();
+  const worthwhile = now + req.route.targetLatencyMs / 2;
+  return Math.min(worthwhile, req.deadline - MIN_SEND_MS);
+}
+
+function pickTarget(journey: Journey): Target | null {
+  const {cfg, req} = journey;
+  const backend = req.key === null ? pickAny(journey) : pickOwner(journey);
+  if (backend === null) return null;
+  const connection = backend.connections.acquire();
+  if (connection !== null) return {backend, connection};
+  cfg.emit('no-connection', {id: req.id, server: backend.info.id});
+  return null;
+}
+
+function pickAny({cfg, req, excluded}: Journey): Backend | null {
+  const group = cfg.backends.ofService(req.service);
+  const now = cfg.clock.now();
+  const routers = cfg.routers();
+  return choose(group, excluded, routers, now)?.backend ?? null;
+}
+
+function pickOwner({cfg, req}: Journey): Backend | null {
+  const owner = cfg.owners.ownerOf(req.service, req.key!);
+  if (owner.kind !== 'held') return null;
+  const backend = cfg.backends.get(owner.server);
+  const now = cfg.clock.now();
+  if (backend === undefined || backend.isGone) return null;
+  if (backend.suspectUntil > now) return null;
+  const {leavingSince} = backend;
+  if (leavingSince !== null && now - leavingSince > LEAVING_GRACE_MS) {
+    return null;
+  }
+  return hasRoom(backend, loadOf(backend, 0, now)) ? backend : null;
+}
+
+async function tryTarget(
+  journey: Journey,
+  target: Target,
+): Promise<Reply | null> {
+  const {cfg, req} = journey;
+  const {backend, connection} = target;
+  const sentAt = cfg.clock.now();
+  const ahead = loadOf(backend, 0, sentAt);
+  const withinMs = req.deadline - sentAt;
+  if (withinMs < MIN_SEND_MS) {
+    backend.connections.release(connection, true);
+    return giveUp(journey);
+  }
+  journey.tries++;
+  backend.inFlight++;
+  const attempt = startAttempt(connection, cfg.names, cfg.clock, {
+    method: req.method,
+    path: req.path,
+    headers: withAttemptHeaders(cfg.names, req, backend, withinMs),
+    body: req.body,
+    requestId: req.id,
+    withinMs,
+  });
+  const cancel = (): void => attempt.drop('cancelled');
+  req.signal.addEventListener('abort', cancel);
+  const stopWatch = watchSilence(journey, backend, sentAt, () =>
+    attempt.drop('timeout'),
+  );
+  const end = await attempt.end;
+  stopWatch();
+  req.signal.removeEventListener('abort', cancel);
+  backend.inFlight--;
+  backend.connections.release(connection, isReusable(end));
+  const reply = takeEnd(journey, backend, end, sentAt, ahead);
+  cfg.backends.notifyRoom(req.service);
+  return reply;
+}
+
+/**
+ * Gives an attempt up while another server can still answer in time, where
+ * this one answered nobody since: a host without power, or a connection that
+ * something between lost track of, keeps silent until the deadline.
+ */
+function watchSilence(
+  journey: Journey,
+  backend: Backend,
+  sentAt: number,
+  drop: () => void,
+): () => void {
+  const {cfg, req, sent, runs} = journey;
+  const {route} = req;
+  if (route.kind !== 'idempotent' || req.key !== null) return () => undefined;
+  if (runs + 1 >= route.maxAttempts || sent > 0) return () => undefined;
+  const patience = (req.deadline - sentAt) * SILENT_SHARE;
+  return cfg.clock.after(patience, () => {
+    if (backend.lastAnswerAt > sentAt) return;
+    if (!cfg.budget.spend(req.service)) return;
+    suspect(backend, cfg.clock.now());
+    journey.prepaid = true;
+    drop();
+  });
+}
+
+function withAttemptHeaders(
+  names: WireNames,
+  req: ForwardRequest,
+  backend: Backend,
+  withinMs: number,
+): readonly string[] {
+  return [
+    ...req.headers,
+    names.deadlineMs,
+    String(Math.floor(withinMs)),
+    names.expectedServer,
+    backend.info.id,
+  ];
+}
+
+function isReusable(end: AttemptEnd): boolean {
+  return end.kind === 'answered';
+}
+
+function takeEnd(
+  journey: Journey,
+  backend: Backend,
+  end: AttemptEnd,
+  sentAt: number,
+  ahead: number,
+): Reply | null {
+  const {cfg, req} = journey;
+  const now = cfg.clock.now();
+  const tookMs = now - sentAt;
+  const common = {id: req.id, server: backend.info.id, tookMs: round(tookMs)};
+  if (end.kind === 'lost') {
+    const {reason, isWritten, detail} = end;
+    cfg.emit('attempt-lost', {...common, reason, isWritten, detail});
+    return takeLoss(journey, backend, end, sentAt);
+  }
+  const {answer} = end;
+  const {fields, status} = answer;
+  const load = readLoad(fields.get(cfg.names.load));
+  journey.sent++;
+  if (fields.has(cfg.names.notRun)) {
+    cfg.emit('attempt-refused', {...common, status});
+    noteAnswer(backend, now, tookMs, ahead, status === 421, load);
+    return takeRefusal(journey, backend, answer);
+  }
+  journey.runs++;
+  const isFailure = status >= 500 || isUnsigned(cfg.names, answer);
+  noteAnswer(backend, now, tookMs, ahead, isFailure, load);
+  if (!isFailure) {
+    cfg.emit('answered', {...common, status});
+    return {kind: 'answer', answer, server: backend.info.id};
+  }
+  cfg.emit('attempt-failed', {...common, status});
+  return takeFailure(journey, backend, answer);
+}
+
+function isUnsigned(names: WireNames, {status, fields}: Answer): boolean {
+  return status < 300 && !fields.has(names.signature);
+}
+
+function takeLoss(
+  journey: Journey,
+  backend: Backend,
+  end: AttemptEnd & {kind: 'lost'},
+  sentAt: number,
+): Reply | null {
+  const {cfg, req} = journey;
+  const now = cfg.clock.now();
+  if (end.reason === 'cancelled') return giveUp(journey);
+  noteLoss(backend, now);
+  if (!end.isWritten) {
+    suspect(backend, now);
+    journey.excluded.add(backend.info.id);
+    return null;
+  }
+  journey.sent++;
+  journey.runs++;
+  if (end.reason === 'timeout') backend.connections.dropUnproved(sentAt);
+  else if (end.reason === 'connection-lost') suspect(backend, now);
+  const code = end.reason === 'timeout' ? 'deadline' : 'connection-lost';
+  journey.unproved = failure('may-have-run', code, end.detail);
+  if (req.route.kind === 'once') return fail(journey.unproved);
+  journey.excluded.add(backend.info.id);
+  return null;
+}
+
+function takeRefusal(
+  journey: Journey,
+  backend: Backend,
+  answer: Answer,
+): Reply | null {
+  const {cfg, req, excluded} = journey;
+  const {id} = backend.info;
+  const other = answer.fields.get(cfg.names.serverId);
+  if (answer.status === 421 && other !== undefined && other !== id) {
+    backend.isGone = true;
+    cfg.owners.noteReplaced(id);
+  } else if (answer.status === 421 && req.key !== null) {
+    cfg.owners.noteNotHeld(req.service, req.key, id);
+  }
+  if (req.key === null) excluded.add(id);
+  return null;
+}
+
+function takeFailure(
+  journey: Journey,
+  backend: Backend,
+  answer: Answer,
+): Reply | null {
+  const {cfg, req} = journey;
+  if (isUnsigned(cfg.names, answer)) {
+    journey.unproved = failure('ran', 'truncated', 'the answer is not whole');
+    if (req.route.kind === 'once') return fail(journey.unproved);
+  } else {
+    journey.failed = {kind: 'answer', answer, server: backend.info.id};
+    if (req.route.kind === 'once') return journey.failed;
+  }
+  journey.excluded.add(backend.info.id);
+  return null;
+}
+
+/** Whether the request may go to a server once more. */
+function mayTryAgain(journey: Journey): boolean {
+  const {cfg, req, runs, tries, sent} = journey;
+  if (req.signal.aborted) return false;
+  if (tries >= MAX_TRIES || runs >= req.route.maxAttempts) return false;
+  if (cfg.clock.now() > req.deadline - MIN_SEND_MS) return false;
+  if (sent === 0) return true;
+  if (journey.prepaid) {
+    journey.prepaid = false;
+    return true;
+  }
+  return cfg.budget.spend(req.service);
+}
+
+function giveUp(journey: Journey): Reply {
+  const {cfg, req} = journey;
+  if (journey.failed !== null) return journey.failed;
+  if (journey.unproved !== null) return fail(journey.unproved);
+  if (req.signal.aborted) {
+    return fail(failure('not-run', 'cancelled', 'the caller gave up'));
+  }
+  const code = req.key === null ? 'overloaded' : 'no-owner';
+  cfg.emit('refused', {id: req.id, service: req.service, key: req.key, code});
+  const detail = 'no server has room';
+  return fail(failure('not-run', code, detail, RETRY_AFTER_MS));
+}
+
+function fail(reason: Failure): Reply {
+  return {kind: 'failure', failure: reason};
+}
+
+function round(ms: number): number {
+  return Math.round(ms * 10) / 10;
+}
--- /dev/null
+++ b/packages/dispatch/src/wire.ts
@@ -0,0 +1,40 @@
+/**
+ * Names of the header fields that routers and backend servers exchange, in
+ * lower case. They belong to the deployment's platform, so they are given.
+ */
+export interface WireNames {
+  /** Names one attempt of a caller; servers repeat it in their answers. */
+  readonly requestId: string;
+  /** Time left for the answer, in ms. */
+  readonly deadlineMs: string;
+  /** The server that a request is meant for. */
+  readonly expectedServer: string;
+  /** Shows that an answer is a server's own. */
+  readonly signature: string;
+  /** Present where the server did not run the request. */
+  readonly notRun: string;
+  /** Running and waiting requests and slots, as `3,0,8`. */
+  readonly load: string;
+  readonly key: string;
+  /** The server that answers. */
+  readonly serverId: string;
+}
+
+/** What a server tells of its load. */
+export interface ReportedLoad {
+  readonly running: number;
+  readonly waiting: number;
+  readonly slots: number;
+}
+
+/** Reads a load report; null where it isn't one. */
+export function readLoad(text: string | undefined): ReportedLoad | null {
+  if (text === undefined) return null;
+  const [running, waiting, slots] = text.split(',').map(Number);
+  if (!isCount(running) || !isCount(waiting) || !isCount(slots)) return null;
+  return {running, waiting, slots};
+}
+
+function isCount(value: number | undefined): value is number {
+  return value !== undefined && Number.isInteger(value) && value >= 0;
+}
--- /dev/null
+++ b/packages/gateway/src/config-keeper.ts
@@ -0,0 +1,91 @@
+import {sleep, type Clock} from '@banyandrum/base/clock.js';
+import type {Emit} from '@banyandrum/dispatch/events.js';
+import type {RoutingConfig} from '@banyandrum/routing/config.js';
+import type {Platform} from './platform.js';
+
+/** The newest configuration that this router knows. */
+export interface ConfigKeeper {
+  current(): RoutingConfig | null;
+  /** Where it came from in the platform's log; null before the first. */
+  cursor(): number | null;
+  /** Another router has read up to `cursor`: looks at once if that's news. */
+  noteCursor(cursor: number): void;
+  subscribe(listener: () => void): void;
+  stop(): void;
+}
+
+/** A read that the platform holds until there is news, in ms. */
+const LONG_WAIT_MS = 15_000;
+/** The same where nobody else would tell of news that a read missed, in ms. */
+const SHORT_WAIT_MS = 900;
+const RETRY_MS = 200;
+
+/**
+ * Reads the configuration until stopped. A version never replaces a newer one.
+ *
+ * @example
+ * ```ts
+ * const keeper = keepConfig(platform, clock, emit, () => isFollowing);
+ * keeper.current();
+ * ```
+ */
+export function keepConfig(
+  platform: Platform,
+  clock: Clock,
+  emit: Emit,
+  isToldOfNews: () => boolean,
+): ConfigKeeper {
+  let config: RoutingConfig | null = null;
+  let cursor: number | null = null;
+  let isStopped = false;
+  let isLooking = false;
+  let hasFailed = false;
+  const listeners = new Set<() => void>();
+
+  const take = (next: RoutingConfig | null): void => {
+    if (next === null) return;
+    if (config !== null && next.version <= config.version) return;
+    config = next;
+    emit('config-taken', {version: next.version, cursor});
+    listeners.forEach(listener => listener());
+  };
+
+  const read = async (waitMs: number): Promise<boolean> => {
+    const result = await platform.readConfig(cursor, waitMs);
+    if (result.kind === 'failed') {
+      if (!hasFailed) emit('config-unreadable', {detail: result.detail});
+      hasFailed = true;
+      return false;
+    }
+    if (hasFailed) emit('config-readable', {cursor: result.cursor});
+    hasFailed = false;
+    if (cursor === null || result.cursor > cursor) cursor = result.cursor;
+    take(result.config);
+    return true;
+  };
+
+  const run = async (): Promise<void> => {
+    while (!isStopped) {
+      const waitMs = isToldOfNews() ? LONG_WAIT_MS : SHORT_WAIT_MS;
+      const isRead = await read(config === null ? SHORT_WAIT_MS : waitMs);
+      if (!isRead) await sleep(clock, RETRY_MS);
+    }
+  };
+  void run();
+
+  return {
+    current: () => config,
+    cursor: () => cursor,
+    noteCursor(other) {
+      if (isLooking || (cursor !== null && other <= cursor)) return;
+      isLooking = true;
+      void read(0).then(() => {
+        isLooking = false;
+      });
+    },
+    subscribe: listener => void listeners.add(listener),
+    stop() {
+      isStopped = true;
+    },
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/leadership.ts
@@ -0,0 +1,163 @@
+import {sleep, type Clock} from '@banyandrum/base/clock.js';
+import type {Emit} from '@banyandrum/dispatch/events.js';
+import {
+  leadService,
+  type LedServer,
+  type ServiceLead,
+} from '@banyandrum/ranges/lead-service.js';
+import type {RangeTable} from '@banyandrum/ranges/table.js';
+import {AUTHORITY_MS} from '@banyandrum/ranges/timing.js';
+import type {KeyCounts, ServedTables} from './key-owners.js';
+import type {Platform} from './platform.js';
+
+/** This router's part as the leader of all keyed services. */
+export interface Leadership {
+  /** Whether it leads now. */
+  isLeading(): boolean;
+  /** Null until it leads and knows the tables. */
+  tables(): ServedTables | null;
+  /** Changes whenever the tables do. */
+  version(): string;
+  /** This router was chosen, by an answer to a question asked at `askedAt`. */
+  confirm(askedAt: number): void;
+  /** Another router was chosen, or this one stops. */
+  resign(): void;
+  takeCounts(counts: KeyCounts): void;
+  subscribe(listener: () => void): void;
+}
+
+/** What leading needs of the router. */
+export interface LeadershipConfig {
+  readonly platform: Platform;
+  readonly clock: Clock;
+  readonly emit: Emit;
+  /** Distinguishes the versions of this run. */
+  readonly boot: string;
+  keyedServices(): readonly string[];
+  serversOf(service: string): readonly LedServer[];
+  hasEnded(server: string): boolean;
+}
+
+/** Grants, renewals and moves are looked at this often, in ms. */
+const TICK_MS = 50;
+/** Pause after a failed start of a term, in ms. */
+const RETRY_MS = 250;
+/** Fences of one term; the epoch takes the digits above. */
+const FENCES_A_TERM = 4_096;
+
+interface Term {
+  readonly epoch: number;
+  readonly stored: readonly RangeTable[];
+  readonly leads: Map<string, ServiceLead>;
+  fence: number;
+}
+
+/**
+ * Makes this router's leadership; it does nothing until it is confirmed.
+ *
+ * @example
+ * ```ts
+ * const leadership = createLeadership(cfg);
+ * leadership.confirm(askedAt);
+ * ```
+ */
+export function createLeadership(cfg: LeadershipConfig): Leadership {
+  const {platform, clock, emit} = cfg;
+  const listeners = new Set<() => void>();
+  let term: Term | null = null;
+  let isStarting = false;
+  let confirmedAt = -Infinity;
+  let changes = 0;
+  let cancelTick = (): void => undefined;
+
+  const changed = (): void => {
+    changes++;
+    listeners.forEach(listener => listener());
+  };
+
+  const mayAct = (): boolean => clock.now() - confirmedAt < AUTHORITY_MS;
+
+  const end = (why: string): void => {
+    if (term === null) return;
+    emit('leadership-ended', {epoch: term.epoch, why});
+    cancelTick();
+    for (const lead of term.leads.values()) lead.stop();
+    term = null;
+    changed();
+  };
+
+  const leadNew = (own: Term): void => {
+    for (const service of cfg.keyedServices()) {
+      if (own.leads.has(service)) continue;
+      const stored = own.stored.find(table => table.service === service);
+      const lead = leadService({
+        service,
+        stored: stored ?? null,
+        ledger: platform.ledger,
+        orders: platform.orders,
+        clock,
+        servers: () => cfg.serversOf(service),
+        hasEnded: cfg.hasEnded,
+        nextFence: () => own.epoch * FENCES_A_TERM + own.fence++,
+        mayAct: () => term === own && mayAct(),
+        onChange: changed,
+        onFenced: () => {
+          if (term === own) end('fenced');
+        },
+        emit: (event, fields) => emit(event, {service, ...fields}),
+      });
+      own.leads.set(service, lead);
+      changed();
+    }
+  };
+
+  const tick = (own: Term): void => {
+    if (term !== own) return;
+    if (own.fence >= FENCES_A_TERM - 64) return end('fences-used');
+    leadNew(own);
+    for (const lead of own.leads.values()) lead.tick();
+    cancelTick = clock.after(TICK_MS, () => tick(own));
+  };
+
+  const begin = async (): Promise<void> => {
+    if (isStarting || term !== null) return;
+    isStarting = true;
+    const epoch = await platform.ledger.begin();
+    const stored = epoch === null ? null : await platform.ledger.load();
+    if (epoch === null || stored === null) {
+      emit('leadership-failed', {epoch});
+      await sleep(clock, RETRY_MS);
+    } else if (mayAct()) {
+      emit('leadership-began', {epoch, tables: stored.length});
+      term = {epoch, stored, leads: new Map(), fence: 1};
+      tick(term);
+    }
+    isStarting = false;
+  };
+
+  return {
+    isLeading: () => term !== null,
+    tables() {
+      if (term === null) return null;
+      const leads = [...term.leads.values()];
+      return new Map(leads.map(lead => [lead.service, lead.served()]));
+    },
+    version: () => `${cfg.boot}-${changes}`,
+    confirm(askedAt) {
+      confirmedAt = askedAt;
+      void begin();
+    },
+    resign() {
+      confirmedAt = -Infinity;
+      end('resigned');
+    },
+    takeCounts(counts) {
+      for (const [service, keys] of counts) {
+        const load = term?.leads.get(service)?.load;
+        if (load === undefined) continue;
+        for (const [key, count] of keys) load.add(key, count);
+      }
+    },
+    subscribe: listener => void listeners.add(listener),
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/membership.ts
@@ -0,0 +1,96 @@
+import {sleep, type Clock} from '@banyandrum/base/clock.js';
+import type {Emit} from '@banyandrum/dispatch/events.js';
+import type {Members, Membership} from './platform.js';
+
+/** Who the routers are, as the platform tells. */
+export interface Routers {
+  /** Names of all routers, this one included; the leader first. */
+  names(): readonly string[];
+  leader(): string | null;
+  count(): number;
+  /** Takes this router out and stops asking. */
+  leave(): Promise<void>;
+}
+
+/** What following the membership needs. */
+export interface RoutersConfig {
+  readonly members: Members;
+  readonly clock: Clock;
+  readonly emit: Emit;
+  /** Chosen to lead, by an answer to a question asked at `askedAt`. */
+  onChosen(askedAt: number): void;
+  onNotChosen(): void;
+}
+
+/** A router shows that it's there this often, in ms. */
+const JOIN_MS = 350;
+/** Routers are listed again this often where the leader is unknown, in ms. */
+const LIST_MS = 700;
+
+/**
+ * Takes part in the group of routers until it leaves.
+ *
+ * @example
+ * ```ts
+ * const routers = followRouters(cfg);
+ * routers.leader();
+ * ```
+ */
+export function followRouters(cfg: RoutersConfig): Routers {
+  const {members, clock, emit} = cfg;
+  let names: readonly string[] = [];
+  let generation = -1;
+  let listedAt = -Infinity;
+  let isLeaving = false;
+  let isInTouch = true;
+
+  const noteTouch = (membership: Membership | null): void => {
+    const now = membership !== null;
+    if (now === isInTouch) return;
+    isInTouch = now;
+    emit(now ? 'store-regained' : 'store-lost', {dependency: 'members'});
+  };
+
+  const list = async (): Promise<void> => {
+    listedAt = clock.now();
+    const listed = await members.list();
+    if (listed === null) return;
+    names = listed;
+    emit('routers-listed', {
+      generation,
+      count: listed.length,
+      leader: listed[0] ?? null,
+    });
+  };
+
+  const join = async (): Promise<void> => {
+    const askedAt = clock.now();
+    const membership = await members.join();
+    noteTouch(membership);
+    if (membership === null || isLeaving) return;
+    if (membership.isChosen) cfg.onChosen(askedAt);
+    else cfg.onNotChosen();
+    const isDue = names.length === 0 && clock.now() - listedAt > LIST_MS;
+    if (membership.generation === generation && !isDue) return;
+    generation = membership.generation;
+    await list();
+  };
+
+  const run = async (): Promise<void> => {
+    while (!isLeaving) {
+      await join();
+      await sleep(clock, JOIN_MS);
+    }
+  };
+  void run();
+
+  return {
+    names: () => names,
+    leader: () => names[0] ?? null,
+    count: () => Math.max(1, names.length),
+    async leave() {
+      isLeaving = true;
+      await members.leave();
+    },
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/platform.ts
@@ -0,0 +1,63 @@
+import type {ServerInfo} from '@banyandrum/dispatch/backend.js';
+import type {WireNames} from '@banyandrum/dispatch/wire.js';
+import type {Ledger} from '@banyandrum/ranges/ledger.js';
+import type {Orders} from '@banyandrum/ranges/orders.js';
+import type {RoutingConfig} from '@banyandrum/routing/config.js';
+
+/** What a read of the configuration yields. */
+export type ConfigRead =
+  | {
+      readonly kind: 'read';
+      /** Null where there is nothing newer. */
+      readonly config: RoutingConfig | null;
+      /** Where the next read goes on. */
+      readonly cursor: number;
+    }
+  | {readonly kind: 'failed'; readonly detail: string};
+
+/** A change of the list of backend servers. */
+export type ListChange =
+  | {readonly kind: 'listed'; readonly server: ServerInfo}
+  | {readonly kind: 'removed'; readonly id: string};
+
+/** What a read of the list of backend servers yields. */
+export type ListRead =
+  | {
+      readonly kind: 'read';
+      /** Whether `changes` are the whole list instead. */
+      readonly isWhole: boolean;
+      readonly changes: readonly ListChange[];
+      readonly cursor: number;
+    }
+  | {readonly kind: 'failed'; readonly detail: string};
+
+/** This router's place among the routers. */
+export interface Membership {
+  /** Changes whenever a router comes or goes. */
+  readonly generation: number;
+  /** Whether this router was chosen to lead. */
+  readonly isChosen: boolean;
+}
+
+/** Routers in touch with the platform. */
+export interface Members {
+  /** Tells that this router is there; null where nothing was learnt. */
+  join(): Promise<Membership | null>;
+  /** Takes this router out at once. */
+  leave(): Promise<void>;
+  /** All routers' names, the one chosen to lead first; null if unknown. */
+  list(): Promise<readonly string[] | null>;
+}
+
+/** The platform as the router process uses it. */
+export interface Platform {
+  readonly names: WireNames;
+  /** Waits up to `waitMs` for something newer than `cursor`; null: whole. */
+  readConfig(cursor: number | null, waitMs: number): Promise<ConfigRead>;
+  readServers(cursor: number | null): Promise<ListRead>;
+  /** `self` is this router's name, which is how the others find it. */
+  members(self: string): Members;
+  readonly ledger: Ledger;
+  readonly orders: Orders;
+  close(): void;
+}
--- /dev/null
+++ b/packages/gateway/src/read-body.ts
@@ -0,0 +1,48 @@
+import type {IncomingMessage} from 'node:http';
+
+/** What came of reading a request's body. */
+export type BodyRead =
+  /** Null where the request has no body. */
+  | {readonly kind: 'read'; readonly bytes: Buffer | null}
+  | {readonly kind: 'too-large'}
+  /** The caller broke off. */
+  | {readonly kind: 'cut'};
+
+/**
+ * Reads a request's body in one piece, so that it can be sent once more. Yields
+ * `too-large` as soon as that is known, without reading the rest.
+ *
+ * @example
+ * ```ts
+ * const body = await readBody(req, 1_048_576);
+ * ```
+ */
+export function readBody(
+  req: IncomingMessage,
+  maxBytes: number,
+): Promise<BodyRead> {
+  const {headers} = req;
+  const told = headers['content-length'];
+  const hasBody = told !== undefined || 'transfer-encoding' in headers;
+  if (!hasBody) return Promise.resolve({kind: 'read', bytes: null});
+  if (Number(told) > maxBytes) return Promise.resolve({kind: 'too-large'});
+  return new Promise(resolve => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    req.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      if (size > maxBytes) {
+        req.pause();
+        return resolve({kind: 'too-large'});
+      }
+      chunks.push(chunk);
+    });
+    req.once('end', () => {
+      resolve({kind: 'read', bytes: Buffer.concat(chunks)});
+    });
+    req.once('close', () => {
+      if (!req.complete) resolve({kind: 'cut'});
+    });
+    req.once('error', () => resolve({kind: 'cut'}));
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/run-router.ts
@@ -0,0 +1,269 @@
+import {createServer, type Server} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {createClock, sleep, type Clock} from '@banyandrum/base/clock.js';
+import {createId} from '@banyandrum/base/ids.js';
+import {createBackends} from '@banyandrum/dispatch/backends.js';
+import {createRetryBudget} from '@banyandrum/dispatch/retry-budget.js';
+import type {LedServer} from '@banyandrum/ranges/lead-service.js';
+import {createSplitter} from '@banyandrum/routing/split.js';
+import {keepConfig} from './config-keeper.js';
+import {createEntry} from './entry.js';
+import type {EventLog} from './event-log.js';
+import {createKeyOwners} from './key-owners.js';
+import {createLeadership} from './leadership.js';
+import {followRouters} from './membership.js';
+import type {Platform} from './platform.js';
+import {createServerList} from './server-list.js';
+import {createServiceTimes, drainTimes} from './service-times.js';
+import type {Settings} from './settings.js';
+import {followLeader} from './sync-client.js';
+import {createSyncServer} from './sync-server.js';
+
+/** A router process at work. */
+export interface RouterProcess {
+  /** Stops gracefully: no request in flight is cut. */
+  stop(): Promise<void>;
+}
+
+/** The list of servers is read this often by whoever needs to, in ms. */
+const LIST_MS = 400;
+/** A list that the leader confirmed within this time is new enough, in ms. */
+const LIST_FRESH_MS = 1_100;
+/** Tables are read from the store after this time without the leader, ms. */
+const TABLES_FRESH_MS = 1_500;
+const TABLES_MS = 1_000;
+/** The leader's own requests are counted this often, in ms. */
+const OWN_MS = 100;
+/** The balancer sees within this time that a router isn't ready, in ms. */
+const NOTICE_MS = 2_300;
+/** What is left of the grace for the process's own end, in ms. */
+const END_MS = 400;
+const IDLE_STEP_MS = 50;
+/** Connections of a server that this router leaves to others' orders. */
+const SPARE_CONNECTIONS = 4;
+const DEFAULT_SERVICE_MS = 300;
+
+/**
+ * Runs a router: callers' interface, readiness, the exchange with the other
+ * routers, and leadership when it is chosen.
+ *
+ * @example
+ * ```ts
+ * const router = await runRouter(settings, platform, log);
+ * process.once('SIGTERM', () => void router.stop());
+ * ```
+ */
+export async function runRouter(
+  settings: Settings,
+  platform: Platform,
+  log: EventLog,
+  clock: Clock = createClock(),
+): Promise<RouterProcess> {
+  const {emit} = log;
+  const boot = createId();
+  const self = `${settings.host.name}@${settings.listen.peers}#${boot}`;
+  let isStopping = false;
+  let replacedSeen: string[] = [];
+
+  const backends = createBackends(clock);
+  const list = createServerList(clock, emit);
+  const owners = createKeyOwners(clock, emit);
+  const times = createServiceTimes();
+  list.subscribe(() => backends.update(list.snapshot()!.servers));
+
+  const keyedServices = (): readonly string[] =>
+    [...(keeper.current()?.services.values() ?? [])]
+      .filter(({isKeyed}) => isKeyed)
+      .map(({name}) => name);
+  const hasEnded = (server: string): boolean =>
+    owners.isReplaced(server) || list.isReplaced(server);
+
+  const serversOf = (service: string): readonly LedServer[] => {
+    const listed = backends.ofService(service);
+    const typical = typicalMs(listed.map(({info}) => times.of(info.id, 0)));
+    return listed
+      .filter(({info, isGone}) => !info.isLeaving && !isGone)
+      .map(({info, suspectUntil}) => ({
+        id: info.id,
+        address: info.address,
+        slots: info.slots,
+        serviceMs: times.of(info.id, typical),
+        isOpen: suspectUntil <= clock.now() && !hasEnded(info.id),
+      }));
+  };
+
+  const leadership = createLeadership({
+    platform,
+    clock,
+    emit,
+    boot,
+    keyedServices,
+    serversOf,
+    hasEnded,
+  });
+  const routers = followRouters({
+    members: platform.members(self),
+    clock,
+    emit,
+    onChosen: askedAt => leadership.confirm(askedAt),
+    onNotChosen: () => leadership.resign(),
+  });
+  const leaderAddress = (): string | null => {
+    const name = routers.leader();
+    if (name === null || name === self || leadership.isLeading()) return null;
+    return addressOf(name);
+  };
+  const sync = followLeader({
+    self,
+    clock,
+    emit,
+    owners,
+    list,
+    leader: leaderAddress,
+    drainTimes: () =>
+      drainTimes(backends, keeper.current()?.services.keys() ?? []),
+    drainReplaced() {
+      const seen = replacedSeen;
+      replacedSeen = [];
+      return seen;
+    },
+    noteConfigCursor: cursor => keeper.noteCursor(cursor),
+  });
+  const isFollowing = (): boolean => sync.ageMs() < LIST_FRESH_MS;
+  const keeper = keepConfig(platform, clock, emit, isFollowing);
+  keeper.subscribe(() => {
+    const config = keeper.current()!;
+    entry.applyLimits(config);
+    backends.setConnectionLimit(service => {
+      const most = config.services.get(service)?.maxConnections ?? 0;
+      const share = (most - SPARE_CONNECTIONS) / routers.count();
+      return Math.max(2, Math.floor(share));
+    });
+  });
+
+  const entry = createEntry({
+    clock,
+    emit,
+    splitter: createSplitter(),
+    config: () => keeper.current(),
+    forward: {
+      backends,
+      owners: {
+        ...owners,
+        noteReplaced(server) {
+          replacedSeen.push(server);
+          owners.noteReplaced(server);
+        },
+      },
+      budget: createRetryBudget(settings.retries, () => routers.count()),
+      names: platform.names,
+      clock,
+      emit,
+      routers: () => routers.count(),
+    },
+  });
+  const isReady = (): boolean =>
+    !isStopping && keeper.current() !== null && list.cursor() !== null;
+  const readiness = createServer((_, res) => {
+    res.writeHead(isReady() ? 200 : 503, {'content-length': 0});
+    res.end();
+  });
+  const syncServer = createSyncServer({
+    boot,
+    clock,
+    leadership,
+    list,
+    times,
+    configCursor: () => keeper.cursor(),
+    noteReplaced: server => owners.noteReplaced(server),
+  });
+  leadership.subscribe(() => {
+    const tables = leadership.tables();
+    if (tables !== null) owners.takeTables(tables);
+  });
+
+  const {callers, readiness: readyAt, peers} = settings.listen;
+  await Promise.all([
+    listen(entry.server, callers),
+    listen(readiness, readyAt),
+    listen(syncServer, peers),
+  ]);
+  emit('started', {self, callers, dataCentre: settings.host.dataCentre});
+
+  repeat(clock, LIST_MS, async () => {
+    if (!leadership.isLeading() && isFollowing()) {
+      if (list.ageMs() < LIST_FRESH_MS) return;
+    }
+    list.take(await platform.readServers(list.cursor()));
+  });
+  repeat(clock, TABLES_MS, async () => {
+    if (leadership.isLeading() || sync.ageMs() < TABLES_FRESH_MS) return;
+    if (keyedServices().length === 0) return;
+    const stored = await platform.ledger.load();
+    if (stored === null || leadership.isLeading()) return;
+    if (sync.ageMs() < TABLES_FRESH_MS) return;
+    emit('tables-taken', {from: 'store', syncAgeMs: Math.round(sync.ageMs())});
+    owners.takeTables(
+      new Map(stored.map(({service, holdings}) => [service, holdings])),
+    );
+  });
+  repeat(clock, OWN_MS, async () => {
+    if (!leadership.isLeading()) return;
+    leadership.takeCounts(owners.drainCounts());
+    times.add(drainTimes(backends, keeper.current()?.services.keys() ?? []));
+  });
+
+  return {
+    async stop() {
+      if (isStopping) return;
+      isStopping = true;
+      const began = clock.now();
+      emit('stopping', {inFlight: entry.inFlight()});
+      entry.startClosing();
+      leadership.resign();
+      void routers.leave();
+      const end = began + settings.stop.graceMs - END_MS;
+      await sleep(clock, Math.min(NOTICE_MS, settings.stop.graceMs / 2));
+      while (entry.inFlight() > 0 && clock.now() < end) {
+        await sleep(clock, IDLE_STEP_MS);
+      }
+      entry.server.close();
+      emit('stopped', {tookMs: Math.round(clock.now() - began)});
+      await log.flush(100);
+    },
+  };
+}
+
+/** The address in a router's name, `host@ip:port#boot`. */
+function addressOf(name: string): string {
+  return name.slice(name.indexOf('@') + 1, name.lastIndexOf('#'));
+}
+
+function typicalMs(times: readonly number[]): number {
+  const known = times.filter(ms => ms > 0);
+  if (known.length === 0) return DEFAULT_SERVICE_MS;
+  return known.reduce((sum, ms) => sum + ms, 0) / known.length;
+}
+
+function repeat(clock: Clock, ms: number, task: () => Promise<void>): void {
+  const run = async (): Promise<void> => {
+    for (;;) {
+      await task();
+      await sleep(clock, ms);
+    }
+  };
+  void run();
+}
+
+function listen(server: Server, address: string): Promise<AddressInfo> {
+  const at = address.lastIndexOf(':');
+  const host = address.slice(0, at);
+  const port = Number(address.slice(at + 1));
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen({host, port, backlog: 1024}, () => {
+      server.off('error', reject);
+      resolve(server.address() as AddressInfo);
+    });
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/server-list.ts
@@ -0,0 +1,167 @@
+import type {Clock} from '@banyandrum/base/clock.js';
+import type {ServerInfo} from '@banyandrum/dispatch/backend.js';
+import type {Emit} from '@banyandrum/dispatch/events.js';
+import type {ListChange, ListRead} from './platform.js';
+
+/** The list of backend servers at one point of its history. */
+export interface ListSnapshot {
+  readonly cursor: number;
+  readonly servers: readonly ServerInfo[];
+}
+
+/** The newest list of backend servers that this router knows. */
+export interface ServerList {
+  /** Takes a read of the platform's own list. */
+  take(read: ListRead): void;
+  /** Takes another router's list, where it is newer. */
+  takeSnapshot(snapshot: ListSnapshot, ageMs: number): void;
+  snapshot(): ListSnapshot | null;
+  /** Changes whenever a server comes, goes or changes its state. */
+  version(): number;
+  /** Where the next read goes on; null: it takes the whole list. */
+  cursor(): number | null;
+  /** Time since the platform confirmed this list, in ms. */
+  ageMs(): number;
+  has(id: string): boolean;
+  /** Whether another run of a server is listed at this one's address. */
+  isReplaced(id: string): boolean;
+  subscribe(listener: () => void): void;
+}
+
+/**
+ * Entries that were removed within this time after a failed read are kept for
+ * as long: servers couldn't renew them either, and they come back when the
+ * platform does. In ms; deployments name 2 s.
+ */
+const RETURN_MS = 2_200;
+
+/**
+ * Keeps the list.
+ *
+ * @example
+ * ```ts
+ * const list = createServerList(clock, emit);
+ * list.take(await platform.readServers(list.cursor()));
+ * ```
+ */
+export function createServerList(clock: Clock, emit: Emit): ServerList {
+  let servers = new Map<string, ServerInfo>();
+  /** Address and order of first sight of each server ever listed. */
+  const seen = new Map<string, {address: string; order: number}>();
+  const removals = new Map<string, number>();
+  const listeners = new Set<() => void>();
+  let cursor: number | null = null;
+  let version = 0;
+  let confirmedAt = -Infinity;
+  let troubleAt = -Infinity;
+
+  const changed = (): void => {
+    version++;
+    listeners.forEach(listener => listener());
+  };
+
+  const put = (server: ServerInfo): boolean => {
+    removals.delete(server.id);
+    const known = servers.get(server.id);
+    servers.set(server.id, server);
+    if (!seen.has(server.id)) {
+      seen.set(server.id, {address: server.address, order: version});
+    }
+    if (known !== undefined && isSame(known, server)) return false;
+    const {id, service, address, isLeaving, coldMs} = server;
+    emit('server-listed', {server: id, service, address, isLeaving, coldMs});
+    return true;
+  };
+
+  const remove = (id: string): boolean => {
+    if (!servers.delete(id)) return false;
+    emit('server-removed', {server: id, cursor});
+    return true;
+  };
+
+  const expire = (id: string): boolean => {
+    if (!servers.has(id)) return false;
+    if (clock.now() - troubleAt > RETURN_MS) return remove(id);
+    if (!removals.has(id)) removals.set(id, clock.now() + RETURN_MS);
+    return false;
+  };
+
+  const apply = (change: ListChange): boolean =>
+    change.kind === 'listed' ? put(change.server) : expire(change.id);
+
+  const applyWhole = (changes: readonly ListChange[]): boolean => {
+    const listed = new Set<string>();
+    for (const change of changes) {
+      if (change.kind === 'listed') listed.add(change.server.id);
+    }
+    const gone = [...servers.keys()].filter(id => !listed.has(id));
+    const results = [...changes.map(apply), ...gone.map(expire)];
+    return results.includes(true);
+  };
+
+  const applyDue = (): boolean => {
+    const now = clock.now();
+    const due = [...removals].filter(([, at]) => at <= now);
+    for (const [id] of due) removals.delete(id);
+    return due.map(([id]) => remove(id)).includes(true);
+  };
+
+  return {
+    take(read) {
+      if (read.kind === 'failed') {
+        troubleAt = clock.now();
+        return;
+      }
+      const results = [
+        read.isWhole
+          ? applyWhole(read.changes)
+          : read.changes.map(apply).includes(true),
+        applyDue(),
+      ];
+      cursor = read.cursor;
+      confirmedAt = clock.now();
+      if (results.includes(true)) changed();
+    },
+    takeSnapshot(snapshot, ageMs) {
+      if (cursor !== null && snapshot.cursor < cursor) return;
+      cursor = snapshot.cursor;
+      confirmedAt = Math.max(confirmedAt, clock.now() - ageMs);
+      const before = servers;
+      servers = new Map();
+      const results = snapshot.servers.map(server => {
+        const known = before.get(server.id);
+        if (known !== undefined) servers.set(server.id, known);
+        return put(server);
+      });
+      const gone = [...before.keys()].filter(id => !servers.has(id));
+      for (const id of gone) emit('server-removed', {server: id, cursor});
+      if (gone.length > 0 || results.includes(true)) changed();
+    },
+    snapshot: () =>
+      cursor === null ? null : {cursor, servers: [...servers.values()]},
+    version: () => version,
+    cursor: () => cursor,
+    ageMs: () => clock.now() - confirmedAt,
+    has: id => servers.has(id),
+    isReplaced(id) {
+      const old = seen.get(id);
+      if (old === undefined || servers.has(id)) return false;
+      for (const server of servers.values()) {
+        if (server.address !== old.address) continue;
+        // Entries of servers that ended long ago may linger in the list.
+        if (seen.get(server.id)!.order > old.order) return true;
+      }
+      return false;
+    },
+    subscribe: listener => void listeners.add(listener),
+  };
+}
+
+function isSame(a: ServerInfo, b: ServerInfo): boolean {
+  return (
+    a.address === b.address &&
+    a.isLeaving === b.isLeaving &&
+    a.slots === b.slots &&
+    a.service === b.service
+  );
+}
--- /dev/null
+++ b/packages/gateway/src/settings.ts
@@ -0,0 +1,115 @@
+import {parse} from 'smol-toml';
+
+/** A process's own settings. */
+export interface Settings {
+  readonly host: {
+    readonly name: string;
+    readonly dataCentre: string;
+  };
+  /** `ip:port` addresses that the process listens on. */
+  readonly listen: {
+    readonly callers: string;
+    readonly readiness: string;
+    readonly peers: string;
+    readonly metrics: string;
+  };
+  readonly platform: {
+    readonly address: string;
+    /** How often backend servers renew their entries in the list, in ms. */
+    readonly heartbeatMs: number;
+  };
+  readonly stop: {
+    /** From the signal to the end of the process, in ms. */
+    readonly graceMs: number;
+  };
+  readonly retries: {
+    readonly ratio: number;
+    readonly slack: number;
+  };
+  readonly logging: {
+    readonly level: string;
+  };
+}
+
+/** A problem with the settings, for people. */
+export class SettingsError extends Error {
+  override readonly name = 'SettingsError';
+}
+
+/**
+ * Reads settings in TOML.
+ *
+ * @throws SettingsError that names the first wrong key.
+ *
+ * @example
+ * ```ts
+ * const settings = parseSettings(await readFile(path, 'utf8'));
+ * ```
+ */
+export function parseSettings(text: string): Settings {
+  const root = parseToml(text);
+  const at = (section: string, key: string): unknown => {
+    const table = root[section];
+    return isTable(table) ? table[key] : undefined;
+  };
+  const textAt = (section: string, key: string, fallback?: string): string => {
+    const value = at(section, key) ?? fallback;
+    if (typeof value === 'string' && value !== '') return value;
+    throw new SettingsError(`${section}.${key}: a text is missing`);
+  };
+  const numberAt = (section: string, key: string, fallback: number): number => {
+    const value = at(section, key) ?? fallback;
+    if (typeof value === 'number' && value >= 0) return value;
+    throw new SettingsError(`${section}.${key}: no number of 0 or more`);
+  };
+  const timeAt = (section: string, key: string, fallback: string): number =>
+    parseTime(`${section}.${key}`, textAt(section, key, fallback));
+  const addressAt = (section: string, key: string): string =>
+    checkAddress(`${section}.${key}`, textAt(section, key));
+  return {
+    host: {
+      name: textAt('host', 'name'),
+      dataCentre: textAt('host', 'data_centre'),
+    },
+    listen: {
+      callers: addressAt('listen', 'callers'),
+      readiness: addressAt('listen', 'readiness'),
+      peers: addressAt('listen', 'peers'),
+      metrics: addressAt('listen', 'metrics'),
+    },
+    platform: {
+      address: addressAt('platform', 'address'),
+      heartbeatMs: timeAt('platform', 'heartbeat', '1s'),
+    },
+    stop: {graceMs: timeAt('stop', 'grace', '6s')},
+    retries: {
+      ratio: numberAt('retries', 'ratio', 0.2),
+      slack: numberAt('retries', 'slack', 20),
+    },
+    logging: {level: textAt('logging', 'level', 'info')},
+  };
+}
+
+/** Reads a time such as `1500ms` or `2.5s`; yields ms. */
+export function parseTime(key: string, text: string): number {
+  const match = /^(\d+(?:\.\d+)?)(ms|s)$/.exec(text);
+  if (match === null) throw new SettingsError(`${key}: ${text} is no time`);
+  return Number(match[1]) * (match[2] === 's' ? 1000 : 1);
+}
+
+function parseToml(text: string): Record<string, unknown> {
+  try {
+    return parse(text);
+  } catch (err) {
+    throw new SettingsError((err as Error).message);
+  }
+}
+
+function isTable(value: unknown): value is Record<string, unknown> {
+  return typeof value === 'object' && value !== null;
+}
+
+function checkAddress(key: string, text: string): string {
+  if (/^\d+\.\d+\.\d+\.\d+:\d+$/.test(text)) return text;
+  throw new SettingsError(`${key}: ${text} is no address by IP number`);
+}
--- /dev/null
+++ b/packages/ranges/src/live-holding.ts
@@ -0,0 +1,65 @@
+import type {Holding, KeyRange} from './table.js';
+
+/** A holding as its leader keeps it. */
+export interface LiveHolding {
+  holding: Holding;
+  /** `waiting`: for its record; `moving`: to another server. */
+  phase: 'waiting' | 'held' | 'moving';
+  /** Whether requests may go to the server. */
+  isServed: boolean;
+  /** A grant is under way; orders on one holding must not overtake another. */
+  order: Promise<void> | null;
+  /** Monotonic time of the next grant, in ms. */
+  renewAt: number;
+  /** By this monotonic time the server's hold has surely ended, in ms. */
+  lapseAt: number;
+  /** Until then a grant without an answer may still be carried out, in ms. */
+  unprovedUntil: number;
+}
+
+/** A holding that nobody has granted yet. */
+export function createLive(holding: Holding, now: number): LiveHolding {
+  return {
+    holding,
+    phase: 'waiting',
+    isServed: false,
+    order: null,
+    renewAt: now,
+    lapseAt: now,
+    unprovedUntil: 0,
+  };
+}
+
+/** A part of a holding that the same server goes on holding. */
+export function createPart(
+  whole: LiveHolding,
+  {from, to}: KeyRange,
+  fence: number,
+  now: number,
+): LiveHolding {
+  return {
+    ...whole,
+    holding: {...whole.holding, from, to, fence},
+    phase: 'waiting',
+    order: null,
+    renewAt: now,
+  };
+}
+
+/** Two neighbours of one server as one holding. */
+export function createMerged(
+  left: LiveHolding,
+  right: LiveHolding,
+  fence: number,
+  now: number,
+): LiveHolding {
+  return {
+    ...left,
+    holding: {...left.holding, to: right.holding.to, fence, handover: null},
+    phase: 'waiting',
+    order: null,
+    renewAt: now,
+    lapseAt: Math.max(left.lapseAt, right.lapseAt),
+    unprovedUntil: Math.max(left.unprovedUntil, right.unprovedUntil),
+  };
+}
