--- a/packages/dispatch/src/attempt.ts
+++ b/packages/dispatch/src/attempt.ts
@@ -159,8 +159,9 @@
   if (method === 'HEAD' || status === 204 || status === 304) return true;
   const length = fields.get('content-length');
   if (length !== undefined) return Number(length) === size;
-  if (fields.has('transfer-encoding')) return socketEnd === 'open';
-  return socketEnd !== 'broken';
+  // A body that ends with its connection looks whole wherever it is cut: what
+  // broke off arrived with the same end of the connection as what was whole.
+  return fields.has('transfer-encoding') && socketEnd === 'open';
 }
 
 function lossOf(isWritten: boolean, status: number): LossReason {
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -28,7 +28,7 @@
 /** The list of servers is read this often by whoever needs to, in ms. */
 const LIST_MS = 400;
 /** A list that the leader confirmed within this time is new enough, in ms. */
-const LIST_FRESH_MS = 1_100;
+const LIST_FRESH_MS = 900;
 /** Tables are read from the store after this time without the leader, ms. */
 const TABLES_FRESH_MS = 1_500;
 const TABLES_MS = 1_000;
@@ -224,10 +224,13 @@
       void routers.leave();
       const end = began + settings.stop.graceMs - END_MS;
       await sleep(clock, Math.min(NOTICE_MS, settings.stop.graceMs / 2));
+      // By now the balancer sends no new connection. A request on a kept one
+      // that crosses its close was not read, so its caller asks again; one
+      // that came just before the process ends would be lost.
+      entry.server.close();
       while (entry.inFlight() > 0 && clock.now() < end) {
         await sleep(clock, IDLE_STEP_MS);
       }
-      entry.server.close();
       emit('stopped', {tookMs: Math.round(clock.now() - began)});
       await log.flush(100);
     },
--- a/packages/gateway/src/server-list.ts
+++ b/packages/gateway/src/server-list.ts
@@ -29,9 +29,10 @@
 }
 
 /**
- * Entries that were removed within this time after a failed read are kept for
- * as long: servers couldn't renew them either, and they come back when the
- * platform does. In ms; deployments name 2 s.
+ * Entries that are removed are kept until so long after the last failed read:
+ * servers couldn't renew theirs either, and they come back when the platform
+ * does. In ms; deployments name 2 s. Never longer, since a server that is
+ * really gone must have no request some 2 s after its removal.
  */
 const RETURN_MS = 2_200;
 
@@ -48,7 +49,7 @@
   let servers = new Map<string, ServerInfo>();
   /** Address and order of first sight of each server ever listed. */
   const seen = new Map<string, {address: string; order: number}>();
-  const removals = new Map<string, number>();
+  const removals = new Set<string>();
   const listeners = new Set<() => void>();
   let cursor: number | null = null;
   let version = 0;
@@ -82,7 +83,7 @@
   const expire = (id: string): boolean => {
     if (!servers.has(id)) return false;
     if (clock.now() - troubleAt > RETURN_MS) return remove(id);
-    if (!removals.has(id)) removals.set(id, clock.now() + RETURN_MS);
+    removals.add(id);
     return false;
   };
 
@@ -100,10 +101,10 @@
   };
 
   const applyDue = (): boolean => {
-    const now = clock.now();
-    const due = [...removals].filter(([, at]) => at <= now);
-    for (const [id] of due) removals.delete(id);
-    return due.map(([id]) => remove(id)).includes(true);
+    if (clock.now() - troubleAt <= RETURN_MS) return false;
+    const due = [...removals];
+    removals.clear();
+    return due.map(remove).includes(true);
   };
 
   return {
@@ -124,8 +125,11 @@
     },
     takeSnapshot(snapshot, ageMs) {
       if (cursor !== null && snapshot.cursor < cursor) return;
-      cursor = snapshot.cursor;
       confirmedAt = Math.max(confirmedAt, clock.now() - ageMs);
+      // Of the same point of history, the other's view may still hold entries
+      // that this router knows to be gone.
+      if (snapshot.cursor === cursor) return;
+      cursor = snapshot.cursor;
       const before = servers;
       servers = new Map();
       const results = snapshot.servers.map(server => {
