Places at servers handed out by the leader over one stream

Cause: requests queued at servers whose load each router guessed; those for keys that moved were turned away after their wait, and a busy server's queue hid behind idle ones.

--- a/packages/dispatch/src/backend.ts
+++ b/packages/dispatch/src/backend.ts
@@ -25,6 +25,8 @@
   readonly connections: ServerConnections;
   /** Requests of this router at the server. */
   inFlight: number;
+  /** Requests of all routers there, as this one handed out its places. */
+  placed: number;
   /** Requests of other routers there, as the last answer told. */
   others: number;
   /** Monotonic time of that answer, in ms. */
@@ -71,6 +73,7 @@
       connectionLimit,
     ),
     inFlight: 0,
+    placed: 0,
     others: 0,
     othersAt: now,
     serviceMs: 0,
--- a/packages/dispatch/src/forward.ts
+++ b/packages/dispatch/src/forward.ts
@@ -9,6 +9,7 @@
 import type {Connection} from './connections.js';
 import type {Emit} from './events.js';
 import type {Owners} from './owners.js';
+import type {PlaceEnd, Places} from './places.js';
 import type {RetryBudget} from './retry-budget.js';
 import {readLoad, type WireNames} from './wire.js';
 
@@ -38,6 +39,8 @@
 export interface ForwardConfig {
   readonly backends: Backends;
   readonly owners: Owners;
+  readonly places: Places;
+  readonly dataCentre: string;
   readonly budget: RetryBudget;
   readonly names: WireNames;
   readonly clock: Clock;
@@ -64,11 +67,17 @@
   failed: Reply | null;
   /** The next repeat's place in the budget is taken already. */
   prepaid: boolean;
+  /** When the caller should come back after a refusal, in ms. */
+  retryAfterMs: number;
 }
 
 interface Target {
   readonly backend: Backend;
   readonly connection: Connection;
+  /** Requests there before it, where no place was handed out. */
+  readonly ahead: number;
+  /** Tells whoever handed out the place how the request ended. */
+  end(how: PlaceEnd, tookMs: number): void;
 }
 
 /** Attempts that a request may take, those that reached nobody included. */
@@ -82,7 +91,7 @@
 /** When a caller should come back after a refusal, in ms. */
 const RETRY_AFTER_MS = 150;
 /** A silent server is given up for another after this share of the time. */
-const SILENT_SHARE = 0.45;
+const SILENT_SHARE = 0.62;
 
 /**
  * Sends a request to a backend server, and to another where that is safe and
@@ -108,9 +117,9 @@
     unproved: null,
     failed: null,
     prepaid: false,
+    retryAfterMs: RETRY_AFTER_MS,
   };
   cfg.budget.earn(req.service);
-  if (req.key !== null) cfg.owners.noteRequest(req.service, req.key);
   for (;;) {
     const target = await findTarget(journey);
     if (target === null) return giveUp(journey);
@@ -120,9 +129,48 @@
   }
 }
 
+/** Null where no server can answer in time. */
 async function findTarget(journey: Journey): Promise<Target | null> {
+  const {cfg, req} = journey;
+  for (;;) {
+    const leftMs = req.deadline - cfg.clock.now();
+    if (req.signal.aborted || leftMs < MIN_SEND_MS) return null;
+    const place = await cfg.places.acquire(
+      {
+        service: req.service,
+        key: req.key,
+        priority: req.route.priority,
+        leftMs,
+        excluded: [...journey.excluded],
+        dataCentre: cfg.dataCentre,
+      },
+      req.signal,
+    );
+    if (place.kind === 'refused') {
+      journey.retryAfterMs = place.retryAfterMs;
+      return null;
+    }
+    if (place.kind === 'unavailable') return findAlone(journey);
+    const backend = cfg.backends.get(place.server);
+    if (backend !== undefined && mayUse(cfg, backend)) {
+      const connection = backend.connections.acquire();
+      if (connection !== null) {
+        return {backend, connection, ahead: 0, end: place.end};
+      }
+    }
+    // Whoever handed it out knows another list of servers, or connections
+    // that linger; both are settled within moments.
+    cfg.emit('place-unusable', {id: req.id, server: place.server});
+    place.end('refused', 0);
+    await cfg.backends.waitForRoom(req.service, WAIT_STEP_MS);
+  }
+}
+
+/** Chooses without the router that hands out places. */
+async function findAlone(journey: Journey): Promise<Target | null> {
   const {cfg, req} = journey;
   const giveUpAt = waitEnd(journey);
+  if (req.key !== null) cfg.owners.noteRequest(req.service, req.key);
   for (;;) {
     if (req.signal.aborted) return null;
     const target = pickTarget(journey);
@@ -150,9 +198,12 @@
   const backend = req.key === null ? pickAny(journey) : pickOwner(journey);
   if (backend === null) return null;
   const connection = backend.connections.acquire();
-  if (connection !== null) return {backend, connection};
-  cfg.emit('no-connection', {id: req.id, server: backend.info.id});
-  return null;
+  if (connection === null) {
+    cfg.emit('no-connection', {id: req.id, server: backend.info.id});
+    return null;
+  }
+  const ahead = loadOf(backend, 0, cfg.clock.now());
+  return {backend, connection, ahead, end: () => undefined};
 }
 
 function pickAny({cfg, req, excluded}: Journey): Backend | null {
@@ -167,26 +218,30 @@
   if (owner.kind !== 'held') return null;
   const backend = cfg.backends.get(owner.server);
   const now = cfg.clock.now();
-  if (backend === undefined || backend.isGone) return null;
+  if (backend === undefined || !mayUse(cfg, backend)) return null;
   if (backend.suspectUntil > now) return null;
-  const {leavingSince} = backend;
-  if (leavingSince !== null && now - leavingSince > LEAVING_GRACE_MS) {
-    return null;
-  }
   return hasRoom(backend, loadOf(backend, 0, now)) ? backend : null;
 }
 
+/** A server that leaves gets no new work, but for requests just placed. */
+function mayUse({clock}: ForwardConfig, backend: Backend): boolean {
+  const {isGone, leavingSince} = backend;
+  if (isGone) return false;
+  if (leavingSince === null) return true;
+  return clock.now() - leavingSince < LEAVING_GRACE_MS;
+}
+
 async function tryTarget(
   journey: Journey,
   target: Target,
 ): Promise<Reply | null> {
   const {cfg, req} = journey;
-  const {backend, connection} = target;
+  const {backend, connection, ahead} = target;
   const sentAt = cfg.clock.now();
-  const ahead = loadOf(backend, 0, sentAt);
   const withinMs = req.deadline - sentAt;
   if (withinMs < MIN_SEND_MS) {
     backend.connections.release(connection, true);
+    target.end('cancelled', 0);
     return giveUp(journey);
   }
   journey.tries++;
@@ -208,7 +263,8 @@
   stopWatch();
   req.signal.removeEventListener('abort', cancel);
   backend.inFlight--;
-  backend.connections.release(connection, isReusable(end));
+  backend.connections.release(connection, end.kind === 'answered');
+  target.end(placeEndOf(cfg.names, end), cfg.clock.now() - sentAt);
   const reply = takeEnd(journey, backend, end, sentAt, ahead);
   cfg.backends.notifyRoom(req.service);
   return reply;
@@ -254,8 +310,19 @@
   ];
 }
 
-function isReusable(end: AttemptEnd): boolean {
-  return end.kind === 'answered';
+function placeEndOf(names: WireNames, end: AttemptEnd): PlaceEnd {
+  if (end.kind === 'lost') {
+    if (end.reason === 'cancelled') return 'cancelled';
+    return end.isWritten ? 'lost' : 'unreached';
+  }
+  const {answer} = end;
+  if (answer.fields.has(names.notRun)) return 'refused';
+  return isFailure(names, answer) ? 'failed' : 'answered';
+}
+
+/** Whether the server failed the request, or its answer can't be trusted. */
+function isFailure(names: WireNames, answer: Answer): boolean {
+  return answer.status >= 500 || isUnsigned(names, answer);
 }
 
 function takeEnd(
@@ -284,9 +351,9 @@
     return takeRefusal(journey, backend, answer);
   }
   journey.runs++;
-  const isFailure = status >= 500 || isUnsigned(cfg.names, answer);
-  noteAnswer(backend, now, tookMs, ahead, isFailure, load);
-  if (!isFailure) {
+  const hasFailed = isFailure(cfg.names, answer);
+  noteAnswer(backend, now, tookMs, ahead, hasFailed, load);
+  if (!hasFailed) {
     cfg.emit('answered', {...common, status});
     return {kind: 'answer', answer, server: backend.info.id};
   }
@@ -383,7 +450,7 @@
   const code = req.key === null ? 'overloaded' : 'no-owner';
   cfg.emit('refused', {id: req.id, service: req.service, key: req.key, code});
   const detail = 'no server has room';
-  return fail(failure('not-run', code, detail, RETRY_AFTER_MS));
+  return fail(failure('not-run', code, detail, journey.retryAfterMs));
 }
 
 function fail(reason: Failure): Reply {
--- a/packages/dispatch/src/owners.ts
+++ b/packages/dispatch/src/owners.ts
@@ -12,7 +12,7 @@
   ownerOf(service: string, key: number): Owner;
   /** Resolves when the service's ownership changed, or after `ms`. */
   waitForChange(service: string, ms: number): Promise<void>;
-  /** A request for the key arrived; placement follows such counts. */
+  /** A request for the key was sent; placement follows such counts. */
   noteRequest(service: string, key: number): void;
   /** The server said that it doesn't hold the key. */
   noteNotHeld(service: string, key: number, server: string): void;
--- /dev/null
+++ b/packages/dispatch/src/places.ts
@@ -0,0 +1,53 @@
+import type {CancelSignal} from '@banyandrum/base/cancel.js';
+
+/** A request that looks for a place at a server. */
+export interface PlaceAsk {
+  readonly service: string;
+  /** Null where any server of the service may run it. */
+  readonly key: number | null;
+  /** 0 is the most urgent. */
+  readonly priority: number;
+  /** Time left until the caller must have its answer, in ms. */
+  readonly leftMs: number;
+  /** Servers that it was sent to in vain. */
+  readonly excluded: readonly string[];
+  /** The asking router's data centre. */
+  readonly dataCentre: string;
+}
+
+/** How a request at a place ended. */
+export type PlaceEnd =
+  | 'answered'
+  /** The server failed it. */
+  | 'failed'
+  /** The server did not run it. */
+  | 'refused'
+  /** No whole answer. */
+  | 'lost'
+  /** Nothing was written. */
+  | 'unreached'
+  | 'cancelled';
+
+/** What a request gets. */
+export type PlaceReply =
+  | {readonly kind: 'granted'; readonly server: string}
+  /** It can't be answered in time. */
+  | {readonly kind: 'refused'; readonly retryAfterMs: number}
+  /** Nobody can tell; the router chooses by itself. */
+  | {readonly kind: 'unavailable'};
+
+/** A place at a server, or why there is none. */
+export type Place =
+  | {
+      readonly kind: 'granted';
+      readonly server: string;
+      /** Gives the place back; to be called once. */
+      end(how: PlaceEnd, tookMs: number): void;
+    }
+  | Exclude<PlaceReply, {kind: 'granted'}>;
+
+/** Hands out the servers' slots. */
+export interface Places {
+  /** Waits for a place; never throws. */
+  acquire(ask: PlaceAsk, signal: CancelSignal): Promise<Place>;
+}
--- /dev/null
+++ b/packages/gateway/src/link-client.ts
@@ -0,0 +1,221 @@
+import {sleep, type Clock} from '@banyandrum/base/clock.js';
+import type {Emit} from '@banyandrum/dispatch/events.js';
+import type {Place, PlaceReply, Places} from '@banyandrum/dispatch/places.js';
+import {
+  credentials,
+  makeGenericClientConstructor,
+  type ClientDuplexStream,
+} from '@grpc/grpc-js';
+import type {KeyCounts, KeyOwners} from './key-owners.js';
+import {
+  HEARTBEAT_MS,
+  LINK_SERVICE,
+  SILENCE_MS,
+  type FollowerMessage,
+  type LeaderMessage,
+  type StateMessage,
+} from './link-messages.js';
+import type {ServerList} from './server-list.js';
+
+/** What following the leader needs. */
+export interface LinkClientConfig {
+  readonly clock: Clock;
+  readonly emit: Emit;
+  readonly owners: KeyOwners;
+  readonly list: ServerList;
+  /** `ip:port` of the leader; null: unknown, or this router itself. */
+  leader(): string | null;
+  noteConfigCursor(cursor: number): void;
+}
+
+/** A router's end of its stream to the leader. */
+export interface LinkClient extends Places {
+  /** Time since the leader was last heard, in ms. */
+  ageMs(): number;
+  noteReplaced(server: string): void;
+  stop(): void;
+}
+
+type Stream = ClientDuplexStream<FollowerMessage, LeaderMessage>;
+
+/** A stream and what waits on it. */
+interface Session {
+  readonly stream: Stream;
+  readonly leader: string;
+  readonly pending: Map<number, (reply: PlaceReply) => void>;
+  heardAt: number;
+  isOpen: boolean;
+}
+
+/** Pause before the leader is tried again, in ms. */
+const RETRY_MS = 100;
+/** The stream is looked at this often, in ms. */
+const WATCH_MS = 50;
+
+const LinkStub = makeGenericClientConstructor(LINK_SERVICE, 'Link');
+
+/**
+ * Follows the leader until stopped, over a connection of its own each time:
+ * what lost track of the last one would swallow a new stream on it as well.
+ *
+ * @example
+ * ```ts
+ * const link = followLeader(cfg);
+ * const place = await link.acquire(ask, signal);
+ * ```
+ */
+export function followLeader(cfg: LinkClientConfig): LinkClient {
+  const {clock} = cfg;
+  let session: Session | null = null;
+  let isStopped = false;
+  let asks = 0;
+  let heardAt = -Infinity;
+
+  const isFresh = ({isOpen, heardAt: at}: Session): boolean =>
+    isOpen && clock.now() - at < SILENCE_MS;
+
+  const run = async (): Promise<void> => {
+    while (!isStopped) {
+      const leader = cfg.leader();
+      if (leader !== null) await follow(leader);
+      await sleep(clock, RETRY_MS);
+    }
+  };
+
+  const follow = async (leader: string): Promise<void> => {
+    const stub = new LinkStub(leader, credentials.createInsecure(), {
+      'grpc.use_local_subchannel_pool': 1,
+      'grpc.enable_http_proxy': 0,
+    });
+    const stream = stub['follow']!() as Stream;
+    const own: Session = {
+      stream,
+      leader,
+      pending: new Map(),
+      heardAt: clock.now(),
+      isOpen: true,
+    };
+    session = own;
+    const close = (): void => {
+      own.isOpen = false;
+    };
+    stream.on('data', message => {
+      own.heardAt = clock.now();
+      heardAt = own.heardAt;
+      takeMessage(cfg, own, message);
+    });
+    stream.on('end', close);
+    stream.on('error', close);
+    stream.write({kind: 'have', tables: '', list: ''});
+    cfg.emit('leader-followed', {leader});
+    while (!isStopped && isFresh(own) && cfg.leader() === leader) {
+      await sleep(clock, WATCH_MS);
+      sendCounts(own);
+    }
+    end(own);
+    stub.close();
+  };
+
+  const end = (own: Session): void => {
+    own.isOpen = false;
+    if (session === own) session = null;
+    const silentMs = Math.round(clock.now() - own.heardAt);
+    cfg.emit('leader-left', {leader: own.leader, silentMs});
+    own.stream.cancel();
+    for (const settle of own.pending.values()) settle({kind: 'unavailable'});
+    own.pending.clear();
+  };
+
+  const sendCounts = ({stream, isOpen}: Session): void => {
+    const counts = cfg.owners.drainCounts();
+    if (!isOpen || counts.size === 0) return;
+    stream.write({kind: 'counts', counts: toPairs(counts)});
+  };
+
+  void run();
+
+  return {
+    acquire(ask, signal) {
+      const own = session;
+      if (own === null || !isFresh(own)) {
+        return Promise.resolve({kind: 'unavailable'});
+      }
+      const number = ++asks;
+      return new Promise<Place>(resolve => {
+        const take = (how: 'cancelled'): void => {
+          if (!own.pending.delete(number)) return;
+          sendEnd(own, number, how, 0);
+          resolve({kind: 'unavailable'});
+        };
+        const cancel = (): void => take('cancelled');
+        signal.addEventListener('abort', cancel);
+        own.pending.set(number, reply => {
+          signal.removeEventListener('abort', cancel);
+          resolve(toPlace(own, number, reply));
+        });
+        own.stream.write({kind: 'ask', ask: number, place: ask});
+      });
+    },
+    ageMs: () => clock.now() - heardAt,
+    noteReplaced(server) {
+      if (session?.isOpen) session.stream.write({kind: 'replaced', server});
+    },
+    stop() {
+      isStopped = true;
+    },
+  };
+}
+
+function toPlace(session: Session, number: number, reply: PlaceReply): Place {
+  if (reply.kind !== 'granted') return reply;
+  return {
+    kind: 'granted',
+    server: reply.server,
+    end: (how, tookMs) => sendEnd(session, number, how, tookMs),
+  };
+}
+
+function sendEnd(
+  {stream, isOpen}: Session,
+  ask: number,
+  how: Extract<FollowerMessage, {kind: 'end'}>['how'],
+  tookMs: number,
+): void {
+  if (!isOpen) return;
+  stream.write({kind: 'end', ask, how, tookMs: Math.round(tookMs)});
+}
+
+function takeMessage(
+  cfg: LinkClientConfig,
+  session: Session,
+  message: LeaderMessage,
+): void {
+  if (message.kind === 'state') return takeState(cfg, message);
+  const settle = session.pending.get(message.ask);
+  session.pending.delete(message.ask);
+  if (settle !== undefined) return settle(message.reply);
+  // Its request was given up meanwhile: the place goes back unused.
+  if (message.reply.kind === 'granted') {
+    sendEnd(session, message.ask, 'cancelled', 0);
+  }
+}
+
+function takeState(cfg: LinkClientConfig, state: StateMessage): void {
+  if (state.tables !== null) {
+    cfg.owners.takeTables(new Map(Object.entries(state.tables)));
+  }
+  const {listCursor, configCursor} = state;
+  if (listCursor !== null) {
+    const servers = state.list ?? cfg.list.snapshot()?.servers ?? [];
+    // The state was on its way for less than a heartbeat, or it would be late.
+    const ageMs = state.listAgeMs + HEARTBEAT_MS;
+    cfg.list.takeSnapshot({cursor: listCursor, servers}, ageMs);
+  }
+  if (configCursor !== null) cfg.noteConfigCursor(configCursor);
+}
+
+function toPairs(counts: KeyCounts): Record<string, readonly number[]> {
+  const pairs: Record<string, readonly number[]> = {};
+  for (const [service, keys] of counts) pairs[service] = [...keys].flat();
+  return pairs;
+}
--- /dev/null
+++ b/packages/gateway/src/link-messages.ts
@@ -0,0 +1,78 @@
+import type {ServerInfo} from '@banyandrum/dispatch/backend.js';
+import type {
+  PlaceAsk,
+  PlaceEnd,
+  PlaceReply,
+} from '@banyandrum/dispatch/places.js';
+import type {ServedRange} from '@banyandrum/ranges/table.js';
+import type {ServiceDefinition} from '@grpc/grpc-js';
+
+/** What a router sends to the leader. */
+export type FollowerMessage =
+  /** First, and again to name a newer version: what it has already. */
+  | {
+      readonly kind: 'have';
+      readonly tables: string;
+      readonly list: string;
+    }
+  /** Looks for a place; `ask` numbers it within the stream. */
+  | {readonly kind: 'ask'; readonly ask: number; readonly place: PlaceAsk}
+  /** Gives the place back, or takes back the ask. */
+  | {
+      readonly kind: 'end';
+      readonly ask: number;
+      readonly how: PlaceEnd;
+      readonly tookMs: number;
+    }
+  /** Requests that it placed by itself: service, then key and count. */
+  | {
+      readonly kind: 'counts';
+      readonly counts: Readonly<Record<string, readonly number[]>>;
+    }
+  /** The run of a server has ended. */
+  | {readonly kind: 'replaced'; readonly server: string};
+
+/** What the leader sends. */
+export type LeaderMessage =
+  | {readonly kind: 'reply'; readonly ask: number; readonly reply: PlaceReply}
+  /** Whenever something changed, and as a heartbeat. */
+  | {
+      readonly kind: 'state';
+      readonly tablesVersion: string;
+      /** Null where it was sent before. */
+      readonly tables: Readonly<Record<string, readonly ServedRange[]>> | null;
+      readonly listVersion: string;
+      readonly list: readonly ServerInfo[] | null;
+      /** Null before the leader has a list. */
+      readonly listCursor: number | null;
+      readonly listAgeMs: number;
+      /** Where its configuration came from in the platform's log. */
+      readonly configCursor: number | null;
+    };
+
+export type StateMessage = Extract<LeaderMessage, {kind: 'state'}>;
+
+/** The leader tells its state this often at least, in ms. */
+export const HEARTBEAT_MS = 200;
+/**
+ * A leader that is silent for so long is left, in ms: requests that wait for
+ * its answer still have time to be placed without it.
+ */
+export const SILENCE_MS = 600;
+
+const encode = (message: unknown): Buffer =>
+  Buffer.from(JSON.stringify(message));
+const decode = (bytes: Buffer): unknown => JSON.parse(bytes.toString('utf8'));
+
+/** One stream between a router and the leader. */
+export const LINK_SERVICE = {
+  follow: {
+    path: '/banyandrum.Link/Follow',
+    requestStream: true,
+    responseStream: true,
+    requestSerialize: encode,
+    requestDeserialize: decode as (bytes: Buffer) => FollowerMessage,
+    responseSerialize: encode,
+    responseDeserialize: decode as (bytes: Buffer) => LeaderMessage,
+  },
+} as const satisfies ServiceDefinition;
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -3,6 +3,7 @@
 import {createClock, sleep, type Clock} from '@banyandrum/base/clock.js';
 import {createId} from '@banyandrum/base/ids.js';
 import {createBackends} from '@banyandrum/dispatch/backends.js';
+import {createPlaceIssuer} from '@banyandrum/dispatch/place-issuer.js';
 import {createRetryBudget} from '@banyandrum/dispatch/retry-budget.js';
 import type {LedServer} from '@banyandrum/ranges/lead-service.js';
 import {createSplitter} from '@banyandrum/routing/split.js';
@@ -11,13 +12,14 @@
 import type {EventLog} from './event-log.js';
 import {createKeyOwners} from './key-owners.js';
 import {createLeadership} from './leadership.js';
+import {followLeader} from './link-client.js';
+import {serveLinks} from './link-server.js';
+import {createLocalPlaces} from './local-places.js';
 import {followRouters} from './membership.js';
 import type {Platform} from './platform.js';
 import {createServerList} from './server-list.js';
 import {createServiceTimes, drainTimes} from './service-times.js';
 import type {Settings} from './settings.js';
-import {followLeader} from './sync-client.js';
-import {createSyncServer} from './sync-server.js';
 
 /** A router process at work. */
 export interface RouterProcess {
@@ -63,7 +65,6 @@
   const boot = createId();
   const self = `${settings.host.name}@${settings.listen.peers}#${boot}`;
   let isStopping = false;
-  let replacedSeen: string[] = [];
 
   const backends = createBackends(clock);
   const list = createServerList(clock, emit);
@@ -113,23 +114,20 @@
     if (name === null || name === self || leadership.isLeading()) return null;
     return addressOf(name);
   };
-  const sync = followLeader({
-    self,
+  const link = followLeader({
     clock,
     emit,
     owners,
     list,
     leader: leaderAddress,
-    drainTimes: () =>
-      drainTimes(backends, keeper.current()?.services.keys() ?? []),
-    drainReplaced() {
-      const seen = replacedSeen;
-      replacedSeen = [];
-      return seen;
-    },
     noteConfigCursor: cursor => keeper.noteCursor(cursor),
   });
-  const isFollowing = (): boolean => sync.ageMs() < LIST_FRESH_MS;
+  const issuer = createPlaceIssuer({
+    backends,
+    clock,
+    ownerOf: (service, key) => owners.ownerOf(service, key),
+  });
+  const isFollowing = (): boolean => link.ageMs() < LIST_FRESH_MS;
   const keeper = keepConfig(platform, clock, emit, isFollowing);
   keeper.subscribe(() => {
     const config = keeper.current()!;
@@ -151,10 +149,12 @@
       owners: {
         ...owners,
         noteReplaced(server) {
-          replacedSeen.push(server);
           owners.noteReplaced(server);
+          link.noteReplaced(server);
         },
       },
+      places: createLocalPlaces({leadership, issuer, owners, link}),
+      dataCentre: settings.host.dataCentre,
       budget: createRetryBudget(settings.retries, () => routers.count()),
       names: platform.names,
       clock,
@@ -168,25 +168,29 @@
     res.writeHead(isReady() ? 200 : 503, {'content-length': 0});
     res.end();
   });
-  const syncServer = createSyncServer({
-    boot,
-    clock,
-    leadership,
-    list,
-    times,
-    configCursor: () => keeper.cursor(),
-    noteReplaced: server => owners.noteReplaced(server),
-  });
   leadership.subscribe(() => {
     const tables = leadership.tables();
-    if (tables !== null) owners.takeTables(tables);
+    if (tables === null) return issuer.close();
+    owners.takeTables(tables);
+    issuer.review();
   });
+  list.subscribe(() => issuer.review());
 
   const {callers, readiness: readyAt, peers} = settings.listen;
   await Promise.all([
     listen(entry.server, callers),
     listen(readiness, readyAt),
-    listen(syncServer, peers),
+    serveLinks({
+      listen: peers,
+      boot,
+      clock,
+      leadership,
+      issuer,
+      list,
+      configCursor: () => keeper.cursor(),
+      noteReplaced: server => owners.noteReplaced(server),
+      noteRequest: (service, key) => owners.noteRequest(service, key),
+    }),
   ]);
   emit('started', {self, callers, dataCentre: settings.host.dataCentre});
 
@@ -197,12 +201,12 @@
     list.take(await platform.readServers(list.cursor()));
   });
   repeat(clock, TABLES_MS, async () => {
-    if (leadership.isLeading() || sync.ageMs() < TABLES_FRESH_MS) return;
+    if (leadership.isLeading() || link.ageMs() < TABLES_FRESH_MS) return;
     if (keyedServices().length === 0) return;
     const stored = await platform.ledger.load();
     if (stored === null || leadership.isLeading()) return;
-    if (sync.ageMs() < TABLES_FRESH_MS) return;
-    emit('tables-taken', {from: 'store', syncAgeMs: Math.round(sync.ageMs())});
+    if (link.ageMs() < TABLES_FRESH_MS) return;
+    emit('tables-taken', {from: 'store', linkAgeMs: Math.round(link.ageMs())});
     owners.takeTables(
       new Map(stored.map(({service, holdings}) => [service, holdings])),
     );
--- a/packages/gateway/src/service-times.ts
+++ b/packages/gateway/src/service-times.ts
@@ -1,5 +1,7 @@
 import type {Backends} from '@banyandrum/dispatch/backends.js';
-import type {ServerTimes} from './sync-messages.js';
+
+/** Server id, number of requests, and their service times added up, in ms. */
+export type ServerTimes = readonly [string, number, number];
 
 /** Servers' times as all routers measured them. */
 export interface ServiceTimes {
