--- a/packages/dispatch/src/backend.ts
+++ b/packages/dispatch/src/backend.ts
@@ -119,9 +119,16 @@
       : backend.serviceMs + SERVICE_WEIGHT * (served - backend.serviceMs);
 }
 
-/** Takes a request without a whole answer into account. */
-export function noteLoss(backend: Backend, now: number): void {
+/**
+ * Takes a request without a whole answer into account. What it took so far is
+ * less than its service time, so it only ever raises the smoothed one: from
+ * answers alone, a server that lets most requests time out would seem quick.
+ */
+export function noteLoss(backend: Backend, now: number, tookMs: number): void {
   noteOutcome(backend, now, true);
+  if (tookMs <= backend.serviceMs) return;
+  const raise = SERVICE_WEIGHT * (tookMs - backend.serviceMs);
+  backend.serviceMs += raise;
 }
 
 /** Passes the server over for a while, longer each time in a row. */
--- a/packages/dispatch/src/forward.ts
+++ b/packages/dispatch/src/forward.ts
@@ -25,6 +25,8 @@
   readonly service: string;
   /** Null where the service isn't divided by key. */
   readonly key: number | null;
+  /** Monotonic time at which it came, in ms. */
+  readonly arrivedAt: number;
   /** Monotonic time by which the caller must have its answer, in ms. */
   readonly deadline: number;
   readonly signal: CancelSignal;
@@ -141,6 +143,7 @@
         key: req.key,
         priority: req.route.priority,
         leftMs,
+        aimLeftMs: req.arrivedAt + req.route.targetLatencyMs - cfg.clock.now(),
         excluded: [...journey.excluded],
         dataCentre: cfg.dataCentre,
       },
@@ -374,7 +377,7 @@
   const {cfg, req} = journey;
   const now = cfg.clock.now();
   if (end.reason === 'cancelled') return giveUp(journey);
-  noteLoss(backend, now);
+  noteLoss(backend, now, now - sentAt);
   if (!end.isWritten) {
     suspect(backend, now);
     journey.excluded.add(backend.info.id);
--- a/packages/dispatch/src/place-issuer.ts
+++ b/packages/dispatch/src/place-issuer.ts
@@ -37,8 +37,12 @@
 interface Waiter {
   readonly ask: PlaceAsk;
   readonly reply: (reply: PlaceReply) => void;
-  /** Monotonic time at which its answer comes too late, in ms. */
+  readonly askedAt: number;
+  /** Monotonic time from which its answer is worth less, in ms. */
+  readonly aimAt: number;
+  /** Monotonic time from which its answer would come too late, in ms. */
   readonly endsAt: number;
+  grantedAt: number;
   server: string | null;
   isOver: boolean;
 }
@@ -53,8 +57,16 @@
 const REMOTE_FACTOR = 1.4;
 /** A server that fails this share of its requests is a last resort. */
 const FAILING_SHARE = 0.5;
-/** A request that would wait for so many of its service times is refused. */
-const LATE_FACTOR = 1.1;
+/**
+ * A request is sent only with so many service times left: work that is given
+ * up at its time limit has used up a slot for nothing, and under overload that
+ * alone kept servers at half their goodput after the cause was gone.
+ */
+const TIMELY_FACTOR = 1.8;
+/** The oldest may have waited for this share of its aim before newer go first. */
+const PATIENT_SHARE = 0.3;
+/** A server that was never asked is tried before others: nobody knows it. */
+const UNKNOWN_FACTOR = 0.3;
 /** A caller that is refused comes back after this time, in ms. */
 const RETRY_AFTER_MS = 200;
 /** Waiting requests are looked at this often in any case, in ms. */
@@ -88,6 +100,7 @@
 
   const grant = (waiter: Waiter, backend: Backend): void => {
     waiter.server = backend.info.id;
+    waiter.grantedAt = cfg.clock.now();
     backend.placed++;
     finish(waiter, {kind: 'granted', server: backend.info.id});
   };
@@ -103,16 +116,29 @@
     const queue = queues.get(service);
     if (queue === undefined || queue.length === 0) return;
     const now = cfg.clock.now();
-    const left = queue.filter(waiter => {
+    const full = new Set<string>();
+    const left = inOrder(queue, now).filter(waiter => {
       if (waiter.isOver) return false;
-      if (tryNow(waiter)) return false;
-      if (waiter.endsAt > now) return true;
-      finish(waiter, refusal());
-      return false;
+      if (waiter.endsAt <= now) {
+        finish(waiter, refusal());
+        return false;
+      }
+      return !tryOnce(waiter, full);
     });
     queues.set(service, left);
   };
 
+  /** Servers that were found full once are not looked at again. */
+  const tryOnce = (waiter: Waiter, full: Set<string>): boolean => {
+    const {ask} = waiter;
+    const at = ask.key === null ? '' : holderOf(cfg, ask);
+    if (at === null || (full.has(at) && ask.excluded.length === 0))
+      return false;
+    if (tryNow(waiter)) return true;
+    full.add(at);
+    return false;
+  };
+
   const scheduleReview = (): void => {
     if (cancelReview !== null) return;
     cancelReview = cfg.clock.after(REVIEW_MS, () => {
@@ -128,31 +154,36 @@
   };
 
   const enqueue = (waiter: Waiter): void => {
-    const {service, priority} = waiter.ask;
-    const queue = queueOf(service);
-    const at = queue.findIndex(other => other.ask.priority > priority);
-    if (at < 0) queue.push(waiter);
-    else queue.splice(at, 0, waiter);
+    const queue = queueOf(waiter.ask.service);
+    queue.push(waiter);
+    shed(cfg, queue, waiter, finish);
     scheduleReview();
   };
 
   return {
     ask(ask, reply) {
+      const now = cfg.clock.now();
       const serviceMs = expectedMs(cfg, ask);
-      const endsAt = cfg.clock.now() + ask.leftMs - serviceMs * LATE_FACTOR;
-      const waiter: Waiter = {ask, reply, endsAt, server: null, isOver: false};
-      const queue = queueOf(ask.service);
-      const isFirst = !queue.some(other => isAhead(other, waiter));
-      if (!(isFirst && tryNow(waiter))) {
-        if (isHopeless(cfg, queue, ask, serviceMs)) finish(waiter, refusal());
-        else enqueue(waiter);
+      const waiter: Waiter = {
+        ask,
+        reply,
+        askedAt: now,
+        aimAt: now + ask.aimLeftMs - serviceMs,
+        endsAt: now + ask.leftMs - serviceMs * TIMELY_FACTOR,
+        grantedAt: 0,
+        server: null,
+        isOver: false,
+      };
+      if (waiter.endsAt < now) finish(waiter, refusal());
+      else if (!isFirst(cfg, queueOf(ask.service), ask) || !tryNow(waiter)) {
+        enqueue(waiter);
       }
       return (how, tookMs) => {
         waiter.isOver = true;
         if (waiter.server === null) return;
         const backend = cfg.backends.get(waiter.server);
         waiter.server = null;
-        if (backend !== undefined) takeBack(cfg, backend, how, tookMs);
+        if (backend !== undefined) takeBack(cfg, backend, waiter, how, tookMs);
         serve(ask.service);
       };
     },
@@ -179,17 +210,103 @@
   return {kind: 'refused', retryAfterMs: RETRY_AFTER_MS};
 }
 
-/** Whether another that waits must be served first. */
-function isAhead(other: Waiter, {ask}: Waiter): boolean {
-  if (other.isOver) return false;
-  // Requests for different keys don't wait for the same server.
-  if (ask.key !== null) return other.ask.key === ask.key;
-  return other.ask.priority <= ask.priority;
+/** The server that holds the ask's key; null while nobody does. */
+function holderOf(
+  {ownerOf}: PlaceIssuerConfig,
+  {service, key}: PlaceAsk,
+): string | null {
+  const owner = ownerOf(service, key ?? 0);
+  return owner.kind === 'held' ? owner.server : null;
+}
+
+/** Whether nobody waits for the same servers. */
+function isFirst(
+  cfg: PlaceIssuerConfig,
+  queue: readonly Waiter[],
+  ask: PlaceAsk,
+): boolean {
+  if (queue.length === 0) return true;
+  return rivals(cfg, queue, ask).length === 0;
+}
+
+/** Those that wait for the same servers and are at least as urgent. */
+function rivals(
+  cfg: PlaceIssuerConfig,
+  queue: readonly Waiter[],
+  ask: PlaceAsk,
+): readonly Waiter[] {
+  const holder = ask.key === null ? null : holderOf(cfg, ask);
+  return queue.filter(({isOver, ask: other}) => {
+    if (isOver || other.priority > ask.priority) return false;
+    return ask.key === null || holderOf(cfg, other) === holder;
+  });
+}
+
+/**
+ * The order of service: the more urgent first, then those whose answers can
+ * still be worth most, then the others. Among equals the oldest go first; once
+ * those have waited long, the newest do: with more requests than the servers
+ * can serve, the oldest first means that every answer comes late.
+ */
+function inOrder(queue: readonly Waiter[], now: number): readonly Waiter[] {
+  const isNewestFirst = queue.some(
+    ({isOver, askedAt, aimAt}) =>
+      !isOver && now - askedAt > PATIENT_SHARE * (aimAt - askedAt),
+  );
+  const direction = isNewestFirst ? -1 : 1;
+  return [...queue].sort((a, b) => {
+    if (a.ask.priority !== b.ask.priority) {
+      return a.ask.priority - b.ask.priority;
+    }
+    const lateness = Number(a.aimAt < now) - Number(b.aimAt < now);
+    if (lateness !== 0) return lateness;
+    return direction * (a.askedAt - b.askedAt);
+  });
+}
+
+/**
+ * Refuses the oldest of equal urgency where more wait than can be served in
+ * time: told at once, its caller can come back while it still has time.
+ */
+function shed(
+  cfg: PlaceIssuerConfig,
+  queue: readonly Waiter[],
+  newest: Waiter,
+  finish: (waiter: Waiter, reply: PlaceReply) => void,
+): void {
+  const {ask} = newest;
+  const waiting = rivals(cfg, queue, ask);
+  const {slots, serviceMs} = capacityFor(cfg, ask);
+  const lastWaitMs = (waiting.length / Math.max(1, slots)) * serviceMs;
+  if (lastWaitMs <= Math.max(0, newest.endsAt - newest.askedAt)) return;
+  const [oldest] = waiting;
+  if (oldest !== undefined) finish(oldest, refusal());
+}
+
+function capacityFor(
+  cfg: PlaceIssuerConfig,
+  ask: PlaceAsk,
+): {readonly slots: number; readonly serviceMs: number} {
+  const serviceMs = expectedMs(cfg, ask);
+  if (ask.key === null) {
+    const slots = cfg.backends
+      .ofService(ask.service)
+      .reduce((sum, {info}) => sum + (info.isLeaving ? 0 : info.slots), 0);
+    return {slots, serviceMs};
+  }
+  const holder = holderOf(cfg, ask);
+  const backend = holder === null ? undefined : cfg.backends.get(holder);
+  if (backend === undefined) return {slots: 1, serviceMs: 0};
+  return {
+    slots: backend.info.slots,
+    serviceMs: backend.serviceMs || serviceMs,
+  };
 }
 
 function takeBack(
   {clock}: PlaceIssuerConfig,
   backend: Backend,
+  {grantedAt}: Waiter,
   how: PlaceEnd,
   tookMs: number,
 ): void {
@@ -198,7 +315,9 @@
   if (how === 'answered' || how === 'failed') {
     noteAnswer(backend, now, tookMs, 0, how === 'failed', null);
   } else if (how === 'lost') {
-    noteLoss(backend, now);
+    noteLoss(backend, now, tookMs);
+    // It answered nobody since: without power it would go on like this.
+    if (backend.lastAnswerAt < grantedAt) suspect(backend, now);
   } else if (how === 'unreached') {
     suspect(backend, now);
   }
@@ -252,10 +371,12 @@
   const remote = backend.info.dataCentre === dataCentre ? 1 : REMOTE_FACTOR;
   const cold = backend.coldUntil > now ? COLD_FACTOR : 1;
   const failures = failureShareOf(backend, now);
+  const isUnknown = backend.lastAnswerAt === -Infinity && backend.placed === 0;
+  const unknown = isUnknown ? UNKNOWN_FACTOR : 1;
   const serviceMs = backend.serviceMs || DEFAULT_SERVICE_MS;
   // A slot beside a running request is a little worse than an idle server.
   const crowd = 1 + (0.1 * backend.placed) / backend.info.slots;
-  return (serviceMs * cold * remote * crowd) / (1 - failures) ** 2;
+  return (serviceMs * unknown * cold * remote * crowd) / (1 - failures) ** 2;
 }
 
 function expectedMs({backends}: PlaceIssuerConfig, ask: PlaceAsk): number {
@@ -266,35 +387,3 @@
   if (known.length === 0) return DEFAULT_SERVICE_MS;
   return known.reduce((sum, ms) => sum + ms, 0) / known.length;
 }
-
-/** Whether so many wait already that its answer would come too late. */
-function isHopeless(
-  {backends, ownerOf}: PlaceIssuerConfig,
-  queue: readonly Waiter[],
-  ask: PlaceAsk,
-  serviceMs: number,
-): boolean {
-  const ahead = queue.filter(
-    ({isOver, ask: other}) => !isOver && other.priority <= ask.priority,
-  );
-  if (ask.key === null) {
-    const slots = backends
-      .ofService(ask.service)
-      .reduce((sum, {info}) => sum + info.slots, 0);
-    return waitMs(ahead.length, slots, serviceMs) > ask.leftMs;
-  }
-  const owner = ownerOf(ask.service, ask.key);
-  if (owner.kind !== 'held') return false;
-  const backend = backends.get(owner.server);
-  if (backend === undefined) return false;
-  const same = ahead.filter(({ask: other}) => {
-    const holder = ownerOf(other.service, other.key ?? 0);
-    return holder.kind === 'held' && holder.server === owner.server;
-  });
-  const ownMs = backend.serviceMs || serviceMs;
-  return waitMs(same.length, backend.info.slots, ownMs) > ask.leftMs;
-}
-
-function waitMs(ahead: number, slots: number, serviceMs: number): number {
-  return ((ahead + 1) / Math.max(1, slots)) * serviceMs + serviceMs;
-}
--- a/packages/dispatch/src/places.ts
+++ b/packages/dispatch/src/places.ts
@@ -9,6 +9,8 @@
   readonly priority: number;
   /** Time left until the caller must have its answer, in ms. */
   readonly leftMs: number;
+  /** Time left until its answer is worth less, in ms; may be negative. */
+  readonly aimLeftMs: number;
   /** Servers that it was sent to in vain. */
   readonly excluded: readonly string[];
   /** The asking router's data centre. */
--- a/packages/gateway/src/entry.ts
+++ b/packages/gateway/src/entry.ts
@@ -181,6 +181,7 @@
     route,
     service,
     key,
+    arrivedAt: arrival.arrivedAt,
     deadline: deadlineOf(state, req, route, arrival.arrivedAt),
     signal: arrival.signal,
   });
