--- a/packages/dispatch/src/forward.ts
+++ b/packages/dispatch/src/forward.ts
@@ -67,8 +67,6 @@
   unproved: Failure | null;
   /** A server's own failure, given back where nothing better comes. */
   failed: Reply | null;
-  /** The next repeat's place in the budget is taken already. */
-  prepaid: boolean;
   /** When the caller should come back after a refusal, in ms. */
   retryAfterMs: number;
 }
@@ -92,8 +90,6 @@
 const LEAVING_GRACE_MS = 500;
 /** When a caller should come back after a refusal, in ms. */
 const RETRY_AFTER_MS = 150;
-/** A silent server is given up for another after this share of the time. */
-const SILENT_SHARE = 0.62;
 
 /**
  * Sends a request to a backend server, and to another where that is safe and
@@ -118,7 +114,6 @@
     excluded: new Set(),
     unproved: null,
     failed: null,
-    prepaid: false,
     retryAfterMs: RETRY_AFTER_MS,
   };
   cfg.budget.earn(req.service);
@@ -259,11 +254,7 @@
   });
   const cancel = (): void => attempt.drop('cancelled');
   req.signal.addEventListener('abort', cancel);
-  const stopWatch = watchSilence(journey, backend, sentAt, () =>
-    attempt.drop('timeout'),
-  );
   const end = await attempt.end;
-  stopWatch();
   req.signal.removeEventListener('abort', cancel);
   backend.inFlight--;
   backend.connections.release(connection, end.kind === 'answered');
@@ -273,31 +264,6 @@
   return reply;
 }
 
-/**
- * Gives an attempt up while another server can still answer in time, where
- * this one answered nobody since: a host without power, or a connection that
- * something between lost track of, keeps silent until the deadline.
- */
-function watchSilence(
-  journey: Journey,
-  backend: Backend,
-  sentAt: number,
-  drop: () => void,
-): () => void {
-  const {cfg, req, sent, runs} = journey;
-  const {route} = req;
-  if (route.kind !== 'idempotent' || req.key !== null) return () => undefined;
-  if (runs + 1 >= route.maxAttempts || sent > 0) return () => undefined;
-  const patience = (req.deadline - sentAt) * SILENT_SHARE;
-  return cfg.clock.after(patience, () => {
-    if (backend.lastAnswerAt > sentAt) return;
-    if (!cfg.budget.spend(req.service)) return;
-    suspect(backend, cfg.clock.now());
-    journey.prepaid = true;
-    drop();
-  });
-}
-
 function withAttemptHeaders(
   names: WireNames,
   req: ForwardRequest,
@@ -436,10 +402,6 @@
   if (tries >= MAX_TRIES || runs >= req.route.maxAttempts) return false;
   if (cfg.clock.now() > req.deadline - MIN_SEND_MS) return false;
   if (sent === 0) return true;
-  if (journey.prepaid) {
-    journey.prepaid = false;
-    return true;
-  }
   return cfg.budget.spend(req.service);
 }
 
--- a/packages/dispatch/src/place-issuer.ts
+++ b/packages/dispatch/src/place-issuer.ts
@@ -337,7 +337,12 @@
   const backend = backends.get(owner.server);
   if (backend === undefined || backend.isGone) return null;
   if (backend.suspectUntil > clock.now()) return null;
-  return backend.placed < backend.info.slots ? backend : null;
+  return hasSlot(backend) ? backend : null;
+}
+
+/** One that was passed over shows first with one request that it's back. */
+function hasSlot({placed, suspectMs, info}: Backend): boolean {
+  return placed < (suspectMs > 0 ? 1 : info.slots);
 }
 
 function findAny(
@@ -358,7 +363,7 @@
   let best: Backend | null = null;
   let bestMs = Infinity;
   for (const backend of candidates) {
-    if (backend.placed >= backend.info.slots) continue;
+    if (!hasSlot(backend)) continue;
     const ms = costOf(backend, dataCentre, now);
     if (ms >= bestMs) continue;
     best = backend;
