--- a/packages/gateway/src/link-server.ts
+++ b/packages/gateway/src/link-server.ts
@@ -37,6 +37,12 @@
   close(): void;
 }
 
+/**
+ * Routers get changed tables this often at the most, in ms: they use them only
+ * while they can't hear the leader, and each costs kilobytes to each of them.
+ */
+const TABLES_MS = 1_000;
+
 type Stream = ServerDuplexStream<FollowerMessage, LeaderMessage>;
 type TakeBack = (how: PlaceEnd, tookMs: number) => void;
 
@@ -45,6 +51,8 @@
   /** Asks that wait and places that are in use, by number. */
   readonly asks: Map<number, TakeBack>;
   tables: string;
+  /** Monotonic time at which it got tables, in ms. */
+  tablesAt: number;
   list: string;
   isGreeted: boolean;
 }
@@ -71,7 +79,9 @@
       if (follower.isGreeted) tell(cfg, follower);
     }
   };
-  cfg.leadership.subscribe(tellAll);
+  cfg.leadership.subscribe(() => {
+    if (!cfg.leadership.isLeading()) tellAll();
+  });
   cfg.list.subscribe(tellAll);
 
   const beat = (): void => {
@@ -86,6 +96,7 @@
       stream,
       asks: new Map(),
       tables: '',
+      tablesAt: -Infinity,
       list: '',
       isGreeted: false,
     };
@@ -178,9 +189,13 @@
   const tablesVersion = leadership.version();
   const snapshot = list.snapshot();
   const listVersion = `${boot}-${list.version()}`;
-  const hasTables = follower.tables === tablesVersion || tables === null;
+  const now = cfg.clock.now();
+  const isDue = now - follower.tablesAt >= TABLES_MS;
+  const hasTables =
+    !isDue || tables === null || follower.tables === tablesVersion;
   const hasList = follower.list === listVersion || snapshot === null;
-  follower.tables = tablesVersion;
+  if (!hasTables)
+    Object.assign(follower, {tables: tablesVersion, tablesAt: now});
   follower.list = listVersion;
   return {
     kind: 'state',
--- a/packages/ranges/src/key-load.ts
+++ b/packages/ranges/src/key-load.ts
@@ -1,21 +1,43 @@
 import {MAX_KEY, type KeyRange} from './table.js';
 
+/** A key's load. */
+export interface KeyRate {
+  readonly key: number;
+  /** Requests a second. */
+  readonly rate: number;
+}
+
 /** How often each key of a service is asked for. */
 export interface KeyLoad {
   add(key: number, requests: number): void;
   /** Requests a second on the range, smoothed. */
   rateOf(range: KeyRange): number;
-  /** The same of one key. */
-  rateOfKey(key: number): number;
+  /** All keys that were asked for lately, in order. */
+  rates(): readonly KeyRate[];
   /** Forgets a part of what is older; called at a steady pace. */
   fade(elapsedMs: number): void;
 }
 
-/** Requests count for about this time, in ms. */
-const MEMORY_MS = 5_000;
+interface Counts {
+  /** Fading within some seconds: the usual load. */
+  usual: number;
+  /** Fading within a second or two: what became busy, or stopped to be. */
+  recent: number;
+}
+
+/** Requests count for about these times, in ms. */
+const USUAL_MS = 12_000;
+const RECENT_MS = 1_500;
+/**
+ * Recent requests that say more than the usual load: fewer come together by
+ * chance, as a key in the deployments known has under one request a second.
+ */
+const MANY = 4;
+/** A key is forgotten below this count. */
+const FORGOTTEN = 0.02;
 
 /**
- * Counts that fade exponentially, one for each key.
+ * Counts that fade exponentially, one for each key that is asked for.
  *
  * @example
  * ```ts
@@ -24,27 +46,50 @@
  * ```
  */
 export function createKeyLoad(): KeyLoad {
-  const counts = new Float32Array(MAX_KEY + 1);
+  const keys = new Map<number, Counts>();
   let observedMs = 0;
-  // A load that was watched for a short time only is scaled up to a rate.
-  const windowMs = (): number =>
-    Math.max(500, MEMORY_MS * (1 - Math.exp(-observedMs / MEMORY_MS)));
+  // What was watched for a short time only is scaled up to a rate.
+  const usualSeconds = (): number => {
+    const share = 1 - Math.exp(-observedMs / USUAL_MS);
+    return Math.max(RECENT_MS, USUAL_MS * share) / 1000;
+  };
+
+  const rate = ({usual, recent}: Counts): number => {
+    const usualRate = usual / usualSeconds();
+    const recentRate = recent / (RECENT_MS / 1000);
+    if (recent >= MANY) return Math.max(usualRate, recentRate);
+    const expected = (usualRate * RECENT_MS) / 1000;
+    const hasCooled = expected >= MANY && recent < expected / MANY;
+    return hasCooled ? recentRate : usualRate;
+  };
+
   return {
     add(key, requests) {
       if (key < 0 || key > MAX_KEY) return;
-      counts[key]! += requests;
+      const counts = keys.get(key) ?? {usual: 0, recent: 0};
+      counts.usual += requests;
+      counts.recent += requests;
+      keys.set(key, counts);
     },
     rateOf({from, to}) {
       let sum = 0;
-      for (let key = from; key <= to; key++) sum += counts[key]!;
-      return (sum * 1000) / windowMs();
+      for (const [key, counts] of keys) {
+        if (from <= key && key <= to) sum += rate(counts);
+      }
+      return sum;
     },
-    rateOfKey: key => (counts[key]! * 1000) / windowMs(),
+    rates: () =>
+      [...keys]
+        .map(([key, counts]) => ({key, rate: rate(counts)}))
+        .sort((a, b) => a.key - b.key),
     fade(elapsedMs) {
       observedMs += elapsedMs;
-      const kept = Math.exp(-elapsedMs / MEMORY_MS);
-      for (let key = 0; key <= MAX_KEY; key++) {
-        if (counts[key] !== 0) counts[key]! *= kept;
+      const usualKept = Math.exp(-elapsedMs / USUAL_MS);
+      const recentKept = Math.exp(-elapsedMs / RECENT_MS);
+      for (const [key, counts] of keys) {
+        counts.usual *= usualKept;
+        counts.recent *= recentKept;
+        if (counts.usual < FORGOTTEN) keys.delete(key);
       }
     },
   };
--- a/packages/ranges/src/planner.ts
+++ b/packages/ranges/src/planner.ts
@@ -1,5 +1,5 @@
-import type {KeyLoad} from './key-load.js';
-import type {Holding, KeyRange} from './table.js';
+import type {KeyLoad, KeyRate} from './key-load.js';
+import {sizeOf, type Holding, type KeyRange} from './table.js';
 
 /** A server that may hold keys, as placement sees it. */
 export interface PlacedServer {
@@ -25,17 +25,34 @@
 const MIN_GAP = 0.22;
 /** A move is worth its pause only for this many requests a second. */
 const MIN_RATE = 0.15;
-/** A segment may be larger than wanted by this factor. */
-const OVERSHOOT = 1.15;
+/** A segment may have this share of the wanted rate, from and to. */
+const LEAST_SHARE = 0.4;
+const MOST_SHARE = 1.15;
+/**
+ * What moved keys cost, for the size of all keys, and what each further
+ * holding costs in renewals, against a rate that misses the wanted one.
+ */
+const SIZE_COST = 6;
+const PIECE_COST = 0.12;
+/** Keys without load that go along, so that fewer holdings are left. */
+const ROUND_KEYS = 256;
+const ALL_KEYS = 65_536;
 
 /** The share of its slots that a server's keys keep busy. */
 export function busyShare(server: PlacedServer, rate: number): number {
   return (rate * server.serviceMs) / 1000 / server.slots;
 }
 
+/** A holding with its own keys' load. */
+interface Loaded {
+  readonly holding: Holding;
+  readonly rates: readonly KeyRate[];
+}
+
 /**
  * The next move that evens out how busy the servers are: from the busiest to
- * the idlest, of about half their difference; null where they are even.
+ * the idlest, of about half their difference and of few keys; null where they
+ * are even, or nothing that can go would help.
  *
  * @example
  * ```ts
@@ -48,35 +65,47 @@
   servers: readonly PlacedServer[],
   load: KeyLoad,
 ): PlannedMove | null {
-  const rates = ratesOf(holdings, load);
-  const shareOf = (server: PlacedServer): number =>
-    busyShare(server, rates.get(server.id) ?? 0);
   const open = servers.filter(({isOpen}) => isOpen);
   if (open.length < 2) return null;
+  const loaded = spread(holdings, load.rates());
+  const totals = totalRates(loaded);
+  const shareOf = (server: PlacedServer): number =>
+    busyShare(server, totals.get(server.id) ?? 0);
   const sorted = [...open].sort((a, b) => shareOf(b) - shareOf(a));
   const idlest = sorted[sorted.length - 1]!;
   for (const busiest of sorted) {
     const gap = shareOf(busiest) - shareOf(idlest);
     if (gap < MIN_GAP) return null;
-    const wanted = rateToEven(busiest, idlest, gap);
-    const own = holdings.filter(({server}) => server === busiest.id);
-    const range = bestSegment(own, load, wanted);
+    const own = loaded.filter(({holding}) => holding.server === busiest.id);
+    const range = bestSegment(own, rateToEven(busiest, idlest, gap));
     if (range !== null) return {range, from: busiest.id, to: idlest.id};
   }
   return null;
 }
 
-function ratesOf(
+function spread(
   holdings: readonly Holding[],
-  load: KeyLoad,
-): ReadonlyMap<string, number> {
-  const rates = new Map<string, number>();
-  for (const holding of holdings) {
+  rates: readonly KeyRate[],
+): readonly Loaded[] {
+  const sorted = [...holdings].sort((a, b) => a.from - b.from);
+  let at = 0;
+  return sorted.map(holding => {
+    while (at < rates.length && rates[at]!.key < holding.from) at++;
+    const first = at;
+    while (at < rates.length && rates[at]!.key <= holding.to) at++;
+    return {holding, rates: rates.slice(first, at)};
+  });
+}
+
+function totalRates(loaded: readonly Loaded[]): ReadonlyMap<string, number> {
+  const totals = new Map<string, number>();
+  for (const {holding, rates} of loaded) {
     const {server} = holding;
     if (server === null) continue;
-    rates.set(server, (rates.get(server) ?? 0) + load.rateOf(holding));
+    const sum = rates.reduce((total, {rate}) => total + rate, 0);
+    totals.set(server, (totals.get(server) ?? 0) + sum);
   }
-  return rates;
+  return totals;
 }
 
 function rateToEven(
@@ -90,43 +119,61 @@
   return gap / perRate;
 }
 
-/** The largest end of a holding with at most about the wanted rate. */
+/** The segment that fits the wanted rate best for the keys that it moves. */
 function bestSegment(
-  holdings: readonly Holding[],
-  load: KeyLoad,
+  loaded: readonly Loaded[],
   wanted: number,
 ): KeyRange | null {
   let best: KeyRange | null = null;
-  let bestRate = MIN_RATE;
-  for (const {from, to} of holdings) {
-    for (const step of [1, -1] as const) {
-      const segment = growSegment(from, to, step, load, wanted * OVERSHOOT);
-      if (segment === null || segment.rate <= bestRate) continue;
-      best = segment.range;
-      bestRate = segment.rate;
+  let bestCost = Infinity;
+  for (const {holding, rates} of loaded) {
+    let end = 0;
+    let sum = 0;
+    for (let first = 0; first < rates.length; first++) {
+      while (end < rates.length) {
+        const more = sum + rates[end]!.rate;
+        if (more > wanted * MOST_SHARE) break;
+        sum = more;
+        end++;
+      }
+      if (end > first && isWorthwhile(sum, wanted)) {
+        const from = rates[first]!.key;
+        const last = rates[end - 1]!.key;
+        const range = {
+          from: first === 0 ? roundOut(from, holding.from) : from,
+          to: end === rates.length ? roundOut(last, holding.to) : last,
+        };
+        const cost = costOf(holding, range, sum, wanted);
+        if (cost < bestCost) {
+          best = range;
+          bestCost = cost;
+        }
+      }
+      if (end > first) sum -= rates[first]!.rate;
+      else end = first + 1;
     }
   }
   return best;
 }
 
-function growSegment(
-  from: number,
-  to: number,
-  step: 1 | -1,
-  load: KeyLoad,
-  most: number,
-): {range: KeyRange; rate: number} | null {
-  const first = step === 1 ? from : to;
-  const last = step === 1 ? to : from;
-  let rate = 0;
-  let end = first - step;
-  for (let key = first; key !== last + step; key += step) {
-    const next = rate + load.rateOfKey(key);
-    if (next > most) break;
-    rate = next;
-    end = key;
-  }
-  if (end === first - step) return null;
-  const range = step === 1 ? {from: first, to: end} : {from: end, to: first};
-  return {range, rate};
+function isWorthwhile(rate: number, wanted: number): boolean {
+  return rate >= Math.max(MIN_RATE, wanted * LEAST_SHARE);
+}
+
+/** The holding's edge, where only few keys without load lie between. */
+function roundOut(key: number, edge: number): number {
+  return Math.abs(edge - key) <= ROUND_KEYS ? edge : key;
+}
+
+function costOf(
+  holding: KeyRange,
+  range: KeyRange,
+  rate: number,
+  wanted: number,
+): number {
+  const pieces =
+    Number(range.from > holding.from) + Number(range.to < holding.to);
+  const miss = Math.abs(wanted - rate) / wanted;
+  const size = sizeOf(range) / ALL_KEYS;
+  return miss + size * SIZE_COST + pieces * PIECE_COST;
 }
