--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,13 +1,18 @@
 import gts from 'gts';
 
 export default [
-  {ignores: ['**/dist/**', '**/build/**', '**/generated/**', '.tap/**']},
+  {ignores: ['**/dist/**', '**/build/**', '**/generated/**', '.tap/**', 'target/**', 'platform/bundle/**']},
   ...gts,
   {
     files: ['**/*.ts'],
     languageOptions: {
       parserOptions: {
-        project: ['packages/*/tsconfig.json', 'tsconfig.test.json'],
+        project: [
+          'packages/*/tsconfig.json',
+          'tsconfig.test.json',
+          'platform/tsconfig.json',
+          'platform/tsconfig.test.json',
+        ],
       },
     },
     rules: {
--- a/packages/dispatch/src/backends.ts
+++ b/packages/dispatch/src/backends.ts
@@ -28,7 +28,7 @@
   const byId = new Map<string, Backend>();
   const byService = new Map<string, Backend[]>();
   const waiting = new Map<string, Set<() => void>>();
-  let limitOf = (_: string): number => DEFAULT_CONNECTIONS;
+  let limitOf: (service: string) => number = () => DEFAULT_CONNECTIONS;
 
   const regroup = (): void => {
     byService.clear();
--- a/packages/dispatch/src/place-issuer.ts
+++ b/packages/dispatch/src/place-issuer.ts
@@ -54,7 +54,7 @@
  * How much quicker a server of another data centre must be: bytes between
  * data centres cost more than what a slightly quicker one gains.
  */
-const REMOTE_FACTOR = 1.4;
+const REMOTE_FACTOR = 2.2;
 /** A server that fails this share of its requests is a last resort. */
 const FAILING_SHARE = 0.5;
 /**
--- a/packages/gateway/src/event-log.ts
+++ b/packages/gateway/src/event-log.ts
@@ -29,7 +29,7 @@
  * ```
  */
 export function createEventLog(fd: number, host: string): EventLog {
-  let lines: string[] = [];
+  const lines: string[] = [];
   let dropped = 0;
   let toldDropped = 0;
   let isWriting = false;
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -23,6 +23,11 @@
 
 /** A router process at work. */
 export interface RouterProcess {
+  /** `ip:port` of each interface. */
+  readonly addresses: {
+    readonly callers: string;
+    readonly readiness: string;
+  };
   /** Stops gracefully: no request in flight is cut. */
   stop(): Promise<void>;
 }
@@ -65,6 +70,8 @@
   const boot = createId();
   const self = `${settings.host.name}@${settings.listen.peers}#${boot}`;
   let isStopping = false;
+  let isOver = false;
+  const goesOn = (): boolean => !isOver;
 
   const backends = createBackends(clock);
   const list = createServerList(clock, emit);
@@ -177,30 +184,30 @@
   list.subscribe(() => issuer.review());
 
   const {callers, readiness: readyAt, peers} = settings.listen;
-  await Promise.all([
-    listen(entry.server, callers),
-    listen(readiness, readyAt),
-    serveLinks({
-      listen: peers,
-      boot,
-      clock,
-      leadership,
-      issuer,
-      list,
-      configCursor: () => keeper.cursor(),
-      noteReplaced: server => owners.noteReplaced(server),
-      noteRequest: (service, key) => owners.noteRequest(service, key),
-    }),
-  ]);
-  emit('started', {self, callers, dataCentre: settings.host.dataCentre});
+  const links = await serveLinks({
+    listen: peers,
+    boot,
+    clock,
+    leadership,
+    issuer,
+    list,
+    configCursor: () => keeper.cursor(),
+    noteReplaced: server => owners.noteReplaced(server),
+    noteRequest: (service, key) => owners.noteRequest(service, key),
+  });
+  const addresses = {
+    callers: await listen(entry.server, callers),
+    readiness: await listen(readiness, readyAt),
+  };
+  emit('started', {self, ...addresses, dataCentre: settings.host.dataCentre});
 
-  repeat(clock, LIST_MS, async () => {
+  repeat(clock, LIST_MS, goesOn, async () => {
     if (!leadership.isLeading() && isFollowing()) {
       if (list.ageMs() < LIST_FRESH_MS) return;
     }
     list.take(await platform.readServers(list.cursor()));
   });
-  repeat(clock, TABLES_MS, async () => {
+  repeat(clock, TABLES_MS, goesOn, async () => {
     if (leadership.isLeading() || link.ageMs() < TABLES_FRESH_MS) return;
     if (keyedServices().length === 0) return;
     const stored = await platform.ledger.load();
@@ -211,13 +218,14 @@
       new Map(stored.map(({service, holdings}) => [service, holdings])),
     );
   });
-  repeat(clock, OWN_MS, async () => {
+  repeat(clock, OWN_MS, goesOn, async () => {
     if (!leadership.isLeading()) return;
     leadership.takeCounts(owners.drainCounts());
     times.add(drainTimes(backends, keeper.current()?.services.keys() ?? []));
   });
 
   return {
+    addresses,
     async stop() {
       if (isStopping) return;
       isStopping = true;
@@ -235,6 +243,11 @@
       while (entry.inFlight() > 0 && clock.now() < end) {
         await sleep(clock, IDLE_STEP_MS);
       }
+      isOver = true;
+      keeper.stop();
+      link.stop();
+      links.close();
+      readiness.close();
       emit('stopped', {tookMs: Math.round(clock.now() - began)});
       await log.flush(100);
     },
@@ -252,9 +265,14 @@
   return known.reduce((sum, ms) => sum + ms, 0) / known.length;
 }
 
-function repeat(clock: Clock, ms: number, task: () => Promise<void>): void {
+function repeat(
+  clock: Clock,
+  ms: number,
+  goesOn: () => boolean,
+  task: () => Promise<void>,
+): void {
   const run = async (): Promise<void> => {
-    for (;;) {
+    while (goesOn()) {
       await task();
       await sleep(clock, ms);
     }
@@ -262,7 +280,8 @@
   void run();
 }
 
-function listen(server: Server, address: string): Promise<AddressInfo> {
+/** Yields the `ip:port` that the server listens on. */
+function listen(server: Server, address: string): Promise<string> {
   const at = address.lastIndexOf(':');
   const host = address.slice(0, at);
   const port = Number(address.slice(at + 1));
@@ -270,7 +289,8 @@
     server.once('error', reject);
     server.listen({host, port, backlog: 1024}, () => {
       server.off('error', reject);
-      resolve(server.address() as AddressInfo);
+      const bound = server.address() as AddressInfo;
+      resolve(`${bound.address}:${bound.port}`);
     });
   });
 }
--- a/packages/gateway/src/server-list.ts
+++ b/packages/gateway/src/server-list.ts
@@ -126,23 +126,21 @@
     takeSnapshot(snapshot, ageMs) {
       if (cursor !== null && snapshot.cursor < cursor) return;
       confirmedAt = Math.max(confirmedAt, clock.now() - ageMs);
-      // Of the same point of history, the other's view may still hold entries
-      // that this router knows to be gone.
-      if (snapshot.cursor === cursor) return;
+      const isNewer = snapshot.cursor !== cursor;
       cursor = snapshot.cursor;
-      const before = servers;
-      servers = new Map();
-      const results = snapshot.servers.map(server => {
-        const known = before.get(server.id);
-        if (known !== undefined) servers.set(server.id, known);
-        return put(server);
-      });
-      const gone = [...before.keys()].filter(id => !servers.has(id));
-      for (const id of gone) emit('server-removed', {server: id, cursor});
-      if (gone.length > 0 || results.includes(true)) changed();
+      const changes = snapshot.servers.map(toListed);
+      const results = [isNewer && applyWhole(changes), applyDue()];
+      if (results.includes(true)) changed();
     },
     snapshot: () =>
-      cursor === null ? null : {cursor, servers: [...servers.values()]},
+      cursor === null
+        ? null
+        : {
+            cursor,
+            // What was removed is no news to others, though this router keeps
+            // it for a while: they would list a server again that is gone.
+            servers: [...servers.values()].filter(({id}) => !removals.has(id)),
+          },
     version: () => version,
     cursor: () => cursor,
     ageMs: () => clock.now() - confirmedAt,
@@ -161,6 +159,10 @@
   };
 }
 
+function toListed(server: ServerInfo): ListChange {
+  return {kind: 'listed', server};
+}
+
 function isSame(a: ServerInfo, b: ServerInfo): boolean {
   return (
     a.address === b.address &&
--- /dev/null
+++ b/packages/gateway/test/server-list.test.ts
@@ -0,0 +1,114 @@
+import tap from 'tap';
+import type {ServerInfo} from '@banyandrum/dispatch/backend.js';
+import type {ListChange, ListRead} from '@banyandrum/gateway/platform.js';
+import {
+  createServerList,
+  type ServerList,
+} from '@banyandrum/gateway/server-list.js';
+import {
+  createManualClock,
+  type ManualClock,
+} from '@banyandrum/standins/manual-clock.js';
+
+function server(id: string, part: Partial<ServerInfo> = {}): ServerInfo {
+  return {
+    id,
+    service: 'holds',
+    address: `10.0.0.1:${id.length}`,
+    dataCentre: 'a',
+    slots: 2,
+    isLeaving: false,
+    coldMs: 0,
+    ...part,
+  };
+}
+
+function listed(each: ServerInfo): ListChange {
+  return {kind: 'listed', server: each};
+}
+
+function read(
+  cursor: number,
+  changes: readonly ListChange[],
+  isWhole = false,
+): ListRead {
+  return {kind: 'read', isWhole, changes, cursor};
+}
+
+const FAILED: ListRead = {kind: 'failed', detail: 'down'};
+
+function scene(): {clock: ManualClock; list: ServerList} {
+  const clock = createManualClock(10_000);
+  const list = createServerList(clock, () => undefined);
+  list.take(read(2, [listed(server('a')), listed(server('bb'))], true));
+  return {clock, list};
+}
+
+void tap.test('a removal counts at once while all is calm', async t => {
+  const {list} = scene();
+  list.take(read(3, [{kind: 'removed', id: 'a'}]));
+  t.equal(list.has('a'), false);
+});
+
+// The store was down, so servers couldn't renew their entries: they come back
+// when it does, and keep their requests until then.
+void tap.test('after an outage entries get time to return', async t => {
+  const {clock, list} = scene();
+  list.take(FAILED);
+  await clock.advance(1_000);
+  list.take(read(3, [{kind: 'removed', id: 'a'}]));
+  t.equal(list.has('a'), true);
+  list.take(read(4, [listed(server('a'))]));
+  await clock.advance(5_000);
+  list.take(read(4, []));
+  t.equal(list.has('a'), true);
+});
+
+// A server leaves some two seconds after the store came back. The time that
+// entries get must count from the outage: counted from the removal, requests
+// reached the server long after it was gone from the list.
+void tap.test('no entry outlives the time after the outage', async t => {
+  const {clock, list} = scene();
+  list.take(FAILED);
+  await clock.advance(2_100);
+  list.take(read(3, [{kind: 'removed', id: 'a'}]));
+  t.equal(list.has('a'), true);
+  await clock.advance(200);
+  list.take(read(3, []));
+  t.equal(list.has('a'), false);
+});
+
+// This router knows that a server is gone. The leader, whose own reads failed
+// lately, still keeps it; its list must not bring the server back.
+void tap.test('a list from elsewhere brings nothing back', async t => {
+  const {clock, list: leader} = scene();
+  const {list} = scene();
+  leader.take(FAILED);
+  leader.take(read(3, [{kind: 'removed', id: 'a'}]));
+  leader.take(read(4, [listed(server('bb', {isLeaving: true}))]));
+  t.equal(leader.has('a'), true);
+  list.take(read(3, [{kind: 'removed', id: 'a'}]));
+  list.takeSnapshot(leader.snapshot()!, 0);
+  t.equal(list.has('a'), false);
+  t.equal(list.snapshot()!.servers[0]!.isLeaving, true);
+  await clock.advance(1);
+});
+
+void tap.test('an older list from elsewhere is nothing new', async t => {
+  const {list} = scene();
+  const {list: behind} = scene();
+  list.take(read(5, [{kind: 'removed', id: 'a'}]));
+  list.takeSnapshot(behind.snapshot()!, 0);
+  t.equal(list.has('a'), false);
+});
+
+void tap.test('a newer server at the address ends the older one', async t => {
+  const {list} = scene();
+  t.equal(list.isReplaced('a'), false);
+  list.take(read(3, [{kind: 'removed', id: 'a'}]));
+  t.equal(list.isReplaced('a'), false, 'gone from the list proves nothing');
+  const {address} = server('a');
+  list.take(read(4, [listed(server('new', {address}))]));
+  t.equal(list.isReplaced('a'), true);
+  t.equal(list.isReplaced('new'), false);
+});
--- /dev/null
+++ b/packages/gateway/test/settings.test.ts
@@ -0,0 +1,47 @@
+import tap from 'tap';
+import {parseSettings, parseTime} from '@banyandrum/gateway/settings.js';
+
+const GOOD = `
+[host]
+name = "entry-1"
+data_centre = "a"
+[listen]
+callers = "10.0.0.1:80"
+readiness = "10.0.0.1:81"
+peers = "10.0.0.1:82"
+metrics = "10.0.0.1:83"
+[platform]
+address = "10.9.0.1:90"
+[stop]
+grace = "6s"
+[retries]
+ratio = 0.2
+slack = 58
+`;
+
+const BAD: readonly (readonly [string, string, RegExp])[] = [
+  ['callers = "10.0.0.1:80"', 'callers = "entry:80"', /listen\.callers/],
+  ['name = "entry-1"', '', /host\.name/],
+  ['grace = "6s"', 'grace = "soon"', /stop\.grace/],
+  ['ratio = 0.2', 'ratio = -1', /retries\.ratio/],
+  ['[host]', '[host', /./],
+];
+
+void tap.test('settings are read', async t => {
+  const settings = parseSettings(GOOD);
+  t.equal(settings.stop.graceMs, 6_000);
+  t.equal(settings.listen.peers, '10.0.0.1:82');
+  t.equal(settings.logging.level, 'info');
+});
+
+for (const [good, bad, message] of BAD) {
+  void tap.test(`refused: ${bad || 'no name'}`, async t => {
+    t.throws(() => parseSettings(GOOD.replace(good, bad)), {message});
+  });
+}
+
+void tap.test('times have a unit', async t => {
+  t.equal(parseTime('x', '1500ms'), 1_500);
+  t.equal(parseTime('x', '2.5s'), 2_500);
+  t.throws(() => parseTime('x', '5'));
+});
