--- a/packages/dispatch/src/forward.ts
+++ b/packages/dispatch/src/forward.ts
@@ -134,6 +134,7 @@
     if (req.signal.aborted || leftMs < MIN_SEND_MS) return null;
     const place = await cfg.places.acquire(
       {
+        id: req.id,
         service: req.service,
         key: req.key,
         priority: req.route.priority,
@@ -323,7 +324,6 @@
   const hasFailed = isFailure(cfg.names, answer);
   noteAnswer(backend, now, tookMs, ahead, hasFailed, load);
   if (!hasFailed) {
-    cfg.emit('answered', {...common, status});
     return {kind: 'answer', answer, server: backend.info.id};
   }
   cfg.emit('attempt-failed', {...common, status});
@@ -406,14 +406,13 @@
 }
 
 function giveUp(journey: Journey): Reply {
-  const {cfg, req} = journey;
+  const {req} = journey;
   if (journey.failed !== null) return journey.failed;
   if (journey.unproved !== null) return fail(journey.unproved);
   if (req.signal.aborted) {
     return fail(failure('not-run', 'cancelled', 'the caller gave up'));
   }
   const code = req.key === null ? 'overloaded' : 'no-owner';
-  cfg.emit('refused', {id: req.id, service: req.service, key: req.key, code});
   const detail = 'no server has room';
   return fail(failure('not-run', code, detail, journey.retryAfterMs));
 }
--- a/packages/dispatch/src/place-issuer.ts
+++ b/packages/dispatch/src/place-issuer.ts
@@ -7,6 +7,7 @@
   type Backend,
 } from './backend.js';
 import type {Backends} from './backends.js';
+import type {Emit} from './events.js';
 import type {Owner} from './owners.js';
 import type {PlaceAsk, PlaceEnd, PlaceReply} from './places.js';
 
@@ -25,12 +26,15 @@
   /** Answers all that wait with `unavailable`. */
   close(): void;
   waiting(): number;
+  /** Keys of the service whose requests wait, one for each request. */
+  waitingKeys(service: string): readonly number[];
 }
 
 /** What issuing places needs. */
 export interface PlaceIssuerConfig {
   readonly backends: Backends;
   readonly clock: Clock;
+  readonly emit: Emit;
   ownerOf(service: string, key: number): Owner;
 }
 
@@ -98,6 +102,19 @@
     waiter.reply(reply);
   };
 
+  const refuse = (waiter: Waiter, why: string): void => {
+    const {ask, askedAt, endsAt} = waiter;
+    const now = cfg.clock.now();
+    cfg.emit('place-refused', {
+      ...{id: ask.id, service: ask.service, key: ask.key, why},
+      waitedMs: Math.round(now - askedAt),
+      leftMs: Math.round(endsAt - now),
+      waiting: queues.get(ask.service)?.length ?? 0,
+      serviceMs: Math.round(expectedMs(cfg, ask)),
+    });
+    finish(waiter, {kind: 'refused', retryAfterMs: RETRY_AFTER_MS});
+  };
+
   const grant = (waiter: Waiter, backend: Backend): void => {
     waiter.server = backend.info.id;
     waiter.grantedAt = cfg.clock.now();
@@ -120,7 +137,7 @@
     const left = inOrder(queue, now).filter(waiter => {
       if (waiter.isOver) return false;
       if (waiter.endsAt <= now) {
-        finish(waiter, refusal());
+        refuse(waiter, 'waited-too-long');
         return false;
       }
       return !tryOnce(waiter, full);
@@ -156,7 +173,8 @@
   const enqueue = (waiter: Waiter): void => {
     const queue = queueOf(waiter.ask.service);
     queue.push(waiter);
-    shed(cfg, queue, waiter, finish);
+    const shed = findShed(cfg, queue, waiter);
+    if (shed !== null) refuse(shed, 'too-many-wait');
     scheduleReview();
   };
 
@@ -174,7 +192,7 @@
         server: null,
         isOver: false,
       };
-      if (waiter.endsAt < now) finish(waiter, refusal());
+      if (waiter.endsAt < now) refuse(waiter, 'no-time');
       else if (!isFirst(cfg, queueOf(ask.service), ask) || !tryNow(waiter)) {
         enqueue(waiter);
       }
@@ -198,6 +216,10 @@
       }
       queues.clear();
     },
+    waitingKeys: service =>
+      (queues.get(service) ?? []).flatMap(({ask, isOver}) =>
+        isOver || ask.key === null ? [] : [ask.key],
+      ),
     waiting() {
       let count = 0;
       for (const queue of queues.values()) count += queue.length;
@@ -206,10 +228,6 @@
   };
 }
 
-function refusal(): PlaceReply {
-  return {kind: 'refused', retryAfterMs: RETRY_AFTER_MS};
-}
-
 /** The server that holds the ask's key; null while nobody does. */
 function holderOf(
   {ownerOf}: PlaceIssuerConfig,
@@ -265,22 +283,20 @@
 }
 
 /**
- * Refuses the oldest of equal urgency where more wait than can be served in
- * time: told at once, its caller can come back while it still has time.
+ * The oldest of equal urgency where more wait than can be served in time, to
+ * be refused: told at once, its caller can come back while it still has time.
  */
-function shed(
+function findShed(
   cfg: PlaceIssuerConfig,
   queue: readonly Waiter[],
   newest: Waiter,
-  finish: (waiter: Waiter, reply: PlaceReply) => void,
-): void {
+): Waiter | null {
   const {ask} = newest;
   const waiting = rivals(cfg, queue, ask);
   const {slots, serviceMs} = capacityFor(cfg, ask);
   const lastWaitMs = (waiting.length / Math.max(1, slots)) * serviceMs;
-  if (lastWaitMs <= Math.max(0, newest.endsAt - newest.askedAt)) return;
-  const [oldest] = waiting;
-  if (oldest !== undefined) finish(oldest, refusal());
+  const mayWaitMs = Math.max(0, newest.endsAt - newest.askedAt);
+  return lastWaitMs <= mayWaitMs ? null : (waiting[0] ?? null);
 }
 
 function capacityFor(
@@ -377,11 +393,12 @@
   const cold = backend.coldUntil > now ? COLD_FACTOR : 1;
   const failures = failureShareOf(backend, now);
   const isUnknown = backend.lastAnswerAt === -Infinity && backend.placed === 0;
-  const unknown = isUnknown ? UNKNOWN_FACTOR : 1;
+  // Wherever it is: one request is worth knowing it.
+  if (isUnknown) return DEFAULT_SERVICE_MS * UNKNOWN_FACTOR;
   const serviceMs = backend.serviceMs || DEFAULT_SERVICE_MS;
   // A slot beside a running request is a little worse than an idle server.
   const crowd = 1 + (0.1 * backend.placed) / backend.info.slots;
-  return (serviceMs * unknown * cold * remote * crowd) / (1 - failures) ** 2;
+  return (serviceMs * cold * remote * crowd) / (1 - failures) ** 2;
 }
 
 function expectedMs({backends}: PlaceIssuerConfig, ask: PlaceAsk): number {
--- a/packages/dispatch/src/places.ts
+++ b/packages/dispatch/src/places.ts
@@ -2,6 +2,8 @@
 
 /** A request that looks for a place at a server. */
 export interface PlaceAsk {
+  /** The request's id, for the log. */
+  readonly id: string;
   readonly service: string;
   /** Null where any server of the service may run it. */
   readonly key: number | null;
--- a/packages/dispatch/test/place-issuer.test.ts
+++ b/packages/dispatch/test/place-issuer.test.ts
@@ -51,6 +51,7 @@
   const issuer = createPlaceIssuer({
     backends,
     clock,
+    emit: () => undefined,
     ownerOf: (_, key) => ownerOf(key),
   });
   return {
@@ -61,6 +62,7 @@
       const asked: Asked = {told: null, end: () => undefined};
       const takeBack = issuer.ask(
         {
+          id: 'r1',
           service: 'holds',
           key: null,
           priority: 1,
--- a/packages/gateway/src/entry.ts
+++ b/packages/gateway/src/entry.ts
@@ -27,6 +27,18 @@
   readonly clock: Clock;
   readonly emit: Emit;
   config(): RoutingConfig | null;
+  /** Counts an answered request. */
+  count(outcome: RequestOutcome): void;
+}
+
+/** How a request was answered. */
+export interface RequestOutcome {
+  /** Null where no route was found. */
+  readonly route: string | null;
+  readonly status: number;
+  /** `answered`, or the code of the failure. */
+  readonly outcome: string;
+  readonly tookMs: number;
 }
 
 /** The callers' interface. */
@@ -118,19 +130,55 @@
     if (!res.writableFinished) canceller.abort();
   });
   const id = header(req, state.forward.names.requestId) ?? createId();
-  const answered = await answer(state, own, req, {
-    id,
-    arrivedAt,
-    signal: canceller.signal,
+  const arrival = {id, arrivedAt, signal: canceller.signal, route: null};
+  const answered = await answer(state, own, req, arrival);
+  if (!res.destroyed) send(state, req, res, answered);
+  note(state, arrival, answered, res.destroyed);
+}
+
+/** One line and one count for each request. */
+function note(
+  state: EntryState,
+  {id, arrivedAt, route}: Arrival,
+  answered: Answered,
+  isGone: boolean,
+): void {
+  const tookMs = Math.round(state.clock.now() - arrivedAt);
+  const {status, outcome, verdict, server} = describe(answered);
+  const routeName = route?.name ?? null;
+  state.count({route: routeName, status, outcome, tookMs});
+  state.emit('request', {
+    ...{id, route: routeName, status, outcome, verdict, server, tookMs},
+    config: state.config()?.version ?? null,
+    ...(isGone && {isGone}),
   });
-  if (res.destroyed) return;
-  send(state, req, res, answered);
+}
+
+interface Description {
+  readonly status: number;
+  readonly outcome: string;
+  readonly verdict?: string;
+  readonly server?: string;
+}
+
+function describe(answered: Answered): Description {
+  if (answered.kind === 'answer') {
+    const {answer: own, server} = answered;
+    return {status: own.status, outcome: 'answered', server};
+  }
+  if (answered.kind === 'rejected') {
+    return {status: answered.status, outcome: 'rejected'};
+  }
+  const {code, verdict} = answered.failure;
+  return {status: statusOf(answered.failure), outcome: code, verdict};
 }
 
 interface Arrival {
   readonly id: string;
   readonly arrivedAt: number;
   readonly signal: ReturnType<typeof createCanceller>['signal'];
+  /** Set once it is known. */
+  route: Route | null;
 }
 
 /** What is written to the caller. */
@@ -152,17 +200,14 @@
   const config = state.config();
   const {id} = arrival;
   if (config === null) {
-    state.emit('refused', {id, code: 'no-config'});
     return notRun('no configuration is known yet', NO_CONFIG_RETRY_MS);
   }
   if (headerBytes(req) > config.limits.maxHeaderBytes) {
     return reject(431, 'the header is too large');
   }
   const route = matchRoute(config, req.headers.host ?? '', req.url ?? '/');
-  if (route === null) {
-    state.emit('rejected', {id, status: 404, version: config.version});
-    return reject(404, 'no route');
-  }
+  if (route === null) return reject(404, 'no route');
+  arrival.route = route;
   const service = state.splitter.next(route);
   const keyed = config.services.get(service)?.isKeyed ?? false;
   const key = keyed ? readKey(state, req) : null;
--- a/packages/gateway/src/leadership.ts
+++ b/packages/gateway/src/leadership.ts
@@ -36,6 +36,8 @@
   keyedServices(): readonly string[];
   serversOf(service: string): readonly LedServer[];
   hasEnded(server: string): boolean;
+  /** Keys of the service whose requests wait for a place, one for each. */
+  waitingKeys(service: string): readonly number[];
 }
 
 /** Grants, renewals and moves are looked at this often, in ms. */
@@ -98,6 +100,7 @@
         clock,
         servers: () => cfg.serversOf(service),
         hasEnded: cfg.hasEnded,
+        waitingKeys: () => cfg.waitingKeys(service),
         nextFence: () => own.epoch * FENCES_A_TERM + own.fence++,
         mayAct: () => term === own && mayAct(),
         onChange: changed,
--- /dev/null
+++ b/packages/gateway/src/metrics.ts
@@ -0,0 +1,104 @@
+import {createServer, type Server} from 'node:http';
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import type {RequestOutcome} from './entry.js';
+
+/** What the process tells of itself when it is asked. */
+export interface MetricsSource {
+  routers(): number;
+  isLeading(): boolean;
+  /** Requests that wait here for a place at a server. */
+  waiting(): number;
+  listAgeMs(): number;
+  leaderAgeMs(): number;
+  configVersion(): number;
+  droppedLines(): number;
+  /** Ranges of keys that nobody serves, where this router leads. */
+  unheldRanges(): number;
+}
+
+/** Metrics and the interface that serves them. */
+export interface Metrics {
+  readonly server: Server;
+  count(outcome: RequestOutcome): void;
+}
+
+/** Upper bounds in seconds: from a quick answer to the longest time limits. */
+const BUCKETS = [0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8];
+/** Routes beyond this many share a label: configurations may add hundreds. */
+const MAX_ROUTES = 40;
+const OTHER_ROUTE = 'other';
+
+/**
+ * Makes the process's metrics. Labels are bounded: routes, statuses and the
+ * codes of outcomes.
+ *
+ * @example
+ * ```ts
+ * const metrics = createMetrics(source);
+ * metrics.server.listen(9464);
+ * ```
+ */
+export function createMetrics(source: MetricsSource): Metrics {
+  const registry = new Registry();
+  const registers = [registry];
+  const requests = new Counter({
+    name: 'banyandrum_requests_total',
+    help: 'Requests answered, by route, status and outcome',
+    labelNames: ['route', 'status', 'outcome'],
+    registers,
+  });
+  const seconds = new Histogram({
+    name: 'banyandrum_request_seconds',
+    help: 'Time from the request’s head to its answer',
+    labelNames: ['route'],
+    buckets: BUCKETS,
+    registers,
+  });
+  const gauges: Readonly<Record<string, readonly [string, () => number]>> = {
+    routers: ['Routers in touch with the platform', source.routers],
+    leading: ['1 while this router leads', () => Number(source.isLeading())],
+    waiting: ['Requests that wait for a place', source.waiting],
+    list_age_seconds: ['Age of the servers’ list', inSeconds(source.listAgeMs)],
+    leader_age_seconds: [
+      'Since the leader spoke',
+      inSeconds(source.leaderAgeMs),
+    ],
+    config_version: ['Version of the configuration', source.configVersion],
+    log_dropped_lines: ['Log lines dropped', source.droppedLines],
+    unheld_ranges: ['Key ranges that nobody serves', source.unheldRanges],
+  };
+  for (const [name, [help, read]] of Object.entries(gauges)) {
+    const gauge: Gauge = new Gauge({
+      name: `banyandrum_${name}`,
+      help,
+      registers,
+      collect: (): void => gauge.set(read()),
+    });
+  }
+  const routes = new Set<string>();
+  const labelOf = (route: string | null): string => {
+    if (route === null) return 'none';
+    if (routes.has(route)) return route;
+    if (routes.size >= MAX_ROUTES) return OTHER_ROUTE;
+    routes.add(route);
+    return route;
+  };
+  return {
+    server: createServer((_, res) => {
+      void registry.metrics().then(text => {
+        res.writeHead(200, {'content-type': registry.contentType});
+        res.end(text);
+      });
+    }),
+    count({route, status, outcome, tookMs}) {
+      const label = labelOf(route);
+      requests.inc({route: label, status, outcome});
+      seconds.observe({route: label}, tookMs / 1000);
+    },
+  };
+}
+
+/** The age of what was never heard is told as a day. */
+function inSeconds(ageMs: () => number): () => number {
+  return () => Math.min(ageMs() / 1000, 86_400);
+}
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -10,12 +10,13 @@
 import {keepConfig} from './config-keeper.js';
 import {createEntry} from './entry.js';
 import type {EventLog} from './event-log.js';
-import {createKeyOwners} from './key-owners.js';
+import {createKeyOwners, type ServedTables} from './key-owners.js';
 import {createLeadership} from './leadership.js';
 import {followLeader} from './link-client.js';
 import {serveLinks} from './link-server.js';
 import {createLocalPlaces} from './local-places.js';
 import {followRouters} from './membership.js';
+import {createMetrics} from './metrics.js';
 import type {Platform} from './platform.js';
 import {createServerList} from './server-list.js';
 import {createServiceTimes, drainTimes} from './service-times.js';
@@ -27,6 +28,7 @@
   readonly addresses: {
     readonly callers: string;
     readonly readiness: string;
+    readonly metrics: string;
   };
   /** Stops gracefully: no request in flight is cut. */
   stop(): Promise<void>;
@@ -108,6 +110,7 @@
     keyedServices,
     serversOf,
     hasEnded,
+    waitingKeys: service => issuer.waitingKeys(service),
   });
   const routers = followRouters({
     members: platform.members(self),
@@ -132,6 +135,7 @@
   const issuer = createPlaceIssuer({
     backends,
     clock,
+    emit,
     ownerOf: (service, key) => owners.ownerOf(service, key),
   });
   const isFollowing = (): boolean => link.ageMs() < LIST_FRESH_MS;
@@ -146,9 +150,20 @@
     });
   });
 
+  const metrics = createMetrics({
+    routers: () => routers.count(),
+    isLeading: () => leadership.isLeading(),
+    waiting: () => issuer.waiting(),
+    listAgeMs: () => list.ageMs(),
+    leaderAgeMs: () => link.ageMs(),
+    configVersion: () => keeper.current()?.version ?? 0,
+    droppedLines: () => log.dropped(),
+    unheldRanges: () => countUnheld(leadership.tables()),
+  });
   const entry = createEntry({
     clock,
     emit,
+    count: metrics.count,
     splitter: createSplitter(),
     config: () => keeper.current(),
     forward: {
@@ -198,6 +213,7 @@
   const addresses = {
     callers: await listen(entry.server, callers),
     readiness: await listen(readiness, readyAt),
+    metrics: await listen(metrics.server, settings.listen.metrics),
   };
   emit('started', {self, ...addresses, dataCentre: settings.host.dataCentre});
 
@@ -248,6 +264,7 @@
       link.stop();
       links.close();
       readiness.close();
+      metrics.server.close();
       emit('stopped', {tookMs: Math.round(clock.now() - began)});
       await log.flush(100);
     },
@@ -259,6 +276,14 @@
   return name.slice(name.indexOf('@') + 1, name.lastIndexOf('#'));
 }
 
+function countUnheld(tables: ServedTables | null): number {
+  let count = 0;
+  for (const ranges of tables?.values() ?? []) {
+    count += ranges.filter(({server}) => server === null).length;
+  }
+  return count;
+}
+
 function typicalMs(times: readonly number[]): number {
   const known = times.filter(ms => ms > 0);
   if (known.length === 0) return DEFAULT_SERVICE_MS;
--- a/packages/ranges/src/key-load.ts
+++ b/packages/ranges/src/key-load.ts
@@ -12,8 +12,12 @@
   add(key: number, requests: number): void;
   /** Requests a second on the range, smoothed. */
   rateOf(range: KeyRange): number;
-  /** All keys that were asked for lately, in order. */
-  rates(): readonly KeyRate[];
+  /**
+   * All keys that were asked for lately, in order. Requests that wait now, a
+   * key for each, add to their keys' load: they tell of a busy server before
+   * smoothed counts do.
+   */
+  rates(waiting: readonly number[]): readonly KeyRate[];
   /** Forgets a part of what is older; called at a steady pace. */
   fade(elapsedMs: number): void;
 }
@@ -33,6 +37,8 @@
  * chance, as a key in the deployments known has under one request a second.
  */
 const MANY = 4;
+/** Requests that wait should be served within about this time, in ms. */
+const WAITING_MS = 2_000;
 /** A key is forgotten below this count. */
 const FORGOTTEN = 0.02;
 
@@ -78,10 +84,18 @@
       }
       return sum;
     },
-    rates: () =>
-      [...keys]
-        .map(([key, counts]) => ({key, rate: rate(counts)}))
-        .sort((a, b) => a.key - b.key),
+    rates(waiting) {
+      const added = new Map<number, number>();
+      for (const key of waiting) {
+        added.set(key, (added.get(key) ?? 0) + 1000 / WAITING_MS);
+      }
+      return [...keys]
+        .map(([key, counts]) => ({
+          key,
+          rate: rate(counts) + (added.get(key) ?? 0),
+        }))
+        .sort((a, b) => a.key - b.key);
+    },
     fade(elapsedMs) {
       observedMs += elapsedMs;
       const usualKept = Math.exp(-elapsedMs / USUAL_MS);
--- a/packages/ranges/src/lead-service.ts
+++ b/packages/ranges/src/lead-service.ts
@@ -46,6 +46,8 @@
   nextFence(): number;
   /** Whether this leader may still act. */
   mayAct(): boolean;
+  /** Keys whose requests wait for a place now, one for each. */
+  waitingKeys(): readonly number[];
   onChange(): void;
   /** Another leader seems to have taken over. */
   onFenced(): void;
@@ -69,7 +71,7 @@
 /** Placement looks at the load this often, in ms. */
 const PLAN_MS = 400;
 /** Placement watches the load for this long first, in ms. */
-const PLAN_AFTER_MS = 1_500;
+const PLAN_AFTER_MS = 700;
 /** Pauses after a grant that reached nobody, or is unproved, in ms. */
 const UNSENT_MS = 150;
 const WAIT_MS = 50;
@@ -80,7 +82,9 @@
   lives: LiveHolding[];
   readonly load: KeyLoad;
   isStopped: boolean;
+  /** Moves for the sake of load under way, and the servers they go to. */
   moves: number;
+  readonly targets: Set<string>;
   planAt: number;
   fadedAt: number;
   save(): Promise<boolean>;
@@ -108,6 +112,7 @@
     load: createKeyLoad(),
     isStopped: false,
     moves: 0,
+    targets: new Set(),
     planAt: now + PLAN_AFTER_MS,
     fadedAt: now,
     save: () => saveLoop.save(),
@@ -182,7 +187,8 @@
   for (const live of [...lead.lives]) tend(lead, live, open, now);
   if (now < lead.planAt) return;
   lead.planAt = now + PLAN_MS;
-  if (!mergeOne(lead, now)) balance(lead, servers);
+  if (mergeOne(lead, now)) return;
+  while (lead.moves < MAX_MOVES && balance(lead, servers));
 }
 
 function cutFirst(lead: Lead, servers: readonly LedServer[]): void {
@@ -274,11 +280,9 @@
   live.isServed = false;
   lead.emit('range-leaves', {...toFields(live.holding), why, to: wanted});
   lead.onChange();
-  lead.moves++;
   const began = lead.clock.now();
   const handover = await takeBack(lead, live, why);
   const target = await findServer(lead, live, wanted);
-  lead.moves--;
   if (target === null) return;
   const {from, to} = live.holding;
   const now = lead.clock.now();
@@ -374,8 +378,8 @@
   );
 }
 
-function balance(lead: Lead, servers: readonly LedServer[]): void {
-  if (lead.moves >= MAX_MOVES) return;
+/** Starts one move; false where none would help. */
+function balance(lead: Lead, servers: readonly LedServer[]): boolean {
   const now = lead.clock.now();
   // A server that gives or takes keys already is left alone until it did.
   const busy = new Set(
@@ -383,7 +387,7 @@
       .filter(({phase}) => phase !== 'held')
       .map(({holding}) => holding.server),
   );
-  const free = servers.filter(({id}) => !busy.has(id));
+  const free = servers.filter(({id}) => !busy.has(id) && !lead.targets.has(id));
   const settled = lead.lives.filter(
     ({phase, isServed, unprovedUntil}) =>
       phase === 'held' && isServed && unprovedUntil <= now,
@@ -391,14 +395,21 @@
   const planned = planMove(
     settled.map(({holding}) => holding),
     free,
-    lead.load,
+    lead.load.rates(lead.waitingKeys()),
   );
-  if (planned === null) return;
+  if (planned === null) return false;
   const live = settled.find(
     ({holding}) =>
       holding.from <= planned.range.from && planned.range.to <= holding.to,
   )!;
-  void moveSegment(lead, live, planned.range, planned.to);
+  const {range, to} = planned;
+  lead.targets.add(to);
+  lead.moves++;
+  void moveSegment(lead, live, range, to).finally(() => {
+    lead.targets.delete(to);
+    lead.moves--;
+  });
+  return true;
 }
 
 async function moveSegment(
--- a/packages/ranges/src/planner.ts
+++ b/packages/ranges/src/planner.ts
@@ -1,4 +1,4 @@
-import type {KeyLoad, KeyRate} from './key-load.js';
+import type {KeyRate} from './key-load.js';
 import {sizeOf, type Holding, type KeyRange} from './table.js';
 
 /** A server that may hold keys, as placement sees it. */
@@ -56,18 +56,18 @@
  *
  * @example
  * ```ts
- * const move = planMove(holdings, servers, load);
+ * const move = planMove(holdings, servers, load.rates([]));
  * if (move !== null) startMove(move);
  * ```
  */
 export function planMove(
   holdings: readonly Holding[],
   servers: readonly PlacedServer[],
-  load: KeyLoad,
+  rates: readonly KeyRate[],
 ): PlannedMove | null {
   const open = servers.filter(({isOpen}) => isOpen);
   if (open.length < 2) return null;
-  const loaded = spread(holdings, load.rates());
+  const loaded = spread(holdings, rates);
   const totals = totalRates(loaded);
   const shareOf = (server: PlacedServer): number =>
     busyShare(server, totals.get(server.id) ?? 0);
--- a/packages/ranges/test/lead-service.test.ts
+++ b/packages/ranges/test/lead-service.test.ts
@@ -62,6 +62,7 @@
               ...{id, address, slots: 2, serviceMs: 400, isOpen: true},
             })),
         hasEnded: () => false,
+        waitingKeys: () => [],
         nextFence: () => epoch * FENCES_A_TERM + fence++,
         mayAct: () =>
           !leader.isOver &&
