--- a/packages/gateway/src/link-client.ts
+++ b/packages/gateway/src/link-client.ts
@@ -48,7 +48,7 @@
 }
 
 /** Pause before the leader is tried again, in ms. */
-const RETRY_MS = 100;
+const RETRY_MS = 200;
 /** The stream is looked at this often, in ms. */
 const WATCH_MS = 50;
 
--- a/packages/gateway/src/membership.ts
+++ b/packages/gateway/src/membership.ts
@@ -8,8 +8,11 @@
   names(): readonly string[];
   leader(): string | null;
   count(): number;
-  /** Takes this router out and stops asking. */
-  leave(): Promise<void>;
+  /**
+   * Stops asking, and resolves once this router is taken out, or `goesOn`
+   * says that it doesn't matter any more.
+   */
+  leave(goesOn: () => boolean): Promise<void>;
 }
 
 /** What following the membership needs. */
@@ -88,9 +91,11 @@
     names: () => names,
     leader: () => names[0] ?? null,
     count: () => Math.max(1, names.length),
-    async leave() {
+    async leave(goesOn) {
       isLeaving = true;
-      await members.leave();
+      while (goesOn() && !(await members.leave())) {
+        await sleep(clock, JOIN_MS);
+      }
     },
   };
 }
--- a/packages/gateway/src/platform.ts
+++ b/packages/gateway/src/platform.ts
@@ -43,8 +43,8 @@
 export interface Members {
   /** Tells that this router is there; null where nothing was learnt. */
   join(): Promise<Membership | null>;
-  /** Takes this router out at once. */
-  leave(): Promise<void>;
+  /** Takes this router out at once; false where that is not known. */
+  leave(): Promise<boolean>;
   /** All routers' names, the one chosen to lead first; null if unknown. */
   list(): Promise<readonly string[] | null>;
 }
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -248,18 +248,22 @@
       const began = clock.now();
       emit('stopping', {inFlight: entry.inFlight()});
       entry.startClosing();
-      leadership.resign();
-      void routers.leave();
+      // Nobody can be chosen in its place before it is taken out. While the
+      // store is down it goes on renewing: keys would lapse with no leader.
+      void routers.leave(goesOn).then(() => leadership.resign());
       const end = began + settings.stop.graceMs - END_MS;
       await sleep(clock, Math.min(NOTICE_MS, settings.stop.graceMs / 2));
       // By now the balancer sends no new connection. A request on a kept one
       // that crosses its close was not read, so its caller asks again; one
       // that came just before the process ends would be lost.
       entry.server.close();
-      while (entry.inFlight() > 0 && clock.now() < end) {
+      const isNeeded = (): boolean =>
+        entry.inFlight() > 0 || leadership.isLeading();
+      while (isNeeded() && clock.now() < end) {
         await sleep(clock, IDLE_STEP_MS);
       }
       isOver = true;
+      leadership.resign();
       keeper.stop();
       link.stop();
       links.close();
