--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,16 @@
 import gts from 'gts';
 
 export default [
-  {ignores: ['**/dist/**', '**/build/**', '**/generated/**', '.tap/**', 'target/**', 'platform/bundle/**']},
+  {
+    ignores: [
+      '**/dist/**',
+      '**/build/**',
+      '**/generated/**',
+      '.tap/**',
+      'target/**',
+      'platform/bundle/**',
+    ],
+  },
   ...gts,
   {
     files: ['**/*.ts'],
--- a/packages/gateway/src/server-list.ts
+++ b/packages/gateway/src/server-list.ts
@@ -46,7 +46,7 @@
  * ```
  */
 export function createServerList(clock: Clock, emit: Emit): ServerList {
-  let servers = new Map<string, ServerInfo>();
+  const servers = new Map<string, ServerInfo>();
   /** Address and order of first sight of each server ever listed. */
   const seen = new Map<string, {address: string; order: number}>();
   const removals = new Set<string>();
