--- a/packages/gateway/src/config-keeper.ts
+++ b/packages/gateway/src/config-keeper.ts
@@ -14,6 +14,12 @@
   stop(): void;
 }
 
+/**
+ * Where nobody tells of news, a read under way that began longer ago than a
+ * short one lasts may have gone silent: another one looks, in ms.
+ */
+const SILENT_MS = 1_200;
+const WATCH_MS = 300;
 /** A read that the platform holds until there is news, in ms. */
 const LONG_WAIT_MS = 15_000;
 /** The same where nobody else would tell of news that a read missed, in ms. */
@@ -39,6 +45,7 @@
   let cursor: number | null = null;
   let isStopped = false;
   let isLooking = false;
+  let beganAt = clock.now();
   let hasFailed = false;
   const listeners = new Set<() => void>();
 
@@ -67,21 +74,36 @@
   const run = async (): Promise<void> => {
     while (!isStopped) {
       const waitMs = isToldOfNews() ? LONG_WAIT_MS : SHORT_WAIT_MS;
+      beganAt = clock.now();
       const isRead = await read(config === null ? SHORT_WAIT_MS : waitMs);
       if (!isRead) await sleep(clock, RETRY_MS);
     }
   };
   void run();
 
+  const look = (): void => {
+    if (isLooking) return;
+    isLooking = true;
+    void read(0).then(() => {
+      isLooking = false;
+    });
+  };
+
+  const watch = async (): Promise<void> => {
+    while (!isStopped) {
+      await sleep(clock, WATCH_MS);
+      if (isToldOfNews() || clock.now() - beganAt < SILENT_MS) continue;
+      look();
+    }
+  };
+  void watch();
+
   return {
     current: () => config,
     cursor: () => cursor,
     noteCursor(other) {
-      if (isLooking || (cursor !== null && other <= cursor)) return;
-      isLooking = true;
-      void read(0).then(() => {
-        isLooking = false;
-      });
+      if (cursor !== null && other <= cursor) return;
+      look();
     },
     subscribe: listener => void listeners.add(listener),
     stop() {
--- /dev/null
+++ b/packages/gateway/test/config-keeper.test.ts
@@ -0,0 +1,88 @@
+import tap from 'tap';
+import {keepConfig} from '@banyandrum/gateway/config-keeper.js';
+import type {ConfigRead, Platform} from '@banyandrum/gateway/platform.js';
+import type {RoutingConfig} from '@banyandrum/routing/config.js';
+import {
+  createManualClock,
+  type ManualClock,
+} from '@banyandrum/standins/manual-clock.js';
+
+function config(version: number): RoutingConfig {
+  const limits = {
+    ...{maxHeaderBytes: 1, maxBodyBytes: 1},
+    ...{headerTimeoutMs: 1, idleTimeoutMs: 1},
+  };
+  return {version, hosts: new Map(), services: new Map(), limits};
+}
+
+/** A log of configurations whose long reads can be made to hang. */
+function createSource(clock: ManualClock): {
+  readonly platform: Platform;
+  versions: number[];
+  hangs: boolean;
+} {
+  const source = {versions: [1], hangs: false};
+  const read = (cursor: number | null): ConfigRead => {
+    const end = source.versions.length;
+    const isNew = cursor === null || cursor < end;
+    const newest = isNew ? config(source.versions.at(-1)!) : null;
+    return {kind: 'read', config: newest, cursor: end};
+  };
+  const platform = {
+    readConfig: (cursor: number | null, waitMs: number) =>
+      new Promise<ConfigRead>(resolve => {
+        const isNews = cursor === null || cursor < source.versions.length;
+        if (isNews || waitMs === 0) return resolve(read(cursor));
+        const failed: ConfigRead = {kind: 'failed', detail: 'silent'};
+        const answer = (): void =>
+          resolve(source.hangs ? failed : read(cursor));
+        clock.after(waitMs, answer);
+      }),
+  } as unknown as Platform;
+  return Object.assign(source, {platform});
+}
+
+// A router follows the leader, so its read may wait for long. The store goes
+// silent on that connection, the leader is lost, and this router may even lead
+// itself: nobody tells it of news, and its read won't. Its callers would be
+// served by a version that was replaced long ago.
+void tap.test('a long read that went silent hides no news', async t => {
+  const clock = createManualClock(1_000);
+  const source = createSource(clock);
+  let isFollowing = true;
+  const keeper = keepConfig(
+    source.platform,
+    clock,
+    () => undefined,
+    () => isFollowing,
+  );
+  await clock.advance(3_000);
+  t.equal(keeper.current()?.version, 1);
+  source.hangs = true;
+  isFollowing = false;
+  source.versions.push(2);
+  await clock.advance(1_800);
+  t.equal(keeper.current()?.version, 2);
+  keeper.stop();
+});
+
+void tap.test('news from the leader is read at once', async t => {
+  const clock = createManualClock(1_000);
+  const source = createSource(clock);
+  const keeper = keepConfig(
+    source.platform,
+    clock,
+    () => undefined,
+    () => true,
+  );
+  await clock.advance(100);
+  source.versions.push(2);
+  keeper.noteCursor(2);
+  await clock.advance(10);
+  t.equal(keeper.current()?.version, 2);
+  source.versions.push(1);
+  keeper.noteCursor(3);
+  await clock.advance(10);
+  t.equal(keeper.current()?.version, 2, 'never back');
+  keeper.stop();
+});
