--- a/packages/dispatch/test/forward.test.ts
+++ b/packages/dispatch/test/forward.test.ts
@@ -32,6 +32,10 @@
     'HTTP/1.1 500 No\r\nx-signature: s\r\ncontent-length: 0\r\n\r\n',
   );
 const reset: Behaviour = socket => socket.resetAndDestroy();
+// Late, but within the request's time limit.
+const slow: Behaviour = socket => {
+  setTimeout(() => answer(socket, ''), 350);
+};
 const unsigned: Behaviour = socket =>
   socket.write('HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok');
 
@@ -185,6 +189,13 @@
     arrivals: 1,
     told: {kind: 'answer', answer: {status: 500}},
   },
+  {
+    name: 'idempotent, a server at work: not ended for its silence',
+    kind: 'idempotent',
+    servers: [slow, answer],
+    arrivals: 1,
+    told: {kind: 'answer', answer: {status: 200}},
+  },
   {
     name: 'refused by all: not run, and when to come back',
     kind: 'once',
