--- a/packages/dispatch/src/choose.ts
+++ b/packages/dispatch/src/choose.ts
@@ -1,4 +1,5 @@
-import {failureShareOf, type Backend} from './backend.js';
+import type {Backend} from './backend.js';
+import {costOf, preferSound, typicalServiceMs} from './server-cost.js';
 
 /** How a server is chosen for a request that any server may run. */
 export interface Choice {
@@ -9,16 +10,11 @@
 
 /** A server takes this many times its slots, running and waiting. */
 const MAX_LOAD_PER_SLOT = 3;
-/** Before anything was measured, in ms. */
-const DEFAULT_SERVICE_MS = 200;
 /** Other routers' requests are forgotten in about this time, in ms. */
 const OTHERS_FADE_MS = 400;
 /** Measures of servers differ at random by this share: routers with the same
  * picture would otherwise all go to the same server. */
 const JITTER = 0.1;
-/** A server that fails this share of its requests is a last resort. */
-const FAILING_SHARE = 0.5;
-const COLD_FACTOR = 2;
 
 /**
  * The server with the shortest expected answer among those with room; null
@@ -38,14 +34,8 @@
   const usable = backends.filter(backend => isUsable(backend, excluded));
   const mean = meanInFlight(usable) * Math.max(0, routers - 1);
   const typicalMs = typicalServiceMs(usable);
-  const sound = usable.filter(
-    backend =>
-      backend.suspectUntil <= now &&
-      failureShareOf(backend, now) < FAILING_SHARE,
-  );
-  const candidates = sound.length > 0 ? sound : usable;
   let best: Choice | null = null;
-  for (const backend of candidates) {
+  for (const backend of preferSound(usable, now)) {
     const load = loadOf(backend, mean, now);
     if (!hasRoom(backend, load)) continue;
     const expectedMs = expect(backend, load, typicalMs, now);
@@ -82,12 +72,9 @@
   now: number,
 ): number {
   const {slots} = backend.info;
-  const serviceMs = backend.serviceMs || typicalMs;
-  const cold = backend.coldUntil > now ? COLD_FACTOR : 1;
   const rounds = 1 + Math.max(0, load + 1 - slots) / slots;
-  const failures = failureShareOf(backend, now);
   const jitter = 1 + JITTER * Math.random();
-  return (serviceMs * cold * rounds * jitter) / (1 - failures) ** 2;
+  return costOf(backend, typicalMs, now) * rounds * jitter;
 }
 
 function meanInFlight(backends: readonly Backend[]): number {
@@ -96,14 +83,3 @@
   for (const {inFlight} of backends) sum += inFlight;
   return sum / backends.length;
 }
-
-function typicalServiceMs(backends: readonly Backend[]): number {
-  let sum = 0;
-  let count = 0;
-  for (const {serviceMs} of backends) {
-    if (serviceMs === 0) continue;
-    sum += serviceMs;
-    count++;
-  }
-  return count === 0 ? DEFAULT_SERVICE_MS : sum / count;
-}
--- /dev/null
+++ b/packages/dispatch/src/find-target.ts
@@ -0,0 +1,127 @@
+import type {Backend} from './backend.js';
+import {choose, hasRoom, loadOf} from './choose.js';
+import type {Connection} from './connections.js';
+import {MIN_SEND_MS, type ForwardConfig, type Journey} from './journey.js';
+import type {PlaceEnd} from './places.js';
+
+/** A server that a request may go to now. */
+export interface Target {
+  readonly backend: Backend;
+  readonly connection: Connection;
+  /** Requests there before it, where no place was handed out. */
+  readonly ahead: number;
+  /** Tells whoever handed out the place how the request ended. */
+  end(how: PlaceEnd, tookMs: number): void;
+}
+
+/** Waits for room or an owner are looked at again after this time, in ms. */
+const WAIT_STEP_MS = 50;
+/** A leaving server still gets its own keys' requests for this time, in ms. */
+const LEAVING_GRACE_MS = 500;
+
+/**
+ * Finds the server that a request goes to next; null where none can answer in
+ * time.
+ */
+export async function findTarget(journey: Journey): Promise<Target | null> {
+  const {cfg, req} = journey;
+  for (;;) {
+    const leftMs = req.deadline - cfg.clock.now();
+    if (req.signal.aborted || leftMs < MIN_SEND_MS) return null;
+    const place = await cfg.places.acquire(
+      {
+        id: req.id,
+        service: req.service,
+        key: req.key,
+        priority: req.route.priority,
+        leftMs,
+        aimLeftMs: req.arrivedAt + req.route.targetLatencyMs - cfg.clock.now(),
+        excluded: [...journey.excluded],
+        dataCentre: cfg.dataCentre,
+      },
+      req.signal,
+    );
+    if (place.kind === 'refused') {
+      journey.retryAfterMs = place.retryAfterMs;
+      return null;
+    }
+    if (place.kind === 'unavailable') return findAlone(journey);
+    const backend = cfg.backends.get(place.server);
+    if (backend !== undefined && mayUse(cfg, backend)) {
+      const connection = backend.connections.acquire();
+      if (connection !== null) {
+        return {backend, connection, ahead: 0, end: place.end};
+      }
+    }
+    // Whoever handed it out knows another list of servers, or connections
+    // that linger; both are settled within moments.
+    cfg.emit('place-unusable', {id: req.id, server: place.server});
+    place.end('refused', 0);
+    await cfg.backends.waitForRoom(req.service, WAIT_STEP_MS);
+  }
+}
+
+/** Chooses without the router that hands out places. */
+async function findAlone(journey: Journey): Promise<Target | null> {
+  const {cfg, req} = journey;
+  const giveUpAt = waitEnd(journey);
+  if (req.key !== null) cfg.owners.noteRequest(req.service, req.key);
+  for (;;) {
+    if (req.signal.aborted) return null;
+    const target = pickTarget(journey);
+    if (target !== null) return target;
+    const left = giveUpAt - cfg.clock.now();
+    if (left <= 0) return null;
+    const step = Math.min(left, WAIT_STEP_MS);
+    if (req.key === null) await cfg.backends.waitForRoom(req.service, step);
+    else await cfg.owners.waitForChange(req.service, step);
+  }
+}
+
+/**
+ * How long a request waits for a server: as long as its answer can still be
+ * worth most. Later refusals cost the caller time that another try could use.
+ */
+function waitEnd({cfg, req}: Journey): number {
+  const now = cfg.clock.now();
+  const worthwhile = now + req.route.targetLatencyMs / 2;
+  return Math.min(worthwhile, req.deadline - MIN_SEND_MS);
+}
+
+function pickTarget(journey: Journey): Target | null {
+  const {cfg, req} = journey;
+  const backend = req.key === null ? pickAny(journey) : pickOwner(journey);
+  if (backend === null) return null;
+  const connection = backend.connections.acquire();
+  if (connection === null) {
+    cfg.emit('no-connection', {id: req.id, server: backend.info.id});
+    return null;
+  }
+  const ahead = loadOf(backend, 0, cfg.clock.now());
+  return {backend, connection, ahead, end: () => undefined};
+}
+
+function pickAny({cfg, req, excluded}: Journey): Backend | null {
+  const group = cfg.backends.ofService(req.service);
+  const now = cfg.clock.now();
+  const routers = cfg.routers();
+  return choose(group, excluded, routers, now)?.backend ?? null;
+}
+
+function pickOwner({cfg, req}: Journey): Backend | null {
+  const owner = cfg.owners.ownerOf(req.service, req.key!);
+  if (owner.kind !== 'held') return null;
+  const backend = cfg.backends.get(owner.server);
+  const now = cfg.clock.now();
+  if (backend === undefined || !mayUse(cfg, backend)) return null;
+  if (backend.suspectUntil > now) return null;
+  return hasRoom(backend, loadOf(backend, 0, now)) ? backend : null;
+}
+
+/** A server that leaves gets no new work, but for requests just placed. */
+function mayUse({clock}: ForwardConfig, backend: Backend): boolean {
+  const {isGone, leavingSince} = backend;
+  if (isGone) return false;
+  if (leavingSince === null) return true;
+  return clock.now() - leavingSince < LEAVING_GRACE_MS;
+}
--- /dev/null
+++ b/packages/dispatch/src/free-server.ts
@@ -0,0 +1,105 @@
+import type {Clock} from '@banyandrum/base/clock.js';
+import type {Backend} from './backend.js';
+import type {Backends} from './backends.js';
+import type {Emit} from './events.js';
+import type {Owner} from './owners.js';
+import type {PlaceAsk} from './places.js';
+import {
+  costOf,
+  DEFAULT_SERVICE_MS,
+  preferSound,
+  typicalServiceMs,
+} from './server-cost.js';
+
+/** What issuing places needs. */
+export interface PlaceIssuerConfig {
+  readonly backends: Backends;
+  readonly clock: Clock;
+  readonly emit: Emit;
+  ownerOf(service: string, key: number): Owner;
+}
+
+/**
+ * How much quicker a server of another data centre must be: bytes between
+ * data centres cost more than what a slightly quicker one gains.
+ */
+const REMOTE_FACTOR = 2.2;
+/** A server that was never asked is tried before others: nobody knows it. */
+const UNKNOWN_FACTOR = 0.15;
+/** A server with all slots in use but one costs about this share more. */
+const CROWD_COST = 0.1;
+
+/** A server with a free slot for the ask; null where there is none now. */
+export function findFree(
+  cfg: PlaceIssuerConfig,
+  ask: PlaceAsk,
+): Backend | null {
+  return ask.key === null ? findAny(cfg, ask) : findOwner(cfg, ask, ask.key);
+}
+
+/** The server that holds the ask's key; null while nobody does. */
+export function holderOf(
+  {ownerOf}: PlaceIssuerConfig,
+  {service, key}: PlaceAsk,
+): string | null {
+  const owner = ownerOf(service, key ?? 0);
+  return owner.kind === 'held' ? owner.server : null;
+}
+
+/** Time that the ask takes once it is at a server, in ms. */
+export function expectedMs(
+  {backends}: PlaceIssuerConfig,
+  ask: PlaceAsk,
+): number {
+  return typicalServiceMs(backends.ofService(ask.service));
+}
+
+function findOwner(
+  {backends, clock, ownerOf}: PlaceIssuerConfig,
+  {service}: PlaceAsk,
+  key: number,
+): Backend | null {
+  const owner = ownerOf(service, key);
+  if (owner.kind !== 'held') return null;
+  const backend = backends.get(owner.server);
+  if (backend === undefined || backend.isGone) return null;
+  if (backend.suspectUntil > clock.now()) return null;
+  return hasSlot(backend) ? backend : null;
+}
+
+/** One that was passed over shows first with one request that it's back. */
+function hasSlot({placed, suspectMs, info}: Backend): boolean {
+  return placed < (suspectMs > 0 ? 1 : info.slots);
+}
+
+function findAny(
+  {backends, clock}: PlaceIssuerConfig,
+  {service, excluded, dataCentre}: PlaceAsk,
+): Backend | null {
+  const now = clock.now();
+  const usable = backends
+    .ofService(service)
+    .filter(({info, isGone}) => !info.isLeaving && !isGone);
+  const fresh = usable.filter(({info}) => !excluded.includes(info.id));
+  let best: Backend | null = null;
+  let bestMs = Infinity;
+  for (const backend of preferSound(fresh, now)) {
+    if (!hasSlot(backend)) continue;
+    const ms = placeCost(backend, dataCentre, now);
+    if (ms >= bestMs) continue;
+    best = backend;
+    bestMs = ms;
+  }
+  return best;
+}
+
+/** The lower, the better the server for one more request. */
+function placeCost(backend: Backend, dataCentre: string, now: number): number {
+  const isUnknown = backend.lastAnswerAt === -Infinity && backend.placed === 0;
+  // Wherever it is: one request is worth knowing it.
+  if (isUnknown) return DEFAULT_SERVICE_MS * UNKNOWN_FACTOR;
+  const remote = backend.info.dataCentre === dataCentre ? 1 : REMOTE_FACTOR;
+  // A slot beside a running request is a little worse than an idle server.
+  const crowd = 1 + (CROWD_COST * backend.placed) / backend.info.slots;
+  return costOf(backend, DEFAULT_SERVICE_MS, now) * remote * crowd;
+}
--- /dev/null
+++ b/packages/dispatch/src/journey.ts
@@ -0,0 +1,90 @@
+import type {CancelSignal} from '@banyandrum/base/cancel.js';
+import type {Clock} from '@banyandrum/base/clock.js';
+import {failure, type Failure} from '@banyandrum/base/failure.js';
+import type {Route} from '@banyandrum/routing/config.js';
+import type {Answer} from './attempt.js';
+import type {Backends} from './backends.js';
+import type {Emit} from './events.js';
+import type {Owners} from './owners.js';
+import type {Places} from './places.js';
+import type {RetryBudget} from './retry-budget.js';
+import type {WireNames} from './wire.js';
+
+/** A caller's request, as it goes to a backend server. */
+export interface ForwardRequest {
+  readonly id: string;
+  readonly method: string;
+  readonly path: string;
+  /** Names and values in turn, without those that each attempt sets. */
+  readonly headers: readonly string[];
+  readonly body: Buffer | null;
+  readonly route: Route;
+  readonly service: string;
+  /** Null where the service isn't divided by key. */
+  readonly key: number | null;
+  /** Monotonic time at which it came, in ms. */
+  readonly arrivedAt: number;
+  /** Monotonic time by which the caller must have its answer, in ms. */
+  readonly deadline: number;
+  readonly signal: CancelSignal;
+}
+
+/** What the caller gets. */
+export type Reply =
+  | {readonly kind: 'answer'; readonly answer: Answer; readonly server: string}
+  | {readonly kind: 'failure'; readonly failure: Failure};
+
+/** What forwarding needs of the process. */
+export interface ForwardConfig {
+  readonly backends: Backends;
+  readonly owners: Owners;
+  readonly places: Places;
+  readonly dataCentre: string;
+  readonly budget: RetryBudget;
+  readonly names: WireNames;
+  readonly clock: Clock;
+  readonly emit: Emit;
+  /** Routers that share the servers. */
+  readonly routers: () => number;
+}
+
+/** A request's way through its attempts. */
+export interface Journey {
+  readonly cfg: ForwardConfig;
+  readonly req: ForwardRequest;
+  /** Servers that may have run it. */
+  runs: number;
+  /** Requests written, those refused included. */
+  sent: number;
+  /** Attempts, those that reached nobody included. */
+  tries: number;
+  /** Not to be chosen again. */
+  readonly excluded: Set<string>;
+  /** Set when it was written and nobody can tell the outcome. */
+  unproved: Failure | null;
+  /** A server's own failure, given back where nothing better comes. */
+  failed: Reply | null;
+  /** When the caller should come back after a refusal, in ms. */
+  retryAfterMs: number;
+}
+
+/** Less time than this is not worth sending a request for, in ms. */
+export const MIN_SEND_MS = 20;
+
+/** What the caller gets where no further attempt will be made. */
+export function giveUp(journey: Journey): Reply {
+  const {req} = journey;
+  if (journey.failed !== null) return journey.failed;
+  if (journey.unproved !== null) return fail(journey.unproved);
+  if (req.signal.aborted) {
+    return fail(failure('not-run', 'cancelled', 'the caller gave up'));
+  }
+  const code = req.key === null ? 'overloaded' : 'no-owner';
+  const detail = 'no server has room';
+  return fail(failure('not-run', code, detail, journey.retryAfterMs));
+}
+
+/** The reply that tells a failure. */
+export function fail(reason: Failure): Reply {
+  return {kind: 'failure', failure: reason};
+}
--- a/packages/dispatch/src/place-issuer.ts
+++ b/packages/dispatch/src/place-issuer.ts
@@ -1,14 +1,11 @@
-import type {Clock} from '@banyandrum/base/clock.js';
+import {noteAnswer, noteLoss, suspect, type Backend} from './backend.js';
 import {
-  failureShareOf,
-  noteAnswer,
-  noteLoss,
-  suspect,
-  type Backend,
-} from './backend.js';
-import type {Backends} from './backends.js';
-import type {Emit} from './events.js';
-import type {Owner} from './owners.js';
+  expectedMs,
+  findFree,
+  holderOf,
+  type PlaceIssuerConfig,
+} from './free-server.js';
+import {findShed, inOrder, isFirst, type Waiter} from './place-queue.js';
 import type {PlaceAsk, PlaceEnd, PlaceReply} from './places.js';
 
 /** Hands out the slots of all servers, for all routers, at one place. */
@@ -30,47 +27,12 @@
   waitingKeys(service: string): readonly number[];
 }
 
-/** What issuing places needs. */
-export interface PlaceIssuerConfig {
-  readonly backends: Backends;
-  readonly clock: Clock;
-  readonly emit: Emit;
-  ownerOf(service: string, key: number): Owner;
-}
-
-interface Waiter {
-  readonly ask: PlaceAsk;
-  readonly reply: (reply: PlaceReply) => void;
-  readonly askedAt: number;
-  /** Monotonic time from which its answer is worth less, in ms. */
-  readonly aimAt: number;
-  /** Monotonic time from which its answer would come too late, in ms. */
-  readonly endsAt: number;
-  grantedAt: number;
-  server: string | null;
-  isOver: boolean;
-}
-
-/** Before anything was measured, in ms. */
-const DEFAULT_SERVICE_MS = 200;
-const COLD_FACTOR = 2;
-/**
- * How much quicker a server of another data centre must be: bytes between
- * data centres cost more than what a slightly quicker one gains.
- */
-const REMOTE_FACTOR = 2.2;
-/** A server that fails this share of its requests is a last resort. */
-const FAILING_SHARE = 0.5;
 /**
  * A request is sent only with so many service times left: work that is given
  * up at its time limit has used up a slot for nothing, and under overload that
  * alone kept servers at half their goodput after the cause was gone.
  */
 const TIMELY_FACTOR = 1.8;
-/** The oldest may have waited for this share of its aim before newer go first. */
-const PATIENT_SHARE = 0.3;
-/** A server that was never asked is tried before others: nobody knows it. */
-const UNKNOWN_FACTOR = 0.15;
 /** A caller that is refused comes back after this time, in ms. */
 const RETRY_AFTER_MS = 200;
 /** Waiting requests are looked at this often in any case, in ms. */
@@ -228,97 +190,6 @@
   };
 }
 
-/** The server that holds the ask's key; null while nobody does. */
-function holderOf(
-  {ownerOf}: PlaceIssuerConfig,
-  {service, key}: PlaceAsk,
-): string | null {
-  const owner = ownerOf(service, key ?? 0);
-  return owner.kind === 'held' ? owner.server : null;
-}
-
-/** Whether nobody waits for the same servers. */
-function isFirst(
-  cfg: PlaceIssuerConfig,
-  queue: readonly Waiter[],
-  ask: PlaceAsk,
-): boolean {
-  if (queue.length === 0) return true;
-  return rivals(cfg, queue, ask).length === 0;
-}
-
-/** Those that wait for the same servers and are at least as urgent. */
-function rivals(
-  cfg: PlaceIssuerConfig,
-  queue: readonly Waiter[],
-  ask: PlaceAsk,
-): readonly Waiter[] {
-  const holder = ask.key === null ? null : holderOf(cfg, ask);
-  return queue.filter(({isOver, ask: other}) => {
-    if (isOver || other.priority > ask.priority) return false;
-    return ask.key === null || holderOf(cfg, other) === holder;
-  });
-}
-
-/**
- * The order of service: the more urgent first, then those whose answers can
- * still be worth most, then the others. Among equals the oldest go first; once
- * those have waited long, the newest do: with more requests than the servers
- * can serve, the oldest first means that every answer comes late.
- */
-function inOrder(queue: readonly Waiter[], now: number): readonly Waiter[] {
-  const isNewestFirst = queue.some(
-    ({isOver, askedAt, aimAt}) =>
-      !isOver && now - askedAt > PATIENT_SHARE * (aimAt - askedAt),
-  );
-  const direction = isNewestFirst ? -1 : 1;
-  return [...queue].sort((a, b) => {
-    if (a.ask.priority !== b.ask.priority) {
-      return a.ask.priority - b.ask.priority;
-    }
-    const lateness = Number(a.aimAt < now) - Number(b.aimAt < now);
-    if (lateness !== 0) return lateness;
-    return direction * (a.askedAt - b.askedAt);
-  });
-}
-
-/**
- * The oldest of equal urgency where more wait than can be served in time, to
- * be refused: told at once, its caller can come back while it still has time.
- */
-function findShed(
-  cfg: PlaceIssuerConfig,
-  queue: readonly Waiter[],
-  newest: Waiter,
-): Waiter | null {
-  const {ask} = newest;
-  const waiting = rivals(cfg, queue, ask);
-  const {slots, serviceMs} = capacityFor(cfg, ask);
-  const lastWaitMs = (waiting.length / Math.max(1, slots)) * serviceMs;
-  const mayWaitMs = Math.max(0, newest.endsAt - newest.askedAt);
-  return lastWaitMs <= mayWaitMs ? null : (waiting[0] ?? null);
-}
-
-function capacityFor(
-  cfg: PlaceIssuerConfig,
-  ask: PlaceAsk,
-): {readonly slots: number; readonly serviceMs: number} {
-  const serviceMs = expectedMs(cfg, ask);
-  if (ask.key === null) {
-    const slots = cfg.backends
-      .ofService(ask.service)
-      .reduce((sum, {info}) => sum + (info.isLeaving ? 0 : info.slots), 0);
-    return {slots, serviceMs};
-  }
-  const holder = holderOf(cfg, ask);
-  const backend = holder === null ? undefined : cfg.backends.get(holder);
-  if (backend === undefined) return {slots: 1, serviceMs: 0};
-  return {
-    slots: backend.info.slots,
-    serviceMs: backend.serviceMs || serviceMs,
-  };
-}
-
 function takeBack(
   {clock}: PlaceIssuerConfig,
   backend: Backend,
@@ -338,74 +209,3 @@
     suspect(backend, now);
   }
 }
-
-function findFree(cfg: PlaceIssuerConfig, ask: PlaceAsk): Backend | null {
-  return ask.key === null ? findAny(cfg, ask) : findOwner(cfg, ask, ask.key);
-}
-
-function findOwner(
-  {backends, clock, ownerOf}: PlaceIssuerConfig,
-  {service}: PlaceAsk,
-  key: number,
-): Backend | null {
-  const owner = ownerOf(service, key);
-  if (owner.kind !== 'held') return null;
-  const backend = backends.get(owner.server);
-  if (backend === undefined || backend.isGone) return null;
-  if (backend.suspectUntil > clock.now()) return null;
-  return hasSlot(backend) ? backend : null;
-}
-
-/** One that was passed over shows first with one request that it's back. */
-function hasSlot({placed, suspectMs, info}: Backend): boolean {
-  return placed < (suspectMs > 0 ? 1 : info.slots);
-}
-
-function findAny(
-  {backends, clock}: PlaceIssuerConfig,
-  {service, excluded, dataCentre}: PlaceAsk,
-): Backend | null {
-  const now = clock.now();
-  const usable = backends
-    .ofService(service)
-    .filter(({info, isGone}) => !info.isLeaving && !isGone);
-  const fresh = usable.filter(({info}) => !excluded.includes(info.id));
-  const sound = fresh.filter(
-    backend =>
-      backend.suspectUntil <= now &&
-      failureShareOf(backend, now) < FAILING_SHARE,
-  );
-  const candidates = sound.length > 0 ? sound : fresh;
-  let best: Backend | null = null;
-  let bestMs = Infinity;
-  for (const backend of candidates) {
-    if (!hasSlot(backend)) continue;
-    const ms = costOf(backend, dataCentre, now);
-    if (ms >= bestMs) continue;
-    best = backend;
-    bestMs = ms;
-  }
-  return best;
-}
-
-function costOf(backend: Backend, dataCentre: string, now: number): number {
-  const remote = backend.info.dataCentre === dataCentre ? 1 : REMOTE_FACTOR;
-  const cold = backend.coldUntil > now ? COLD_FACTOR : 1;
-  const failures = failureShareOf(backend, now);
-  const isUnknown = backend.lastAnswerAt === -Infinity && backend.placed === 0;
-  // Wherever it is: one request is worth knowing it.
-  if (isUnknown) return DEFAULT_SERVICE_MS * UNKNOWN_FACTOR;
-  const serviceMs = backend.serviceMs || DEFAULT_SERVICE_MS;
-  // A slot beside a running request is a little worse than an idle server.
-  const crowd = 1 + (0.1 * backend.placed) / backend.info.slots;
-  return (serviceMs * cold * remote * crowd) / (1 - failures) ** 2;
-}
-
-function expectedMs({backends}: PlaceIssuerConfig, ask: PlaceAsk): number {
-  const known = backends
-    .ofService(ask.service)
-    .map(({serviceMs}) => serviceMs)
-    .filter(ms => ms > 0);
-  if (known.length === 0) return DEFAULT_SERVICE_MS;
-  return known.reduce((sum, ms) => sum + ms, 0) / known.length;
-}
--- /dev/null
+++ b/packages/dispatch/src/server-cost.ts
@@ -0,0 +1,44 @@
+import {failureShareOf, type Backend} from './backend.js';
+
+/** A request's time at a server before anything was measured, in ms. */
+export const DEFAULT_SERVICE_MS = 200;
+
+/** A server that fails this share of its requests is a last resort. */
+const FAILING_SHARE = 0.5;
+/** Servers that started lately take about so many times as long. */
+const COLD_FACTOR = 2;
+
+/** Those of the servers that seem sound; all of them where none does. */
+export function preferSound(
+  backends: readonly Backend[],
+  now: number,
+): readonly Backend[] {
+  const sound = backends.filter(
+    backend =>
+      backend.suspectUntil <= now &&
+      failureShareOf(backend, now) < FAILING_SHARE,
+  );
+  return sound.length > 0 ? sound : backends;
+}
+
+/**
+ * What a request costs at the server: its time there in ms, higher where it
+ * would perhaps fail. `typicalMs` stands in where nothing was measured.
+ */
+export function costOf(
+  backend: Backend,
+  typicalMs: number,
+  now: number,
+): number {
+  const serviceMs = backend.serviceMs || typicalMs;
+  const cold = backend.coldUntil > now ? COLD_FACTOR : 1;
+  const failures = failureShareOf(backend, now);
+  return (serviceMs * cold) / (1 - failures) ** 2;
+}
+
+/** The mean time of the servers that were measured, in ms. */
+export function typicalServiceMs(backends: readonly Backend[]): number {
+  const known = backends.map(({serviceMs}) => serviceMs).filter(ms => ms > 0);
+  if (known.length === 0) return DEFAULT_SERVICE_MS;
+  return known.reduce((sum, ms) => sum + ms, 0) / known.length;
+}
--- a/packages/gateway/src/entry.ts
+++ b/packages/gateway/src/entry.ts
@@ -6,19 +6,30 @@
 } from 'node:http';
 import {createCanceller} from '@banyandrum/base/cancel.js';
 import type {Clock} from '@banyandrum/base/clock.js';
-import {failure, type Failure} from '@banyandrum/base/failure.js';
-import {HOP_BY_HOP} from '@banyandrum/base/hop-by-hop.js';
+import {failure} from '@banyandrum/base/failure.js';
 import {createId} from '@banyandrum/base/ids.js';
 import type {Emit} from '@banyandrum/dispatch/events.js';
-import {
-  forward,
-  type ForwardConfig,
-  type Reply,
-} from '@banyandrum/dispatch/forward.js';
+import {forward} from '@banyandrum/dispatch/forward.js';
+import type {ForwardConfig} from '@banyandrum/dispatch/journey.js';
 import type {Route, RoutingConfig} from '@banyandrum/routing/config.js';
 import {matchRoute} from '@banyandrum/routing/match-route.js';
 import type {Splitter} from '@banyandrum/routing/split.js';
+import {
+  callerDeadlineMs,
+  forwardHeaders,
+  header,
+  headerBytes,
+  ownHeaders,
+  readKey,
+  type OwnHeaders,
+} from './caller-headers.js';
 import {readBody} from './read-body.js';
+import {
+  send,
+  statusOf,
+  type AnswerConfig,
+  type Answered,
+} from './write-answer.js';
 
 /** What the callers' interface needs. */
 export interface EntryConfig {
@@ -55,17 +66,13 @@
 interface EntryState extends EntryConfig {
   inFlight: number;
   isClosing: boolean;
+  readonly answers: AnswerConfig;
 }
 
-/** Set anew for each attempt, or read here. */
-type OwnHeaders = ReadonlySet<string>;
-
 /** Largest header that the parser takes, in bytes; routes' limits are less. */
 const PARSER_HEADER_BYTES = 128 * 1024;
 /** The answer leaves this long before the time limit, in ms. */
 const ANSWER_MARGIN_MS = 25;
-/** Time limit of requests that name none and have no route's, in ms. */
-const DEFAULT_DEADLINE_MS = 30_000;
 /** The parser looks for slow and idle connections this often, in ms. */
 const CHECK_MS = 500;
 /** A caller that reuses a connection at the last moment must find it open. */
@@ -73,8 +80,6 @@
 /** Callers come back after this time where no configuration is known, ms. */
 const NO_CONFIG_RETRY_MS = 300;
 
-const NO_BODY: ReadonlySet<number> = new Set([204, 304]);
-
 /**
  * Makes the callers' interface; listening is up to the process.
  *
@@ -85,15 +90,16 @@
  * ```
  */
 export function createEntry(cfg: EntryConfig): Entry {
-  const state: EntryState = {...cfg, inFlight: 0, isClosing: false};
-  const {names} = cfg.forward;
-  const own = new Set([
-    ...HOP_BY_HOP,
-    'content-length',
-    names.deadlineMs,
-    names.expectedServer,
-  ]);
-  own.delete('host');
+  const state: EntryState = {
+    ...cfg,
+    inFlight: 0,
+    isClosing: false,
+    answers: {
+      requestId: cfg.forward.names.requestId,
+      isClosing: () => state.isClosing,
+    },
+  };
+  const own = ownHeaders(cfg.forward.names);
   const server = createServer(
     {
       maxHeaderSize: PARSER_HEADER_BYTES,
@@ -132,7 +138,7 @@
   const id = header(req, state.forward.names.requestId) ?? createId();
   const arrival = {id, arrivedAt, signal: canceller.signal, route: null};
   const answered = await answer(state, own, req, arrival);
-  if (!res.destroyed) send(state, req, res, answered);
+  if (!res.destroyed) send(state.answers, req, res, answered);
   note(state, arrival, answered, res.destroyed);
 }
 
@@ -181,16 +187,6 @@
   route: Route | null;
 }
 
-/** What is written to the caller. */
-type Answered =
-  | Reply
-  /** Refused by its form; it can't succeed when repeated. */
-  | {
-      readonly kind: 'rejected';
-      readonly status: number;
-      readonly detail: string;
-    };
-
 async function answer(
   state: EntryState,
   own: OwnHeaders,
@@ -199,6 +195,7 @@
 ): Promise<Answered> {
   const config = state.config();
   const {id} = arrival;
+  const {names} = state.forward;
   if (config === null) {
     return notRun('no configuration is known yet', NO_CONFIG_RETRY_MS);
   }
@@ -210,7 +207,7 @@
   arrival.route = route;
   const service = state.splitter.next(route);
   const keyed = config.services.get(service)?.isKeyed ?? false;
-  const key = keyed ? readKey(state, req) : null;
+  const key = keyed ? readKey(names, req) : null;
   if (keyed && key === null) return reject(400, 'the key is missing');
   const body = await readBody(req, config.limits.maxBodyBytes);
   if (body.kind === 'too-large') return reject(413, 'the body is too large');
@@ -221,7 +218,7 @@
     id,
     method: req.method ?? 'GET',
     path: req.url ?? '/',
-    headers: forwardHeaders(own, req, id, state.forward.names.requestId),
+    headers: forwardHeaders(own, req, id, names.requestId),
     body: body.bytes,
     route,
     service,
@@ -241,132 +238,12 @@
   return {kind: 'failure', failure: reason};
 }
 
-function header(req: IncomingMessage, name: string): string | undefined {
-  const value = req.headers[name];
-  return typeof value === 'string' ? value : undefined;
-}
-
-function headerBytes(req: IncomingMessage): number {
-  let size = (req.url ?? '').length;
-  for (const text of req.rawHeaders) size += text.length + 2;
-  return size;
-}
-
-function readKey(state: EntryState, req: IncomingMessage): number | null {
-  const text = header(req, state.forward.names.key);
-  if (text === undefined || !/^\d{1,5}$/.test(text)) return null;
-  return Number(text);
-}
-
-function forwardHeaders(
-  own: OwnHeaders,
-  req: IncomingMessage,
-  id: string,
-  idName: string,
-): readonly string[] {
-  const headers: string[] = [];
-  const named = new Set(
-    (req.headers.connection ?? '').toLowerCase().split(/\s*,\s*/),
-  );
-  for (let at = 0; at + 1 < req.rawHeaders.length; at += 2) {
-    const name = req.rawHeaders[at]!.toLowerCase();
-    if (own.has(name) || named.has(name)) continue;
-    headers.push(req.rawHeaders[at]!, req.rawHeaders[at + 1]!);
-  }
-  if (header(req, idName) === undefined) headers.push(idName, id);
-  return headers;
-}
-
 function deadlineOf(
-  state: EntryState,
+  {forward: {names}}: EntryState,
   req: IncomingMessage,
   route: Route,
   arrivedAt: number,
 ): number {
-  const told = Number(header(req, state.forward.names.deadlineMs));
-  const callerMs = told > 0 ? told : DEFAULT_DEADLINE_MS;
-  const ms = Math.min(callerMs, route.timeoutMs);
+  const ms = Math.min(callerDeadlineMs(names, req), route.timeoutMs);
   return arrivedAt + ms - ANSWER_MARGIN_MS;
 }
-
-type Of<K extends Answered['kind']> = Extract<Answered, {kind: K}>;
-
-type Send<K extends Answered['kind']> = (
-  state: EntryState,
-  req: IncomingMessage,
-  res: ServerResponse,
-  answered: Of<K>,
-) => void;
-
-const SENDS: {readonly [K in Answered['kind']]: Send<K>} = {
-  answer(state, req, res, answered) {
-    const {status, headers, body} = answered.answer;
-    const isBodiless = req.method === 'HEAD' || NO_BODY.has(status);
-    const out: string[] = [];
-    for (let at = 0; at + 1 < headers.length; at += 2) {
-      const name = headers[at]!.toLowerCase();
-      if (HOP_BY_HOP.has(name)) continue;
-      if (name === 'content-length' && !isBodiless) continue;
-      out.push(headers[at]!, headers[at + 1]!);
-    }
-    if (!isBodiless) out.push('Content-Length', String(body.length));
-    if (isLast(state, req)) out.push('Connection', 'close');
-    res.writeHead(status, out);
-    res.end(isBodiless ? undefined : body);
-  },
-  rejected(state, req, res, answered) {
-    const {status, detail} = answered;
-    sendProblem(state, req, res, status, {code: 'bad-request', detail}, null);
-  },
-  failure(state, req, res, answered) {
-    const {failure: reason} = answered;
-    const {code, verdict, detail} = reason;
-    const after = reason.retryAfterMs ?? null;
-    const told = {code, verdict, detail};
-    sendProblem(state, req, res, statusOf(reason), told, after);
-  },
-};
-
-function send(
-  state: EntryState,
-  req: IncomingMessage,
-  res: ServerResponse,
-  answered: Answered,
-): void {
-  const write = SENDS[answered.kind] as Send<Answered['kind']>;
-  write(state, req, res, answered as never);
-}
-
-function statusOf({verdict, code}: Failure): number {
-  if (verdict === 'not-run') return 503;
-  return code === 'deadline' ? 504 : 502;
-}
-
-function sendProblem(
-  state: EntryState,
-  req: IncomingMessage,
-  res: ServerResponse,
-  status: number,
-  problem: Readonly<Record<string, string>>,
-  retryAfterMs: number | null,
-): void {
-  const body = JSON.stringify({status, ...problem});
-  const out = ['Content-Type', 'application/problem+json'];
-  const id = header(req, state.forward.names.requestId);
-  if (id !== undefined) out.push(state.forward.names.requestId, id);
-  if (retryAfterMs !== null) {
-    out.push('Retry-After', (retryAfterMs / 1000).toFixed(3));
-  }
-  out.push('Content-Length', String(Buffer.byteLength(body)));
-  if (isLast(state, req)) out.push('Connection', 'close');
-  res.writeHead(status, out);
-  res.end(body);
-}
-
-/**
- * An answer ends its connection while the process stops, and where the rest
- * of the request was not read: it would be taken for the next one.
- */
-function isLast(state: EntryState, req: IncomingMessage): boolean {
-  return state.isClosing || !req.complete;
-}
--- a/packages/gateway/src/event-log.ts
+++ b/packages/gateway/src/event-log.ts
@@ -1,5 +1,6 @@
 import {write} from 'node:fs';
-import type {Emit} from '@banyandrum/dispatch/events.js';
+import type {Emit, EventFields} from '@banyandrum/dispatch/events.js';
+import type {LogLevel} from './settings.js';
 
 /** Writes events as JSON lines without ever blocking or growing. */
 export interface EventLog {
@@ -17,6 +18,15 @@
 /** Lines are gathered for this time, in ms: fewer, larger writes. */
 const GATHER_MS = 100;
 
+/** What each level writes. */
+const WANTED: Readonly<
+  Record<LogLevel, (event: string, fields: EventFields) => boolean>
+> = {
+  info: () => true,
+  warn: (event, {outcome}) => event !== 'request' || outcome !== 'answered',
+  off: () => false,
+};
+
 /**
  * Makes the log on the file descriptor `fd`. A slow reader costs lines, never
  * time: writes are asynchronous, one at a time, and what doesn't fit is
@@ -28,7 +38,12 @@
  * log.emit('started', {version: '0.1.0'});
  * ```
  */
-export function createEventLog(fd: number, host: string): EventLog {
+export function createEventLog(
+  fd: number,
+  host: string,
+  level: LogLevel = 'info',
+): EventLog {
+  const isWanted = WANTED[level];
   const lines: string[] = [];
   let dropped = 0;
   let toldDropped = 0;
@@ -73,6 +88,7 @@
 
   return {
     emit(event, fields) {
+      if (!isWanted(event, fields)) return;
       if (lines.length >= MAX_LINES) {
         dropped++;
         return;
--- a/packages/gateway/src/key-owners.ts
+++ b/packages/gateway/src/key-owners.ts
@@ -19,6 +19,9 @@
   isReplaced(server: string): boolean;
 }
 
+/** Ended runs that are remembered: some weeks of restarts. */
+const MAX_REPLACED = 10_000;
+
 /**
  * Keeps the tables that requests are routed by.
  *
@@ -62,6 +65,10 @@
     },
     noteReplaced(server) {
       replaced.add(server);
+      if (replaced.size > MAX_REPLACED) {
+        const [oldest] = replaced;
+        replaced.delete(oldest!);
+      }
       emit('server-replaced', {server});
     },
     takeTables(next) {
--- a/packages/gateway/src/leadership.ts
+++ b/packages/gateway/src/leadership.ts
@@ -2,11 +2,11 @@
 import type {Emit} from '@banyandrum/dispatch/events.js';
 import {
   leadService,
-  type LedServer,
   type ServiceLead,
 } from '@banyandrum/ranges/lead-service.js';
+import type {LedServer} from '@banyandrum/ranges/lead-state.js';
 import type {RangeTable} from '@banyandrum/ranges/table.js';
-import {AUTHORITY_MS} from '@banyandrum/ranges/timing.js';
+import {AUTHORITY_MS, type HoldTiming} from '@banyandrum/ranges/timing.js';
 import type {KeyCounts, ServedTables} from './key-owners.js';
 import type {Platform} from './platform.js';
 
@@ -31,6 +31,7 @@
   readonly platform: Platform;
   readonly clock: Clock;
   readonly emit: Emit;
+  readonly timing: HoldTiming;
   /** Distinguishes the versions of this run. */
   readonly boot: string;
   keyedServices(): readonly string[];
@@ -98,6 +99,7 @@
         ledger: platform.ledger,
         orders: platform.orders,
         clock,
+        timing: cfg.timing,
         servers: () => cfg.serversOf(service),
         hasEnded: cfg.hasEnded,
         waitingKeys: () => cfg.waitingKeys(service),
--- /dev/null
+++ b/packages/gateway/src/led-servers.ts
@@ -0,0 +1,40 @@
+import type {Clock} from '@banyandrum/base/clock.js';
+import type {Backends} from '@banyandrum/dispatch/backends.js';
+import type {LedServer} from '@banyandrum/ranges/lead-state.js';
+import type {ServiceTimes} from './service-times.js';
+
+/** What the servers of a keyed service are known by. */
+export interface LedServersConfig {
+  readonly backends: Backends;
+  readonly times: ServiceTimes;
+  readonly clock: Clock;
+  /** Whether the run of a server has provably ended. */
+  hasEnded(server: string): boolean;
+}
+
+/** Before anything was measured, in ms. */
+const DEFAULT_SERVICE_MS = 300;
+
+/** The servers of `service` that may hold keys, as placement sees them. */
+export function ledServers(
+  {backends, times, clock, hasEnded}: LedServersConfig,
+  service: string,
+): readonly LedServer[] {
+  const listed = backends.ofService(service);
+  const typical = typicalMs(listed.map(({info}) => times.of(info.id, 0)));
+  return listed
+    .filter(({info, isGone}) => !info.isLeaving && !isGone)
+    .map(({info, suspectUntil}) => ({
+      id: info.id,
+      address: info.address,
+      slots: info.slots,
+      serviceMs: times.of(info.id, typical),
+      isOpen: suspectUntil <= clock.now() && !hasEnded(info.id),
+    }));
+}
+
+function typicalMs(times: readonly number[]): number {
+  const known = times.filter(ms => ms > 0);
+  if (known.length === 0) return DEFAULT_SERVICE_MS;
+  return known.reduce((sum, ms) => sum + ms, 0) / known.length;
+}
--- a/packages/gateway/src/link-client.ts
+++ b/packages/gateway/src/link-client.ts
@@ -6,11 +6,12 @@
   makeGenericClientConstructor,
   type ClientDuplexStream,
 } from '@grpc/grpc-js';
-import type {KeyCounts, KeyOwners} from './key-owners.js';
+import type {KeyOwners} from './key-owners.js';
 import {
   HEARTBEAT_MS,
   LINK_SERVICE,
   SILENCE_MS,
+  toPairs,
   type FollowerMessage,
   type LeaderMessage,
   type StateMessage,
@@ -213,9 +214,3 @@
   }
   if (configCursor !== null) cfg.noteConfigCursor(configCursor);
 }
-
-function toPairs(counts: KeyCounts): Record<string, readonly number[]> {
-  const pairs: Record<string, readonly number[]> = {};
-  for (const [service, keys] of counts) pairs[service] = [...keys].flat();
-  return pairs;
-}
--- a/packages/gateway/src/link-messages.ts
+++ b/packages/gateway/src/link-messages.ts
@@ -6,6 +6,7 @@
 } from '@banyandrum/dispatch/places.js';
 import type {ServedRange} from '@banyandrum/ranges/table.js';
 import type {ServiceDefinition} from '@grpc/grpc-js';
+import type {KeyCounts} from './key-owners.js';
 
 /** What a router sends to the leader. */
 export type FollowerMessage =
@@ -27,7 +28,7 @@
   /** Requests that it placed by itself: service, then key and count. */
   | {
       readonly kind: 'counts';
-      readonly counts: Readonly<Record<string, readonly number[]>>;
+      readonly counts: WireCounts;
     }
   /** The run of a server has ended. */
   | {readonly kind: 'replaced'; readonly server: string};
@@ -52,6 +53,9 @@
 
 export type StateMessage = Extract<LeaderMessage, {kind: 'state'}>;
 
+/** Counts by service: keys and counts in turn. */
+export type WireCounts = Readonly<Record<string, readonly number[]>>;
+
 /** The leader tells its state this often at least, in ms. */
 export const HEARTBEAT_MS = 200;
 /**
@@ -76,3 +80,23 @@
     responseDeserialize: decode as (bytes: Buffer) => LeaderMessage,
   },
 } as const satisfies ServiceDefinition;
+
+/** Counts as they travel. */
+export function toPairs(counts: KeyCounts): WireCounts {
+  const pairs: Record<string, readonly number[]> = {};
+  for (const [service, keys] of counts) pairs[service] = [...keys].flat();
+  return pairs;
+}
+
+/** Counts as they came. */
+export function toCounts(counts: WireCounts): KeyCounts {
+  const result = new Map<string, Map<number, number>>();
+  for (const [service, pairs] of Object.entries(counts)) {
+    const keys = new Map<number, number>();
+    for (let at = 0; at + 1 < pairs.length; at += 2) {
+      keys.set(pairs[at]!, pairs[at + 1]!);
+    }
+    result.set(service, keys);
+  }
+  return result;
+}
--- a/packages/gateway/src/link-server.ts
+++ b/packages/gateway/src/link-server.ts
@@ -6,11 +6,11 @@
   ServerCredentials,
   type ServerDuplexStream,
 } from '@grpc/grpc-js';
-import type {KeyCounts} from './key-owners.js';
 import type {Leadership} from './leadership.js';
 import {
   HEARTBEAT_MS,
   LINK_SERVICE,
+  toCounts,
   type FollowerMessage,
   type LeaderMessage,
   type StateMessage,
@@ -208,17 +208,3 @@
     configCursor: cfg.configCursor(),
   };
 }
-
-function toCounts(
-  counts: Readonly<Record<string, readonly number[]>>,
-): KeyCounts {
-  const result = new Map<string, Map<number, number>>();
-  for (const [service, pairs] of Object.entries(counts)) {
-    const keys = new Map<number, number>();
-    for (let at = 0; at + 1 < pairs.length; at += 2) {
-      keys.set(pairs[at]!, pairs[at + 1]!);
-    }
-    result.set(service, keys);
-  }
-  return result;
-}
--- a/packages/gateway/src/membership.ts
+++ b/packages/gateway/src/membership.ts
@@ -4,9 +4,9 @@
 
 /** Who the routers are, as the platform tells. */
 export interface Routers {
-  /** Names of all routers, this one included; the leader first. */
-  names(): readonly string[];
+  /** The name of the router that was chosen to lead; null if unknown. */
   leader(): string | null;
+  /** Routers in touch with the platform, this one included. */
   count(): number;
   /**
    * Stops asking, and resolves once this router is taken out, or `goesOn`
@@ -88,7 +88,6 @@
   void run();
 
   return {
-    names: () => names,
     leader: () => names[0] ?? null,
     count: () => Math.max(1, names.length),
     async leave(goesOn) {
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -1,19 +1,20 @@
-import {createServer, type Server} from 'node:http';
-import type {AddressInfo} from 'node:net';
+import {createServer} from 'node:http';
 import {createClock, sleep, type Clock} from '@banyandrum/base/clock.js';
 import {createId} from '@banyandrum/base/ids.js';
 import {createBackends} from '@banyandrum/dispatch/backends.js';
 import {createPlaceIssuer} from '@banyandrum/dispatch/place-issuer.js';
 import {createRetryBudget} from '@banyandrum/dispatch/retry-budget.js';
-import type {LedServer} from '@banyandrum/ranges/lead-service.js';
+import {createTiming} from '@banyandrum/ranges/timing.js';
 import {createSplitter} from '@banyandrum/routing/split.js';
 import {keepConfig} from './config-keeper.js';
 import {createEntry} from './entry.js';
 import type {EventLog} from './event-log.js';
 import {createKeyOwners, type ServedTables} from './key-owners.js';
 import {createLeadership} from './leadership.js';
+import {ledServers} from './led-servers.js';
 import {followLeader} from './link-client.js';
 import {serveLinks} from './link-server.js';
+import {listen} from './listen.js';
 import {createLocalPlaces} from './local-places.js';
 import {followRouters} from './membership.js';
 import {createMetrics} from './metrics.js';
@@ -50,7 +51,6 @@
 const IDLE_STEP_MS = 50;
 /** Connections of a server that this router leaves to others' orders. */
 const SPARE_CONNECTIONS = 4;
-const DEFAULT_SERVICE_MS = 300;
 
 /**
  * Runs a router: callers' interface, readiness, the exchange with the other
@@ -76,7 +76,7 @@
   const goesOn = (): boolean => !isOver;
 
   const backends = createBackends(clock);
-  const list = createServerList(clock, emit);
+  const list = createServerList(clock, emit, settings.servers.leaveWithinMs);
   const owners = createKeyOwners(clock, emit);
   const times = createServiceTimes();
   list.subscribe(() => backends.update(list.snapshot()!.servers));
@@ -88,27 +88,15 @@
   const hasEnded = (server: string): boolean =>
     owners.isReplaced(server) || list.isReplaced(server);
 
-  const serversOf = (service: string): readonly LedServer[] => {
-    const listed = backends.ofService(service);
-    const typical = typicalMs(listed.map(({info}) => times.of(info.id, 0)));
-    return listed
-      .filter(({info, isGone}) => !info.isLeaving && !isGone)
-      .map(({info, suspectUntil}) => ({
-        id: info.id,
-        address: info.address,
-        slots: info.slots,
-        serviceMs: times.of(info.id, typical),
-        isOpen: suspectUntil <= clock.now() && !hasEnded(info.id),
-      }));
-  };
-
+  const led = {backends, times, clock, hasEnded};
   const leadership = createLeadership({
     platform,
     clock,
     emit,
     boot,
     keyedServices,
-    serversOf,
+    timing: createTiming(settings.servers.holdMaxMs),
+    serversOf: service => ledServers(led, service),
     hasEnded,
     waitingKeys: service => issuer.waitingKeys(service),
   });
@@ -288,12 +276,6 @@
   return count;
 }
 
-function typicalMs(times: readonly number[]): number {
-  const known = times.filter(ms => ms > 0);
-  if (known.length === 0) return DEFAULT_SERVICE_MS;
-  return known.reduce((sum, ms) => sum + ms, 0) / known.length;
-}
-
 function repeat(
   clock: Clock,
   ms: number,
@@ -308,18 +290,3 @@
   };
   void run();
 }
-
-/** Yields the `ip:port` that the server listens on. */
-function listen(server: Server, address: string): Promise<string> {
-  const at = address.lastIndexOf(':');
-  const host = address.slice(0, at);
-  const port = Number(address.slice(at + 1));
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen({host, port, backlog: 1024}, () => {
-      server.off('error', reject);
-      const bound = server.address() as AddressInfo;
-      resolve(`${bound.address}:${bound.port}`);
-    });
-  });
-}
--- a/packages/gateway/src/server-list.ts
+++ b/packages/gateway/src/server-list.ts
@@ -31,21 +31,32 @@
 /**
  * Entries that are removed are kept until so long after the last failed read:
  * servers couldn't renew theirs either, and they come back when the platform
- * does. In ms; deployments name 2 s. Never longer, since a server that is
- * really gone must have no request some 2 s after its removal.
+ * does. In ms, at the most; it must also end soon after the time by which a
+ * server that is really gone must have no request any more.
  */
 const RETURN_MS = 2_200;
+const RETURN_MARGIN_MS = 200;
+/**
+ * Runs of servers that are remembered, to tell that one took another's place:
+ * some weeks of restarts at the size designed for, in about 1 MB.
+ */
+const MAX_SEEN = 10_000;
 
 /**
  * Keeps the list.
  *
  * @example
  * ```ts
- * const list = createServerList(clock, emit);
+ * const list = createServerList(clock, emit, 2_000);
  * list.take(await platform.readServers(list.cursor()));
  * ```
  */
-export function createServerList(clock: Clock, emit: Emit): ServerList {
+export function createServerList(
+  clock: Clock,
+  emit: Emit,
+  leaveWithinMs: number,
+): ServerList {
+  const returnMs = Math.min(RETURN_MS, leaveWithinMs + RETURN_MARGIN_MS);
   const servers = new Map<string, ServerInfo>();
   /** Address and order of first sight of each server ever listed. */
   const seen = new Map<string, {address: string; order: number}>();
@@ -61,12 +72,21 @@
     listeners.forEach(listener => listener());
   };
 
+  const forgetOldest = (): void => {
+    for (const id of seen.keys()) {
+      if (servers.has(id)) continue;
+      seen.delete(id);
+      return;
+    }
+  };
+
   const put = (server: ServerInfo): boolean => {
     removals.delete(server.id);
     const known = servers.get(server.id);
     servers.set(server.id, server);
     if (!seen.has(server.id)) {
       seen.set(server.id, {address: server.address, order: version});
+      if (seen.size > MAX_SEEN) forgetOldest();
     }
     if (known !== undefined && isSame(known, server)) return false;
     const {id, service, address, isLeaving, coldMs} = server;
@@ -82,7 +102,7 @@
 
   const expire = (id: string): boolean => {
     if (!servers.has(id)) return false;
-    if (clock.now() - troubleAt > RETURN_MS) return remove(id);
+    if (clock.now() - troubleAt > returnMs) return remove(id);
     removals.add(id);
     return false;
   };
@@ -101,7 +121,7 @@
   };
 
   const applyDue = (): boolean => {
-    if (clock.now() - troubleAt <= RETURN_MS) return false;
+    if (clock.now() - troubleAt <= returnMs) return false;
     const due = [...removals];
     removals.clear();
     return due.map(remove).includes(true);
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -1,5 +1,8 @@
 import {parse} from 'smol-toml';
 
+/** What is logged: all, all but answered requests, nothing. */
+export type LogLevel = 'info' | 'warn' | 'off';
+
 /** A process's own settings. */
 export interface Settings {
   readonly host: {
@@ -15,8 +18,14 @@
   };
   readonly platform: {
     readonly address: string;
-    /** How often backend servers renew their entries in the list, in ms. */
-    readonly heartbeatMs: number;
+    /** The least time after which it takes out silent routers, in ms. */
+    readonly silenceMinMs: number;
+  };
+  readonly servers: {
+    /** By then a server that leaves must get no more requests, in ms. */
+    readonly leaveWithinMs: number;
+    /** The longest time for which they take keys by one grant, in ms. */
+    readonly holdMaxMs: number;
   };
   readonly stop: {
     /** From the signal to the end of the process, in ms. */
@@ -27,10 +36,12 @@
     readonly slack: number;
   };
   readonly logging: {
-    readonly level: string;
+    readonly level: LogLevel;
   };
 }
 
+const LOG_LEVELS: readonly LogLevel[] = ['info', 'warn', 'off'];
+
 /** A problem with the settings, for people. */
 export class SettingsError extends Error {
   override readonly name = 'SettingsError';
@@ -79,14 +90,18 @@
     },
     platform: {
       address: addressAt('platform', 'address'),
-      heartbeatMs: timeAt('platform', 'heartbeat', '1s'),
+      silenceMinMs: timeAt('platform', 'silence_min', '1s'),
+    },
+    servers: {
+      leaveWithinMs: timeAt('servers', 'leave_within', '2s'),
+      holdMaxMs: timeAt('servers', 'hold_max', '10s'),
     },
     stop: {graceMs: timeAt('stop', 'grace', '6s')},
     retries: {
       ratio: numberAt('retries', 'ratio', 0.2),
       slack: numberAt('retries', 'slack', 20),
     },
-    logging: {level: textAt('logging', 'level', 'info')},
+    logging: {level: checkLevel(textAt('logging', 'level', 'info'))},
   };
 }
 
@@ -113,3 +128,9 @@
   if (/^\d+\.\d+\.\d+\.\d+:\d+$/.test(text)) return text;
   throw new SettingsError(`${key}: ${text} is no address by IP number`);
 }
+
+function checkLevel(text: string): LogLevel {
+  const level = LOG_LEVELS.find(each => each === text);
+  if (level !== undefined) return level;
+  throw new SettingsError(`logging.level: none of ${LOG_LEVELS.join(', ')}`);
+}
--- /dev/null
+++ b/packages/gateway/src/write-answer.ts
@@ -0,0 +1,109 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Failure} from '@banyandrum/base/failure.js';
+import {HOP_BY_HOP} from '@banyandrum/base/hop-by-hop.js';
+import type {Reply} from '@banyandrum/dispatch/journey.js';
+import {header} from './caller-headers.js';
+
+/** What is written to the caller. */
+export type Answered =
+  | Reply
+  /** Refused by its form; it can't succeed when repeated. */
+  | {
+      readonly kind: 'rejected';
+      readonly status: number;
+      readonly detail: string;
+    };
+
+/** What writing answers needs to know of the process. */
+export interface AnswerConfig {
+  /** Name of the header field that repeats the request's id. */
+  readonly requestId: string;
+  /** Whether each answer is its connection's last. */
+  isClosing(): boolean;
+}
+
+const NO_BODY: ReadonlySet<number> = new Set([204, 304]);
+
+/** Writes the answer to the caller. */
+export function send(
+  cfg: AnswerConfig,
+  req: IncomingMessage,
+  res: ServerResponse,
+  answered: Answered,
+): void {
+  const write = SENDS[answered.kind] as Send<Answered['kind']>;
+  write(cfg, req, res, answered as never);
+}
+
+/** The status that tells a failure. */
+export function statusOf({verdict, code}: Failure): number {
+  if (verdict === 'not-run') return 503;
+  return code === 'deadline' ? 504 : 502;
+}
+
+type Of<K extends Answered['kind']> = Extract<Answered, {kind: K}>;
+
+type Send<K extends Answered['kind']> = (
+  cfg: AnswerConfig,
+  req: IncomingMessage,
+  res: ServerResponse,
+  answered: Of<K>,
+) => void;
+
+const SENDS: {readonly [K in Answered['kind']]: Send<K>} = {
+  answer(cfg, req, res, answered) {
+    const {status, headers, body} = answered.answer;
+    const isBodiless = req.method === 'HEAD' || NO_BODY.has(status);
+    const out: string[] = [];
+    for (let at = 0; at + 1 < headers.length; at += 2) {
+      const name = headers[at]!.toLowerCase();
+      if (HOP_BY_HOP.has(name)) continue;
+      if (name === 'content-length' && !isBodiless) continue;
+      out.push(headers[at]!, headers[at + 1]!);
+    }
+    if (!isBodiless) out.push('Content-Length', String(body.length));
+    if (isLast(cfg, req)) out.push('Connection', 'close');
+    res.writeHead(status, out);
+    res.end(isBodiless ? undefined : body);
+  },
+  rejected(cfg, req, res, answered) {
+    const {status, detail} = answered;
+    sendProblem(cfg, req, res, status, {code: 'bad-request', detail}, null);
+  },
+  failure(cfg, req, res, answered) {
+    const {failure: reason} = answered;
+    const {code, verdict, detail} = reason;
+    const after = reason.retryAfterMs ?? null;
+    const told = {code, verdict, detail};
+    sendProblem(cfg, req, res, statusOf(reason), told, after);
+  },
+};
+
+function sendProblem(
+  cfg: AnswerConfig,
+  req: IncomingMessage,
+  res: ServerResponse,
+  status: number,
+  problem: Readonly<Record<string, string>>,
+  retryAfterMs: number | null,
+): void {
+  const body = JSON.stringify({status, ...problem});
+  const out = ['Content-Type', 'application/problem+json'];
+  const id = header(req, cfg.requestId);
+  if (id !== undefined) out.push(cfg.requestId, id);
+  if (retryAfterMs !== null) {
+    out.push('Retry-After', (retryAfterMs / 1000).toFixed(3));
+  }
+  out.push('Content-Length', String(Buffer.byteLength(body)));
+  if (isLast(cfg, req)) out.push('Connection', 'close');
+  res.writeHead(status, out);
+  res.end(body);
+}
+
+/**
+ * An answer ends its connection while the process stops, and where the rest
+ * of the request was not read: it would be taken for the next one.
+ */
+function isLast(cfg: AnswerConfig, req: IncomingMessage): boolean {
+  return cfg.isClosing() || !req.complete;
+}
--- a/packages/gateway/test/event-log.test.ts
+++ b/packages/gateway/test/event-log.test.ts
@@ -36,3 +36,26 @@
     18_000,
   );
 });
+
+const LEVELS = [
+  ['info', ['request', 'request', 'started']],
+  ['warn', ['request', 'started']],
+  ['off', []],
+] as const;
+for (const [level, expected] of LEVELS) {
+  void tap.test(`level ${level}`, async t => {
+    const path = join(t.testdir({}), 'log');
+    const fd = openSync(path, 'w');
+    const log = createEventLog(fd, 'entry-1', level);
+    log.emit('request', {id: 'a', outcome: 'answered'});
+    log.emit('request', {id: 'b', outcome: 'no-owner'});
+    log.emit('started', {});
+    await log.flush(200);
+    closeSync(fd);
+    const lines = readFileSync(path, 'utf8').split('\n').filter(Boolean);
+    const events = lines.map(
+      line => (JSON.parse(line) as {event: string}).event,
+    );
+    t.same(events, expected);
+  });
+}
--- a/packages/gateway/test/server-list.test.ts
+++ b/packages/gateway/test/server-list.test.ts
@@ -39,7 +39,7 @@
 
 function scene(): {clock: ManualClock; list: ServerList} {
   const clock = createManualClock(10_000);
-  const list = createServerList(clock, () => undefined);
+  const list = createServerList(clock, () => undefined, 2_000);
   list.take(read(2, [listed(server('a')), listed(server('bb'))], true));
   return {clock, list};
 }
--- a/packages/gateway/test/settings.test.ts
+++ b/packages/gateway/test/settings.test.ts
@@ -24,6 +24,8 @@
   ['name = "entry-1"', '', /host\.name/],
   ['grace = "6s"', 'grace = "soon"', /stop\.grace/],
   ['ratio = 0.2', 'ratio = -1', /retries\.ratio/],
+  ['ratio = 0.2', 'ratio = 0.2\n[logging]\nlevel = "loud"', /logging\.level/],
+  ['ratio = 0.2', 'ratio = 0.2\n[servers]\nhold_max = 4', /hold_max/],
   ['[host]', '[host', /./],
 ];
 
--- /dev/null
+++ b/packages/ranges/src/balancing.ts
@@ -0,0 +1,111 @@
+import {grantNow} from './granting.js';
+import {holdingsOf, record, type Lead, type LedServer} from './lead-state.js';
+import {createMerged, createPart, type LiveHolding} from './live-holding.js';
+import {move} from './moving.js';
+import {planMove} from './planner.js';
+import type {KeyRange} from './table.js';
+
+/** A server's holdings are cut no further than this: each costs renewals. */
+const MAX_HOLDINGS = 8;
+
+/** Starts one move for the sake of load; false where none would help. */
+export function balance(lead: Lead, servers: readonly LedServer[]): boolean {
+  const now = lead.clock.now();
+  // A server that gives or takes keys already is left alone until it did.
+  const busy = new Set(
+    lead.lives
+      .filter(({phase}) => phase !== 'held')
+      .map(({holding}) => holding.server),
+  );
+  const free = servers.filter(({id}) => !busy.has(id) && !lead.targets.has(id));
+  const settled = lead.lives.filter(
+    ({phase, isServed, unprovedUntil}) =>
+      phase === 'held' && isServed && unprovedUntil <= now,
+  );
+  const planned = planMove(
+    settled.map(({holding}) => holding),
+    free,
+    lead.load.rates(lead.waitingKeys()),
+  );
+  if (planned === null) return false;
+  const live = settled.find(
+    ({holding}) =>
+      holding.from <= planned.range.from && planned.range.to <= holding.to,
+  )!;
+  const {range, to} = planned;
+  lead.targets.add(to);
+  lead.moves++;
+  void moveSegment(lead, live, range, to).finally(() => {
+    lead.targets.delete(to);
+    lead.moves--;
+  });
+  return true;
+}
+
+/** Joins two neighbours of one server; each holding costs renewals. */
+export function mergeOne(lead: Lead, now: number): boolean {
+  const isStill = ({phase, isServed, order, unprovedUntil}: LiveHolding) =>
+    phase === 'held' && isServed && order === null && unprovedUntil <= now;
+  for (let at = 0; at + 1 < lead.lives.length; at++) {
+    const left = lead.lives[at]!;
+    const right = lead.lives[at + 1]!;
+    if (left.holding.server !== right.holding.server) continue;
+    if (!isStill(left) || !isStill(right)) continue;
+    const merged = createMerged(left, right, lead.nextFence(), now);
+    replace(lead, [left, right], [merged]);
+    void record(lead, [merged]);
+    return true;
+  }
+  return false;
+}
+
+async function moveSegment(
+  lead: Lead,
+  live: LiveHolding,
+  range: KeyRange,
+  to: string,
+): Promise<void> {
+  const {holding} = live;
+  if (range.from === holding.from && range.to === holding.to) {
+    return move(lead, live, 'load', to);
+  }
+  if (holdingsOf(lead, holding.server!).length >= MAX_HOLDINGS) return;
+  const part = await cut(lead, live, range);
+  if (part !== null) await move(lead, part, 'load', to);
+}
+
+/** Cuts a holding, so that one part can go; yields that part. */
+async function cut(
+  lead: Lead,
+  live: LiveHolding,
+  range: KeyRange,
+): Promise<LiveHolding | null> {
+  live.phase = 'waiting';
+  await live.order;
+  const {from, to} = live.holding;
+  const ranges = [
+    {from, to: range.from - 1},
+    range,
+    {from: range.to + 1, to},
+  ].filter(each => each.from <= each.to);
+  const now = lead.clock.now();
+  const parts = ranges.map(each =>
+    createPart(live, each, lead.nextFence(), now),
+  );
+  replace(lead, [live], parts);
+  if (!(await record(lead, parts))) return null;
+  const part = parts.find(({holding}) => holding.from === range.from)!;
+  // The server must know the part by its own fence before it gives it back.
+  await Promise.all(parts.map(each => grantNow(lead, each)));
+  return part.phase === 'held' ? part : null;
+}
+
+function replace(
+  lead: Lead,
+  old: readonly LiveHolding[],
+  fresh: readonly LiveHolding[],
+): void {
+  const at = lead.lives.indexOf(old[0]!);
+  lead.lives.splice(at, old.length, ...fresh);
+  lead.onChange();
+}
--- /dev/null
+++ b/packages/ranges/src/moving.ts
@@ -0,0 +1,120 @@
+import {sleep} from '@banyandrum/base/clock.js';
+import {grantNow} from './granting.js';
+import {
+  emitOrder,
+  holdingsOf,
+  rateAt,
+  record,
+  toFields,
+  type Lead,
+  type LedServer,
+  type MoveReason,
+} from './lead-state.js';
+import type {LiveHolding} from './live-holding.js';
+import {busyShare} from './planner.js';
+import type {KeyRange} from './table.js';
+import {RELEASE_WITHIN_MS} from './timing.js';
+
+/** Waits for a lapse or a server are looked at again after this time, in ms. */
+const WAIT_MS = 50;
+/** A release gets this much time at least, in ms. */
+const RELEASE_MIN_MS = 400;
+
+/** Moves a holding to the server that fits best. */
+export async function move(
+  lead: Lead,
+  live: LiveHolding,
+  why: MoveReason,
+  wanted: string | null = null,
+): Promise<void> {
+  if (live.phase !== 'held') return;
+  live.phase = 'moving';
+  live.isServed = false;
+  lead.emit('range-leaves', {...toFields(live.holding), why, to: wanted});
+  lead.onChange();
+  const began = lead.clock.now();
+  const handover = await takeBack(lead, live, why);
+  const target = await findServer(lead, live, wanted);
+  if (target === null) return;
+  const {from, to} = live.holding;
+  const now = lead.clock.now();
+  live.holding = {
+    ...{from, to, handover},
+    ...{server: target.id, address: target.address},
+    fence: lead.nextFence(),
+  };
+  Object.assign(live, {phase: 'waiting', renewAt: now, lapseAt: now});
+  Object.assign(live, {unprovedUntil: 0, foreignUntil: 0});
+  const tookMs = Math.round(now - began);
+  lead.emit('range-assigned', {...toFields(live.holding), tookMs});
+  await record(lead, [live]);
+}
+
+/** Resolves once nobody holds the range, with what the holder gave back. */
+async function takeBack(
+  lead: Lead,
+  live: LiveHolding,
+  why: MoveReason,
+): Promise<string | null> {
+  const {holding} = live;
+  if (holding.server === null) return holding.handover;
+  await live.order;
+  if (why === 'ended') return null;
+  // An earlier leader's grant may still be carried out after the release,
+  // unless the server has seen a higher fence before.
+  if (live.foreignUntil > 0) await grantNow(lead, live);
+  // After the lapse an answer would tell nothing more; a server that fell
+  // silent must not keep its keys unserved for longer.
+  const left = live.lapseAt - lead.clock.now();
+  const within = Math.min(RELEASE_WITHIN_MS, Math.max(RELEASE_MIN_MS, left));
+  const end = await lead.orders.release(holding, within);
+  if (end.kind === 'replaced') return null;
+  if (end.kind === 'done') {
+    // A grant without an answer may still be carried out, after the release.
+    await waitUntil(lead, () =>
+      Math.max(live.unprovedUntil, live.foreignUntil),
+    );
+    return end.handover;
+  }
+  emitOrder(lead, 'release-failed', holding, end);
+  await waitUntil(lead, () =>
+    lead.hasEnded(holding.server!) ? 0 : live.lapseAt,
+  );
+  return null;
+}
+
+async function waitUntil(lead: Lead, time: () => number): Promise<void> {
+  while (!lead.isStopped && lead.clock.now() < time()) {
+    await sleep(lead.clock, WAIT_MS);
+  }
+}
+
+async function findServer(
+  lead: Lead,
+  live: LiveHolding,
+  wanted: string | null,
+): Promise<LedServer | null> {
+  while (!lead.isStopped) {
+    const servers = lead.servers().filter(({isOpen}) => isOpen);
+    const exact = servers.find(({id}) => id === wanted);
+    if (exact !== undefined) return exact;
+    if (servers.length > 0) return idlest(lead, servers, live.holding);
+    await sleep(lead.clock, WAIT_MS);
+  }
+  return null;
+}
+
+function idlest(
+  lead: Lead,
+  servers: readonly LedServer[],
+  range: KeyRange,
+): LedServer {
+  const added = lead.load.rateOf(range);
+  const shareWith = (server: LedServer): number =>
+    busyShare(server, rateAt(lead, server.id) + added) +
+    // Without any load, the one with the fewest holdings.
+    holdingsOf(lead, server.id).length * 1e-3;
+  return servers.reduce((best, server) =>
+    shareWith(server) < shareWith(best) ? server : best,
+  );
+}
--- a/packages/ranges/src/planner.ts
+++ b/packages/ranges/src/planner.ts
@@ -1,5 +1,5 @@
 import type {KeyRate} from './key-load.js';
-import {sizeOf, type Holding, type KeyRange} from './table.js';
+import {KEY_COUNT, sizeOf, type Holding, type KeyRange} from './table.js';
 
 /** A server that may hold keys, as placement sees it. */
 export interface PlacedServer {
@@ -36,7 +36,6 @@
 const PIECE_COST = 0.12;
 /** Keys without load that go along, so that fewer holdings are left. */
 const ROUND_KEYS = 256;
-const ALL_KEYS = 65_536;
 
 /** The share of its slots that a server's keys keep busy. */
 export function busyShare(server: PlacedServer, rate: number): number {
@@ -174,6 +173,6 @@
   const pieces =
     Number(range.from > holding.from) + Number(range.to < holding.to);
   const miss = Math.abs(wanted - rate) / wanted;
-  const size = sizeOf(range) / ALL_KEYS;
+  const size = sizeOf(range) / KEY_COUNT;
   return miss + size * SIZE_COST + pieces * PIECE_COST;
 }
--- a/packages/ranges/src/table.ts
+++ b/packages/ranges/src/table.ts
@@ -1,5 +1,6 @@
 /** Keys are the integers from 0 to this one. */
 export const MAX_KEY = 65_535;
+export const KEY_COUNT = MAX_KEY + 1;
 
 /** Keys from `from` to `to`, both included. */
 export interface KeyRange {
@@ -49,7 +50,7 @@
 
 /** Cuts all keys into `count` ranges of about the same size. */
 export function cutEvenly(count: number): readonly KeyRange[] {
-  const size = (MAX_KEY + 1) / count;
+  const size = KEY_COUNT / count;
   return Array.from({length: count}, (_, at) => ({
     from: Math.round(at * size),
     to: Math.round((at + 1) * size) - 1,
--- a/packages/ranges/src/timing.ts
+++ b/packages/ranges/src/timing.ts
@@ -4,15 +4,15 @@
  * found and to renew: at least 1 s for the group to notice, 0.3 s for the
  * next join, and a few exchanges with the store and the servers.
  */
-export const HOLD_MS = 4_000;
+const HOLD_MS = 4_000;
 /** Servers' clocks may run 2 % slow. */
-export const CLOCK_DRIFT = 0.02;
+const CLOCK_DRIFT = 0.02;
 /** For timers that fire late and messages under way, in ms. */
-export const LAPSE_MARGIN_MS = 150;
+const LAPSE_MARGIN_MS = 150;
 /** Grants are renewed after this time, in ms: three chances in a hold. */
-export const RENEW_MS = 1_100;
+const RENEW_MS = 1_100;
 /** A grant without an answer by then counts as unproved, in ms. */
-export const GRANT_WITHIN_MS = 700;
+const GRANT_WITHIN_MS = 700;
 /**
  * A release is answered when running work has ended: the longest work of the
  * deployments known takes some 5 s. After that the hold has lapsed anyway.
@@ -26,7 +26,35 @@
  */
 export const AUTHORITY_MS = 12_000;
 
-/** When a hold that was granted at `at` at the latest has surely ended. */
-export function lapseOf(at: number): number {
-  return at + HOLD_MS * (1 + CLOCK_DRIFT) + LAPSE_MARGIN_MS;
+/** Times of a service's holds, for one deployment. */
+export interface HoldTiming {
+  /** What a grant asks for, in ms. */
+  readonly holdMs: number;
+  /** Grants are renewed after this time, in ms. */
+  readonly renewMs: number;
+  /** A grant without an answer by then counts as unproved, in ms. */
+  readonly grantWithinMs: number;
+  /** When a hold granted at `at` at the latest has surely ended. */
+  lapseOf(at: number): number;
+}
+
+/**
+ * The times where servers grant holds of up to `holdMaxMs`: shorter holds are
+ * renewed as many times.
+ *
+ * @example
+ * ```ts
+ * const timing = createTiming(10_000);
+ * const lapseAt = timing.lapseOf(clock.now());
+ * ```
+ */
+export function createTiming(holdMaxMs: number): HoldTiming {
+  const holdMs = Math.min(HOLD_MS, holdMaxMs);
+  const share = holdMs / HOLD_MS;
+  return {
+    holdMs,
+    renewMs: RENEW_MS * share,
+    grantWithinMs: GRANT_WITHIN_MS * share,
+    lapseOf: at => at + holdMs * (1 + CLOCK_DRIFT) + LAPSE_MARGIN_MS,
+  };
 }
--- a/packages/ranges/test/lead-service.test.ts
+++ b/packages/ranges/test/lead-service.test.ts
@@ -1,5 +1,5 @@
 import tap from 'tap';
-import {AUTHORITY_MS} from '@banyandrum/ranges/timing.js';
+import {AUTHORITY_MS, createTiming} from '@banyandrum/ranges/timing.js';
 import {
   leadService,
   type ServiceLead,
@@ -55,6 +55,7 @@
         ledger,
         orders: world.ordersFor(number),
         clock,
+        timing: createTiming(10_000),
         servers: () =>
           world.servers
             .filter(({id}) => !unlisted.has(id))
