--- a/packages/gateway/src/config-keeper.ts
+++ b/packages/gateway/src/config-keeper.ts
@@ -2,6 +2,7 @@
 import type {Emit} from '@banyandrum/dispatch/events.js';
 import type {RoutingConfig} from '@banyandrum/routing/config.js';
 import type {Platform} from './platform.js';
+import {repeat} from './repeat.js';
 
 /** The newest configuration that this router knows. */
 export interface ConfigKeeper {
@@ -67,36 +68,35 @@
     if (hasFailed) emit('config-readable', {cursor: result.cursor});
     hasFailed = false;
     if (cursor === null || result.cursor > cursor) cursor = result.cursor;
+    if (result.unreadable !== null) {
+      const detail = result.unreadable;
+      emit('config-refused', {detail, cursor: result.cursor});
+    }
     take(result.config);
     return true;
   };
 
-  const run = async (): Promise<void> => {
-    while (!isStopped) {
-      const waitMs = isToldOfNews() ? LONG_WAIT_MS : SHORT_WAIT_MS;
-      beganAt = clock.now();
-      const isRead = await read(config === null ? SHORT_WAIT_MS : waitMs);
-      if (!isRead) await sleep(clock, RETRY_MS);
-    }
-  };
-  void run();
+  const goesOn = (): boolean => !isStopped;
+  const loop = {clock, emit, goesOn};
+  repeat({...loop, name: 'config', ms: 0}, async () => {
+    const waitMs = isToldOfNews() ? LONG_WAIT_MS : SHORT_WAIT_MS;
+    beganAt = clock.now();
+    const isRead = await read(config === null ? SHORT_WAIT_MS : waitMs);
+    if (!isRead) await sleep(clock, RETRY_MS);
+  });
 
   const look = (): void => {
     if (isLooking) return;
     isLooking = true;
-    void read(0).then(() => {
+    void read(0).finally(() => {
       isLooking = false;
     });
   };
 
-  const watch = async (): Promise<void> => {
-    while (!isStopped) {
-      await sleep(clock, WATCH_MS);
-      if (isToldOfNews() || clock.now() - beganAt < SILENT_MS) continue;
-      look();
-    }
-  };
-  void watch();
+  repeat({...loop, name: 'config-watch', ms: WATCH_MS}, async () => {
+    if (isToldOfNews() || clock.now() - beganAt < SILENT_MS) return;
+    look();
+  });
 
   return {
     current: () => config,
--- a/packages/gateway/src/membership.ts
+++ b/packages/gateway/src/membership.ts
@@ -1,6 +1,7 @@
 import {sleep, type Clock} from '@banyandrum/base/clock.js';
 import type {Emit} from '@banyandrum/dispatch/events.js';
 import type {Members, Membership} from './platform.js';
+import {repeat} from './repeat.js';
 
 /** Who the routers are, as the platform tells. */
 export interface Routers {
@@ -79,13 +80,8 @@
     await list();
   };
 
-  const run = async (): Promise<void> => {
-    while (!isLeaving) {
-      await join();
-      await sleep(clock, JOIN_MS);
-    }
-  };
-  void run();
+  const goesOn = (): boolean => !isLeaving;
+  repeat({clock, emit, name: 'members', ms: JOIN_MS, goesOn}, join);
 
   return {
     leader: () => names[0] ?? null,
--- a/packages/gateway/src/platform.ts
+++ b/packages/gateway/src/platform.ts
@@ -8,8 +8,10 @@
 export type ConfigRead =
   | {
       readonly kind: 'read';
-      /** Null where there is nothing newer. */
+      /** Null where there is nothing newer that can be read. */
       readonly config: RoutingConfig | null;
+      /** Why something newer can't be read; null where all can. */
+      readonly unreadable: string | null;
       /** Where the next read goes on. */
       readonly cursor: number;
     }
@@ -18,7 +20,13 @@
 /** A change of the list of backend servers. */
 export type ListChange =
   | {readonly kind: 'listed'; readonly server: ServerInfo}
-  | {readonly kind: 'removed'; readonly id: string};
+  | {readonly kind: 'removed'; readonly id: string}
+  /** An entry that is not understood. */
+  | {
+      readonly kind: 'unreadable';
+      readonly id: string;
+      readonly detail: string;
+    };
 
 /** What a read of the list of backend servers yields. */
 export type ListRead =
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -19,6 +19,7 @@
 import {followRouters} from './membership.js';
 import {createMetrics} from './metrics.js';
 import type {Platform} from './platform.js';
+import {repeat} from './repeat.js';
 import {createServerList} from './server-list.js';
 import {createServiceTimes, drainTimes} from './service-times.js';
 import type {Settings} from './settings.js';
@@ -205,13 +206,14 @@
   };
   emit('started', {self, ...addresses, dataCentre: settings.host.dataCentre});
 
-  repeat(clock, LIST_MS, goesOn, async () => {
+  const loop = {clock, emit, goesOn};
+  repeat({...loop, name: 'servers', ms: LIST_MS}, async () => {
     if (!leadership.isLeading() && isFollowing()) {
       if (list.ageMs() < LIST_FRESH_MS) return;
     }
     list.take(await platform.readServers(list.cursor()));
   });
-  repeat(clock, TABLES_MS, goesOn, async () => {
+  repeat({...loop, name: 'tables', ms: TABLES_MS}, async () => {
     if (leadership.isLeading() || link.ageMs() < TABLES_FRESH_MS) return;
     if (keyedServices().length === 0) return;
     const stored = await platform.ledger.load();
@@ -222,7 +224,7 @@
       new Map(stored.map(({service, holdings}) => [service, holdings])),
     );
   });
-  repeat(clock, OWN_MS, goesOn, async () => {
+  repeat({...loop, name: 'own-counts', ms: OWN_MS}, async () => {
     if (!leadership.isLeading()) return;
     leadership.takeCounts(owners.drainCounts());
     times.add(drainTimes(backends, keeper.current()?.services.keys() ?? []));
@@ -275,18 +277,3 @@
   }
   return count;
 }
-
-function repeat(
-  clock: Clock,
-  ms: number,
-  goesOn: () => boolean,
-  task: () => Promise<void>,
-): void {
-  const run = async (): Promise<void> => {
-    while (goesOn()) {
-      await task();
-      await sleep(clock, ms);
-    }
-  };
-  void run();
-}
--- a/packages/gateway/src/server-list.ts
+++ b/packages/gateway/src/server-list.ts
@@ -107,13 +107,23 @@
     return false;
   };
 
-  const apply = (change: ListChange): boolean =>
-    change.kind === 'listed' ? put(change.server) : expire(change.id);
+  /** What can't be read says nothing of whether the server is there. */
+  const tellUnreadable = (server: string, detail: string): boolean => {
+    emit('server-unreadable', {server, detail});
+    return false;
+  };
+
+  const apply = (change: ListChange): boolean => {
+    if (change.kind === 'listed') return put(change.server);
+    if (change.kind === 'removed') return expire(change.id);
+    return tellUnreadable(change.id, change.detail);
+  };
 
   const applyWhole = (changes: readonly ListChange[]): boolean => {
     const listed = new Set<string>();
     for (const change of changes) {
       if (change.kind === 'listed') listed.add(change.server.id);
+      if (change.kind === 'unreadable') listed.add(change.id);
     }
     const gone = [...servers.keys()].filter(id => !listed.has(id));
     const results = [...changes.map(apply), ...gone.map(expire)];
--- a/packages/gateway/test/config-keeper.test.ts
+++ b/packages/gateway/test/config-keeper.test.ts
@@ -26,7 +26,7 @@
     const end = source.versions.length;
     const isNew = cursor === null || cursor < end;
     const newest = isNew ? config(source.versions.at(-1)!) : null;
-    return {kind: 'read', config: newest, cursor: end};
+    return {kind: 'read', config: newest, unreadable: null, cursor: end};
   };
   const platform = {
     readConfig: (cursor: number | null, waitMs: number) =>
