Streams between routers are pinged: places on a silent one come back

Cause: a connection between a router and the leader that goes silent without an end is left by the router within 0.6 s, but the leader never saw its end, and the places in use on it stayed taken, with the servers' slots, until another leader came (a test shows a server of two slots left with one for good). The leader now pings each router every 2 s. Ruled out: the router's own end, which comes back over a new connection within 0.9 s.

Tests also show that quicker servers get more and added ones their share.

--- a/packages/dispatch/test/place-issuer.test.ts
+++ b/packages/dispatch/test/place-issuer.test.ts
@@ -209,3 +209,45 @@
   t.equal(cancelled.told, null);
   t.match(ask().told, {kind: 'granted'});
 });
+
+// Servers of one service are unlike in speed. Given its time, the quicker one
+// must get more of the work, or callers wait for the slower one's answers.
+void tap.test('the quicker of unlike servers gets more', async t => {
+  const speeds = new Map([
+    ['s1', 100],
+    ['s2', 400],
+  ]);
+  const {ask, clock} = scene([info('s1'), info('s2')]);
+  const counts = new Map<string, number>();
+  for (let round = 0; round < 100; round++) {
+    const asked = ask();
+    if (asked.told?.kind !== 'granted') continue;
+    const {server} = asked.told;
+    counts.set(server, (counts.get(server) ?? 0) + 1);
+    const tookMs = speeds.get(server)!;
+    clock.after(tookMs, () => asked.end('answered', tookMs));
+    await clock.advance(60);
+  }
+  t.ok(counts.get('s1')! > 2 * (counts.get('s2') ?? 0), `${[...counts]}`);
+});
+
+// A server is added under load. It must get requests within moments, though
+// nobody knows its speed and others are known to be quick.
+void tap.test('an added server gets its share', async t => {
+  const {ask, clock, backends} = scene([info('s1'), info('s2')]);
+  const serve = async (rounds: number): Promise<number> => {
+    let added = 0;
+    for (let round = 0; round < rounds; round++) {
+      const asked = ask();
+      if (asked.told?.kind === 'granted') {
+        if (asked.told.server === 's3') added++;
+        clock.after(150, () => asked.end('answered', 150));
+      }
+      await clock.advance(40);
+    }
+    return added;
+  };
+  await serve(50);
+  backends.update([info('s1'), info('s2'), info('s3')]);
+  t.ok((await serve(50)) >= 8);
+});
--- a/packages/gateway/src/link-server.ts
+++ b/packages/gateway/src/link-server.ts
@@ -43,6 +43,14 @@
  */
 const TABLES_MS = 1_000;
 
+/**
+ * A router's connection that went silent without an end is closed, in ms: the
+ * places in use on it would never come back, and with them the servers' slots.
+ * By the time that this takes, most requests there have come to their end.
+ */
+const PING_MS = 2_000;
+const PING_WITHIN_MS = 1_500;
+
 type Stream = ServerDuplexStream<FollowerMessage, LeaderMessage>;
 type TakeBack = (how: PlaceEnd, tookMs: number) => void;
 
@@ -68,7 +76,10 @@
  */
 export async function serveLinks(cfg: LinkServerConfig): Promise<LinkServer> {
   const followers = new Set<Follower>();
-  const server = new Server();
+  const server = new Server({
+    'grpc.keepalive_time_ms': PING_MS,
+    'grpc.keepalive_timeout_ms': PING_WITHIN_MS,
+  });
 
   const tellAll = (): void => {
     if (!cfg.leadership.isLeading()) {
--- /dev/null
+++ b/packages/gateway/test/link.test.ts
@@ -0,0 +1,173 @@
+import tap from 'tap';
+import {
+  connect,
+  createServer,
+  type AddressInfo,
+  type Server,
+  type Socket,
+} from 'node:net';
+import {createCanceller} from '@banyandrum/base/cancel.js';
+import {createClock} from '@banyandrum/base/clock.js';
+import {createBackends} from '@banyandrum/dispatch/backends.js';
+import {createPlaceIssuer} from '@banyandrum/dispatch/place-issuer.js';
+import type {Place, PlaceAsk} from '@banyandrum/dispatch/places.js';
+import {createKeyOwners} from '@banyandrum/gateway/key-owners.js';
+import type {Leadership} from '@banyandrum/gateway/leadership.js';
+import {
+  followLeader,
+  type LinkClient,
+} from '@banyandrum/gateway/link-client.js';
+import {serveLinks} from '@banyandrum/gateway/link-server.js';
+import {createServerList} from '@banyandrum/gateway/server-list.js';
+
+const HOST = '127.0.0.1';
+
+/** A path to the leader whose open connections can fall silent. */
+interface Path {
+  readonly address: string;
+  /** Nothing more passes on connections that are open now. */
+  silence(): void;
+  close(): void;
+}
+
+async function startPath(to: string): Promise<Path> {
+  const open = new Set<Socket>();
+  let silenced = new Set<Socket>();
+  const port = Number(to.slice(to.lastIndexOf(':') + 1));
+  const server = createServer(near => {
+    const far = connect({host: HOST, port});
+    for (const [from, into] of [
+      [near, far],
+      [far, near],
+    ] as const) {
+      open.add(from);
+      from.on('data', chunk => silenced.has(from) || into.write(chunk));
+      from.on('close', () => silenced.has(from) || into.destroy());
+      from.on('error', () => undefined);
+    }
+  });
+  const address = await listenAny(server);
+  return {
+    address,
+    silence() {
+      silenced = new Set(open);
+    },
+    close() {
+      server.close();
+      for (const socket of open) socket.destroy();
+    },
+  };
+}
+
+function listenAny(server: Server): Promise<string> {
+  return new Promise(resolve => {
+    server.listen(0, HOST, () => {
+      const {port} = server.address() as AddressInfo;
+      resolve(`${HOST}:${port}`);
+    });
+  });
+}
+
+async function freeAddress(): Promise<string> {
+  const server = createServer();
+  const address = await listenAny(server);
+  await new Promise(resolve => server.close(resolve));
+  return address;
+}
+
+const LEADING: Leadership = {
+  isLeading: () => true,
+  tables: () => new Map(),
+  version: () => 'v1',
+  confirm: () => undefined,
+  resign: () => undefined,
+  takeCounts: () => undefined,
+  subscribe: () => undefined,
+};
+
+const ASK: PlaceAsk = {
+  id: 'r1',
+  service: 'holds',
+  key: null,
+  priority: 1,
+  leftMs: 5_000,
+  aimLeftMs: 5_000,
+  excluded: [],
+  dataCentre: 'a',
+};
+
+function acquire(link: LinkClient): Promise<Place> {
+  return link.acquire(ASK, createCanceller().signal);
+}
+
+async function until(holds: () => Promise<boolean>): Promise<void> {
+  const end = performance.now() + 8_000;
+  while (!(await holds())) {
+    if (performance.now() > end) throw new Error('it did not come about');
+    await new Promise(resolve => setTimeout(resolve, 25));
+  }
+}
+
+// The connection to the leader goes silent without an end, while new ones
+// work. The request that waits on it is told that nobody answers, in time to be
+// placed without the leader; then the router must reach the leader again over
+// a connection of its own, and slots taken on the silent one must come back
+// once the leader sees its end.
+void tap.test('a silent connection to the leader is left', async t => {
+  const clock = createClock();
+  const emit = (): void => undefined;
+  const backends = createBackends(clock);
+  backends.update([
+    {
+      ...{id: 's1', service: 'holds', address: `${HOST}:1`, dataCentre: 'a'},
+      ...{slots: 2, isLeaving: false, coldMs: 0},
+    },
+  ]);
+  const issuer = createPlaceIssuer({
+    ...{backends, clock, emit},
+    ownerOf: () => ({kind: 'none'}),
+  });
+  const listen = await freeAddress();
+  const server = await serveLinks({
+    ...{listen, boot: 'b1', clock, leadership: LEADING, issuer},
+    list: createServerList(clock, emit, 2_000),
+    configCursor: () => null,
+    noteReplaced: () => undefined,
+    noteRequest: () => undefined,
+  });
+  const path = await startPath(listen);
+  const link = followLeader({
+    ...{clock, emit, owners: createKeyOwners(clock, emit)},
+    list: createServerList(clock, emit, 2_000),
+    leader: () => path.address,
+    noteConfigCursor: () => undefined,
+  });
+  await until(async () => {
+    const place = await acquire(link);
+    if (place.kind === 'granted') place.end('answered', 10);
+    return place.kind === 'granted';
+  });
+
+  path.silence();
+  const began = performance.now();
+  t.equal((await acquire(link)).kind, 'unavailable');
+  const tookMs = performance.now() - began;
+  t.ok(tookMs < 1_500, `told after ${tookMs} ms`);
+  await until(async () => {
+    const place = await acquire(link);
+    if (place.kind === 'granted') place.end('answered', 10);
+    return place.kind === 'granted';
+  });
+  // Both slots are there: none is lost with the silent connection.
+  await until(async () => {
+    const places = [await acquire(link), await acquire(link)];
+    for (const place of places) {
+      if (place.kind === 'granted') place.end('answered', 10);
+    }
+    return places.every(({kind}) => kind === 'granted');
+  });
+  link.stop();
+  server.close();
+  path.close();
+  t.pass();
+});
