Ranges are model-checked; a suspension ends a leader's authority

Cause of the change that goes with it: the model gave a violation wherever the leader's host may be suspended. Its steady clock stands still then, so a leader that was replaced meanwhile thought itself confirmed a moment ago and renewed keys at a server out of the other's reach. Authority is counted in time that also passes while suspended; a test shows the old code renewing. Ruled out: fences, which such a server has not seen, and records, which are not needed for a renewal.

--- a/packages/gateway/src/leadership.ts
+++ b/packages/gateway/src/leadership.ts
@@ -18,7 +18,10 @@
   tables(): ServedTables | null;
   /** Changes whenever the tables do. */
   version(): string;
-  /** This router was chosen, by an answer to a question asked at `askedAt`. */
+  /**
+   * This router was chosen, by an answer to a question asked at `askedAt`, in
+   * wakeful time.
+   */
   confirm(askedAt: number): void;
   /** Another router was chosen, or this one stops. */
   resign(): void;
@@ -31,6 +34,8 @@
   readonly platform: Platform;
   readonly clock: Clock;
   readonly emit: Emit;
+  /** Time that also passes while the host is suspended, in ms. */
+  wakefulNow(): number;
   readonly timing: HoldTiming;
   /** Distinguishes the versions of this run. */
   readonly boot: string;
@@ -78,7 +83,7 @@
     listeners.forEach(listener => listener());
   };
 
-  const mayAct = (): boolean => clock.now() - confirmedAt < AUTHORITY_MS;
+  const mayAct = (): boolean => cfg.wakefulNow() - confirmedAt < AUTHORITY_MS;
 
   const end = (why: string): void => {
     if (term === null) return;
--- a/packages/gateway/src/membership.ts
+++ b/packages/gateway/src/membership.ts
@@ -21,6 +21,8 @@
   readonly members: Members;
   readonly clock: Clock;
   readonly emit: Emit;
+  /** Time that also passes while the host is suspended, in ms. */
+  wakefulNow(): number;
   /** Chosen to lead, by an answer to a question asked at `askedAt`. */
   onChosen(askedAt: number): void;
   onNotChosen(): void;
@@ -68,7 +70,7 @@
   };
 
   const join = async (): Promise<void> => {
-    const askedAt = clock.now();
+    const askedAt = cfg.wakefulNow();
     const membership = await members.join();
     noteTouch(membership);
     if (membership === null || isLeaving) return;
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -23,6 +23,7 @@
 import {createServerList} from './server-list.js';
 import {createServiceTimes, drainTimes} from './service-times.js';
 import type {Settings} from './settings.js';
+import {wakefulTime} from './wakeful-clock.js';
 
 /** A router process at work. */
 export interface RouterProcess {
@@ -90,9 +91,11 @@
     owners.isReplaced(server) || list.isReplaced(server);
 
   const led = {backends, times, clock, hasEnded};
+  const wakefulNow = wakefulTime(clock, Date.now);
   const leadership = createLeadership({
     platform,
     clock,
+    wakefulNow,
     emit,
     boot,
     keyedServices,
@@ -104,6 +107,7 @@
   const routers = followRouters({
     members: platform.members(self),
     clock,
+    wakefulNow,
     emit,
     onChosen: askedAt => leadership.confirm(askedAt),
     onNotChosen: () => leadership.resign(),
--- /dev/null
+++ b/packages/gateway/test/leadership.test.ts
@@ -0,0 +1,86 @@
+import tap from 'tap';
+import {createLeadership} from '@banyandrum/gateway/leadership.js';
+import type {Platform} from '@banyandrum/gateway/platform.js';
+import {wakefulTime} from '@banyandrum/gateway/wakeful-clock.js';
+import type {Ledger} from '@banyandrum/ranges/ledger.js';
+import type {Orders} from '@banyandrum/ranges/orders.js';
+import {createTiming} from '@banyandrum/ranges/timing.js';
+import {createManualClock} from '@banyandrum/standins/manual-clock.js';
+
+const LEDGER: Ledger = {
+  begin: async () => 1,
+  load: async () => [],
+  save: async () => 'saved',
+};
+
+// The leader's host is suspended for 13 s; another leader was chosen and gave
+// its keys to other servers. As it wakes up, its steady clock says that it was
+// confirmed a moment ago: it must renew nothing before it has asked again, or
+// two servers would hold the same keys.
+void tap.test('a leader that was suspended renews nothing', async t => {
+  const clock = createManualClock(1_000);
+  let today = 50_000;
+  let grants = 0;
+  const orders: Orders = {
+    async grant() {
+      grants++;
+      return {kind: 'done', handover: null};
+    },
+    release: async () => ({kind: 'done', handover: null}),
+  };
+  const wakefulNow = wakefulTime(clock, () => today);
+  const leadership = createLeadership({
+    platform: {ledger: LEDGER, orders} as unknown as Platform,
+    clock,
+    wakefulNow,
+    timing: createTiming(10_000),
+    boot: 'b1',
+    emit: () => undefined,
+    keyedServices: () => ['rounds'],
+    serversOf: () => [
+      {
+        id: 's1',
+        address: '10.0.0.1:80',
+        slots: 2,
+        serviceMs: 100,
+        isOpen: true,
+      },
+    ],
+    hasEnded: () => false,
+    waitingKeys: () => [],
+  });
+  const pass = async (ms: number): Promise<void> => {
+    for (let passed = 0; passed < ms; passed += 50) {
+      today += 50;
+      await clock.advance(50);
+    }
+  };
+  leadership.confirm(wakefulNow());
+  await pass(3_000);
+  t.ok(grants > 0);
+  today += 13_000;
+  const before = grants;
+  await pass(3_000);
+  t.equal(grants, before);
+  leadership.confirm(wakefulNow());
+  await pass(3_000);
+  t.ok(grants > before, 'once confirmed it goes on');
+});
+
+// The time of day jumps back and forth by some seconds: the age of a belief may
+// grow by that, and must never shrink.
+void tap.test('jumps of the time of day make nothing younger', async t => {
+  const clock = createManualClock(1_000);
+  let today = 50_000;
+  const now = wakefulTime(clock, () => today);
+  const began = now();
+  today -= 2_000;
+  await clock.advance(500);
+  today += 500;
+  t.equal(now() - began, 500 + 0);
+  today += 2_000;
+  t.equal(now() - began, 2_500);
+  await clock.advance(100);
+  today += 100;
+  t.equal(now() - began, 2_600);
+});
--- /dev/null
+++ b/packages/model/src/range-state.ts
@@ -0,0 +1,241 @@
+/** Servers that may hold the range; A does at first. */
+export const RANGE_SERVERS = ['A', 'B'] as const;
+export type RangeServer = (typeof RANGE_SERVERS)[number];
+
+/** The leader at first, and its successor. */
+export const RANGE_LEADERS = ['L', 'N'] as const;
+export type RangeLeader = (typeof RANGE_LEADERS)[number];
+
+/** Ticks of a hold, of a leader's authority, and what drift adds to a hold. */
+export const HOLD = 1;
+export const AUTHORITY = 2;
+export const DRIFT = 1;
+
+/** Fences of one term; the term's epoch takes what is above. */
+export const TERM_FENCES = 10;
+
+/** Safeguards that a test can take away, one at a time. */
+export interface RangeSafeguards {
+  /** Only a holding that is on record is granted. */
+  readonly recordsFirst: boolean;
+  /** The store accepts no record of a leader that was replaced. */
+  readonly fencesRecords: boolean;
+  /** Without an answered release, a range moves only after the lapse. */
+  readonly waitsForLapse: boolean;
+  /** The lapse is counted with a margin for slow clocks. */
+  readonly addsDrift: boolean;
+  /** A grant without an answer counts until it could have lapsed. */
+  readonly countsUnproved: boolean;
+  /** A renewal and a release never cross. */
+  readonly ordersInTurn: boolean;
+  /** Grants of the earlier leader count until this one's fence was seen. */
+  readonly countsForeign: boolean;
+  /** What was adopted lapses only after the earlier leader's authority. */
+  readonly waitsForAuthority: boolean;
+  /** A leader without the store's confirmation stops acting. */
+  readonly boundsAuthority: boolean;
+  /** Authority counts from the question, not from its answer. */
+  readonly countsFromAsking: boolean;
+  /** Authority ends also while the leader's host is suspended. */
+  readonly seesSuspension: boolean;
+  /** A successor's fences are above all earlier ones. */
+  readonly fencesRise: boolean;
+  /** Only another run at its address proves that a server's run ended. */
+  readonly provesEnds: boolean;
+}
+
+export const ALL_RANGE_SAFEGUARDS: RangeSafeguards = {
+  recordsFirst: true,
+  fencesRecords: true,
+  waitsForLapse: true,
+  addsDrift: true,
+  countsUnproved: true,
+  ordersInTurn: true,
+  countsForeign: true,
+  waitsForAuthority: true,
+  boundsAuthority: true,
+  countsFromAsking: true,
+  seesSuspension: true,
+  fencesRise: true,
+  provesEnds: true,
+};
+
+/** What may happen in one exploration; keeps each one exhaustible. */
+export interface RangeScope {
+  /** Moves by each leader. */
+  readonly moves: Readonly<Record<RangeLeader, number>>;
+  /** Restarts of servers, each at its address. */
+  readonly restarts: number;
+  /** Ticks that a server's clock may miss. */
+  readonly slowTicks: number;
+  /** Ticks for which L's host may be suspended. */
+  readonly suspendedTicks: number;
+  /** Whether all hosts and servers may lose power at once. */
+  readonly powerLoss: boolean;
+  /** Orders of each leader to each server that may be carried out late. */
+  readonly lateOrders: boolean;
+}
+
+/** One run of a server and the range. */
+export interface ServerRun {
+  /** Counts restarts. */
+  readonly run: number;
+  /** Ticks for which it still holds the range; 0: it doesn't. */
+  readonly left: number;
+  /** The highest fence that it has seen. */
+  readonly seen: number;
+}
+
+/** A grant that arrived, had no answer and is not carried out yet. */
+export interface LateGrant {
+  readonly fence: number;
+  readonly run: number;
+  /** Ticks since it arrived. */
+  readonly age: number;
+}
+
+/** The holding as a leader has it. */
+export interface RangeView {
+  readonly server: RangeServer;
+  readonly run: number;
+  readonly fence: number;
+  /**
+   * - `held`: granted and renewed.
+   * - `moving`: to be released.
+   * - `released`: its holder gave it back.
+   * - `lapsing`: its holder can't be asked, or didn't answer.
+   * - `free`: its holder's run has ended.
+   */
+  readonly phase: 'held' | 'moving' | 'released' | 'lapsing' | 'free';
+  /** Ticks until each of these is surely over. */
+  readonly lapse: number;
+  readonly unproved: number;
+  readonly foreign: number;
+}
+
+/** One leader. */
+export interface LeaderRun {
+  /** Ticks for which it may act; 0: not. */
+  readonly authority: number;
+  /** Ticks since its question to the store without an answer yet; or null. */
+  readonly asked: number | null;
+  /** Stopped for good. */
+  readonly isOver: boolean;
+  readonly view: RangeView;
+  readonly moved: number;
+  /** Late grants by server. */
+  readonly late: Readonly<Record<RangeServer, LateGrant | null>>;
+}
+
+/** Everything. */
+export interface RangeState {
+  /** Whether the successor has begun. */
+  readonly hasSuccessor: boolean;
+  /** The record in the store. */
+  readonly record: Pick<RangeView, 'server' | 'run' | 'fence'>;
+  readonly servers: Readonly<Record<RangeServer, ServerRun>>;
+  readonly leaders: Readonly<Record<RangeLeader, LeaderRun>>;
+  /** The highest fence that a server took the range with, and which did. */
+  readonly top: {readonly fence: number; readonly server: RangeServer};
+  /** Set once a server took the range with too low a fence. */
+  readonly hasSunk: boolean;
+  readonly restartsLeft: number;
+  readonly slowLeft: number;
+  readonly suspendedLeft: number;
+  readonly powerLossLeft: number;
+}
+
+/** L leads and has just been confirmed; A has just been granted the range. */
+export function createInitialRange(scope: RangeScope): RangeState {
+  const first = {server: 'A', run: 0, fence: 1} as const;
+  const idle = {run: 0, left: 0, seen: 0};
+  const view: RangeView = {
+    ...first,
+    phase: 'held',
+    lapse: HOLD + DRIFT,
+    unproved: 0,
+    foreign: 0,
+  };
+  const leader: LeaderRun = {
+    authority: AUTHORITY,
+    asked: null,
+    isOver: false,
+    view,
+    moved: 0,
+    late: {A: null, B: null},
+  };
+  return {
+    hasSuccessor: false,
+    record: first,
+    servers: {A: {...idle, left: HOLD, seen: 1}, B: idle},
+    leaders: {L: leader, N: {...leader, authority: 0, isOver: true}},
+    top: {fence: 1, server: 'A'},
+    hasSunk: false,
+    restartsLeft: scope.restarts,
+    slowLeft: scope.slowTicks,
+    suspendedLeft: scope.suspendedTicks,
+    powerLossLeft: Number(scope.powerLoss),
+  };
+}
+
+/** Changes one server. */
+export function setRun(
+  state: RangeState,
+  server: RangeServer,
+  change: Partial<ServerRun>,
+): RangeState {
+  const next = {...state.servers[server], ...change};
+  return {...state, servers: {...state.servers, [server]: next}};
+}
+
+/** Changes one leader. */
+export function setLeaderRun(
+  state: RangeState,
+  leader: RangeLeader,
+  change: Partial<LeaderRun>,
+): RangeState {
+  const next = {...state.leaders[leader], ...change};
+  return {...state, leaders: {...state.leaders, [leader]: next}};
+}
+
+/** Changes a leader's view of the holding. */
+export function setView(
+  state: RangeState,
+  leader: RangeLeader,
+  change: Partial<RangeView>,
+): RangeState {
+  const view = {...state.leaders[leader].view, ...change};
+  return setLeaderRun(state, leader, {view});
+}
+
+/** A short string that says all of a state. */
+export function serializeRange(state: RangeState): string {
+  const {record, servers, leaders, top} = state;
+  const {A, B} = servers;
+  return [
+    Number(state.hasSuccessor),
+    `${record.server}${record.run}.${record.fence}`,
+    `${A.run}${A.left}.${A.seen}`,
+    `${B.run}${B.left}.${B.seen}`,
+    serializeLeader(leaders.L),
+    serializeLeader(leaders.N),
+    `${top.fence}${top.server}${Number(state.hasSunk)}`,
+    `${state.restartsLeft}${state.slowLeft}`,
+    `${state.suspendedLeft}${state.powerLossLeft}`,
+  ].join('|');
+}
+
+function serializeLeader(leader: LeaderRun): string {
+  // One that is over only matters by its late grants.
+  const late = RANGE_SERVERS.map(server => serializeLate(leader.late[server]));
+  if (leader.isOver) return `x,${late.join(',')}`;
+  const {authority, asked, moved, view} = leader;
+  const {server, run, fence, phase, lapse, unproved, foreign} = view;
+  const held = `${server}${run}.${fence}${phase.slice(0, 2)}`;
+  const times = `${lapse}.${unproved}.${foreign}`;
+  return `${authority}${asked ?? '-'}${moved},${held},${times},${late.join(',')}`;
+}
+
+function serializeLate(late: LateGrant | null): string {
+  return late === null ? '' : `${late.fence}.${late.run}.${late.age}`;
+}
