--- a/packages/gateway/test/link.test.ts
+++ b/packages/gateway/test/link.test.ts
@@ -8,6 +8,7 @@
 } from 'node:net';
 import {createCanceller} from '@banyandrum/base/cancel.js';
 import {createClock} from '@banyandrum/base/clock.js';
+import type {ServerInfo} from '@banyandrum/dispatch/backend.js';
 import {createBackends} from '@banyandrum/dispatch/backends.js';
 import {createPlaceIssuer} from '@banyandrum/dispatch/place-issuer.js';
 import type {Place, PlaceAsk} from '@banyandrum/dispatch/places.js';
@@ -18,7 +19,10 @@
   type LinkClient,
 } from '@banyandrum/gateway/link-client.js';
 import {serveLinks} from '@banyandrum/gateway/link-server.js';
-import {createServerList} from '@banyandrum/gateway/server-list.js';
+import {
+  createServerList,
+  type ServerList,
+} from '@banyandrum/gateway/server-list.js';
 
 const HOST = '127.0.0.1';
 
@@ -108,40 +112,62 @@
   }
 }
 
-// The connection to the leader goes silent without an end, while new ones
-// work. The request that waits on it is told that nobody answers, in time to be
-// placed without the leader; then the router must reach the leader again over
-// a connection of its own, and slots taken on the silent one must come back
-// once the leader sees its end.
-void tap.test('a silent connection to the leader is left', async t => {
+/** A leader and a router that follows it over `path`. */
+interface Scene {
+  readonly path: Path;
+  readonly link: LinkClient;
+  readonly leaderList: ServerList;
+  readonly list: ServerList;
+  close(): void;
+}
+
+const SERVER: ServerInfo = {
+  ...{id: 's1', service: 'holds', address: `${HOST}:1`, dataCentre: 'a'},
+  ...{slots: 2, isLeaving: false, coldMs: 0},
+};
+
+async function startScene(): Promise<Scene> {
   const clock = createClock();
   const emit = (): void => undefined;
   const backends = createBackends(clock);
-  backends.update([
-    {
-      ...{id: 's1', service: 'holds', address: `${HOST}:1`, dataCentre: 'a'},
-      ...{slots: 2, isLeaving: false, coldMs: 0},
-    },
-  ]);
+  backends.update([SERVER]);
   const issuer = createPlaceIssuer({
     ...{backends, clock, emit},
     ownerOf: () => ({kind: 'none'}),
   });
   const listen = await freeAddress();
+  const leaderList = createServerList(clock, emit, 2_000);
   const server = await serveLinks({
     ...{listen, boot: 'b1', clock, leadership: LEADING, issuer},
-    list: createServerList(clock, emit, 2_000),
+    list: leaderList,
     configCursor: () => null,
     noteReplaced: () => undefined,
     noteRequest: () => undefined,
   });
   const path = await startPath(listen);
+  const list = createServerList(clock, emit, 2_000);
   const link = followLeader({
-    ...{clock, emit, owners: createKeyOwners(clock, emit)},
-    list: createServerList(clock, emit, 2_000),
+    ...{clock, emit, list, owners: createKeyOwners(clock, emit)},
     leader: () => path.address,
     noteConfigCursor: () => undefined,
   });
+  return {
+    ...{path, link, leaderList, list},
+    close() {
+      link.stop();
+      server.close();
+      path.close();
+    },
+  };
+}
+
+// The connection to the leader goes silent without an end, while new ones
+// work. The request that waits on it is told that nobody answers, in time to be
+// placed without the leader; then the router must reach the leader again over
+// a connection of its own, and slots taken on the silent one must come back
+// once the leader sees its end.
+void tap.test('a silent connection to the leader is left', async t => {
+  const {path, link, close} = await startScene();
   await until(async () => {
     const place = await acquire(link);
     if (place.kind === 'granted') place.end('answered', 10);
@@ -166,8 +192,29 @@
     }
     return places.every(({kind}) => kind === 'granted');
   });
-  link.stop();
-  server.close();
-  path.close();
+  close();
   t.pass();
 });
+
+// The store is silent for this router only, and a server leaves. The leader,
+// which is in touch, tells within moments; a router that waited for its own
+// reads would send the server requests for as long as that lasts.
+void tap.test('what the leader reads reaches all routers', async t => {
+  const {leaderList, list, close} = await startScene();
+  const listed = {kind: 'listed', server: SERVER} as const;
+  leaderList.take({kind: 'read', isWhole: true, changes: [listed], cursor: 1});
+  await until(async () => list.has('s1'));
+  const leaving = {...listed, server: {...SERVER, isLeaving: true}};
+  list.take({kind: 'failed', detail: 'silent'});
+  leaderList.take({
+    kind: 'read',
+    isWhole: false,
+    changes: [leaving],
+    cursor: 2,
+  });
+  const began = performance.now();
+  await until(async () => list.snapshot()!.servers[0]!.isLeaving);
+  const tookMs = performance.now() - began;
+  t.ok(tookMs < 1_500, `told after ${tookMs} ms`);
+  close();
+});
