--- a/packages/callers/src/server.ts
+++ b/packages/callers/src/server.ts
@@ -82,21 +82,6 @@
   return server;
 }
 
-/** Starts listening; rejects where the address cannot be had. */
-export function listen(
-  server: http.Server,
-  ip: string,
-  port: number,
-): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, ip, () => {
-      server.off('error', reject);
-      resolve();
-    });
-  });
-}
-
 function refuseMalformed(
   clock: Clock,
   err: NodeJS.ErrnoException,
--- a/packages/callers/src/service.ts
+++ b/packages/callers/src/service.ts
@@ -3,6 +3,7 @@
 import type {Clock} from '@banyandrum/base/clock.js';
 import {createCanceller} from '@banyandrum/base/cancel.js';
 import {sleep} from '@banyandrum/base/clock.js';
+import {listen} from '@banyandrum/base/listen.js';
 import type {Logger} from '@banyandrum/base/logger.js';
 import type {RequestHandler} from '@banyandrum/base/request.js';
 import type {ServiceSchema} from 'moleculer';
@@ -12,7 +13,7 @@
 import {createInFlight} from './in-flight.js';
 import type {PolicyLookup} from './policy.js';
 import type {ServerHandler, ServerLimits} from './server.js';
-import {DEFAULT_LIMITS, createHttpServer, listen} from './server.js';
+import {DEFAULT_LIMITS, createHttpServer} from './server.js';
 
 /** Where an interface listens; port 0 takes any free one. */
 export interface ListenAddress {
@@ -107,7 +108,7 @@
       const {clock, listen: at, log} = config;
       const handler = this['httpHandler'] as ServerHandler;
       state.server = createHttpServer(limits, clock, handler);
-      await listen(state.server, at.ip, at.port);
+      await listen(state.server, at);
       log.info('callers interface listens', {address: addressOf(state)});
     },
     async stopped() {
--- a/packages/dispatch/src/choose.ts
+++ b/packages/dispatch/src/choose.ts
@@ -1,13 +1,6 @@
 import type {Backend} from './backend.js';
 import {costOf, preferSound, typicalServiceMs} from './server-cost.js';
 
-/** How a server is chosen for a request that any server may run. */
-export interface Choice {
-  readonly backend: Backend;
-  /** Expected time until its answer, in ms. */
-  readonly expectedMs: number;
-}
-
 /** A server takes this many times its slots, running and waiting. */
 const MAX_LOAD_PER_SLOT = 3;
 /** Other routers' requests are forgotten in about this time, in ms. */
@@ -22,7 +15,7 @@
  *
  * @example
  * ```ts
- * const choice = choose(backends.ofService('holds'), tried, 6, now);
+ * const backend = choose(backends.ofService('holds'), tried, 6, now);
  * ```
  */
 export function choose(
@@ -30,18 +23,19 @@
   excluded: ReadonlySet<string>,
   routers: number,
   now: number,
-): Choice | null {
+): Backend | null {
   const usable = backends.filter(backend => isUsable(backend, excluded));
   const mean = meanInFlight(usable) * Math.max(0, routers - 1);
   const typicalMs = typicalServiceMs(usable);
-  let best: Choice | null = null;
+  let best: Backend | null = null;
+  let bestMs = Infinity;
   for (const backend of preferSound(usable, now)) {
     const load = loadOf(backend, mean, now);
     if (!hasRoom(backend, load)) continue;
     const expectedMs = expect(backend, load, typicalMs, now);
-    if (best === null || expectedMs < best.expectedMs) {
-      best = {backend, expectedMs};
-    }
+    if (expectedMs >= bestMs) continue;
+    best = backend;
+    bestMs = expectedMs;
   }
   return best;
 }
--- a/packages/dispatch/src/find-target.ts
+++ b/packages/dispatch/src/find-target.ts
@@ -105,7 +105,7 @@
   const group = cfg.backends.ofService(req.service);
   const now = cfg.clock.now();
   const routers = cfg.routers();
-  return choose(group, excluded, routers, now)?.backend ?? null;
+  return choose(group, excluded, routers, now);
 }
 
 function pickOwner({cfg, req}: Journey): Backend | null {
--- a/packages/dispatch/src/server-cost.ts
+++ b/packages/dispatch/src/server-cost.ts
@@ -38,7 +38,15 @@
 
 /** The mean time of the servers that were measured, in ms. */
 export function typicalServiceMs(backends: readonly Backend[]): number {
-  const known = backends.map(({serviceMs}) => serviceMs).filter(ms => ms > 0);
-  if (known.length === 0) return DEFAULT_SERVICE_MS;
+  return meanMs(
+    backends.map(({serviceMs}) => serviceMs),
+    DEFAULT_SERVICE_MS,
+  );
+}
+
+/** The mean of the times that are known, in ms; 0 stands for an unknown one. */
+export function meanMs(times: readonly number[], fallbackMs: number): number {
+  const known = times.filter(ms => ms > 0);
+  if (known.length === 0) return fallbackMs;
   return known.reduce((sum, ms) => sum + ms, 0) / known.length;
 }
--- a/packages/gateway/src/led-servers.ts
+++ b/packages/gateway/src/led-servers.ts
@@ -1,5 +1,6 @@
 import type {Clock} from '@banyandrum/base/clock.js';
 import type {Backends} from '@banyandrum/dispatch/backends.js';
+import {meanMs} from '@banyandrum/dispatch/server-cost.js';
 import type {LedServer} from '@banyandrum/ranges/lead-state.js';
 import type {ServiceTimes} from './service-times.js';
 
@@ -21,7 +22,8 @@
   service: string,
 ): readonly LedServer[] {
   const listed = backends.ofService(service);
-  const typical = typicalMs(listed.map(({info}) => times.of(info.id, 0)));
+  const known = listed.map(({info}) => times.of(info.id, 0));
+  const typical = meanMs(known, DEFAULT_SERVICE_MS);
   return listed
     .filter(({info, isGone}) => !info.isLeaving && !isGone)
     .map(({info, suspectUntil}) => ({
@@ -32,9 +34,3 @@
       isOpen: suspectUntil <= clock.now() && !hasEnded(info.id),
     }));
 }
-
-function typicalMs(times: readonly number[]): number {
-  const known = times.filter(ms => ms > 0);
-  if (known.length === 0) return DEFAULT_SERVICE_MS;
-  return known.reduce((sum, ms) => sum + ms, 0) / known.length;
-}
--- a/packages/gateway/src/link-client.ts
+++ b/packages/gateway/src/link-client.ts
@@ -16,6 +16,7 @@
   type LeaderMessage,
   type StateMessage,
 } from './link-messages.js';
+import {repeat} from './repeat.js';
 import type {ServerList} from './server-list.js';
 
 /** What following the leader needs. */
@@ -75,14 +76,6 @@
   const isFresh = ({isOpen, heardAt: at}: Session): boolean =>
     isOpen && clock.now() - at < SILENCE_MS;
 
-  const run = async (): Promise<void> => {
-    while (!isStopped) {
-      const leader = cfg.leader();
-      if (leader !== null) await follow(leader);
-      await sleep(clock, RETRY_MS);
-    }
-  };
-
   const follow = async (leader: string): Promise<void> => {
     const stub = new LinkStub(leader, credentials.createInsecure(), {
       'grpc.use_local_subchannel_pool': 1,
@@ -133,7 +126,12 @@
     stream.write({kind: 'counts', counts: toPairs(counts)});
   };
 
-  void run();
+  const goesOn = (): boolean => !isStopped;
+  const {emit} = cfg;
+  repeat({clock, emit, name: 'link', ms: RETRY_MS, goesOn}, async () => {
+    const leader = cfg.leader();
+    if (leader !== null) await follow(leader);
+  });
 
   return {
     acquire(ask, signal) {
--- a/packages/gateway/src/listen.ts
+++ b/packages/gateway/src/listen.ts
@@ -1,20 +1,19 @@
 import type {Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {listen} from '@banyandrum/base/listen.js';
 
 /** Connections that may wait to be accepted: callers come back all at once. */
 const BACKLOG = 1_024;
 
-/** Yields the `ip:port` that the server listens on. */
-export function listen(server: Server, address: string): Promise<string> {
+/** Listens at `ip:port`; yields the one that it got. */
+export async function listenAt(
+  server: Server,
+  address: string,
+): Promise<string> {
   const at = address.lastIndexOf(':');
-  const host = address.slice(0, at);
+  const ip = address.slice(0, at);
   const port = Number(address.slice(at + 1));
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen({host, port, backlog: BACKLOG}, () => {
-      server.off('error', reject);
-      const bound = server.address() as AddressInfo;
-      resolve(`${bound.address}:${bound.port}`);
-    });
-  });
+  await listen(server, {ip, port, backlog: BACKLOG});
+  const bound = server.address() as AddressInfo;
+  return `${bound.address}:${bound.port}`;
 }
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -14,7 +14,7 @@
 import {ledServers} from './led-servers.js';
 import {followLeader} from './link-client.js';
 import {serveLinks} from './link-server.js';
-import {listen} from './listen.js';
+import {listenAt} from './listen.js';
 import {createLocalPlaces} from './local-places.js';
 import {followRouters} from './membership.js';
 import {createMetrics} from './metrics.js';
@@ -204,9 +204,9 @@
     noteRequest: (service, key) => owners.noteRequest(service, key),
   });
   const addresses = {
-    callers: await listen(entry.server, callers),
-    readiness: await listen(readiness, readyAt),
-    metrics: await listen(metrics.server, settings.listen.metrics),
+    callers: await listenAt(entry.server, callers),
+    readiness: await listenAt(readiness, readyAt),
+    metrics: await listenAt(metrics.server, settings.listen.metrics),
   };
   emit('started', {self, ...addresses, dataCentre: settings.host.dataCentre});
 
--- a/packages/operators/src/service.ts
+++ b/packages/operators/src/service.ts
@@ -3,6 +3,7 @@
 import type {AddressInfo} from 'node:net';
 import type {Clock} from '@banyandrum/base/clock.js';
 import {sleep} from '@banyandrum/base/clock.js';
+import {listen} from '@banyandrum/base/listen.js';
 import type {ServiceSchema} from 'moleculer';
 import ApiGateway from 'moleculer-web';
 import type {OperatorToken} from './access.js';
@@ -130,13 +131,3 @@
   server.closeAllConnections();
   await closed;
 }
-
-function listen(server: Server, {ip, port}: ListenAddress): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, ip, () => {
-      server.off('error', reject);
-      resolve();
-    });
-  });
-}
--- a/packages/ranges/src/balancing.ts
+++ b/packages/ranges/src/balancing.ts
@@ -1,6 +1,11 @@
 import {grantNow} from './granting.js';
 import {holdingsOf, record, type Lead, type LedServer} from './lead-state.js';
-import {createMerged, createPart, type LiveHolding} from './live-holding.js';
+import {
+  createMerged,
+  createPart,
+  isSettled,
+  type LiveHolding,
+} from './live-holding.js';
 import {move} from './moving.js';
 import {planMove} from './planner.js';
 import type {KeyRange} from './table.js';
@@ -18,10 +23,7 @@
       .map(({holding}) => holding.server),
   );
   const free = servers.filter(({id}) => !busy.has(id) && !lead.targets.has(id));
-  const settled = lead.lives.filter(
-    ({phase, isServed, unprovedUntil}) =>
-      phase === 'held' && isServed && unprovedUntil <= now,
-  );
+  const settled = lead.lives.filter(live => isSettled(live, now));
   const planned = planMove(
     settled.map(({holding}) => holding),
     free,
@@ -44,8 +46,8 @@
 
 /** Joins two neighbours of one server; each holding costs renewals. */
 export function mergeOne(lead: Lead, now: number): boolean {
-  const isStill = ({phase, isServed, order, unprovedUntil}: LiveHolding) =>
-    phase === 'held' && isServed && order === null && unprovedUntil <= now;
+  const isStill = (live: LiveHolding): boolean =>
+    isSettled(live, now) && live.order === null;
   for (let at = 0; at + 1 < lead.lives.length; at++) {
     const left = lead.lives[at]!;
     const right = lead.lives[at + 1]!;
--- a/packages/ranges/src/live-holding.ts
+++ b/packages/ranges/src/live-holding.ts
@@ -36,6 +36,12 @@
   };
 }
 
+/** Whether the server surely holds it, and nothing is under way that moves it. */
+export function isSettled(live: LiveHolding, now: number): boolean {
+  const {phase, isServed, unprovedUntil} = live;
+  return phase === 'held' && isServed && unprovedUntil <= now;
+}
+
 /** A part of a holding that the same server goes on holding. */
 export function createPart(
   whole: LiveHolding,
--- a/packages/ranges/src/moving.ts
+++ b/packages/ranges/src/moving.ts
@@ -10,7 +10,7 @@
   type LedServer,
   type MoveReason,
 } from './lead-state.js';
-import type {LiveHolding} from './live-holding.js';
+import {createLive, type LiveHolding} from './live-holding.js';
 import {busyShare} from './planner.js';
 import type {KeyRange} from './table.js';
 import {RELEASE_WITHIN_MS} from './timing.js';
@@ -38,13 +38,12 @@
   if (target === null) return;
   const {from, to} = live.holding;
   const now = lead.clock.now();
-  live.holding = {
+  const holding = {
     ...{from, to, handover},
     ...{server: target.id, address: target.address},
     fence: lead.nextFence(),
   };
-  Object.assign(live, {phase: 'waiting', renewAt: now, lapseAt: now});
-  Object.assign(live, {unprovedUntil: 0, foreignUntil: 0});
+  Object.assign(live, createLive(holding, now));
   const tookMs = Math.round(now - began);
   lead.emit('range-assigned', {...toFields(live.holding), tookMs});
   await record(lead, [live]);
