Requests sent ahead on one connection: none is cut behind a closing answer

An answer that ends its connection cut all that the HTTP server had queued behind it, though they were at servers (LOST); and only the first of several waiting requests was cancelled when its caller left. Turns on a connection: the newest request alone may bear the end, nothing is passed on after it.

--- a/packages/gateway/src/entry.ts
+++ b/packages/gateway/src/entry.ts
@@ -24,12 +24,8 @@
   type OwnHeaders,
 } from './caller-headers.js';
 import {readBody} from './read-body.js';
-import {
-  send,
-  statusOf,
-  type AnswerConfig,
-  type Answered,
-} from './write-answer.js';
+import {createTurns, type Turns} from './turns.js';
+import {send, statusOf, type Answered} from './write-answer.js';
 
 /** What the callers' interface needs. */
 export interface EntryConfig {
@@ -66,7 +62,7 @@
 interface EntryState extends EntryConfig {
   inFlight: number;
   isClosing: boolean;
-  readonly answers: AnswerConfig;
+  readonly turns: Turns;
 }
 
 /** Largest header that the parser takes, in bytes; routes' limits are less. */
@@ -94,10 +90,7 @@
     ...cfg,
     inFlight: 0,
     isClosing: false,
-    answers: {
-      requestId: cfg.forward.names.requestId,
-      isClosing: () => state.isClosing,
-    },
+    turns: createTurns(),
   };
   const own = ownHeaders(cfg.forward.names);
   const server = createServer(
@@ -129,17 +122,34 @@
   res: ServerResponse,
 ): Promise<void> {
   const arrivedAt = state.clock.now();
-  state.inFlight++;
   const canceller = createCanceller();
-  res.once('close', () => {
+  let isOver = false;
+  const leave = (): void => {
+    if (isOver) return;
+    isOver = true;
     state.inFlight--;
     if (!res.writableFinished) canceller.abort();
+  };
+  const turn = state.turns.take(req.socket, leave);
+  // Its caller takes it as unread, and sends it again elsewhere.
+  if (turn === null) return;
+  state.inFlight++;
+  res.once('close', () => {
+    turn.end();
+    leave();
   });
-  const id = header(req, state.forward.names.requestId) ?? createId();
+  const {requestId} = state.forward.names;
+  const id = header(req, requestId) ?? createId();
   const arrival = {id, arrivedAt, signal: canceller.signal, route: null};
   const answered = await answer(state, own, req, arrival);
-  if (!res.destroyed) send(state.answers, req, res, answered);
-  note(state, arrival, answered, res.destroyed);
+  const isGone = req.socket.destroyed;
+  if (!isGone) {
+    // Cut at the last answer of those that were passed on, none before.
+    const isLast = (state.isClosing && turn.isNewest()) || !req.complete;
+    if (isLast) turn.close();
+    send({requestId, isLast}, req, res, answered);
+  }
+  note(state, arrival, answered, isGone);
 }
 
 /** One line and one count for each request. */
--- a/packages/gateway/src/write-answer.ts
+++ b/packages/gateway/src/write-answer.ts
@@ -14,12 +14,15 @@
       readonly detail: string;
     };
 
-/** What writing answers needs to know of the process. */
+/** What writing an answer needs to know. */
 export interface AnswerConfig {
   /** Name of the header field that repeats the request's id. */
   readonly requestId: string;
-  /** Whether each answer is its connection's last. */
-  isClosing(): boolean;
+  /**
+   * Whether it is its connection's last: while the process stops, and where
+   * the rest of the request was not read, which would be taken for the next.
+   */
+  readonly isLast: boolean;
 }
 
 const NO_BODY: ReadonlySet<number> = new Set([204, 304]);
@@ -62,7 +65,7 @@
       out.push(headers[at]!, headers[at + 1]!);
     }
     if (!isBodiless) out.push('Content-Length', String(body.length));
-    if (isLast(cfg, req)) out.push('Connection', 'close');
+    if (cfg.isLast) out.push('Connection', 'close');
     res.writeHead(status, out);
     res.end(isBodiless ? undefined : body);
   },
@@ -95,15 +98,7 @@
     out.push('Retry-After', (retryAfterMs / 1000).toFixed(3));
   }
   out.push('Content-Length', String(Buffer.byteLength(body)));
-  if (isLast(cfg, req)) out.push('Connection', 'close');
+  if (cfg.isLast) out.push('Connection', 'close');
   res.writeHead(status, out);
   res.end(body);
 }
-
-/**
- * An answer ends its connection while the process stops, and where the rest
- * of the request was not read: it would be taken for the next one.
- */
-function isLast(cfg: AnswerConfig, req: IncomingMessage): boolean {
-  return cfg.isClosing() || !req.complete;
-}
