--- a/packages/cli/src/session.ts
+++ b/packages/cli/src/session.ts
@@ -1,7 +1,7 @@
 import type {ArgsDef} from 'citty';
 import {createId} from '@banyandrum/base/ids.js';
 import type {Result} from '@banyandrum/base/result.js';
-import {parseAddress} from '@banyandrum/config/address.js';
+import {parseAddress} from '@banyandrum/base/address.js';
 import type {ClientError} from '@banyandrum/operators/call.js';
 import type {OperatorsClient} from '@banyandrum/operators/client.js';
 import type {CliArgs, CliIo} from './cli.js';
--- a/packages/config/src/schema.ts
+++ b/packages/config/src/schema.ts
@@ -1,5 +1,9 @@
 import {z} from 'zod';
-import {formatAddress, isReachable, parseAddress} from './address.js';
+import {
+  formatAddress,
+  isReachable,
+  parseAddress,
+} from '@banyandrum/base/address.js';
 
 const MAX_NAME_LENGTH = 64;
 const NAME = /^[A-Za-z0-9][A-Za-z0-9._-]*$/;
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -5,7 +5,7 @@
   createCallersService,
   type ListenAddress,
 } from '@banyandrum/callers/service.js';
-import {parseAddress} from '@banyandrum/config/address.js';
+import {parseAddress} from '@banyandrum/base/address.js';
 import type {Rules} from '@banyandrum/config/rules.js';
 import type {Settings} from '@banyandrum/config/settings.js';
 import type {StateStore} from '@banyandrum/config/store.js';
