--- a/packages/gateway/src/config-keeper.ts
+++ b/packages/gateway/src/config-keeper.ts
@@ -7,8 +7,11 @@
 /** The newest configuration that this router knows. */
 export interface ConfigKeeper {
   current(): RoutingConfig | null;
-  /** Where it came from in the platform's log; null before the first. */
-  cursor(): number | null;
+  /**
+   * Up to where others may be told that the platform's log was read; null
+   * before the first. Late enough for their own reads to have seen it.
+   */
+  toldCursor(): number | null;
   /** Another router has read up to `cursor`: looks at once if that's news. */
   noteCursor(cursor: number): void;
   subscribe(listener: () => void): void;
@@ -26,6 +29,12 @@
 /** The same where nobody else would tell of news that a read missed, in ms. */
 const SHORT_WAIT_MS = 900;
 const RETRY_MS = 200;
+/**
+ * Reads that the platform holds end at the news by themselves. Others are told
+ * so much later, in ms: told at once, each of them asked a second time, and
+ * every change cost twice the calls.
+ */
+const OWN_READ_MS = 300;
 
 /**
  * Reads the configuration until stopped. A version never replaces a newer one.
@@ -44,6 +53,7 @@
 ): ConfigKeeper {
   let config: RoutingConfig | null = null;
   let cursor: number | null = null;
+  let toldCursor: number | null = null;
   let isStopped = false;
   let isLooking = false;
   let beganAt = clock.now();
@@ -58,6 +68,13 @@
     listeners.forEach(listener => listener());
   };
 
+  const moveTo = (next: number): void => {
+    cursor = next;
+    clock.after(OWN_READ_MS, () => {
+      if (toldCursor === null || next > toldCursor) toldCursor = next;
+    });
+  };
+
   const read = async (waitMs: number): Promise<boolean> => {
     const result = await platform.readConfig(cursor, waitMs);
     if (result.kind === 'failed') {
@@ -67,7 +84,7 @@
     }
     if (hasFailed) emit('config-readable', {cursor: result.cursor});
     hasFailed = false;
-    if (cursor === null || result.cursor > cursor) cursor = result.cursor;
+    if (cursor === null || result.cursor > cursor) moveTo(result.cursor);
     if (result.unreadable !== null) {
       const detail = result.unreadable;
       emit('config-refused', {detail, cursor: result.cursor});
@@ -100,7 +117,7 @@
 
   return {
     current: () => config,
-    cursor: () => cursor,
+    toldCursor: () => toldCursor,
     noteCursor(other) {
       if (cursor !== null && other <= cursor) return;
       look();
--- a/packages/gateway/src/leadership.ts
+++ b/packages/gateway/src/leadership.ts
@@ -42,6 +42,8 @@
   keyedServices(): readonly string[];
   serversOf(service: string): readonly LedServer[];
   hasEnded(server: string): boolean;
+  /** Whether no server came to the list for a while. */
+  isListSettled(): boolean;
   /** Keys of the service whose requests wait for a place, one for each. */
   waitingKeys(service: string): readonly number[];
 }
@@ -107,6 +109,7 @@
         timing: cfg.timing,
         servers: () => cfg.serversOf(service),
         hasEnded: cfg.hasEnded,
+        isListSettled: cfg.isListSettled,
         waitingKeys: () => cfg.waitingKeys(service),
         nextFence: () => own.epoch * FENCES_A_TERM + own.fence++,
         mayAct: () => term === own && mayAct(),
--- a/packages/gateway/src/link-client.ts
+++ b/packages/gateway/src/link-client.ts
@@ -6,7 +6,8 @@
   makeGenericClientConstructor,
   type ClientDuplexStream,
 } from '@grpc/grpc-js';
-import type {KeyOwners} from './key-owners.js';
+import type {ServerInfo} from '@banyandrum/dispatch/backend.js';
+import type {KeyOwners, ServedTables} from './key-owners.js';
 import {
   HEARTBEAT_MS,
   LINK_SERVICE,
@@ -16,6 +17,7 @@
   type LeaderMessage,
   type StateMessage,
 } from './link-messages.js';
+import {applyList, applyTables} from './link-state.js';
 import {repeat} from './repeat.js';
 import type {ServerList} from './server-list.js';
 
@@ -28,6 +30,8 @@
   /** `ip:port` of the leader; null: unknown, or this router itself. */
   leader(): string | null;
   noteConfigCursor(cursor: number): void;
+  /** Routers at work, as the leader counts them. */
+  noteRouters(count: number): void;
 }
 
 /** A router's end of its stream to the leader. */
@@ -45,6 +49,9 @@
   readonly stream: Stream;
   readonly leader: string;
   readonly pending: Map<number, (reply: PlaceReply) => void>;
+  /** As this leader told them, by changes from one state to the next. */
+  tables: ServedTables;
+  servers: readonly ServerInfo[];
   heardAt: number;
   isOpen: boolean;
 }
@@ -86,6 +93,8 @@
       stream,
       leader,
       pending: new Map(),
+      tables: new Map(),
+      servers: [],
       heardAt: clock.now(),
       isOpen: true,
     };
@@ -100,7 +109,6 @@
     });
     stream.on('end', close);
     stream.on('error', close);
-    stream.write({kind: 'have', tables: '', list: ''});
     cfg.emit('leader-followed', {leader});
     while (!isStopped && isFresh(own) && cfg.leader() === leader) {
       await sleep(clock, WATCH_MS);
@@ -189,7 +197,7 @@
   session: Session,
   message: LeaderMessage,
 ): void {
-  if (message.kind === 'state') return takeState(cfg, message);
+  if (message.kind === 'state') return takeState(cfg, session, message);
   const settle = session.pending.get(message.ask);
   session.pending.delete(message.ask);
   if (settle !== undefined) return settle(message.reply);
@@ -199,16 +207,25 @@
   }
 }
 
-function takeState(cfg: LinkClientConfig, state: StateMessage): void {
+function takeState(
+  cfg: LinkClientConfig,
+  session: Session,
+  state: StateMessage,
+): void {
   if (state.tables !== null) {
-    cfg.owners.takeTables(new Map(Object.entries(state.tables)));
+    session.tables = applyTables(session.tables, state.tables);
+    cfg.owners.takeTables(session.tables);
+  }
+  if (state.list !== null) {
+    session.servers = applyList(session.servers, state.list);
   }
+  const {servers} = session;
   const {listCursor, configCursor} = state;
   if (listCursor !== null) {
-    const servers = state.list ?? cfg.list.snapshot()?.servers ?? [];
     // The state was on its way for less than a heartbeat, or it would be late.
     const ageMs = state.listAgeMs + HEARTBEAT_MS;
     cfg.list.takeSnapshot({cursor: listCursor, servers}, ageMs);
   }
   if (configCursor !== null) cfg.noteConfigCursor(configCursor);
+  cfg.noteRouters(state.routers);
 }
--- a/packages/gateway/src/link-messages.ts
+++ b/packages/gateway/src/link-messages.ts
@@ -1,21 +1,14 @@
-import type {ServerInfo} from '@banyandrum/dispatch/backend.js';
 import type {
   PlaceAsk,
   PlaceEnd,
   PlaceReply,
 } from '@banyandrum/dispatch/places.js';
-import type {ServedRange} from '@banyandrum/ranges/table.js';
 import type {ServiceDefinition} from '@grpc/grpc-js';
 import type {KeyCounts} from './key-owners.js';
+import type {ListDelta, TablesDelta} from './link-state.js';
 
 /** What a router sends to the leader. */
 export type FollowerMessage =
-  /** First, and again to name a newer version: what it has already. */
-  | {
-      readonly kind: 'have';
-      readonly tables: string;
-      readonly list: string;
-    }
   /** Looks for a place; `ask` numbers it within the stream. */
   | {readonly kind: 'ask'; readonly ask: number; readonly place: PlaceAsk}
   /** Gives the place back, or takes back the ask. */
@@ -39,18 +32,23 @@
   /** Whenever something changed, and as a heartbeat. */
   | {
       readonly kind: 'state';
-      readonly tablesVersion: string;
-      /** Null where it was sent before. */
-      readonly tables: Readonly<Record<string, readonly ServedRange[]>> | null;
-      readonly listVersion: string;
-      readonly list: readonly ServerInfo[] | null;
+      /** What changed since the stream's last state; all in its first. */
+      readonly tables: TablesDelta | null;
+      readonly list: ListDelta | null;
       /** Null before the leader has a list. */
       readonly listCursor: number | null;
       readonly listAgeMs: number;
       /** Where its configuration came from in the platform's log. */
       readonly configCursor: number | null;
+      /** Routers that follow the leader, and itself. */
+      readonly routers: number;
     };
 
+/** A message that was encoded once for many streams. */
+export interface EncodedMessage {
+  readonly bytes: Buffer;
+}
+
 export type StateMessage = Extract<LeaderMessage, {kind: 'state'}>;
 
 /** Counts by service: keys and counts in turn. */
@@ -64,8 +62,15 @@
  */
 export const SILENCE_MS = 600;
 
-const encode = (message: unknown): Buffer =>
-  Buffer.from(JSON.stringify(message));
+/** The bytes of a message. */
+export function encode(message: object): Buffer {
+  return Buffer.from(JSON.stringify(message));
+}
+
+function encodeOnce(message: LeaderMessage | EncodedMessage): Buffer {
+  return 'bytes' in message ? message.bytes : encode(message);
+}
+
 const decode = (bytes: Buffer): unknown => JSON.parse(bytes.toString('utf8'));
 
 /** One stream between a router and the leader. */
@@ -76,7 +81,7 @@
     responseStream: true,
     requestSerialize: encode,
     requestDeserialize: decode as (bytes: Buffer) => FollowerMessage,
-    responseSerialize: encode,
+    responseSerialize: encodeOnce,
     responseDeserialize: decode as (bytes: Buffer) => LeaderMessage,
   },
 } as const satisfies ServiceDefinition;
--- a/packages/gateway/src/link-server.ts
+++ b/packages/gateway/src/link-server.ts
@@ -6,22 +6,26 @@
   ServerCredentials,
   type ServerDuplexStream,
 } from '@grpc/grpc-js';
+import type {ServerInfo} from '@banyandrum/dispatch/backend.js';
+import type {ServedTables} from './key-owners.js';
 import type {Leadership} from './leadership.js';
 import {
+  encode,
   HEARTBEAT_MS,
   LINK_SERVICE,
   toCounts,
+  type EncodedMessage,
   type FollowerMessage,
   type LeaderMessage,
   type StateMessage,
 } from './link-messages.js';
+import {diffList, diffTables} from './link-state.js';
 import type {ServerList} from './server-list.js';
 
 /** What serving the other routers needs. */
 export interface LinkServerConfig {
   /** `ip:port`. */
   readonly listen: string;
-  readonly boot: string;
   readonly clock: Clock;
   readonly leadership: Leadership;
   readonly issuer: PlaceIssuer;
@@ -34,6 +38,8 @@
 
 /** The leader's end of the streams. */
 export interface LinkServer {
+  /** Routers that follow this one. */
+  followers(): number;
   close(): void;
 }
 
@@ -51,18 +57,18 @@
 const PING_MS = 2_000;
 const PING_WITHIN_MS = 1_500;
 
-type Stream = ServerDuplexStream<FollowerMessage, LeaderMessage>;
+type Stream = ServerDuplexStream<
+  FollowerMessage,
+  LeaderMessage | EncodedMessage
+>;
 type TakeBack = (how: PlaceEnd, tookMs: number) => void;
 
 interface Follower {
   readonly stream: Stream;
   /** Asks that wait and places that are in use, by number. */
   readonly asks: Map<number, TakeBack>;
-  tables: string;
-  /** Monotonic time at which it got tables, in ms. */
-  tablesAt: number;
-  list: string;
-  isGreeted: boolean;
+  /** What it was told last; null at first. */
+  told: Shared | null;
 }
 
 /**
@@ -81,15 +87,26 @@
     'grpc.keepalive_timeout_ms': PING_WITHIN_MS,
   });
 
-  const tellAll = (): void => {
-    if (!cfg.leadership.isLeading()) {
-      for (const {stream} of followers) stream.end();
-      return;
-    }
-    for (const follower of followers) {
-      if (follower.isGreeted) tell(cfg, follower);
+  const shared = createShared(cfg);
+
+  const tell = (some: Iterable<Follower>): void => {
+    const next = shared.current();
+    const encoded = new Map<Shared | null, EncodedMessage>();
+    for (const follower of some) {
+      const {told, stream} = follower;
+      const message = encoded.get(told) ?? {
+        bytes: encode(stateFor(cfg, told, next, followers.size + 1)),
+      };
+      encoded.set(told, message);
+      follower.told = next;
+      stream.write(message);
     }
   };
+
+  const tellAll = (): void => {
+    if (cfg.leadership.isLeading()) return tell(followers);
+    for (const {stream} of followers) stream.end();
+  };
   cfg.leadership.subscribe(() => {
     if (!cfg.leadership.isLeading()) tellAll();
   });
@@ -103,15 +120,9 @@
 
   const follow = (stream: Stream): void => {
     if (!cfg.leadership.isLeading()) return void stream.end();
-    const follower: Follower = {
-      stream,
-      asks: new Map(),
-      tables: '',
-      tablesAt: -Infinity,
-      list: '',
-      isGreeted: false,
-    };
+    const follower: Follower = {stream, asks: new Map(), told: null};
     followers.add(follower);
+    tell([follower]);
     const leave = (): void => {
       if (!followers.delete(follower)) return;
       for (const takeBack of follower.asks.values()) takeBack('cancelled', 0);
@@ -135,6 +146,7 @@
     );
   });
   return {
+    followers: () => followers.size,
     close() {
       cancelBeat();
       server.forceShutdown();
@@ -151,10 +163,6 @@
 };
 
 const TAKERS: Takers = {
-  have(cfg, follower, {tables, list}) {
-    Object.assign(follower, {tables, list, isGreeted: true});
-    tell(cfg, follower);
-  },
   ask(cfg, {stream, asks}, {ask, place}) {
     if (!cfg.leadership.isLeading()) {
       stream.write({kind: 'reply', ask, reply: {kind: 'unavailable'}});
@@ -190,32 +198,67 @@
   taker(cfg, follower, message as never);
 }
 
-function tell(cfg: LinkServerConfig, follower: Follower): void {
-  follower.stream.write(stateFor(cfg, follower));
+/** What all routers are told, as it was at one time. */
+interface Shared {
+  readonly tables: ServedTables;
+  readonly tablesVersion: string;
+  readonly servers: readonly ServerInfo[];
+  readonly listVersion: number;
+}
+
+/** Keeps what routers are told; the same object while nothing changed. */
+function createShared({leadership, list, clock}: LinkServerConfig): {
+  current(): Shared;
+} {
+  let shared: Shared = {
+    tables: new Map(),
+    tablesVersion: '',
+    servers: [],
+    listVersion: -1,
+  };
+  let tablesAt = -Infinity;
+
+  const takeTables = (): void => {
+    const tables = leadership.tables();
+    const tablesVersion = leadership.version();
+    const now = clock.now();
+    if (tables === null || tablesVersion === shared.tablesVersion) return;
+    if (now - tablesAt < TABLES_MS) return;
+    tablesAt = now;
+    shared = {...shared, tables, tablesVersion};
+  };
+
+  const takeList = (): void => {
+    const snapshot = list.snapshot();
+    const listVersion = list.version();
+    if (snapshot === null || listVersion === shared.listVersion) return;
+    shared = {...shared, servers: snapshot.servers, listVersion};
+  };
+
+  return {
+    current() {
+      takeTables();
+      takeList();
+      return shared;
+    },
+  };
 }
 
-function stateFor(cfg: LinkServerConfig, follower: Follower): StateMessage {
-  const {leadership, list, boot} = cfg;
-  const tables = leadership.tables();
-  const tablesVersion = leadership.version();
-  const snapshot = list.snapshot();
-  const listVersion = `${boot}-${list.version()}`;
-  const now = cfg.clock.now();
-  const isDue = now - follower.tablesAt >= TABLES_MS;
-  const hasTables =
-    !isDue || tables === null || follower.tables === tablesVersion;
-  const hasList = follower.list === listVersion || snapshot === null;
-  if (!hasTables)
-    Object.assign(follower, {tables: tablesVersion, tablesAt: now});
-  follower.list = listVersion;
+const NOTHING_TOLD: ServedTables = new Map();
+
+function stateFor(
+  {list, configCursor}: LinkServerConfig,
+  told: Shared | null,
+  next: Shared,
+  routers: number,
+): StateMessage {
   return {
     kind: 'state',
-    tablesVersion,
-    tables: hasTables ? null : Object.fromEntries(tables),
-    listVersion,
-    list: hasList ? null : snapshot.servers,
-    listCursor: snapshot?.cursor ?? null,
+    tables: diffTables(told?.tables ?? NOTHING_TOLD, next.tables),
+    list: diffList(told?.servers ?? [], next.servers),
+    listCursor: list.snapshot()?.cursor ?? null,
     listAgeMs: Math.round(list.ageMs()),
-    configCursor: cfg.configCursor(),
+    configCursor: configCursor(),
+    routers,
   };
 }
--- /dev/null
+++ b/packages/gateway/src/link-state.ts
@@ -0,0 +1,76 @@
+import type {ServerInfo} from '@banyandrum/dispatch/backend.js';
+import type {ServedRange} from '@banyandrum/ranges/table.js';
+import type {ServedTables} from './key-owners.js';
+import {isSameServer} from './server-list.js';
+
+/** What changed in the list of servers since the last message of a stream. */
+export interface ListDelta {
+  readonly put: readonly ServerInfo[];
+  /** Ids of servers that are listed no more. */
+  readonly gone: readonly string[];
+}
+
+/** Ranges by service; each takes the place of those that it overlaps. */
+export type TablesDelta = Readonly<Record<string, readonly ServedRange[]>>;
+
+/** The change from one list to a later one; null where there is none. */
+export function diffList(
+  before: readonly ServerInfo[],
+  now: readonly ServerInfo[],
+): ListDelta | null {
+  if (before === now) return null;
+  const known = new Map(before.map(server => [server.id, server]));
+  const put = now.filter(server => {
+    const old = known.get(server.id);
+    known.delete(server.id);
+    return old === undefined || !isSameServer(old, server);
+  });
+  const gone = [...known.keys()];
+  return put.length + gone.length === 0 ? null : {put, gone};
+}
+
+/** The list after the change. */
+export function applyList(
+  before: readonly ServerInfo[],
+  {put, gone}: ListDelta,
+): readonly ServerInfo[] {
+  const servers = new Map(before.map(server => [server.id, server]));
+  for (const server of put) servers.set(server.id, server);
+  for (const id of gone) servers.delete(id);
+  return [...servers.values()];
+}
+
+/** The change from some tables to later ones; null where there is none. */
+export function diffTables(
+  before: ServedTables,
+  now: ServedTables,
+): TablesDelta | null {
+  if (before === now) return null;
+  const delta: Record<string, readonly ServedRange[]> = {};
+  for (const [service, ranges] of now) {
+    const known = new Set(before.get(service)?.map(nameOf));
+    const changed = ranges.filter(range => !known.has(nameOf(range)));
+    if (changed.length > 0) delta[service] = changed;
+  }
+  return Object.keys(delta).length === 0 ? null : delta;
+}
+
+/** The tables after the change; they are without gaps, as those before. */
+export function applyTables(
+  before: ServedTables,
+  delta: TablesDelta,
+): ServedTables {
+  const tables = new Map(before);
+  for (const [service, changed] of Object.entries(delta)) {
+    const kept = (before.get(service) ?? []).filter(
+      ({from, to}) => !changed.some(each => each.from <= to && from <= each.to),
+    );
+    const ranges = [...kept, ...changed].sort((a, b) => a.from - b.from);
+    tables.set(service, ranges);
+  }
+  return tables;
+}
+
+function nameOf({from, to, server}: ServedRange): string {
+  return `${from}-${to}-${server}`;
+}
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -20,6 +20,7 @@
 import {createMetrics} from './metrics.js';
 import type {Platform} from './platform.js';
 import {repeat} from './repeat.js';
+import {createRouterCount} from './router-count.js';
 import {createServerList} from './server-list.js';
 import {createServiceTimes, drainTimes} from './service-times.js';
 import type {Settings} from './settings.js';
@@ -44,8 +45,16 @@
 /** Tables are read from the store after this time without the leader, ms. */
 const TABLES_FRESH_MS = 1_500;
 const TABLES_MS = 1_000;
+/**
+ * The list of servers counts as whole once none came for this long, in ms: a
+ * little more than the second in which servers of the deployments known report
+ * themselves, and a read of their list.
+ */
+const SETTLE_MS = 1_500;
 /** The leader's own requests are counted this often, in ms. */
 const OWN_MS = 100;
+/** Routers' shares of the servers' connections follow their number, in ms. */
+const SHARES_MS = 1_000;
 /** The balancer sees within this time that a router isn't ready, in ms. */
 const NOTICE_MS = 2_300;
 /** What is left of the grace for the process's own end, in ms. */
@@ -102,6 +111,7 @@
     timing: createTiming(settings.servers.holdMaxMs),
     serversOf: service => ledServers(led, service),
     hasEnded,
+    isListSettled: () => list.settledMs() >= SETTLE_MS,
     waitingKeys: service => issuer.waitingKeys(service),
   });
   const routers = followRouters({
@@ -112,6 +122,20 @@
     onChosen: askedAt => leadership.confirm(askedAt),
     onNotChosen: () => leadership.resign(),
   });
+  const routerCount = createRouterCount(clock);
+  const countRouters = (): number => {
+    routerCount.note(routers.count());
+    return routerCount.current();
+  };
+  const shareConnections = (): void => {
+    const services = keeper.current()?.services;
+    const sharers = countRouters();
+    backends.setConnectionLimit(service => {
+      const most = services?.get(service)?.maxConnections ?? 0;
+      const share = (most - SPARE_CONNECTIONS) / sharers;
+      return Math.max(2, Math.floor(share));
+    });
+  };
   const leaderAddress = (): string | null => {
     const name = routers.leader();
     if (name === null || name === self || leadership.isLeading()) return null;
@@ -124,6 +148,7 @@
     list,
     leader: leaderAddress,
     noteConfigCursor: cursor => keeper.noteCursor(cursor),
+    noteRouters: routerCount.note,
   });
   const issuer = createPlaceIssuer({
     backends,
@@ -136,15 +161,11 @@
   keeper.subscribe(() => {
     const config = keeper.current()!;
     entry.applyLimits(config);
-    backends.setConnectionLimit(service => {
-      const most = config.services.get(service)?.maxConnections ?? 0;
-      const share = (most - SPARE_CONNECTIONS) / routers.count();
-      return Math.max(2, Math.floor(share));
-    });
+    shareConnections();
   });
 
   const metrics = createMetrics({
-    routers: () => routers.count(),
+    routers: countRouters,
     isLeading: () => leadership.isLeading(),
     waiting: () => issuer.waiting(),
     listAgeMs: () => list.ageMs(),
@@ -170,11 +191,11 @@
       },
       places: createLocalPlaces({leadership, issuer, owners, link}),
       dataCentre: settings.host.dataCentre,
-      budget: createRetryBudget(settings.retries, () => routers.count()),
+      budget: createRetryBudget(settings.retries, countRouters),
       names: platform.names,
       clock,
       emit,
-      routers: () => routers.count(),
+      routers: countRouters,
     },
   });
   const isReady = (): boolean =>
@@ -194,12 +215,11 @@
   const {callers, readiness: readyAt, peers} = settings.listen;
   const links = await serveLinks({
     listen: peers,
-    boot,
     clock,
     leadership,
     issuer,
     list,
-    configCursor: () => keeper.cursor(),
+    configCursor: () => keeper.toldCursor(),
     noteReplaced: server => owners.noteReplaced(server),
     noteRequest: (service, key) => owners.noteRequest(service, key),
   });
@@ -228,8 +248,12 @@
       new Map(stored.map(({service, holdings}) => [service, holdings])),
     );
   });
+  repeat({...loop, name: 'shares', ms: SHARES_MS}, async () =>
+    shareConnections(),
+  );
   repeat({...loop, name: 'own-counts', ms: OWN_MS}, async () => {
     if (!leadership.isLeading()) return;
+    routerCount.note(links.followers() + 1);
     leadership.takeCounts(owners.drainCounts());
     times.add(drainTimes(backends, keeper.current()?.services.keys() ?? []));
   });
--- a/packages/gateway/src/server-list.ts
+++ b/packages/gateway/src/server-list.ts
@@ -20,6 +20,8 @@
   version(): number;
   /** Where the next read goes on; null: it takes the whole list. */
   cursor(): number | null;
+  /** Time since a server came that was never listed before, in ms. */
+  settledMs(): number;
   /** Time since the platform confirmed this list, in ms. */
   ageMs(): number;
   has(id: string): boolean;
@@ -66,6 +68,7 @@
   let version = 0;
   let confirmedAt = -Infinity;
   let troubleAt = -Infinity;
+  let grewAt = clock.now();
 
   const changed = (): void => {
     version++;
@@ -86,9 +89,10 @@
     servers.set(server.id, server);
     if (!seen.has(server.id)) {
       seen.set(server.id, {address: server.address, order: version});
+      grewAt = clock.now();
       if (seen.size > MAX_SEEN) forgetOldest();
     }
-    if (known !== undefined && isSame(known, server)) return false;
+    if (known !== undefined && isSameServer(known, server)) return false;
     const {id, service, address, isLeaving, coldMs} = server;
     emit('server-listed', {server: id, service, address, isLeaving, coldMs});
     return true;
@@ -173,6 +177,7 @@
           },
     version: () => version,
     cursor: () => cursor,
+    settledMs: () => clock.now() - grewAt,
     ageMs: () => clock.now() - confirmedAt,
     has: id => servers.has(id),
     isReplaced(id) {
@@ -193,7 +198,8 @@
   return {kind: 'listed', server};
 }
 
-function isSame(a: ServerInfo, b: ServerInfo): boolean {
+/** Whether routers treat the two entries alike. */
+export function isSameServer(a: ServerInfo, b: ServerInfo): boolean {
   return (
     a.address === b.address &&
     a.isLeaving === b.isLeaving &&
--- a/packages/gateway/test/leadership.test.ts
+++ b/packages/gateway/test/leadership.test.ts
@@ -47,6 +47,7 @@
       },
     ],
     hasEnded: () => false,
+    isListSettled: () => true,
     waitingKeys: () => [],
   });
   const pass = async (ms: number): Promise<void> => {
--- a/packages/gateway/test/link.test.ts
+++ b/packages/gateway/test/link.test.ts
@@ -138,7 +138,7 @@
   const listen = await freeAddress();
   const leaderList = createServerList(clock, emit, 2_000);
   const server = await serveLinks({
-    ...{listen, boot: 'b1', clock, leadership: LEADING, issuer},
+    ...{listen, clock, leadership: LEADING, issuer},
     list: leaderList,
     configCursor: () => null,
     noteReplaced: () => undefined,
@@ -150,6 +150,7 @@
     ...{clock, emit, list, owners: createKeyOwners(clock, emit)},
     leader: () => path.address,
     noteConfigCursor: () => undefined,
+    noteRouters: () => undefined,
   });
   return {
     ...{path, link, leaderList, list},
--- a/packages/ranges/src/lead-service.ts
+++ b/packages/ranges/src/lead-service.ts
@@ -24,8 +24,12 @@
 
 /** Holdings for each server at first: neighbours are often busy together. */
 const CUTS_PER_SERVER = 2;
-/** Moves for the sake of load at the same time. */
-const MAX_MOVES = 4;
+/**
+ * Moves for the sake of load at the same time, at least, and for each server
+ * beyond: a pair of servers takes part in one move at a time.
+ */
+const MIN_MOVES = 4;
+const MOVES_PER_SERVER = 0.2;
 /** Placement looks at the load this often, in ms. */
 const PLAN_MS = 400;
 /** Placement watches the load for this long first, in ms. */
@@ -109,7 +113,7 @@
   lead.fadedAt = now;
   const servers = lead.servers();
   if (lead.lives.length === 0) {
-    if (servers.length > 0) cutFirst(lead, servers);
+    if (mayCut(lead, servers)) cutFirst(lead, servers);
     return;
   }
   const open = new Set(servers.map(({id}) => id));
@@ -117,7 +121,18 @@
   if (now < lead.planAt) return;
   lead.planAt = now + PLAN_MS;
   if (mergeOne(lead, now)) return;
-  while (lead.moves < MAX_MOVES && balance(lead, servers));
+  const most = Math.max(MIN_MOVES, servers.length * MOVES_PER_SERVER);
+  while (lead.moves < most && balance(lead, servers));
+}
+
+/**
+ * Keys are cut for the servers that are there. At a start they come to be
+ * known one by one, and those that come after the cut get keys only as load
+ * moves there; so it waits for the others, until the first request.
+ */
+function mayCut(lead: Lead, servers: readonly LedServer[]): boolean {
+  if (servers.length === 0) return false;
+  return lead.isListSettled() || lead.load.rates(lead.waitingKeys()).length > 0;
 }
 
 function cutFirst(lead: Lead, servers: readonly LedServer[]): void {
--- a/packages/ranges/src/lead-state.ts
+++ b/packages/ranges/src/lead-state.ts
@@ -25,6 +25,8 @@
   servers(): readonly LedServer[];
   /** Whether the run of a server has provably ended. */
   hasEnded(server: string): boolean;
+  /** Whether the servers that there are are likely to be known by now. */
+  isListSettled(): boolean;
   nextFence(): number;
   /** Whether this leader may still act. */
   mayAct(): boolean;
--- a/packages/ranges/test/scene.ts
+++ b/packages/ranges/test/scene.ts
@@ -28,6 +28,8 @@
   readonly world: FakeWorld;
   /** Ids that the list of servers lacks. */
   readonly unlisted: Set<string>;
+  /** Whether the list is taken as whole; at once unless a test says so. */
+  listSettledAt: number;
   begin(): Promise<Leader>;
   /** The last leader's process does nothing any more. */
   freezeLast(): void;
@@ -42,10 +44,11 @@
   const world = createFakeWorld(clock, random, ids);
   const unlisted = new Set<string>();
   const leaders: Leader[] = [];
-  return {
+  const scene: Scene = {
     clock,
     world,
     unlisted,
+    listSettledAt: 0,
     async begin() {
       const ledger = world.createLedger();
       const number = leaders.length;
@@ -66,6 +69,7 @@
               ...{id, address, slots: 2, serviceMs: 400, isOpen: isUp},
             })),
         hasEnded: () => false,
+        isListSettled: () => clock.now() >= scene.listSettledAt,
         waitingKeys: () => [],
         nextFence: () => epoch * FENCES_A_TERM + fence++,
         mayAct: () =>
@@ -100,6 +104,7 @@
       }
     },
   };
+  return scene;
 }
 
 /** Numbers from 0 to 1 that look random. */
