A leader that works is kept, whoever the platform chooses next

Now the chosen router begins only where it hears no leader in touch with the platform and none answers at the last one's recorded address. Authority comes from the terms' own order, asked every 2.5 s, no longer from being chosen: an answer to a join could revive a term after a later one had begun. A router that doesn't lead names whom it follows; one that stops leads on until the next has begun.

--- a/packages/gateway/src/leadership.ts
+++ b/packages/gateway/src/leadership.ts
@@ -18,12 +18,11 @@
   tables(): ServedTables | null;
   /** Changes whenever the tables do. */
   version(): string;
-  /**
-   * This router was chosen, by an answer to a question asked at `askedAt`, in
-   * wakeful time.
-   */
-  confirm(askedAt: number): void;
-  /** Another router was chosen, or this one stops. */
+  /** Begins a term, which ends the one before it. */
+  begin(): void;
+  /** Another router may have begun: asks at once. */
+  check(): void;
+  /** This router stops. */
   resign(): void;
   takeCounts(counts: KeyCounts): void;
   subscribe(listener: () => void): void;
@@ -39,6 +38,8 @@
   readonly timing: HoldTiming;
   /** Distinguishes the versions of this run. */
   readonly boot: string;
+  /** This router's address for the others, `ip:port`. */
+  readonly address: string;
   keyedServices(): readonly string[];
   serversOf(service: string): readonly LedServer[];
   hasEnded(server: string): boolean;
@@ -52,6 +53,11 @@
 const TICK_MS = 50;
 /** Pause after a failed start of a term, in ms. */
 const RETRY_MS = 250;
+/**
+ * Whether a later term has begun is asked this often, in ms: a few times within
+ * a leader's authority, and one call to the platform each.
+ */
+const CHECK_MS = 2_500;
 /** Fences of one term; the epoch takes the digits above. */
 const FENCES_A_TERM = 4_096;
 
@@ -135,19 +141,37 @@
   const begin = async (): Promise<void> => {
     if (isStarting || term !== null) return;
     isStarting = true;
-    const epoch = await platform.ledger.begin();
+    const askedAt = cfg.wakefulNow();
+    const epoch = await platform.ledger.begin(cfg.address);
     const stored = epoch === null ? null : await platform.ledger.load();
     if (epoch === null || stored === null) {
       emit('leadership-failed', {epoch});
       await sleep(clock, RETRY_MS);
-    } else if (mayAct()) {
+    } else {
+      confirmedAt = askedAt;
       emit('leadership-began', {epoch, tables: stored.length});
       term = {epoch, stored, leads: new Map(), fence: 1};
       tick(term);
+      void checkOn(term);
     }
     isStarting = false;
   };
 
+  const check = async (own: Term): Promise<void> => {
+    const askedAt = cfg.wakefulNow();
+    const isNewest = await platform.ledger.isNewest();
+    if (term !== own) return;
+    if (isNewest === true) confirmedAt = Math.max(confirmedAt, askedAt);
+    if (isNewest === false) end('replaced');
+  };
+
+  const checkOn = async (own: Term): Promise<void> => {
+    while (term === own) {
+      await sleep(clock, CHECK_MS);
+      if (term === own) await check(own);
+    }
+  };
+
   return {
     isLeading: () => term !== null,
     tables() {
@@ -156,9 +180,9 @@
       return new Map(leads.map(lead => [lead.service, lead.served()]));
     },
     version: () => `${cfg.boot}-${changes}`,
-    confirm(askedAt) {
-      confirmedAt = askedAt;
-      void begin();
+    begin: () => void begin(),
+    check() {
+      if (term !== null) void check(term);
     },
     resign() {
       confirmedAt = -Infinity;
--- a/packages/gateway/src/link-client.ts
+++ b/packages/gateway/src/link-client.ts
@@ -27,17 +27,26 @@
   readonly emit: Emit;
   readonly owners: KeyOwners;
   readonly list: ServerList;
-  /** `ip:port` of the leader; null: unknown, or this router itself. */
-  leader(): string | null;
+  /** `ip:port` of the router that was chosen; null: unknown, or this one. */
+  chosen(): string | null;
+  isLeading(): boolean;
   noteConfigCursor(cursor: number): void;
   /** Routers at work, as the leader counts them. */
   noteRouters(count: number): void;
+  /** The leader is heard no more. */
+  onLost(): void;
 }
 
 /** A router's end of its stream to the leader. */
 export interface LinkClient extends Places {
   /** Time since the leader was last heard, in ms. */
   ageMs(): number;
+  /** Whom this router hears as the leader, `ip:port`; null: nobody. */
+  leader(): string | null;
+  /** Since when the leader that is heard had no answer of the platform, ms. */
+  leaderTouchMs(): number | null;
+  /** Follows whoever leads at the address; false where nobody does. */
+  reach(address: string): Promise<boolean>;
   noteReplaced(server: string): void;
   stop(): void;
 }
@@ -53,9 +62,24 @@
   tables: ServedTables;
   servers: readonly ServerInfo[];
   heardAt: number;
+  /** Whether it showed that it leads. */
+  isLeader: boolean;
+  /** Whom it named in its place. */
+  elsewhere: string | null;
+  touchMs: number;
   isOpen: boolean;
 }
 
+/** Somebody waits to hear whether a router leads. */
+interface Wanted {
+  readonly address: string;
+  settle(isLeader: boolean): void;
+}
+
+/** An address where nobody led isn't tried again for this long, in ms. */
+const VAIN_MS = 500;
+/** Routers that are asked one after the other for whom they follow. */
+const MAX_HOPS = 4;
 /** Pause before the leader is tried again, in ms. */
 const RETRY_MS = 200;
 /** The stream is looked at this often, in ms. */
@@ -79,6 +103,17 @@
   let isStopped = false;
   let asks = 0;
   let heardAt = -Infinity;
+  /** Whom the last router that was asked follows. */
+  let next: string | null = null;
+  /** A leader is looked for at this address. */
+  let wanted: Wanted | null = null;
+  let triedAt = -Infinity;
+  /** Where nobody led when it was tried last. */
+  let vainAddress = '';
+  let vainAt = -Infinity;
+
+  const heard = (): Session | null =>
+    session !== null && session.isLeader && isFresh(session) ? session : null;
 
   const isFresh = ({isOpen, heardAt: at}: Session): boolean =>
     isOpen && clock.now() - at < SILENCE_MS;
@@ -96,6 +131,9 @@
       tables: new Map(),
       servers: [],
       heardAt: clock.now(),
+      isLeader: false,
+      elsewhere: null,
+      touchMs: 0,
       isOpen: true,
     };
     session = own;
@@ -104,25 +142,43 @@
     };
     stream.on('data', message => {
       own.heardAt = clock.now();
-      heardAt = own.heardAt;
+      const wasLeader = own.isLeader;
       takeMessage(cfg, own, message);
+      if (!own.isLeader) return;
+      if (!wasLeader) cfg.emit('leader-followed', {leader});
+      heardAt = own.heardAt;
+      reached(leader, true);
     });
     stream.on('end', close);
     stream.on('error', close);
-    cfg.emit('leader-followed', {leader});
-    while (!isStopped && isFresh(own) && cfg.leader() === leader) {
+    while (!isStopped && isFresh(own) && !cfg.isLeading()) {
       await sleep(clock, WATCH_MS);
       sendCounts(own);
     }
     end(own);
     stub.close();
+    if (!own.isLeader) {
+      vainAddress = leader;
+      vainAt = clock.now();
+    }
+    reached(leader, false);
+    next = own.elsewhere;
+    if (own.isLeader) cfg.onLost();
+  };
+
+  /** Tells those who wait to hear of a leader at the address. */
+  const reached = (address: string, isLeader: boolean): void => {
+    if (wanted?.address !== address) return;
+    wanted.settle(isLeader);
+    wanted = null;
   };
 
   const end = (own: Session): void => {
     own.isOpen = false;
     if (session === own) session = null;
     const silentMs = Math.round(clock.now() - own.heardAt);
-    cfg.emit('leader-left', {leader: own.leader, silentMs});
+    const {leader, isLeader, elsewhere} = own;
+    cfg.emit('leader-left', {leader, isLeader, elsewhere, silentMs});
     own.stream.cancel();
     for (const settle of own.pending.values()) settle({kind: 'unavailable'});
     own.pending.clear();
@@ -136,15 +192,22 @@
 
   const goesOn = (): boolean => !isStopped;
   const {emit} = cfg;
-  repeat({clock, emit, name: 'link', ms: RETRY_MS, goesOn}, async () => {
-    const leader = cfg.leader();
-    if (leader !== null) await follow(leader);
+  repeat({clock, emit, name: 'link', ms: WATCH_MS, goesOn}, async () => {
+    if (wanted === null && clock.now() - triedAt < RETRY_MS) return;
+    for (let hops = 0; hops < MAX_HOPS && !cfg.isLeading(); hops++) {
+      const leader = wanted?.address ?? next ?? cfg.chosen();
+      next = null;
+      if (leader === null) return;
+      await follow(leader);
+      triedAt = clock.now();
+      if (next === null && wanted === null) return;
+    }
   });
 
   return {
     acquire(ask, signal) {
       const own = session;
-      if (own === null || !isFresh(own)) {
+      if (own === null || !own.isLeader || !isFresh(own)) {
         return Promise.resolve({kind: 'unavailable'});
       }
       const number = ++asks;
@@ -164,6 +227,16 @@
       });
     },
     ageMs: () => clock.now() - heardAt,
+    leader: () => heard()?.leader ?? null,
+    leaderTouchMs: () => heard()?.touchMs ?? null,
+    reach(address) {
+      wanted?.settle(false);
+      const isVain = address === vainAddress && clock.now() - vainAt < VAIN_MS;
+      if (isVain) return Promise.resolve(false);
+      return new Promise(settle => {
+        wanted = {address, settle};
+      });
+    },
     noteReplaced(server) {
       if (session?.isOpen) session.stream.write({kind: 'replaced', server});
     },
@@ -198,6 +271,10 @@
   message: LeaderMessage,
 ): void {
   if (message.kind === 'state') return takeState(cfg, session, message);
+  if (message.kind === 'elsewhere') {
+    session.elsewhere = message.leader;
+    return;
+  }
   const settle = session.pending.get(message.ask);
   session.pending.delete(message.ask);
   if (settle !== undefined) return settle(message.reply);
@@ -212,6 +289,8 @@
   session: Session,
   state: StateMessage,
 ): void {
+  session.isLeader = true;
+  session.touchMs = state.touchMs;
   if (state.tables !== null) {
     session.tables = applyTables(session.tables, state.tables);
     cfg.owners.takeTables(session.tables);
--- a/packages/gateway/src/link-messages.ts
+++ b/packages/gateway/src/link-messages.ts
@@ -42,7 +42,11 @@
       readonly configCursor: number | null;
       /** Routers that follow the leader, and itself. */
       readonly routers: number;
-    };
+      /** Since when the leader had no answer of the platform, in ms. */
+      readonly touchMs: number;
+    }
+  /** The last message of one that doesn't lead: whom it follows, if any. */
+  | {readonly kind: 'elsewhere'; readonly leader: string | null};
 
 /** A message that was encoded once for many streams. */
 export interface EncodedMessage {
--- a/packages/gateway/src/link-server.ts
+++ b/packages/gateway/src/link-server.ts
@@ -31,6 +31,10 @@
   readonly issuer: PlaceIssuer;
   readonly list: ServerList;
   configCursor(): number | null;
+  /** Whom this router follows, `ip:port`; null: nobody. */
+  leader(): string | null;
+  /** Since when this router had no answer of the platform, in ms. */
+  touchMs(): number;
   noteReplaced(server: string): void;
   /** A router asked for a place for the key. */
   noteRequest(service: string, key: number): void;
@@ -119,7 +123,10 @@
   let cancelBeat = cfg.clock.after(HEARTBEAT_MS, beat);
 
   const follow = (stream: Stream): void => {
-    if (!cfg.leadership.isLeading()) return void stream.end();
+    if (!cfg.leadership.isLeading()) {
+      stream.write({kind: 'elsewhere', leader: cfg.leader()});
+      return void stream.end();
+    }
     const follower: Follower = {stream, asks: new Map(), told: null};
     followers.add(follower);
     tell([follower]);
@@ -247,7 +254,7 @@
 const NOTHING_TOLD: ServedTables = new Map();
 
 function stateFor(
-  {list, configCursor}: LinkServerConfig,
+  {list, configCursor, touchMs}: LinkServerConfig,
   told: Shared | null,
   next: Shared,
   routers: number,
@@ -260,5 +267,6 @@
     listAgeMs: Math.round(list.ageMs()),
     configCursor: configCursor(),
     routers,
+    touchMs: Math.round(touchMs()),
   };
 }
--- a/packages/gateway/src/membership.ts
+++ b/packages/gateway/src/membership.ts
@@ -6,7 +6,11 @@
 /** Who the routers are, as the platform tells. */
 export interface Routers {
   /** The name of the router that was chosen to lead; null if unknown. */
-  leader(): string | null;
+  chosen(): string | null;
+  /** Whether this one is, by an answer that still counts. */
+  isChosen(): boolean;
+  /** Time since the question that the platform answered last, in ms. */
+  touchMs(): number;
   /** Routers in touch with the platform, this one included. */
   count(): number;
   /**
@@ -23,13 +27,16 @@
   readonly emit: Emit;
   /** Time that also passes while the host is suspended, in ms. */
   wakefulNow(): number;
-  /** Chosen to lead, by an answer to a question asked at `askedAt`. */
-  onChosen(askedAt: number): void;
-  onNotChosen(): void;
+  /** The platform answered whether this router is chosen. */
+  onJoined(): void;
+  /** Another router was chosen in place of this one. */
+  onReplaced(): void;
 }
 
 /** A router shows that it's there this often, in ms. */
 const JOIN_MS = 350;
+/** An answer counts for this time, in ms: until the next two should be there. */
+const CHOSEN_MS = 1_000;
 /** Routers are listed again this often where the leader is unknown, in ms. */
 const LIST_MS = 700;
 
@@ -49,6 +56,8 @@
   let listedAt = -Infinity;
   let isLeaving = false;
   let isInTouch = true;
+  let isChosen = false;
+  let answeredAt = -Infinity;
 
   const noteTouch = (membership: Membership | null): void => {
     const now = membership !== null;
@@ -74,8 +83,10 @@
     const membership = await members.join();
     noteTouch(membership);
     if (membership === null || isLeaving) return;
-    if (membership.isChosen) cfg.onChosen(askedAt);
-    else cfg.onNotChosen();
+    if (isChosen && !membership.isChosen) cfg.onReplaced();
+    isChosen = membership.isChosen;
+    answeredAt = askedAt;
+    cfg.onJoined();
     const isDue = names.length === 0 && clock.now() - listedAt > LIST_MS;
     if (membership.generation === generation && !isDue) return;
     generation = membership.generation;
@@ -86,7 +97,10 @@
   repeat({clock, emit, name: 'members', ms: JOIN_MS, goesOn}, join);
 
   return {
-    leader: () => names[0] ?? null,
+    chosen: () => names[0] ?? null,
+    isChosen: () =>
+      isChosen && !isLeaving && cfg.wakefulNow() - answeredAt < CHOSEN_MS,
+    touchMs: () => cfg.wakefulNow() - answeredAt,
     count: () => Math.max(1, names.length),
     async leave(goesOn) {
       isLeaving = true;
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -24,6 +24,7 @@
 import {createServerList} from './server-list.js';
 import {createServiceTimes, drainTimes} from './service-times.js';
 import type {Settings} from './settings.js';
+import {createSuccession} from './succession.js';
 import {wakefulTime} from './wakeful-clock.js';
 
 /** A router process at work. */
@@ -60,6 +61,14 @@
 /** What is left of the grace for the process's own end, in ms. */
 const END_MS = 400;
 const IDLE_STEP_MS = 50;
+/** What a leader that leaves tells of its touch with the platform, in ms. */
+const LEAVING_TOUCH_MS = 1e6;
+/**
+ * A leader that leaves waits so long for the next one, in ms, and looks for it
+ * this often: two joins of whoever is chosen, and the start of its term.
+ */
+const HAND_OVER_MS = 1_200;
+const HAND_OVER_STEP_MS = 200;
 /** Connections of a server that this router leaves to others' orders. */
 const SPARE_CONNECTIONS = 4;
 
@@ -107,6 +116,7 @@
     wakefulNow,
     emit,
     boot,
+    address: settings.listen.peers,
     keyedServices,
     timing: createTiming(settings.servers.holdMaxMs),
     serversOf: service => ledServers(led, service),
@@ -119,8 +129,8 @@
     clock,
     wakefulNow,
     emit,
-    onChosen: askedAt => leadership.confirm(askedAt),
-    onNotChosen: () => leadership.resign(),
+    onJoined: () => void succession.consider(),
+    onReplaced: () => leadership.check(),
   });
   const routerCount = createRouterCount(clock);
   const countRouters = (): number => {
@@ -136,20 +146,31 @@
       return Math.max(2, Math.floor(share));
     });
   };
-  const leaderAddress = (): string | null => {
-    const name = routers.leader();
-    if (name === null || name === self || leadership.isLeading()) return null;
-    return addressOf(name);
+  const chosenAddress = (): string | null => {
+    const name = routers.chosen();
+    return name === null || name === self ? null : addressOf(name);
   };
   const link = followLeader({
     clock,
     emit,
     owners,
     list,
-    leader: leaderAddress,
+    chosen: chosenAddress,
+    isLeading: () => leadership.isLeading(),
+    onLost: () => void succession.consider(),
     noteConfigCursor: cursor => keeper.noteCursor(cursor),
     noteRouters: routerCount.note,
   });
+  const succession = createSuccession({
+    emit,
+    self: settings.listen.peers,
+    isChosen: () => routers.isChosen(),
+    isLeading: () => leadership.isLeading(),
+    heardLeaderTouchMs: () => link.leaderTouchMs(),
+    lastLeader: () => platform.ledger.lastLeader(),
+    reach: link.reach,
+    begin: () => leadership.begin(),
+  });
   const issuer = createPlaceIssuer({
     backends,
     clock,
@@ -220,6 +241,9 @@
     issuer,
     list,
     configCursor: () => keeper.toldCursor(),
+    leader: () => link.leader(),
+    // One that leaves is to be followed by whoever is chosen now.
+    touchMs: () => (isStopping ? LEAVING_TOUCH_MS : routers.touchMs()),
     noteReplaced: server => owners.noteReplaced(server),
     noteRequest: (service, key) => owners.noteRequest(service, key),
   });
@@ -258,6 +282,16 @@
     times.add(drainTimes(backends, keeper.current()?.services.keys() ?? []));
   });
 
+  /** Leads on until another one does, so that places go on being issued. */
+  const handOver = async (): Promise<void> => {
+    const end = clock.now() + HAND_OVER_MS;
+    while (leadership.isLeading() && clock.now() < end) {
+      await sleep(clock, HAND_OVER_STEP_MS);
+      leadership.check();
+    }
+    leadership.resign();
+  };
+
   return {
     addresses,
     async stop() {
@@ -268,7 +302,7 @@
       entry.startClosing();
       // Nobody can be chosen in its place before it is taken out. While the
       // store is down it goes on renewing: keys would lapse with no leader.
-      void routers.leave(goesOn).then(() => leadership.resign());
+      void routers.leave(goesOn).then(handOver);
       const end = began + settings.stop.graceMs - END_MS;
       await sleep(clock, Math.min(NOTICE_MS, settings.stop.graceMs / 2));
       // By now the balancer sends no new connection. A request on a kept one
--- /dev/null
+++ b/packages/gateway/src/succession.ts
@@ -0,0 +1,72 @@
+import type {Emit} from '@banyandrum/dispatch/events.js';
+import type {LeaderRead} from '@banyandrum/ranges/ledger.js';
+
+/** What a router that the platform chose knows of whoever leads now. */
+export interface SuccessionConfig {
+  readonly emit: Emit;
+  /** This router's own address for the others, `ip:port`. */
+  readonly self: string;
+  /** Whether the platform chose this router, as it said a moment ago. */
+  isChosen(): boolean;
+  isLeading(): boolean;
+  /** Since when the leader that is heard had no answer of the platform, ms. */
+  heardLeaderTouchMs(): number | null;
+  lastLeader(): Promise<LeaderRead>;
+  /** Follows whoever leads at the address; false where nobody does. */
+  reach(address: string): Promise<boolean>;
+  begin(): void;
+}
+
+/** Decides whether this router becomes the leader. */
+export interface Succession {
+  /** Something may have changed: chosen, or the leader is heard no more. */
+  consider(): Promise<void>;
+}
+
+/**
+ * A leader that the platform hasn't answered for so long has lost it, in ms:
+ * it can't record moves. Some joins without an answer in a row.
+ */
+const OUT_OF_TOUCH_MS = 2_000;
+
+/**
+ * The platform chooses anew whenever routers come or go. A leader that works is
+ * kept all the same: each change of leader costs half a second without places
+ * and a grant of all keys. Whoever is chosen begins only where it hears no
+ * leader that is in touch, and none answers at the last one's address.
+ *
+ * @example
+ * ```ts
+ * const succession = createSuccession(cfg);
+ * await succession.consider();
+ * ```
+ */
+export function createSuccession(cfg: SuccessionConfig): Succession {
+  let isBusy = false;
+
+  const isNeeded = (): boolean => {
+    if (!cfg.isChosen() || cfg.isLeading()) return false;
+    const touchMs = cfg.heardLeaderTouchMs();
+    return touchMs === null || touchMs > OUT_OF_TOUCH_MS;
+  };
+
+  const findLeader = async (): Promise<'found' | 'none' | 'unknown'> => {
+    if (cfg.heardLeaderTouchMs() !== null) return 'none';
+    const last = await cfg.lastLeader();
+    if (last.kind === 'failed') return 'unknown';
+    if (last.address === null || last.address === cfg.self) return 'none';
+    return (await cfg.reach(last.address)) ? 'found' : 'none';
+  };
+
+  return {
+    async consider() {
+      if (isBusy || !isNeeded()) return;
+      isBusy = true;
+      const leader = await findLeader();
+      isBusy = false;
+      if (leader !== 'none' || !isNeeded()) return;
+      cfg.emit('succession', {heardTouchMs: cfg.heardLeaderTouchMs()});
+      cfg.begin();
+    },
+  };
+}
--- a/packages/gateway/test/leadership.test.ts
+++ b/packages/gateway/test/leadership.test.ts
@@ -7,8 +7,13 @@
 import {createTiming} from '@banyandrum/ranges/timing.js';
 import {createManualClock} from '@banyandrum/standins/manual-clock.js';
 
+/** Answers whether the first term is the newest one; null: not at all. */
+let isNewest: boolean | null = true;
+
 const LEDGER: Ledger = {
   begin: async () => 1,
+  isNewest: async () => isNewest,
+  lastLeader: async () => ({kind: 'read', address: null}),
   load: async () => [],
   save: async () => 'saved',
 };
@@ -35,6 +40,7 @@
     wakefulNow,
     timing: createTiming(10_000),
     boot: 'b1',
+    address: '10.0.0.9:7200',
     emit: () => undefined,
     keyedServices: () => ['rounds'],
     serversOf: () => [
@@ -56,16 +62,24 @@
       await clock.advance(50);
     }
   };
-  leadership.confirm(wakefulNow());
+  leadership.begin();
   await pass(3_000);
   t.ok(grants > 0);
+  isNewest = null;
   today += 13_000;
   const before = grants;
   await pass(3_000);
   t.equal(grants, before);
-  leadership.confirm(wakefulNow());
+  isNewest = true;
   await pass(3_000);
   t.ok(grants > before, 'once confirmed it goes on');
+  isNewest = false;
+  leadership.check();
+  await pass(100);
+  t.equal(leadership.isLeading(), false, 'it ends once another began');
+  const ended = grants;
+  await pass(3_000);
+  t.equal(grants, ended);
 });
 
 // The time of day jumps back and forth by some seconds: the age of a belief may
--- a/packages/gateway/test/link.test.ts
+++ b/packages/gateway/test/link.test.ts
@@ -83,7 +83,8 @@
   isLeading: () => true,
   tables: () => new Map(),
   version: () => 'v1',
-  confirm: () => undefined,
+  begin: () => undefined,
+  check: () => undefined,
   resign: () => undefined,
   takeCounts: () => undefined,
   subscribe: () => undefined,
@@ -141,6 +142,8 @@
     ...{listen, clock, leadership: LEADING, issuer},
     list: leaderList,
     configCursor: () => null,
+    leader: () => null,
+    touchMs: () => 0,
     noteReplaced: () => undefined,
     noteRequest: () => undefined,
   });
@@ -148,7 +151,9 @@
   const list = createServerList(clock, emit, 2_000);
   const link = followLeader({
     ...{clock, emit, list, owners: createKeyOwners(clock, emit)},
-    leader: () => path.address,
+    chosen: () => path.address,
+    isLeading: () => false,
+    onLost: () => undefined,
     noteConfigCursor: () => undefined,
     noteRouters: () => undefined,
   });
--- a/packages/ranges/src/ledger.ts
+++ b/packages/ranges/src/ledger.ts
@@ -8,14 +8,30 @@
   /** Not written now; it may be tried again. */
   | 'failed';
 
+/** Who leads as the record has it. */
+export type LeaderRead =
+  /** Null where nobody ever led. */
+  | {readonly kind: 'read'; readonly address: string | null}
+  | {readonly kind: 'failed'};
+
 /**
  * Keeps the tables for good, for one leader at a time: once a leader has
  * begun, nothing that an earlier one writes is accepted, however late it
  * arrives.
  */
 export interface Ledger {
-  /** Shuts earlier leaders out; yields this leader's epoch, or null. */
-  begin(): Promise<number | null>;
+  /**
+   * Shuts earlier leaders out and records who begins, by its address for the
+   * other routers; yields this leader's epoch, or null.
+   */
+  begin(address: string): Promise<number | null>;
+  /**
+   * Whether nobody began after this leader, at the time of the question; null
+   * where that isn't known.
+   */
+  isNewest(): Promise<boolean | null>;
+  /** Who began last. */
+  lastLeader(): Promise<LeaderRead>;
   /** The newest tables; null where they can't be read. */
   load(): Promise<readonly RangeTable[] | null>;
   /** Writes a table; one call at a time. */
--- a/packages/ranges/test/fake-world.ts
+++ b/packages/ranges/test/fake-world.ts
@@ -198,6 +198,8 @@
           owner = term;
           return term;
         },
+        isNewest: async () => owner === term,
+        lastLeader: async () => ({kind: 'read', address: null}),
         load: async () => [...tables.values()],
         save: table =>
           new Promise<SaveEnd>(resolve => {
--- a/packages/ranges/test/scene.ts
+++ b/packages/ranges/test/scene.ts
@@ -52,7 +52,7 @@
     async begin() {
       const ledger = world.createLedger();
       const number = leaders.length;
-      const epoch = (await ledger.begin())!;
+      const epoch = (await ledger.begin(`10.0.1.${number}:7200`))!;
       const stored = (await ledger.load())!;
       let fence = 1;
       const lead = leadService({
