--- a/packages/ranges/src/balancing.ts
+++ b/packages/ranges/src/balancing.ts
@@ -1,5 +1,6 @@
 import {grantNow} from './granting.js';
 import {holdingsOf, record, type Lead, type LedServer} from './lead-state.js';
+import type {KeyRate} from './key-load.js';
 import {
   createMerged,
   createPart,
@@ -14,7 +15,11 @@
 const MAX_HOLDINGS = 8;
 
 /** Starts one move for the sake of load; false where none would help. */
-export function balance(lead: Lead, servers: readonly LedServer[]): boolean {
+export function balance(
+  lead: Lead,
+  servers: readonly LedServer[],
+  rates: readonly KeyRate[],
+): boolean {
   const now = lead.clock.now();
   // A server that gives or takes keys already is left alone until it did.
   const busy = new Set(
@@ -27,7 +32,7 @@
   const planned = planMove(
     settled.map(({holding}) => holding),
     free,
-    lead.load.rates(lead.waitingKeys()),
+    rates,
   );
   if (planned === null) return false;
   const live = settled.find(
--- a/packages/ranges/src/key-load.ts
+++ b/packages/ranges/src/key-load.ts
@@ -1,4 +1,4 @@
-import {MAX_KEY, type KeyRange} from './table.js';
+import {KEY_COUNT, MAX_KEY, type KeyRange} from './table.js';
 
 /** A key's load. */
 export interface KeyRate {
@@ -9,6 +9,8 @@
 
 /** How often each key of a service is asked for. */
 export interface KeyLoad {
+  /** Whether no key was ever asked for. */
+  isEmpty(): boolean;
   add(key: number, requests: number): void;
   /** Requests a second on the range, smoothed. */
   rateOf(range: KeyRange): number;
@@ -22,13 +24,6 @@
   fade(elapsedMs: number): void;
 }
 
-interface Counts {
-  /** Fading within some seconds: the usual load. */
-  usual: number;
-  /** Fading within a second or two: what became busy, or stopped to be. */
-  recent: number;
-}
-
 /** Requests count for about these times, in ms. */
 const USUAL_MS = 12_000;
 const RECENT_MS = 1_500;
@@ -41,6 +36,13 @@
 const WAITING_MS = 2_000;
 /** A key is forgotten below this count. */
 const FORGOTTEN = 0.02;
+/**
+ * Sums over ranges are made anew after this time, in ms. A server that leaves
+ * has its keys' load asked for at every other server: summed key by key that
+ * took 49 ms a move with 30,000 keys and 59 servers, and the leader fell silent for
+ * seconds when nine servers left.
+ */
+const SUMS_MS = 100;
 
 /**
  * Counts that fade exponentially, one for each key that is asked for.
@@ -52,58 +54,77 @@
  * ```
  */
 export function createKeyLoad(): KeyLoad {
-  const keys = new Map<number, Counts>();
+  /** Fading within some seconds: the usual load. */
+  const usual = new Float32Array(KEY_COUNT);
+  /** Fading within a second or two: what became busy, or stopped to be. */
+  const recent = new Float32Array(KEY_COUNT);
+  /** Rates of all keys below each key, as they were at `summedMs`. */
+  const sums = new Float64Array(KEY_COUNT + 1);
+  let summedMs = -Infinity;
   let observedMs = 0;
+  let isEmpty = true;
+
   // What was watched for a short time only is scaled up to a rate.
   const usualSeconds = (): number => {
     const share = 1 - Math.exp(-observedMs / USUAL_MS);
     return Math.max(RECENT_MS, USUAL_MS * share) / 1000;
   };
 
-  const rate = ({usual, recent}: Counts): number => {
-    const usualRate = usual / usualSeconds();
-    const recentRate = recent / (RECENT_MS / 1000);
-    if (recent >= MANY) return Math.max(usualRate, recentRate);
+  const rateAt = (key: number, seconds: number): number => {
+    const usualRate = usual[key]! / seconds;
+    const recentRate = recent[key]! / (RECENT_MS / 1000);
+    if (recent[key]! >= MANY) return Math.max(usualRate, recentRate);
     const expected = (usualRate * RECENT_MS) / 1000;
-    const hasCooled = expected >= MANY && recent < expected / MANY;
+    const hasCooled = expected >= MANY && recent[key]! < expected / MANY;
     return hasCooled ? recentRate : usualRate;
   };
 
+  const sumUp = (): void => {
+    if (observedMs - summedMs < SUMS_MS) return;
+    summedMs = observedMs;
+    const seconds = usualSeconds();
+    let sum = 0;
+    for (let key = 0; key < KEY_COUNT; key++) {
+      if (usual[key]! > 0) sum += rateAt(key, seconds);
+      sums[key + 1] = sum;
+    }
+  };
+
   return {
+    isEmpty: () => isEmpty,
     add(key, requests) {
       if (key < 0 || key > MAX_KEY) return;
-      const counts = keys.get(key) ?? {usual: 0, recent: 0};
-      counts.usual += requests;
-      counts.recent += requests;
-      keys.set(key, counts);
+      usual[key]! += requests;
+      recent[key]! += requests;
+      isEmpty = false;
     },
     rateOf({from, to}) {
-      let sum = 0;
-      for (const [key, counts] of keys) {
-        if (from <= key && key <= to) sum += rate(counts);
-      }
-      return sum;
+      sumUp();
+      return sums[to + 1]! - sums[from]!;
     },
     rates(waiting) {
       const added = new Map<number, number>();
       for (const key of waiting) {
         added.set(key, (added.get(key) ?? 0) + 1000 / WAITING_MS);
       }
-      return [...keys]
-        .map(([key, counts]) => ({
-          key,
-          rate: rate(counts) + (added.get(key) ?? 0),
-        }))
-        .sort((a, b) => a.key - b.key);
+      const seconds = usualSeconds();
+      const rates: KeyRate[] = [];
+      for (let key = 0; key < KEY_COUNT; key++) {
+        if (usual[key] === 0) continue;
+        const rate = rateAt(key, seconds) + (added.get(key) ?? 0);
+        rates.push({key, rate});
+      }
+      return rates;
     },
     fade(elapsedMs) {
       observedMs += elapsedMs;
       const usualKept = Math.exp(-elapsedMs / USUAL_MS);
       const recentKept = Math.exp(-elapsedMs / RECENT_MS);
-      for (const [key, counts] of keys) {
-        counts.usual *= usualKept;
-        counts.recent *= recentKept;
-        if (counts.usual < FORGOTTEN) keys.delete(key);
+      for (let key = 0; key < KEY_COUNT; key++) {
+        if (usual[key] === 0) continue;
+        usual[key]! *= usualKept;
+        recent[key]! *= recentKept;
+        if (usual[key]! < FORGOTTEN) usual[key] = recent[key] = 0;
       }
     },
   };
--- a/packages/ranges/src/lead-service.ts
+++ b/packages/ranges/src/lead-service.ts
@@ -30,6 +30,8 @@
  */
 const MIN_MOVES = 4;
 const MOVES_PER_SERVER = 0.2;
+/** Counts of requests fade in steps of this time, in ms: a look at all keys. */
+const FADE_MS = 200;
 /** Placement looks at the load this often, in ms. */
 const PLAN_MS = 400;
 /** Placement watches the load for this long first, in ms. */
@@ -109,8 +111,10 @@
 function tick(lead: Lead): void {
   if (lead.isStopped || !lead.mayAct()) return;
   const now = lead.clock.now();
-  lead.load.fade(now - lead.fadedAt);
-  lead.fadedAt = now;
+  if (now - lead.fadedAt >= FADE_MS) {
+    lead.load.fade(now - lead.fadedAt);
+    lead.fadedAt = now;
+  }
   const servers = lead.servers();
   if (lead.lives.length === 0) {
     if (mayCut(lead, servers)) cutFirst(lead, servers);
@@ -122,7 +126,9 @@
   lead.planAt = now + PLAN_MS;
   if (mergeOne(lead, now)) return;
   const most = Math.max(MIN_MOVES, servers.length * MOVES_PER_SERVER);
-  while (lead.moves < most && balance(lead, servers));
+  if (lead.moves >= most) return;
+  const rates = lead.load.rates(lead.waitingKeys());
+  while (lead.moves < most && balance(lead, servers, rates));
 }
 
 /**
@@ -132,7 +138,8 @@
  */
 function mayCut(lead: Lead, servers: readonly LedServer[]): boolean {
   if (servers.length === 0) return false;
-  return lead.isListSettled() || lead.load.rates(lead.waitingKeys()).length > 0;
+  if (lead.isListSettled() || !lead.load.isEmpty()) return true;
+  return lead.waitingKeys().length > 0;
 }
 
 function cutFirst(lead: Lead, servers: readonly LedServer[]): void {
--- /dev/null
+++ b/packages/ranges/test/key-load.test.ts
@@ -0,0 +1,64 @@
+import tap from 'tap';
+import {createKeyLoad} from '@banyandrum/ranges/key-load.js';
+import {MAX_KEY} from '@banyandrum/ranges/table.js';
+import {createRandom} from './scene.js';
+
+function sumOf(
+  load: ReturnType<typeof createKeyLoad>,
+  from: number,
+  to = from,
+) {
+  return load
+    .rates([])
+    .filter(({key}) => from <= key && key <= to)
+    .reduce((sum, {rate}) => sum + rate, 0);
+}
+
+// Placement weighs ranges by their sums and cuts them by single keys: the two
+// must agree, or keys move to a server that they overload.
+void tap.test('the rate of a range is that of its keys', async t => {
+  const random = createRandom(7);
+  const load = createKeyLoad();
+  t.ok(load.isEmpty());
+  for (let at = 0; at < 5_000; at++) {
+    load.add(Math.floor(random() * (MAX_KEY + 1)), 1);
+    if (at % 50 === 0) load.fade(200);
+  }
+  load.fade(200);
+  t.notOk(load.isEmpty());
+  for (const [from, to] of [
+    [0, MAX_KEY],
+    [0, 0],
+    [20_000, 40_000],
+    [MAX_KEY, MAX_KEY],
+  ] as const) {
+    const diff = Math.abs(load.rateOf({from, to}) - sumOf(load, from, to));
+    t.ok(diff < 1e-6, `${from} to ${to}`);
+  }
+});
+
+void tap.test('a key that becomes busy counts at once, and cools', async t => {
+  const load = createKeyLoad();
+  for (let second = 0; second < 20; second++) {
+    load.add(7, 1);
+    load.fade(1_000);
+  }
+  t.ok(Math.abs(sumOf(load, 7) - 1) < 0.3, 'one a second');
+  load.add(7, 30);
+  load.fade(200);
+  t.ok(sumOf(load, 7) > 10, 'busy');
+  load.fade(60_000);
+  t.equal(sumOf(load, 7), 0, 'forgotten');
+  load.add(-1, 1);
+  load.add(MAX_KEY + 1, 1);
+  t.equal(load.rates([]).length, 0, 'keys that are none');
+});
+
+void tap.test('requests that wait add to their keys', async t => {
+  const load = createKeyLoad();
+  load.add(3, 1);
+  load.fade(200);
+  const [{rate}] = load.rates([]) as [{rate: number}];
+  const [busy] = load.rates([3, 3]) as [{rate: number}];
+  t.ok(busy.rate > rate);
+});
