--- /dev/null
+++ b/packages/gateway/src/hand-over.ts
@@ -0,0 +1,22 @@
+import {sleep, type Clock} from '@banyandrum/base/clock.js';
+import type {Leadership} from './leadership.js';
+
+/**
+ * A leader that leaves waits so long for the next one, in ms, and looks for it
+ * this often: two joins of whoever is chosen, and the start of its term.
+ */
+const HAND_OVER_MS = 1_200;
+const HAND_OVER_STEP_MS = 200;
+
+/** Leads on until another one does, so that places go on being issued. */
+export async function handOver(
+  leadership: Leadership,
+  clock: Clock,
+): Promise<void> {
+  const end = clock.now() + HAND_OVER_MS;
+  while (leadership.isLeading() && clock.now() < end) {
+    await sleep(clock, HAND_OVER_STEP_MS);
+    leadership.check();
+  }
+  leadership.resign();
+}
--- a/packages/gateway/src/link-client.ts
+++ b/packages/gateway/src/link-client.ts
@@ -1,38 +1,26 @@
 import {sleep, type Clock} from '@banyandrum/base/clock.js';
 import type {Emit} from '@banyandrum/dispatch/events.js';
-import type {Place, PlaceReply, Places} from '@banyandrum/dispatch/places.js';
+import type {Place, Places} from '@banyandrum/dispatch/places.js';
+import {credentials, makeGenericClientConstructor} from '@grpc/grpc-js';
+import {LINK_SERVICE, SILENCE_MS, toPairs} from './link-messages.js';
 import {
-  credentials,
-  makeGenericClientConstructor,
-  type ClientDuplexStream,
-} from '@grpc/grpc-js';
-import type {ServerInfo} from '@banyandrum/dispatch/backend.js';
-import type {KeyOwners, ServedTables} from './key-owners.js';
-import {
-  HEARTBEAT_MS,
-  LINK_SERVICE,
-  SILENCE_MS,
-  toPairs,
-  type FollowerMessage,
-  type LeaderMessage,
-  type StateMessage,
-} from './link-messages.js';
-import {applyList, applyTables} from './link-state.js';
+  createSession,
+  sendEnd,
+  takeMessage,
+  toPlace,
+  type Beliefs,
+  type LinkStream,
+  type Session,
+} from './link-session.js';
 import {repeat} from './repeat.js';
-import type {ServerList} from './server-list.js';
 
 /** What following the leader needs. */
-export interface LinkClientConfig {
+export interface LinkClientConfig extends Beliefs {
   readonly clock: Clock;
   readonly emit: Emit;
-  readonly owners: KeyOwners;
-  readonly list: ServerList;
   /** `ip:port` of the router that was chosen; null: unknown, or this one. */
   chosen(): string | null;
   isLeading(): boolean;
-  noteConfigCursor(cursor: number): void;
-  /** Routers at work, as the leader counts them. */
-  noteRouters(count: number): void;
   /** The leader is heard no more. */
   onLost(): void;
 }
@@ -51,25 +39,6 @@
   stop(): void;
 }
 
-type Stream = ClientDuplexStream<FollowerMessage, LeaderMessage>;
-
-/** A stream and what waits on it. */
-interface Session {
-  readonly stream: Stream;
-  readonly leader: string;
-  readonly pending: Map<number, (reply: PlaceReply) => void>;
-  /** As this leader told them, by changes from one state to the next. */
-  tables: ServedTables;
-  servers: readonly ServerInfo[];
-  heardAt: number;
-  /** Whether it showed that it leads. */
-  isLeader: boolean;
-  /** Whom it named in its place. */
-  elsewhere: string | null;
-  touchMs: number;
-  isOpen: boolean;
-}
-
 /** Somebody waits to hear whether a router leads. */
 interface Wanted {
   readonly address: string;
@@ -123,19 +92,8 @@
       'grpc.use_local_subchannel_pool': 1,
       'grpc.enable_http_proxy': 0,
     });
-    const stream = stub['follow']!() as Stream;
-    const own: Session = {
-      stream,
-      leader,
-      pending: new Map(),
-      tables: new Map(),
-      servers: [],
-      heardAt: clock.now(),
-      isLeader: false,
-      elsewhere: null,
-      touchMs: 0,
-      isOpen: true,
-    };
+    const stream = stub['follow']!() as LinkStream;
+    const own = createSession(stream, leader, clock.now());
     session = own;
     const close = (): void => {
       own.isOpen = false;
@@ -166,9 +124,9 @@
     if (own.isLeader) cfg.onLost();
   };
 
-  /** Tells those who wait to hear of a leader at the address. */
+  /** Tells those who wait to hear of a leader, there or anywhere else. */
   const reached = (address: string, isLeader: boolean): void => {
-    if (wanted?.address !== address) return;
+    if (wanted === null || (wanted.address !== address && !isLeader)) return;
     wanted.settle(isLeader);
     wanted = null;
   };
@@ -245,66 +203,3 @@
     },
   };
 }
-
-function toPlace(session: Session, number: number, reply: PlaceReply): Place {
-  if (reply.kind !== 'granted') return reply;
-  return {
-    kind: 'granted',
-    server: reply.server,
-    end: (how, tookMs) => sendEnd(session, number, how, tookMs),
-  };
-}
-
-function sendEnd(
-  {stream, isOpen}: Session,
-  ask: number,
-  how: Extract<FollowerMessage, {kind: 'end'}>['how'],
-  tookMs: number,
-): void {
-  if (!isOpen) return;
-  stream.write({kind: 'end', ask, how, tookMs: Math.round(tookMs)});
-}
-
-function takeMessage(
-  cfg: LinkClientConfig,
-  session: Session,
-  message: LeaderMessage,
-): void {
-  if (message.kind === 'state') return takeState(cfg, session, message);
-  if (message.kind === 'elsewhere') {
-    session.elsewhere = message.leader;
-    return;
-  }
-  const settle = session.pending.get(message.ask);
-  session.pending.delete(message.ask);
-  if (settle !== undefined) return settle(message.reply);
-  // Its request was given up meanwhile: the place goes back unused.
-  if (message.reply.kind === 'granted') {
-    sendEnd(session, message.ask, 'cancelled', 0);
-  }
-}
-
-function takeState(
-  cfg: LinkClientConfig,
-  session: Session,
-  state: StateMessage,
-): void {
-  session.isLeader = true;
-  session.touchMs = state.touchMs;
-  if (state.tables !== null) {
-    session.tables = applyTables(session.tables, state.tables);
-    cfg.owners.takeTables(session.tables);
-  }
-  if (state.list !== null) {
-    session.servers = applyList(session.servers, state.list);
-  }
-  const {servers} = session;
-  const {listCursor, configCursor} = state;
-  if (listCursor !== null) {
-    // The state was on its way for less than a heartbeat, or it would be late.
-    const ageMs = state.listAgeMs + HEARTBEAT_MS;
-    cfg.list.takeSnapshot({cursor: listCursor, servers}, ageMs);
-  }
-  if (configCursor !== null) cfg.noteConfigCursor(configCursor);
-  cfg.noteRouters(state.routers);
-}
--- /dev/null
+++ b/packages/gateway/src/link-session.ts
@@ -0,0 +1,127 @@
+import type {ServerInfo} from '@banyandrum/dispatch/backend.js';
+import type {Place, PlaceReply} from '@banyandrum/dispatch/places.js';
+import type {ClientDuplexStream} from '@grpc/grpc-js';
+import type {KeyOwners, ServedTables} from './key-owners.js';
+import {
+  HEARTBEAT_MS,
+  type FollowerMessage,
+  type LeaderMessage,
+  type StateMessage,
+} from './link-messages.js';
+import {applyList, applyTables} from './link-state.js';
+import type {ServerList} from './server-list.js';
+
+/** What the leader's state changes in this router. */
+export interface Beliefs {
+  readonly owners: KeyOwners;
+  readonly list: ServerList;
+  noteConfigCursor(cursor: number): void;
+  /** Routers at work, as the leader counts them. */
+  noteRouters(count: number): void;
+}
+
+/** A stream to a router that may lead. */
+export type LinkStream = ClientDuplexStream<FollowerMessage, LeaderMessage>;
+
+/** A stream and what waits on it. */
+export interface Session {
+  readonly stream: LinkStream;
+  readonly leader: string;
+  readonly pending: Map<number, (reply: PlaceReply) => void>;
+  /** As this leader told them, by changes from one state to the next. */
+  tables: ServedTables;
+  servers: readonly ServerInfo[];
+  heardAt: number;
+  /** Whether it showed that it leads. */
+  isLeader: boolean;
+  /** Whom it named in its place. */
+  elsewhere: string | null;
+  touchMs: number;
+  isOpen: boolean;
+}
+
+/** A stream on which nothing was heard yet. */
+export function createSession(
+  stream: LinkStream,
+  leader: string,
+  now: number,
+): Session {
+  return {
+    stream,
+    leader,
+    pending: new Map(),
+    tables: new Map(),
+    servers: [],
+    heardAt: now,
+    isLeader: false,
+    elsewhere: null,
+    touchMs: 0,
+    isOpen: true,
+  };
+}
+
+/** A reply as the request gets it. */
+export function toPlace(
+  session: Session,
+  number: number,
+  reply: PlaceReply,
+): Place {
+  if (reply.kind !== 'granted') return reply;
+  return {
+    kind: 'granted',
+    server: reply.server,
+    end: (how, tookMs) => sendEnd(session, number, how, tookMs),
+  };
+}
+
+/** Gives a place back, or takes back an ask. */
+export function sendEnd(
+  {stream, isOpen}: Session,
+  ask: number,
+  how: Extract<FollowerMessage, {kind: 'end'}>['how'],
+  tookMs: number,
+): void {
+  if (!isOpen) return;
+  stream.write({kind: 'end', ask, how, tookMs: Math.round(tookMs)});
+}
+
+/** Takes what the other end of the stream told. */
+export function takeMessage(
+  cfg: Beliefs,
+  session: Session,
+  message: LeaderMessage,
+): void {
+  if (message.kind === 'state') return takeState(cfg, session, message);
+  if (message.kind === 'elsewhere') {
+    session.elsewhere = message.leader;
+    return;
+  }
+  const settle = session.pending.get(message.ask);
+  session.pending.delete(message.ask);
+  if (settle !== undefined) return settle(message.reply);
+  // Its request was given up meanwhile: the place goes back unused.
+  if (message.reply.kind === 'granted') {
+    sendEnd(session, message.ask, 'cancelled', 0);
+  }
+}
+
+function takeState(cfg: Beliefs, session: Session, state: StateMessage): void {
+  session.isLeader = true;
+  session.touchMs = state.touchMs;
+  if (state.tables !== null) {
+    session.tables = applyTables(session.tables, state.tables);
+    cfg.owners.takeTables(session.tables);
+  }
+  if (state.list !== null) {
+    session.servers = applyList(session.servers, state.list);
+  }
+  const {servers} = session;
+  const {listCursor, configCursor} = state;
+  if (listCursor !== null) {
+    // The state was on its way for less than a heartbeat, or it would be late.
+    const ageMs = state.listAgeMs + HEARTBEAT_MS;
+    cfg.list.takeSnapshot({cursor: listCursor, servers}, ageMs);
+  }
+  if (configCursor !== null) cfg.noteConfigCursor(configCursor);
+  cfg.noteRouters(state.routers);
+}
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -9,6 +9,8 @@
 import {keepConfig} from './config-keeper.js';
 import {createEntry} from './entry.js';
 import type {EventLog} from './event-log.js';
+import {handOver} from './hand-over.js';
+import {isFollowing, keepUp} from './keep-up.js';
 import {createKeyOwners, type ServedTables} from './key-owners.js';
 import {createLeadership} from './leadership.js';
 import {ledServers} from './led-servers.js';
@@ -20,7 +22,6 @@
 import {watchLag} from './loop-lag.js';
 import {createMetrics} from './metrics.js';
 import type {Platform} from './platform.js';
-import {repeat} from './repeat.js';
 import {createRouterCount} from './router-count.js';
 import {createServerList} from './server-list.js';
 import {createServiceTimes, drainTimes} from './service-times.js';
@@ -40,23 +41,12 @@
   stop(): Promise<void>;
 }
 
-/** The list of servers is read this often by whoever needs to, in ms. */
-const LIST_MS = 400;
-/** A list that the leader confirmed within this time is new enough, in ms. */
-const LIST_FRESH_MS = 900;
-/** Tables are read from the store after this time without the leader, ms. */
-const TABLES_FRESH_MS = 1_500;
-const TABLES_MS = 1_000;
 /**
  * The list of servers counts as whole once none came for this long, in ms: a
  * little more than the second in which servers of the deployments known report
  * themselves, and a read of their list.
  */
 const SETTLE_MS = 1_500;
-/** The leader's own requests are counted this often, in ms. */
-const OWN_MS = 100;
-/** Routers' shares of the servers' connections follow their number, in ms. */
-const SHARES_MS = 1_000;
 /** The balancer sees within this time that a router isn't ready, in ms. */
 const NOTICE_MS = 2_300;
 /** What is left of the grace for the process's own end, in ms. */
@@ -64,12 +54,6 @@
 const IDLE_STEP_MS = 50;
 /** What a leader that leaves tells of its touch with the platform, in ms. */
 const LEAVING_TOUCH_MS = 1e6;
-/**
- * A leader that leaves waits so long for the next one, in ms, and looks for it
- * this often: two joins of whoever is chosen, and the start of its term.
- */
-const HAND_OVER_MS = 1_200;
-const HAND_OVER_STEP_MS = 200;
 /** Connections of a server that this router leaves to others' orders. */
 const SPARE_CONNECTIONS = 4;
 
@@ -179,8 +163,7 @@
     emit,
     ownerOf: (service, key) => owners.ownerOf(service, key),
   });
-  const isFollowing = (): boolean => link.ageMs() < LIST_FRESH_MS;
-  const keeper = keepConfig(platform, clock, emit, isFollowing);
+  const keeper = keepConfig(platform, clock, emit, () => isFollowing(link));
   keeper.subscribe(() => {
     const config = keeper.current()!;
     entry.applyLimits(config);
@@ -258,44 +241,18 @@
   };
   emit('started', {self, ...addresses, dataCentre: settings.host.dataCentre});
 
-  const loop = {clock, emit, goesOn};
-  repeat({...loop, name: 'servers', ms: LIST_MS}, async () => {
-    if (!leadership.isLeading() && isFollowing()) {
-      if (list.ageMs() < LIST_FRESH_MS) return;
-    }
-    list.take(await platform.readServers(list.cursor()));
-  });
-  repeat({...loop, name: 'tables', ms: TABLES_MS}, async () => {
-    if (leadership.isLeading() || link.ageMs() < TABLES_FRESH_MS) return;
-    if (keyedServices().length === 0) return;
-    const stored = await platform.ledger.load();
-    if (stored === null || leadership.isLeading()) return;
-    if (link.ageMs() < TABLES_FRESH_MS) return;
-    emit('tables-taken', {from: 'store', linkAgeMs: Math.round(link.ageMs())});
-    owners.takeTables(
-      new Map(stored.map(({service, holdings}) => [service, holdings])),
-    );
-  });
-  repeat({...loop, name: 'shares', ms: SHARES_MS}, async () =>
-    shareConnections(),
-  );
-  repeat({...loop, name: 'own-counts', ms: OWN_MS}, async () => {
-    if (!leadership.isLeading()) return;
-    routerCount.note(links.followers() + 1);
-    leadership.takeCounts(owners.drainCounts());
-    times.add(drainTimes(backends, keeper.current()?.services.keys() ?? []));
+  keepUp({
+    ...{platform, clock, emit, leadership, list, owners, link},
+    goesOn,
+    keyedServices,
+    shareConnections,
+    takeOwn() {
+      routerCount.note(links.followers() + 1);
+      leadership.takeCounts(owners.drainCounts());
+      times.add(drainTimes(backends, keeper.current()?.services.keys() ?? []));
+    },
   });
 
-  /** Leads on until another one does, so that places go on being issued. */
-  const handOver = async (): Promise<void> => {
-    const end = clock.now() + HAND_OVER_MS;
-    while (leadership.isLeading() && clock.now() < end) {
-      await sleep(clock, HAND_OVER_STEP_MS);
-      leadership.check();
-    }
-    leadership.resign();
-  };
-
   return {
     addresses,
     async stop() {
@@ -306,7 +263,7 @@
       entry.startClosing();
       // Nobody can be chosen in its place before it is taken out. While the
       // store is down it goes on renewing: keys would lapse with no leader.
-      void routers.leave(goesOn).then(handOver);
+      void routers.leave(goesOn).then(() => handOver(leadership, clock));
       const end = began + settings.stop.graceMs - END_MS;
       await sleep(clock, Math.min(NOTICE_MS, settings.stop.graceMs / 2));
       // By now the balancer sends no new connection. A request on a kept one
