--- a/packages/dispatch/test/play-load.ts
+++ b/packages/dispatch/test/play-load.ts
@@ -10,6 +10,7 @@
   createManualClock,
   type ManualClock,
 } from '@banyandrum/standins/manual-clock.js';
+import {createRandom} from '@banyandrum/standins/seeded-random.js';
 
 /** Callers of one kind, all of whom ask one service. */
 export interface CallerKind {
@@ -209,14 +210,3 @@
   const {asked, inAim, late} = outcome;
   outcome.worth = (inAim + late * lateWorth) / asked;
 }
-
-function createRandom(seed: number): () => number {
-  let state = seed >>> 0 || 1;
-  return () => {
-    state ^= state << 13;
-    state ^= state >>> 17;
-    state ^= state << 5;
-    state >>>= 0;
-    return state / 2 ** 32;
-  };
-}
--- a/packages/ranges/test/key-load.test.ts
+++ b/packages/ranges/test/key-load.test.ts
@@ -1,7 +1,7 @@
 import tap from 'tap';
 import {createKeyLoad} from '@banyandrum/ranges/key-load.js';
 import {MAX_KEY} from '@banyandrum/ranges/table.js';
-import {createRandom} from './scene.js';
+import {createRandom} from '@banyandrum/standins/seeded-random.js';
 
 function sumOf(
   load: ReturnType<typeof createKeyLoad>,
--- a/packages/ranges/test/lead-service.test.ts
+++ b/packages/ranges/test/lead-service.test.ts
@@ -1,7 +1,8 @@
 import tap from 'tap';
 import {AUTHORITY_MS} from '@banyandrum/ranges/timing.js';
 import {findRange, MAX_KEY} from '@banyandrum/ranges/table.js';
-import {createRandom, createScene, unserved} from './scene.js';
+import {createRandom} from '@banyandrum/standins/seeded-random.js';
+import {createScene, unserved} from './scene.js';
 
 void tap.test('every key gets one holder', async t => {
   const {world, begin, pass} = createScene(1, ['a', 'b', 'c']);
--- a/packages/ranges/test/recovery.test.ts
+++ b/packages/ranges/test/recovery.test.ts
@@ -1,6 +1,7 @@
 import tap from 'tap';
 import {knownRed} from '@banyandrum/standins/known-red.js';
-import {createRandom, createScene, type Scene} from './scene.js';
+import {createRandom} from '@banyandrum/standins/seeded-random.js';
+import {createScene, type Scene} from './scene.js';
 
 const KEYS = Array.from({length: 64}, (_, at) => at * 1_024);
 const STEP_MS = 50;
--- a/packages/ranges/test/scene.ts
+++ b/packages/ranges/test/scene.ts
@@ -7,6 +7,7 @@
   createManualClock,
   type ManualClock,
 } from '@banyandrum/standins/manual-clock.js';
+import {createRandom} from '@banyandrum/standins/seeded-random.js';
 import {createFakeWorld, type FakeWorld} from './fake-world.js';
 
 const TICK_MS = 50;
@@ -107,18 +108,6 @@
   return scene;
 }
 
-/** Numbers from 0 to 1 that look random. */
-export function createRandom(seed: number): () => number {
-  let state = seed >>> 0 || 1;
-  return () => {
-    state ^= state << 13;
-    state ^= state >>> 17;
-    state ^= state << 5;
-    state >>>= 0;
-    return state / 2 ** 32;
-  };
-}
-
 /** Ranges that the leader has at no server. */
 export function unserved({lead}: Leader): number {
   return lead.served().filter(({server}) => server === null).length;
