--- a/packages/dispatch/src/free-server.ts
+++ b/packages/dispatch/src/free-server.ts
@@ -46,12 +46,12 @@
   return owner.kind === 'held' ? owner.server : null;
 }
 
-/** Time that the ask takes once it is at a server, in ms. */
+/** Time that a request of the service takes once it is at a server, in ms. */
 export function expectedMs(
   {backends}: PlaceIssuerConfig,
-  ask: PlaceAsk,
+  service: string,
 ): number {
-  return typicalServiceMs(backends.ofService(ask.service));
+  return typicalServiceMs(backends.ofService(service));
 }
 
 function findOwner(
--- a/packages/dispatch/src/place-issuer.ts
+++ b/packages/dispatch/src/place-issuer.ts
@@ -1,11 +1,6 @@
 import {noteAnswer, noteLoss, suspect, type Backend} from './backend.js';
-import {
-  expectedMs,
-  findFree,
-  holderOf,
-  type PlaceIssuerConfig,
-} from './free-server.js';
-import {createLanes, type Lane} from './place-lanes.js';
+import {expectedMs, findFree, type PlaceIssuerConfig} from './free-server.js';
+import {createLanes, NO_HOLDER, type Lane} from './place-lanes.js';
 import {
   isFirst,
   isOverdue,
@@ -68,16 +63,19 @@
   const refuse = (waiter: Waiter, why: string): void => {
     const {ask, askedAt, endsAt} = waiter;
     const now = cfg.clock.now();
+    const lane = lanes.of(ask);
     cfg.emit('place-refused', {
       ...{id: ask.id, service: ask.service, key: ask.key, why},
       waitedMs: Math.round(now - askedAt),
       leftMs: Math.round(endsAt - now),
-      waiting: lanes.of(ask).waiters.length,
-      serviceMs: Math.round(expectedMs(cfg, ask)),
+      waiting: lane.waiters.length,
+      serviceMs: Math.round(expectedMs(cfg, ask.service)),
+    });
+    finish(waiter, {
+      kind: 'refused',
+      retryAfterMs: RETRY_AFTER_MS,
+      isUnheld: lane.holder === NO_HOLDER,
     });
-    const isUnheld = ask.key !== null && holderOf(cfg, ask) === null;
-    const retryAfterMs = RETRY_AFTER_MS;
-    finish(waiter, {kind: 'refused', retryAfterMs, isUnheld});
   };
 
   const grant = (waiter: Waiter, backend: Backend): void => {
@@ -153,7 +151,7 @@
   return {
     ask(ask, reply) {
       const now = cfg.clock.now();
-      const serviceMs = expectedMs(cfg, ask);
+      const serviceMs = expectedMs(cfg, ask.service);
       const waiter: Waiter = {
         ask,
         reply,
--- a/packages/dispatch/src/place-queue.ts
+++ b/packages/dispatch/src/place-queue.ts
@@ -1,7 +1,6 @@
-import type {PlaceIssuerConfig} from './free-server.js';
+import {expectedMs, type PlaceIssuerConfig} from './free-server.js';
 import type {Lane} from './place-lanes.js';
 import type {PlaceAsk, PlaceReply} from './places.js';
-import {typicalServiceMs} from './server-cost.js';
 
 /** A request that waits for a place, or has one. */
 export interface Waiter {
@@ -33,9 +32,12 @@
 
 /** Whether nobody waits in the lane who goes before the ask. */
 export function isFirst({waiters}: Lane, ask: PlaceAsk): boolean {
-  return !waiters.some(
-    ({isOver, ask: other}) => !isOver && other.priority <= ask.priority,
-  );
+  return !waiters.some(waiter => isAhead(waiter, ask));
+}
+
+/** Whether the waiter goes before one that asks now. */
+function isAhead({isOver, ask: {priority}}: Waiter, ask: PlaceAsk): boolean {
+  return !isOver && priority <= ask.priority;
 }
 
 /**
@@ -77,9 +79,7 @@
   lane: Lane,
   {ask, askedAt, aimAt, endsAt}: Waiter,
 ): boolean {
-  const ahead = lane.waiters.filter(
-    ({isOver, ask: other}) => !isOver && other.priority <= ask.priority,
-  );
+  const ahead = lane.waiters.filter(waiter => isAhead(waiter, ask));
   const {slots, serviceMs} = capacityFor(cfg, lane);
   const waitMs = ((ahead.length + 1) / Math.max(1, slots)) * serviceMs;
   const slackMs = aimAt > askedAt ? aimAt - askedAt : serviceMs * LATE_SHARE;
@@ -96,10 +96,11 @@
 }
 
 function capacityFor(
-  {backends}: PlaceIssuerConfig,
+  cfg: PlaceIssuerConfig,
   {service, holder}: Lane,
 ): {readonly slots: number; readonly serviceMs: number} {
-  const serviceMs = typicalServiceMs(backends.ofService(service));
+  const {backends} = cfg;
+  const serviceMs = expectedMs(cfg, service);
   if (holder === null) {
     const slots = backends
       .ofService(service)
--- a/packages/gateway/src/link-client.ts
+++ b/packages/gateway/src/link-client.ts
@@ -164,10 +164,8 @@
 
   return {
     acquire(ask, signal) {
-      const own = session;
-      if (own === null || !own.isLeader || !isFresh(own)) {
-        return Promise.resolve({kind: 'unavailable'});
-      }
+      const own = heard();
+      if (own === null) return Promise.resolve({kind: 'unavailable'});
       const number = ++asks;
       return new Promise<Place>(resolve => {
         const take = (how: 'cancelled'): void => {
--- a/packages/gateway/src/succession.ts
+++ b/packages/gateway/src/succession.ts
@@ -62,8 +62,10 @@
     async consider() {
       if (isBusy || !isNeeded()) return;
       isBusy = true;
-      const leader = await findLeader();
-      isBusy = false;
+      // Left busy by a defect, it would never lead again.
+      const leader = await findLeader().finally(() => {
+        isBusy = false;
+      });
       if (leader !== 'none' || !isNeeded()) return;
       cfg.emit('succession', {heardTouchMs: cfg.heardLeaderTouchMs()});
       cfg.begin();
--- a/packages/ranges/src/key-load.ts
+++ b/packages/ranges/src/key-load.ts
@@ -39,8 +39,8 @@
 /**
  * Sums over ranges are made anew after this time, in ms. A server that leaves
  * has its keys' load asked for at every other server: summed key by key that
- * took 49 ms a move with 30,000 keys and 59 servers, and the leader fell silent for
- * seconds when nine servers left.
+ * took 49 ms a move with 30,000 keys and 59 servers, and the leader fell silent
+ * for seconds when nine servers left.
  */
 const SUMS_MS = 100;
 
