Sight: each process tells its own load and its calls to the platform

Nothing told a leader without processor time from one whose link or whose servers were slow, and nothing told what the calls to the platform were for. A line of 'vitals' every two seconds does both; calls are counted by purpose.

--- a/packages/gateway/src/platform.ts
+++ b/packages/gateway/src/platform.ts
@@ -67,5 +67,7 @@
   members(self: string): Members;
   readonly ledger: Ledger;
   readonly orders: Orders;
+  /** Calls to the platform since the start, by what they were for. */
+  callCounts(): Readonly<Record<string, number>>;
   close(): void;
 }
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -27,6 +27,7 @@
 import {createServiceTimes, drainTimes} from './service-times.js';
 import type {Settings} from './settings.js';
 import {createSuccession} from './succession.js';
+import {watchVitals} from './vitals.js';
 import {wakefulTime} from './wakeful-clock.js';
 
 /** A router process at work. */
@@ -239,6 +240,14 @@
     readiness: await listenAt(readiness, readyAt),
     metrics: await listenAt(metrics.server, settings.listen.metrics),
   };
+  const stopVitals = watchVitals(clock, emit, {
+    lagMs: () => lag.ms(),
+    inFlight: () => entry.inFlight(),
+    isLeading: () => leadership.isLeading(),
+    followers: () => links.followers(),
+    waiting: () => issuer.waiting(),
+    callCounts: () => platform.callCounts(),
+  });
   emit('started', {self, ...addresses, dataCentre: settings.host.dataCentre});
 
   keepUp({
@@ -277,6 +286,7 @@
       }
       isOver = true;
       lag.stop();
+      stopVitals();
       leadership.resign();
       keeper.stop();
       link.stop();
--- /dev/null
+++ b/packages/gateway/test/vitals.test.ts
@@ -0,0 +1,35 @@
+import tap from 'tap';
+import type {EventFields} from '@banyandrum/dispatch/events.js';
+import {watchVitals} from '@banyandrum/gateway/vitals.js';
+import {createManualClock} from '@banyandrum/standins/manual-clock.js';
+
+// An operator looks for why callers were refused for two seconds: the line of
+// that time tells what the process itself was short of, and what it asked of
+// the platform meanwhile, not since its start.
+void tap.test('a line tells of its own period only', async t => {
+  const clock = createManualClock();
+  const lines: EventFields[] = [];
+  let lagMs = 0;
+  let calls: Record<string, number> = {join: 5};
+  const stop = watchVitals(clock, (_, fields) => void lines.push(fields), {
+    lagMs: () => lagMs,
+    inFlight: () => 3,
+    isLeading: () => true,
+    followers: () => 80,
+    waiting: () => 7,
+    callCounts: () => calls,
+  });
+  lagMs = 250;
+  await clock.advance(1_000);
+  lagMs = 0;
+  calls = {join: 9, save: 2};
+  await clock.advance(1_200);
+  t.equal(lines.length, 1);
+  t.match(lines[0], {lagMs: 250, followers: 80, waiting: 7});
+  t.equal(lines[0]!['calls'], 'join:4 save:2');
+  await clock.advance(2_200);
+  t.match(lines[1], {lagMs: 0, calls: ''});
+  stop();
+  await clock.advance(5_000);
+  t.equal(lines.length, 2);
+});
