A second signal to stop is one with the first

Cause: listeners for SIGTERM and SIGINT were registered once, and only after the start; the next signal met none and ended the process.

--- a/packages/router/src/main.ts
+++ b/packages/router/src/main.ts
@@ -54,11 +54,14 @@
   const {callers, operators, peers, peersListen} = router;
   const addresses = {callers, operators, peers, peersListen};
   process.stdout.write(`${JSON.stringify(addresses)}\n`);
+  let stopped: Promise<void> | null = null;
   const stop = (): void => {
-    void router.stop(graceMs).then(() => process.exit(0));
+    stopped ??= router.stop(graceMs).then(() => process.exit(0));
   };
-  process.once('SIGTERM', stop);
-  process.once('SIGINT', stop);
+  // Kept after the first signal: without a listener the next one ends the
+  // process at once, and cuts the requests that it still answers.
+  process.on('SIGTERM', stop);
+  process.on('SIGINT', stop);
 }
 
 function fail(code: number, message: string): void {
