A new leader is followed by all: small first messages, and room is asked for

A router that is chosen asks those with clearly more room to lead, as the last leader named them, before it begins.

--- a/packages/gateway/src/leadership.ts
+++ b/packages/gateway/src/leadership.ts
@@ -22,8 +22,8 @@
   noteTerm(epoch: number): void;
   /** Changes whenever the tables do. */
   version(): string;
-  /** Begins a term, which ends the one before it. */
-  begin(): void;
+  /** Begins a term, which ends the one before it; whether it leads then. */
+  begin(): Promise<boolean>;
   /** Another router may have begun: asks at once. */
   check(): void;
   /** This router stops. */
@@ -188,7 +188,10 @@
       return new Map(leads.map(lead => [lead.service, lead.served()]));
     },
     version: () => `${cfg.boot}-${changes}`,
-    begin: () => void begin(),
+    async begin() {
+      await begin();
+      return term !== null;
+    },
     check() {
       if (term !== null) void check(term);
     },
--- a/packages/gateway/src/link-client.ts
+++ b/packages/gateway/src/link-client.ts
@@ -2,7 +2,12 @@
 import type {Emit} from '@banyandrum/dispatch/events.js';
 import type {Place, Places} from '@banyandrum/dispatch/places.js';
 import {credentials, makeGenericClientConstructor} from '@grpc/grpc-js';
-import {LINK_SERVICE, SILENCE_MS, toPairs} from './link-messages.js';
+import {
+  LINK_SERVICE,
+  SILENCE_MS,
+  toPairs,
+  type OfferReply,
+} from './link-messages.js';
 import {
   createSession,
   sendEnd,
@@ -44,6 +49,10 @@
   relaysConfig(): boolean;
   /** Follows whoever leads at the address; false where nobody does. */
   reach(address: string): Promise<boolean>;
+  /** Who should lead next, as the last leader told. */
+  deputies(): readonly Candidate[];
+  /** Asks the router at the address to lead; whether it does. */
+  offer(address: string): Promise<boolean>;
   noteReplaced(server: string): void;
   stop(): void;
 }
@@ -65,8 +74,18 @@
 /** The stream is looked at this often, in ms. */
 const WATCH_MS = 50;
 
+/** One that is asked to lead answers within this time, in ms, or not at all. */
+const OFFER_MS = 600;
+
 const LinkStub = makeGenericClientConstructor(LINK_SERVICE, 'Link');
 
+function createStub(address: string): InstanceType<typeof LinkStub> {
+  return new LinkStub(address, credentials.createInsecure(), {
+    'grpc.use_local_subchannel_pool': 1,
+    'grpc.enable_http_proxy': 0,
+  });
+}
+
 /**
  * Follows the leader until stopped, over a connection of its own each time:
  * what lost track of the last one would swallow a new stream on it as well.
@@ -82,6 +101,7 @@
   let session: Session | null = null;
   let isStopped = false;
   let asks = 0;
+  let deputies: readonly Candidate[] = [];
   let heardAt = -Infinity;
   /** Whom the last router that was asked follows. */
   let next: string | null = null;
@@ -99,14 +119,14 @@
     isOpen && clock.now() - at < SILENCE_MS;
 
   const follow = async (leader: string): Promise<void> => {
-    const stub = new LinkStub(leader, credentials.createInsecure(), {
-      'grpc.use_local_subchannel_pool': 1,
-      'grpc.enable_http_proxy': 0,
-    });
+    const stub = createStub(leader);
     const stream = stub['follow']!() as LinkStream;
     const own = createSession(stream, leader, clock.now());
     session = own;
-    stream.write({kind: 'hello', ...cfg.self});
+    const known = cfg.list.snapshot();
+    own.servers = known?.servers ?? [];
+    const listCursor = known?.cursor ?? null;
+    stream.write({kind: 'hello', ...cfg.self, listCursor});
     const close = (): void => {
       own.isOpen = false;
     };
@@ -118,6 +138,7 @@
       if (!own.isLeader) return;
       if (!wasLeader) cfg.emit('leader-followed', {leader});
       heardAt = own.heardAt;
+      deputies = own.deputies;
       reached(leader, true);
     });
     stream.on('end', close);
@@ -217,6 +238,18 @@
         wanted = {address, settle};
       });
     },
+    deputies: () => deputies,
+    offer(address) {
+      const stub = createStub(address);
+      const deadline = Date.now() + OFFER_MS;
+      return new Promise(resolve => {
+        const take = (err: Error | null, reply?: OfferReply): void => {
+          stub.close();
+          resolve(err === null && reply!.leads);
+        };
+        stub['lead']!({from: cfg.self.address}, {deadline}, take);
+      });
+    },
     noteReplaced(server) {
       if (session?.isOpen) session.stream.write({kind: 'replaced', server});
     },
--- a/packages/gateway/src/link-messages.ts
+++ b/packages/gateway/src/link-messages.ts
@@ -7,7 +7,7 @@
 import type {KeyCounts} from './key-owners.js';
 import type {WireConfig} from './link-config.js';
 import type {ListDelta, TablesDelta} from './link-state.js';
-import type {Room} from './room.js';
+import type {Candidate, Room} from './room.js';
 
 /** What a router sends to the leader. */
 export type FollowerMessage =
@@ -16,6 +16,8 @@
       readonly kind: 'hello';
       readonly address: string;
       readonly room: Room;
+      /** Up to where it knows the list of servers; null: not at all. */
+      readonly listCursor: number | null;
     }
   /** Looks for a place; `ask` numbers it within the stream. */
   | {readonly kind: 'ask'; readonly ask: number; readonly place: PlaceAsk}
@@ -45,7 +47,7 @@
       /** What changed since the stream's last state; all in its first. */
       readonly tables: TablesDelta | null;
       readonly list: ListDelta | null;
-      /** Null before the leader has a list. */
+      /** Null before the leader has a list, or while its link is short. */
       readonly listCursor: number | null;
       readonly listAgeMs: number;
       /** Where its configuration came from in the platform's log. */
@@ -54,6 +56,8 @@
       readonly config: WireConfig | null;
       /** Since when the leader knows of nothing newer, in ms. */
       readonly configAgeMs: number;
+      /** Routers with the most room, the best first: who should lead next. */
+      readonly deputies: readonly Candidate[];
       /** Routers that follow the leader, and itself. */
       readonly routers: number;
       /** Since when the leader had no answer of the platform, in ms. */
@@ -93,7 +97,18 @@
 
 const decode = (bytes: Buffer): unknown => JSON.parse(bytes.toString('utf8'));
 
-/** One stream between a router and the leader. */
+/** A router that could lead asks one with more room to do it. */
+export interface Offer {
+  /** Who asks, `ip:port`. */
+  readonly from: string;
+}
+
+/** Whether the other one leads now. */
+export interface OfferReply {
+  readonly leads: boolean;
+}
+
+/** What routers ask of each other: one stream, and one question. */
 export const LINK_SERVICE = {
   follow: {
     path: '/banyandrum.Link/Follow',
@@ -104,6 +119,15 @@
     responseSerialize: encodeOnce,
     responseDeserialize: decode as (bytes: Buffer) => LeaderMessage,
   },
+  lead: {
+    path: '/banyandrum.Link/Lead',
+    requestStream: false,
+    responseStream: false,
+    requestSerialize: encode,
+    requestDeserialize: decode as (bytes: Buffer) => Offer,
+    responseSerialize: encode,
+    responseDeserialize: decode as (bytes: Buffer) => OfferReply,
+  },
 } as const satisfies ServiceDefinition;
 
 /** Counts as they travel. */
--- a/packages/gateway/src/link-server.ts
+++ b/packages/gateway/src/link-server.ts
@@ -5,6 +5,7 @@
 import {
   Server,
   ServerCredentials,
+  type sendUnaryData,
   type ServerDuplexStream,
 } from '@grpc/grpc-js';
 import type {ServerInfo} from '@banyandrum/dispatch/backend.js';
@@ -18,6 +19,7 @@
   type EncodedMessage,
   type FollowerMessage,
   type LeaderMessage,
+  type OfferReply,
   type StateMessage,
 } from './link-messages.js';
 import type {WireConfig} from './link-config.js';
@@ -44,6 +46,8 @@
   /** Since when this router had no answer of the platform, in ms. */
   touchMs(): number;
   noteReplaced(server: string): void;
+  /** Another router asks this one to lead; whether it does then. */
+  onOffered(): Promise<boolean>;
   /** What this router's host has for leading. */
   readonly room: Room;
   /** A router asked for a place for the key. */
@@ -87,8 +91,10 @@
   readonly stream: Stream;
   /** Asks that wait and places that are in use, by number. */
   readonly asks: Map<number, TakeBack>;
-  /** What it was told last; null at first. */
+  /** What it was told last; null until all was told once. */
   told: Shared | null;
+  /** Up to where it knew the list as it came; null: not at all. */
+  listCursor: number | null;
   /** Who it is; null until it said so. */
   candidate: Candidate | null;
   /** It was asked to lead, and has not begun. */
@@ -97,6 +103,15 @@
   hasBegun: boolean;
 }
 
+/**
+ * Routers that just came are told all that there is, some tens of kilobytes
+ * each, in this share of the leader's link. Told at once, 77 of them waited
+ * four seconds on a link of 10 Mbit/s, and left for its silence.
+ */
+const WHOLE_SHARE = 0.4;
+/** Two that are lost together with the leader leave one more. */
+const MAX_DEPUTIES = 3;
+
 /**
  * One that was asked to lead has this time for it, in ms, before another is
  * asked: two joins of its first exchange with a platform that is slow.
@@ -121,15 +136,39 @@
 
   const shared = createShared(cfg);
 
+  let budget = wholeBytes(cfg.room);
+
+  /** Tells changes, and all to those that came, as far as the link allows. */
   const tell = (some: Iterable<Follower>): void => {
     const next = shared.current();
-    const encoded = new Map<Shared | null, EncodedMessage>();
+    const deputies = deputiesOf(followers);
+    const about = {routers: followers.size + 1, deputies};
+    const brief = encoded(() => briefState(cfg, about));
+    const changes = new Map<Shared, EncodedMessage>();
+    const whole = encoded(() => stateFor(cfg, NOTHING_TOLD, next, about));
+    const known = encoded(() =>
+      stateFor(cfg, {...NOTHING_TOLD, servers: next.servers}, next, about),
+    );
     for (const follower of some) {
-      const {told, stream} = follower;
-      const message = encoded.get(told) ?? {
-        bytes: encode(stateFor(cfg, told, next, followers.size + 1)),
-      };
-      encoded.set(told, message);
+      const {told, stream, candidate, listCursor} = follower;
+      // It says first who it is, and what it knows.
+      if (candidate === null) continue;
+      if (told !== null) {
+        const message = changes.get(told) ?? {
+          bytes: encode(stateFor(cfg, told, next, about)),
+        };
+        changes.set(told, message);
+        follower.told = next;
+        stream.write(message);
+        continue;
+      }
+      const isKnown = listCursor !== null && listCursor === next.listCursor;
+      const message = isKnown ? known() : whole();
+      if (budget <= 0) {
+        stream.write(brief());
+        continue;
+      }
+      budget -= message.bytes.length;
       follower.told = next;
       stream.write(message);
     }
@@ -157,7 +196,13 @@
     cfg.emit('leading-offered', {to: next.address});
     next.follower.stream.write({kind: 'lead'});
   };
-  const ctx: TakeContext = {...cfg, considerMove};
+  const ctx: TakeContext = {
+    ...cfg,
+    greet(follower) {
+      tell([follower]);
+      considerMove();
+    },
+  };
 
   cfg.leadership.subscribe(() => {
     if (!cfg.leadership.isLeading()) tellAll();
@@ -165,6 +210,7 @@
   cfg.list.subscribe(tellAll);
 
   const beat = (): void => {
+    budget = wholeBytes(cfg.room);
     tellAll();
     considerMove();
     cancelBeat = cfg.clock.after(HEARTBEAT_MS, beat);
@@ -178,10 +224,15 @@
     }
     const follower: Follower = {
       ...{stream, asks: new Map()},
-      ...{told: null, candidate: null, wasAsked: false, hasBegun: false},
+      ...{
+        told: null,
+        listCursor: null,
+        candidate: null,
+        wasAsked: false,
+        hasBegun: false,
+      },
     };
     followers.add(follower);
-    tell([follower]);
     const leave = (): void => {
       if (!followers.delete(follower)) return;
       for (const takeBack of follower.asks.values()) takeBack('cancelled', 0);
@@ -199,7 +250,11 @@
     stream.on('cancelled', leave);
   };
 
-  server.addService(LINK_SERVICE, {follow});
+  const lead = (_call: unknown, reply: sendUnaryData<OfferReply>): void => {
+    void cfg.onOffered().then(leads => reply(null, {leads}));
+  };
+
+  server.addService(LINK_SERVICE, {follow, lead});
   await new Promise<void>((resolve, reject) => {
     const credentials = ServerCredentials.createInsecure();
     server.bindAsync(cfg.listen, credentials, err =>
@@ -226,8 +281,8 @@
 
 /** What messages of routers are taken with. */
 interface TakeContext extends LinkServerConfig {
-  /** One with more room may have come. */
-  considerMove(): void;
+  /** A router said who it is. */
+  greet(follower: Follower): void;
 }
 
 type Takers = {
@@ -239,9 +294,10 @@
 };
 
 const TAKERS: Takers = {
-  hello({considerMove}, follower, {address, room}) {
+  hello({greet}, follower, {address, room, listCursor}) {
     follower.candidate = {address, room};
-    considerMove();
+    follower.listCursor = listCursor;
+    greet(follower);
   },
   leading({leadership}, follower, {epoch}) {
     follower.hasBegun = true;
@@ -288,6 +344,7 @@
   readonly tablesVersion: string;
   readonly servers: readonly ServerInfo[];
   readonly listVersion: number;
+  readonly listCursor: number | null;
   readonly config: WireConfig | null;
 }
 
@@ -300,6 +357,7 @@
     tablesVersion: '',
     servers: [],
     listVersion: -1,
+    listCursor: null,
     config: null,
   };
   let tablesAt = -Infinity;
@@ -318,7 +376,8 @@
     const snapshot = list.snapshot();
     const listVersion = list.version();
     if (snapshot === null || listVersion === shared.listVersion) return;
-    shared = {...shared, servers: snapshot.servers, listVersion};
+    const {servers, cursor: listCursor} = snapshot;
+    shared = {...shared, servers, listVersion, listCursor};
   };
 
   const takeConfig = (): void => {
@@ -337,29 +396,74 @@
   };
 }
 
-const NOTHING_TOLD: ServedTables = new Map();
+/** What a router knows that was told nothing. */
+const NOTHING_TOLD = {
+  tables: new Map() as ServedTables,
+  servers: null,
+  config: null,
+} as const;
+
+/** What is told of all routers. */
+interface About {
+  readonly routers: number;
+  readonly deputies: readonly Candidate[];
+}
 
 function stateFor(
-  {list, configCursor, configAgeMs, touchMs, room}: LinkServerConfig,
-  told: Shared | null,
+  cfg: LinkServerConfig,
+  told: Pick<Shared, 'tables' | 'config'> & {
+    readonly servers: readonly ServerInfo[] | null;
+  },
   next: Shared,
-  routers: number,
+  about: About,
 ): StateMessage {
-  const isNews = told?.config !== next.config;
+  const {list, room} = cfg;
+  const isNews = told.config !== next.config;
+  const {routers} = about;
   return {
-    kind: 'state',
-    tables: diffTables(told?.tables ?? NOTHING_TOLD, next.tables),
-    list: diffList(told?.servers ?? [], next.servers),
+    ...briefState(cfg, about),
+    tables: diffTables(told.tables, next.tables),
+    list: diffList(told.servers, next.servers),
     listCursor: list.snapshot()?.cursor ?? null,
+    config: isNews && fits(next.config, room, routers) ? next.config : null,
+  };
+}
+
+/** Shows that the leader is there, for one that was not told the rest yet. */
+function briefState(
+  {list, configCursor, configAgeMs, touchMs}: LinkServerConfig,
+  about: About,
+): StateMessage {
+  return {
+    ...{kind: 'state', tables: null, list: null, listCursor: null},
     listAgeMs: Math.round(list.ageMs()),
     configCursor: configCursor(),
-    config: isNews && fits(next.config, room, routers) ? next.config : null,
+    config: null,
     configAgeMs: Math.round(configAgeMs()),
-    routers,
+    ...about,
     touchMs: Math.round(touchMs()),
   };
 }
 
+/** A message that is encoded once, where it is needed at all. */
+function encoded(message: () => StateMessage): () => EncodedMessage {
+  let result: EncodedMessage | null = null;
+  return () => (result ??= {bytes: encode(message())});
+}
+
+/** Bytes of whole states that the link carries between two heartbeats. */
+function wholeBytes({linkMbps}: Room): number {
+  return (linkMbps * 1_000 * HEARTBEAT_MS * WHOLE_SHARE) / 8;
+}
+
+/** Those with the most room among the followers, the best first. */
+function deputiesOf(followers: Iterable<Follower>): readonly Candidate[] {
+  return [...followers]
+    .flatMap(({candidate}) => candidate ?? [])
+    .sort((a, b) => b.room.processors - a.room.processors)
+    .slice(0, MAX_DEPUTIES);
+}
+
 /** Whether the link carries the configuration to all routers in time. */
 function fits(
   config: WireConfig | null,
--- a/packages/gateway/src/link-session.ts
+++ b/packages/gateway/src/link-session.ts
@@ -11,6 +11,7 @@
 } from './link-messages.js';
 import {unpackConfig} from './link-config.js';
 import {applyList, applyTables} from './link-state.js';
+import type {Candidate} from './room.js';
 import type {ServerList} from './server-list.js';
 
 /** What the leader's state changes in this router. */
@@ -48,6 +49,7 @@
   isLeader: boolean;
   /** Whom it named in its place. */
   elsewhere: string | null;
+  deputies: readonly Candidate[];
   touchMs: number;
   /** Whether its last state left nothing to read of the configuration. */
   relaysConfig: boolean;
@@ -69,6 +71,7 @@
     heardAt: now,
     isLeader: false,
     elsewhere: null,
+    deputies: [],
     touchMs: 0,
     relaysConfig: false,
     isOpen: true,
@@ -123,6 +126,7 @@
 function takeState(cfg: Beliefs, session: Session, state: StateMessage): void {
   session.isLeader = true;
   session.touchMs = state.touchMs;
+  session.deputies = state.deputies;
   if (state.tables !== null) {
     session.tables = applyTables(session.tables, state.tables);
     cfg.owners.takeTables(session.tables);
--- a/packages/gateway/src/link-state.ts
+++ b/packages/gateway/src/link-state.ts
@@ -5,6 +5,8 @@
 
 /** What changed in the list of servers since the last message of a stream. */
 export interface ListDelta {
+  /** Whether `put` is the list itself. */
+  readonly isWhole: boolean;
   readonly put: readonly ServerInfo[];
   /** Ids of servers that are listed no more. */
   readonly gone: readonly string[];
@@ -13,11 +15,15 @@
 /** Ranges by service; each takes the place of those that it overlaps. */
 export type TablesDelta = Readonly<Record<string, readonly ServedRange[]>>;
 
-/** The change from one list to a later one; null where there is none. */
+/**
+ * The change from one list to a later one; null where there is none. Without
+ * an earlier list it is the later one itself.
+ */
 export function diffList(
-  before: readonly ServerInfo[],
+  before: readonly ServerInfo[] | null,
   now: readonly ServerInfo[],
 ): ListDelta | null {
+  if (before === null) return {isWhole: true, put: now, gone: []};
   if (before === now) return null;
   const known = new Map(before.map(server => [server.id, server]));
   const put = now.filter(server => {
@@ -26,14 +32,15 @@
     return old === undefined || !isSameServer(old, server);
   });
   const gone = [...known.keys()];
-  return put.length + gone.length === 0 ? null : {put, gone};
+  return put.length + gone.length === 0 ? null : {isWhole: false, put, gone};
 }
 
 /** The list after the change. */
 export function applyList(
   before: readonly ServerInfo[],
-  {put, gone}: ListDelta,
+  {isWhole, put, gone}: ListDelta,
 ): readonly ServerInfo[] {
+  if (isWhole) return put;
   const servers = new Map(before.map(server => [server.id, server]));
   for (const server of put) servers.set(server.id, server);
   for (const id of gone) servers.delete(id);
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -137,6 +137,8 @@
     const name = routers.chosen();
     return name === null || name === self ? null : addressOf(name);
   };
+  const takeOffer = async (): Promise<boolean> =>
+    !isStopping && (await leadership.begin());
   const link = followLeader({
     clock,
     emit,
@@ -145,9 +147,7 @@
     chosen: chosenAddress,
     isLeading: () => leadership.isLeading(),
     self: {address: settings.listen.peers, room: settings.host.room},
-    onOffered: () => {
-      if (!isStopping) leadership.begin();
-    },
+    onOffered: () => void takeOffer(),
     onLost: () => void succession.consider(),
     epoch: () => leadership.epoch(),
     noteConfigCursor: cursor => keeper.noteCursor(cursor),
@@ -163,7 +163,10 @@
     heardLeaderTouchMs: () => link.leaderTouchMs(),
     lastLeader: () => platform.ledger.lastLeader(),
     reach: link.reach,
-    begin: () => leadership.begin(),
+    deputies: () => link.deputies(),
+    room: settings.host.room,
+    offer: link.offer,
+    begin: () => void leadership.begin(),
   });
   const issuer = createPlaceIssuer({
     backends,
@@ -240,6 +243,7 @@
     clock,
     emit,
     room: settings.host.room,
+    onOffered: takeOffer,
     leadership,
     issuer,
     list,
--- a/packages/gateway/src/succession.ts
+++ b/packages/gateway/src/succession.ts
@@ -1,5 +1,6 @@
 import type {Emit} from '@banyandrum/dispatch/events.js';
 import type {LeaderRead} from '@banyandrum/ranges/ledger.js';
+import {hasMoreRoom, type Candidate, type Room} from './room.js';
 
 /** What a router that the platform chose knows of whoever leads now. */
 export interface SuccessionConfig {
@@ -14,6 +15,11 @@
   lastLeader(): Promise<LeaderRead>;
   /** Follows whoever leads at the address; false where nobody does. */
   reach(address: string): Promise<boolean>;
+  /** Who should lead, as the last leader told, the best first. */
+  deputies(): readonly Candidate[];
+  readonly room: Room;
+  /** Asks the router at the address to lead; whether it does. */
+  offer(address: string): Promise<boolean>;
   begin(): void;
 }
 
@@ -33,7 +39,9 @@
  * The platform chooses anew whenever routers come or go. A leader that works is
  * kept all the same: each change of leader costs half a second without places
  * and a grant of all keys. Whoever is chosen begins only where it hears no
- * leader that is in touch, and none answers at the last one's address.
+ * leader that is in touch, and none answers at the last one's address; and it
+ * asks those with clearly more room first. One of 0.27 cores that began itself
+ * was late for everything it did, and sent on what its callers had given up.
  *
  * @example
  * ```ts
@@ -58,17 +66,26 @@
     return (await cfg.reach(last.address)) ? 'found' : 'none';
   };
 
+  const succeed = async (): Promise<void> => {
+    if ((await findLeader()) !== 'none' || !isNeeded()) return;
+    cfg.emit('succession', {heardTouchMs: cfg.heardLeaderTouchMs()});
+    for (const {address, room} of cfg.deputies()) {
+      if (address === cfg.self || !hasMoreRoom(room, cfg.room)) continue;
+      const leads = await cfg.offer(address);
+      cfg.emit('leading-offered', {to: address, leads});
+      if (leads) return void (await cfg.reach(address));
+    }
+    if (isNeeded()) cfg.begin();
+  };
+
   return {
     async consider() {
       if (isBusy || !isNeeded()) return;
       isBusy = true;
       // Left busy by a defect, it would never lead again.
-      const leader = await findLeader().finally(() => {
+      await succeed().finally(() => {
         isBusy = false;
       });
-      if (leader !== 'none' || !isNeeded()) return;
-      cfg.emit('succession', {heardTouchMs: cfg.heardLeaderTouchMs()});
-      cfg.begin();
     },
   };
 }
--- a/packages/gateway/test/leadership.test.ts
+++ b/packages/gateway/test/leadership.test.ts
@@ -62,7 +62,7 @@
       await clock.advance(50);
     }
   };
-  leadership.begin();
+  void leadership.begin();
   await pass(3_000);
   t.ok(grants > 0);
   isNewest = null;
--- a/packages/gateway/test/link.test.ts
+++ b/packages/gateway/test/link.test.ts
@@ -86,7 +86,7 @@
   version: () => 'v1',
   epoch: () => 1,
   noteTerm: () => undefined,
-  begin: () => undefined,
+  begin: async () => true,
   check: () => undefined,
   resign: () => undefined,
   takeCounts: () => undefined,
@@ -149,6 +149,7 @@
     configAgeMs: () => 0,
     leader: () => null,
     touchMs: () => 0,
+    onOffered: async () => false,
     noteReplaced: () => undefined,
     noteRequest: () => undefined,
   });
--- a/packages/gateway/test/thin-link.test.ts
+++ b/packages/gateway/test/thin-link.test.ts
@@ -35,7 +35,7 @@
   version: () => 'v1',
   epoch: () => 1,
   noteTerm: () => undefined,
-  begin: () => undefined,
+  begin: async () => true,
   check: () => undefined,
   resign: () => undefined,
   takeCounts: () => undefined,
@@ -118,6 +118,7 @@
     configAgeMs: () => 0,
     leader: () => null,
     touchMs: () => 0,
+    onOffered: async () => false,
     noteReplaced: () => undefined,
     noteRequest: () => undefined,
   });
