--- a/packages/dispatch/src/connections.ts
+++ b/packages/dispatch/src/connections.ts
@@ -19,6 +19,8 @@
 export interface ServerConnections {
   /** A connection for one request, or null at the limit. */
   acquire(): Connection | null;
+  /** Whether there is one for a request now. */
+  hasFree(): boolean;
   /** Gives a connection back; `isSound` lets it serve again. */
   release(connection: Connection, isSound: boolean): void;
   /** Closes unused connections without an answer since `since`. */
@@ -79,6 +81,7 @@
     setLimit(next) {
       maxOpen = next;
     },
+    hasFree: () => idle.length > 0 || busy.size < maxOpen,
     inUse: () => busy.size,
     retire() {
       isRetired = true;
--- a/packages/dispatch/src/find-target.ts
+++ b/packages/dispatch/src/find-target.ts
@@ -103,7 +103,10 @@
 }
 
 function pickAny({cfg, req, excluded}: Journey): Backend | null {
-  const group = cfg.backends.ofService(req.service);
+  // The others would stand idle while all wait for the one that seems quickest.
+  const group = cfg.backends
+    .ofService(req.service)
+    .filter(({connections}) => connections.hasFree());
   const now = cfg.clock.now();
   const routers = cfg.routers();
   return choose(group, excluded, routers, now);
--- a/packages/gateway/src/keep-up.ts
+++ b/packages/gateway/src/keep-up.ts
@@ -16,6 +16,8 @@
   readonly list: ServerList;
   readonly owners: KeyOwners;
   readonly link: LinkClient;
+  /** By then a server that leaves must get no more requests, in ms. */
+  readonly leaveWithinMs: number;
   goesOn(): boolean;
   keyedServices(): readonly string[];
   shareConnections(): void;
@@ -23,8 +25,14 @@
   takeOwn(): void;
 }
 
-/** The list of servers is read this often by whoever needs to, in ms. */
+/** The list of servers is read this often by whoever leads, in ms. */
 const LIST_MS = 400;
+/**
+ * Without the leader each router reads it, in this share of the time by which a
+ * server that leaves must get no more: 80 routers that read as often as a
+ * leader made 200 calls a second, longer outages alike.
+ */
+const ALONE_SHARE = 0.3;
 /** A list that the leader confirmed within this time is new enough, in ms. */
 const LIST_FRESH_MS = 900;
 /** Tables are read from the store after this time without the leader, ms. */
@@ -51,10 +59,16 @@
  */
 export function keepUp(cfg: KeepUpConfig): void {
   const {platform, leadership, list, link} = cfg;
+  const aloneMs = cfg.leaveWithinMs * ALONE_SHARE;
+  let readAt = -Infinity;
   repeat({...cfg, name: 'servers', ms: LIST_MS}, async () => {
-    if (!leadership.isLeading() && isFollowing(link)) {
-      if (list.ageMs() < LIST_FRESH_MS) return;
-    }
+    const ageMs = list.ageMs();
+    const isAlone = !leadership.isLeading();
+    if (isAlone && isFollowing(link) && ageMs < LIST_FRESH_MS) return;
+    const now = cfg.clock.now();
+    const isKnown = list.cursor() !== null;
+    if (isAlone && isKnown && now - readAt < aloneMs) return;
+    readAt = now;
     list.take(await platform.readServers(list.cursor()));
   });
   repeat({...cfg, name: 'tables', ms: TABLES_MS}, () => readTables(cfg));
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -278,6 +278,7 @@
 
   keepUp({
     ...{platform, clock, emit, leadership, list, owners, link},
+    leaveWithinMs: settings.servers.leaveWithinMs,
     goesOn,
     keyedServices,
     shareConnections,
