--- a/packages/gateway/src/keep-up.ts
+++ b/packages/gateway/src/keep-up.ts
@@ -1,4 +1,4 @@
-import type {Clock} from '@banyandrum/base/clock.js';
+import {sleep, type Clock} from '@banyandrum/base/clock.js';
 import type {Emit} from '@banyandrum/dispatch/events.js';
 import type {KeyOwners} from './key-owners.js';
 import type {Leadership} from './leadership.js';
@@ -40,6 +40,8 @@
 const TABLES_MS = 1_000;
 /** The leader's own requests are counted this often, in ms. */
 const OWN_MS = 100;
+/** Whether this router leads by now is looked at this often, in ms. */
+const OWN_IDLE_MS = 500;
 /** Routers' shares of the servers' connections follow their number, in ms. */
 const SHARES_MS = 1_000;
 
@@ -76,7 +78,8 @@
     cfg.shareConnections(),
   );
   repeat({...cfg, name: 'own-counts', ms: OWN_MS}, async () => {
-    if (leadership.isLeading()) cfg.takeOwn();
+    if (leadership.isLeading()) return cfg.takeOwn();
+    await sleep(cfg.clock, OWN_IDLE_MS);
   });
 }
 
--- a/packages/gateway/src/link-client.ts
+++ b/packages/gateway/src/link-client.ts
@@ -71,8 +71,13 @@
 const RETRY_MS = 200;
 /** The last message of a stream has this time to arrive, in ms. */
 const FAREWELL_MS = 300;
-/** The stream is looked at this often, in ms. */
-const WATCH_MS = 50;
+/**
+ * The stream is looked at this often, in ms; counts go out as often. A leader's
+ * silence is noticed that much later.
+ */
+const WATCH_MS = 100;
+/** A leader is looked for this often, in ms. */
+const SEEK_MS = 50;
 
 /** One that is asked to lead answers within this time, in ms, or not at all. */
 const OFFER_MS = 600;
@@ -194,7 +199,7 @@
 
   const goesOn = (): boolean => !isStopped;
   const {emit} = cfg;
-  repeat({clock, emit, name: 'link', ms: WATCH_MS, goesOn}, async () => {
+  repeat({clock, emit, name: 'link', ms: SEEK_MS, goesOn}, async () => {
     if (wanted === null && clock.now() - triedAt < RETRY_MS) return;
     for (let hops = 0; hops < MAX_HOPS && !cfg.isLeading(); hops++) {
       const leader = wanted?.address ?? next ?? cfg.chosen();
--- a/packages/gateway/src/server-list.ts
+++ b/packages/gateway/src/server-list.ts
@@ -162,8 +162,10 @@
       confirmedAt = Math.max(confirmedAt, clock.now() - ageMs);
       const isNewer = snapshot.cursor !== cursor;
       cursor = snapshot.cursor;
-      const changes = snapshot.servers.map(toListed);
-      const results = [isNewer && applyWhole(changes), applyDue()];
+      const results = [
+        isNewer && applyWhole(snapshot.servers.map(toListed)),
+        applyDue(),
+      ];
       if (results.includes(true)) changed();
     },
     snapshot: () =>
--- a/packages/gateway/src/vitals.ts
+++ b/packages/gateway/src/vitals.ts
@@ -19,7 +19,7 @@
 /** A line is written this often, in ms: 81 hosts write 40 lines a second. */
 const PERIOD_MS = 2_000;
 /** The lag is looked at this often, in ms. */
-const LOOK_MS = 200;
+const LOOK_MS = 500;
 
 /**
  * Writes a line about the process itself every two seconds. Without it nothing
