Routers show themselves to the platform only where they may have to lead

Each of them joined the group three times a second. Deputies stand in several data centres. A leader's touch with the platform counts its own checks too.

--- a/packages/gateway/src/leadership.ts
+++ b/packages/gateway/src/leadership.ts
@@ -16,6 +16,8 @@
   isLeading(): boolean;
   /** Null until it leads and knows the tables. */
   tables(): ServedTables | null;
+  /** Since when the platform showed that no later term began, in ms. */
+  touchMs(): number;
   /** The term in which it leads; null where it doesn't. */
   epoch(): number | null;
   /** Another router says that it leads in this term. */
@@ -178,6 +180,7 @@
 
   return {
     isLeading: () => term !== null,
+    touchMs: () => cfg.wakefulNow() - confirmedAt,
     epoch: () => term?.epoch ?? null,
     noteTerm(epoch) {
       if (term !== null && epoch > term.epoch) end('replaced');
--- a/packages/gateway/src/link-client.ts
+++ b/packages/gateway/src/link-client.ts
@@ -51,6 +51,8 @@
   reach(address: string): Promise<boolean>;
   /** Who should lead next, as the last leader told. */
   deputies(): readonly Candidate[];
+  /** Whether the leader works, and names others than this one. */
+  sparesSelf(): boolean;
   /** Asks the router at the address to lead; whether it does. */
   offer(address: string): Promise<boolean>;
   noteReplaced(server: string): void;
@@ -82,6 +84,12 @@
 /** One that is asked to lead answers within this time, in ms, or not at all. */
 const OFFER_MS = 600;
 
+/**
+ * A leader that the platform answered within this time works, in ms: two of its
+ * joins, and what the heartbeat lags.
+ */
+const SPARE_TOUCH_MS = 1_000;
+
 const LinkStub = makeGenericClientConstructor(LINK_SERVICE, 'Link');
 
 function createStub(address: string): InstanceType<typeof LinkStub> {
@@ -131,7 +139,8 @@
     const known = cfg.list.snapshot();
     own.servers = known?.servers ?? [];
     const listCursor = known?.cursor ?? null;
-    stream.write({kind: 'hello', ...cfg.self, listCursor});
+    const {address, room, dataCentre} = cfg.self;
+    stream.write({kind: 'hello', address, room, dataCentre, listCursor});
     const close = (): void => {
       own.isOpen = false;
     };
@@ -244,6 +253,11 @@
       });
     },
     deputies: () => deputies,
+    sparesSelf() {
+      const touchMs = heard()?.touchMs ?? Infinity;
+      if (touchMs > SPARE_TOUCH_MS || deputies.length === 0) return false;
+      return !deputies.some(({address}) => address === cfg.self.address);
+    },
     offer(address) {
       const stub = createStub(address);
       const deadline = Date.now() + OFFER_MS;
--- a/packages/gateway/src/link-messages.ts
+++ b/packages/gateway/src/link-messages.ts
@@ -7,18 +7,16 @@
 import type {KeyCounts} from './key-owners.js';
 import type {WireConfig} from './link-config.js';
 import type {ListDelta, TablesDelta} from './link-state.js';
-import type {Candidate, Room} from './room.js';
+import type {Candidate} from './room.js';
 
 /** What a router sends to the leader. */
 export type FollowerMessage =
   /** The first of a stream: who follows. */
-  | {
+  | (Candidate & {
       readonly kind: 'hello';
-      readonly address: string;
-      readonly room: Room;
       /** Up to where it knows the list of servers; null: not at all. */
       readonly listCursor: number | null;
-    }
+    })
   /** Looks for a place; `ask` numbers it within the stream. */
   | {readonly kind: 'ask'; readonly ask: number; readonly place: PlaceAsk}
   /** Gives the place back, or takes back the ask. */
--- a/packages/gateway/src/link-server.ts
+++ b/packages/gateway/src/link-server.ts
@@ -24,7 +24,7 @@
 } from './link-messages.js';
 import type {WireConfig} from './link-config.js';
 import {diffList, diffTables} from './link-state.js';
-import {pickRoomiest, type Candidate, type Room} from './room.js';
+import {pickDeputies, pickRoomiest, type Candidate, type Room} from './room.js';
 import type {ServerList} from './server-list.js';
 
 /** What serving the other routers needs. */
@@ -109,8 +109,6 @@
  * four seconds on a link of 10 Mbit/s, and left for its silence.
  */
 const WHOLE_SHARE = 0.4;
-/** Two that are lost together with the leader leave one more. */
-const MAX_DEPUTIES = 3;
 
 /**
  * One that was asked to lead has this time for it, in ms, before another is
@@ -141,7 +139,9 @@
   /** Tells changes, and all to those that came, as far as the link allows. */
   const tell = (some: Iterable<Follower>): void => {
     const next = shared.current();
-    const deputies = deputiesOf(followers);
+    const deputies = pickDeputies(
+      [...followers].flatMap(({candidate}) => candidate ?? []),
+    );
     const about = {routers: followers.size + 1, deputies};
     const brief = encoded(() => briefState(cfg, about));
     const changes = new Map<Shared, EncodedMessage>();
@@ -294,8 +294,8 @@
 };
 
 const TAKERS: Takers = {
-  hello({greet}, follower, {address, room, listCursor}) {
-    follower.candidate = {address, room};
+  hello({greet}, follower, {address, room, dataCentre, listCursor}) {
+    follower.candidate = {address, room, dataCentre};
     follower.listCursor = listCursor;
     greet(follower);
   },
@@ -456,14 +456,6 @@
   return (linkMbps * 1_000 * HEARTBEAT_MS * WHOLE_SHARE) / 8;
 }
 
-/** Those with the most room among the followers, the best first. */
-function deputiesOf(followers: Iterable<Follower>): readonly Candidate[] {
-  return [...followers]
-    .flatMap(({candidate}) => candidate ?? [])
-    .sort((a, b) => b.room.processors - a.room.processors)
-    .slice(0, MAX_DEPUTIES);
-}
-
 /** Whether the link carries the configuration to all routers in time. */
 function fits(
   config: WireConfig | null,
--- a/packages/gateway/src/membership.ts
+++ b/packages/gateway/src/membership.ts
@@ -35,6 +35,11 @@
    * day of rolling restarts.
    */
   hearsLeader(): boolean;
+  /**
+   * Whether others stand ready to lead while the leader works: then this one
+   * doesn't show itself, which cost three calls a second for each router.
+   */
+  isSpared(): boolean;
   /** Another router was chosen in place of this one. */
   onReplaced(): void;
 }
@@ -85,6 +90,7 @@
   };
 
   const join = async (): Promise<void> => {
+    if (cfg.isSpared()) return;
     const askedAt = cfg.wakefulNow();
     const membership = await members.join();
     noteTouch(membership);
--- a/packages/gateway/src/room.ts
+++ b/packages/gateway/src/room.ts
@@ -11,6 +11,7 @@
   /** `ip:port` for other routers. */
   readonly address: string;
   readonly room: Room;
+  readonly dataCentre: string;
 }
 
 /**
@@ -55,3 +56,26 @@
   if (a.processors !== b.processors) return a.processors > b.processors;
   return a.linkMbps > b.linkMbps;
 }
+
+/** Two that are lost together with the leader leave one more. */
+const MAX_DEPUTIES = 3;
+
+/**
+ * Who should lead next: those with the most room, of as many data centres as
+ * possible, since one of these may be lost with all that it has.
+ */
+export function pickDeputies(
+  candidates: Iterable<Candidate>,
+): readonly Candidate[] {
+  const sorted = [...candidates].sort(
+    (a, b) => b.room.processors - a.room.processors,
+  );
+  const seen = new Set<string>();
+  const firsts = sorted.filter(({dataCentre}) => {
+    if (seen.has(dataCentre)) return false;
+    seen.add(dataCentre);
+    return true;
+  });
+  const others = sorted.filter(each => !firsts.includes(each));
+  return [...firsts, ...others].slice(0, MAX_DEPUTIES);
+}
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -117,6 +117,7 @@
     emit,
     onJoined: () => void succession.consider(),
     onReplaced: () => leadership.check(),
+    isSpared: () => !leadership.isLeading() && link.sparesSelf(),
     hearsLeader: () => leadership.isLeading() || link.leader() !== null,
   });
   const routerCount = createRouterCount(clock);
@@ -146,7 +147,7 @@
     list,
     chosen: chosenAddress,
     isLeading: () => leadership.isLeading(),
-    self: {address: settings.listen.peers, room: settings.host.room},
+    self: {address: settings.listen.peers, ...settings.host},
     onOffered: () => void takeOffer(),
     onLost: () => void succession.consider(),
     epoch: () => leadership.epoch(),
@@ -252,7 +253,10 @@
     configAgeMs: () => keeper.ageMs(),
     leader: () => link.leader(),
     // One that leaves is to be followed by whoever is chosen now.
-    touchMs: () => (isStopping ? LEAVING_TOUCH_MS : routers.touchMs()),
+    touchMs: () =>
+      isStopping
+        ? LEAVING_TOUCH_MS
+        : Math.min(routers.touchMs(), leadership.touchMs()),
     noteReplaced: server => owners.noteReplaced(server),
     noteRequest: (service, key) => owners.noteRequest(service, key),
   });
--- a/packages/gateway/test/succession.test.ts
+++ b/packages/gateway/test/succession.test.ts
@@ -100,9 +100,9 @@
 // comes to lead it begins all the same, since nobody else will.
 void tap.test('one with little room asks those with more', async t => {
   const deputies = [
-    {address: '10.0.0.7:7200', room: LARGE},
-    {address: '10.0.0.8:7200', room: LARGE},
-    {address: '10.0.0.9:7200', room: SMALL},
+    {address: '10.0.0.7:7200', room: LARGE, dataCentre: 'a'},
+    {address: '10.0.0.8:7200', room: LARGE, dataCentre: 'a'},
+    {address: '10.0.0.9:7200', room: SMALL, dataCentre: 'a'},
   ];
   const last = {kind: 'read', address: null} as const;
   const lost = await considerWith({last, deputies, willing: []});
