--- a/packages/gateway/src/leadership.ts
+++ b/packages/gateway/src/leadership.ts
@@ -75,12 +75,12 @@
 }
 
 /**
- * Makes this router's leadership; it does nothing until it is confirmed.
+ * Makes this router's leadership; it does nothing until it begins.
  *
  * @example
  * ```ts
  * const leadership = createLeadership(cfg);
- * leadership.confirm(askedAt);
+ * const leads = await leadership.begin();
  * ```
  */
 export function createLeadership(cfg: LeadershipConfig): Leadership {
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -1,5 +1,5 @@
 import {createServer} from 'node:http';
-import {createClock, sleep, type Clock} from '@banyandrum/base/clock.js';
+import {createClock, type Clock} from '@banyandrum/base/clock.js';
 import {createId} from '@banyandrum/base/ids.js';
 import {createBackends} from '@banyandrum/dispatch/backends.js';
 import {createPlaceIssuer} from '@banyandrum/dispatch/place-issuer.js';
@@ -9,7 +9,6 @@
 import {keepConfig} from './config-keeper.js';
 import {createEntry} from './entry.js';
 import type {EventLog} from './event-log.js';
-import {handOver} from './hand-over.js';
 import {isFollowing, keepUp} from './keep-up.js';
 import {createKeyOwners, type ServedTables} from './key-owners.js';
 import {createLeadership} from './leadership.js';
@@ -26,6 +25,7 @@
 import {createServerList} from './server-list.js';
 import {createServiceTimes, drainTimes} from './service-times.js';
 import type {Settings} from './settings.js';
+import {stopRouter} from './stop-router.js';
 import {createSuccession} from './succession.js';
 import {watchVitals} from './vitals.js';
 import {wakefulTime} from './wakeful-clock.js';
@@ -48,11 +48,6 @@
  * themselves, and a read of their list.
  */
 const SETTLE_MS = 1_500;
-/** The balancer sees within this time that a router isn't ready, in ms. */
-const NOTICE_MS = 2_300;
-/** What is left of the grace for the process's own end, in ms. */
-const END_MS = 400;
-const IDLE_STEP_MS = 50;
 /** What a leader that leaves tells of its touch with the platform, in ms. */
 const LEAVING_TOUCH_MS = 1e6;
 /** Connections of a server that this router leaves to others' orders. */
@@ -293,38 +288,27 @@
     },
   });
 
+  const closeAll = (): void => {
+    isOver = true;
+    lag.stop();
+    stopVitals();
+    leadership.resign();
+    keeper.stop();
+    link.stop();
+    links.close();
+    readiness.close();
+    metrics.server.close();
+  };
+
   return {
     addresses,
     async stop() {
       if (isStopping) return;
       isStopping = true;
-      const began = clock.now();
-      emit('stopping', {inFlight: entry.inFlight()});
-      entry.startClosing();
-      // Nobody can be chosen in its place before it is taken out. While the
-      // store is down it goes on renewing: keys would lapse with no leader.
-      void routers.leave(goesOn).then(() => handOver(leadership, clock));
-      const end = began + settings.stop.graceMs - END_MS;
-      await sleep(clock, Math.min(NOTICE_MS, settings.stop.graceMs / 2));
-      // By now the balancer sends no new connection. A request on a kept one
-      // that crosses its close was not read, so its caller asks again; one
-      // that came just before the process ends would be lost.
-      entry.server.close();
-      const isNeeded = (): boolean =>
-        entry.inFlight() > 0 || leadership.isLeading();
-      while (isNeeded() && clock.now() < end) {
-        await sleep(clock, IDLE_STEP_MS);
-      }
-      isOver = true;
-      lag.stop();
-      stopVitals();
-      leadership.resign();
-      keeper.stop();
-      link.stop();
-      links.close();
-      readiness.close();
-      metrics.server.close();
-      emit('stopped', {tookMs: Math.round(clock.now() - began)});
+      await stopRouter({
+        ...{clock, emit, entry, routers, leadership, goesOn, closeAll},
+        graceMs: settings.stop.graceMs,
+      });
       await log.flush(100);
     },
   };
