A deputy that hears a working leader does not take its place

A router that was cut off from the leader alone could be chosen, and would have asked a deputy to lead; it began, and all others changed leader.

--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -162,7 +162,7 @@
     deputies: () => link.deputies(),
     room: settings.host.room,
     offer: link.offer,
-    begin: () => void leadership.begin(),
+    begin: takeOffer,
   });
   const issuer = createPlaceIssuer({
     backends,
@@ -239,7 +239,7 @@
     clock,
     emit,
     room: settings.host.room,
-    onOffered: takeOffer,
+    onOffered: () => succession.answer(),
     leadership,
     issuer,
     list,
--- a/packages/gateway/src/succession.ts
+++ b/packages/gateway/src/succession.ts
@@ -20,13 +20,19 @@
   readonly room: Room;
   /** Asks the router at the address to lead; whether it does. */
   offer(address: string): Promise<boolean>;
-  begin(): void;
+  /** Begins a term; whether this router leads then. */
+  begin(): Promise<boolean>;
 }
 
 /** Decides whether this router becomes the leader. */
 export interface Succession {
   /** Something may have changed: chosen, or the leader is heard no more. */
   consider(): Promise<void>;
+  /**
+   * One that hears no leader asks this router to lead: whether anybody does
+   * then. A leader that works is kept, though the other one can't reach it.
+   */
+  answer(): Promise<boolean>;
 }
 
 /**
@@ -52,12 +58,14 @@
 export function createSuccession(cfg: SuccessionConfig): Succession {
   let isBusy = false;
 
-  const isNeeded = (): boolean => {
-    if (!cfg.isChosen() || cfg.isLeading()) return false;
+  const hearsWorking = (): boolean => {
     const touchMs = cfg.heardLeaderTouchMs();
-    return touchMs === null || touchMs > OUT_OF_TOUCH_MS;
+    return touchMs !== null && touchMs <= OUT_OF_TOUCH_MS;
   };
 
+  const isNeeded = (): boolean =>
+    cfg.isChosen() && !cfg.isLeading() && !hearsWorking();
+
   const findLeader = async (): Promise<'found' | 'none' | 'unknown'> => {
     if (cfg.heardLeaderTouchMs() !== null) return 'none';
     const last = await cfg.lastLeader();
@@ -75,7 +83,7 @@
       cfg.emit('leading-offered', {to: address, leads});
       if (leads) return void (await cfg.reach(address));
     }
-    if (isNeeded()) cfg.begin();
+    if (isNeeded()) await cfg.begin();
   };
 
   return {
@@ -87,5 +95,9 @@
         isBusy = false;
       });
     },
+    async answer() {
+      if (cfg.isLeading() || hearsWorking()) return true;
+      return cfg.begin();
+    },
   };
 }
--- a/packages/gateway/test/succession.test.ts
+++ b/packages/gateway/test/succession.test.ts
@@ -9,6 +9,8 @@
 /** What a chosen router finds. */
 interface Found {
   isChosen?: boolean;
+  /** Another router asks it to lead. */
+  isAsked?: boolean;
   heardTouchMs?: number | null;
   last?: LeaderRead;
   answers?: boolean;
@@ -46,8 +48,12 @@
       offered.push(address);
       return found.willing?.includes(address) ?? false;
     },
-    begin: () => void begins++,
+    async begin() {
+      begins++;
+      return true;
+    },
   });
+  if (found.isAsked) await succession.answer();
   await Promise.all([succession.consider(), succession.consider()]);
   await succession.consider();
   return {begins, looked, offered};
@@ -112,3 +118,12 @@
   t.equal(led.begins, 0);
   t.equal(led.looked[0], '10.0.0.8:7200', 'and is followed');
 });
+
+// A router that is cut off from the leader alone asks a deputy to lead. The
+// leader works, all others follow it, and their callers must see nothing of it.
+void tap.test('a working leader is kept whoever asks', async t => {
+  const asked = {isAsked: true, isChosen: false} as const;
+  t.equal((await considerWith({...asked, heardTouchMs: 300})).begins, 0);
+  t.equal((await considerWith({...asked, heardTouchMs: 2_500})).begins, 1);
+  t.equal((await considerWith(asked)).begins, 1, 'none is heard');
+});
