--- a/packages/gateway/test/link.test.ts
+++ b/packages/gateway/test/link.test.ts
@@ -246,13 +246,15 @@
     const {path, link, close} = await startScene();
     t.equal(await link.offer(path.address), true);
     t.equal(await link.offer(await freeAddress()), false, 'refused');
-    const silent = createServer();
+    const open: Socket[] = [];
+    const silent = createServer(socket => void open.push(socket));
     const address = await listenAny(silent);
     const began = performance.now();
     t.equal(await link.offer(address), false);
     const tookMs = performance.now() - began;
     t.ok(tookMs < 2_000, `given up after ${tookMs} ms`);
     silent.close();
+    for (const socket of open) socket.destroy();
     close();
   },
 );
