Places without a look at all servers and waiters

Cause: for each ask and end the router that hands out places summed up the times of all servers of the service, decayed the failure share of each, and counted all that wait. With 421 servers and a thousand waiting more than half of its processor's time went there.

The types of lanes moved to a module of their own, so that place-lanes and place-queue no longer import each other.

--- a/packages/dispatch/src/backend.ts
+++ b/packages/dispatch/src/backend.ts
@@ -143,6 +143,7 @@
 
 /** The share of failures now, 0 to 1. */
 export function failureShareOf(backend: Backend, now: number): number {
+  if (backend.failureShare === 0) return 0;
   const idle = now - backend.failureAt;
   return backend.failureShare * 0.5 ** (idle / FAILURE_HALF_MS);
 }
--- a/packages/dispatch/src/free-server.ts
+++ b/packages/dispatch/src/free-server.ts
@@ -4,12 +4,7 @@
 import type {Emit} from './events.js';
 import type {Owner} from './owners.js';
 import type {PlaceAsk} from './places.js';
-import {
-  costOf,
-  DEFAULT_SERVICE_MS,
-  preferSound,
-  typicalServiceMs,
-} from './server-cost.js';
+import {costOf, DEFAULT_SERVICE_MS, isSound} from './server-cost.js';
 
 /** What issuing places needs. */
 export interface PlaceIssuerConfig {
@@ -46,14 +41,6 @@
   return owner.kind === 'held' ? owner.server : null;
 }
 
-/** Time that a request of the service takes once it is at a server, in ms. */
-export function expectedMs(
-  {backends}: PlaceIssuerConfig,
-  service: string,
-): number {
-  return typicalServiceMs(backends.ofService(service));
-}
-
 function findOwner(
   {backends, clock, ownerOf}: PlaceIssuerConfig,
   {service}: PlaceAsk,
@@ -77,20 +64,30 @@
   {service, excluded, dataCentre}: PlaceAsk,
 ): Backend | null {
   const now = clock.now();
-  const usable = backends
-    .ofService(service)
-    .filter(({info, isGone}) => !info.isLeaving && !isGone);
-  const fresh = usable.filter(({info}) => !excluded.includes(info.id));
-  let best: Backend | null = null;
-  let bestMs = Infinity;
-  for (const backend of preferSound(fresh, now)) {
-    if (!hasSlot(backend)) continue;
+  const group = backends.ofService(service);
+  const mayServe = ({info, isGone}: Backend): boolean =>
+    !info.isLeaving && !isGone && !excluded.includes(info.id);
+  let sound: Backend | null = null;
+  let soundMs = Infinity;
+  let other: Backend | null = null;
+  let otherMs = Infinity;
+  for (const backend of group) {
+    // First what costs least: under load hardly any server has a free slot.
+    if (!hasSlot(backend) || !mayServe(backend)) continue;
     const ms = placeCost(backend, dataCentre, now);
-    if (ms >= bestMs) continue;
-    best = backend;
-    bestMs = ms;
+    if (isSound(backend, now)) {
+      if (ms >= soundMs) continue;
+      sound = backend;
+      soundMs = ms;
+    } else if (ms < otherMs) {
+      other = backend;
+      otherMs = ms;
+    }
   }
-  return best;
+  if (sound !== null || other === null) return sound;
+  // Others are a last resort, also while the sound ones are full.
+  const isAnySound = group.some(each => mayServe(each) && isSound(each, now));
+  return isAnySound ? null : other;
 }
 
 /** The lower, the better the server for one more request. */
--- a/packages/dispatch/src/place-issuer.ts
+++ b/packages/dispatch/src/place-issuer.ts
@@ -1,13 +1,18 @@
 import {noteAnswer, noteLoss, suspect, type Backend} from './backend.js';
-import {expectedMs, findFree, type PlaceIssuerConfig} from './free-server.js';
-import {createLanes, NO_HOLDER, type Lane} from './place-lanes.js';
+import {createCapacities} from './capacities.js';
+import {findFree, type PlaceIssuerConfig} from './free-server.js';
 import {
-  isFirst,
-  isOverdue,
-  isTooMany,
-  pickNext,
+  countAhead,
+  countIn,
+  join,
+  leave,
+  NO_HOLDER,
+  waitersIn,
+  type Lane,
   type Waiter,
-} from './place-queue.js';
+} from './lane.js';
+import {createLanes} from './place-lanes.js';
+import {isTooMany, overdueIn, pickNext} from './place-queue.js';
 import type {PlaceAsk, PlaceEnd, PlaceReply} from './places.js';
 
 /** Hands out the slots of all servers, for all routers, at one place. */
@@ -53,23 +58,25 @@
  */
 export function createPlaceIssuer(cfg: PlaceIssuerConfig): PlaceIssuer {
   const lanes = createLanes(cfg);
+  const capacities = createCapacities(cfg.backends, cfg.clock);
+  const queue = {backends: cfg.backends, capacities};
   let cancelReview: (() => void) | null = null;
 
   const finish = (waiter: Waiter, reply: PlaceReply): void => {
-    waiter.isOver = true;
+    leave(waiter);
     waiter.reply(reply);
   };
 
   const refuse = (waiter: Waiter, why: string): void => {
     const {ask, askedAt, endsAt} = waiter;
     const now = cfg.clock.now();
-    const lane = lanes.of(ask);
+    const lane = waiter.lane ?? lanes.of(ask);
     cfg.emit('place-refused', {
       ...{id: ask.id, service: ask.service, key: ask.key, why},
       waitedMs: Math.round(now - askedAt),
       leftMs: Math.round(endsAt - now),
-      waiting: lane.waiters.length,
-      serviceMs: Math.round(expectedMs(cfg, ask.service)),
+      waiting: countIn(lane),
+      serviceMs: Math.round(capacities.of(ask.service).serviceMs),
     });
     finish(waiter, {
       kind: 'refused',
@@ -99,14 +106,10 @@
       const waiter = pickNext(lane, passedOver, now);
       if (waiter === null) return;
       if (waiter.endsAt <= now) {
-        remove(lane, waiter);
         refuse(waiter, 'waited-too-long');
         continue;
       }
-      if (tryNow(waiter)) {
-        remove(lane, waiter);
-        continue;
-      }
+      if (tryNow(waiter)) continue;
       // What doesn't help this one helps the others neither, but for those
       // that were at some of the servers already.
       if (lane.holder !== null || waiter.ask.excluded.length === 0) return;
@@ -116,72 +119,77 @@
 
   const refuseLate = (lane: Lane): void => {
     const now = cfg.clock.now();
-    for (const waiter of lane.waiters) {
+    for (const waiter of waitersIn(lane)) {
       if (waiter.endsAt <= now) refuse(waiter, 'waited-too-long');
-      else if (isOverdue(lane, waiter, now)) refuse(waiter, 'overdue');
     }
-    lane.waiters = lane.waiters.filter(({isOver}) => !isOver);
+    for (const waiter of overdueIn(lane, now)) refuse(waiter, 'overdue');
   };
 
   const scheduleReview = (): void => {
     if (cancelReview !== null) return;
     cancelReview = cfg.clock.after(REVIEW_MS, () => {
       cancelReview = null;
-      review();
+      lookAtAll();
     });
   };
 
-  const review = (): void => {
-    lanes.sort();
+  const lookAtAll = (): void => {
     let isWaiting = false;
     for (const lane of lanes.all()) {
       refuseLate(lane);
       serve(lane);
-      isWaiting ||= lane.waiters.length > 0;
+      isWaiting ||= countIn(lane) > 0;
     }
     if (isWaiting) scheduleReview();
   };
 
   const enqueue = (lane: Lane, waiter: Waiter): void => {
-    if (isTooMany(cfg, lane, waiter)) return refuse(waiter, 'too-many-wait');
-    lane.waiters.push(waiter);
+    if (isTooMany(queue, lane, waiter)) return refuse(waiter, 'too-many-wait');
+    join(lane, waiter);
     scheduleReview();
   };
 
   return {
     ask(ask, reply) {
       const now = cfg.clock.now();
-      const serviceMs = expectedMs(cfg, ask.service);
+      const {serviceMs} = capacities.of(ask.service);
+      const {priority} = ask;
       const waiter: Waiter = {
         ask,
+        priority,
         reply,
         askedAt: now,
         aimAt: now + ask.aimLeftMs - serviceMs,
         endsAt: now + ask.leftMs - serviceMs * TIMELY_FACTOR,
         grantedAt: 0,
         server: null,
-        isOver: false,
+        lane: null,
       };
       const lane = lanes.of(ask);
       if (waiter.endsAt < now) refuse(waiter, 'no-time');
-      else if (!isFirst(lane, ask) || !tryNow(waiter)) enqueue(lane, waiter);
+      else if (countAhead(lane, priority) > 0 || !tryNow(waiter)) {
+        enqueue(lane, waiter);
+      }
       return (how, tookMs) => {
         const {server} = waiter;
-        waiter.isOver = true;
         waiter.server = null;
-        if (server === null) return remove(lanes.of(ask), waiter);
+        if (server === null) return leave(waiter);
         const backend = cfg.backends.get(server);
         if (backend !== undefined) takeBack(cfg, backend, waiter, how, tookMs);
         for (const free of lanes.at(ask.service, server)) serve(free);
       };
     },
-    review,
+    review() {
+      capacities.forget();
+      lanes.sort();
+      lookAtAll();
+    },
     close() {
       cancelReview?.();
       cancelReview = null;
-      for (const {waiters} of lanes.all()) {
-        for (const waiter of waiters) {
-          if (!waiter.isOver) finish(waiter, {kind: 'unavailable'});
+      for (const lane of lanes.all()) {
+        for (const waiter of waitersIn(lane)) {
+          finish(waiter, {kind: 'unavailable'});
         }
       }
       lanes.clear();
@@ -192,19 +200,14 @@
       ),
     waiting() {
       let count = 0;
-      for (const {waiters} of lanes.all()) count += waiters.length;
+      for (const lane of lanes.all()) count += countIn(lane);
       return count;
     },
   };
 }
 
-function remove(lane: Lane, waiter: Waiter): void {
-  const at = lane.waiters.indexOf(waiter);
-  if (at >= 0) lane.waiters.splice(at, 1);
-}
-
-function keysOf({waiters}: Lane): readonly number[] {
-  return waiters.flatMap(({ask: {key}}) => (key === null ? [] : [key]));
+function keysOf(lane: Lane): readonly number[] {
+  return waitersIn(lane).flatMap(({ask: {key}}) => (key === null ? [] : [key]));
 }
 
 function takeBack(
--- a/packages/dispatch/src/place-lanes.ts
+++ b/packages/dispatch/src/place-lanes.ts
@@ -1,18 +1,7 @@
 import {holderOf, type PlaceIssuerConfig} from './free-server.js';
-import type {Waiter} from './place-queue.js';
+import {join, NO_HOLDER, waitersIn, type Lane} from './lane.js';
 import type {PlaceAsk} from './places.js';
 
-/** Requests that wait for the same servers. */
-export interface Lane {
-  readonly service: string;
-  /**
-   * The server that holds their keys; `NO_HOLDER` while nobody does, null where
-   * any server of the service will do.
-   */
-  readonly holder: string | null;
-  waiters: Waiter[];
-}
-
 /** All that wait, by the servers that may serve them. */
 export interface Lanes {
   /** The lane for the ask, as keys are held now. */
@@ -25,9 +14,6 @@
   clear(): void;
 }
 
-/** Keys that are moving, or held by nobody. */
-export const NO_HOLDER = '';
-
 /**
  * Keeps the lanes. A place that becomes free concerns one lane: looking through
  * all that wait for a service at each end kept the processor of the leader busy
@@ -36,7 +22,7 @@
  * @example
  * ```ts
  * const lanes = createLanes(cfg);
- * lanes.of(ask).waiters.push(waiter);
+ * join(lanes.of(ask), waiter);
  * ```
  */
 export function createLanes(cfg: PlaceIssuerConfig): Lanes {
@@ -45,7 +31,7 @@
   const laneAt = (service: string, holder: string | null): Lane => {
     const lanes = services.get(service) ?? new Map<string | null, Lane>();
     services.set(service, lanes);
-    const lane = lanes.get(holder) ?? {service, holder, waiters: []};
+    const lane = lanes.get(holder) ?? {service, holder, ranks: []};
     lanes.set(holder, lane);
     return lane;
   };
@@ -70,12 +56,11 @@
     },
     all,
     sort() {
-      const waiting = [...all()].flatMap(({waiters}) => waiters);
+      const waiting = [...all()].flatMap(waitersIn);
       // Lanes of servers that left go as well.
       services.clear();
-      for (const waiter of waiting) {
-        if (!waiter.isOver) laneOf(waiter.ask).waiters.push(waiter);
-      }
+      waiting.sort((a, b) => a.askedAt - b.askedAt);
+      for (const waiter of waiting) join(laneOf(waiter.ask), waiter);
     },
     clear: () => services.clear(),
   };
--- a/packages/dispatch/src/place-queue.ts
+++ b/packages/dispatch/src/place-queue.ts
@@ -1,20 +1,6 @@
-import {expectedMs, type PlaceIssuerConfig} from './free-server.js';
-import type {Lane} from './place-lanes.js';
-import type {PlaceAsk, PlaceReply} from './places.js';
-
-/** A request that waits for a place, or has one. */
-export interface Waiter {
-  readonly ask: PlaceAsk;
-  readonly reply: (reply: PlaceReply) => void;
-  readonly askedAt: number;
-  /** Monotonic time from which its answer is worth less, in ms. */
-  readonly aimAt: number;
-  /** Monotonic time from which its answer would come too late, in ms. */
-  readonly endsAt: number;
-  grantedAt: number;
-  server: string | null;
-  isOver: boolean;
-}
+import type {Backends} from './backends.js';
+import type {Capacities, Capacity} from './capacities.js';
+import {countAhead, type Lane, type Rank, type Waiter} from './lane.js';
 
 /**
  * A request is let in to wait where its turn should come within this share of
@@ -30,43 +16,41 @@
  */
 const LATE_SHARE = 0.25;
 
-/** Whether nobody waits in the lane who goes before the ask. */
-export function isFirst({waiters}: Lane, ask: PlaceAsk): boolean {
-  return !waiters.some(waiter => isAhead(waiter, ask));
-}
-
-/** Whether the waiter goes before one that asks now. */
-function isAhead({isOver, ask: {priority}}: Waiter, ask: PlaceAsk): boolean {
-  return !isOver && priority <= ask.priority;
-}
-
 /**
  * Who goes next: the more urgent first, then those whose answers can still be
  * worth most, then the others. Among equals the oldest go first: only so many
  * are let in as can be answered in time. Null where all have been passed over.
  */
 export function pickNext(
-  {waiters}: Lane,
+  {ranks}: Lane,
   passedOver: ReadonlySet<Waiter>,
   now: number,
 ): Waiter | null {
-  let best: Waiter | null = null;
-  for (const waiter of waiters) {
-    if (waiter.isOver || passedOver.has(waiter)) continue;
-    if (best === null || goesBefore(waiter, best, now)) {
-      best = waiter;
-    }
+  for (const rank of ranks) {
+    const next = pickOf(rank, passedOver, now);
+    if (next !== null) return next;
   }
-  return best;
+  return null;
 }
 
-function goesBefore(a: Waiter, b: Waiter, now: number): boolean {
-  if (a.ask.priority !== b.ask.priority) {
-    return a.ask.priority < b.ask.priority;
+function pickOf(
+  {waiters}: Rank,
+  passedOver: ReadonlySet<Waiter>,
+  now: number,
+): Waiter | null {
+  let late: Waiter | null = null;
+  for (const waiter of waiters) {
+    if (passedOver.has(waiter)) continue;
+    if (waiter.aimAt >= now) return waiter;
+    late ??= waiter;
   }
-  const lateness = Number(a.aimAt < now) - Number(b.aimAt < now);
-  if (lateness !== 0) return lateness < 0;
-  return a.askedAt < b.askedAt;
+  return late;
+}
+
+/** What deciding on who may wait needs. */
+export interface QueueConfig {
+  readonly backends: Backends;
+  readonly capacities: Capacities;
 }
 
 /**
@@ -75,42 +59,43 @@
  * are answered while that is worth most.
  */
 export function isTooMany(
-  cfg: PlaceIssuerConfig,
+  cfg: QueueConfig,
   lane: Lane,
-  {ask, askedAt, aimAt, endsAt}: Waiter,
+  {priority, askedAt, aimAt, endsAt}: Waiter,
 ): boolean {
-  const ahead = lane.waiters.filter(waiter => isAhead(waiter, ask));
+  const ahead = countAhead(lane, priority);
   const {slots, serviceMs} = capacityFor(cfg, lane);
-  const waitMs = ((ahead.length + 1) / Math.max(1, slots)) * serviceMs;
+  const waitMs = ((ahead + 1) / Math.max(1, slots)) * serviceMs;
   const slackMs = aimAt > askedAt ? aimAt - askedAt : serviceMs * LATE_SHARE;
   return waitMs > Math.min(slackMs * SLACK_SHARE, endsAt - askedAt);
 }
 
 /**
- * Whether it waited in vain: its answer has lost most of its worth, and others
- * wait whose answers have not.
+ * Those that waited in vain: their answers have lost most of their worth, and
+ * others wait whose answers have not.
  */
-export function isOverdue(lane: Lane, {aimAt}: Waiter, now: number): boolean {
-  if (aimAt >= now) return false;
-  return lane.waiters.some(other => !other.isOver && other.aimAt >= now);
+export function overdueIn({ranks}: Lane, now: number): readonly Waiter[] {
+  const overdue: Waiter[] = [];
+  let isAnyTimely = false;
+  for (const {waiters} of ranks) {
+    for (const waiter of waiters) {
+      if (waiter.aimAt < now) overdue.push(waiter);
+      else isAnyTimely = true;
+    }
+  }
+  return isAnyTimely ? overdue : [];
 }
 
 function capacityFor(
-  cfg: PlaceIssuerConfig,
+  {backends, capacities}: QueueConfig,
   {service, holder}: Lane,
-): {readonly slots: number; readonly serviceMs: number} {
-  const {backends} = cfg;
-  const serviceMs = expectedMs(cfg, service);
-  if (holder === null) {
-    const slots = backends
-      .ofService(service)
-      .reduce((sum, {info}) => sum + (info.isLeaving ? 0 : info.slots), 0);
-    return {slots, serviceMs};
-  }
+): Capacity {
+  const all = capacities.of(service);
+  if (holder === null) return all;
   const backend = backends.get(holder);
   if (backend === undefined) return {slots: 1, serviceMs: 0};
   return {
     slots: backend.info.slots,
-    serviceMs: backend.serviceMs || serviceMs,
+    serviceMs: backend.serviceMs || all.serviceMs,
   };
 }
--- a/packages/dispatch/src/server-cost.ts
+++ b/packages/dispatch/src/server-cost.ts
@@ -13,14 +13,18 @@
   backends: readonly Backend[],
   now: number,
 ): readonly Backend[] {
-  const sound = backends.filter(
-    backend =>
-      backend.suspectUntil <= now &&
-      failureShareOf(backend, now) < FAILING_SHARE,
-  );
+  const sound = backends.filter(backend => isSound(backend, now));
   return sound.length > 0 ? sound : backends;
 }
 
+/** Whether the server is neither passed over nor a last resort. */
+export function isSound(backend: Backend, now: number): boolean {
+  if (backend.suspectUntil > now) return false;
+  // The share only fades with time.
+  if (backend.failureShare < FAILING_SHARE) return true;
+  return failureShareOf(backend, now) < FAILING_SHARE;
+}
+
 /**
  * What a request costs at the server: its time there in ms, higher where it
  * would perhaps fail. `typicalMs` stands in where nothing was measured.
