Changes of ranges are told together; a term has fences for any size

Cause: each range that left a server or came to one was told by itself, and each time whoever hands out places looked at all that wait; with 40 of 200 servers leaving, 160 times. The server for a range was looked for with a look at all holdings for each server. A term had 4,096 fences: at a thousand servers its first grants alone ran past the next term's, which would shut out the next leader.

One pass over holdings for a move. A term has 2^20 fences. All routers of a deployment must run one version: an older one's fences lie below.

--- a/packages/dispatch/src/capacities.ts
+++ b/packages/dispatch/src/capacities.ts
@@ -32,10 +32,7 @@
  * const {serviceMs} = capacities.of('holds');
  * ```
  */
-export function createCapacities(
-  backends: Backends,
-  clock: Clock,
-): Capacities {
+export function createCapacities(backends: Backends, clock: Clock): Capacities {
   const known = new Map<string, Capacity & {readonly at: number}>();
 
   const sumUp = (service: string): Capacity => {
--- a/packages/gateway/src/leadership.ts
+++ b/packages/gateway/src/leadership.ts
@@ -7,6 +7,7 @@
 import type {LedServer} from '@banyandrum/ranges/lead-state.js';
 import type {RangeTable} from '@banyandrum/ranges/table.js';
 import {AUTHORITY_MS, type HoldTiming} from '@banyandrum/ranges/timing.js';
+import {createGathered} from './gathered.js';
 import type {KeyCounts, ServedTables} from './key-owners.js';
 import type {Platform} from './platform.js';
 
@@ -64,8 +65,13 @@
  * a leader's authority, and one call to the platform each.
  */
 const CHECK_MS = 2_500;
-/** Fences of one term; the epoch takes the digits above. */
-const FENCES_A_TERM = 4_096;
+/**
+ * Fences of one term; the epoch takes the digits above. A term at the size
+ * designed for has some thousand ranges, and moves a few hundred a second.
+ */
+const FENCES_A_TERM = 2 ** 20;
+/** A term ends with so many fences left, for moves under way. */
+const SPARE_FENCES = 2 ** 16;
 
 interface Term {
   readonly epoch: number;
@@ -92,9 +98,18 @@
   let changes = 0;
   let cancelTick = (): void => undefined;
 
+  const gathered = createGathered(clock, () =>
+    listeners.forEach(listener => listener()),
+  );
+  /** What gains a server may be told of a little later. */
   const changed = (): void => {
     changes++;
-    listeners.forEach(listener => listener());
+    gathered.later();
+  };
+  /** What loses its server is known before the server hears of it. */
+  const withdrawn = (): void => {
+    changes++;
+    gathered.soon();
   };
 
   const mayAct = (): boolean => cfg.wakefulNow() - confirmedAt < AUTHORITY_MS;
@@ -105,7 +120,8 @@
     cancelTick();
     for (const lead of term.leads.values()) lead.stop();
     term = null;
-    changed();
+    changes++;
+    gathered.now();
   };
 
   const leadNew = (own: Term): void => {
@@ -126,19 +142,20 @@
         nextFence: () => own.epoch * FENCES_A_TERM + own.fence++,
         mayAct: () => term === own && mayAct(),
         onChange: changed,
+        onWithdrawn: withdrawn,
         onFenced: () => {
           if (term === own) end('fenced');
         },
         emit: (event, fields) => emit(event, {service, ...fields}),
       });
       own.leads.set(service, lead);
-      changed();
+      withdrawn();
     }
   };
 
   const tick = (own: Term): void => {
     if (term !== own) return;
-    if (own.fence >= FENCES_A_TERM - 64) return end('fences-used');
+    if (own.fence >= FENCES_A_TERM - SPARE_FENCES) return end('fences-used');
     leadNew(own);
     for (const lead of own.leads.values()) lead.tick();
     cancelTick = clock.after(TICK_MS, () => tick(own));
--- a/packages/ranges/src/lead-state.ts
+++ b/packages/ranges/src/lead-state.ts
@@ -32,7 +32,10 @@
   mayAct(): boolean;
   /** Keys whose requests wait for a place now, one for each. */
   waitingKeys(): readonly number[];
+  /** A range is served, or was cut. */
   onChange(): void;
+  /** A range is served no more, and its server will be told. */
+  onWithdrawn(): void;
   /** Another leader seems to have taken over. */
   onFenced(): void;
   emit(event: string, fields: Record<string, string | number | null>): void;
@@ -83,14 +86,6 @@
   return lead.lives.filter(({holding}) => holding.server === server);
 }
 
-/** Requests a second on all holdings of the server. */
-export function rateAt(lead: Lead, server: string): number {
-  return holdingsOf(lead, server).reduce(
-    (sum, {holding}) => sum + lead.load.rateOf(holding),
-    0,
-  );
-}
-
 /** A holding as events tell it. */
 export function toFields(
   holding: Holding,
--- a/packages/ranges/src/moving.ts
+++ b/packages/ranges/src/moving.ts
@@ -2,8 +2,6 @@
 import {grantNow} from './granting.js';
 import {
   emitOrder,
-  holdingsOf,
-  rateAt,
   record,
   toFields,
   type Lead,
@@ -31,7 +29,7 @@
   live.phase = 'moving';
   live.isServed = false;
   lead.emit('range-leaves', {...toFields(live.holding), why, to: wanted});
-  lead.onChange();
+  lead.onWithdrawn();
   const began = lead.clock.now();
   const handover = await takeBack(lead, live, why);
   const target = await findServer(lead, live, wanted);
@@ -109,11 +107,37 @@
   range: KeyRange,
 ): LedServer {
   const added = lead.load.rateOf(range);
-  const shareWith = (server: LedServer): number =>
-    busyShare(server, rateAt(lead, server.id) + added) +
+  const held = sumHeld(lead);
+  let best = servers[0]!;
+  let bestShare = Infinity;
+  for (const server of servers) {
+    const {rate, count} = held.get(server.id) ?? NOTHING_HELD;
     // Without any load, the one with the fewest holdings.
-    holdingsOf(lead, server.id).length * 1e-3;
-  return servers.reduce((best, server) =>
-    shareWith(server) < shareWith(best) ? server : best,
-  );
+    const share = busyShare(server, rate + added) + count * 1e-3;
+    if (share >= bestShare) continue;
+    best = server;
+    bestShare = share;
+  }
+  return best;
+}
+
+/** What a server holds: requests a second, and holdings. */
+interface Held {
+  rate: number;
+  count: number;
+}
+
+const NOTHING_HELD: Readonly<Held> = {rate: 0, count: 0};
+
+function sumHeld({lives, load}: Lead): ReadonlyMap<string, Readonly<Held>> {
+  const sums = new Map<string, Held>();
+  for (const {holding} of lives) {
+    const {server} = holding;
+    if (server === null) continue;
+    const sum = sums.get(server) ?? {...NOTHING_HELD};
+    sum.rate += load.rateOf(holding);
+    sum.count++;
+    sums.set(server, sum);
+  }
+  return sums;
 }
--- a/packages/ranges/test/scene.ts
+++ b/packages/ranges/test/scene.ts
@@ -78,6 +78,7 @@
           !leader.isFrozen &&
           clock.now() - leader.replacedAt < AUTHORITY_MS,
         onChange: () => undefined,
+        onWithdrawn: () => undefined,
         onFenced() {
           leader.isOver = true;
           lead.stop();
