Fewer bytes a place and a heartbeat between routers

Cause: asks, replies and ends travelled with the names of their fields and fractions of milliseconds, heartbeats with the three next leaders each time. Change: rows of values for those three; deputies when they change.

--- a/packages/gateway/src/link-messages.ts
+++ b/packages/gateway/src/link-messages.ts
@@ -7,8 +7,19 @@
 import type {KeyCounts} from './key-owners.js';
 import type {WireConfig} from './link-config.js';
 import type {ListDelta, TablesDelta} from './link-state.js';
+import {
+  decode,
+  decodeFollower,
+  decodeLeader,
+  encode,
+  encodeFollower,
+  encodeLeader,
+} from './link-codec.js';
 import type {Candidate} from './room.js';
 
+/** An ask as it travels: its router said once where it stands. */
+export type LinkAsk = Omit<PlaceAsk, 'dataCentre'>;
+
 /** What a router sends to the leader. */
 export type FollowerMessage =
   /** The first of a stream: who follows. */
@@ -18,7 +29,7 @@
       readonly listDigest: string | null;
     })
   /** Looks for a place; `ask` numbers it within the stream. */
-  | {readonly kind: 'ask'; readonly ask: number; readonly place: PlaceAsk}
+  | {readonly kind: 'ask'; readonly ask: number; readonly place: LinkAsk}
   /** Gives the place back, or takes back the ask. */
   | {
       readonly kind: 'end';
@@ -54,8 +65,11 @@
       readonly config: WireConfig | null;
       /** Since when the leader knows of nothing newer, in ms. */
       readonly configAgeMs: number;
-      /** Routers with the most room, the best first: who should lead next. */
-      readonly deputies: readonly Candidate[];
+      /**
+       * Routers with the most room, the best first: who should lead next. Null
+       * where they are those of the stream's last state.
+       */
+      readonly deputies: readonly Candidate[] | null;
       /** Routers that follow the leader, and itself. */
       readonly routers: number;
       /** Since when the leader had no answer of the platform, in ms. */
@@ -84,17 +98,6 @@
  */
 export const SILENCE_MS = 600;
 
-/** The bytes of a message. */
-export function encode(message: object): Buffer {
-  return Buffer.from(JSON.stringify(message));
-}
-
-function encodeOnce(message: LeaderMessage | EncodedMessage): Buffer {
-  return 'bytes' in message ? message.bytes : encode(message);
-}
-
-const decode = (bytes: Buffer): unknown => JSON.parse(bytes.toString('utf8'));
-
 /** A router that could lead asks one with more room to do it. */
 export interface Offer {
   /** Who asks, `ip:port`. */
@@ -112,10 +115,10 @@
     path: '/banyandrum.Link/Follow',
     requestStream: true,
     responseStream: true,
-    requestSerialize: encode,
-    requestDeserialize: decode as (bytes: Buffer) => FollowerMessage,
-    responseSerialize: encodeOnce,
-    responseDeserialize: decode as (bytes: Buffer) => LeaderMessage,
+    requestSerialize: encodeFollower,
+    requestDeserialize: decodeFollower,
+    responseSerialize: encodeLeader,
+    responseDeserialize: decodeLeader,
   },
   lead: {
     path: '/banyandrum.Link/Lead',
--- a/packages/gateway/src/link-server.ts
+++ b/packages/gateway/src/link-server.ts
@@ -218,14 +218,15 @@
     follower.hasBegun = true;
     leadership.noteTerm(epoch);
   },
-  ask(cfg, {stream, asks}, {ask, place}) {
+  ask(cfg, {stream, asks, candidate}, {ask, place}) {
     if (!cfg.leadership.isLeading()) {
       stream.write({kind: 'reply', ask, reply: {kind: 'unavailable'}});
       return;
     }
     if (place.key !== null) cfg.noteRequest(place.service, place.key);
     let isRefused = false;
-    const takeBack = cfg.issuer.ask(place, reply => {
+    const dataCentre = candidate?.dataCentre ?? '';
+    const takeBack = cfg.issuer.ask({...place, dataCentre}, reply => {
       isRefused = reply.kind !== 'granted';
       if (isRefused) asks.delete(ask);
       stream.write({kind: 'reply', ask, reply});
--- a/packages/gateway/src/link-session.ts
+++ b/packages/gateway/src/link-session.ts
@@ -126,7 +126,7 @@
 function takeState(cfg: Beliefs, session: Session, state: StateMessage): void {
   session.isLeader = true;
   session.touchMs = state.touchMs;
-  session.deputies = state.deputies;
+  session.deputies = state.deputies ?? session.deputies;
   if (state.tables !== null) {
     session.tables = applyTables(session.tables, state.tables);
     cfg.owners.takeTables(session.tables);
--- a/packages/gateway/src/link-telling.ts
+++ b/packages/gateway/src/link-telling.ts
@@ -3,8 +3,8 @@
 import type {ServedTables} from './key-owners.js';
 import type {Leadership} from './leadership.js';
 import type {WireConfig} from './link-config.js';
+import {encode} from './link-codec.js';
 import {
-  encode,
   HEARTBEAT_MS,
   type EncodedMessage,
   type StateMessage,
@@ -92,14 +92,12 @@
 
   return {
     tell(some, all) {
-      const next = shared.current();
       const candidates = [...all].map(({candidate}) => candidate);
-      const about = {
-        routers: candidates.length + 1,
-        deputies: pickDeputies(candidates.flatMap(each => each ?? [])),
-      };
+      const next = shared.current(candidates.flatMap(each => each ?? []));
+      const about = {routers: candidates.length + 1};
       const changes = new Map<Shared, EncodedMessage>();
-      const brief = encoded(() => briefState(cfg, about));
+      const {deputies} = next;
+      const brief = encoded(() => ({...briefState(cfg, about), deputies}));
       const whole = encoded(() => stateFor(cfg, NOTHING_TOLD, next, about));
       const known = encoded(() =>
         stateFor(cfg, {...NOTHING_TOLD, servers: next.servers}, next, about),
@@ -142,11 +140,13 @@
   readonly listVersion: number;
   readonly listDigest: string;
   readonly config: WireConfig | null;
+  readonly deputies: readonly Candidate[];
 }
 
 /** Keeps what routers are told; the same object while nothing changed. */
 function createShared({leadership, list, clock, config}: TellerConfig): {
-  current(): Shared;
+  /** `candidates`: those that could lead next. */
+  current(candidates: readonly Candidate[]): Shared;
 } {
   let shared: Shared = {
     tables: new Map(),
@@ -155,6 +155,7 @@
     listVersion: -1,
     listDigest: digestOf([]),
     config: null,
+    deputies: [],
   };
   let tablesAt = -Infinity;
 
@@ -183,8 +184,17 @@
     shared = {...shared, config: newest};
   };
 
+  const takeDeputies = (candidates: readonly Candidate[]): void => {
+    const deputies = pickDeputies(candidates);
+    const isKnown =
+      deputies.length === shared.deputies.length &&
+      deputies.every((each, at) => each === shared.deputies[at]);
+    if (!isKnown) shared = {...shared, deputies};
+  };
+
   return {
-    current() {
+    current(candidates) {
+      takeDeputies(candidates);
       takeTables();
       takeList();
       takeConfig();
@@ -198,19 +208,23 @@
   tables: new Map() as ServedTables,
   servers: null,
   config: null,
+  deputies: null,
 } as const;
 
 /** What is told of all routers. */
 interface About {
   readonly routers: number;
-  readonly deputies: readonly Candidate[];
 }
 
+/** What a router knows; null where it was told nothing of it. */
+type Told = Pick<Shared, 'tables' | 'config'> & {
+  readonly servers: Shared['servers'] | null;
+  readonly deputies: Shared['deputies'] | null;
+};
+
 function stateFor(
   cfg: TellerConfig,
-  told: Pick<Shared, 'tables' | 'config'> & {
-    readonly servers: readonly ServerInfo[] | null;
-  },
+  told: Told,
   next: Shared,
   about: About,
 ): StateMessage {
@@ -223,6 +237,7 @@
     list: diffList(told.servers, next.servers),
     listCursor: list.snapshot()?.cursor ?? null,
     config: isNews && fits(next.config, room, routers) ? next.config : null,
+    deputies: told.deputies === next.deputies ? null : next.deputies,
   };
 }
 
@@ -237,6 +252,7 @@
     configCursor: configCursor(),
     config: null,
     configAgeMs: Math.round(configAgeMs()),
+    deputies: null,
     ...about,
     touchMs: Math.round(touchMs()),
   };
