Callers that come back are known by their limits

Cause: a caller that was refused comes back with what is left of its time, and was taken for a new one: it waited as long, was answered when that was worth little, and held up those behind it.

Change: a route's usual limits are learned; less than one of them tells for how long its caller has been asking. Turns go by what a caller of its kind could bear at first, so that those that come back push out nobody who was let in.

--- a/packages/dispatch/src/find-target.ts
+++ b/packages/dispatch/src/find-target.ts
@@ -25,6 +25,7 @@
  */
 export async function findTarget(journey: Journey): Promise<Target | null> {
   const {cfg, req} = journey;
+  const aimAt = req.firstAskedAt + req.route.targetLatencyMs;
   for (;;) {
     const leftMs = req.deadline - cfg.clock.now();
     if (req.signal.aborted || leftMs < MIN_SEND_MS) return null;
@@ -35,7 +36,8 @@
         key: req.key,
         priority: req.route.priority,
         leftMs,
-        aimLeftMs: req.arrivedAt + req.route.targetLatencyMs - cfg.clock.now(),
+        aimLeftMs: aimAt - cfg.clock.now(),
+        askedMs: cfg.clock.now() - req.firstAskedAt,
         excluded: [...journey.excluded],
         dataCentre: cfg.dataCentre,
       },
--- a/packages/dispatch/src/journey.ts
+++ b/packages/dispatch/src/journey.ts
@@ -22,8 +22,8 @@
   readonly service: string;
   /** Null where the service isn't divided by key. */
   readonly key: number | null;
-  /** Monotonic time at which it came, in ms. */
-  readonly arrivedAt: number;
+  /** Monotonic time at which its caller asked first, as far as is known, ms. */
+  readonly firstAskedAt: number;
   /** Monotonic time by which the caller must have its answer, in ms. */
   readonly deadline: number;
   readonly signal: CancelSignal;
--- a/packages/dispatch/src/lane.ts
+++ b/packages/dispatch/src/lane.ts
@@ -6,6 +6,8 @@
   readonly priority: number;
   readonly reply: (reply: PlaceReply) => void;
   readonly askedAt: number;
+  /** Among those of one priority, the earliest goes first; monotonic, in ms. */
+  readonly turnAt: number;
   /** Monotonic time from which its answer is worth less, in ms. */
   readonly aimAt: number;
   /** Monotonic time from which its answer would come too late, in ms. */
@@ -28,7 +30,7 @@
   readonly ranks: Rank[];
 }
 
-/** Those of one priority, by the time from which their answers lose worth. */
+/** Those of one priority, by their turns. */
 export interface Rank {
   readonly priority: number;
   readonly waiters: Waiter[];
@@ -41,7 +43,7 @@
 export function join(lane: Lane, waiter: Waiter): void {
   waiter.lane = lane;
   const {waiters} = rankOf(lane, waiter.priority);
-  waiters.splice(placeOf(waiters, waiter.aimAt), 0, waiter);
+  waiters.splice(placeOf(waiters, waiter.turnAt), 0, waiter);
 }
 
 /** Takes the waiter out of its lane, if it waits at all. */
@@ -60,20 +62,18 @@
 
 /**
  * How many go before one that comes now: the more urgent, and of its own
- * priority those whose answers lose their worth before its own does. What is
- * late already goes behind all that isn't.
+ * priority those whose turn is earlier; all of these where it is late already.
  */
 export function countAhead(
-  lane: Lane,
-  {priority, aimAt}: Pick<Waiter, 'priority' | 'aimAt'>,
-  now: number,
+  {ranks}: Lane,
+  {priority, aimAt, askedAt, turnAt}: Waiter,
 ): number {
   let count = 0;
-  for (const rank of lane.ranks) {
+  for (const rank of ranks) {
     if (rank.priority > priority) break;
     const {waiters} = rank;
-    if (rank.priority < priority || aimAt < now) count += waiters.length;
-    else count += placeOf(waiters, aimAt) - placeOf(waiters, now);
+    const isBehindAll = rank.priority < priority || aimAt < askedAt;
+    count += isBehindAll ? waiters.length : placeOf(waiters, turnAt);
   }
   return count;
 }
@@ -85,13 +85,13 @@
   return count;
 }
 
-/** Where one with this aim stands: behind those with the same, or an earlier. */
-function placeOf(waiters: readonly Waiter[], aimAt: number): number {
+/** Where one with this turn stands: behind those with the same, or an earlier. */
+function placeOf(waiters: readonly Waiter[], turnAt: number): number {
   let from = 0;
   let to = waiters.length;
   while (from < to) {
     const middle = (from + to) >> 1;
-    if (waiters[middle]!.aimAt <= aimAt) from = middle + 1;
+    if (waiters[middle]!.turnAt <= turnAt) from = middle + 1;
     else to = middle;
   }
   return from;
--- a/packages/dispatch/src/place-issuer.ts
+++ b/packages/dispatch/src/place-issuer.ts
@@ -156,11 +156,16 @@
       const now = cfg.clock.now();
       const {serviceMs} = capacities.of(ask.service);
       const {priority} = ask;
+      // By what a caller of its kind could bear at first. By what is left to
+      // this one, those that come back would push out those that were let in.
+      const patienceMs = ask.askedMs + ask.aimLeftMs - serviceMs;
+      if (patienceMs > 0) patience.note(ask.service, priority, patienceMs);
       const waiter: Waiter = {
         ask,
         priority,
         reply,
         askedAt: now,
+        turnAt: now + patienceMs,
         aimAt: now + ask.aimLeftMs - serviceMs,
         endsAt: now + ask.leftMs - serviceMs * TIMELY_FACTOR,
         grantedAt: 0,
@@ -168,11 +173,8 @@
         lane: null,
       };
       const lane = lanes.of(ask);
-      const slackMs = waiter.aimAt - now;
-      // Those that come back have used up most of what they could bear.
-      if (slackMs > serviceMs) patience.note(ask.service, priority, slackMs);
       if (waiter.endsAt < now) refuse(waiter, 'no-time');
-      else if (countAhead(lane, waiter, now) > 0 || !tryNow(waiter)) {
+      else if (countAhead(lane, waiter) > 0 || !tryNow(waiter)) {
         enqueue(lane, waiter);
       }
       return (how, tookMs) => {
--- a/packages/dispatch/src/place-queue.ts
+++ b/packages/dispatch/src/place-queue.ts
@@ -19,9 +19,8 @@
 
 /**
  * Who goes next: the more urgent first, then those whose answers can still be
- * worth most, then the others. Among equals those go first whose answers lose
- * their worth first: only so many are let in as can be answered in time. Null
- * where all have been passed over.
+ * worth most, then the others. Among equals by their turns: only so many are
+ * let in as can be answered in time. Null where all have been passed over.
  */
 export function pickNext(
   {ranks}: Lane,
@@ -68,7 +67,7 @@
 ): boolean {
   const {askedAt, endsAt} = waiter;
   const {slots, serviceMs} = capacityFor(cfg, lane);
-  const ahead = countAhead(lane, waiter, askedAt);
+  const ahead = countAhead(lane, waiter);
   const waitMs = ((ahead + 1) / Math.max(1, slots)) * serviceMs;
   const boundMs = boundOf(cfg, lane, waiter, serviceMs);
   return waitMs > Math.min(boundMs, endsAt - askedAt);
--- a/packages/dispatch/src/places.ts
+++ b/packages/dispatch/src/places.ts
@@ -13,6 +13,8 @@
   readonly leftMs: number;
   /** Time left until its answer is worth less, in ms; may be negative. */
   readonly aimLeftMs: number;
+  /** For how long its caller has been asking, earlier requests included, in ms. */
+  readonly askedMs: number;
   /** Servers that it was sent to in vain. */
   readonly excluded: readonly string[];
   /** The asking router's data centre. */
--- a/packages/dispatch/test/find-alone.test.ts
+++ b/packages/dispatch/test/find-alone.test.ts
@@ -33,7 +33,7 @@
       places: {acquire: async () => ({kind: 'unavailable'})},
     },
     req: {
-      ...{id: 'r1', service: 'holds', key: null, route, arrivedAt: 1_000},
+      ...{id: 'r1', service: 'holds', key: null, route, firstAskedAt: 1_000},
       ...{deadline: 3_000, signal: createCanceller().signal},
     },
     excluded: new Set<string>(),
--- a/packages/dispatch/test/forward.test.ts
+++ b/packages/dispatch/test/forward.test.ts
@@ -104,7 +104,7 @@
       },
       service: 'holds',
       key: null,
-      arrivedAt: clock.now(),
+      firstAskedAt: clock.now(),
       deadline: clock.now() + 500,
       signal: createCanceller().signal,
     },
--- a/packages/dispatch/test/overload.test.ts
+++ b/packages/dispatch/test/overload.test.ts
@@ -144,3 +144,26 @@
     t.ok(statement > 0.55, 'and most of the patient');
   });
 }
+
+const VACANCY: CallerKind = {
+  ...{name: 'vacancy', perSecond: 0, priority: 2, workMs: 120},
+  ...{aimMs: 400, limitMs: 1_500, lateWorth: 0.1},
+};
+
+// A burst of requests whose late answers are worth little. Callers that were
+// refused come back. Taken for new ones they wait until their answers are late,
+// and so do those behind them: half of what the servers do is in vain.
+for (const isKeyed of [true, false]) {
+  const where = isKeyed ? 'keyed' : 'any server';
+  void tap.test(`those that come back are known, ${where}`, async t => {
+    const load = (seed: number): Load => ({
+      ...loadOf(seed, isKeyed, [times(1.3, VACANCY)]),
+    });
+    const known = await playAll(load);
+    const taken = await playAll(seed => ({...load(seed), takesForNew: true}));
+    t.comment(`known: ${describe(known)}`);
+    t.comment(`taken for new ones: ${describe(taken)}`);
+    t.ok(known.worth > taken.worth + 0.1);
+    t.ok(known.lateShare < taken.lateShare / 2);
+  });
+}
--- a/packages/dispatch/test/place-issuer.test.ts
+++ b/packages/dispatch/test/place-issuer.test.ts
@@ -68,6 +68,7 @@
           priority: 1,
           leftMs: 2_000,
           aimLeftMs: 1_000,
+          askedMs: 0,
           excluded: [],
           dataCentre: 'a',
           ...part,
--- a/packages/dispatch/test/place-work.test.ts
+++ b/packages/dispatch/test/place-work.test.ts
@@ -39,7 +39,7 @@
 function createAsk(at: number, looks: Looks): PlaceAsk {
   return {
     ...{id: `r${at}`, service: 'holds', key: null, excluded: []},
-    ...{leftMs: 20_000, aimLeftMs: 10_000, dataCentre: 'a'},
+    ...{leftMs: 20_000, aimLeftMs: 10_000, askedMs: 0, dataCentre: 'a'},
     get priority() {
       looks.waiters++;
       return 1;
--- a/packages/dispatch/test/play-load.ts
+++ b/packages/dispatch/test/play-load.ts
@@ -37,6 +37,8 @@
   readonly kinds: readonly CallerKind[];
   /** Whether each key belongs to one server. */
   readonly isKeyed: boolean;
+  /** Whether callers that come back are taken for new ones. */
+  readonly takesForNew?: boolean;
 }
 
 /** What callers of one kind got. */
@@ -187,11 +189,11 @@
         else outcome.late++;
       });
     };
-    const goneMs = kind.limitMs - leftMs;
+    const goneMs = load.takesForNew ? 0 : kind.limitMs - leftMs;
     const end = world.issuer.ask(
       {
         ...{id: 'r', service: SERVICE, key, priority: kind.priority},
-        ...{leftMs, aimLeftMs: kind.aimMs - goneMs},
+        ...{leftMs, aimLeftMs: kind.aimMs - goneMs, askedMs: goneMs},
         ...{excluded: [], dataCentre: 'a'},
       },
       reply => clock.after(0, () => take(reply)),
--- a/packages/gateway/src/entry.ts
+++ b/packages/gateway/src/entry.ts
@@ -14,6 +14,7 @@
 import type {Route, RoutingConfig} from '@banyandrum/routing/config.js';
 import {matchRoute} from '@banyandrum/routing/match-route.js';
 import type {Splitter} from '@banyandrum/routing/split.js';
+import {createCallerAges, type CallerAges} from './caller-ages.js';
 import {
   callerDeadlineMs,
   forwardHeaders,
@@ -65,6 +66,7 @@
   inFlight: number;
   isClosing: boolean;
   readonly turns: Turns;
+  readonly ages: CallerAges;
 }
 
 /** Largest header that the parser takes, in bytes; routes' limits are less. */
@@ -104,6 +106,7 @@
     inFlight: 0,
     isClosing: false,
     turns: createTurns(),
+    ages: createCallerAges(),
   };
   const own = ownHeaders(cfg.forward.names);
   const server = createServer(
@@ -153,7 +156,8 @@
   });
   const {requestId} = state.forward.names;
   const id = header(req, requestId) ?? createId();
-  const arrival = {id, arrivedAt, signal: canceller.signal, route: null};
+  const arriving = {id, arrivedAt, signal: canceller.signal};
+  const arrival: Arrival = {...arriving, route: null, askedMs: 0};
   const answered = await answer(state, own, req, arrival);
   const isGone = req.socket.destroyed;
   if (!isGone) {
@@ -168,7 +172,7 @@
 /** One line and one count for each request. */
 function note(
   state: EntryState,
-  {id, arrivedAt, route}: Arrival,
+  {id, arrivedAt, route, askedMs}: Arrival,
   answered: Answered,
   isGone: boolean,
 ): void {
@@ -179,6 +183,7 @@
   state.emit('request', {
     ...{id, route: routeName, status, outcome, verdict, server, tookMs},
     config: state.config()?.version ?? null,
+    ...(askedMs > 0 && {askedMs}),
     ...(isGone && {isGone}),
   });
 }
@@ -208,6 +213,8 @@
   readonly signal: ReturnType<typeof createCanceller>['signal'];
   /** Set once it is known. */
   route: Route | null;
+  /** For how long its caller was asking before, as far as is known, in ms. */
+  askedMs: number;
 }
 
 async function answer(
@@ -240,6 +247,8 @@
   if (body.kind === 'cut') {
     return {kind: 'failure', failure: failure('not-run', 'cancelled', 'cut')};
   }
+  const limitMs = callerDeadlineMs(names, req);
+  arrival.askedMs = state.ages.take(route.name, limitMs);
   return forward(state.forward, {
     id,
     method: req.method ?? 'GET',
@@ -249,8 +258,8 @@
     route,
     service,
     key,
-    arrivedAt: arrival.arrivedAt,
-    deadline: deadlineOf(state, req, route, arrival.arrivedAt),
+    firstAskedAt: arrival.arrivedAt - arrival.askedMs,
+    deadline: deadlineOf(limitMs, route, arrival.arrivedAt),
     signal: arrival.signal,
   });
 }
@@ -264,12 +273,7 @@
   return {kind: 'failure', failure: reason};
 }
 
-function deadlineOf(
-  {forward: {names}}: EntryState,
-  req: IncomingMessage,
-  route: Route,
-  arrivedAt: number,
-): number {
-  const ms = Math.min(callerDeadlineMs(names, req), route.timeoutMs);
+function deadlineOf(limitMs: number, route: Route, arrivedAt: number): number {
+  const ms = Math.min(limitMs, route.timeoutMs);
   return arrivedAt + ms - ANSWER_MARGIN_MS;
 }
--- a/packages/gateway/src/link-codec.ts
+++ b/packages/gateway/src/link-codec.ts
@@ -10,10 +10,13 @@
  * given below, behind a letter; all others are objects by their names.
  */
 
-/** `ask`, id, service, key, priority, time left, time to the aim, excluded. */
+/**
+ * `ask`, id, service, key, priority, time left, time to the aim, time that it
+ * was asked for, excluded.
+ */
 type AskRow = [
   ...['a', number, string, string, number | null, number],
-  ...[number, number, ...string[]],
+  ...[number, number, number, ...string[]],
 ];
 type EndRow = ['e', number, PlaceEnd, number];
 /** A server that was granted, or another reply. */
@@ -34,9 +37,10 @@
     const {id, service, key, priority, excluded} = message.place;
     const left = Math.round(message.place.leftMs);
     const aimLeft = Math.round(message.place.aimLeftMs);
+    const asked = Math.round(message.place.askedMs);
     const row: AskRow = [
       ...(['a', message.ask, id, service, key, priority] as const),
-      ...([left, aimLeft, ...excluded] as const),
+      ...([left, aimLeft, asked, ...excluded] as const),
     ];
     return encode(row);
   }
@@ -55,9 +59,10 @@
     const [, ask, how, tookMs] = read;
     return {kind: 'end', ask, how, tookMs};
   }
-  const [, ask, id, service, key, priority, leftMs, aimLeftMs, ...excluded] =
-    read;
-  const place = {id, service, key, priority, leftMs, aimLeftMs, excluded};
+  const [, ask, id, service, key, priority, ...times] = read;
+  const [leftMs, aimLeftMs, askedMs, ...excluded] = times;
+  const limits = {leftMs, aimLeftMs, askedMs};
+  const place = {id, service, key, priority, ...limits, excluded};
   return {kind: 'ask', ask, place};
 }
 
--- a/packages/gateway/test/link-bytes.test.ts
+++ b/packages/gateway/test/link-bytes.test.ts
@@ -19,7 +19,7 @@
 
 const PLACE: PlaceAsk = {
   ...{id: '9c41d07be2a35f68', service: 'wubo73a', key: 48_211, priority: 2},
-  ...{leftMs: 1_874.382_917, aimLeftMs: 374.382_917, excluded: []},
+  ...{leftMs: 1_874.382_917, aimLeftMs: 374.382_917, askedMs: 0, excluded: []},
   dataCentre: 'prince-george',
 };
 
@@ -53,9 +53,10 @@
 
 void tap.test('messages arrive as they were sent', async t => {
   const ask = {kind: 'ask', ask: 7, place: PLACE} as const;
-  const {leftMs, aimLeftMs, dataCentre: _, ...rest} = PLACE;
+  const {id, service, key, priority, leftMs, aimLeftMs} = PLACE;
   const arrived = sent(ask);
-  t.match(arrived, {kind: 'ask', ask: 7, place: rest});
+  const place = {id, service, key, priority};
+  t.match(arrived, {kind: 'ask', ask: 7, place});
   if (arrived.kind !== 'ask') return;
   t.ok(Math.abs(arrived.place.leftMs - leftMs) <= 1);
   t.ok(Math.abs(arrived.place.aimLeftMs - aimLeftMs) <= 1);
--- a/packages/gateway/test/link.test.ts
+++ b/packages/gateway/test/link.test.ts
@@ -101,6 +101,7 @@
   priority: 1,
   leftMs: 5_000,
   aimLeftMs: 5_000,
+  askedMs: 0,
   excluded: [],
   dataCentre: 'a',
 };
