A server that starts again under its name is another run

Cause: a run was known by the server's id alone. A server that starts again under the id that it had, told apart only by the moment of its start, would have kept the slots, times, keys and drain of the run before.

Change: the id of a run is the server's name with that moment where the list tells it. A later run takes the earlier one's place at once, an earlier one that comes late is no news. Its keys are released like those of a server that leaves, without waiting for a hold: it obeys orders meant for its earlier run, so that its start alone proves nothing of them.

--- a/packages/dispatch/src/backend.ts
+++ b/packages/dispatch/src/backend.ts
@@ -6,7 +6,7 @@
 
 /** What the list of backend servers says of one. */
 export interface ServerInfo {
-  /** Names one run of a server; a restarted one is another. */
+  /** Names one run of a server; a restarted one is another (`server-run.ts`). */
   readonly id: string;
   readonly service: string;
   /** `ip:port`. */
--- a/packages/dispatch/src/forward.ts
+++ b/packages/dispatch/src/forward.ts
@@ -9,6 +9,7 @@
   type Journey,
   type Reply,
 } from './journey.js';
+import {nameOfRun} from './server-run.js';
 import {placeEndOf, takeEnd} from './take-end.js';
 import type {WireNames} from './wire.js';
 
@@ -99,7 +100,7 @@
     names.deadlineMs,
     String(Math.floor(withinMs)),
     names.expectedServer,
-    backend.info.id,
+    nameOfRun(backend.info.id),
   ];
 }
 
--- a/packages/gateway/src/server-list.ts
+++ b/packages/gateway/src/server-list.ts
@@ -1,5 +1,6 @@
 import type {Clock} from '@banyandrum/base/clock.js';
 import type {ServerInfo} from '@banyandrum/dispatch/backend.js';
+import {bornOfRun, nameOfRun} from '@banyandrum/dispatch/server-run.js';
 import type {Emit} from '@banyandrum/dispatch/events.js';
 import type {ListChange, ListRead} from './platform.js';
 
@@ -60,6 +61,8 @@
 ): ServerList {
   const returnMs = Math.min(RETURN_MS, leaveWithinMs + RETURN_MARGIN_MS);
   const servers = new Map<string, ServerInfo>();
+  /** The newest run under each name that has a run listed. */
+  const runs = new Map<string, string>();
   /** Address and order of first sight of each server ever listed. */
   const seen = new Map<string, {address: string; order: number}>();
   const removals = new Set<string>();
@@ -84,6 +87,14 @@
   };
 
   const put = (server: ServerInfo): boolean => {
+    const last = runs.get(nameOfRun(server.id));
+    if (last !== undefined && last !== server.id) {
+      // What an earlier run said may come later, from another router.
+      if (isEarlier(server.id, last)) return false;
+      emit('server-reborn', {server: server.id, before: last});
+      remove(last);
+    }
+    runs.set(nameOfRun(server.id), server.id);
     if (removals.delete(server.id)) version++;
     const known = servers.get(server.id);
     servers.set(server.id, server);
@@ -100,6 +111,8 @@
 
   const remove = (id: string): boolean => {
     if (!servers.delete(id)) return false;
+    removals.delete(id);
+    if (runs.get(nameOfRun(id)) === id) runs.delete(nameOfRun(id));
     emit('server-removed', {server: id, cursor});
     return true;
   };
@@ -122,17 +135,19 @@
 
   const apply = (change: ListChange): boolean => {
     if (change.kind === 'listed') return put(change.server);
-    if (change.kind === 'removed') return expire(change.id);
+    if (change.kind === 'removed') {
+      return expire(runs.get(nameOfRun(change.id)) ?? change.id);
+    }
     return tellUnreadable(change.id, change.detail);
   };
 
   const applyWhole = (changes: readonly ListChange[]): boolean => {
     const listed = new Set<string>();
     for (const change of changes) {
-      if (change.kind === 'listed') listed.add(change.server.id);
-      if (change.kind === 'unreadable') listed.add(change.id);
+      if (change.kind === 'listed') listed.add(nameOfRun(change.server.id));
+      if (change.kind === 'unreadable') listed.add(nameOfRun(change.id));
     }
-    const gone = [...servers.keys()].filter(id => !listed.has(id));
+    const gone = [...servers.keys()].filter(id => !listed.has(nameOfRun(id)));
     const results = [...changes.map(apply), ...gone.map(expire)];
     return results.includes(true);
   };
@@ -190,6 +205,9 @@
       if (old === undefined || servers.has(id)) return false;
       for (const server of servers.values()) {
         if (server.address !== old.address) continue;
+        // It obeys what the run before it was ordered: its keys are taken back
+        // like those of any server that goes.
+        if (nameOfRun(server.id) === nameOfRun(id)) continue;
         // Entries of servers that ended long ago may linger in the list.
         if (seen.get(server.id)!.order > old.order) return true;
       }
@@ -199,6 +217,11 @@
   };
 }
 
+/** Whether the run began before the other one of its name. */
+function isEarlier(id: string, other: string): boolean {
+  return (bornOfRun(id) ?? 0) < (bornOfRun(other) ?? 0);
+}
+
 function toListed(server: ServerInfo): ListChange {
   return {kind: 'listed', server};
 }
--- a/packages/gateway/test/server-list.test.ts
+++ b/packages/gateway/test/server-list.test.ts
@@ -112,3 +112,44 @@
   t.equal(list.isReplaced('a'), true);
   t.equal(list.isReplaced('new'), false);
 });
+
+// A server starts again under the name that it had. It holds nothing of before:
+// requests for its keys are refused by it until they are granted anew, so that
+// its earlier run must be given up at once, whoever is told in which order.
+void tap.test('a later run under the same name takes its place', async t => {
+  const {list} = scene();
+  const [first, second] = [server('a~100'), server('a~200')];
+  list.take(read(3, [listed(first)]));
+  t.equal(list.has('a'), false, 'the run without a moment came before');
+  list.take(read(4, [listed(second)]));
+  t.equal(list.has('a~100'), false);
+  t.equal(list.has('a~200'), true);
+  t.equal(list.isReplaced('a~100'), false, 'it obeys what that was ordered');
+  list.take(read(5, [listed(first)]));
+  t.equal(list.has('a~100'), false, 'an older one that comes late is no news');
+  t.equal(list.has('a~200'), true);
+  list.take(read(6, [{kind: 'removed', id: 'a'}]));
+  t.equal(list.has('a~200'), false, 'it is removed by its name');
+});
+
+// The store turns the leader away while the server starts twice.
+void tap.test('runs are told apart in a list that is read anew', async t => {
+  const {clock, list} = scene();
+  list.take(FAILED);
+  await clock.advance(1_000);
+  list.take(read(3, [{kind: 'removed', id: 'a'}]));
+  list.take(read(9, [listed(server('a~300')), listed(server('bb'))], true));
+  t.equal(list.has('a'), false, 'no time to return for the earlier run');
+  t.same(
+    list
+      .snapshot()
+      ?.servers.map(({id}) => id)
+      .sort(),
+    ['a~300', 'bb'],
+  );
+  const other = createServerList(clock, () => undefined, 2_000);
+  other.take(read(4, [listed(server('a~200')), listed(server('bb'))], true));
+  other.takeSnapshot(list.snapshot()!, 0);
+  t.equal(other.has('a~200'), false, 'told by a leader that knows more');
+  t.equal(other.has('a~300'), true);
+});
