The gap that moves keys grows with the number of servers

Cause: of 209 servers the busiest and the idlest differ by chance far more than of 13; keys were moved for that all the time, and each piece costs renewals.

--- a/packages/ranges/src/planner.ts
+++ b/packages/ranges/src/planner.ts
@@ -19,10 +19,11 @@
 }
 
 /**
- * Servers' busy shares that differ by less than this are left alone: with the
- * few requests a second of a server, counts stray that far by chance.
+ * Servers' busy shares that differ by less are left alone: with the few requests
+ * a second of a server, counts stray that far by chance. Of many servers the
+ * extremes stray further, as the root of the logarithm of their number.
  */
-const MIN_GAP = 0.22;
+const GAP = 0.137;
 /** A move is worth its pause only for this many requests a second. */
 const MIN_RATE = 0.15;
 /** A segment may have this share of the wanted rate, from and to. */
@@ -85,6 +86,7 @@
   const sorted = servers
     .filter(({isOpen}) => isOpen)
     .sort((a, b) => shareOf(b) - shareOf(a));
+  const minGap = GAP * Math.sqrt(Math.log(sorted.length));
   const moves: PlannedMove[] = [];
   let isUrgent = false;
   let idlestAt = sorted.length - 1;
@@ -92,7 +94,7 @@
     const busiest = sorted[at]!;
     const idlest = sorted[idlestAt]!;
     const gap = shareOf(busiest) - shareOf(idlest);
-    if (gap < MIN_GAP) break;
+    if (gap < minGap) break;
     const own = loaded.filter(({holding}) => holding.server === busiest.id);
     const range = bestSegment(own, rateToEven(busiest, idlest, gap));
     if (range === null) continue;
