A merge of neighbours doesn't put off moves

Cause: a look at the load that merged two holdings moved nothing, also while a busy stretch of keys waited to be spread.

--- a/packages/ranges/src/lead-service.ts
+++ b/packages/ranges/src/lead-service.ts
@@ -129,7 +129,7 @@
   for (const live of [...lead.lives]) tend(lead, live, open, now);
   if (now < lead.planAt) return;
   lead.planAt = now + PLAN_MS;
-  if (mergeOne(lead, now)) return;
+  mergeOne(lead, now);
   const most = Math.max(MIN_MOVES, servers.length * MOVES_PER_SERVER);
   if (lead.moves >= most) return;
   const rates = lead.load.rates(lead.waitingKeys());
