--- a/packages/gateway/src/link-session.ts
+++ b/packages/gateway/src/link-session.ts
@@ -126,7 +126,7 @@
 function takeState(cfg: Beliefs, session: Session, state: StateMessage): void {
   session.isLeader = true;
   session.touchMs = state.touchMs;
-  session.deputies = state.deputies;
+  session.deputies = state.deputies ?? session.deputies;
   if (state.tables !== null) {
     session.tables = applyTables(session.tables, state.tables);
     cfg.owners.takeTables(session.tables);
@@ -147,6 +147,7 @@
   if (configCursor !== null) cfg.noteConfigCursor(configCursor);
   session.relaysConfig =
     state.configAgeMs < RELAY_FRESH_MS &&
-    (cfg.configCursor() ?? -1) >= (configCursor ?? 0);
+    // A leader that finds no configuration leaves none to read.
+    (configCursor === null || (cfg.configCursor() ?? -1) >= configCursor);
   cfg.noteRouters(state.routers);
 }
--- a/packages/ranges/src/planner.ts
+++ b/packages/ranges/src/planner.ts
@@ -19,10 +19,11 @@
 }
 
 /**
- * Servers' busy shares that differ by less than this are left alone: with the
- * few requests a second of a server, counts stray that far by chance.
+ * Servers' busy shares that differ by less are left alone: with the few requests
+ * a second of a server, counts stray that far by chance. Of many servers the
+ * extremes stray further, as the root of the logarithm of their number.
  */
-const MIN_GAP = 0.22;
+const GAP = 0.137;
 /** A move is worth its pause only for this many requests a second. */
 const MIN_RATE = 0.15;
 /** A segment may have this share of the wanted rate, from and to. */
@@ -48,38 +49,60 @@
   readonly rates: readonly KeyRate[];
 }
 
+/** What a plan begins with. */
+export interface Unplanned {
+  readonly holdings: readonly Holding[];
+  readonly servers: readonly PlacedServer[];
+  readonly rates: readonly KeyRate[];
+}
+
+/** Moves that may be made side by side. */
+export interface Plan {
+  readonly moves: readonly PlannedMove[];
+  /** Whether some server among them is given more than it can do. */
+  readonly isUrgent: boolean;
+}
+
 /**
- * The next move that evens out how busy the servers are: from the busiest to
- * the idlest, of about half their difference and of few keys; null where they
- * are even, or nothing that can go would help.
+ * The moves that even out how busy the servers are: from the busiest to the
+ * idlest, each of about half their difference and of few keys, `most` of them
+ * and one for each server; none where they are even, or nothing that can go
+ * would help.
  *
  * @example
  * ```ts
- * const move = planMove(holdings, servers, load.rates([]));
- * if (move !== null) startMove(move);
+ * const {moves} = planMoves({holdings, servers, rates: load.rates([])}, 4);
+ * moves.forEach(startMove);
  * ```
  */
-export function planMove(
-  holdings: readonly Holding[],
-  servers: readonly PlacedServer[],
-  rates: readonly KeyRate[],
-): PlannedMove | null {
-  const open = servers.filter(({isOpen}) => isOpen);
-  if (open.length < 2) return null;
+export function planMoves(
+  {holdings, servers, rates}: Unplanned,
+  most: number,
+): Plan {
   const loaded = spread(holdings, rates);
   const totals = totalRates(loaded);
   const shareOf = (server: PlacedServer): number =>
     busyShare(server, totals.get(server.id) ?? 0);
-  const sorted = [...open].sort((a, b) => shareOf(b) - shareOf(a));
-  const idlest = sorted[sorted.length - 1]!;
-  for (const busiest of sorted) {
+  const sorted = servers
+    .filter(({isOpen}) => isOpen)
+    .sort((a, b) => shareOf(b) - shareOf(a));
+  const minGap = GAP * Math.sqrt(Math.log(sorted.length));
+  const moves: PlannedMove[] = [];
+  let isUrgent = false;
+  let idlestAt = sorted.length - 1;
+  for (let at = 0; at < idlestAt && moves.length < most; at++) {
+    const busiest = sorted[at]!;
+    const idlest = sorted[idlestAt]!;
     const gap = shareOf(busiest) - shareOf(idlest);
-    if (gap < MIN_GAP) return null;
+    if (gap < minGap) break;
     const own = loaded.filter(({holding}) => holding.server === busiest.id);
     const range = bestSegment(own, rateToEven(busiest, idlest, gap));
-    if (range !== null) return {range, from: busiest.id, to: idlest.id};
+    if (range === null) continue;
+    moves.push({range, from: busiest.id, to: idlest.id});
+    isUrgent ||= shareOf(busiest) > 1;
+    idlestAt--;
   }
-  return null;
+  return {moves, isUrgent};
 }
 
 function spread(
