--- a/packages/gateway/src/config-keeper.ts
+++ b/packages/gateway/src/config-keeper.ts
@@ -45,6 +45,11 @@
  * must have the newest version 2 s later.
  */
 const RETRY_MAX_MS = 1_600;
+/**
+ * A router that just started hears a leader within about this time, in ms, and
+ * reads no more by itself then; without one it goes on.
+ */
+const FIRST_PAUSE_MS = 500;
 /** Whether the leader still passes versions on is looked at this often, ms. */
 const RELAY_LOOK_MS = 250;
 /**
@@ -133,8 +138,10 @@
     }
     const waitMs = isToldOfNews() ? LONG_WAIT_MS : SHORT_WAIT_MS;
     beganAt = clock.now();
+    const isFirst = cursor === null;
     const isRead = await read(config === null ? SHORT_WAIT_MS : waitMs);
     if (!isRead) await sleep(clock, Math.max(0, retryAt - clock.now()));
+    else if (isFirst) await sleep(clock, FIRST_PAUSE_MS);
   });
 
   const look = (): void => {
--- a/packages/gateway/test/config-keeper.test.ts
+++ b/packages/gateway/test/config-keeper.test.ts
@@ -184,3 +184,36 @@
   t.equal(keeper.current()?.version, 1);
   keeper.stop();
 });
+
+// All routers start at once. Each reads the configuration, and hears the leader
+// half a second later: a second read in between told it nothing, and was a call
+// to the platform at every start of every router.
+void tap.test('a router that starts reads once', async t => {
+  const clock = createManualClock(1_000);
+  const source = createSource(clock);
+  let reads = 0;
+  const platform = {
+    readConfig(cursor: number | null, waitMs: number) {
+      reads++;
+      return source.platform.readConfig(cursor, waitMs);
+    },
+  } as unknown as Platform;
+  let isRelayed = false;
+  const keeper = keepConfig(
+    platform,
+    clock,
+    () => undefined,
+    () => isRelayed,
+    () => isRelayed,
+  );
+  await clock.advance(400);
+  t.equal(keeper.current()?.version, 1);
+  isRelayed = true;
+  await clock.advance(3_000);
+  t.equal(reads, 1);
+  isRelayed = false;
+  source.versions.push(2);
+  await clock.advance(1_500);
+  t.equal(keeper.current()?.version, 2, 'without a leader it goes on');
+  keeper.stop();
+});
