Routers look for the next leader among those that the last one named

Cause: a router that heard no leader asked the platform who was chosen, and all routers again at each join of any of them: at 195 routers 557 calls a second. Change: deputies are tried beside whoever was chosen; the routers are listed every 0.7 s at the most. Test in link.test.ts, seen failing.

--- a/packages/gateway/src/link-client.ts
+++ b/packages/gateway/src/link-client.ts
@@ -122,6 +122,8 @@
   /** A leader is looked for at this address. */
   let wanted: Wanted | null = null;
   let triedAt = -Infinity;
+  /** Addresses tried by guess since a leader was heard. */
+  let guesses = 0;
   /** Where nobody led when it was tried last. */
   let vainAddress = '';
   let vainAt = -Infinity;
@@ -153,6 +155,7 @@
       if (!own.isLeader) return;
       if (!wasLeader) cfg.emit('leader-followed', {leader});
       heardAt = own.heardAt;
+      guesses = 0;
       deputies = own.deputies;
       reached(leader, true);
     });
@@ -207,12 +210,21 @@
     stream.write({kind: 'counts', counts: toPairs(counts)});
   };
 
+  /** Whoever was chosen last, as far as is known, or should lead next. */
+  const guess = (): string | null => {
+    const named = deputies.map(({address}) => address);
+    const known = [cfg.chosen(), ...named].filter(
+      address => address !== null && address !== cfg.self.address,
+    );
+    return known[guesses++ % known.length] ?? null;
+  };
+
   const goesOn = (): boolean => !isStopped;
   const {emit} = cfg;
   repeat({clock, emit, name: 'link', ms: SEEK_MS, goesOn}, async () => {
     if (wanted === null && clock.now() - triedAt < RETRY_MS) return;
     for (let hops = 0; hops < MAX_HOPS && !cfg.isLeading(); hops++) {
-      const leader = wanted?.address ?? next ?? cfg.chosen();
+      const leader = wanted?.address ?? next ?? guess();
       next = null;
       if (leader === null) return;
       await follow(leader);
--- a/packages/gateway/src/membership.ts
+++ b/packages/gateway/src/membership.ts
@@ -48,7 +48,10 @@
 const JOIN_MS = 350;
 /** An answer counts for this time, in ms: until the next two should be there. */
 const CHOSEN_MS = 1_000;
-/** Routers are listed again this often where the leader is unknown, in ms. */
+/**
+ * Routers are listed this often at the most where the leader is unknown, in ms:
+ * while many of them come at once, each of their joins is news to all.
+ */
 const LIST_MS = 700;
 
 /**
@@ -100,8 +103,8 @@
     answeredAt = askedAt;
     cfg.onJoined();
     if (cfg.hearsLeader()) return;
-    const isDue = names.length === 0 && clock.now() - listedAt > LIST_MS;
-    if (membership.generation === generation && !isDue) return;
+    if (clock.now() - listedAt < LIST_MS) return;
+    if (membership.generation === generation && names.length > 0) return;
     generation = membership.generation;
     await list();
   };
--- a/packages/gateway/test/link.test.ts
+++ b/packages/gateway/test/link.test.ts
@@ -132,7 +132,7 @@
   ...{slots: 2, isLeaving: false, coldMs: 0},
 };
 
-async function startScene(): Promise<Scene> {
+async function startScene(chosen?: () => string | null): Promise<Scene> {
   const clock = createClock();
   const emit = (): void => undefined;
   const backends = createBackends(clock);
@@ -159,7 +159,7 @@
   const list = createServerList(clock, emit, 2_000);
   const link = followLeader({
     ...{clock, emit, list, owners: createKeyOwners(clock, emit)},
-    chosen: () => path.address,
+    chosen: chosen ?? (() => path.address),
     isLeading: () => false,
     self: {address: `${HOST}:2`, room: ROOM, dataCentre: 'a'},
     onOffered: () => undefined,
@@ -259,3 +259,47 @@
     close();
   },
 );
+
+// The leader is lost, and the platform turns this router away, so that it can't
+// be told who was chosen since. The leader had named who should lead next: the
+// router finds the next one there, and its callers are served in the meantime;
+// asked by each of 195 routers for a list of all, the platform had a thousand
+// calls a second.
+void tap.test('the next leader is found among those named', async t => {
+  let known: string | null = null;
+  const first = await startScene(() => known);
+  const next = await startScene();
+  known = first.path.address;
+  const hello = await followAs(first.path.address, next.path.address);
+  await until(async () => first.link.deputies().length > 0);
+  known = null;
+  hello.stop();
+  first.path.close();
+  first.path.silence();
+  await until(async () => first.link.leader() === next.path.address);
+  t.equal(first.link.leader(), next.path.address);
+  first.close();
+  next.close();
+});
+
+/** A router at `address` that follows the leader, and says that it has room. */
+async function followAs(leader: string, address: string): Promise<LinkClient> {
+  const clock = createClock();
+  const emit = (): void => undefined;
+  const link = followLeader({
+    ...{clock, emit, owners: createKeyOwners(clock, emit)},
+    list: createServerList(clock, emit, 2_000),
+    chosen: () => leader,
+    isLeading: () => false,
+    self: {address, room: ROOM, dataCentre: 'b'},
+    onOffered: () => undefined,
+    onLost: () => undefined,
+    epoch: () => null,
+    noteConfigCursor: () => undefined,
+    takeConfig: () => undefined,
+    configCursor: () => null,
+    noteRouters: () => undefined,
+  });
+  await until(async () => link.leader() !== null);
+  return link;
+}
