Callers' beginnings are known though their limits differ by some ms

Change: limits within 2 % are one; the highest that a quarter of a route's requests has is where its callers begin.

--- a/packages/gateway/src/caller-ages.ts
+++ b/packages/gateway/src/caller-ages.ts
@@ -7,15 +7,28 @@
   take(route: string, limitMs: number): number;
 }
 
-/** Limits of a route that are usual: this share of its requests has them. */
-const USUAL_SHARE = 0.1;
+/** Limits that differ by less than this share are one: connecting takes time. */
+const LIKE = 0.02;
+/**
+ * The highest limit that so large a share of a route's requests has is the one
+ * with which its callers begin: those that come back once are half at the most.
+ */
+const USUAL_SHARE = 0.25;
 const USUAL_COUNT = 3;
-/** Older requests count half after so many. */
-const MEMORY = 200;
+/** Less than this share of it is left to nobody who comes back in time. */
+const LEAST_SHARE = 0.5;
+/** Requests that count half when as many more have come. */
+const MEMORY = 50;
 
+/** A route's limits, by their logarithm. */
 interface Limits {
   total: number;
-  readonly counts: Map<number, number>;
+  readonly groups: Map<number, Group>;
+}
+
+interface Group {
+  readonly count: number;
+  readonly meanMs: number;
 }
 
 /**
@@ -35,7 +48,7 @@
   const routes = new Map<string, Limits>();
 
   const limitsOf = (route: string): Limits => {
-    const limits = routes.get(route) ?? {total: 0, counts: new Map()};
+    const limits = routes.get(route) ?? {total: 0, groups: new Map()};
     routes.set(route, limits);
     return limits;
   };
@@ -43,32 +56,48 @@
   return {
     take(route, limitMs) {
       const limits = limitsOf(route);
-      const limit = Math.round(limitMs);
-      limits.total++;
-      limits.counts.set(limit, (limits.counts.get(limit) ?? 0) + 1);
-      if (limits.total > MEMORY) halve(limits);
-      return usualAbove(limits, limit) - limit;
+      note(limits, limitMs);
+      const usualMs = usualOf(limits);
+      const isBack =
+        limitMs < usualMs * (1 - LIKE) && limitMs >= usualMs * LEAST_SHARE;
+      return isBack ? Math.round(usualMs - limitMs) : 0;
     },
   };
 }
 
-/** The lowest usual limit that is no less; the limit itself without one. */
-function usualAbove({total, counts}: Limits, limit: number): number {
+function note(limits: Limits, limitMs: number): void {
+  const at = Math.floor(Math.log(limitMs) / LIKE);
+  const {count, meanMs} = limits.groups.get(at) ?? {count: 0, meanMs: 0};
+  const next = count + 1;
+  limits.groups.set(at, {
+    count: next,
+    meanMs: meanMs + (limitMs - meanMs) / next,
+  });
+  limits.total++;
+  if (limits.total >= MEMORY) halve(limits);
+}
+
+/** The limit with which callers begin, in ms; 0 where none is usual. */
+function usualOf({total, groups}: Limits): number {
   const least = Math.max(USUAL_COUNT, total * USUAL_SHARE);
-  let lowest = Infinity;
-  for (const [usual, count] of counts) {
-    if (usual < limit || usual >= lowest || count < least) continue;
-    lowest = usual;
+  let highest = -Infinity;
+  let usualMs = 0;
+  for (const [at, {count, meanMs}] of groups) {
+    // One limit may lie on the edge between two groups.
+    const beside = groups.get(at - 1)?.count ?? 0;
+    if (at <= highest || count + beside < least) continue;
+    highest = at;
+    usualMs = meanMs;
   }
-  return lowest === Infinity ? limit : lowest;
+  return usualMs;
 }
 
 function halve(limits: Limits): void {
   limits.total = 0;
-  for (const [limit, count] of limits.counts) {
+  for (const [at, {count, meanMs}] of limits.groups) {
     const half = Math.floor(count / 2);
     limits.total += half;
-    if (half > 0) limits.counts.set(limit, half);
-    else limits.counts.delete(limit);
+    if (half > 0) limits.groups.set(at, {count: half, meanMs});
+    else limits.groups.delete(at);
   }
 }
