--- a/packages/gateway/test/config-keeper.test.ts
+++ b/packages/gateway/test/config-keeper.test.ts
@@ -43,6 +43,23 @@
   return Object.assign(source, {platform});
 }
 
+/** The platform, with a count of reads of the configuration. */
+function countReads({readConfig}: Platform): {
+  readonly platform: Platform;
+  reads: number;
+} {
+  const counted = {
+    reads: 0,
+    platform: {
+      readConfig(...args: Parameters<Platform['readConfig']>) {
+        counted.reads++;
+        return readConfig(...args);
+      },
+    } as Platform,
+  };
+  return counted;
+}
+
 // A router follows the leader, so its read may wait for long. The store goes
 // silent on that connection, the leader is lost, and this router may even lead
 // itself: nobody tells it of news, and its read won't. Its callers would be
@@ -94,17 +111,10 @@
 void tap.test('what the leader passes on is not read again', async t => {
   const clock = createManualClock(1_000);
   const source = createSource(clock);
-  let reads = 0;
+  const counted = countReads(source.platform);
   let isRelayed = false;
-  const {readConfig} = source.platform;
-  const platform = {
-    readConfig(...args: Parameters<Platform['readConfig']>) {
-      reads++;
-      return readConfig(...args);
-    },
-  } as Platform;
   const keeper = keepConfig(
-    platform,
+    counted.platform,
     clock,
     () => undefined,
     () => isRelayed,
@@ -113,12 +123,12 @@
   await clock.advance(1_000);
   isRelayed = true;
   await clock.advance(2_000);
-  const before = reads;
+  const before = counted.reads;
   keeper.takeRelayed(config(2), 2);
   keeper.noteCursor(2);
   await clock.advance(20_000);
   t.equal(keeper.current()?.version, 2);
-  t.equal(reads, before, 'nothing is read');
+  t.equal(counted.reads, before, 'nothing is read');
   source.versions.push(2, 3);
   isRelayed = false;
   await clock.advance(600);
@@ -191,16 +201,10 @@
 void tap.test('a router that starts reads once', async t => {
   const clock = createManualClock(1_000);
   const source = createSource(clock);
-  let reads = 0;
-  const platform = {
-    readConfig(cursor: number | null, waitMs: number) {
-      reads++;
-      return source.platform.readConfig(cursor, waitMs);
-    },
-  } as unknown as Platform;
+  const counted = countReads(source.platform);
   let isRelayed = false;
   const keeper = keepConfig(
-    platform,
+    counted.platform,
     clock,
     () => undefined,
     () => isRelayed,
@@ -210,7 +214,7 @@
   t.equal(keeper.current()?.version, 1);
   isRelayed = true;
   await clock.advance(3_000);
-  t.equal(reads, 1);
+  t.equal(counted.reads, 1);
   isRelayed = false;
   source.versions.push(2);
   await clock.advance(1_500);
--- a/packages/gateway/test/link.test.ts
+++ b/packages/gateway/test/link.test.ts
@@ -19,6 +19,7 @@
   type LinkClient,
 } from '@banyandrum/gateway/link-client.js';
 import {serveLinks} from '@banyandrum/gateway/link-server.js';
+import type {Candidate} from '@banyandrum/gateway/room.js';
 import {
   createServerList,
   type ServerList,
@@ -157,19 +158,11 @@
   });
   const path = await startPath(listen);
   const list = createServerList(clock, emit, 2_000);
-  const link = followLeader({
-    ...{clock, emit, list, owners: createKeyOwners(clock, emit)},
-    chosen: chosen ?? (() => path.address),
-    isLeading: () => false,
-    self: {address: `${HOST}:2`, room: ROOM, dataCentre: 'a'},
-    onOffered: () => undefined,
-    onLost: () => undefined,
-    epoch: () => null,
-    noteConfigCursor: () => undefined,
-    takeConfig: () => undefined,
-    configCursor: () => null,
-    noteRouters: () => undefined,
-  });
+  const link = startRouter(
+    {address: `${HOST}:2`, room: ROOM, dataCentre: 'a'},
+    list,
+    chosen ?? (() => path.address),
+  );
   return {
     ...{path, link, leaderList, list},
     close() {
@@ -284,22 +277,11 @@
 
 /** A router at `address` that follows the leader, and says that it has room. */
 async function followAs(leader: string, address: string): Promise<LinkClient> {
-  const clock = createClock();
-  const emit = (): void => undefined;
-  const link = followLeader({
-    ...{clock, emit, owners: createKeyOwners(clock, emit)},
-    list: createServerList(clock, emit, 2_000),
-    chosen: () => leader,
-    isLeading: () => false,
-    self: {address, room: ROOM, dataCentre: 'b'},
-    onOffered: () => undefined,
-    onLost: () => undefined,
-    epoch: () => null,
-    noteConfigCursor: () => undefined,
-    takeConfig: () => undefined,
-    configCursor: () => null,
-    noteRouters: () => undefined,
-  });
+  const link = startRouter(
+    {address, room: ROOM, dataCentre: 'b'},
+    createServerList(createClock(), () => undefined, 2_000),
+    () => leader,
+  );
   await until(async () => link.leader() !== null);
   return link;
 }
