--- a/packages/gateway/test/link.test.ts
+++ b/packages/gateway/test/link.test.ts
@@ -133,6 +133,28 @@
   ...{slots: 2, isLeaving: false, coldMs: 0},
 };
 
+/** A router that never leads; its list of servers is `list`. */
+function startRouter(
+  self: Candidate,
+  list: ServerList,
+  chosen: () => string | null,
+): LinkClient {
+  const clock = createClock();
+  const emit = (): void => undefined;
+  return followLeader({
+    ...{clock, emit, list, self, chosen},
+    owners: createKeyOwners(clock, emit),
+    isLeading: () => false,
+    onOffered: () => undefined,
+    onLost: () => undefined,
+    epoch: () => null,
+    noteConfigCursor: () => undefined,
+    takeConfig: () => undefined,
+    configCursor: () => null,
+    noteRouters: () => undefined,
+  });
+}
+
 async function startScene(chosen?: () => string | null): Promise<Scene> {
   const clock = createClock();
   const emit = (): void => undefined;
