Sight: a lost request's line tells whose it was, and a digest of what it asked

Lines of lost requests named the server only: whether one content was at every server that ended could not be told from bystanders of servers that ended by themselves.

--- a/packages/dispatch/src/journey.ts
+++ b/packages/dispatch/src/journey.ts
@@ -18,6 +18,10 @@
   /** Names and values in turn, without those that each attempt sets. */
   readonly headers: readonly string[];
   readonly body: Buffer | null;
+  /** Who asks, by IP number. */
+  readonly caller: string;
+  /** The digest of what it asks (`content.ts`), made when it is wanted first. */
+  readonly content: () => string;
   readonly route: Route;
   readonly service: string;
   /** Null where the service isn't divided by key. */
--- a/packages/dispatch/src/take-end.ts
+++ b/packages/dispatch/src/take-end.ts
@@ -41,7 +41,10 @@
   const common = {id: req.id, server: backend.info.id, tookMs: round(tookMs)};
   if (end.kind === 'lost') {
     const {reason, isWritten, detail} = end;
-    cfg.emit('attempt-lost', {...common, reason, isWritten, detail});
+    cfg.emit('attempt-lost', {
+      ...{...common, reason, isWritten, detail},
+      ...(isWritten && {caller: req.caller, content: req.content()}),
+    });
     return takeLoss(journey, backend, end, sentAt);
   }
   const {answer} = end;
--- a/packages/dispatch/test/forward.test.ts
+++ b/packages/dispatch/test/forward.test.ts
@@ -106,6 +106,8 @@
       key: null,
       firstAskedAt: clock.now(),
       deadline: clock.now() + 500,
+      caller: '10.0.0.9',
+      content: () => 'c1',
       signal: createCanceller().signal,
     },
   );
--- a/packages/gateway/src/entry.ts
+++ b/packages/gateway/src/entry.ts
@@ -8,6 +8,7 @@
 import type {Clock} from '@banyandrum/base/clock.js';
 import {failure} from '@banyandrum/base/failure.js';
 import {createId} from '@banyandrum/base/ids.js';
+import {contentOf, type Asked} from '@banyandrum/dispatch/content.js';
 import type {Emit} from '@banyandrum/dispatch/events.js';
 import {forward} from '@banyandrum/dispatch/forward.js';
 import type {ForwardConfig} from '@banyandrum/dispatch/journey.js';
@@ -249,15 +250,21 @@
   }
   const limitMs = callerDeadlineMs(names, req);
   arrival.askedMs = state.ages.take(route.name, limitMs);
-  return forward(state.forward, {
-    id,
+  const asked: Asked = {
+    caller: req.socket.remoteAddress ?? '',
     method: req.method ?? 'GET',
+    host: req.headers.host ?? '',
     path: req.url ?? '/',
+    ...{key, body: body.bytes},
+  };
+  let content: string | null = null;
+  return forward(state.forward, {
+    id,
+    ...asked,
+    content: () => (content ??= contentOf(asked)),
     headers: forwardHeaders(own, req, id, names.requestId),
-    body: body.bytes,
     route,
     service,
-    key,
     firstAskedAt: arrival.arrivedAt - arrival.askedMs,
     deadline: deadlineOf(limitMs, route, arrival.arrivedAt),
     signal: arrival.signal,
