--- a/packages/operators/src/access.ts
+++ b/packages/base/src/access.ts
@@ -1,5 +1,13 @@
 import {createHash, timingSafeEqual} from 'node:crypto';
-import type {Operator, Role} from './actions.js';
+
+/** What a token allows; a publisher may do all that a viewer may. */
+export type Role = 'viewer' | 'publisher';
+
+/** Who asks, by the token presented. */
+export interface Operator {
+  readonly name: string;
+  readonly role: Role;
+}
 
 /** A token that an operator may present, known by its digest alone. */
 export interface OperatorToken {
--- a/packages/base/src/failure.ts
+++ b/packages/base/src/failure.ts
@@ -13,6 +13,7 @@
   | 'moved'
   | 'fenced'
   | 'refused'
+  | 'quarantined'
   | 'connection-lost'
   | 'truncated'
   | 'stopping'
--- a/packages/callers/src/problem.ts
+++ b/packages/callers/src/problem.ts
@@ -33,6 +33,11 @@
   moved: {status: 503, title: 'The key has moved', retryAfterMs: 200},
   fenced: {status: 503, title: 'Ownership changed', retryAfterMs: 200},
   refused: {status: 503, title: 'Refused by the server', retryAfterMs: 1000},
+  quarantined: {
+    status: 503,
+    title: 'Servers ended under it',
+    retryAfterMs: 60_000,
+  },
   'connection-lost': {status: 502, title: 'The connection was lost'},
   truncated: {status: 502, title: 'The answer was cut short'},
   stopping: {status: 503, title: 'Stopping', retryAfterMs: 1000},
--- a/packages/dispatch/src/backend.ts
+++ b/packages/dispatch/src/backend.ts
@@ -27,6 +27,8 @@
   inFlight: number;
   /** Requests of all routers there, as this one handed out its places. */
   placed: number;
+  /** Whether a suspected request is among these. */
+  hasTrial: boolean;
   /** Requests of other routers there, as the last answer told. */
   others: number;
   /** Monotonic time of that answer, in ms. */
@@ -74,6 +76,7 @@
     ),
     inFlight: 0,
     placed: 0,
+    hasTrial: false,
     others: 0,
     othersAt: now,
     serviceMs: 0,
--- a/packages/dispatch/src/find-target.ts
+++ b/packages/dispatch/src/find-target.ts
@@ -1,7 +1,12 @@
 import type {Backend} from './backend.js';
 import {choose, hasRoom, loadOf} from './choose.js';
 import type {Connection} from './connections.js';
-import {MIN_SEND_MS, type ForwardConfig, type Journey} from './journey.js';
+import {
+  MIN_SEND_MS,
+  turnAway,
+  type ForwardConfig,
+  type Journey,
+} from './journey.js';
 import type {PlaceEnd} from './places.js';
 
 /** A server that a request may go to now. */
@@ -10,6 +15,8 @@
   readonly connection: Connection;
   /** Requests there before it, where no place was handed out. */
   readonly ahead: number;
+  /** Whether no other suspected request is at the server meanwhile. */
+  readonly isTrial: boolean;
   /** Tells whoever handed out the place how the request ended. */
   end(how: PlaceEnd, tookMs: number): void;
 }
@@ -29,6 +36,11 @@
   for (;;) {
     const leftMs = req.deadline - cfg.clock.now();
     if (req.signal.aborted || leftMs < MIN_SEND_MS) return null;
+    const standing = cfg.quarantine.standingOf(req);
+    if (standing === 'quarantined') {
+      turnAway(journey, standing);
+      return null;
+    }
     const place = await cfg.places.acquire(
       {
         id: req.id,
@@ -40,6 +52,7 @@
         askedMs: cfg.clock.now() - req.firstAskedAt,
         excluded: [...journey.excluded],
         dataCentre: cfg.dataCentre,
+        ...(standing === 'suspected' && {trial: req.content()}),
       },
       req.signal,
     );
@@ -49,11 +62,17 @@
       return null;
     }
     if (place.kind === 'unavailable') return findAlone(journey);
+    // A server ended under it while it waited: it must not go on as it was let.
+    if (cfg.quarantine.standingOf(req) !== standing) {
+      place.end('cancelled', 0);
+      continue;
+    }
     const backend = cfg.backends.get(place.server);
     if (backend !== undefined && mayUse(cfg, backend)) {
       const connection = backend.connections.acquire();
       if (connection !== null) {
-        return {backend, connection, ahead: 0, end: place.end};
+        const isTrial = standing === 'suspected';
+        return {backend, connection, ahead: 0, isTrial, end: place.end};
       }
     }
     // Whoever handed it out knows another list of servers, or connections
@@ -71,6 +90,12 @@
   if (req.key !== null) cfg.owners.noteRequest(req.service, req.key);
   for (;;) {
     if (req.signal.aborted) return null;
+    // Only the leader can see to it that it is at one server at a time.
+    const standing = cfg.quarantine.standingOf(req);
+    if (standing !== 'unknown') {
+      turnAway(journey, standing);
+      return null;
+    }
     const target = pickTarget(journey);
     if (target !== null) return target;
     const left = giveUpAt - cfg.clock.now();
@@ -101,7 +126,8 @@
     return null;
   }
   const ahead = loadOf(backend, 0, cfg.clock.now());
-  return {backend, connection, ahead, end: () => undefined};
+  const end = (): void => undefined;
+  return {backend, connection, ahead, isTrial: false, end};
 }
 
 function pickAny({cfg, req, excluded}: Journey): Backend | null {
--- a/packages/dispatch/src/forward.ts
+++ b/packages/dispatch/src/forward.ts
@@ -4,13 +4,14 @@
 import {
   giveUp,
   MIN_SEND_MS,
+  turnAway,
   type ForwardConfig,
   type ForwardRequest,
   type Journey,
   type Reply,
 } from './journey.js';
 import {nameOfRun} from './server-run.js';
-import {placeEndOf, takeEnd} from './take-end.js';
+import {isRefusal, placeEndOf, takeEnd} from './take-end.js';
 import type {WireNames} from './wire.js';
 
 /** Attempts that a request may take, those that reached nobody included. */
@@ -44,6 +45,11 @@
     retryAfterMs: RETRY_AFTER_MS,
     cause: req.key === null ? 'overloaded' : 'no-owner',
   };
+  const standing = cfg.quarantine.standingOf(req);
+  if (standing === 'quarantined') {
+    turnAway(journey, standing);
+    return giveUp(journey);
+  }
   cfg.budget.earn(req.service);
   for (;;) {
     const target = await findTarget(journey);
@@ -83,6 +89,11 @@
   req.signal.removeEventListener('abort', cancel);
   backend.inFlight--;
   backend.connections.release(connection, end.kind === 'answered');
+  const isRefused = isRefusal(cfg.names, end);
+  const {isTrial} = target;
+  // Before its place is free again: whoever hands out places must know what
+  // this one did to the server before the same request is sent to the next.
+  await cfg.quarantine.note({req, backend, end, isTrial, isRefused, sentAt});
   target.end(placeEndOf(cfg.names, end), cfg.clock.now() - sentAt);
   const reply = takeEnd(journey, backend, end, sentAt, ahead);
   cfg.backends.notifyRoom(req.service);
--- a/packages/dispatch/src/free-server.ts
+++ b/packages/dispatch/src/free-server.ts
@@ -4,6 +4,7 @@
 import type {Emit} from './events.js';
 import type {Owner} from './owners.js';
 import type {PlaceAsk} from './places.js';
+import type {Suspects} from './suspects.js';
 import {costOf, DEFAULT_SERVICE_MS, isSound} from './server-cost.js';
 
 /** What issuing places needs. */
@@ -12,6 +13,7 @@
   readonly clock: Clock;
   readonly emit: Emit;
   ownerOf(service: string, key: number): Owner;
+  readonly suspects: Pick<Suspects, 'standingOf' | 'noteAlive'>;
 }
 
 /**
@@ -43,7 +45,7 @@
 
 function findOwner(
   {backends, clock, ownerOf}: PlaceIssuerConfig,
-  {service}: PlaceAsk,
+  {service, trial}: PlaceAsk,
   key: number,
 ): Backend | null {
   const owner = ownerOf(service, key);
@@ -51,6 +53,7 @@
   const backend = backends.get(owner.server);
   if (backend === undefined || backend.isGone) return null;
   if (backend.suspectUntil > clock.now()) return null;
+  if (trial !== undefined && backend.hasTrial) return null;
   return hasSlot(backend) ? backend : null;
 }
 
@@ -61,7 +64,7 @@
 
 function findAny(
   {backends, clock}: PlaceIssuerConfig,
-  {service, excluded, dataCentre}: PlaceAsk,
+  {service, excluded, dataCentre, trial}: PlaceAsk,
 ): Backend | null {
   const now = clock.now();
   const group = backends.ofService(service);
@@ -74,6 +77,7 @@
   for (const backend of group) {
     // First what costs least: under load hardly any server has a free slot.
     if (!hasSlot(backend) || !mayServe(backend)) continue;
+    if (trial !== undefined && backend.hasTrial) continue;
     const ms = placeCost(backend, dataCentre, now);
     if (isSound(backend, now)) {
       if (ms >= soundMs) continue;
--- a/packages/dispatch/src/journey.ts
+++ b/packages/dispatch/src/journey.ts
@@ -7,7 +7,9 @@
 import type {Emit} from './events.js';
 import type {Owners} from './owners.js';
 import type {Places} from './places.js';
+import type {Quarantine} from './quarantine.js';
 import type {RetryBudget} from './retry-budget.js';
+import type {Standing} from './suspects.js';
 import type {WireNames} from './wire.js';
 
 /** A caller's request, as it goes to a backend server. */
@@ -45,6 +47,7 @@
   readonly places: Places;
   readonly dataCentre: string;
   readonly budget: RetryBudget;
+  readonly quarantine: Quarantine;
   readonly names: WireNames;
   readonly clock: Clock;
   readonly emit: Emit;
@@ -71,7 +74,7 @@
   /** When the caller should come back after a refusal, in ms. */
   retryAfterMs: number;
   /** Why it was not run, where that is what becomes of it. */
-  cause: 'overloaded' | 'no-owner' | 'refused';
+  cause: 'overloaded' | 'no-owner' | 'refused' | 'quarantined';
 }
 
 /** Less time than this is not worth sending a request for, in ms. */
@@ -81,8 +84,24 @@
   overloaded: 'no server has room in time',
   'no-owner': 'no server holds the key now',
   refused: 'the server turned it away',
+  quarantined: 'servers ended under it',
 };
 
+/**
+ * A request under which servers ended comes back to the same answer, until an
+ * operator clears it: its caller need not ask sooner than that, in ms.
+ */
+const QUARANTINED_RETRY_MS = 60_000;
+/** One that is only suspected may be tried by then, in ms. */
+const SUSPECTED_RETRY_MS = 1_000;
+
+/** Ends the journey of a request under which servers ended. */
+export function turnAway(journey: Journey, standing: Standing): void {
+  journey.cause = 'quarantined';
+  journey.retryAfterMs =
+    standing === 'quarantined' ? QUARANTINED_RETRY_MS : SUSPECTED_RETRY_MS;
+}
+
 /** What the caller gets where no further attempt will be made. */
 export function giveUp(journey: Journey): Reply {
   const {req} = journey;
--- a/packages/dispatch/src/place-issuer.ts
+++ b/packages/dispatch/src/place-issuer.ts
@@ -62,10 +62,17 @@
   const capacities = createCapacities(cfg.backends, cfg.clock);
   const patience = createPatience();
   const queue = {backends: cfg.backends, capacities, patience};
+  /** Suspected requests that wait or have a place. */
+  const trials = new Set<string>();
   let cancelReview: (() => void) | null = null;
 
+  const endTrial = ({ask: {trial}}: Waiter): void => {
+    if (trial !== undefined) trials.delete(trial);
+  };
+
   const finish = (waiter: Waiter, reply: PlaceReply): void => {
     leave(waiter);
+    if (reply.kind !== 'granted') endTrial(waiter);
     waiter.reply(reply);
   };
 
@@ -87,10 +94,23 @@
     });
   };
 
+  /** Of a trial that isn't made; another one of its kind may be under way. */
+  const turnAway = (waiter: Waiter, why: string): (() => void) => {
+    const {id, service, key, trial} = waiter.ask;
+    cfg.emit('place-refused', {id, service, key, why, trial});
+    waiter.reply({
+      kind: 'refused',
+      retryAfterMs: RETRY_AFTER_MS,
+      isUnheld: false,
+    });
+    return () => undefined;
+  };
+
   const grant = (waiter: Waiter, backend: Backend): void => {
     waiter.server = backend.info.id;
     waiter.grantedAt = cfg.clock.now();
     backend.placed++;
+    if (waiter.ask.trial !== undefined) backend.hasTrial = true;
     finish(waiter, {kind: 'granted', server: backend.info.id});
   };
 
@@ -113,8 +133,10 @@
       }
       if (tryNow(waiter)) continue;
       // What doesn't help this one helps the others neither, but for those
-      // that were at some of the servers already.
-      if (lane.holder !== null || waiter.ask.excluded.length === 0) return;
+      // that were at some of the servers already, and trials.
+      const {excluded, trial} = waiter.ask;
+      const isSpecial = lane.holder === null && excluded.length > 0;
+      if (!isSpecial && trial === undefined) return;
       passedOver.add(waiter);
     }
   };
@@ -149,6 +171,8 @@
     if (isTooMany(queue, lane, waiter)) return refuse(waiter, 'too-many-wait');
     join(lane, waiter);
     scheduleReview();
+    // A trial ahead of it may wait for a server without another one.
+    if (trials.size > 0) serve(lane);
   };
 
   return {
@@ -173,6 +197,12 @@
         lane: null,
       };
       const lane = lanes.of(ask);
+      if (ask.trial !== undefined) {
+        const standing = cfg.suspects.standingOf(ask.trial);
+        if (standing === 'quarantined') return turnAway(waiter, standing);
+        if (trials.has(ask.trial)) return turnAway(waiter, 'trial-runs');
+        trials.add(ask.trial);
+      }
       if (waiter.endsAt < now) refuse(waiter, 'no-time');
       else if (countAhead(lane, waiter) > 0 || !tryNow(waiter)) {
         enqueue(lane, waiter);
@@ -180,6 +210,7 @@
       return (how, tookMs) => {
         const {server} = waiter;
         waiter.server = null;
+        if (server !== null || waiter.lane !== null) endTrial(waiter);
         if (server === null) return leave(waiter);
         const backend = cfg.backends.get(server);
         if (backend !== undefined) takeBack(cfg, backend, waiter, how, tookMs);
@@ -218,15 +249,17 @@
 }
 
 function takeBack(
-  {clock}: PlaceIssuerConfig,
+  {clock, suspects}: PlaceIssuerConfig,
   backend: Backend,
-  {grantedAt}: Waiter,
+  {grantedAt, ask}: Waiter,
   how: PlaceEnd,
   tookMs: number,
 ): void {
   backend.placed = Math.max(0, backend.placed - 1);
+  if (ask.trial !== undefined) backend.hasTrial = false;
   const now = clock.now();
   if (how === 'answered' || how === 'failed') {
+    suspects.noteAlive(backend.info.id, grantedAt);
     noteAnswer(backend, now, tookMs, 0, how === 'failed', null);
   } else if (how === 'lost') {
     noteLoss(backend, now, tookMs);
--- a/packages/dispatch/src/places.ts
+++ b/packages/dispatch/src/places.ts
@@ -17,6 +17,11 @@
   readonly askedMs: number;
   /** Servers that it was sent to in vain. */
   readonly excluded: readonly string[];
+  /**
+   * The digest of what it asks, where a server ended under it before: it is at
+   * one server at a time, and beside no other of its kind.
+   */
+  readonly trial?: string;
   /** The asking router's data centre. */
   readonly dataCentre: string;
 }
--- /dev/null
+++ b/packages/dispatch/src/quarantine.ts
@@ -0,0 +1,68 @@
+import type {AttemptEnd} from './attempt.js';
+import type {Backend} from './backend.js';
+import type {ForwardRequest} from './journey.js';
+import type {ServerEnds} from './server-ends.js';
+import type {About, Standing, Suspects} from './suspects.js';
+
+/** What keeps a request that ends servers from more of them. */
+export interface Quarantine {
+  standingOf(req: ForwardRequest): Standing;
+  /**
+   * Takes into account how a request's attempt at a server ended. Resolves
+   * once it is known whether the server's run ended under it, or after a
+   * moment.
+   */
+  note(attempt: SentAttempt): Promise<void>;
+}
+
+/** An attempt that came to its end. */
+export interface SentAttempt {
+  readonly req: ForwardRequest;
+  readonly backend: Backend;
+  readonly end: AttemptEnd;
+  readonly isTrial: boolean;
+  /** Whether the server did not run it. */
+  readonly isRefused: boolean;
+  /** Monotonic, in ms. */
+  readonly sentAt: number;
+}
+
+/**
+ * Watches over what becomes of servers under requests.
+ *
+ * @example
+ * ```ts
+ * const quarantine = createQuarantine(suspects, ends);
+ * if (quarantine.standingOf(req) === 'quarantined') refuse(req);
+ * ```
+ */
+export function createQuarantine(
+  suspects: Suspects,
+  ends: ServerEnds,
+): Quarantine {
+  return {
+    standingOf(req) {
+      if (suspects.isEmpty()) return 'unknown';
+      return suspects.standingOf(req.content());
+    },
+    async note({req, backend, end, isTrial, isRefused, sentAt}) {
+      const {id} = backend.info;
+      if (end.kind === 'answered') {
+        suspects.noteAlive(id, sentAt);
+        if (!isRefused && !suspects.isEmpty()) {
+          suspects.clearAnswered(req.content());
+        }
+        return;
+      }
+      if (!end.isWritten) return;
+      const strike = (): void =>
+        suspects.strike(aboutOf(req), {server: id, isTrial});
+      if (end.reason === 'cancelled') return ends.left(backend, strike);
+      if (end.reason === 'connection-lost') await ends.lost(backend, strike);
+    },
+  };
+}
+
+function aboutOf({content, caller, service, route}: ForwardRequest): About {
+  return {content: content(), caller, service, route: route.name};
+}
--- /dev/null
+++ b/packages/dispatch/src/suspects.ts
@@ -0,0 +1,343 @@
+import type {Clock} from '@banyandrum/base/clock.js';
+import type {Emit} from './events.js';
+
+/** A server's run that ended while the request was there. */
+export interface Strike {
+  /** The id of the run. */
+  readonly server: string;
+  /** Whether it was sent as a trial: known to be suspected, no other beside it. */
+  readonly isTrial: boolean;
+}
+
+/** Why a request is believed to be harmless after all. */
+export interface Clearing {
+  /** `answered`, or the operator's name. */
+  readonly by: string;
+  readonly reason: string;
+  /** Time of day, ms since 1970. */
+  readonly at: number;
+}
+
+/** What routers know of a request under which servers ended. */
+export interface Suspect {
+  /** The digest of what it asks (`content.ts`). */
+  readonly content: string;
+  readonly caller: string;
+  readonly service: string;
+  readonly route: string;
+  /** Counts its clearings; what belongs to an earlier round is void. */
+  readonly round: number;
+  readonly strikes: readonly Strike[];
+  /** Not sent to any server until it is cleared. */
+  readonly isQuarantined: boolean;
+  readonly cleared: Clearing | null;
+}
+
+/** What a request is to be taken for. */
+export type Standing = 'unknown' | 'suspected' | 'quarantined';
+
+/** Whose request it is; the same in all its rounds. */
+export type About = Pick<Suspect, 'content' | 'caller' | 'service' | 'route'>;
+
+/** Told of rows that changed; `isOwn`: by what this router saw or was told. */
+export type SuspectListener = (
+  rows: readonly Suspect[],
+  isOwn: boolean,
+) => void;
+
+/** Requests under which servers ended, as far as this router knows. */
+export interface Suspects {
+  standingOf(content: string): Standing;
+  /** Whether nothing is suspected: contents need not be looked up. */
+  isEmpty(): boolean;
+  /** A server's run ended under the request. */
+  strike(about: About, strike: Strike): void;
+  /** A server answered the request whole, and lives. */
+  clearAnswered(content: string): void;
+  /** An operator's word; false where it isn't quarantined. */
+  clear(content: string, by: string, reason: string): boolean;
+  /**
+   * The server answered a request that was sent at `sentAt`, monotonic, in ms.
+   * Where its run was taken for ended before, it wasn't.
+   */
+  noteAlive(server: string, sentAt: number): void;
+  /** Takes what another router, or the record, says. */
+  merge(rows: readonly Suspect[]): void;
+  /** Quarantines what has ended servers often enough: the leader's part. */
+  judge(): void;
+  get(content: string): Suspect | undefined;
+  /** All rows; the same array until one changes. */
+  rows(): readonly Suspect[];
+  subscribe(listener: SuspectListener): void;
+}
+
+/** So many servers must have ended under a request, the last in a trial. */
+const MIN_STRIKES = 3;
+/** Ended servers that are told of one request. */
+const MAX_STRIKES = 16;
+/** Rows of requests that aren't quarantined, and of those that are. */
+const MAX_OPEN = 1_000;
+const MAX_QUARANTINED = 1_000;
+/** Servers that were wrongly taken for ended. */
+const MAX_ALIVE = 1_000;
+/** One that isn't quarantined is forgotten after this time, in ms. */
+const FORGET_MS = 600_000;
+
+/**
+ * Makes the table. Rows of several routers merge in any order to the same: a
+ * later round goes before an earlier one, and strikes of one round add up.
+ *
+ * A request that was beside the bad one is told apart by three signs: it is
+ * answered whole when it is sent again; in a trial no other suspected request
+ * is at the same server; and a server that ended under a quarantined request
+ * is held against no other.
+ *
+ * @example
+ * ```ts
+ * const suspects = createSuspects(clock, emit);
+ * suspects.strike(about, {server: 'i-7', isTrial: false});
+ * suspects.standingOf(about.content); // 'suspected'
+ * ```
+ */
+export function createSuspects(
+  clock: Clock,
+  emit: Emit,
+  unixNow: () => number = Date.now,
+): Suspects {
+  const table = new Map<string, Suspect>();
+  const changedAt = new Map<string, number>();
+  /** Runs that were struck, and when this router heard of it, in ms. */
+  const struckAt = new Map<string, number>();
+  const alive = new Set<string>();
+  const listeners: SuspectListener[] = [];
+  let rows: readonly Suspect[] = [];
+  let standings: ReadonlyMap<string, Standing> = new Map();
+
+  const changed = (some: readonly Suspect[], isOwn: boolean): void => {
+    forgetOld();
+    rows = [...table.values()];
+    standings = standingsOf(rows, alive);
+    struckAt.forEach((_, server) => {
+      const isKnown = rows.some(({strikes}) =>
+        strikes.some(each => each.server === server),
+      );
+      if (!isKnown) struckAt.delete(server);
+    });
+    for (const listener of listeners) listener(some, isOwn);
+  };
+
+  const put = (row: Suspect): void => {
+    table.set(row.content, row);
+    changedAt.delete(row.content);
+    changedAt.set(row.content, clock.now());
+    for (const {server} of row.strikes) {
+      if (!struckAt.has(server)) struckAt.set(server, clock.now());
+    }
+  };
+
+  const drop = (content: string): void => {
+    table.delete(content);
+    changedAt.delete(content);
+  };
+
+  /** Old rows go, and of too many those of the caller that has most. */
+  const forgetOld = (): void => {
+    const now = clock.now();
+    for (const [content, at] of changedAt) {
+      const isKept = table.get(content)!.isQuarantined;
+      if (!isKept && now - at > FORGET_MS) drop(content);
+    }
+    for (const isQuarantined of [false, true]) {
+      const most = isQuarantined ? MAX_QUARANTINED : MAX_OPEN;
+      const own = [...table.values()].filter(
+        row => row.isQuarantined === isQuarantined,
+      );
+      for (let left = own.length; left > most; left--) {
+        drop(oldestOfMost(own, table));
+      }
+    }
+  };
+
+  /** A caller that fills the table pushes out its own rows only. */
+  const oldestOfMost = (
+    own: readonly Suspect[],
+    kept: ReadonlyMap<string, Suspect>,
+  ): string => {
+    const counts = new Map<string, number>();
+    const left = own.filter(({content}) => kept.has(content));
+    for (const {caller} of left) {
+      counts.set(caller, (counts.get(caller) ?? 0) + 1);
+    }
+    const most = Math.max(...counts.values());
+    const oldest = [...changedAt.keys()].find(content => {
+      const row = left.find(each => each.content === content);
+      return row !== undefined && counts.get(row.caller) === most;
+    });
+    return oldest!;
+  };
+
+  const startRound = (row: Suspect, cleared: Clearing): void => {
+    const next: Suspect = {
+      ...row,
+      ...{round: row.round + 1, strikes: [], isQuarantined: false, cleared},
+    };
+    put(next);
+    const {content, caller, service} = row;
+    const {by, reason} = cleared;
+    emit('request-cleared', {content, caller, service, by, reason});
+    changed([next], true);
+  };
+
+  const mergeRow = (row: Suspect): boolean => {
+    const known = table.get(row.content);
+    const next = known === undefined ? row : joined(known, row);
+    if (next === known) return false;
+    put(next);
+    return true;
+  };
+
+  return {
+    standingOf: content => standings.get(content) ?? 'unknown',
+    isEmpty: () => standings.size === 0,
+    strike(about, strike) {
+      const known = table.get(about.content) ?? createRow(about);
+      const next = joined(known, {...known, strikes: [strike]});
+      const {content, caller, service, route} = about;
+      emit('request-struck', {
+        ...{content, caller, service, route, ...strike},
+        strikes: next.strikes.length,
+      });
+      if (next === known) return;
+      put(next);
+      changed([next], true);
+    },
+    clearAnswered(content) {
+      const row = table.get(content);
+      if (row === undefined || row.strikes.length === 0) return;
+      const reason = 'a server answered it whole';
+      startRound(row, {by: 'answered', reason, at: unixNow()});
+    },
+    clear(content, by, reason) {
+      const row = table.get(content);
+      if (row === undefined || !row.isQuarantined) return false;
+      startRound(row, {by, reason, at: unixNow()});
+      return true;
+    },
+    noteAlive(server, sentAt) {
+      const at = struckAt.get(server);
+      if (at === undefined || sentAt <= at || alive.has(server)) return;
+      alive.add(server);
+      if (alive.size > MAX_ALIVE) {
+        const [oldest] = alive;
+        alive.delete(oldest!);
+      }
+      emit('server-alive', {server});
+      changed([], true);
+    },
+    merge(others) {
+      const news = others.filter(mergeRow).map(row => table.get(row.content)!);
+      if (news.length > 0) changed(news, false);
+    },
+    judge() {
+      const guilty = findGuilty(rows, alive);
+      if (guilty.length === 0) return;
+      const next = guilty.map(row => ({...row, isQuarantined: true}));
+      for (const row of next) {
+        put(row);
+        const {content, caller, service, route, strikes} = row;
+        const servers = strikes.map(({server}) => server).join(' ');
+        const about = {content, caller, service, route};
+        emit('request-quarantined', {...about, servers});
+      }
+      changed(next, true);
+    },
+    get: content => table.get(content),
+    rows: () => rows,
+    subscribe: listener => void listeners.push(listener),
+  };
+}
+
+function createRow(about: About): Suspect {
+  const {content, caller, service, route} = about;
+  const blank = {round: 0, strikes: [], isQuarantined: false, cleared: null};
+  return {content, caller, service, route, ...blank};
+}
+
+/** What both rows say together; `known` itself where that is nothing new. */
+function joined(known: Suspect, other: Suspect): Suspect {
+  if (other.round < known.round) return known;
+  if (other.round > known.round) return other;
+  const strikes = new Map(known.strikes.map(each => [each.server, each]));
+  for (const {server, isTrial} of other.strikes) {
+    const wasTrial = strikes.get(server)?.isTrial ?? false;
+    if (!strikes.has(server) && strikes.size >= MAX_STRIKES) continue;
+    strikes.set(server, {server, isTrial: wasTrial || isTrial});
+  }
+  const isQuarantined = known.isQuarantined || other.isQuarantined;
+  const next = {...known, strikes: [...strikes.values()], isQuarantined};
+  return isSame(known, next) ? known : next;
+}
+
+function isSame(a: Suspect, b: Suspect): boolean {
+  return (
+    a.isQuarantined === b.isQuarantined &&
+    a.strikes.length === b.strikes.length &&
+    a.strikes.every(({isTrial}, at) => isTrial === b.strikes[at]!.isTrial)
+  );
+}
+
+/** Strikes that nothing else explains. */
+function openStrikes(
+  {strikes}: Suspect,
+  explained: ReadonlySet<string>,
+  alive: ReadonlySet<string>,
+): readonly Strike[] {
+  return strikes.filter(
+    ({server}) => !explained.has(server) && !alive.has(server),
+  );
+}
+
+/** Servers that ended under requests that are quarantined. */
+function explainedBy(rows: readonly Suspect[]): Set<string> {
+  const guilty = rows.filter(({isQuarantined}) => isQuarantined);
+  return new Set(
+    guilty.flatMap(({strikes}) => strikes.map(({server}) => server)),
+  );
+}
+
+function standingsOf(
+  rows: readonly Suspect[],
+  alive: ReadonlySet<string>,
+): ReadonlyMap<string, Standing> {
+  const explained = explainedBy(rows);
+  const standings = new Map<string, Standing>();
+  for (const row of rows) {
+    if (row.isQuarantined) standings.set(row.content, 'quarantined');
+    else if (openStrikes(row, explained, alive).length > 0) {
+      standings.set(row.content, 'suspected');
+    }
+  }
+  return standings;
+}
+
+/** Those to be quarantined now, the one with the most strikes first. */
+function findGuilty(
+  rows: readonly Suspect[],
+  alive: ReadonlySet<string>,
+): readonly Suspect[] {
+  const explained = explainedBy(rows);
+  const guilty: Suspect[] = [];
+  const open = rows
+    .filter(({isQuarantined}) => !isQuarantined)
+    .sort((a, b) => b.strikes.length - a.strikes.length);
+  for (const row of open) {
+    const strikes = openStrikes(row, explained, alive);
+    // Servers that end together mark whatever they ran, a busy read many times
+    // at once; only a trial shows that the next one ends as well.
+    const isTried = strikes.some(({isTrial}) => isTrial);
+    if (strikes.length < MIN_STRIKES || !isTried) continue;
+    guilty.push(row);
+    for (const {server} of row.strikes) explained.add(server);
+  }
+  return guilty;
+}
--- a/packages/dispatch/src/take-end.ts
+++ b/packages/dispatch/src/take-end.ts
@@ -13,6 +13,11 @@
  */
 const TURNED_AWAY_MS = 30;
 
+/** Whether the server answered that it did not run the request. */
+export function isRefusal(names: WireNames, end: AttemptEnd): boolean {
+  return end.kind === 'answered' && end.answer.fields.has(names.notRun);
+}
+
 /** How an attempt ended, for whoever handed out its place. */
 export function placeEndOf(names: WireNames, end: AttemptEnd): PlaceEnd {
   if (end.kind === 'lost') {
@@ -20,7 +25,7 @@
     return end.isWritten ? 'lost' : 'unreached';
   }
   const {answer} = end;
-  if (answer.fields.has(names.notRun)) return 'refused';
+  if (isRefusal(names, end)) return 'refused';
   return isFailure(names, answer) ? 'failed' : 'answered';
 }
 
@@ -51,7 +56,7 @@
   const {fields, status} = answer;
   const load = readLoad(fields.get(cfg.names.load));
   journey.sent++;
-  if (fields.has(cfg.names.notRun)) {
+  if (isRefusal(cfg.names, end)) {
     cfg.emit('attempt-refused', {...common, status});
     noteAnswer(backend, now, tookMs, ahead, status === 421, load);
     return takeRefusal(journey, backend, answer);
--- a/packages/dispatch/test/find-alone.test.ts
+++ b/packages/dispatch/test/find-alone.test.ts
@@ -31,6 +31,7 @@
       ...{backends, clock, names: NAMES, dataCentre: 'a', routers: () => 81},
       emit: (event: string) => void events.push(event),
       places: {acquire: async () => ({kind: 'unavailable'})},
+      quarantine: {standingOf: () => 'unknown'},
     },
     req: {
       ...{id: 'r1', service: 'holds', key: null, route, firstAskedAt: 1_000},
--- a/packages/dispatch/test/forward.test.ts
+++ b/packages/dispatch/test/forward.test.ts
@@ -6,7 +6,10 @@
 import {forward} from '@banyandrum/dispatch/forward.js';
 import type {Reply} from '@banyandrum/dispatch/journey.js';
 import type {Owners} from '@banyandrum/dispatch/owners.js';
+import {createQuarantine} from '@banyandrum/dispatch/quarantine.js';
 import {createRetryBudget} from '@banyandrum/dispatch/retry-budget.js';
+import {createServerEnds} from '@banyandrum/dispatch/server-ends.js';
+import {createSuspects} from '@banyandrum/dispatch/suspects.js';
 import type {RequestKind} from '@banyandrum/routing/config.js';
 import {listenRaw, NAMES, type RawServer} from './raw-server.js';
 
@@ -81,6 +84,10 @@
       places: {acquire: async () => ({kind: 'unavailable'})},
       dataCentre: 'a',
       budget: createRetryBudget({ratio: 1, slack: 100}, () => 1),
+      quarantine: createQuarantine(
+        createSuspects(clock, () => undefined),
+        createServerEnds({clock, probe: async () => 'open'}),
+      ),
       names: NAMES,
       clock,
       emit: () => undefined,
--- a/packages/dispatch/test/place-issuer.test.ts
+++ b/packages/dispatch/test/place-issuer.test.ts
@@ -11,6 +11,7 @@
   PlaceEnd,
   PlaceReply,
 } from '@banyandrum/dispatch/places.js';
+import {createSuspects} from '@banyandrum/dispatch/suspects.js';
 import {
   createManualClock,
   type ManualClock,
@@ -52,6 +53,7 @@
     backends,
     clock,
     emit: () => undefined,
+    suspects: createSuspects(clock, () => undefined),
     ownerOf: (_, key) => ownerOf(key),
   });
   return {
--- a/packages/dispatch/test/place-work.test.ts
+++ b/packages/dispatch/test/place-work.test.ts
@@ -5,6 +5,7 @@
   type PlaceIssuer,
 } from '@banyandrum/dispatch/place-issuer.js';
 import type {PlaceAsk} from '@banyandrum/dispatch/places.js';
+import {createSuspects} from '@banyandrum/dispatch/suspects.js';
 import {createManualClock} from '@banyandrum/standins/manual-clock.js';
 
 const SERVERS = 200;
@@ -61,6 +62,7 @@
   watchServers(backends.ofService('holds'), looks);
   const issuer = createPlaceIssuer({
     ...{backends, clock, emit: () => undefined},
+    suspects: createSuspects(clock, () => undefined),
     ownerOf: () => ({kind: 'none'}),
   });
   const running: ReturnType<PlaceIssuer['ask']>[] = [];
--- a/packages/dispatch/test/play-load.ts
+++ b/packages/dispatch/test/play-load.ts
@@ -6,6 +6,7 @@
   type PlaceIssuer,
 } from '@banyandrum/dispatch/place-issuer.js';
 import type {PlaceReply} from '@banyandrum/dispatch/places.js';
+import {createSuspects} from '@banyandrum/dispatch/suspects.js';
 import {
   createManualClock,
   type ManualClock,
@@ -89,6 +90,7 @@
   const issuer = createPlaceIssuer({
     ...{backends, clock},
     emit: () => undefined,
+    suspects: createSuspects(clock, () => undefined),
     ownerOf: (_, key) => holderOf(key),
   });
   const slownessOf = new Map(
--- a/packages/gateway/src/link-client.ts
+++ b/packages/gateway/src/link-client.ts
@@ -1,6 +1,7 @@
 import {sleep, type Clock} from '@banyandrum/base/clock.js';
 import type {Emit} from '@banyandrum/dispatch/events.js';
 import type {Place, Places} from '@banyandrum/dispatch/places.js';
+import type {Suspect} from '@banyandrum/dispatch/suspects.js';
 import {credentials, makeGenericClientConstructor} from '@grpc/grpc-js';
 import {
   LINK_SERVICE,
@@ -57,6 +58,8 @@
   /** Asks the router at the address to lead; whether it does. */
   offer(address: string): Promise<boolean>;
   noteReplaced(server: string): void;
+  /** Tells the leader of requests under which servers ended. */
+  tellSuspects(rows: readonly Suspect[]): void;
   stop(): void;
 }
 
@@ -153,7 +156,11 @@
       const wasLeader = own.isLeader;
       takeMessage(cfg, own, message);
       if (!own.isLeader) return;
-      if (!wasLeader) cfg.emit('leader-followed', {leader});
+      if (!wasLeader) {
+        cfg.emit('leader-followed', {leader});
+        // What this router learnt of another leader, or of none.
+        tell(own, cfg.suspects.rows());
+      }
       heardAt = own.heardAt;
       guesses = 0;
       deputies = own.deputies;
@@ -204,6 +211,10 @@
     clock.after(FAREWELL_MS, () => stream.cancel());
   };
 
+  const tell = ({stream, isOpen}: Session, rows: readonly Suspect[]): void => {
+    if (isOpen && rows.length > 0) stream.write({kind: 'suspects', rows});
+  };
+
   const sendCounts = ({stream, isOpen}: Session): void => {
     const counts = cfg.owners.drainCounts();
     if (!isOpen || counts.size === 0) return;
@@ -287,6 +298,9 @@
     noteReplaced(server) {
       if (session?.isOpen) session.stream.write({kind: 'replaced', server});
     },
+    tellSuspects(rows) {
+      if (session !== null) tell(session, rows);
+    },
     stop() {
       isStopped = true;
     },
--- a/packages/gateway/src/link-codec.ts
+++ b/packages/gateway/src/link-codec.ts
@@ -12,11 +12,11 @@
 
 /**
  * `ask`, id, service, key, priority, time left, time to the aim, time that it
- * was asked for, excluded.
+ * was asked for, trial or nothing, excluded.
  */
 type AskRow = [
   ...['a', number, string, string, number | null, number],
-  ...[number, number, number, ...string[]],
+  ...[number, number, number, string, ...string[]],
 ];
 type EndRow = ['e', number, PlaceEnd, number];
 /** A server that was granted, or another reply. */
@@ -34,13 +34,13 @@
 /** What a router sends. */
 export function encodeFollower(message: FollowerMessage): Buffer {
   if (message.kind === 'ask') {
-    const {id, service, key, priority, excluded} = message.place;
+    const {id, service, key, priority, excluded, trial} = message.place;
     const left = Math.round(message.place.leftMs);
     const aimLeft = Math.round(message.place.aimLeftMs);
     const asked = Math.round(message.place.askedMs);
     const row: AskRow = [
       ...(['a', message.ask, id, service, key, priority] as const),
-      ...([left, aimLeft, asked, ...excluded] as const),
+      ...([left, aimLeft, asked, trial ?? '', ...excluded] as const),
     ];
     return encode(row);
   }
@@ -60,9 +60,12 @@
     return {kind: 'end', ask, how, tookMs};
   }
   const [, ask, id, service, key, priority, ...times] = read;
-  const [leftMs, aimLeftMs, askedMs, ...excluded] = times;
+  const [leftMs, aimLeftMs, askedMs, trial, ...excluded] = times;
   const limits = {leftMs, aimLeftMs, askedMs};
-  const place = {id, service, key, priority, ...limits, excluded};
+  const place = {
+    ...{id, service, key, priority, ...limits, excluded},
+    ...(trial !== '' && {trial}),
+  };
   return {kind: 'ask', ask, place};
 }
 
--- a/packages/gateway/src/link-messages.ts
+++ b/packages/gateway/src/link-messages.ts
@@ -3,6 +3,7 @@
   PlaceEnd,
   PlaceReply,
 } from '@banyandrum/dispatch/places.js';
+import type {Suspect} from '@banyandrum/dispatch/suspects.js';
 import type {ServiceDefinition} from '@grpc/grpc-js';
 import type {KeyCounts} from './key-owners.js';
 import type {WireConfig} from './link-config.js';
@@ -44,6 +45,8 @@
       readonly kind: 'counts';
       readonly counts: WireCounts;
     }
+  /** Requests under which servers ended, as this router saw it. */
+  | {readonly kind: 'suspects'; readonly rows: readonly Suspect[]}
   /** The run of a server has ended. */
   | {readonly kind: 'replaced'; readonly server: string};
 
@@ -70,6 +73,8 @@
        * where they are those of the stream's last state.
        */
       readonly deputies: readonly Candidate[] | null;
+      /** Rows that changed since the stream's last state, if any did. */
+      readonly suspects?: readonly Suspect[];
       /** Routers that follow the leader, and itself. */
       readonly routers: number;
       /** Since when the leader had no answer of the platform, in ms. */
--- a/packages/gateway/src/link-server.ts
+++ b/packages/gateway/src/link-server.ts
@@ -1,12 +1,14 @@
 import type {Emit} from '@banyandrum/dispatch/events.js';
 import type {PlaceIssuer} from '@banyandrum/dispatch/place-issuer.js';
 import type {PlaceEnd} from '@banyandrum/dispatch/places.js';
+import type {Suspects} from '@banyandrum/dispatch/suspects.js';
 import {
   Server,
   ServerCredentials,
   type sendUnaryData,
   type ServerDuplexStream,
 } from '@grpc/grpc-js';
+import {createGathered} from './gathered.js';
 import {
   HEARTBEAT_MS,
   LINK_SERVICE,
@@ -30,6 +32,7 @@
   readonly listen: string;
   readonly emit: Emit;
   readonly issuer: PlaceIssuer;
+  readonly suspects: Suspects;
   /** Whom this router follows, `ip:port`; null: nobody. */
   leader(): string | null;
   noteReplaced(server: string): void;
@@ -129,6 +132,9 @@
     if (!cfg.leadership.isLeading()) tellAll();
   });
   cfg.list.subscribe(tellAll);
+  // A server that ends strikes all requests that it ran, by several routers.
+  const gathered = createGathered(cfg.clock, tellAll);
+  cfg.suspects.subscribe(() => gathered.later());
 
   const beat = (): void => {
     teller.beat(followers);
@@ -240,6 +246,9 @@
   counts(cfg, _follower, {counts}) {
     cfg.leadership.takeCounts(toCounts(counts));
   },
+  suspects(cfg, _follower, {rows}) {
+    cfg.suspects.merge(rows);
+  },
   replaced(cfg, _follower, {server}) {
     cfg.noteReplaced(server);
   },
--- a/packages/gateway/src/link-session.ts
+++ b/packages/gateway/src/link-session.ts
@@ -1,4 +1,5 @@
 import type {ServerInfo} from '@banyandrum/dispatch/backend.js';
+import type {Suspects} from '@banyandrum/dispatch/suspects.js';
 import type {Place, PlaceReply} from '@banyandrum/dispatch/places.js';
 import type {ClientDuplexStream} from '@grpc/grpc-js';
 import type {RoutingConfig} from '@banyandrum/routing/config.js';
@@ -18,6 +19,7 @@
 export interface Beliefs {
   readonly owners: KeyOwners;
   readonly list: ServerList;
+  readonly suspects: Suspects;
   noteConfigCursor(cursor: number): void;
   takeConfig(config: RoutingConfig, cursor: number): void;
   /** Up to where this router knows the platform's configurations. */
@@ -141,6 +143,7 @@
     const ageMs = state.listAgeMs + HEARTBEAT_MS;
     cfg.list.takeSnapshot({cursor: listCursor, servers}, ageMs);
   }
+  if (state.suspects !== undefined) cfg.suspects.merge(state.suspects);
   if (state.config !== null) {
     cfg.takeConfig(unpackConfig(state.config), state.config.cursor);
   }
--- a/packages/gateway/src/link-telling.ts
+++ b/packages/gateway/src/link-telling.ts
@@ -1,4 +1,5 @@
 import type {ServerInfo} from '@banyandrum/dispatch/backend.js';
+import type {Suspect, Suspects} from '@banyandrum/dispatch/suspects.js';
 import type {Clock} from '@banyandrum/base/clock.js';
 import type {ServedTables} from './key-owners.js';
 import type {Leadership} from './leadership.js';
@@ -18,6 +19,7 @@
   readonly clock: Clock;
   readonly leadership: Leadership;
   readonly list: ServerList;
+  readonly suspects: Pick<Suspects, 'rows'>;
   configCursor(): number | null;
   /** The newest version that this router knows, and its cursor. */
   config(): WireConfig | null;
@@ -143,13 +145,15 @@
   readonly listDigest: string;
   readonly config: WireConfig | null;
   readonly deputies: readonly Candidate[];
+  readonly suspects: readonly Suspect[];
 }
 
 /** Keeps what routers are told; the same object while nothing changed. */
-function createShared({leadership, list, clock, config}: TellerConfig): {
+function createShared(cfg: TellerConfig): {
   /** `candidates`: those that could lead next. */
   current(candidates: readonly Candidate[]): Shared;
 } {
+  const {leadership, list, clock, config} = cfg;
   let shared: Shared = {
     tables: new Map(),
     tablesVersion: '',
@@ -158,6 +162,7 @@
     listDigest: digestOf([]),
     config: null,
     deputies: [],
+    suspects: [],
   };
   let tablesAt = -Infinity;
 
@@ -188,6 +193,11 @@
     shared = {...shared, config: newest};
   };
 
+  const takeSuspects = (): void => {
+    const suspects = cfg.suspects.rows();
+    if (suspects !== shared.suspects) shared = {...shared, suspects};
+  };
+
   const takeDeputies = (candidates: readonly Candidate[]): void => {
     const deputies = pickDeputies(candidates);
     const isKnown =
@@ -202,6 +212,7 @@
       takeTables(candidates.length + 1);
       takeList();
       takeConfig();
+      takeSuspects();
       return shared;
     },
   };
@@ -213,6 +224,7 @@
   servers: null,
   config: null,
   deputies: null,
+  suspects: [],
 } as const;
 
 /** What is told of all routers. */
@@ -221,7 +233,7 @@
 }
 
 /** What a router knows; null where it was told nothing of it. */
-type Told = Pick<Shared, 'tables' | 'config'> & {
+type Told = Pick<Shared, 'tables' | 'config' | 'suspects'> & {
   readonly servers: Shared['servers'] | null;
   readonly deputies: Shared['deputies'] | null;
 };
@@ -235,6 +247,8 @@
   const {list, room} = cfg;
   const isNews = told.config !== next.config;
   const {routers} = about;
+  const known = new Set(told.suspects);
+  const suspects = next.suspects.filter(row => !known.has(row));
   return {
     ...briefState(cfg, about),
     tables: diffTables(told.tables, next.tables),
@@ -242,6 +256,7 @@
     listCursor: list.snapshot()?.cursor ?? null,
     config: isNews && fits(next.config, room, routers) ? next.config : null,
     deputies: told.deputies === next.deputies ? null : next.deputies,
+    ...(suspects.length > 0 && {suspects}),
   };
 }
 
--- a/packages/gateway/src/platform.ts
+++ b/packages/gateway/src/platform.ts
@@ -1,6 +1,7 @@
 import type {ServerInfo} from '@banyandrum/dispatch/backend.js';
+import type {Suspect} from '@banyandrum/dispatch/suspects.js';
 import type {WireNames} from '@banyandrum/dispatch/wire.js';
-import type {Ledger} from '@banyandrum/ranges/ledger.js';
+import type {Ledger, SaveEnd} from '@banyandrum/ranges/ledger.js';
 import type {Orders} from '@banyandrum/ranges/orders.js';
 import type {RoutingConfig} from '@banyandrum/routing/config.js';
 
@@ -57,6 +58,16 @@
   list(): Promise<readonly string[] | null>;
 }
 
+/** Keeps what is quarantined for good, for one leader at a time. */
+export interface SuspectRecords {
+  /** All rows; null where they can't be read. */
+  load(): Promise<readonly Suspect[] | null>;
+  /** Writes a row for the leader of this term; one call at a time. */
+  save(epoch: number, row: Suspect): Promise<SaveEnd>;
+  /** Takes a row out. */
+  drop(epoch: number, content: string): Promise<SaveEnd>;
+}
+
 /** The platform as the router process uses it. */
 export interface Platform {
   readonly names: WireNames;
@@ -66,6 +77,7 @@
   /** `self` is this router's name, which is how the others find it. */
   members(self: string): Members;
   readonly ledger: Ledger;
+  readonly suspects: SuspectRecords;
   readonly orders: Orders;
   /** Calls to the platform since the start, by what they were for. */
   callCounts(): Readonly<Record<string, number>>;
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -3,7 +3,11 @@
 import {createId} from '@banyandrum/base/ids.js';
 import {createBackends} from '@banyandrum/dispatch/backends.js';
 import {createPlaceIssuer} from '@banyandrum/dispatch/place-issuer.js';
+import {probeServer} from '@banyandrum/dispatch/probe-server.js';
+import {createQuarantine} from '@banyandrum/dispatch/quarantine.js';
 import {createRetryBudget} from '@banyandrum/dispatch/retry-budget.js';
+import {createServerEnds} from '@banyandrum/dispatch/server-ends.js';
+import {createSuspects} from '@banyandrum/dispatch/suspects.js';
 import {createTiming} from '@banyandrum/ranges/timing.js';
 import {createSplitter} from '@banyandrum/routing/split.js';
 import {keepConfig} from './config-keeper.js';
@@ -25,6 +29,7 @@
 import {createServerList} from './server-list.js';
 import {createServiceTimes, drainTimes} from './service-times.js';
 import type {Settings} from './settings.js';
+import {shareSuspects} from './share-suspects.js';
 import {stopRouter} from './stop-router.js';
 import {createSuccession} from './succession.js';
 import {watchVitals} from './vitals.js';
@@ -81,6 +86,11 @@
   const owners = createKeyOwners(clock, emit);
   const times = createServiceTimes();
   list.subscribe(() => backends.update(list.snapshot()!.servers));
+  const suspects = createSuspects(clock, emit);
+  const ends = createServerEnds({clock, probe: probeServer});
+  list.subscribe(() => {
+    ends.watched().filter(list.isReplaced).forEach(ends.noteReplaced);
+  });
 
   const keyedServices = (): readonly string[] =>
     [...(keeper.current()?.services.values() ?? [])]
@@ -140,6 +150,7 @@
     emit,
     owners,
     list,
+    suspects,
     chosen: chosenAddress,
     isLeading: () => leadership.isLeading(),
     self: {address: settings.listen.peers, ...settings.host},
@@ -169,6 +180,7 @@
     clock,
     emit,
     ownerOf: (service, key) => owners.ownerOf(service, key),
+    suspects,
   });
   const keeper = keepConfig(
     platform,
@@ -207,12 +219,14 @@
         ...owners,
         noteReplaced(server) {
           owners.noteReplaced(server);
+          ends.noteReplaced(server);
           link.noteReplaced(server);
         },
       },
       places: createLocalPlaces({leadership, issuer, owners, link}),
       dataCentre: settings.host.dataCentre,
       budget: createRetryBudget(settings.retries, countRouters),
+      quarantine: createQuarantine(suspects, ends),
       names: platform.names,
       clock,
       emit,
@@ -243,6 +257,7 @@
     leadership,
     issuer,
     list,
+    suspects,
     configCursor: () => keeper.toldCursor(),
     config: () => keeper.packed(),
     configAgeMs: () => keeper.ageMs(),
@@ -288,6 +303,11 @@
     },
   });
 
+  shareSuspects({
+    ...{platform, clock, emit, leadership, suspects, link, goesOn},
+    unixNow: Date.now,
+  });
+
   const closeAll = (): void => {
     isOver = true;
     lag.stop();
--- /dev/null
+++ b/packages/gateway/src/share-suspects.ts
@@ -0,0 +1,120 @@
+import {sleep, type Clock} from '@banyandrum/base/clock.js';
+import type {Suspect, Suspects} from '@banyandrum/dispatch/suspects.js';
+import type {Leadership} from './leadership.js';
+import type {LinkClient} from './link-client.js';
+import type {Platform} from './platform.js';
+import {repeat, type RepeatConfig} from './repeat.js';
+
+/** What sharing what is suspected needs of the router. */
+export interface ShareConfig extends Pick<RepeatConfig, 'emit' | 'goesOn'> {
+  readonly clock: Clock;
+  readonly suspects: Suspects;
+  readonly leadership: Leadership;
+  readonly link: LinkClient;
+  readonly platform: Platform;
+  /** Time of day, in ms since 1970. */
+  unixNow(): number;
+}
+
+/** Pause after a call that failed, in ms. */
+const RETRY_MS = 500;
+/** A router that was told by no leader for so long reads the record, in ms. */
+const ALONE_MS = 3_000;
+/** Whether it was is looked at this often, in ms. */
+const LOOK_MS = 1_000;
+/** Clearings stay in the record for this time, as its audit trail, in ms. */
+const KEEP_MS = 90 * 86_400_000;
+
+/**
+ * Shares what this router knows of requests under which servers ended. Each
+ * tells the leader, which alone quarantines them, tells all, and writes down
+ * what must outlive every router.
+ *
+ * @example
+ * ```ts
+ * shareSuspects(cfg);
+ * ```
+ */
+export function shareSuspects(cfg: ShareConfig): void {
+  const {clock, suspects, leadership, link, platform} = cfg;
+  /** The rows in the record, by content. */
+  const recorded = new Map<string, Suspect>();
+  let isRead = false;
+  let ledEpoch: number | null = null;
+  let isWriting = false;
+
+  const read = async (): Promise<boolean> => {
+    const rows = await platform.suspects.load();
+    if (rows === null) return false;
+    isRead = true;
+    for (const row of rows) recorded.set(row.content, row);
+    suspects.merge(rows);
+    return true;
+  };
+
+  /** What the record lacks; each clearing of what it has, too. */
+  const unwritten = (): readonly Suspect[] =>
+    suspects.rows().filter(row => {
+      const known = recorded.get(row.content);
+      if (known === undefined) return row.isQuarantined;
+      return (
+        row.round > known.round || (!known.isQuarantined && row.isQuarantined)
+      );
+    });
+
+  const write = async (epoch: number): Promise<void> => {
+    if (isWriting) return;
+    isWriting = true;
+    while (leadership.epoch() === epoch) {
+      const [next] = unwritten();
+      if (next === undefined) break;
+      const end = await platform.suspects.save(epoch, next);
+      if (end === 'saved') recorded.set(next.content, next);
+      if (end === 'fenced') leadership.check();
+      if (end !== 'saved') await sleep(clock, RETRY_MS);
+    }
+    isWriting = false;
+  };
+
+  const dropOld = async (epoch: number): Promise<void> => {
+    const before = cfg.unixNow() - KEEP_MS;
+    for (const {content, isQuarantined, cleared} of [...recorded.values()]) {
+      if (isQuarantined || (cleared?.at ?? 0) > before) continue;
+      if (leadership.epoch() !== epoch) return;
+      const end = await platform.suspects.drop(epoch, content);
+      if (end === 'saved') recorded.delete(content);
+    }
+  };
+
+  const lead = async (epoch: number): Promise<void> => {
+    suspects.judge();
+    while (leadership.epoch() === epoch && !(await read())) {
+      await sleep(clock, RETRY_MS);
+    }
+    await write(epoch);
+    await dropOld(epoch);
+  };
+
+  suspects.subscribe((rows, isOwn) => {
+    const epoch = leadership.epoch();
+    if (epoch === null) {
+      if (isOwn) link.tellSuspects(rows);
+      return;
+    }
+    suspects.judge();
+    // Before it was read, a clearing would not be known as one of a record.
+    if (isRead) void write(epoch);
+  });
+  leadership.subscribe(() => {
+    const epoch = leadership.epoch();
+    if (epoch === ledEpoch) return;
+    ledEpoch = epoch;
+    if (epoch !== null) void lead(epoch);
+  });
+  repeat({...cfg, name: 'suspects', ms: LOOK_MS}, async () => {
+    if (link.leader() !== null) isRead = true;
+    const isAlone = !leadership.isLeading() && link.ageMs() > ALONE_MS;
+    if (!isRead && isAlone && clock.now() - startedAt > ALONE_MS) await read();
+  });
+  const startedAt = clock.now();
+}
--- a/packages/gateway/test/link-bytes.test.ts
+++ b/packages/gateway/test/link-bytes.test.ts
@@ -99,6 +99,7 @@
     version: () => 'v1',
   } as unknown as Leadership;
   const teller = createTeller({
+    suspects: {rows: () => []},
     ...{clock, list, leadership, room: {processors: 1, linkMbps: 100}},
     configCursor: () => 12,
     config: () => ({}) as WireConfig,
@@ -150,6 +151,7 @@
     version: () => `v${version}`,
   } as unknown as Leadership;
   const teller = createTeller({
+    suspects: {rows: () => []},
     ...{clock, list, leadership, room: {processors: 1, linkMbps: 100}},
     ...{configCursor: () => null, config: () => null},
     ...{configAgeMs: () => 0, touchMs: () => 0},
--- a/packages/gateway/test/link.test.ts
+++ b/packages/gateway/test/link.test.ts
@@ -12,6 +12,7 @@
 import {createBackends} from '@banyandrum/dispatch/backends.js';
 import {createPlaceIssuer} from '@banyandrum/dispatch/place-issuer.js';
 import type {Place, PlaceAsk} from '@banyandrum/dispatch/places.js';
+import {createSuspects} from '@banyandrum/dispatch/suspects.js';
 import {createKeyOwners} from '@banyandrum/gateway/key-owners.js';
 import type {Leadership} from '@banyandrum/gateway/leadership.js';
 import {
@@ -144,6 +145,7 @@
   return followLeader({
     ...{clock, emit, list, self, chosen},
     owners: createKeyOwners(clock, emit),
+    suspects: createSuspects(clock, emit),
     isLeading: () => false,
     onOffered: () => undefined,
     onLost: () => undefined,
@@ -160,14 +162,16 @@
   const emit = (): void => undefined;
   const backends = createBackends(clock);
   backends.update([SERVER]);
+  const suspects = createSuspects(clock, emit);
   const issuer = createPlaceIssuer({
-    ...{backends, clock, emit},
+    ...{backends, clock, emit, suspects},
     ownerOf: () => ({kind: 'none'}),
   });
   const listen = await freeAddress();
   const leaderList = createServerList(clock, emit, 2_000);
   const server = await serveLinks({
     ...{listen, clock, emit, leadership: LEADING, issuer, room: ROOM},
+    suspects,
     list: leaderList,
     configCursor: () => null,
     config: () => null,
--- a/packages/gateway/test/thin-link.test.ts
+++ b/packages/gateway/test/thin-link.test.ts
@@ -44,6 +44,7 @@
   const changes = LIST.map(server => ({kind: 'listed', server}) as const);
   list.take({kind: 'read', isWhole: true, changes, cursor: 1_000});
   const teller = createTeller({
+    suspects: {rows: () => []},
     ...{clock, list, leadership: LEADING},
     room: {processors: 1, linkMbps: LINK_MBPS},
     configCursor: () => null,
@@ -119,6 +120,7 @@
   const changes = LIST.map(server => ({kind: 'listed', server}) as const);
   list.take({kind: 'read', isWhole: true, changes, cursor: 17});
   const teller = createTeller({
+    suspects: {rows: () => []},
     ...{clock, list, leadership: LEADING},
     room: {processors: 1, linkMbps: 1_000},
     configCursor: () => null,
--- a/packages/operators/src/actions.ts
+++ b/packages/operators/src/actions.ts
@@ -1,3 +1,4 @@
+import type {Operator, Role} from '@banyandrum/base/access.js';
 import type {Offset} from '@banyandrum/base/ids.js';
 import type {LogLevel} from '@banyandrum/base/logger.js';
 import type {Result} from '@banyandrum/base/result.js';
@@ -15,14 +16,7 @@
   WatchEvent,
 } from './messages.js';
 
-/** What a token allows; a publisher may do all that a viewer may. */
-export type Role = 'viewer' | 'publisher';
-
-/** Who asks, by the token presented. */
-export interface Operator {
-  readonly name: string;
-  readonly role: Role;
-}
+export type {Operator, Role};
 
 export type OperatorErrorKind =
   /** The content is wrong; `problems` says where. */
--- a/packages/operators/test/fixture.ts
+++ b/packages/operators/test/fixture.ts
@@ -2,7 +2,7 @@
 import {Registry} from 'prom-client';
 import {createSilentLogger} from '@banyandrum/base/logger.js';
 import {Err, Ok} from '@banyandrum/base/result.js';
-import {digestToken} from '@banyandrum/operators/access.js';
+import {digestToken} from '@banyandrum/base/access.js';
 import type {
   Operator,
   OperatorActions,
--- a/packages/routers/src/notes.ts
+++ b/packages/routers/src/notes.ts
@@ -29,6 +29,7 @@
   moved: true,
   fenced: true,
   refused: true,
+  quarantined: true,
   'connection-lost': true,
   truncated: true,
   stopping: true,
