--- a/packages/dispatch/src/suspects.ts
+++ b/packages/dispatch/src/suspects.ts
@@ -329,7 +329,7 @@
   const guilty: Suspect[] = [];
   const open = rows
     .filter(({isQuarantined}) => !isQuarantined)
-    .sort((a, b) => b.strikes.length - a.strikes.length);
+    .sort(byStrikes);
   for (const row of open) {
     const strikes = openStrikes(row, explained, alive);
     // Servers that end together mark whatever they ran, a busy read many times
@@ -341,3 +341,9 @@
   }
   return guilty;
 }
+
+/** Any order will do among equals, if it is the same at every leader. */
+function byStrikes(a: Suspect, b: Suspect): number {
+  const more = b.strikes.length - a.strikes.length;
+  return more !== 0 ? more : a.content < b.content ? -1 : 1;
+}
--- a/packages/dispatch/test/place-issuer.test.ts
+++ b/packages/dispatch/test/place-issuer.test.ts
@@ -11,7 +11,7 @@
   PlaceEnd,
   PlaceReply,
 } from '@banyandrum/dispatch/places.js';
-import {createSuspects} from '@banyandrum/dispatch/suspects.js';
+import {createSuspects, type Suspects} from '@banyandrum/dispatch/suspects.js';
 import {
   createManualClock,
   type ManualClock,
@@ -21,6 +21,7 @@
   readonly clock: ManualClock;
   readonly backends: Backends;
   readonly issuer: PlaceIssuer;
+  readonly suspects: Suspects;
   ask(part?: Partial<PlaceAsk>): Asked;
 }
 
@@ -49,17 +50,19 @@
   const clock = createManualClock(1_000);
   const backends = createBackends(clock);
   backends.update(servers);
+  const suspects = createSuspects(clock, () => undefined);
   const issuer = createPlaceIssuer({
     backends,
     clock,
     emit: () => undefined,
-    suspects: createSuspects(clock, () => undefined),
+    suspects,
     ownerOf: (_, key) => ownerOf(key),
   });
   return {
     clock,
     backends,
     issuer,
+    suspects,
     ask(part = {}) {
       const asked: Asked = {told: null, end: () => undefined};
       const takeBack = issuer.ask(
@@ -314,3 +317,65 @@
   t.match(next.told, {kind: 'granted', server: 's2'});
   t.equal(backends.get('s2')!.placed, 1);
 });
+
+// One content under which a server ended comes at every router. If several of
+// it were let go at once, each would end a server of its own before the first
+// end is known.
+void tap.test('one trial of a content at a time', async t => {
+  const {ask} = scene([info('s1'), info('s2')]);
+  const first = ask({trial: 'bad'});
+  t.match(first.told, {kind: 'granted'});
+  t.match(ask({trial: 'bad'}).told, {kind: 'refused'});
+  t.match(ask().told, {kind: 'granted'}, 'others go on');
+  first.end();
+  const second = ask({trial: 'bad'});
+  t.match(second.told, {kind: 'granted'}, 'the next, as it was answered');
+  second.end('cancelled');
+  t.match(ask({trial: 'bad'}).told, {kind: 'granted'});
+});
+
+// What ran beside the bad request is suspected as well. Sent together to the
+// next server, both would be struck by its end again.
+void tap.test('no two trials at one server', async t => {
+  const {ask} = scene([info('s1', {slots: 4}), info('s2', {slots: 4})]);
+  const servers = ['a', 'b'].map(trial => {
+    const {told} = ask({trial});
+    return told?.kind === 'granted' ? told.server : null;
+  });
+  t.same([...servers].sort(), ['s1', 's2']);
+  const third = ask({trial: 'c'});
+  t.equal(third.told, null, 'it waits for a server without one');
+  t.match(ask().told, {kind: 'granted'}, 'and holds up nobody');
+});
+
+void tap.test('a trial that waits passes others of its keys', async t => {
+  const {ask, clock} = scene([info('s1', {slots: 4})], () => ({
+    ...{kind: 'held', server: 's1'},
+  }));
+  const running = ask({key: 1, trial: 'a'});
+  const waiting = ask({key: 1, trial: 'b'});
+  t.equal(waiting.told, null);
+  t.match(ask({key: 1}).told, {kind: 'granted'});
+  await clock.advance(100);
+  running.end();
+  t.match(waiting.told, {kind: 'granted'});
+});
+
+void tap.test('a waiting trial that is given up leaves room', async t => {
+  const {ask} = scene([info('s1', {slots: 1})]);
+  const running = ask();
+  const waiting = ask({trial: 'bad'});
+  waiting.end('cancelled');
+  t.equal(ask({trial: 'bad'}).told, null, 'the next one waits in its place');
+  running.end();
+});
+
+void tap.test('what is quarantined gets no place', async t => {
+  const {ask, suspects} = scene([info('s1')]);
+  const about = {content: 'bad', caller: 'c', service: 'holds', route: 'r'};
+  for (const server of ['x1', 'x2', 'x3']) {
+    suspects.strike(about, {server, isTrial: true});
+  }
+  suspects.judge();
+  t.match(ask({trial: 'bad'}).told, {kind: 'refused'});
+});
--- /dev/null
+++ b/packages/dispatch/test/server-ends.test.ts
@@ -0,0 +1,104 @@
+import tap from 'tap';
+import {createServer, type AddressInfo} from 'node:net';
+import type {Backend} from '@banyandrum/dispatch/backend.js';
+import {probeServer} from '@banyandrum/dispatch/probe-server.js';
+import {
+  createServerEnds,
+  type ProbeEnd,
+} from '@banyandrum/dispatch/server-ends.js';
+import {createManualClock} from '@banyandrum/standins/manual-clock.js';
+
+function backend(part: object = {}): Backend {
+  return {info: {id: 's1', isLeaving: false, ...part}} as unknown as Backend;
+}
+
+interface Case {
+  readonly what: string;
+  readonly probe: ProbeEnd;
+  readonly isLeaving?: boolean;
+  /** Another run is seen at the address after this time, in ms. */
+  readonly replacedAfterMs?: number;
+  readonly isEnd: boolean;
+}
+
+// Resets, cuts and planned ends look alike at first: a request is held against
+// what it asks only where the server's run is proved to have ended under it.
+const CASES: readonly Case[] = [
+  {what: 'its address refuses connections', probe: 'refused', isEnd: true},
+  {what: 'the connection was reset', probe: 'open', isEnd: false},
+  {
+    what: 'it is behind a cut, or lost its power',
+    probe: 'silent',
+    isEnd: false,
+  },
+  {
+    what: 'it started again at once',
+    ...{probe: 'open', replacedAfterMs: 1_200, isEnd: true},
+  },
+  {
+    what: 'it was replaced long after',
+    ...{probe: 'open', replacedAfterMs: 9_000, isEnd: false},
+  },
+  {
+    what: 'it left as planned',
+    ...{probe: 'refused', isLeaving: true, isEnd: false},
+  },
+];
+
+for (const {what, probe, isLeaving = false, replacedAfterMs, isEnd} of CASES) {
+  void tap.test(`a lost connection: ${what}`, async t => {
+    const clock = createManualClock(1_000);
+    const ends = createServerEnds({clock, probe: async () => probe});
+    let strikes = 0;
+    await ends.lost(backend({isLeaving}), () => strikes++);
+    if (replacedAfterMs !== undefined) {
+      await clock.advance(replacedAfterMs);
+      ends.noteReplaced('s1');
+    }
+    t.equal(strikes, isEnd ? 1 : 0);
+    await clock.advance(10_000);
+    t.same(ends.watched(), []);
+  });
+}
+
+void tap.test('requests lost together share one probe', async t => {
+  const clock = createManualClock(1_000);
+  let probes = 0;
+  const probe = async (): Promise<ProbeEnd> => {
+    probes++;
+    return 'refused';
+  };
+  const ends = createServerEnds({clock, probe});
+  let strikes = 0;
+  const lose = (): Promise<void> => ends.lost(backend(), () => strikes++);
+  await Promise.all([lose(), lose(), lose()]);
+  await lose();
+  t.equal(strikes, 4);
+  t.equal(probes, 1);
+});
+
+// Callers of the bad request leave before its servers end: what shows these to
+// have ended is another's lost connection.
+void tap.test('a caller that left is held to what came of it', async t => {
+  const clock = createManualClock(1_000);
+  const ends = createServerEnds({clock, probe: async () => 'refused'});
+  let strikes = 0;
+  ends.left(backend(), () => strikes++);
+  await clock.advance(400);
+  await ends.lost(backend(), () => undefined);
+  t.equal(strikes, 1);
+  ends.left(backend(), () => strikes++);
+  await clock.advance(2_000);
+  await ends.lost(backend(), () => undefined);
+  t.equal(strikes, 1, 'long before the end it had no part in it');
+});
+
+void tap.test('a probe tells an address that refuses', async t => {
+  const server = createServer().listen(0, '127.0.0.1');
+  await new Promise(resolve => server.once('listening', resolve));
+  const {port} = server.address() as AddressInfo;
+  const at = backend({address: `127.0.0.1:${port}`});
+  t.equal(await probeServer(at), 'open');
+  await new Promise(resolve => server.close(resolve));
+  t.equal(await probeServer(at), 'refused');
+});
--- a/packages/gateway/src/share-suspects.ts
+++ b/packages/gateway/src/share-suspects.ts
@@ -18,10 +18,15 @@
 
 /** Pause after a call that failed, in ms. */
 const RETRY_MS = 500;
-/** A router that was told by no leader for so long reads the record, in ms. */
-const ALONE_MS = 3_000;
-/** Whether it was is looked at this often, in ms. */
-const LOOK_MS = 1_000;
+/**
+ * A router that began so long ago and heard no leader reads the record, in ms:
+ * after a loss of all power each would send the same request on once more.
+ */
+const ALONE_MS = 600;
+/** Whether it heard one is looked at this often, in ms. */
+const LOOK_MS = 200;
+/** Pause before a lone router reads again what it could not read, in ms. */
+const REREAD_MS = 3_000;
 /** Clearings stay in the record for this time, as its audit trail, in ms. */
 const KEEP_MS = 90 * 86_400_000;
 
@@ -113,8 +118,9 @@
   });
   repeat({...cfg, name: 'suspects', ms: LOOK_MS}, async () => {
     if (link.leader() !== null) isRead = true;
-    const isAlone = !leadership.isLeading() && link.ageMs() > ALONE_MS;
-    if (!isRead && isAlone && clock.now() - startedAt > ALONE_MS) await read();
+    if (isRead || leadership.isLeading()) return;
+    if (clock.now() - startedAt < ALONE_MS) return;
+    if (!(await read())) await sleep(clock, REREAD_MS);
   });
   const startedAt = clock.now();
 }
