A request that comes again is known whatever its caller's address and query

Known by the path and body alone where several callers' or queries' requests ended servers; where all ends are one caller's, that alone is refused, and the path goes on for others. A refusal, which may be another run's at the same address, no longer counts as a sign of life of the run that ended.

With it: operators see what is refused and why, and clear it by reason (banyandrum quarantine, readmit), on the interface for metrics.

--- a/packages/cli/src/cli.ts
+++ b/packages/cli/src/cli.ts
@@ -15,6 +15,7 @@
   readonly clock: Clock;
   readonly readFile: (path: string) => Promise<Uint8Array>;
   readonly connect: (address: string, token: string) => OperatorsClient;
+  readonly fetch: typeof fetch;
 }
 
 /** A command line, parsed and checked. */
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -31,6 +31,7 @@
     clock: createClock(),
     readFile: path => readFile(path),
     connect: (address, token) => createOperatorsClient({address, token}),
+    fetch,
   });
 }
 
--- a/packages/cli/src/run-cli.ts
+++ b/packages/cli/src/run-cli.ts
@@ -11,6 +11,8 @@
 import {historyCommand} from './commands/history.js';
 import {logLevelCommand} from './commands/log-level.js';
 import {publishCommand} from './commands/publish.js';
+import {quarantineCommand} from './commands/quarantine.js';
+import {readmitCommand} from './commands/readmit.js';
 import {showCommand} from './commands/show.js';
 import {statusCommand} from './commands/status.js';
 import {watchCommand} from './commands/watch.js';
@@ -31,6 +33,8 @@
   'attest-lost': attestLostCommand,
   explain: explainCommand,
   'log-level': logLevelCommand,
+  quarantine: quarantineCommand,
+  readmit: readmitCommand,
 };
 
 const HELP = new Set(['--help', '-h']);
--- a/packages/cli/src/session.ts
+++ b/packages/cli/src/session.ts
@@ -101,7 +101,8 @@
   return args.text('change-id') || createId();
 }
 
-function required(
+/** The value of an option, or of the variable that stands in for it. */
+export function required(
   args: CliArgs,
   io: CliIo,
   name: string,
--- a/packages/cli/test/run-cli.test.ts
+++ b/packages/cli/test/run-cli.test.ts
@@ -47,6 +47,7 @@
     clock: createClock(),
     readFile: path => readFile(path),
     connect: (to, token) => createOperatorsClient({address: to, token}),
+    fetch,
     ...io,
   });
   return {code, out, err};
--- a/packages/dispatch/src/content.ts
+++ b/packages/dispatch/src/content.ts
@@ -1,8 +1,9 @@
 import {createHash} from 'node:crypto';
+import {toHostName, toPath} from '@banyandrum/routing/match-route.js';
 
-/** What makes two requests the same, whatever else their headers say. */
+/** What a request asks, and who asks it. */
 export interface Asked {
-  /** Who asks, by IP number. */
+  /** By IP number. */
   readonly caller: string;
   readonly method: string;
   readonly host: string;
@@ -13,22 +14,52 @@
   readonly body: Buffer | null;
 }
 
-/** Bytes of the digest: two requests with the same one are not expected. */
+/**
+ * Digests of what a request asks, alike at all routers: what has one of them in
+ * common may be the same request come again. They tell nothing of the body.
+ */
+export interface Contents {
+  /** Of the caller, the key, the whole path and the body. */
+  readonly exact: string;
+  /** The same from any caller: one that sits behind several addresses. */
+  readonly anyCaller: string;
+  /** The same with any query, too. */
+  readonly anyQuery: string;
+}
+
+/** What a digest is of. */
+export type Scope = keyof Contents;
+
+/** From the narrowest to the widest. */
+export const SCOPES: readonly Scope[] = ['exact', 'anyCaller', 'anyQuery'];
+
+/** Bytes of a digest: two requests with the same one are not expected. */
 const DIGEST_BYTES = 15;
 
 /**
- * A digest of what a request asks, alike at all routers. It tells nothing of
- * the body.
+ * The digests of a request.
  *
  * @example
  * ```ts
- * contentOf({caller: '10.0.0.9', method: 'GET', host, path, key: 7, body});
+ * contentsOf({caller: '10.0.0.9', method: 'GET', host, path, key: 7, body});
  * ```
  */
-export function contentOf(asked: Asked): string {
-  const {caller, method, host, path, key, body} = asked;
-  const head = JSON.stringify([caller, method, host, path, key]);
-  const hash = createHash('sha256').update(head).update('\n');
-  if (body !== null) hash.update(body);
-  return hash.digest().subarray(0, DIGEST_BYTES).toString('base64url');
+export function contentsOf(asked: Asked): Contents {
+  const {caller, method, path, key, body} = asked;
+  const host = toHostName(asked.host);
+  const bodyDigest = body === null ? '' : digest(body);
+  return {
+    exact: digestAll('exact', caller, method, host, path, key, bodyDigest),
+    anyCaller: digestAll('any-caller', method, host, path, bodyDigest),
+    anyQuery: digestAll('any-query', method, host, toPath(path), bodyDigest),
+  };
+}
+
+function digestAll(...parts: readonly (string | number | null)[]): string {
+  return digest(JSON.stringify(parts));
+}
+
+function digest(data: Buffer | string): string {
+  const whole = createHash('sha256').update(data).digest();
+  return whole.subarray(0, DIGEST_BYTES).toString('base64url');
 }
--- a/packages/dispatch/src/find-target.ts
+++ b/packages/dispatch/src/find-target.ts
@@ -52,7 +52,7 @@
         askedMs: cfg.clock.now() - req.firstAskedAt,
         excluded: [...journey.excluded],
         dataCentre: cfg.dataCentre,
-        ...(standing === 'suspected' && {trial: req.content()}),
+        ...(standing === 'suspected' && {trial: req.contents().anyQuery}),
       },
       req.signal,
     );
--- a/packages/dispatch/src/journey.ts
+++ b/packages/dispatch/src/journey.ts
@@ -3,6 +3,7 @@
 import {failure, type Failure} from '@banyandrum/base/failure.js';
 import type {Route} from '@banyandrum/routing/config.js';
 import type {Answer} from './attempt.js';
+import type {Contents} from './content.js';
 import type {Backends} from './backends.js';
 import type {Emit} from './events.js';
 import type {Owners} from './owners.js';
@@ -22,8 +23,8 @@
   readonly body: Buffer | null;
   /** Who asks, by IP number. */
   readonly caller: string;
-  /** The digest of what it asks (`content.ts`), made when it is wanted first. */
-  readonly content: () => string;
+  /** The digests of what it asks, made when they are wanted first. */
+  readonly contents: () => Contents;
   readonly route: Route;
   readonly service: string;
   /** Null where the service isn't divided by key. */
--- a/packages/dispatch/src/quarantine.ts
+++ b/packages/dispatch/src/quarantine.ts
@@ -2,7 +2,7 @@
 import type {Backend} from './backend.js';
 import type {ForwardRequest} from './journey.js';
 import type {ServerEnds} from './server-ends.js';
-import type {About, Standing, Suspects} from './suspects.js';
+import type {Standing, Struck, Suspects} from './suspects.js';
 
 /** What keeps a request that ends servers from more of them. */
 export interface Quarantine {
@@ -43,26 +43,26 @@
   return {
     standingOf(req) {
       if (suspects.isEmpty()) return 'unknown';
-      return suspects.standingOf(req.content());
+      return suspects.standingOf(req.contents());
     },
     async note({req, backend, end, isTrial, isRefused, sentAt}) {
       const {id} = backend.info;
       if (end.kind === 'answered') {
+        // A refusal may be another run's, at the address of the one that ended.
+        if (isRefused) return;
         suspects.noteAlive(id, sentAt);
-        if (!isRefused && !suspects.isEmpty()) {
-          suspects.clearAnswered(req.content());
-        }
+        if (!suspects.isEmpty()) suspects.clearAnswered(req.contents());
         return;
       }
       if (!end.isWritten) return;
-      const strike = (): void =>
-        suspects.strike(aboutOf(req), {server: id, isTrial});
+      const strike = (): void => suspects.strike(strikeOf(req), id, isTrial);
       if (end.reason === 'cancelled') return ends.left(backend, strike);
       if (end.reason === 'connection-lost') await ends.lost(backend, strike);
     },
   };
 }
 
-function aboutOf({content, caller, service, route}: ForwardRequest): About {
-  return {content: content(), caller, service, route: route.name};
+function strikeOf(req: ForwardRequest): Struck {
+  const {contents, caller, service, route} = req;
+  return {contents: contents(), caller, service, route: route.name};
 }
--- a/packages/dispatch/src/suspects.ts
+++ b/packages/dispatch/src/suspects.ts
@@ -1,4 +1,5 @@
 import type {Clock} from '@banyandrum/base/clock.js';
+import {SCOPES, type Contents, type Scope} from './content.js';
 import type {Emit} from './events.js';
 
 /** A server's run that ended while the request was there. */
@@ -7,6 +8,8 @@
   readonly server: string;
   /** Whether it was sent as a trial: known to be suspected, no other beside it. */
   readonly isTrial: boolean;
+  /** The request's digest in the next narrower scope. */
+  readonly by: string;
 }
 
 /** Why a request is believed to be harmless after all. */
@@ -20,8 +23,11 @@
 
 /** What routers know of a request under which servers ended. */
 export interface Suspect {
-  /** The digest of what it asks (`content.ts`). */
+  /** One of the digests of what it asks (`content.ts`), and which. */
   readonly content: string;
+  readonly scope: Scope;
+  /** The same for all rows of one request: its widest digest. */
+  readonly family: string;
   readonly caller: string;
   readonly service: string;
   readonly route: string;
@@ -36,8 +42,16 @@
 /** What a request is to be taken for. */
 export type Standing = 'unknown' | 'suspected' | 'quarantined';
 
-/** Whose request it is; the same in all its rounds. */
-export type About = Pick<Suspect, 'content' | 'caller' | 'service' | 'route'>;
+/** A request at whose server's end it was there. */
+export interface Struck {
+  readonly contents: Contents;
+  readonly caller: string;
+  readonly service: string;
+  readonly route: string;
+}
+
+/** What is the same in all rounds of a row. */
+type About = Omit<Suspect, 'round' | 'strikes' | 'isQuarantined' | 'cleared'>;
 
 /** Told of rows that changed; `isOwn`: by what this router saw or was told. */
 export type SuspectListener = (
@@ -47,14 +61,20 @@
 
 /** Requests under which servers ended, as far as this router knows. */
 export interface Suspects {
-  standingOf(content: string): Standing;
+  /** Of one digest, or the worst of a request's. */
+  standingOf(content: string | Contents): Standing;
+  /** How many contents stand so. */
+  count(standing: Standing): number;
   /** Whether nothing is suspected: contents need not be looked up. */
   isEmpty(): boolean;
   /** A server's run ended under the request. */
-  strike(about: About, strike: Strike): void;
+  strike(struck: Struck, server: string, isTrial: boolean): void;
   /** A server answered the request whole, and lives. */
-  clearAnswered(content: string): void;
-  /** An operator's word; false where it isn't quarantined. */
+  clearAnswered(contents: Contents): void;
+  /**
+   * An operator's word, on all rows of the request; false where it isn't
+   * quarantined.
+   */
   clear(content: string, by: string, reason: string): boolean;
   /**
    * The server answered a request that was sent at `sentAt`, monotonic, in ms.
@@ -71,8 +91,13 @@
   subscribe(listener: SuspectListener): void;
 }
 
-/** So many servers must have ended under a request, the last in a trial. */
+/** So many servers must have ended under a request, one in a trial at least. */
 const MIN_STRIKES = 3;
+/**
+ * A wider digest stands for several requests: where all ends are one narrower
+ * one's, that alone is refused, and what others ask goes on.
+ */
+const MIN_NARROWER = 2;
 /** Ended servers that are told of one request. */
 const MAX_STRIKES = 16;
 /** Rows of requests that aren't quarantined, and of those that are. */
@@ -95,8 +120,8 @@
  * @example
  * ```ts
  * const suspects = createSuspects(clock, emit);
- * suspects.strike(about, {server: 'i-7', isTrial: false});
- * suspects.standingOf(about.content); // 'suspected'
+ * suspects.strike(struck, 'i-7', false);
+ * suspects.standingOf(struck.contents); // 'suspected'
  * ```
  */
 export function createSuspects(
@@ -176,51 +201,68 @@
     return oldest!;
   };
 
-  const startRound = (row: Suspect, cleared: Clearing): void => {
-    const next: Suspect = {
-      ...row,
-      ...{round: row.round + 1, strikes: [], isQuarantined: false, cleared},
-    };
-    put(next);
-    const {content, caller, service} = row;
+  const startRound = (some: readonly Suspect[], cleared: Clearing): void => {
+    if (some.length === 0) return;
+    const blank = {strikes: [], isQuarantined: false, cleared};
+    const next = some.map(row => ({...row, ...blank, round: row.round + 1}));
     const {by, reason} = cleared;
-    emit('request-cleared', {content, caller, service, by, reason});
-    changed([next], true);
+    for (const row of next) {
+      put(row);
+      const {content, scope, caller, service} = row;
+      emit('request-cleared', {content, scope, caller, service, by, reason});
+    }
+    changed(next, true);
   };
 
+  const known = ({content}: Suspect): Suspect => table.get(content)!;
+
   const mergeRow = (row: Suspect): boolean => {
-    const known = table.get(row.content);
-    const next = known === undefined ? row : joined(known, row);
-    if (next === known) return false;
+    const last = table.get(row.content);
+    const next = last === undefined ? row : joined(last, row);
+    if (next === last) return false;
     put(next);
     return true;
   };
 
   return {
-    standingOf: content => standings.get(content) ?? 'unknown',
+    standingOf(content) {
+      if (typeof content === 'string') {
+        return standings.get(content) ?? 'unknown';
+      }
+      const all = SCOPES.map(scope => standings.get(content[scope]));
+      if (all.includes('quarantined')) return 'quarantined';
+      return all.includes('suspected') ? 'suspected' : 'unknown';
+    },
+    count: standing =>
+      [...standings.values()].filter(each => each === standing).length,
     isEmpty: () => standings.size === 0,
-    strike(about, strike) {
-      const known = table.get(about.content) ?? createRow(about);
-      const next = joined(known, {...known, strikes: [strike]});
-      const {content, caller, service, route} = about;
+    strike(struck, server, isTrial) {
+      const news = rowsOf(struck, server, isTrial)
+        .map(row => ({...row, round: table.get(row.content)?.round ?? 0}))
+        .filter(mergeRow);
+      const {contents, caller, service, route} = struck;
+      const {strikes} = table.get(contents.anyQuery)!;
       emit('request-struck', {
-        ...{content, caller, service, route, ...strike},
-        strikes: next.strikes.length,
+        ...{...contents, caller, service, route, server, isTrial},
+        strikes: strikes.length,
       });
-      if (next === known) return;
-      put(next);
-      changed([next], true);
+      if (news.length > 0) changed(news.map(known), true);
     },
-    clearAnswered(content) {
-      const row = table.get(content);
-      if (row === undefined || row.strikes.length === 0) return;
+    clearAnswered(contents) {
+      const rows = SCOPES.map(scope => table.get(contents[scope])).filter(
+        row => row !== undefined && row.strikes.length > 0,
+      );
       const reason = 'a server answered it whole';
-      startRound(row, {by: 'answered', reason, at: unixNow()});
+      const cleared = {by: 'answered', reason, at: unixNow()};
+      startRound(rows as readonly Suspect[], cleared);
     },
     clear(content, by, reason) {
       const row = table.get(content);
       if (row === undefined || !row.isQuarantined) return false;
-      startRound(row, {by, reason, at: unixNow()});
+      const all = rows.filter(
+        ({family, strikes}) => family === row.family && strikes.length > 0,
+      );
+      startRound(all, {by, reason, at: unixNow()});
       return true;
     },
     noteAlive(server, sentAt) {
@@ -235,7 +277,7 @@
       changed([], true);
     },
     merge(others) {
-      const news = others.filter(mergeRow).map(row => table.get(row.content)!);
+      const news = others.filter(mergeRow).map(known);
       if (news.length > 0) changed(news, false);
     },
     judge() {
@@ -244,9 +286,9 @@
       const next = guilty.map(row => ({...row, isQuarantined: true}));
       for (const row of next) {
         put(row);
-        const {content, caller, service, route, strikes} = row;
+        const {content, scope, caller, service, route, strikes} = row;
         const servers = strikes.map(({server}) => server).join(' ');
-        const about = {content, caller, service, route};
+        const about = {content, scope, caller, service, route};
         emit('request-quarantined', {...about, servers});
       }
       changed(next, true);
@@ -257,10 +299,22 @@
   };
 }
 
-function createRow(about: About): Suspect {
-  const {content, caller, service, route} = about;
-  const blank = {round: 0, strikes: [], isQuarantined: false, cleared: null};
-  return {content, caller, service, route, ...blank};
+/** A strike as the rows of each scope have it. */
+function rowsOf(
+  {contents, caller, service, route}: Struck,
+  server: string,
+  isTrial: boolean,
+): readonly Suspect[] {
+  return SCOPES.map((scope, at) => {
+    const narrower = SCOPES[at - 1];
+    const by = narrower === undefined ? '' : contents[narrower];
+    const about: About = {
+      ...{content: contents[scope], scope, family: contents.anyQuery},
+      ...{caller, service, route},
+    };
+    const strikes = [{server, isTrial, by}];
+    return {...about, round: 0, strikes, isQuarantined: false, cleared: null};
+  });
 }
 
 /** What both rows say together; `known` itself where that is nothing new. */
@@ -268,10 +322,15 @@
   if (other.round < known.round) return known;
   if (other.round > known.round) return other;
   const strikes = new Map(known.strikes.map(each => [each.server, each]));
-  for (const {server, isTrial} of other.strikes) {
-    const wasTrial = strikes.get(server)?.isTrial ?? false;
-    if (!strikes.has(server) && strikes.size >= MAX_STRIKES) continue;
-    strikes.set(server, {server, isTrial: wasTrial || isTrial});
+  for (const strike of other.strikes) {
+    const {server, by} = strike;
+    const last = strikes.get(server);
+    if (last === undefined && strikes.size >= MAX_STRIKES) continue;
+    strikes.set(server, {
+      server,
+      isTrial: strike.isTrial || (last?.isTrial ?? false),
+      by: last !== undefined && last.by < by ? last.by : by,
+    });
   }
   const isQuarantined = known.isQuarantined || other.isQuarantined;
   const next = {...known, strikes: [...strikes.values()], isQuarantined};
@@ -282,27 +341,40 @@
   return (
     a.isQuarantined === b.isQuarantined &&
     a.strikes.length === b.strikes.length &&
-    a.strikes.every(({isTrial}, at) => isTrial === b.strikes[at]!.isTrial)
+    a.strikes.every(({isTrial, by}, at) => {
+      const other = b.strikes[at]!;
+      return isTrial === other.isTrial && by === other.by;
+    })
   );
 }
 
-/** Strikes that nothing else explains. */
+/** Servers that ended under quarantined requests, and the families of these. */
+type Explained = Map<string, Set<string>>;
+
+/** Strikes that no other request explains. */
 function openStrikes(
-  {strikes}: Suspect,
-  explained: ReadonlySet<string>,
+  {strikes, family}: Suspect,
+  explained: Explained,
   alive: ReadonlySet<string>,
 ): readonly Strike[] {
-  return strikes.filter(
-    ({server}) => !explained.has(server) && !alive.has(server),
-  );
+  return strikes.filter(({server}) => {
+    const families = explained.get(server);
+    const isOwn = families === undefined || families.has(family);
+    return isOwn && !alive.has(server);
+  });
 }
 
-/** Servers that ended under requests that are quarantined. */
-function explainedBy(rows: readonly Suspect[]): Set<string> {
-  const guilty = rows.filter(({isQuarantined}) => isQuarantined);
-  return new Set(
-    guilty.flatMap(({strikes}) => strikes.map(({server}) => server)),
-  );
+function explain(explained: Explained, {family, strikes}: Suspect): void {
+  for (const {server} of strikes) {
+    const families = explained.get(server) ?? new Set();
+    explained.set(server, families.add(family));
+  }
+}
+
+function explainedBy(rows: readonly Suspect[]): Explained {
+  const explained: Explained = new Map();
+  for (const row of rows) if (row.isQuarantined) explain(explained, row);
+  return explained;
 }
 
 function standingsOf(
@@ -327,21 +399,25 @@
 ): readonly Suspect[] {
   const explained = explainedBy(rows);
   const guilty: Suspect[] = [];
-  const open = rows
-    .filter(({isQuarantined}) => !isQuarantined)
-    .sort(byStrikes);
+  const open = rows.filter(({isQuarantined}) => !isQuarantined).sort(byStrikes);
   for (const row of open) {
     const strikes = openStrikes(row, explained, alive);
-    // Servers that end together mark whatever they ran, a busy read many times
-    // at once; only a trial shows that the next one ends as well.
-    const isTried = strikes.some(({isTrial}) => isTrial);
-    if (strikes.length < MIN_STRIKES || !isTried) continue;
+    if (!isGuilty(row.scope, strikes)) continue;
     guilty.push(row);
-    for (const {server} of row.strikes) explained.add(server);
+    explain(explained, row);
   }
   return guilty;
 }
 
+function isGuilty(scope: Scope, strikes: readonly Strike[]): boolean {
+  // Servers that end together mark whatever they ran, a busy read many times
+  // at once; only a trial shows that the next one ends as well.
+  const isTried = strikes.some(({isTrial}) => isTrial);
+  if (strikes.length < MIN_STRIKES || !isTried) return false;
+  const narrower = new Set(strikes.map(({by}) => by));
+  return scope === 'exact' || narrower.size >= MIN_NARROWER;
+}
+
 /** Any order will do among equals, if it is the same at every leader. */
 function byStrikes(a: Suspect, b: Suspect): number {
   const more = b.strikes.length - a.strikes.length;
--- a/packages/dispatch/src/take-end.ts
+++ b/packages/dispatch/src/take-end.ts
@@ -48,7 +48,7 @@
     const {reason, isWritten, detail} = end;
     cfg.emit('attempt-lost', {
       ...{...common, reason, isWritten, detail},
-      ...(isWritten && {caller: req.caller, content: req.content()}),
+      ...(isWritten && {caller: req.caller, ...req.contents()}),
     });
     return takeLoss(journey, backend, end, sentAt);
   }
--- a/packages/gateway/src/entry.ts
+++ b/packages/gateway/src/entry.ts
@@ -8,7 +8,11 @@
 import type {Clock} from '@banyandrum/base/clock.js';
 import {failure} from '@banyandrum/base/failure.js';
 import {createId} from '@banyandrum/base/ids.js';
-import {contentOf, type Asked} from '@banyandrum/dispatch/content.js';
+import {
+  contentsOf,
+  type Asked,
+  type Contents,
+} from '@banyandrum/dispatch/content.js';
 import type {Emit} from '@banyandrum/dispatch/events.js';
 import {forward} from '@banyandrum/dispatch/forward.js';
 import type {ForwardConfig} from '@banyandrum/dispatch/journey.js';
@@ -257,11 +261,11 @@
     path: req.url ?? '/',
     ...{key, body: body.bytes},
   };
-  let content: string | null = null;
+  let contents: Contents | null = null;
   return forward(state.forward, {
     id,
     ...asked,
-    content: () => (content ??= contentOf(asked)),
+    contents: () => (contents ??= contentsOf(asked)),
     headers: forwardHeaders(own, req, id, names.requestId),
     route,
     service,
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -1,6 +1,7 @@
 import {createServer, type Server} from 'node:http';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {RequestOutcome} from './entry.js';
+import type {ServePage} from './quarantine-page.js';
 
 /** What the process tells of itself when it is asked. */
 export interface MetricsSource {
@@ -14,6 +15,9 @@
   droppedLines(): number;
   /** Ranges of keys that nobody serves, where this router leads. */
   unheldRanges(): number;
+  /** Requests under which servers ended, by how they stand. */
+  suspected(): number;
+  quarantined(): number;
 }
 
 /** Metrics and the interface that serves them. */
@@ -34,11 +38,14 @@
  *
  * @example
  * ```ts
- * const metrics = createMetrics(source);
+ * const metrics = createMetrics(source, () => false);
  * metrics.server.listen(9464);
  * ```
  */
-export function createMetrics(source: MetricsSource): Metrics {
+export function createMetrics(
+  source: MetricsSource,
+  servePage: ServePage,
+): Metrics {
   const registry = new Registry();
   const registers = [registry];
   const requests = new Counter({
@@ -66,6 +73,14 @@
     config_version: ['Version of the configuration', source.configVersion],
     log_dropped_lines: ['Log lines dropped', source.droppedLines],
     unheld_ranges: ['Key ranges that nobody serves', source.unheldRanges],
+    suspected_requests: [
+      'Contents under which servers ended, not refused',
+      source.suspected,
+    ],
+    quarantined_requests: [
+      'Contents that are refused, as servers end under them',
+      source.quarantined,
+    ],
   };
   for (const [name, [help, read]] of Object.entries(gauges)) {
     const gauge: Gauge = new Gauge({
@@ -84,7 +99,8 @@
     return route;
   };
   return {
-    server: createServer((_, res) => {
+    server: createServer((req, res) => {
+      if (servePage(req, res)) return;
       void registry.metrics().then(text => {
         res.writeHead(200, {'content-type': registry.contentType});
         res.end(text);
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -23,8 +23,9 @@
 import {createLocalPlaces} from './local-places.js';
 import {followRouters} from './membership.js';
 import {watchLag} from './loop-lag.js';
-import {createMetrics} from './metrics.js';
+import {createMetrics, type MetricsSource} from './metrics.js';
 import type {Platform} from './platform.js';
+import {createQuarantinePage} from './quarantine-page.js';
 import {createRouterCount} from './router-count.js';
 import {createServerList} from './server-list.js';
 import {createServiceTimes, drainTimes} from './service-times.js';
@@ -196,7 +197,7 @@
   });
 
   const lag = watchLag(clock);
-  const metrics = createMetrics({
+  const source: MetricsSource = {
     routers: countRouters,
     isLeading: () => leadership.isLeading(),
     waiting: () => issuer.waiting(),
@@ -205,7 +206,11 @@
     configVersion: () => keeper.current()?.version ?? 0,
     droppedLines: () => log.dropped(),
     unheldRanges: () => countUnheld(leadership.tables()),
-  });
+    suspected: () => suspects.count('suspected'),
+    quarantined: () => suspects.count('quarantined'),
+  };
+  const page = createQuarantinePage(suspects, settings.operators.tokens);
+  const metrics = createMetrics(source, page);
   const entry = createEntry({
     clock,
     emit,
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -1,3 +1,4 @@
+import type {OperatorToken, Role} from '@banyandrum/base/access.js';
 import {parse} from 'smol-toml';
 import type {Room} from './room.js';
 
@@ -40,6 +41,10 @@
   readonly logging: {
     readonly level: LogLevel;
   };
+  readonly operators: {
+    /** Who may see and clear what is quarantined. */
+    readonly tokens: readonly OperatorToken[];
+  };
 }
 
 const LOG_LEVELS: readonly LogLevel[] = ['info', 'warn', 'off'];
@@ -110,6 +115,7 @@
       slack: numberAt('retries', 'slack', 20),
     },
     logging: {level: checkLevel(textAt('logging', 'level', 'info'))},
+    operators: {tokens: checkTokens(at('operators', 'tokens') ?? [])},
   };
 }
 
@@ -142,3 +148,27 @@
   if (level !== undefined) return level;
   throw new SettingsError(`logging.level: none of ${LOG_LEVELS.join(', ')}`);
 }
+
+const ROLES: readonly Role[] = ['viewer', 'publisher'];
+
+function checkTokens(tokens: unknown): readonly OperatorToken[] {
+  if (!Array.isArray(tokens)) {
+    throw new SettingsError('operators.tokens: no list of tokens');
+  }
+  return tokens.map((token: unknown, at) => {
+    const name = `operators.tokens[${at}]`;
+    if (!isTable(token)) throw new SettingsError(`${name}: no table`);
+    const {operator, role, sha256} = token;
+    if (typeof operator !== 'string' || operator === '') {
+      throw new SettingsError(`${name}.operator: a text is missing`);
+    }
+    const known = ROLES.find(each => each === role);
+    if (known === undefined) {
+      throw new SettingsError(`${name}.role: none of ${ROLES.join(', ')}`);
+    }
+    if (typeof sha256 !== 'string' || !/^[0-9a-f]{64}$/i.test(sha256)) {
+      throw new SettingsError(`${name}.sha256: no 64 hexadecimal digits`);
+    }
+    return {operator, role: known, sha256};
+  });
+}
--- a/packages/gateway/test/settings.test.ts
+++ b/packages/gateway/test/settings.test.ts
@@ -26,6 +26,11 @@
   ['ratio = 0.2', 'ratio = -1', /retries\.ratio/],
   ['ratio = 0.2', 'ratio = 0.2\n[logging]\nlevel = "loud"', /logging\.level/],
   ['ratio = 0.2', 'ratio = 0.2\n[servers]\nhold_max = 4', /hold_max/],
+  [
+    'ratio = 0.2',
+    'ratio = 0.2\n[operators]\ntokens = [{operator = "a", role = "root"}]',
+    /operators\.tokens\[0\]\.role/,
+  ],
   ['[host]', '[host', /./],
 ];
 
--- a/packages/routing/src/match-route.ts
+++ b/packages/routing/src/match-route.ts
@@ -29,13 +29,15 @@
   return null;
 }
 
-function toHostName(host: string): string {
+/** A host's name as configurations have it, without a port. */
+export function toHostName(host: string): string {
   const port = host.lastIndexOf(':');
   const name = port > host.lastIndexOf(']') ? host.slice(0, port) : host;
   return name.toLowerCase();
 }
 
-function toPath(target: string): string {
+/** A request's path without its query. */
+export function toPath(target: string): string {
   const end = target.search(/[?#]/);
   return end < 0 ? target : target.slice(0, end);
 }
