--- a/packages/dispatch/src/forward.ts
+++ b/packages/dispatch/src/forward.ts
@@ -11,7 +11,7 @@
   type Reply,
 } from './journey.js';
 import {nameOfRun} from './server-run.js';
-import {isRefusal, placeEndOf, takeEnd} from './take-end.js';
+import {placeEndOf, takeEnd} from './take-end.js';
 import type {WireNames} from './wire.js';
 
 /** Attempts that a request may take, those that reached nobody included. */
@@ -89,12 +89,12 @@
   req.signal.removeEventListener('abort', cancel);
   backend.inFlight--;
   backend.connections.release(connection, end.kind === 'answered');
-  const isRefused = isRefusal(cfg.names, end);
+  const how = placeEndOf(cfg.names, end);
   const {isTrial} = target;
   // Before its place is free again: whoever hands out places must know what
   // this one did to the server before the same request is sent to the next.
-  await cfg.quarantine.note({req, backend, end, isTrial, isRefused, sentAt});
-  target.end(placeEndOf(cfg.names, end), cfg.clock.now() - sentAt);
+  await cfg.quarantine.note({req, backend, end, isTrial, how, sentAt});
+  target.end(how, cfg.clock.now() - sentAt);
   const reply = takeEnd(journey, backend, end, sentAt, ahead);
   cfg.backends.notifyRoom(req.service);
   return reply;
--- a/packages/dispatch/src/place-issuer.ts
+++ b/packages/dispatch/src/place-issuer.ts
@@ -258,8 +258,8 @@
   backend.placed = Math.max(0, backend.placed - 1);
   if (ask.trial !== undefined) backend.hasTrial = false;
   const now = clock.now();
+  if (how === 'answered') suspects.noteAlive(backend.info.id, grantedAt);
   if (how === 'answered' || how === 'failed') {
-    suspects.noteAlive(backend.info.id, grantedAt);
     noteAnswer(backend, now, tookMs, 0, how === 'failed', null);
   } else if (how === 'lost') {
     noteLoss(backend, now, tookMs);
--- a/packages/dispatch/src/quarantine.ts
+++ b/packages/dispatch/src/quarantine.ts
@@ -1,6 +1,7 @@
 import type {AttemptEnd} from './attempt.js';
 import type {Backend} from './backend.js';
 import type {ForwardRequest} from './journey.js';
+import type {PlaceEnd} from './places.js';
 import type {ServerEnds} from './server-ends.js';
 import type {Standing, Struck, Suspects} from './suspects.js';
 
@@ -21,8 +22,8 @@
   readonly backend: Backend;
   readonly end: AttemptEnd;
   readonly isTrial: boolean;
-  /** Whether the server did not run it. */
-  readonly isRefused: boolean;
+  /** How it ended for whoever handed out its place. */
+  readonly how: PlaceEnd;
   /** Monotonic, in ms. */
   readonly sentAt: number;
 }
@@ -45,11 +46,12 @@
       if (suspects.isEmpty()) return 'unknown';
       return suspects.standingOf(req.contents());
     },
-    async note({req, backend, end, isTrial, isRefused, sentAt}) {
+    async note({req, backend, end, isTrial, how, sentAt}) {
       const {id} = backend.info;
       if (end.kind === 'answered') {
-        // A refusal may be another run's, at the address of the one that ended.
-        if (isRefused) return;
+        // A refusal may be another run's, at the address of the one that ended;
+        // a failure may come before the server began to run the request.
+        if (how !== 'answered') return;
         suspects.noteAlive(id, sentAt);
         if (!suspects.isEmpty()) suspects.clearAnswered(req.contents());
         return;
--- a/packages/dispatch/src/take-end.ts
+++ b/packages/dispatch/src/take-end.ts
@@ -14,7 +14,7 @@
 const TURNED_AWAY_MS = 30;
 
 /** Whether the server answered that it did not run the request. */
-export function isRefusal(names: WireNames, end: AttemptEnd): boolean {
+function isRefusal(names: WireNames, end: AttemptEnd): boolean {
   return end.kind === 'answered' && end.answer.fields.has(names.notRun);
 }
 
