--- a/packages/dispatch/src/suspects.ts
+++ b/packages/dispatch/src/suspects.ts
@@ -142,12 +142,12 @@
     forgetOld();
     rows = [...table.values()];
     standings = standingsOf(rows, alive);
-    struckAt.forEach((_, server) => {
-      const isKnown = rows.some(({strikes}) =>
-        strikes.some(each => each.server === server),
-      );
-      if (!isKnown) struckAt.delete(server);
-    });
+    const struck = new Set(
+      rows.flatMap(({strikes}) => strikes.map(({server}) => server)),
+    );
+    for (const server of struckAt.keys()) {
+      if (!struck.has(server)) struckAt.delete(server);
+    }
     for (const listener of listeners) listener(some, isOwn);
   };
 
@@ -174,29 +174,24 @@
     }
     for (const isQuarantined of [false, true]) {
       const most = isQuarantined ? MAX_QUARANTINED : MAX_OPEN;
-      const own = [...table.values()].filter(
-        row => row.isQuarantined === isQuarantined,
-      );
-      for (let left = own.length; left > most; left--) {
-        drop(oldestOfMost(own, table));
-      }
+      const ofKind = (row: Suspect): boolean =>
+        row.isQuarantined === isQuarantined;
+      let left = [...table.values()].filter(ofKind).length;
+      for (; left > most; left--) drop(oldestOfMost(ofKind));
     }
   };
 
   /** A caller that fills the table pushes out its own rows only. */
-  const oldestOfMost = (
-    own: readonly Suspect[],
-    kept: ReadonlyMap<string, Suspect>,
-  ): string => {
+  const oldestOfMost = (ofKind: (row: Suspect) => boolean): string => {
     const counts = new Map<string, number>();
-    const left = own.filter(({content}) => kept.has(content));
-    for (const {caller} of left) {
-      counts.set(caller, (counts.get(caller) ?? 0) + 1);
+    for (const row of table.values()) {
+      if (ofKind(row))
+        counts.set(row.caller, (counts.get(row.caller) ?? 0) + 1);
     }
     const most = Math.max(...counts.values());
     const oldest = [...changedAt.keys()].find(content => {
-      const row = left.find(each => each.content === content);
-      return row !== undefined && counts.get(row.caller) === most;
+      const row = table.get(content)!;
+      return ofKind(row) && counts.get(row.caller) === most;
     });
     return oldest!;
   };
