--- a/packages/cli/src/quarantine-client.ts
+++ b/packages/cli/src/quarantine-client.ts
@@ -3,7 +3,7 @@
 import type {CliArgs, CliIo} from './cli.js';
 import {CliError} from './cli.js';
 import {EXIT, type ExitCode} from './exit-codes.js';
-import {required} from './session.js';
+import {CONNECTION_ARGS, required} from './session.js';
 
 /** A request under which servers ended, as a router shows it. */
 export interface SuspectMessage {
@@ -32,12 +32,8 @@
     description: "IP:PORT of a router's interface for metrics",
     valueHint: 'BANYANDRUM_ROUTER',
   },
-  token: {
-    type: 'string',
-    description: 'Your token; others on this machine can read a flag',
-    valueHint: 'BANYANDRUM_TOKEN',
-  },
-  json: {type: 'boolean', description: 'Print JSON'},
+  token: CONNECTION_ARGS.token,
+  json: CONNECTION_ARGS.json,
 } as const satisfies ArgsDef;
 
 const WITHIN_MS = 5_000;
--- a/packages/dispatch/src/journey.ts
+++ b/packages/dispatch/src/journey.ts
@@ -10,7 +10,7 @@
 import type {Places} from './places.js';
 import type {Quarantine} from './quarantine.js';
 import type {RetryBudget} from './retry-budget.js';
-import type {Standing} from './suspects.js';
+import type {Standing} from './suspect.js';
 import type {WireNames} from './wire.js';
 
 /** A caller's request, as it goes to a backend server. */
--- a/packages/dispatch/src/quarantine.ts
+++ b/packages/dispatch/src/quarantine.ts
@@ -3,7 +3,8 @@
 import type {ForwardRequest} from './journey.js';
 import type {PlaceEnd} from './places.js';
 import type {ServerEnds} from './server-ends.js';
-import type {Standing, Struck, Suspects} from './suspects.js';
+import type {Standing, Struck} from './suspect.js';
+import type {Suspects} from './suspects.js';
 
 /** What keeps a request that ends servers from more of them. */
 export interface Quarantine {
--- a/packages/dispatch/src/suspects.ts
+++ b/packages/dispatch/src/suspects.ts
@@ -1,57 +1,15 @@
 import type {Clock} from '@banyandrum/base/clock.js';
-import {SCOPES, type Contents, type Scope} from './content.js';
+import {SCOPES, type Contents} from './content.js';
 import type {Emit} from './events.js';
-
-/** A server's run that ended while the request was there. */
-export interface Strike {
-  /** The id of the run. */
-  readonly server: string;
-  /** Whether it was sent as a trial: known to be suspected, no other beside it. */
-  readonly isTrial: boolean;
-  /** The request's digest in the next narrower scope. */
-  readonly by: string;
-}
-
-/** Why a request is believed to be harmless after all. */
-export interface Clearing {
-  /** `answered`, or the operator's name. */
-  readonly by: string;
-  readonly reason: string;
-  /** Time of day, ms since 1970. */
-  readonly at: number;
-}
-
-/** What routers know of a request under which servers ended. */
-export interface Suspect {
-  /** One of the digests of what it asks (`content.ts`), and which. */
-  readonly content: string;
-  readonly scope: Scope;
-  /** The same for all rows of one request: its widest digest. */
-  readonly family: string;
-  readonly caller: string;
-  readonly service: string;
-  readonly route: string;
-  /** Counts its clearings; what belongs to an earlier round is void. */
-  readonly round: number;
-  readonly strikes: readonly Strike[];
-  /** Not sent to any server until it is cleared. */
-  readonly isQuarantined: boolean;
-  readonly cleared: Clearing | null;
-}
-
-/** What a request is to be taken for. */
-export type Standing = 'unknown' | 'suspected' | 'quarantined';
-
-/** A request at whose server's end it was there. */
-export interface Struck {
-  readonly contents: Contents;
-  readonly caller: string;
-  readonly service: string;
-  readonly route: string;
-}
-
-/** What is the same in all rounds of a row. */
-type About = Omit<Suspect, 'round' | 'strikes' | 'isQuarantined' | 'cleared'>;
+import {findGuilty, standingsOf} from './judge-suspects.js';
+import {
+  joined,
+  rowsOf,
+  type Clearing,
+  type Standing,
+  type Struck,
+  type Suspect,
+} from './suspect.js';
 
 /** Told of rows that changed; `isOwn`: by what this router saw or was told. */
 export type SuspectListener = (
@@ -91,15 +49,6 @@
   subscribe(listener: SuspectListener): void;
 }
 
-/** So many servers must have ended under a request, one in a trial at least. */
-const MIN_STRIKES = 3;
-/**
- * A wider digest stands for several requests: where all ends are one narrower
- * one's, that alone is refused, and what others ask goes on.
- */
-const MIN_NARROWER = 2;
-/** Ended servers that are told of one request. */
-const MAX_STRIKES = 16;
 /** Rows of requests that aren't quarantined, and of those that are. */
 const MAX_OPEN = 1_000;
 const MAX_QUARANTINED = 1_000;
@@ -293,138 +242,3 @@
     subscribe: listener => void listeners.push(listener),
   };
 }
-
-/** A strike as the rows of each scope have it. */
-function rowsOf(
-  {contents, caller, service, route}: Struck,
-  server: string,
-  isTrial: boolean,
-): readonly Suspect[] {
-  return SCOPES.map((scope, at) => {
-    const narrower = SCOPES[at - 1];
-    const by = narrower === undefined ? '' : contents[narrower];
-    const about: About = {
-      ...{content: contents[scope], scope, family: contents.anyQuery},
-      ...{caller, service, route},
-    };
-    const strikes = [{server, isTrial, by}];
-    return {...about, round: 0, strikes, isQuarantined: false, cleared: null};
-  });
-}
-
-/** What both rows say together; `known` itself where that is nothing new. */
-function joined(known: Suspect, other: Suspect): Suspect {
-  if (other.round < known.round) return known;
-  if (other.round > known.round) return other;
-  const strikes = new Map(known.strikes.map(each => [each.server, each]));
-  for (const strike of other.strikes) {
-    const {server, by} = strike;
-    const last = strikes.get(server);
-    strikes.set(server, {
-      server,
-      isTrial: strike.isTrial || (last?.isTrial ?? false),
-      by: last !== undefined && last.by < by ? last.by : by,
-    });
-  }
-  const isQuarantined = known.isQuarantined || other.isQuarantined;
-  const kept = [...strikes.values()].sort(trialsFirst).slice(0, MAX_STRIKES);
-  const next = {...known, strikes: kept, isQuarantined};
-  return isSame(known, next) ? known : next;
-}
-
-/**
- * Of many strikes those of trials are kept: without one a request that ended
- * servers at all routers, while nobody led, would never be quarantined.
- */
-function trialsFirst(a: Strike, b: Strike): number {
-  if (a.isTrial !== b.isTrial) return a.isTrial ? -1 : 1;
-  return a.server < b.server ? -1 : 1;
-}
-
-function isSame(a: Suspect, b: Suspect): boolean {
-  return (
-    a.isQuarantined === b.isQuarantined &&
-    a.strikes.length === b.strikes.length &&
-    a.strikes.every(({server, isTrial, by}, at) => {
-      const other = b.strikes[at]!;
-      const isAlike = isTrial === other.isTrial && by === other.by;
-      return server === other.server && isAlike;
-    })
-  );
-}
-
-/** Servers that ended under quarantined requests, and the families of these. */
-type Explained = Map<string, Set<string>>;
-
-/** Strikes that no other request explains. */
-function openStrikes(
-  {strikes, family}: Suspect,
-  explained: Explained,
-  alive: ReadonlySet<string>,
-): readonly Strike[] {
-  return strikes.filter(({server}) => {
-    const families = explained.get(server);
-    const isOwn = families === undefined || families.has(family);
-    return isOwn && !alive.has(server);
-  });
-}
-
-function explain(explained: Explained, {family, strikes}: Suspect): void {
-  for (const {server} of strikes) {
-    const families = explained.get(server) ?? new Set();
-    explained.set(server, families.add(family));
-  }
-}
-
-function explainedBy(rows: readonly Suspect[]): Explained {
-  const explained: Explained = new Map();
-  for (const row of rows) if (row.isQuarantined) explain(explained, row);
-  return explained;
-}
-
-function standingsOf(
-  rows: readonly Suspect[],
-  alive: ReadonlySet<string>,
-): ReadonlyMap<string, Standing> {
-  const explained = explainedBy(rows);
-  const standings = new Map<string, Standing>();
-  for (const row of rows) {
-    if (row.isQuarantined) standings.set(row.content, 'quarantined');
-    else if (openStrikes(row, explained, alive).length > 0) {
-      standings.set(row.content, 'suspected');
-    }
-  }
-  return standings;
-}
-
-/** Those to be quarantined now, the one with the most strikes first. */
-function findGuilty(
-  rows: readonly Suspect[],
-  alive: ReadonlySet<string>,
-): readonly Suspect[] {
-  const explained = explainedBy(rows);
-  const guilty: Suspect[] = [];
-  const open = rows.filter(({isQuarantined}) => !isQuarantined).sort(byStrikes);
-  for (const row of open) {
-    const strikes = openStrikes(row, explained, alive);
-    if (!isGuilty(row.scope, strikes)) continue;
-    guilty.push(row);
-    explain(explained, row);
-  }
-  return guilty;
-}
-
-function isGuilty(scope: Scope, strikes: readonly Strike[]): boolean {
-  // Servers that end together mark whatever they ran, a busy read many times
-  // at once; only a trial shows that the next one ends as well.
-  const isTried = strikes.some(({isTrial}) => isTrial);
-  if (strikes.length < MIN_STRIKES || !isTried) return false;
-  const narrower = new Set(strikes.map(({by}) => by));
-  return scope === 'exact' || narrower.size >= MIN_NARROWER;
-}
-
-/** Any order will do among equals, if it is the same at every leader. */
-function byStrikes(a: Suspect, b: Suspect): number {
-  const more = b.strikes.length - a.strikes.length;
-  return more !== 0 ? more : a.content < b.content ? -1 : 1;
-}
--- a/packages/dispatch/test/quarantine.test.ts
+++ b/packages/dispatch/test/quarantine.test.ts
@@ -5,7 +5,8 @@
 import type {PlaceEnd} from '@banyandrum/dispatch/places.js';
 import {createQuarantine} from '@banyandrum/dispatch/quarantine.js';
 import {createServerEnds} from '@banyandrum/dispatch/server-ends.js';
-import {createSuspects, type Standing} from '@banyandrum/dispatch/suspects.js';
+import type {Standing} from '@banyandrum/dispatch/suspect.js';
+import {createSuspects} from '@banyandrum/dispatch/suspects.js';
 import {createManualClock} from '@banyandrum/standins/manual-clock.js';
 
 const CONTENTS = {exact: 'e', anyCaller: 'c', anyQuery: 'q'};
--- a/packages/dispatch/test/suspects.test.ts
+++ b/packages/dispatch/test/suspects.test.ts
@@ -1,11 +1,8 @@
 import tap from 'tap';
 import fc from 'fast-check';
 import type {Contents} from '@banyandrum/dispatch/content.js';
-import {
-  createSuspects,
-  type Struck,
-  type Suspects,
-} from '@banyandrum/dispatch/suspects.js';
+import type {Struck} from '@banyandrum/dispatch/suspect.js';
+import {createSuspects, type Suspects} from '@banyandrum/dispatch/suspects.js';
 import {
   createManualClock,
   type ManualClock,
--- a/packages/gateway/src/link-client.ts
+++ b/packages/gateway/src/link-client.ts
@@ -1,7 +1,7 @@
 import {sleep, type Clock} from '@banyandrum/base/clock.js';
 import type {Emit} from '@banyandrum/dispatch/events.js';
 import type {Place, Places} from '@banyandrum/dispatch/places.js';
-import type {Suspect} from '@banyandrum/dispatch/suspects.js';
+import type {Suspect} from '@banyandrum/dispatch/suspect.js';
 import {credentials, makeGenericClientConstructor} from '@grpc/grpc-js';
 import {
   LINK_SERVICE,
--- a/packages/gateway/src/link-messages.ts
+++ b/packages/gateway/src/link-messages.ts
@@ -3,7 +3,7 @@
   PlaceEnd,
   PlaceReply,
 } from '@banyandrum/dispatch/places.js';
-import type {Suspect} from '@banyandrum/dispatch/suspects.js';
+import type {Suspect} from '@banyandrum/dispatch/suspect.js';
 import type {ServiceDefinition} from '@grpc/grpc-js';
 import type {KeyCounts} from './key-owners.js';
 import type {WireConfig} from './link-config.js';
--- a/packages/gateway/src/link-telling.ts
+++ b/packages/gateway/src/link-telling.ts
@@ -1,5 +1,6 @@
 import type {ServerInfo} from '@banyandrum/dispatch/backend.js';
-import type {Suspect, Suspects} from '@banyandrum/dispatch/suspects.js';
+import type {Suspect} from '@banyandrum/dispatch/suspect.js';
+import type {Suspects} from '@banyandrum/dispatch/suspects.js';
 import type {Clock} from '@banyandrum/base/clock.js';
 import type {ServedTables} from './key-owners.js';
 import type {Leadership} from './leadership.js';
--- a/packages/gateway/src/platform.ts
+++ b/packages/gateway/src/platform.ts
@@ -1,5 +1,5 @@
 import type {ServerInfo} from '@banyandrum/dispatch/backend.js';
-import type {Suspect} from '@banyandrum/dispatch/suspects.js';
+import type {Suspect} from '@banyandrum/dispatch/suspect.js';
 import type {WireNames} from '@banyandrum/dispatch/wire.js';
 import type {Ledger, SaveEnd} from '@banyandrum/ranges/ledger.js';
 import type {Orders} from '@banyandrum/ranges/orders.js';
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -27,6 +27,7 @@
 import type {Platform} from './platform.js';
 import {createQuarantinePage} from './quarantine-page.js';
 import {createRouterCount} from './router-count.js';
+import {limitConnections} from './limit-connections.js';
 import {createServerList} from './server-list.js';
 import {createServiceTimes, drainTimes} from './service-times.js';
 import type {Settings} from './settings.js';
@@ -56,8 +57,6 @@
 const SETTLE_MS = 1_500;
 /** What a leader that leaves tells of its touch with the platform, in ms. */
 const LEAVING_TOUCH_MS = 1e6;
-/** Connections of a server that this router leaves to others' orders. */
-const SPARE_CONNECTIONS = 4;
 
 /**
  * Runs a router: callers' interface, readiness, the exchange with the other
@@ -133,12 +132,8 @@
   };
   const shareConnections = (): void => {
     const services = keeper.current()?.services;
-    const sharers = countRouters();
-    backends.setConnectionLimit(service => {
-      const most = services?.get(service)?.maxConnections ?? 0;
-      const share = (most - SPARE_CONNECTIONS) / sharers;
-      return Math.max(2, Math.floor(share));
-    });
+    if (services === undefined) return;
+    limitConnections(backends, services, countRouters());
   };
   const chosenAddress = (): string | null => {
     const name = routers.chosen();
--- a/packages/gateway/src/share-suspects.ts
+++ b/packages/gateway/src/share-suspects.ts
@@ -1,5 +1,6 @@
 import {sleep, type Clock} from '@banyandrum/base/clock.js';
-import type {Suspect, Suspects} from '@banyandrum/dispatch/suspects.js';
+import type {Suspect} from '@banyandrum/dispatch/suspect.js';
+import type {Suspects} from '@banyandrum/dispatch/suspects.js';
 import type {Leadership} from './leadership.js';
 import type {LinkClient} from './link-client.js';
 import type {Platform} from './platform.js';
