--- a/packages/dispatch/src/suspects.ts
+++ b/packages/dispatch/src/suspects.ts
@@ -52,10 +52,17 @@
 /** Rows of requests that aren't quarantined, and of those that are. */
 const MAX_OPEN = 1_000;
 const MAX_QUARANTINED = 300;
+/** Who clears a request that a server answered. */
+const ANSWERED = 'answered';
 /** Servers that were wrongly taken for ended. */
 const MAX_ALIVE = 1_000;
 /** One that isn't quarantined is forgotten after this time, in ms. */
 const FORGET_MS = 600_000;
+/**
+ * An operator's clearing is kept for longer, in ms: routers that were cut off
+ * meanwhile still know the request as quarantined.
+ */
+const KEEP_CLEARED_MS = 86_400_000;
 
 /**
  * Makes the table. Rows of several routers merge in any order to the same: a
@@ -118,8 +125,7 @@
   const forgetOld = (): void => {
     const now = clock.now();
     for (const [content, at] of changedAt) {
-      const isKept = table.get(content)!.isQuarantined;
-      if (!isKept && now - at > FORGET_MS) drop(content);
+      if (now - at > keepMs(table.get(content)!)) drop(content);
     }
     for (const isQuarantined of [false, true]) {
       const most = isQuarantined ? MAX_QUARANTINED : MAX_OPEN;
@@ -197,7 +203,7 @@
         row => row !== undefined && row.strikes.length > 0,
       );
       const reason = 'a server answered it whole';
-      const cleared = {by: 'answered', reason, at: unixNow()};
+      const cleared = {by: ANSWERED, reason, at: unixNow()};
       startRound(rows as readonly Suspect[], cleared);
     },
     clear(content, by, reason) {
@@ -242,3 +248,10 @@
     subscribe: listener => void listeners.push(listener),
   };
 }
+
+/** For how long a row is kept while nothing of it changes, in ms. */
+function keepMs({isQuarantined, cleared}: Suspect): number {
+  if (isQuarantined) return Infinity;
+  const isAnswered = cleared === null || cleared.by === ANSWERED;
+  return isAnswered ? FORGET_MS : KEEP_CLEARED_MS;
+}
--- a/packages/dispatch/test/suspects.test.ts
+++ b/packages/dispatch/test/suspects.test.ts
@@ -174,6 +174,12 @@
   end('later', 's9');
   t.equal(suspects.get(contents('beside').exact), undefined);
   t.equal(suspects.standingOf(contents('bad')), 'quarantined');
+  const before = suspects.rows();
+  suspects.clear(contents('bad').exact, 'ayesha', 'mended');
+  await clock.advance(3_600_000);
+  end('last', 's10');
+  suspects.merge(before);
+  t.equal(suspects.standingOf(contents('bad')), 'unknown', 'by one cut off');
 });
 
 /** What one router sees, in any order. */
--- a/packages/gateway/src/share-suspects.ts
+++ b/packages/gateway/src/share-suspects.ts
@@ -68,12 +68,14 @@
       );
     });
 
-  const write = async (epoch: number): Promise<void> => {
+  /** Writes what is unwritten, in whichever term this router leads. */
+  const write = async (): Promise<void> => {
     if (isWriting) return;
     isWriting = true;
-    while (leadership.epoch() === epoch) {
+    for (;;) {
+      const epoch = leadership.epoch();
       const [next] = unwritten();
-      if (next === undefined) break;
+      if (epoch === null || next === undefined) break;
       const end = await platform.suspects.save(epoch, next);
       if (end === 'saved') recorded.set(next.content, next);
       if (end === 'fenced') leadership.check();
@@ -97,19 +99,18 @@
     while (leadership.epoch() === epoch && !(await read())) {
       await sleep(clock, RETRY_MS);
     }
-    await write(epoch);
+    await write();
     await dropOld(epoch);
   };
 
   suspects.subscribe((rows, isOwn) => {
-    const epoch = leadership.epoch();
-    if (epoch === null) {
+    if (!leadership.isLeading()) {
       if (isOwn) link.tellSuspects(rows);
       return;
     }
     suspects.judge();
     // Before it was read, a clearing would not be known as one of a record.
-    if (isRead) void write(epoch);
+    if (isRead) void write();
   });
   leadership.subscribe(() => {
     const epoch = leadership.epoch();
@@ -117,11 +118,12 @@
     ledEpoch = epoch;
     if (epoch !== null) void lead(epoch);
   });
-  repeat({...cfg, name: 'suspects', ms: LOOK_MS}, async () => {
+  const startedAt = clock.now();
+  const goesOn = (): boolean => cfg.goesOn() && !isRead;
+  repeat({...cfg, name: 'suspects', ms: LOOK_MS, goesOn}, async () => {
     if (link.leader() !== null) isRead = true;
     if (isRead || leadership.isLeading()) return;
     if (clock.now() - startedAt < ALONE_MS) return;
     if (!(await read())) await sleep(clock, REREAD_MS);
   });
-  const startedAt = clock.now();
 }
