--- a/packages/dispatch/src/server-ends.ts
+++ b/packages/dispatch/src/server-ends.ts
@@ -1,4 +1,4 @@
-import type {Clock} from '@banyandrum/base/clock.js';
+import {sleep, type Clock} from '@banyandrum/base/clock.js';
 import type {Backend} from './backend.js';
 
 /** What a new connection to a server's address came to. */
@@ -11,7 +11,7 @@
   /**
    * A request's connection to the server ended without an answer. Calls
    * `onEnded` where the run is proved to have ended within some seconds;
-   * resolves once that can't be known sooner.
+   * resolves once that is known, or after a moment.
    */
   lost(backend: Backend, onEnded: () => void): Promise<void>;
   /** A request was given up at the server: the same, without a probe. */
@@ -37,6 +37,11 @@
 const WATCH_MS = 5_000;
 /** A request given up so long before the end had no part in it, in ms. */
 const LEFT_MS = 1_000;
+/**
+ * A request waits so long for the proof before it goes on, in ms: hosts answer
+ * within some ms, and one behind a cut says nothing for much longer.
+ */
+const MOMENT_MS = 50;
 /** Requests lost at one server at once share one proof for this time, in ms. */
 const SHARED_MS = 500;
 
@@ -96,8 +101,10 @@
       if (isLeaving) return;
       if (endedAt.has(id)) return onEnded();
       watch(id, WATCH_MS, onEnded);
-      const end = await probe(backend);
-      if (end === 'refused') noteEnded(id);
+      const probed = probe(backend).then(end => {
+        if (end === 'refused') noteEnded(id);
+      });
+      await Promise.race([probed, sleep(clock, MOMENT_MS)]);
     },
     left(backend, onEnded) {
       if (!backend.info.isLeaving) watch(backend.info.id, LEFT_MS, onEnded);
--- a/packages/dispatch/test/server-ends.test.ts
+++ b/packages/dispatch/test/server-ends.test.ts
@@ -61,6 +61,27 @@
   });
 }
 
+// A host behind a cut keeps its callers' requests from going on elsewhere no
+// longer than a moment; what is found later counts all the same.
+void tap.test('a request does not wait for a silent host', async t => {
+  const clock = createManualClock(1_000);
+  let settle: (end: ProbeEnd) => void = () => undefined;
+  const probe = (): Promise<ProbeEnd> =>
+    new Promise(resolve => {
+      settle = resolve;
+    });
+  const ends = createServerEnds({clock, probe});
+  let strikes = 0;
+  let isOn = false;
+  const lost = ends.lost(backend(), () => strikes++).then(() => (isOn = true));
+  await clock.advance(60);
+  t.ok(isOn);
+  settle('refused');
+  await lost;
+  await clock.advance(1);
+  t.equal(strikes, 1);
+});
+
 void tap.test('requests lost together share one probe', async t => {
   const clock = createManualClock(1_000);
   let probes = 0;
