--- a/packages/gateway/src/entry.ts
+++ b/packages/gateway/src/entry.ts
@@ -40,6 +40,8 @@
   readonly clock: Clock;
   readonly emit: Emit;
   config(): RoutingConfig | null;
+  /** Whether it is known which requests are quarantined. */
+  isInformed(): boolean;
   /** How late this process comes to its work, in ms. */
   lagMs(): number;
   /** Counts an answered request. */
@@ -93,8 +95,8 @@
 const MAX_LAG_MS = 100;
 /** Callers come back to another router after this time, in ms. */
 const BUSY_RETRY_MS = 40;
-/** Callers come back after this time where no configuration is known, ms. */
-const NO_CONFIG_RETRY_MS = 300;
+/** Callers come back after this time to a router that starts, in ms. */
+const STARTING_RETRY_MS = 300;
 
 /**
  * Makes the callers' interface; listening is up to the process.
@@ -232,7 +234,10 @@
   const {id} = arrival;
   const {names} = state.forward;
   if (config === null) {
-    return notRun('no configuration is known yet', NO_CONFIG_RETRY_MS);
+    return notRun('no configuration is known yet', STARTING_RETRY_MS);
+  }
+  if (!state.isInformed()) {
+    return notRun('what is quarantined is not known yet', STARTING_RETRY_MS);
   }
   if (state.lagMs() > MAX_LAG_MS) {
     return notRun('the processor is used up', BUSY_RETRY_MS);
--- a/packages/gateway/src/link-client.ts
+++ b/packages/gateway/src/link-client.ts
@@ -59,6 +59,8 @@
   /** Asks the router at the address to lead; whether it does. */
   offer(address: string): Promise<boolean>;
   noteReplaced(server: string): void;
+  /** Whether any leader told this router its whole state. */
+  isTold(): boolean;
   /** Tells the leader of requests under which servers ended. */
   tellSuspects(rows: readonly Suspect[]): void;
   stop(): void;
@@ -118,6 +120,7 @@
   const {clock} = cfg;
   let session: Session | null = null;
   let isStopped = false;
+  let isTold = false;
   let asks = 0;
   let deputies: readonly Candidate[] = [];
   let heardAt = -Infinity;
@@ -158,6 +161,7 @@
       takeMessage(cfg, own, message);
       // What this router learnt of another leader, or of none.
       if (own.isTold && !wasTold) {
+        isTold = true;
         tell(own, untoldSuspects(own, cfg.suspects.rows()));
       }
       if (!own.isLeader) return;
@@ -299,6 +303,7 @@
     noteReplaced(server) {
       if (session?.isOpen) session.stream.write({kind: 'replaced', server});
     },
+    isTold: () => isTold,
     tellSuspects(rows) {
       if (session !== null) tell(session, rows);
     },
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -191,6 +191,10 @@
     shareConnections();
   });
 
+  const isInformed = shareSuspects({
+    ...{platform, clock, emit, leadership, suspects, link, goesOn},
+    unixNow: Date.now,
+  });
   const lag = watchLag(clock);
   const source: MetricsSource = {
     routers: countRouters,
@@ -212,6 +216,7 @@
     count: metrics.count,
     splitter: createSplitter(),
     config: () => keeper.current(),
+    isInformed: () => isInformed(),
     lagMs: () => lag.ms(),
     forward: {
       backends,
@@ -234,7 +239,10 @@
     },
   });
   const isReady = (): boolean =>
-    !isStopping && keeper.current() !== null && list.cursor() !== null;
+    !isStopping &&
+    keeper.current() !== null &&
+    list.cursor() !== null &&
+    isInformed();
   const readiness = createServer((_, res) => {
     res.writeHead(isReady() ? 200 : 503, {'content-length': 0});
     res.end();
@@ -303,11 +311,6 @@
     },
   });
 
-  shareSuspects({
-    ...{platform, clock, emit, leadership, suspects, link, goesOn},
-    unixNow: Date.now,
-  });
-
   const closeAll = (): void => {
     isOver = true;
     lag.stop();
--- a/packages/gateway/src/share-suspects.ts
+++ b/packages/gateway/src/share-suspects.ts
@@ -19,29 +19,26 @@
 
 /** Pause after a call that failed, in ms. */
 const RETRY_MS = 500;
-/**
- * A router that began so long ago and heard no leader reads the record, in ms:
- * after a loss of all power each would send the same request on once more.
- */
-const ALONE_MS = 600;
-/** Whether it heard one is looked at this often, in ms. */
-const LOOK_MS = 200;
-/** Pause before a lone router reads again what it could not read, in ms. */
-const REREAD_MS = 3_000;
+/** Pause before a router that starts reads again what it could not read, in ms. */
+const REREAD_MS = 400;
+/** It serves after this time, in ms, though it can't know what is quarantined. */
+const UNKNOWN_MS = 2_000;
 /** Clearings stay in the record for this time, as its audit trail, in ms. */
 const KEEP_MS = 90 * 86_400_000;
 
 /**
  * Shares what this router knows of requests under which servers ended. Each
  * tells the leader, which alone quarantines them, tells all, and writes down
- * what must outlive every router.
+ * what must outlive every router. The result tells whether this router knows
+ * what is quarantined: each one that starts would end servers with the same
+ * request once more.
  *
  * @example
  * ```ts
- * shareSuspects(cfg);
+ * const isInformed = shareSuspects(cfg);
  * ```
  */
-export function shareSuspects(cfg: ShareConfig): void {
+export function shareSuspects(cfg: ShareConfig): () => boolean {
   const {clock, suspects, leadership, link, platform} = cfg;
   /** The rows in the record, by content. */
   const recorded = new Map<string, Suspect>();
@@ -119,11 +116,10 @@
     if (epoch !== null) void lead(epoch);
   });
   const startedAt = clock.now();
-  const goesOn = (): boolean => cfg.goesOn() && !isRead;
-  repeat({...cfg, name: 'suspects', ms: LOOK_MS, goesOn}, async () => {
-    if (link.leader() !== null) isRead = true;
-    if (isRead || leadership.isLeading()) return;
-    if (clock.now() - startedAt < ALONE_MS) return;
-    if (!(await read())) await sleep(clock, REREAD_MS);
+  const isUnread = (): boolean => !isRead && !link.isTold();
+  const goesOn = (): boolean => cfg.goesOn() && isUnread();
+  repeat({...cfg, name: 'suspects', ms: REREAD_MS, goesOn}, async () => {
+    await read();
   });
+  return () => !isUnread() || clock.now() - startedAt > UNKNOWN_MS;
 }
