--- a/packages/cli/test/run-cli.test.ts
+++ b/packages/cli/test/run-cli.test.ts
@@ -79,6 +79,12 @@
     {argv: ['log-level', 'loud'], err: 'LEVEL: expected one of debug, info'},
     {argv: ['history', '--limit', '0'], err: '--limit: expected 1 to 1000'},
     {argv: ['show'], err: 'give --operators or set BANYANDRUM_OPERATORS'},
+    {argv: ['quarantine'], err: 'give --router or set BANYANDRUM_ROUTER'},
+    {argv: ['readmit', 'c'], err: 'Missing required argument: --reason'},
+    {
+      argv: ['quarantine', '--router', 'entry:1', '--token', 't'],
+      err: '--router: expected IP:PORT, found "entry:1"',
+    },
     {
       argv: ['show', '--operators', 'entry-1:80'],
       err: '--operators: expected IP:PORT, found "entry-1:80"',
