Read and log the request limits that backend servers report

A backend server may report in its answers how many requests per second it accepts from all routers combined (`server-limit`). No router read this header and no log line recorded it, so a server over its limit could not be told from one whose limit was divided incorrectly between routers.

The metric banyandrum_limited_servers counts the servers with a limit.

Values that are not plain decimal numbers are ignored. Nothing enforces the limit yet.

A lost attempt now carries the header fields of an incomplete answer.

--- a/packages/dispatch/src/attempt.ts
+++ b/packages/dispatch/src/attempt.ts
@@ -43,6 +43,8 @@
       /** Whether the server may have seen it. */
       readonly isWritten: boolean;
       readonly detail: string;
+      /** Header fields of an incomplete answer to this request; else empty. */
+      readonly fields: Answer['fields'];
     };
 
 /** An attempt under way. */
@@ -52,6 +54,8 @@
   drop(reason: 'timeout' | 'cancelled'): void;
 }
 
+const NO_FIELDS: Answer['fields'] = new Map();
+
 type Handler = Parameters<Dispatcher['dispatch']>[1];
 
 /**
@@ -74,7 +78,7 @@
   let size = 0;
   let status = 0;
   let rawHeaders: string[] = [];
-  let fields: ReadonlyMap<string, string> = new Map();
+  let fields = NO_FIELDS;
   let isWritten = false;
   let dropped: LossReason | null = null;
   let abort: (() => void) | null = null;
@@ -84,7 +88,7 @@
   });
   const lose = (reason: LossReason, detail: string): void => {
     cancelTimer();
-    settle({kind: 'lost', reason, isWritten, detail});
+    settle({kind: 'lost', reason, isWritten, detail, fields});
   };
   const drop = (reason: LossReason): void => {
     if (dropped !== null) return;
@@ -115,7 +119,10 @@
       const id = fields.get(names.requestId);
       // A late or doubled answer of an earlier request: all that follows on
       // this connection belongs to nobody known.
-      if (id !== undefined && id !== spec.requestId) drop('mismatched');
+      if (id !== undefined && id !== spec.requestId) {
+        fields = NO_FIELDS;
+        drop('mismatched');
+      }
       return true;
     },
     onData(chunk) {
--- a/packages/dispatch/src/journey.ts
+++ b/packages/dispatch/src/journey.ts
@@ -10,6 +10,7 @@
 import type {Places} from './places.js';
 import type {Quarantine} from './quarantine.js';
 import type {RetryBudget} from './retry-budget.js';
+import type {ServerLimits} from './server-limits.js';
 import type {Standing} from './suspect.js';
 import type {WireNames} from './wire.js';
 
@@ -49,6 +50,7 @@
   readonly dataCentre: string;
   readonly budget: RetryBudget;
   readonly quarantine: Quarantine;
+  readonly limits: ServerLimits;
   readonly names: WireNames;
   readonly clock: Clock;
   readonly emit: Emit;
--- a/packages/dispatch/src/server-run.ts
+++ b/packages/dispatch/src/server-run.ts
@@ -28,3 +28,8 @@
   const born = RUN.exec(id)?.groups?.['born'];
   return born === undefined ? null : Number(born);
 }
+
+/** Whether `name`, as given in an answer, isn't the server name of run `id`. */
+export function isOtherServer(id: string, name: string | undefined): boolean {
+  return name !== undefined && name !== nameOfRun(id);
+}
--- a/packages/dispatch/src/take-end.ts
+++ b/packages/dispatch/src/take-end.ts
@@ -3,7 +3,7 @@
 import {noteAnswer, noteLoss, suspect, type Backend} from './backend.js';
 import {fail, giveUp, type Journey, type Reply} from './journey.js';
 import type {PlaceEnd} from './places.js';
-import {nameOfRun} from './server-run.js';
+import {isOtherServer} from './server-run.js';
 import {readLoad, type WireNames} from './wire.js';
 
 /**
@@ -114,7 +114,7 @@
   const {cfg, req, excluded} = journey;
   const {id} = backend.info;
   const other = answer.fields.get(cfg.names.serverId);
-  if (answer.status === 421 && other !== undefined && other !== nameOfRun(id)) {
+  if (answer.status === 421 && isOtherServer(id, other)) {
     backend.isGone = true;
     cfg.owners.noteReplaced(id);
   } else if (answer.status === 421 && req.key !== null) {
--- a/packages/dispatch/src/wire.ts
+++ b/packages/dispatch/src/wire.ts
@@ -15,6 +15,8 @@
   readonly notRun: string;
   /** Running and waiting requests and slots, as `3,0,8`. */
   readonly load: string;
+  /** Requests per second that the server accepts from all routers combined. */
+  readonly limit: string;
   readonly key: string;
   /** The server that answers. */
   readonly serverId: string;
@@ -35,6 +37,19 @@
   return {running, waiting, slots};
 }
 
+/**
+ * Parses a request limit, in requests per second; null unless it is a plain
+ * decimal number.
+ */
+export function readLimit(text: string): number | null {
+  if (text.length > MAX_LIMIT_LENGTH || !DECIMAL.test(text)) return null;
+  return Number(text);
+}
+
+const DECIMAL = /^\d+(\.\d+)?$/;
+/** Rejects oversized values before the pattern is applied. */
+const MAX_LIMIT_LENGTH = 20;
+
 function isCount(value: number | undefined): value is number {
   return value !== undefined && Number.isInteger(value) && value >= 0;
 }
--- a/packages/dispatch/test/forward.test.ts
+++ b/packages/dispatch/test/forward.test.ts
@@ -9,6 +9,7 @@
 import {createQuarantine} from '@banyandrum/dispatch/quarantine.js';
 import {createRetryBudget} from '@banyandrum/dispatch/retry-budget.js';
 import {createServerEnds} from '@banyandrum/dispatch/server-ends.js';
+import {createServerLimits} from '@banyandrum/dispatch/server-limits.js';
 import {createSuspects} from '@banyandrum/dispatch/suspects.js';
 import type {RequestKind} from '@banyandrum/routing/config.js';
 import {listenRaw, NAMES, type RawServer} from './raw-server.js';
@@ -88,6 +89,7 @@
         createSuspects(clock, () => undefined),
         createServerEnds({clock, probe: async () => 'open'}),
       ),
+      limits: createServerLimits({clock, emit: () => undefined}),
       names: NAMES,
       clock,
       emit: () => undefined,
--- a/packages/dispatch/test/quarantine.test.ts
+++ b/packages/dispatch/test/quarantine.test.ts
@@ -19,7 +19,10 @@
 } as unknown as Backend;
 
 function lost(reason: LossReason, isWritten = true): AttemptEnd {
-  return {kind: 'lost', reason, isWritten, detail: ''};
+  return {
+    ...{kind: 'lost', reason, isWritten, detail: ''},
+    fields: new Map(),
+  };
 }
 
 const ANSWERED = {kind: 'answered'} as AttemptEnd;
--- a/packages/dispatch/test/raw-server.ts
+++ b/packages/dispatch/test/raw-server.ts
@@ -18,6 +18,7 @@
   signature: 'x-signature',
   notRun: 'x-not-run',
   load: 'x-load',
+  limit: 'x-limit',
   key: 'x-key',
   serverId: 'x-server',
 };
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -18,6 +18,8 @@
   /** Requests under which servers ended, by how they stand. */
   suspected(): number;
   quarantined(): number;
+  /** Servers that reported a request limit. */
+  limitedServers(): number;
 }
 
 /** Metrics and the interface that serves them. */
@@ -81,6 +83,10 @@
       'Contents that are refused, as servers end under them',
       source.quarantined,
     ],
+    limited_servers: [
+      'Servers that named a limit on requests',
+      source.limitedServers,
+    ],
   };
   for (const [name, [help, read]] of Object.entries(gauges)) {
     const gauge: Gauge = new Gauge({
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -7,6 +7,7 @@
 import {createQuarantine} from '@banyandrum/dispatch/quarantine.js';
 import {createRetryBudget} from '@banyandrum/dispatch/retry-budget.js';
 import {createServerEnds} from '@banyandrum/dispatch/server-ends.js';
+import {createServerLimits} from '@banyandrum/dispatch/server-limits.js';
 import {createSuspects} from '@banyandrum/dispatch/suspects.js';
 import {createTiming} from '@banyandrum/ranges/timing.js';
 import {createSplitter} from '@banyandrum/routing/split.js';
@@ -87,6 +88,7 @@
   const times = createServiceTimes();
   list.subscribe(() => backends.update(list.snapshot()!.servers));
   const suspects = createSuspects(clock, emit);
+  const limits = createServerLimits({clock, emit});
   const ends = createServerEnds({clock, probe: probeServer});
   list.subscribe(() => {
     ends.watched().filter(list.isReplaced).forEach(ends.noteReplaced);
@@ -207,6 +209,7 @@
     unheldRanges: () => countUnheld(leadership.tables()),
     suspected: () => suspects.count('suspected'),
     quarantined: () => suspects.count('quarantined'),
+    limitedServers: () => limits.count(),
   };
   const page = createQuarantinePage(suspects, settings.operators.tokens);
   const metrics = createMetrics(source, page);
@@ -232,6 +235,7 @@
       dataCentre: settings.host.dataCentre,
       budget: createRetryBudget(settings.retries, countRouters),
       quarantine: createQuarantine(suspects, ends),
+      limits,
       names: platform.names,
       clock,
       emit,
