Keep requests to a server within its reported limit

Symptom: servers that asked for fewer requests still received as many as they have slots for.

Fix: the leader, which places the requests of all routers, takes a token from the server's token bucket for each placement, including retries and trials. Followers send the limits found in answers to the leader, the leader sends them to all routers, and a router that connects to a new leader sends it the limits it has received.

The capacity of a limited server is reduced to what its limit allows for admission to the queue, for the retry delay of refused callers and for key placement. Limits in answers to orders are read as well.

An answer that repeats a known limit now counts as the latest report, so an answer to a request sent before it cannot raise or lift the limit.

--- a/packages/dispatch/src/attempt.ts
+++ b/packages/dispatch/src/attempt.ts
@@ -43,7 +43,7 @@
       /** Whether the server may have seen it. */
       readonly isWritten: boolean;
       readonly detail: string;
-      /** Header fields of an incomplete answer to this request; else empty. */
+      /** Header fields received for this request before the loss, if any. */
       readonly fields: Answer['fields'];
     };
 
--- a/packages/dispatch/src/capacities.ts
+++ b/packages/dispatch/src/capacities.ts
@@ -1,11 +1,15 @@
 import type {Clock} from '@banyandrum/base/clock.js';
+import type {Backend} from './backend.js';
 import type {Backends} from './backends.js';
 import {typicalServiceMs} from './server-cost.js';
+import type {ServerLimits} from './server-limits.js';
 
 /** What a service's servers do together. */
 export interface Capacity {
-  /** Slots of those that don't leave. */
+  /** Slots of servers that don't leave, reduced to what their limits allow. */
   readonly slots: number;
+  /** Whether a limit reduces the usable slots. */
+  readonly isLimited: boolean;
   /** Time that a request takes once it is at a server, in ms. */
   readonly serviceMs: number;
 }
@@ -17,6 +21,13 @@
   forget(): void;
 }
 
+/** Dependencies of `createCapacities`. */
+export interface CapacitiesConfig {
+  readonly backends: Backends;
+  readonly clock: Clock;
+  readonly limits: Pick<ServerLimits, 'limitOf'>;
+}
+
 /**
  * Sums over all servers are made anew after this time, in ms: made for each
  * request they cost the router that hands out places more than the rest of it.
@@ -28,18 +39,26 @@
  *
  * @example
  * ```ts
- * const capacities = createCapacities(backends, clock);
+ * const capacities = createCapacities({backends, clock, limits});
  * const {serviceMs} = capacities.of('holds');
  * ```
  */
-export function createCapacities(backends: Backends, clock: Clock): Capacities {
+export function createCapacities(cfg: CapacitiesConfig): Capacities {
+  const {backends, clock} = cfg;
   const known = new Map<string, Capacity & {readonly at: number}>();
 
   const sumUp = (service: string): Capacity => {
     const group = backends.ofService(service);
+    const serviceMs = typicalServiceMs(group);
     let slots = 0;
-    for (const {info} of group) slots += info.isLeaving ? 0 : info.slots;
-    return {slots, serviceMs: typicalServiceMs(group)};
+    let isLimited = false;
+    for (const backend of group) {
+      if (backend.info.isLeaving) continue;
+      const own = capacityOf(cfg, backend, serviceMs);
+      slots += own.slots;
+      isLimited ||= own.isLimited;
+    }
+    return {slots, serviceMs, isLimited};
   };
 
   return {
@@ -54,3 +73,22 @@
     forget: () => known.clear(),
   };
 }
+
+/**
+ * Capacity of one server; `typicalMs` is used if it has no measured service
+ * time.
+ */
+export function capacityOf(
+  {limits}: Pick<CapacitiesConfig, 'limits'>,
+  {info, serviceMs: measuredMs}: Backend,
+  typicalMs: number,
+): Capacity {
+  const serviceMs = measuredMs || typicalMs;
+  const perSecond = limits.limitOf(info.id);
+  if (perSecond === null) {
+    return {slots: info.slots, serviceMs, isLimited: false};
+  }
+  const usableSlots = (perSecond * serviceMs) / 1_000;
+  const isLimited = usableSlots < info.slots;
+  return {slots: Math.min(info.slots, usableSlots), serviceMs, isLimited};
+}
--- a/packages/dispatch/src/find-target.ts
+++ b/packages/dispatch/src/find-target.ts
@@ -137,7 +137,14 @@
     .filter(({connections}) => connections.hasFree());
   const now = cfg.clock.now();
   const routers = cfg.routers();
-  return choose(group, excluded, routers, now);
+  const passedOver = new Set(excluded);
+  for (;;) {
+    const backend = choose(group, passedOver, routers, now);
+    if (backend === null) return null;
+    const {id} = backend.info;
+    if (cfg.limits.takeShareToken(id, routers)) return backend;
+    passedOver.add(id);
+  }
 }
 
 function pickOwner({cfg, req}: Journey): Backend | null {
@@ -147,7 +154,10 @@
   const now = cfg.clock.now();
   if (backend === undefined || !mayUse(cfg, backend)) return null;
   if (backend.suspectUntil > now) return null;
-  return hasRoom(backend, loadOf(backend, 0, now)) ? backend : null;
+  if (!hasRoom(backend, loadOf(backend, 0, now))) return null;
+  return cfg.limits.takeShareToken(owner.server, cfg.routers())
+    ? backend
+    : null;
 }
 
 /** A server that leaves gets no new work, but for requests just placed. */
--- a/packages/dispatch/src/forward.ts
+++ b/packages/dispatch/src/forward.ts
@@ -1,4 +1,4 @@
-import {startAttempt, type AttemptEnd} from './attempt.js';
+import {startAttempt} from './attempt.js';
 import type {Backend} from './backend.js';
 import {findTarget, type Target} from './find-target.js';
 import {
@@ -10,7 +10,8 @@
   type Journey,
   type Reply,
 } from './journey.js';
-import {isOtherServer, nameOfRun} from './server-run.js';
+import {noteLimit} from './server-limits.js';
+import {nameOfRun} from './server-run.js';
 import {placeEndOf, takeEnd} from './take-end.js';
 import type {WireNames} from './wire.js';
 
@@ -91,7 +92,7 @@
   backend.connections.release(connection, end.kind === 'answered');
   const how = placeEndOf(cfg.names, end);
   const {isTrial} = target;
-  noteLimit(cfg, backend, end, sentAt);
+  noteLimit(cfg.limits, cfg.names, {server: backend.info.id, sentAt, end});
   // Before its place is free again: whoever hands out places must know what
   // this one did to the server before the same request is sent to the next.
   await cfg.quarantine.note({req, backend, end, isTrial, how, sentAt});
@@ -101,21 +102,6 @@
   return reply;
 }
 
-/** Records the request limit in the answer's headers, complete or not. */
-function noteLimit(
-  {names, limits}: ForwardConfig,
-  {info}: Backend,
-  end: AttemptEnd,
-  sentAt: number,
-): void {
-  const fields = end.kind === 'answered' ? end.answer.fields : end.fields;
-  // The limit of another server must not be recorded for this one.
-  if (isOtherServer(info.id, fields.get(names.serverId))) return;
-  const isComplete = end.kind === 'answered' && fields.has(names.signature);
-  const text = fields.get(names.limit);
-  limits.noteAnswer({server: info.id, text, sentAt, isComplete});
-}
-
 function withAttemptHeaders(
   names: WireNames,
   req: ForwardRequest,
--- a/packages/dispatch/src/free-server.ts
+++ b/packages/dispatch/src/free-server.ts
@@ -4,6 +4,7 @@
 import type {Emit} from './events.js';
 import type {Owner} from './owners.js';
 import type {PlaceAsk} from './places.js';
+import type {ServerLimits} from './server-limits.js';
 import type {Suspects} from './suspects.js';
 import {costOf, DEFAULT_SERVICE_MS, isSound} from './server-cost.js';
 
@@ -14,6 +15,7 @@
   readonly emit: Emit;
   ownerOf(service: string, key: number): Owner;
   readonly suspects: Pick<Suspects, 'standingOf' | 'noteAlive'>;
+  readonly limits: Pick<ServerLimits, 'limitOf' | 'hasToken' | 'takeToken'>;
 }
 
 /**
@@ -44,7 +46,7 @@
 }
 
 function findOwner(
-  {backends, clock, ownerOf}: PlaceIssuerConfig,
+  {backends, clock, ownerOf, limits}: PlaceIssuerConfig,
   {service, trial}: PlaceAsk,
   key: number,
 ): Backend | null {
@@ -54,7 +56,7 @@
   if (backend === undefined || backend.isGone) return null;
   if (backend.suspectUntil > clock.now()) return null;
   if (trial !== undefined && backend.hasTrial) return null;
-  return hasSlot(backend) ? backend : null;
+  return hasSlot(backend) && limits.hasToken(backend.info.id) ? backend : null;
 }
 
 /** One that was passed over shows first with one request that it's back. */
@@ -63,7 +65,7 @@
 }
 
 function findAny(
-  {backends, clock}: PlaceIssuerConfig,
+  {backends, clock, limits}: PlaceIssuerConfig,
   {service, excluded, dataCentre, trial}: PlaceAsk,
 ): Backend | null {
   const now = clock.now();
@@ -78,6 +80,7 @@
     // First what costs least: under load hardly any server has a free slot.
     if (!hasSlot(backend) || !mayServe(backend)) continue;
     if (trial !== undefined && backend.hasTrial) continue;
+    if (!limits.hasToken(backend.info.id)) continue;
     const ms = placeCost(backend, dataCentre, now);
     if (isSound(backend, now)) {
       if (ms >= soundMs) continue;
--- a/packages/dispatch/src/place-issuer.ts
+++ b/packages/dispatch/src/place-issuer.ts
@@ -13,7 +13,7 @@
 } from './lane.js';
 import {createPatience} from './patience.js';
 import {createLanes} from './place-lanes.js';
-import {isTooMany, overdueIn, pickNext} from './place-queue.js';
+import {isTooMany, limitedWaitMs, overdueIn, pickNext} from './place-queue.js';
 import type {PlaceAsk, PlaceEnd, PlaceReply} from './places.js';
 
 /** Hands out the slots of all servers, for all routers, at one place. */
@@ -59,9 +59,9 @@
  */
 export function createPlaceIssuer(cfg: PlaceIssuerConfig): PlaceIssuer {
   const lanes = createLanes(cfg);
-  const capacities = createCapacities(cfg.backends, cfg.clock);
+  const capacities = createCapacities(cfg);
   const patience = createPatience();
-  const queue = {backends: cfg.backends, capacities, patience};
+  const queue = {...cfg, capacities, patience};
   /** Suspected requests that wait or have a place. */
   const trials = new Set<string>();
   let cancelReview: (() => void) | null = null;
@@ -89,7 +89,7 @@
     });
     finish(waiter, {
       kind: 'refused',
-      retryAfterMs: RETRY_AFTER_MS,
+      retryAfterMs: Math.max(RETRY_AFTER_MS, limitedWaitMs(queue, lane)),
       isUnheld: lane.holder === NO_HOLDER,
     });
   };
@@ -110,6 +110,7 @@
     waiter.server = backend.info.id;
     waiter.grantedAt = cfg.clock.now();
     backend.placed++;
+    cfg.limits.takeToken(backend.info.id);
     if (waiter.ask.trial !== undefined) backend.hasTrial = true;
     finish(waiter, {kind: 'granted', server: backend.info.id});
   };
--- a/packages/dispatch/src/place-queue.ts
+++ b/packages/dispatch/src/place-queue.ts
@@ -1,7 +1,14 @@
 import type {Backends} from './backends.js';
-import type {Capacities, Capacity} from './capacities.js';
-import {countAhead, type Lane, type Rank, type Waiter} from './lane.js';
+import {capacityOf, type Capacities, type Capacity} from './capacities.js';
+import {
+  countAhead,
+  countIn,
+  type Lane,
+  type Rank,
+  type Waiter,
+} from './lane.js';
 import type {Patience} from './patience.js';
+import type {ServerLimits} from './server-limits.js';
 
 /**
  * A request is let in to wait where its turn should come within this share of
@@ -53,6 +60,7 @@
   readonly backends: Backends;
   readonly capacities: Capacities;
   readonly patience: Patience;
+  readonly limits: Pick<ServerLimits, 'limitOf'>;
 }
 
 /**
@@ -66,13 +74,26 @@
   waiter: Waiter,
 ): boolean {
   const {askedAt, endsAt} = waiter;
-  const {slots, serviceMs} = capacityFor(cfg, lane);
-  const ahead = countAhead(lane, waiter);
-  const waitMs = ((ahead + 1) / Math.max(1, slots)) * serviceMs;
-  const boundMs = boundOf(cfg, lane, waiter, serviceMs);
+  const capacity = capacityFor(cfg, lane);
+  const waitMs = waitMsOf(capacity, countAhead(lane, waiter) + 1);
+  const boundMs = boundOf(cfg, lane, waiter, capacity.serviceMs);
   return waitMs > Math.min(boundMs, endsAt - askedAt);
 }
 
+/**
+ * Estimated wait of a request added to the end of the lane, in ms; 0 unless a
+ * limit reduces the lane's capacity.
+ */
+export function limitedWaitMs(cfg: QueueConfig, lane: Lane): number {
+  const capacity = capacityFor(cfg, lane);
+  return capacity.isLimited ? waitMsOf(capacity, countIn(lane) + 1) : 0;
+}
+
+/** Time to process `count` requests at this capacity, in ms. */
+function waitMsOf({slots, serviceMs}: Capacity, count: number): number {
+  return (count / (slots || 1)) * serviceMs;
+}
+
 /** For how long it is let wait, in ms. */
 function boundOf(
   {patience}: QueueConfig,
@@ -102,15 +123,12 @@
 }
 
 function capacityFor(
-  {backends, capacities}: QueueConfig,
+  {backends, capacities, limits}: QueueConfig,
   {service, holder}: Lane,
 ): Capacity {
   const all = capacities.of(service);
   if (holder === null) return all;
   const backend = backends.get(holder);
-  if (backend === undefined) return {slots: 1, serviceMs: 0};
-  return {
-    slots: backend.info.slots,
-    serviceMs: backend.serviceMs || all.serviceMs,
-  };
+  if (backend === undefined) return {slots: 1, serviceMs: 0, isLimited: false};
+  return capacityOf({limits}, backend, all.serviceMs);
 }
--- a/packages/dispatch/src/server-limits.ts
+++ b/packages/dispatch/src/server-limits.ts
@@ -1,17 +1,48 @@
 import type {Clock} from '@banyandrum/base/clock.js';
+import type {AttemptEnd} from './attempt.js';
 import type {Emit} from './events.js';
-import {readLimit} from './wire.js';
+import {createRateShare, type RateShare} from './rate-share.js';
+import {createTokenBucket, type TokenBucket} from './token-bucket.js';
+import {isOtherServer} from './server-run.js';
+import {readLimit, type WireNames} from './wire.js';
 
 /** Request limits that backend servers report in their answers. */
 export interface ServerLimits {
   /** Updates the limit of a run from one of its answers. */
   noteAnswer(reported: ReportedLimit): void;
-  /** Requests per second accepted from all routers; null if unlimited. */
+  /**
+   * Requests per second that all routers together may send; null if unlimited.
+   */
   limitOf(server: string): number | null;
   /** Number of remembered runs that have a limit. */
   count(): number;
+  /** Whether the leader may place one more request at the server now. */
+  hasToken(server: string): boolean;
+  /** Counts a request that the leader placed at the server. */
+  takeToken(server: string): void;
+  /**
+   * Takes a token from this router's share of the limit, used while there is no
+   * leader; false if none is available. `routers` share the limit.
+   */
+  takeShareToken(server: string, routers: number): boolean;
+  /** All known limits, including recently lifted ones. */
+  rows(): readonly LimitRow[];
+  /** Limits that were reported in answers to this router. */
+  ownRows(): readonly LimitRow[];
+  /** Merges limits sent by a follower; called on the leader. */
+  mergeFromFollower(rows: readonly LimitRow[]): void;
+  /** Merges limits sent by the leader; called on followers. */
+  mergeFromLeader(rows: readonly LimitRow[]): void;
+  /**
+   * Calls `listener` on each change; `isOwn` is set if an answer to this router
+   * caused it.
+   */
+  subscribe(listener: (row: LimitRow, isOwn: boolean) => void): void;
 }
 
+/** A run's id and its limit in requests per second; null if it was lifted. */
+export type LimitRow = readonly [string, number | null];
+
 /** The limit reported in an answer, or its absence. */
 export interface ReportedLimit {
   /** Id of the run that answered. */
@@ -26,49 +57,93 @@
 
 interface KnownLimit {
   readonly perSecond: number | null;
-  /** Monotonic time at which this router last changed the limit, in ms. */
-  readonly changedAt: number;
+  /** Monotonic time of the last update, repeated reports included, in ms. */
+  readonly updatedAt: number;
+  /** Monotonic time of the last report in an answer to this router, in ms. */
+  readonly reportedAt: number;
+  /** Meters placements while this router leads. */
+  readonly bucket: TokenBucket;
+  /** Meters requests while there is no leader. */
+  readonly share: RateShare;
 }
 
+/** How a limit became known, for the log. */
+type LimitSource = 'answer' | 'leader' | 'follower';
+
 /** Bounds memory, as the limits of runs that have ended are kept too. */
 const MAX_KNOWN_LIMITS = 2_000;
 /** Minimum interval between `limit-unreadable` events, in ms. */
 const UNREADABLE_LOG_INTERVAL_MS = 1_000;
 /** Characters of an unreadable value that are logged. */
 const MAX_LOGGED_LENGTH = 40;
+/**
+ * Lower limits are raised to this rate, as only answers to further requests can
+ * report that a limit was lifted.
+ */
+const MIN_PER_SECOND = 0.25;
+/**
+ * Fraction of the limit that routers without a leader use in total. In a
+ * partition, a leader may use the whole limit at the same time.
+ */
+const LEADERLESS_SHARE = 0.45;
+/** For this time a reported limit takes precedence over the leader's, in ms. */
+const REPORT_PRECEDENCE_MS = 1_000;
+/** Lifted limits are sent to other routers for this time, in ms. */
+const LIFTED_ROW_TTL_MS = 10_000;
 
 /**
- * Keeps the latest reported limit of each server run. Answers can arrive out of
- * order, so a lower limit applies at once, but a higher limit or none applies
- * only if the request was sent after the known limit last changed.
+ * Keeps the latest reported limit of each server run, and limits requests to
+ * it. Answers can arrive out of order, so a lower limit applies at once, but a
+ * higher limit or none applies only if the request was sent after the known
+ * limit was last reported or changed.
  *
  * @example
  * ```ts
  * const limits = createServerLimits({clock, emit});
  * limits.noteAnswer({server, text: '5.4', sentAt, isComplete: true});
  * limits.limitOf(server); // 5.4
+ * if (limits.hasToken(server)) limits.takeToken(server);
  * ```
  */
 export function createServerLimits({
   clock,
   emit,
+  random = Math.random,
 }: {
   readonly clock: Clock;
   readonly emit: Emit;
+  /** Returns a number from 0 to 1, exclusive of 1. */
+  readonly random?: () => number;
 }): ServerLimits {
   const known = new Map<string, KnownLimit>();
+  const listeners = new Set<Parameters<ServerLimits['subscribe']>[0]>();
   let lastLoggedAt = -Infinity;
 
-  const limitOf = (server: string): number | null =>
+  const perSecondOf = (server: string): number | null =>
     known.get(server)?.perSecond ?? null;
 
-  const setLimit = (server: string, perSecond: number | null): void => {
-    const before = limitOf(server);
-    // Reinserted at the end, so that the least recently changed is evicted.
+  const setLimit = (
+    server: string,
+    perSecond: number | null,
+    by: LimitSource,
+  ): void => {
+    const last = known.get(server);
+    const before = perSecondOf(server);
+    const now = clock.now();
+    const rate = rateOf(perSecond ?? 0);
+    const bucket = last?.bucket ?? createTokenBucket(rate, now);
+    bucket.setRate(rate, now);
+    const share = last?.share ?? createRateShare(random);
+    const reportedAt = by === 'answer' ? now : (last?.reportedAt ?? -Infinity);
+    // Reinserted at the end, so that the least recently updated is evicted.
     known.delete(server);
-    known.set(server, {perSecond, changedAt: clock.now()});
+    known.set(server, {perSecond, updatedAt: now, reportedAt, bucket, share});
     if (known.size > MAX_KNOWN_LIMITS) known.delete([...known.keys()][0]!);
-    emit('server-limited', {server, perSecond, before});
+    if (perSecond === before) return;
+    emit('server-limited', {server, perSecond, before, by});
+    listeners.forEach(listener =>
+      listener([server, perSecond], by === 'answer'),
+    );
   };
 
   const logUnreadable = (server: string, text: string): void => {
@@ -78,6 +153,11 @@
     emit('limit-unreadable', {server, text: text.slice(0, MAX_LOGGED_LENGTH)});
   };
 
+  const rowsOf = (isWanted: (limit: KnownLimit) => boolean): LimitRow[] =>
+    [...known].flatMap(([server, limit]) =>
+      isWanted(limit) ? [[server, limit.perSecond] as const] : [],
+    );
+
   return {
     noteAnswer({server, text, sentAt, isComplete}) {
       // A refusal or an incomplete answer may omit the header despite a limit.
@@ -86,14 +166,104 @@
       if (text !== undefined && perSecond === null) {
         return logUnreadable(server, text);
       }
-      const before = limitOf(server);
-      if (perSecond === before) return;
-      const isLower = (perSecond ?? Infinity) < (before ?? Infinity);
-      const changedAt = known.get(server)?.changedAt ?? -Infinity;
-      if (isLower || sentAt > changedAt) setLimit(server, perSecond);
+      const before = known.get(server);
+      if (perSecond === null && (before?.perSecond ?? null) === null) return;
+      if (before !== undefined && sentAt <= before.updatedAt) {
+        if (!isLower(perSecond, before.perSecond)) return;
+      }
+      setLimit(server, perSecond, 'answer');
     },
-    limitOf,
-    count: () =>
-      [...known.values()].filter(({perSecond}) => perSecond !== null).length,
+    limitOf(server) {
+      const perSecond = perSecondOf(server);
+      return perSecond === null ? null : rateOf(perSecond);
+    },
+    count: () => rowsOf(({perSecond}) => perSecond !== null).length,
+    hasToken(server) {
+      if (known.size === 0) return true;
+      const limit = known.get(server);
+      if (limit === undefined || limit.perSecond === null) return true;
+      return limit.bucket.hasToken(clock.now());
+    },
+    takeToken(server) {
+      const limit = known.get(server);
+      if (limit !== undefined && limit.perSecond !== null) {
+        limit.bucket.take(clock.now());
+      }
+    },
+    takeShareToken(server, routers) {
+      const limit = known.get(server);
+      if (limit === undefined || limit.perSecond === null) return true;
+      const rate = rateOf(limit.perSecond) * LEADERLESS_SHARE;
+      const periodMs = (1_000 * routers) / rate;
+      return limit.share.take(clock.now(), periodMs);
+    },
+    rows() {
+      const since = clock.now() - LIFTED_ROW_TTL_MS;
+      return rowsOf(
+        ({perSecond, updatedAt}) => perSecond !== null || updatedAt > since,
+      );
+    },
+    ownRows: () =>
+      rowsOf(
+        ({perSecond, reportedAt}) =>
+          perSecond !== null && reportedAt > -Infinity,
+      ),
+    mergeFromFollower(rows) {
+      for (const [server, perSecond] of rows) {
+        if (perSecond !== perSecondOf(server)) {
+          setLimit(server, perSecond, 'follower');
+        }
+      }
+    },
+    mergeFromLeader(rows) {
+      const precedenceSince = clock.now() - REPORT_PRECEDENCE_MS;
+      for (const [server, perSecond] of rows) {
+        const before = known.get(server);
+        if (perSecond === (before?.perSecond ?? null)) continue;
+        const hasPrecedence =
+          (before?.reportedAt ?? -Infinity) > precedenceSince;
+        if (hasPrecedence && !isLower(perSecond, before!.perSecond)) continue;
+        setLimit(server, perSecond, 'leader');
+      }
+    },
+    subscribe: listener => void listeners.add(listener),
   };
 }
+
+/** Outcome of a request or an order that was sent to a server. */
+export interface AttemptOutcome {
+  /** Id of the run that it was sent to. */
+  readonly server: string;
+  /** Monotonic time at which it was sent, in ms. */
+  readonly sentAt: number;
+  readonly end: AttemptEnd;
+}
+
+/**
+ * Records the request limit in the answer's headers, complete or not.
+ *
+ * @example
+ * ```ts
+ * noteLimit(limits, names, {server, sentAt, end: await attempt.end});
+ * ```
+ */
+export function noteLimit(
+  limits: Pick<ServerLimits, 'noteAnswer'>,
+  names: WireNames,
+  {server, sentAt, end}: AttemptOutcome,
+): void {
+  const fields = end.kind === 'answered' ? end.answer.fields : end.fields;
+  // Don't record the limit of another server for this one.
+  if (isOtherServer(server, fields.get(names.serverId))) return;
+  const isComplete = end.kind === 'answered' && fields.has(names.signature);
+  const text = fields.get(names.limit);
+  limits.noteAnswer({server, text, sentAt, isComplete});
+}
+
+function rateOf(perSecond: number): number {
+  return Math.max(MIN_PER_SECOND, perSecond);
+}
+
+function isLower(a: number | null, b: number | null): boolean {
+  return (a ?? Infinity) < (b ?? Infinity);
+}
--- a/packages/dispatch/test/find-alone.test.ts
+++ b/packages/dispatch/test/find-alone.test.ts
@@ -32,6 +32,7 @@
       emit: (event: string) => void events.push(event),
       places: {acquire: async () => ({kind: 'unavailable'})},
       quarantine: {standingOf: () => 'unknown'},
+      limits: {takeShareToken: () => true},
     },
     req: {
       ...{id: 'r1', service: 'holds', key: null, route, firstAskedAt: 1_000},
--- a/packages/dispatch/test/place-issuer.test.ts
+++ b/packages/dispatch/test/place-issuer.test.ts
@@ -11,6 +11,10 @@
   PlaceEnd,
   PlaceReply,
 } from '@banyandrum/dispatch/places.js';
+import {
+  createServerLimits,
+  type ServerLimits,
+} from '@banyandrum/dispatch/server-limits.js';
 import {createSuspects, type Suspects} from '@banyandrum/dispatch/suspects.js';
 import {
   createManualClock,
@@ -22,6 +26,7 @@
   readonly backends: Backends;
   readonly issuer: PlaceIssuer;
   readonly suspects: Suspects;
+  readonly limits: ServerLimits;
   ask(part?: Partial<PlaceAsk>): Asked;
 }
 
@@ -51,11 +56,13 @@
   const backends = createBackends(clock);
   backends.update(servers);
   const suspects = createSuspects(clock, () => undefined);
+  const limits = createServerLimits({clock, emit: () => undefined});
   const issuer = createPlaceIssuer({
     backends,
     clock,
     emit: () => undefined,
     suspects,
+    limits,
     ownerOf: (_, key) => ownerOf(key),
   });
   return {
@@ -63,6 +70,7 @@
     backends,
     issuer,
     suspects,
+    limits,
     ask(part = {}) {
       const asked: Asked = {told: null, end: () => undefined};
       const takeBack = issuer.ask(
@@ -380,3 +388,17 @@
   suspects.judge();
   t.match(ask({trial: 'bad'}).told, {kind: 'refused'});
 });
+
+// Guards against retry delays that are too short for the limited rate.
+void tap.test('the retry delay of a refusal reflects the limit', async t => {
+  const {limits, ask, clock} = scene([info('s1', {slots: 4})]);
+  limits.mergeFromFollower([['s1', 1]]);
+  const part = {aimLeftMs: 1_900, leftMs: 4_000};
+  t.match(ask(part).told, {kind: 'granted'});
+  const waiting = ask(part);
+  const refused = ask(part);
+  t.equal(waiting.told, null, 'queued, as its wait fits within its aim');
+  t.match(refused.told, {kind: 'refused', retryAfterMs: 2_000});
+  await clock.advance(1_100);
+  t.match(waiting.told, {kind: 'granted'});
+});
--- a/packages/dispatch/test/place-work.test.ts
+++ b/packages/dispatch/test/place-work.test.ts
@@ -5,6 +5,7 @@
   type PlaceIssuer,
 } from '@banyandrum/dispatch/place-issuer.js';
 import type {PlaceAsk} from '@banyandrum/dispatch/places.js';
+import {createServerLimits} from '@banyandrum/dispatch/server-limits.js';
 import {createSuspects} from '@banyandrum/dispatch/suspects.js';
 import {createManualClock} from '@banyandrum/standins/manual-clock.js';
 
@@ -63,6 +64,7 @@
   const issuer = createPlaceIssuer({
     ...{backends, clock, emit: () => undefined},
     suspects: createSuspects(clock, () => undefined),
+    limits: createServerLimits({clock, emit: () => undefined}),
     ownerOf: () => ({kind: 'none'}),
   });
   const running: ReturnType<PlaceIssuer['ask']>[] = [];
--- a/packages/dispatch/test/play-load.ts
+++ b/packages/dispatch/test/play-load.ts
@@ -6,6 +6,7 @@
   type PlaceIssuer,
 } from '@banyandrum/dispatch/place-issuer.js';
 import type {PlaceReply} from '@banyandrum/dispatch/places.js';
+import {createServerLimits} from '@banyandrum/dispatch/server-limits.js';
 import {createSuspects} from '@banyandrum/dispatch/suspects.js';
 import {
   createManualClock,
@@ -91,6 +92,7 @@
     ...{backends, clock},
     emit: () => undefined,
     suspects: createSuspects(clock, () => undefined),
+    limits: createServerLimits({clock, emit: () => undefined}),
     ownerOf: (_, key) => holderOf(key),
   });
   const slownessOf = new Map(
--- a/packages/dispatch/test/play-poison.ts
+++ b/packages/dispatch/test/play-poison.ts
@@ -7,6 +7,7 @@
 } from '@banyandrum/dispatch/place-issuer.js';
 import type {PlaceEnd, PlaceReply} from '@banyandrum/dispatch/places.js';
 import {isWorthTelling} from '@banyandrum/dispatch/suspect.js';
+import {createServerLimits} from '@banyandrum/dispatch/server-limits.js';
 import {createSuspects, type Suspects} from '@banyandrum/dispatch/suspects.js';
 import {
   createManualClock,
@@ -128,6 +129,7 @@
   const clock = createManualClock(1_000);
   const random = createRandom(load.seed);
   const quiet = (): void => undefined;
+  const limits = createServerLimits({clock, emit: quiet});
   const tables = Array.from({length: load.routers}, () =>
     createSuspects(clock, quiet, () => 0),
   );
@@ -147,6 +149,7 @@
     leader = router;
     issuer = createPlaceIssuer({
       ...{backends, clock, emit: quiet, suspects: tables[router]!},
+      limits,
       ownerOf: () => ({kind: 'none'}),
     });
     // Those who follow it tell what they know.
--- a/packages/dispatch/test/server-limits.test.ts
+++ b/packages/dispatch/test/server-limits.test.ts
@@ -87,3 +87,43 @@
   t.equal(limits.limitOf('s1'), null);
   t.equal(limits.count(), 0);
 });
+
+void tap.test('limits are exchanged between routers', async t => {
+  const {limits, answer, wait} = scene();
+  const heard: unknown[] = [];
+  limits.subscribe((row, isOwn) => heard.push([...row, isOwn]));
+  limits.mergeFromLeader([
+    ['s1', 5],
+    ['s2', 3],
+  ]);
+  t.same(limits.ownRows(), [], 'rows from the leader are not reported back');
+  answer('2', 10);
+  limits.mergeFromLeader([['s1', 5]]);
+  t.equal(
+    limits.limitOf('s1'),
+    2,
+    'a recent answer takes precedence over the leader',
+  );
+  await wait(1_500);
+  limits.mergeFromLeader([['s1', 5]]);
+  t.equal(limits.limitOf('s1'), 5);
+  limits.mergeFromFollower([['s2', null]]);
+  t.equal(limits.limitOf('s2'), null);
+  t.same(
+    limits.rows(),
+    [
+      ['s1', 5],
+      ['s2', null],
+    ],
+    'lifted limits are included',
+  );
+  await wait(11_000);
+  t.same(limits.rows(), [['s1', 5]]);
+  t.same(heard, [
+    ['s1', 5, false],
+    ['s2', 3, false],
+    ['s1', 2, true],
+    ['s1', 5, false],
+    ['s2', null, false],
+  ]);
+});
--- a/packages/gateway/src/link-client.ts
+++ b/packages/gateway/src/link-client.ts
@@ -1,6 +1,7 @@
 import {sleep, type Clock} from '@banyandrum/base/clock.js';
 import type {Emit} from '@banyandrum/dispatch/events.js';
 import type {Place, Places} from '@banyandrum/dispatch/places.js';
+import type {LimitRow} from '@banyandrum/dispatch/server-limits.js';
 import type {Suspect} from '@banyandrum/dispatch/suspect.js';
 import {credentials, makeGenericClientConstructor} from '@grpc/grpc-js';
 import {
@@ -63,6 +64,8 @@
   isTold(): boolean;
   /** Tells the leader of requests under which servers ended. */
   tellSuspects(rows: readonly Suspect[]): void;
+  /** Tells the leader of limits that servers reported to this router. */
+  tellLimits(rows: readonly LimitRow[]): void;
   stop(): void;
 }
 
@@ -163,6 +166,7 @@
       if (own.isTold && !wasTold) {
         isTold = true;
         tell(own, untoldSuspects(own, cfg.suspects.rows()));
+        tellLimits(own, cfg.limits.ownRows());
       }
       if (!own.isLeader) return;
       if (!wasLeader) cfg.emit('leader-followed', {leader});
@@ -220,6 +224,13 @@
     if (isOpen && rows.length > 0) stream.write({kind: 'suspects', rows});
   };
 
+  const tellLimits = (
+    {stream, isOpen}: Session,
+    rows: readonly LimitRow[],
+  ): void => {
+    if (isOpen && rows.length > 0) stream.write({kind: 'limits', rows});
+  };
+
   const sendCounts = ({stream, isOpen}: Session): void => {
     const counts = cfg.owners.drainCounts();
     if (!isOpen || counts.size === 0) return;
@@ -307,6 +318,9 @@
     tellSuspects(rows) {
       if (session !== null) tell(session, rows);
     },
+    tellLimits(rows) {
+      if (session !== null) tellLimits(session, rows);
+    },
     stop() {
       isStopped = true;
     },
--- a/packages/gateway/src/link-messages.ts
+++ b/packages/gateway/src/link-messages.ts
@@ -3,6 +3,7 @@
   PlaceEnd,
   PlaceReply,
 } from '@banyandrum/dispatch/places.js';
+import type {LimitRow} from '@banyandrum/dispatch/server-limits.js';
 import type {Suspect} from '@banyandrum/dispatch/suspect.js';
 import type {ServiceDefinition} from '@grpc/grpc-js';
 import type {KeyCounts} from './key-owners.js';
@@ -47,6 +48,8 @@
     }
   /** Requests under which servers ended, as this router saw it. */
   | {readonly kind: 'suspects'; readonly rows: readonly Suspect[]}
+  /** Limits that servers reported to this router. */
+  | {readonly kind: 'limits'; readonly rows: readonly LimitRow[]}
   /** The run of a server has ended. */
   | {readonly kind: 'replaced'; readonly server: string};
 
@@ -75,6 +78,8 @@
       readonly deputies: readonly Candidate[] | null;
       /** Rows that changed since the stream's last state, if any did. */
       readonly suspects?: readonly Suspect[];
+      /** All limits, if any changed since the stream's last state. */
+      readonly limits?: readonly LimitRow[];
       /** Routers that follow the leader, and itself. */
       readonly routers: number;
       /** Since when the leader had no answer of the platform, in ms. */
--- a/packages/gateway/src/link-server.ts
+++ b/packages/gateway/src/link-server.ts
@@ -1,6 +1,7 @@
 import type {Emit} from '@banyandrum/dispatch/events.js';
 import type {PlaceIssuer} from '@banyandrum/dispatch/place-issuer.js';
 import type {PlaceEnd} from '@banyandrum/dispatch/places.js';
+import type {ServerLimits} from '@banyandrum/dispatch/server-limits.js';
 import type {Suspects} from '@banyandrum/dispatch/suspects.js';
 import {
   Server,
@@ -33,6 +34,7 @@
   readonly emit: Emit;
   readonly issuer: PlaceIssuer;
   readonly suspects: Suspects;
+  readonly limits: ServerLimits;
   /** Whom this router follows, `ip:port`; null: nobody. */
   leader(): string | null;
   noteReplaced(server: string): void;
@@ -135,6 +137,7 @@
   // A server that ends strikes all requests that it ran, by several routers.
   const gathered = createGathered(cfg.clock, tellAll);
   cfg.suspects.subscribe(() => gathered.later());
+  cfg.limits.subscribe(() => gathered.later());
 
   const beat = (): void => {
     teller.beat(followers);
@@ -249,6 +252,9 @@
   suspects(cfg, _follower, {rows}) {
     cfg.suspects.merge(rows);
   },
+  limits(cfg, _follower, {rows}) {
+    cfg.limits.mergeFromFollower(rows);
+  },
   replaced(cfg, _follower, {server}) {
     cfg.noteReplaced(server);
   },
--- a/packages/gateway/src/link-session.ts
+++ b/packages/gateway/src/link-session.ts
@@ -1,4 +1,5 @@
 import type {ServerInfo} from '@banyandrum/dispatch/backend.js';
+import type {ServerLimits} from '@banyandrum/dispatch/server-limits.js';
 import {joined, type Suspect} from '@banyandrum/dispatch/suspect.js';
 import type {Suspects} from '@banyandrum/dispatch/suspects.js';
 import type {Place, PlaceReply} from '@banyandrum/dispatch/places.js';
@@ -21,6 +22,7 @@
   readonly owners: KeyOwners;
   readonly list: ServerList;
   readonly suspects: Suspects;
+  readonly limits: ServerLimits;
   noteConfigCursor(cursor: number): void;
   takeConfig(config: RoutingConfig, cursor: number): void;
   /** Up to where this router knows the platform's configurations. */
@@ -166,6 +168,7 @@
     for (const row of state.suspects) session.suspects.set(row.content, row);
     cfg.suspects.merge(state.suspects);
   }
+  if (state.limits !== undefined) cfg.limits.mergeFromLeader(state.limits);
   if (state.config !== null) {
     cfg.takeConfig(unpackConfig(state.config), state.config.cursor);
   }
--- a/packages/gateway/src/link-telling.ts
+++ b/packages/gateway/src/link-telling.ts
@@ -1,4 +1,8 @@
 import type {ServerInfo} from '@banyandrum/dispatch/backend.js';
+import type {
+  LimitRow,
+  ServerLimits,
+} from '@banyandrum/dispatch/server-limits.js';
 import {isWorthTelling, type Suspect} from '@banyandrum/dispatch/suspect.js';
 import type {Suspects} from '@banyandrum/dispatch/suspects.js';
 import type {Clock} from '@banyandrum/base/clock.js';
@@ -21,6 +25,7 @@
   readonly leadership: Leadership;
   readonly list: ServerList;
   readonly suspects: Pick<Suspects, 'rows'>;
+  readonly limits: Pick<ServerLimits, 'rows'>;
   configCursor(): number | null;
   /** The newest version that this router knows, and its cursor. */
   config(): WireConfig | null;
@@ -147,6 +152,7 @@
   readonly config: WireConfig | null;
   readonly deputies: readonly Candidate[];
   readonly suspects: readonly Suspect[];
+  readonly limits: readonly LimitRow[];
 }
 
 /** Keeps what routers are told; the same object while nothing changed. */
@@ -164,6 +170,7 @@
     config: null,
     deputies: [],
     suspects: [],
+    limits: NO_LIMITS,
   };
   let tablesAt = -Infinity;
   let suspectRows: readonly Suspect[] = [];
@@ -207,6 +214,11 @@
     if (!isSameRows(suspects, shared.suspects)) shared = {...shared, suspects};
   };
 
+  const takeLimits = (): void => {
+    const limits = cfg.limits.rows();
+    if (!isSameLimits(limits, shared.limits)) shared = {...shared, limits};
+  };
+
   const takeDeputies = (candidates: readonly Candidate[]): void => {
     const deputies = pickDeputies(candidates);
     const isKnown =
@@ -222,6 +234,7 @@
       takeList();
       takeConfig();
       takeSuspects();
+      takeLimits();
       return shared;
     },
   };
@@ -231,6 +244,16 @@
   return a.length === b.length && a.every((row, at) => row === b[at]);
 }
 
+function isSameLimits(a: readonly LimitRow[], b: readonly LimitRow[]): boolean {
+  if (a.length !== b.length) return false;
+  return a.every(
+    ([server, perSecond], at) =>
+      server === b[at]![0] && perSecond === b[at]![1],
+  );
+}
+
+const NO_LIMITS: readonly LimitRow[] = [];
+
 /** What a router knows that was told nothing. */
 const NOTHING_TOLD = {
   tables: new Map() as ServedTables,
@@ -238,6 +261,7 @@
   config: null,
   deputies: null,
   suspects: [],
+  limits: NO_LIMITS,
 } as const;
 
 /** What is told of all routers. */
@@ -246,7 +270,7 @@
 }
 
 /** What a router knows; null where it was told nothing of it. */
-type Told = Pick<Shared, 'tables' | 'config' | 'suspects'> & {
+type Told = Pick<Shared, 'tables' | 'config' | 'suspects' | 'limits'> & {
   readonly servers: Shared['servers'] | null;
   readonly deputies: Shared['deputies'] | null;
 };
@@ -270,6 +294,7 @@
     config: isNews && fits(next.config, room, routers) ? next.config : null,
     deputies: told.deputies === next.deputies ? null : next.deputies,
     ...(suspects.length > 0 && {suspects}),
+    ...(told.limits !== next.limits && {limits: next.limits}),
   };
 }
 
--- a/packages/gateway/src/platform.ts
+++ b/packages/gateway/src/platform.ts
@@ -1,4 +1,5 @@
 import type {ServerInfo} from '@banyandrum/dispatch/backend.js';
+import type {AttemptOutcome} from '@banyandrum/dispatch/server-limits.js';
 import type {Suspect} from '@banyandrum/dispatch/suspect.js';
 import type {WireNames} from '@banyandrum/dispatch/wire.js';
 import type {Ledger, SaveEnd} from '@banyandrum/ranges/ledger.js';
@@ -79,6 +80,8 @@
   readonly ledger: Ledger;
   readonly suspects: SuspectRecords;
   readonly orders: Orders;
+  /** Calls `listener` with the outcome of each order that was sent. */
+  subscribeOrderOutcomes(listener: (outcome: AttemptOutcome) => void): void;
   /** Calls to the platform since the start, by what they were for. */
   callCounts(): Readonly<Record<string, number>>;
   close(): void;
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -7,7 +7,10 @@
 import {createQuarantine} from '@banyandrum/dispatch/quarantine.js';
 import {createRetryBudget} from '@banyandrum/dispatch/retry-budget.js';
 import {createServerEnds} from '@banyandrum/dispatch/server-ends.js';
-import {createServerLimits} from '@banyandrum/dispatch/server-limits.js';
+import {
+  createServerLimits,
+  noteLimit,
+} from '@banyandrum/dispatch/server-limits.js';
 import {createSuspects} from '@banyandrum/dispatch/suspects.js';
 import {createTiming} from '@banyandrum/ranges/timing.js';
 import {createSplitter} from '@banyandrum/routing/split.js';
@@ -101,7 +104,7 @@
   const hasEnded = (server: string): boolean =>
     owners.isReplaced(server) || list.isReplaced(server);
 
-  const led = {backends, times, clock, hasEnded};
+  const led = {backends, times, clock, limits, hasEnded};
   const wakefulNow = wakefulTime(clock, Date.now);
   const leadership = createLeadership({
     platform,
@@ -149,6 +152,7 @@
     owners,
     list,
     suspects,
+    limits,
     chosen: chosenAddress,
     isLeading: () => leadership.isLeading(),
     self: {address: settings.listen.peers, ...settings.host},
@@ -179,6 +183,13 @@
     emit,
     ownerOf: (service, key) => owners.ownerOf(service, key),
     suspects,
+    limits,
+  });
+  platform.subscribeOrderOutcomes(outcome =>
+    noteLimit(limits, platform.names, outcome),
+  );
+  limits.subscribe((row, isOwn) => {
+    if (isOwn && !leadership.isLeading()) link.tellLimits([row]);
   });
   const keeper = keepConfig(
     platform,
@@ -270,6 +281,7 @@
     issuer,
     list,
     suspects,
+    limits,
     configCursor: () => keeper.toldCursor(),
     config: () => keeper.packed(),
     configAgeMs: () => keeper.ageMs(),
--- a/packages/gateway/test/link-bytes.test.ts
+++ b/packages/gateway/test/link-bytes.test.ts
@@ -100,6 +100,7 @@
   } as unknown as Leadership;
   const teller = createTeller({
     suspects: {rows: () => []},
+    limits: {rows: () => []},
     ...{clock, list, leadership, room: {processors: 1, linkMbps: 100}},
     configCursor: () => 12,
     config: () => ({}) as WireConfig,
@@ -152,6 +153,7 @@
   } as unknown as Leadership;
   const teller = createTeller({
     suspects: {rows: () => []},
+    limits: {rows: () => []},
     ...{clock, list, leadership, room: {processors: 1, linkMbps: 100}},
     ...{configCursor: () => null, config: () => null},
     ...{configAgeMs: () => 0, touchMs: () => 0},
--- a/packages/gateway/test/link.test.ts
+++ b/packages/gateway/test/link.test.ts
@@ -12,6 +12,7 @@
 import {createBackends} from '@banyandrum/dispatch/backends.js';
 import {createPlaceIssuer} from '@banyandrum/dispatch/place-issuer.js';
 import type {Place, PlaceAsk} from '@banyandrum/dispatch/places.js';
+import {createServerLimits} from '@banyandrum/dispatch/server-limits.js';
 import {createSuspects} from '@banyandrum/dispatch/suspects.js';
 import {createKeyOwners} from '@banyandrum/gateway/key-owners.js';
 import type {Leadership} from '@banyandrum/gateway/leadership.js';
@@ -146,6 +147,7 @@
     ...{clock, emit, list, self, chosen},
     owners: createKeyOwners(clock, emit),
     suspects: createSuspects(clock, emit),
+    limits: createServerLimits({clock, emit}),
     isLeading: () => false,
     onOffered: () => undefined,
     onLost: () => undefined,
@@ -163,8 +165,9 @@
   const backends = createBackends(clock);
   backends.update([SERVER]);
   const suspects = createSuspects(clock, emit);
+  const limits = createServerLimits({clock, emit});
   const issuer = createPlaceIssuer({
-    ...{backends, clock, emit, suspects},
+    ...{backends, clock, emit, suspects, limits},
     ownerOf: () => ({kind: 'none'}),
   });
   const listen = await freeAddress();
@@ -172,6 +175,7 @@
   const server = await serveLinks({
     ...{listen, clock, emit, leadership: LEADING, issuer, room: ROOM},
     suspects,
+    limits,
     list: leaderList,
     configCursor: () => null,
     config: () => null,
--- a/packages/gateway/test/suspects-told.test.ts
+++ b/packages/gateway/test/suspects-told.test.ts
@@ -41,6 +41,7 @@
   const suspects = createSuspects(clock, () => undefined);
   const teller = createTeller({
     ...{clock, suspects, list: createServerList(clock, () => undefined, 2_000)},
+    limits: {rows: () => []},
     leadership: {
       tables: () => new Map(),
       version: () => 'v1',
--- a/packages/gateway/test/thin-link.test.ts
+++ b/packages/gateway/test/thin-link.test.ts
@@ -45,6 +45,7 @@
   list.take({kind: 'read', isWhole: true, changes, cursor: 1_000});
   const teller = createTeller({
     suspects: {rows: () => []},
+    limits: {rows: () => []},
     ...{clock, list, leadership: LEADING},
     room: {processors: 1, linkMbps: LINK_MBPS},
     configCursor: () => null,
@@ -121,6 +122,7 @@
   list.take({kind: 'read', isWhole: true, changes, cursor: 17});
   const teller = createTeller({
     suspects: {rows: () => []},
+    limits: {rows: () => []},
     ...{clock, list, leadership: LEADING},
     room: {processors: 1, linkMbps: 1_000},
     configCursor: () => null,
