Stop sending requests to servers that report they are leaving

Effect on callers and servers: requests reached a server 2,071 and 2,282 ms after an answer had told the router that the server was leaving (reported; 2,171 and 2,081 ms in our first reproduction). The limit is 2,000 ms. The reproduction had 340 such requests.

Cause: the `server-leaving` header in answers was never read. Routers learned that a server was leaving only from the platform's list. In the reproduction, the platform's store was unavailable from 7.0 s to 19.9 s; the server reported leaving in its answers from 7.5 s and in the list at 20.5 s. Evidence: all routers logged `store-lost` between 7.0 and 8.0 s, and the collected logs, which end soon after, have no change of that server.

Fix: a router marks a server's run as leaving on the first answer that reports it, whether to a request or to an order from the leader, complete or not. The mark is permanent: no list clears it, including a newer one or one read after the entry was removed, and a run that is listed again gets no additional time. A router that connects to a new leader sends it the leaving servers missing from that leader's list. From then on, the server is treated like one listed as leaving: it gets no new work except requests for its own keys for half a second, and its keys are moved as soon as the store accepts the new table.

--- /dev/null
+++ b/packages/dispatch/src/attempt-outcome.ts
@@ -0,0 +1,32 @@
+import type {Answer, AttemptEnd} from './attempt.js';
+import {isOtherServer} from './server-run.js';
+import type {WireNames} from './wire.js';
+
+/** Outcome of a request or an order that was sent to a server. */
+export interface AttemptOutcome {
+  /** Id of the run that it was sent to. */
+  readonly server: string;
+  /** Monotonic time at which it was sent, in ms. */
+  readonly sentAt: number;
+  readonly end: AttemptEnd;
+}
+
+/**
+ * Header fields of the server's answer, even if incomplete; null if a different
+ * server answered at its address.
+ */
+export function answerFields(
+  names: WireNames,
+  {server, end}: AttemptOutcome,
+): Answer['fields'] | null {
+  const fields = end.kind === 'answered' ? end.answer.fields : end.fields;
+  return isOtherServer(server, fields.get(names.serverId)) ? null : fields;
+}
+
+/** Whether the answer's headers report that its server is shutting down. */
+export function reportsLeaving(
+  names: WireNames,
+  outcome: AttemptOutcome,
+): boolean {
+  return answerFields(names, outcome)?.get(names.leaving)?.trim() === '1';
+}
--- a/packages/dispatch/src/backends.ts
+++ b/packages/dispatch/src/backends.ts
@@ -28,8 +28,20 @@
   const byId = new Map<string, Backend>();
   const byService = new Map<string, Backend[]>();
   const waiting = new Map<string, Set<() => void>>();
+  /** When each run was first known to leave, in ms; kept after its removal. */
+  const leavingSinceById = new Map<string, number>();
   let limitOf: (service: string) => number = () => DEFAULT_CONNECTIONS;
 
+  const recordLeaving = ({id, isLeaving}: ServerInfo): number | null => {
+    if (!isLeaving) return null;
+    const since = leavingSinceById.get(id) ?? clock.now();
+    leavingSinceById.set(id, since);
+    if (leavingSinceById.size > MAX_LEAVING_RUNS) {
+      leavingSinceById.delete([...leavingSinceById.keys()][0]!);
+    }
+    return since;
+  };
+
   const regroup = (): void => {
     byService.clear();
     for (const backend of byId.values()) {
@@ -52,12 +64,12 @@
       for (const info of servers) {
         const known = byId.get(info.id);
         if (known === undefined) {
-          byId.set(info.id, createBackend(info, limitOf(info.service), now));
+          const backend = createBackend(info, limitOf(info.service), now);
+          backend.leavingSince = recordLeaving(info);
+          byId.set(info.id, backend);
         } else {
           known.info = info;
-          known.leavingSince = info.isLeaving
-            ? (known.leavingSince ?? now)
-            : null;
+          known.leavingSince = recordLeaving(info);
         }
       }
       regroup();
@@ -90,5 +102,7 @@
   };
 }
 
+/** Bounds the memory for removed runs, which may be listed again. */
+const MAX_LEAVING_RUNS = 2_000;
 /** Before the configuration tells more. */
 const DEFAULT_CONNECTIONS = 4;
--- a/packages/dispatch/src/forward.ts
+++ b/packages/dispatch/src/forward.ts
@@ -1,3 +1,4 @@
+import {reportsLeaving} from './attempt-outcome.js';
 import {startAttempt} from './attempt.js';
 import type {Backend} from './backend.js';
 import {findTarget, type Target} from './find-target.js';
@@ -92,7 +93,9 @@
   backend.connections.release(connection, end.kind === 'answered');
   const how = placeEndOf(cfg.names, end);
   const {isTrial} = target;
-  noteLimit(cfg.limits, cfg.names, {server: backend.info.id, sentAt, end});
+  const outcome = {server: backend.info.id, sentAt, end};
+  noteLimit(cfg.limits, cfg.names, outcome);
+  if (reportsLeaving(cfg.names, outcome)) cfg.noteLeaving(outcome.server);
   // Before its place is free again: whoever hands out places must know what
   // this one did to the server before the same request is sent to the next.
   await cfg.quarantine.note({req, backend, end, isTrial, how, sentAt});
--- a/packages/dispatch/src/journey.ts
+++ b/packages/dispatch/src/journey.ts
@@ -51,6 +51,8 @@
   readonly budget: RetryBudget;
   readonly quarantine: Quarantine;
   readonly limits: ServerLimits;
+  /** Called when an answer reports that its server is shutting down. */
+  readonly noteLeaving: (server: string) => void;
   readonly names: WireNames;
   readonly clock: Clock;
   readonly emit: Emit;
--- a/packages/dispatch/src/server-limits.ts
+++ b/packages/dispatch/src/server-limits.ts
@@ -1,9 +1,8 @@
 import type {Clock} from '@banyandrum/base/clock.js';
-import type {AttemptEnd} from './attempt.js';
+import {answerFields, type AttemptOutcome} from './attempt-outcome.js';
 import type {Emit} from './events.js';
 import {createRateShare, type RateShare} from './rate-share.js';
 import {createTokenBucket, type TokenBucket} from './token-bucket.js';
-import {isOtherServer} from './server-run.js';
 import {readLimit, type WireNames} from './wire.js';
 
 /** Request limits that backend servers report in their answers. */
@@ -230,15 +229,6 @@
   };
 }
 
-/** Outcome of a request or an order that was sent to a server. */
-export interface AttemptOutcome {
-  /** Id of the run that it was sent to. */
-  readonly server: string;
-  /** Monotonic time at which it was sent, in ms. */
-  readonly sentAt: number;
-  readonly end: AttemptEnd;
-}
-
 /**
  * Records the request limit in the answer's headers, complete or not.
  *
@@ -250,11 +240,11 @@
 export function noteLimit(
   limits: Pick<ServerLimits, 'noteAnswer'>,
   names: WireNames,
-  {server, sentAt, end}: AttemptOutcome,
+  outcome: AttemptOutcome,
 ): void {
-  const fields = end.kind === 'answered' ? end.answer.fields : end.fields;
-  // Don't record the limit of another server for this one.
-  if (isOtherServer(server, fields.get(names.serverId))) return;
+  const {server, sentAt, end} = outcome;
+  const fields = answerFields(names, outcome);
+  if (fields === null) return;
   const isComplete = end.kind === 'answered' && fields.has(names.signature);
   const text = fields.get(names.limit);
   limits.noteAnswer({server, text, sentAt, isComplete});
--- a/packages/dispatch/src/wire.ts
+++ b/packages/dispatch/src/wire.ts
@@ -17,6 +17,8 @@
   readonly load: string;
   /** Requests per second that the server accepts from all routers combined. */
   readonly limit: string;
+  /** `1` if the server is shutting down. */
+  readonly leaving: string;
   readonly key: string;
   /** The server that answers. */
   readonly serverId: string;
--- a/packages/dispatch/test/forward.test.ts
+++ b/packages/dispatch/test/forward.test.ts
@@ -90,6 +90,7 @@
         createServerEnds({clock, probe: async () => 'open'}),
       ),
       limits: createServerLimits({clock, emit: () => undefined}),
+      noteLeaving: () => undefined,
       names: NAMES,
       clock,
       emit: () => undefined,
--- a/packages/dispatch/test/raw-server.ts
+++ b/packages/dispatch/test/raw-server.ts
@@ -19,6 +19,7 @@
   notRun: 'x-not-run',
   load: 'x-load',
   limit: 'x-limit',
+  leaving: 'x-leaving',
   key: 'x-key',
   serverId: 'x-server',
 };
--- a/packages/gateway/src/link-client.ts
+++ b/packages/gateway/src/link-client.ts
@@ -15,6 +15,7 @@
   sendEnd,
   takeMessage,
   toPlace,
+  untoldLeaving,
   untoldSuspects,
   type Beliefs,
   type LinkStream,
@@ -60,6 +61,8 @@
   /** Asks the router at the address to lead; whether it does. */
   offer(address: string): Promise<boolean>;
   noteReplaced(server: string): void;
+  /** Tells the leader that a server reported that it is leaving. */
+  tellLeaving(server: string): void;
   /** Whether any leader told this router its whole state. */
   isTold(): boolean;
   /** Tells the leader of requests under which servers ended. */
@@ -167,6 +170,9 @@
         isTold = true;
         tell(own, untoldSuspects(own, cfg.suspects.rows()));
         tellLimits(own, cfg.limits.ownRows());
+        for (const server of untoldLeaving(own, cfg.list)) {
+          stream.write({kind: 'leaving', server});
+        }
       }
       if (!own.isLeader) return;
       if (!wasLeader) cfg.emit('leader-followed', {leader});
@@ -314,6 +320,9 @@
     noteReplaced(server) {
       if (session?.isOpen) session.stream.write({kind: 'replaced', server});
     },
+    tellLeaving(server) {
+      if (session?.isOpen) session.stream.write({kind: 'leaving', server});
+    },
     isTold: () => isTold,
     tellSuspects(rows) {
       if (session !== null) tell(session, rows);
--- a/packages/gateway/src/link-messages.ts
+++ b/packages/gateway/src/link-messages.ts
@@ -50,6 +50,8 @@
   | {readonly kind: 'suspects'; readonly rows: readonly Suspect[]}
   /** Limits that servers reported to this router. */
   | {readonly kind: 'limits'; readonly rows: readonly LimitRow[]}
+  /** The server reported that it is leaving. */
+  | {readonly kind: 'leaving'; readonly server: string}
   /** The run of a server has ended. */
   | {readonly kind: 'replaced'; readonly server: string};
 
--- a/packages/gateway/src/link-server.ts
+++ b/packages/gateway/src/link-server.ts
@@ -38,6 +38,8 @@
   /** Whom this router follows, `ip:port`; null: nobody. */
   leader(): string | null;
   noteReplaced(server: string): void;
+  /** A server reported to a follower that it is leaving. */
+  noteLeaving(server: string): void;
   /** Another router asks this one to lead; whether it does then. */
   onOffered(): Promise<boolean>;
   /** A router asked for a place for the key. */
@@ -255,6 +257,9 @@
   limits(cfg, _follower, {rows}) {
     cfg.limits.mergeFromFollower(rows);
   },
+  leaving(cfg, _follower, {server}) {
+    cfg.noteLeaving(server);
+  },
   replaced(cfg, _follower, {server}) {
     cfg.noteReplaced(server);
   },
--- a/packages/gateway/src/link-session.ts
+++ b/packages/gateway/src/link-session.ts
@@ -114,6 +114,19 @@
   });
 }
 
+/** Servers known here to be leaving that the leader did not list as such. */
+export function untoldLeaving(
+  {servers}: Session,
+  list: ServerList,
+): readonly string[] {
+  const knownToLeader = new Set(
+    servers.filter(({isLeaving}) => isLeaving).map(({id}) => id),
+  );
+  return (list.snapshot()?.servers ?? [])
+    .filter(({id, isLeaving}) => isLeaving && !knownToLeader.has(id))
+    .map(({id}) => id);
+}
+
 /** Gives a place back, or takes back an ask. */
 export function sendEnd(
   {stream, isOpen}: Session,
--- a/packages/gateway/src/platform.ts
+++ b/packages/gateway/src/platform.ts
@@ -1,5 +1,5 @@
 import type {ServerInfo} from '@banyandrum/dispatch/backend.js';
-import type {AttemptOutcome} from '@banyandrum/dispatch/server-limits.js';
+import type {AttemptOutcome} from '@banyandrum/dispatch/attempt-outcome.js';
 import type {Suspect} from '@banyandrum/dispatch/suspect.js';
 import type {WireNames} from '@banyandrum/dispatch/wire.js';
 import type {Ledger, SaveEnd} from '@banyandrum/ranges/ledger.js';
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -1,6 +1,7 @@
 import {createServer} from 'node:http';
 import {createClock, type Clock} from '@banyandrum/base/clock.js';
 import {createId} from '@banyandrum/base/ids.js';
+import {reportsLeaving} from '@banyandrum/dispatch/attempt-outcome.js';
 import {createBackends} from '@banyandrum/dispatch/backends.js';
 import {createPlaceIssuer} from '@banyandrum/dispatch/place-issuer.js';
 import {probeServer} from '@banyandrum/dispatch/probe-server.js';
@@ -185,9 +186,14 @@
     suspects,
     limits,
   });
-  platform.subscribeOrderOutcomes(outcome =>
-    noteLimit(limits, platform.names, outcome),
-  );
+  const noteLeaving = (server: string): void => {
+    if (!list.noteLeaving(server) || leadership.isLeading()) return;
+    link.tellLeaving(server);
+  };
+  platform.subscribeOrderOutcomes(outcome => {
+    noteLimit(limits, platform.names, outcome);
+    if (reportsLeaving(platform.names, outcome)) noteLeaving(outcome.server);
+  });
   limits.subscribe((row, isOwn) => {
     if (isOwn && !leadership.isLeading()) link.tellLimits([row]);
   });
@@ -247,6 +253,7 @@
       budget: createRetryBudget(settings.retries, countRouters),
       quarantine: createQuarantine(suspects, ends),
       limits,
+      noteLeaving,
       names: platform.names,
       clock,
       emit,
@@ -292,6 +299,7 @@
         ? LEAVING_TOUCH_MS
         : Math.min(routers.touchMs(), leadership.touchMs()),
     noteReplaced: server => owners.noteReplaced(server),
+    noteLeaving,
     noteRequest: (service, key) => owners.noteRequest(service, key),
   });
   const addresses = {
--- a/packages/gateway/src/server-list.ts
+++ b/packages/gateway/src/server-list.ts
@@ -17,6 +17,11 @@
   /** Takes another router's list, where it is newer. */
   takeSnapshot(snapshot: ListSnapshot, ageMs: number): void;
   snapshot(): ListSnapshot | null;
+  /**
+   * Marks a run as leaving for the rest of its lifetime, regardless of later
+   * lists. Returns whether it was not marked before.
+   */
+  noteLeaving(id: string): boolean;
   /** Changes whenever the snapshot holds other servers, or in another state. */
   version(): number;
   /** Where the next read goes on; null: it takes the whole list. */
@@ -66,6 +71,8 @@
   /** Address and order of first sight of each server ever listed. */
   const seen = new Map<string, {address: string; order: number}>();
   const removals = new Set<string>();
+  /** Runs reported as leaving by an answer or by another router's list. */
+  const leavingRuns = new Set<string>();
   const listeners = new Set<() => void>();
   let cursor: number | null = null;
   let version = 0;
@@ -86,7 +93,29 @@
     }
   };
 
-  const put = (server: ServerInfo): boolean => {
+  /** Returns whether the list changed. */
+  const markLeaving = (id: string): boolean => {
+    leavingRuns.add(id);
+    if (leavingRuns.size > MAX_SEEN) leavingRuns.delete([...leavingRuns][0]!);
+    const known = servers.get(id);
+    if (known === undefined || known.isLeaving) return false;
+    servers.set(id, {...known, isLeaving: true});
+    version++;
+    return true;
+  };
+
+  /** Other routers may learn it before the platform's list shows it. */
+  const markListedLeaving = (listed: readonly ServerInfo[]): boolean => {
+    const newlyLeaving = listed.filter(
+      ({id, isLeaving}) => isLeaving && !leavingRuns.has(id),
+    );
+    return newlyLeaving.map(({id}) => markLeaving(id)).includes(true);
+  };
+
+  const put = (entry: ServerInfo): boolean => {
+    const server = leavingRuns.has(entry.id)
+      ? {...entry, isLeaving: true}
+      : entry;
     const last = runs.get(nameOfRun(server.id));
     if (last !== undefined && last !== server.id) {
       // What an earlier run said may come later, from another router.
@@ -176,11 +205,16 @@
       if (results.includes(true)) changed();
     },
     takeSnapshot(snapshot, ageMs) {
-      if (cursor !== null && snapshot.cursor < cursor) return;
+      const hasNewLeaving = markListedLeaving(snapshot.servers);
+      if (cursor !== null && snapshot.cursor < cursor) {
+        if (hasNewLeaving) changed();
+        return;
+      }
       confirmedAt = Math.max(confirmedAt, clock.now() - ageMs);
       const isNewer = snapshot.cursor !== cursor;
       cursor = snapshot.cursor;
       const results = [
+        hasNewLeaving,
         isNewer && applyWhole(snapshot.servers.map(toListed)),
         applyDue(),
       ];
@@ -195,6 +229,13 @@
             // it for a while: they would list a server again that is gone.
             servers: [...servers.values()].filter(({id}) => !removals.has(id)),
           },
+    noteLeaving(id) {
+      if (leavingRuns.has(id)) return false;
+      const hasChanged = markLeaving(id);
+      emit('server-says-leaving', {server: id});
+      if (hasChanged && cursor !== null) changed();
+      return true;
+    },
     version: () => version,
     cursor: () => cursor,
     settledMs: () => clock.now() - grewAt,
--- a/packages/gateway/test/link.test.ts
+++ b/packages/gateway/test/link.test.ts
@@ -184,6 +184,7 @@
     touchMs: () => 0,
     onOffered: async () => true,
     noteReplaced: () => undefined,
+    noteLeaving: () => undefined,
     noteRequest: () => undefined,
   });
   const path = await startPath(listen);
--- a/packages/gateway/test/server-list.test.ts
+++ b/packages/gateway/test/server-list.test.ts
@@ -153,3 +153,46 @@
   t.equal(other.has('a~200'), false, 'told by a leader that knows more');
   t.equal(other.has('a~300'), true);
 });
+
+// Guards against a leaving server being used again after its entry is reread.
+void tap.test('a run that reports leaving stays marked as leaving', async t => {
+  const {list} = scene();
+  let changes = 0;
+  list.subscribe(() => changes++);
+  const isLeaving = (): boolean | undefined =>
+    list.snapshot()!.servers.find(({id}) => id === 'a')?.isLeaving;
+  t.equal(list.noteLeaving('a'), true);
+  t.equal(list.noteLeaving('a'), false, 'already known');
+  t.equal(changes, 1);
+  t.equal(isLeaving(), true);
+  list.take(read(3, [listed(server('a'))]));
+  t.equal(isLeaving(), true, 'listed as ready');
+  list.take(read(4, [{kind: 'removed', id: 'a'}]));
+  list.take(read(5, [listed(server('a'))]));
+  t.equal(isLeaving(), true, 'listed again after removal');
+  list.take(read(6, [listed(server('a~1796000000000'))]));
+  const runs = list.snapshot()!.servers.map(each => [each.id, each.isLeaving]);
+  t.same(runs, [
+    ['bb', false],
+    ['a~1796000000000', false],
+  ]);
+});
+
+// Guards against ignoring a leaving server while the cursor does not advance.
+void tap.test(
+  'leaving servers are taken from any snapshot of another router',
+  async t => {
+    const {list} = scene();
+    const servers = [server('a', {isLeaving: true}), server('bb')];
+    list.takeSnapshot({cursor: 2, servers}, 0);
+    t.equal(list.snapshot()!.servers[0]!.isLeaving, true, 'at the same cursor');
+    const older = [server('a'), server('bb', {isLeaving: true})];
+    list.takeSnapshot({cursor: 1, servers: older}, 0);
+    const states = list.snapshot()!.servers.map(each => each.isLeaving);
+    t.same(
+      states,
+      [true, true],
+      'an older snapshot adds marks but clears none',
+    );
+  },
+);
