Send no requests to servers until the rest they requested ends

Effect on callers and servers: a server refused a router's request with 503 and requested 3 s of rest, but received 35 and 17 requests from two routers in that time (reported; 30 and 5 in our first reproduction; two are allowed for each). Meanwhile 97 of 100 requests of the service were refused (reported: 3 to 6 of about 180 per second were served).

Cause: the `Retry-After` header in a server's refusal was never read. Each request excluded the server that had refused it from its own further attempts, but the next request was sent to that server first. Evidence: servers refused 1,281 requests in the five seconds from 6.0 s on; from 7 s on, one server got nearly all requests of the service, 184 to 341 per second, and refused each in less than 1 ms.

Fix: a router records, for each server run, the time until which the server requested no requests; if rest periods overlap, the latest end applies. The router excludes the server from its requests to the leader for a place and from its own choice of servers. If the leader hands out a place at that server anyway, the router returns it. If no other server is available, or the resting server owns the key, the request is refused immediately with a `Retry-After` up to the end of the first rest period. Rest periods apply only to the router that was refused, so they depend on neither the leader nor the store, and other routers may use the place. Refusals of the leader's orders are read as well. A `Retry-After` that is a date is ignored.

Not fixed here: a refusal counts as a fast answer in a server's service time, so a server that refuses everything without requesting rest appears to be the fastest.

--- a/packages/dispatch/src/find-target.ts
+++ b/packages/dispatch/src/find-target.ts
@@ -41,6 +41,7 @@
       turnAway(journey, standing);
       return null;
     }
+    if (refuseIfAllRest(journey)) return null;
     const place = await cfg.places.acquire(
       {
         id: req.id,
@@ -50,7 +51,7 @@
         leftMs,
         aimLeftMs: aimAt - cfg.clock.now(),
         askedMs: cfg.clock.now() - req.firstAskedAt,
-        excluded: [...journey.excluded],
+        excluded: [...journey.excluded, ...restingServers(journey)],
         dataCentre: cfg.dataCentre,
         ...(standing === 'suspected' && {trial: req.contents().anyQuery}),
       },
@@ -67,6 +68,14 @@
       place.end('cancelled', 0);
       continue;
     }
+    const restMs = cfg.rests.remainingMs(place.server);
+    if (restMs > 0) {
+      place.end('cancelled', 0);
+      // Only a request without a key can go to another server.
+      if (req.key === null) continue;
+      refuseUntilRestEnds(journey, restMs);
+      return null;
+    }
     const backend = cfg.backends.get(place.server);
     if (backend !== undefined && mayUse(cfg, backend)) {
       const connection = backend.connections.acquire();
@@ -96,6 +105,7 @@
       turnAway(journey, standing);
       return null;
     }
+    if (refuseIfAllRest(journey)) return null;
     const target = pickTarget(journey);
     if (target !== null) return target;
     const left = giveUpAt - cfg.clock.now();
@@ -106,6 +116,50 @@
   }
 }
 
+/** Servers to exclude because of a rest period; empty for keyed requests. */
+function restingServers({cfg, req}: Journey): readonly string[] {
+  if (req.key !== null || cfg.rests.count() === 0) return [];
+  return cfg.backends
+    .ofService(req.service)
+    .map(({info}) => info.id)
+    .filter(id => cfg.rests.remainingMs(id) > 0);
+}
+
+/** Refuses the request if all servers that could serve it are resting. */
+function refuseIfAllRest(journey: Journey): boolean {
+  const restMs = remainingRestMs(journey);
+  if (restMs > 0) refuseUntilRestEnds(journey, restMs);
+  return restMs > 0;
+}
+
+/**
+ * Time until the first rest period of the eligible servers ends, in ms; 0 if the
+ * request need not be refused for it.
+ */
+function remainingRestMs(journey: Journey): number {
+  const {cfg, req, excluded} = journey;
+  if (cfg.rests.count() === 0) return 0;
+  if (req.key !== null) {
+    const owner = cfg.owners.ownerOf(req.service, req.key);
+    return owner.kind === 'held' ? cfg.rests.remainingMs(owner.server) : 0;
+  }
+  let minMs = Infinity;
+  for (const {info, isGone} of cfg.backends.ofService(req.service)) {
+    if (info.isLeaving || isGone) continue;
+    const restMs = cfg.rests.remainingMs(info.id);
+    if (restMs > 0) minMs = Math.min(minMs, restMs);
+    else if (!excluded.has(info.id)) return 0;
+  }
+  return minMs === Infinity ? 0 : minMs;
+}
+
+function refuseUntilRestEnds(journey: Journey, restMs: number): void {
+  const {cfg, req} = journey;
+  cfg.emit('servers-rest', {id: req.id, service: req.service, restMs});
+  journey.cause = 'refused';
+  journey.retryAfterMs = restMs;
+}
+
 /**
  * How long a request waits for a server: as long as its answer can still be
  * worth most. Later refusals cost the caller time that another try could use.
@@ -134,7 +188,8 @@
   // The others would stand idle while all wait for the one that seems quickest.
   const group = cfg.backends
     .ofService(req.service)
-    .filter(({connections}) => connections.hasFree());
+    .filter(({connections}) => connections.hasFree())
+    .filter(({info}) => cfg.rests.remainingMs(info.id) === 0);
   const now = cfg.clock.now();
   const routers = cfg.routers();
   const passedOver = new Set(excluded);
@@ -154,6 +209,7 @@
   const now = cfg.clock.now();
   if (backend === undefined || !mayUse(cfg, backend)) return null;
   if (backend.suspectUntil > now) return null;
+  if (cfg.rests.remainingMs(owner.server) > 0) return null;
   if (!hasRoom(backend, loadOf(backend, 0, now))) return null;
   return cfg.limits.takeShareToken(owner.server, cfg.routers())
     ? backend
--- a/packages/dispatch/src/forward.ts
+++ b/packages/dispatch/src/forward.ts
@@ -12,6 +12,7 @@
   type Reply,
 } from './journey.js';
 import {noteLimit} from './server-limits.js';
+import {noteRetryAfter} from './server-rests.js';
 import {nameOfRun} from './server-run.js';
 import {placeEndOf, takeEnd} from './take-end.js';
 import type {WireNames} from './wire.js';
@@ -95,6 +96,7 @@
   const {isTrial} = target;
   const outcome = {server: backend.info.id, sentAt, end};
   noteLimit(cfg.limits, cfg.names, outcome);
+  noteRetryAfter(cfg.rests, cfg.names, outcome);
   if (reportsLeaving(cfg.names, outcome)) cfg.noteLeaving(outcome.server);
   // Before its place is free again: whoever hands out places must know what
   // this one did to the server before the same request is sent to the next.
--- a/packages/dispatch/src/journey.ts
+++ b/packages/dispatch/src/journey.ts
@@ -11,6 +11,7 @@
 import type {Quarantine} from './quarantine.js';
 import type {RetryBudget} from './retry-budget.js';
 import type {ServerLimits} from './server-limits.js';
+import type {ServerRests} from './server-rests.js';
 import type {Standing} from './suspect.js';
 import type {WireNames} from './wire.js';
 
@@ -51,6 +52,7 @@
   readonly budget: RetryBudget;
   readonly quarantine: Quarantine;
   readonly limits: ServerLimits;
+  readonly rests: ServerRests;
   /** Called when an answer reports that its server is shutting down. */
   readonly noteLeaving: (server: string) => void;
   readonly names: WireNames;
--- a/packages/dispatch/src/wire.ts
+++ b/packages/dispatch/src/wire.ts
@@ -19,6 +19,8 @@
   readonly limit: string;
   /** `1` if the server is shutting down. */
   readonly leaving: string;
+  /** Seconds to send no requests to the server; set in its refusals. */
+  readonly retryAfter: string;
   readonly key: string;
   /** The server that answers. */
   readonly serverId: string;
@@ -48,6 +50,12 @@
   return Number(text);
 }
 
+/** Converts decimal seconds to ms; returns null for anything else. */
+export function readRetryAfter(text: string): number | null {
+  const seconds = readLimit(text);
+  return seconds === null ? null : seconds * 1_000;
+}
+
 const DECIMAL = /^\d+(\.\d+)?$/;
 /** Rejects oversized values before the pattern is applied. */
 const MAX_LIMIT_LENGTH = 20;
--- a/packages/dispatch/test/find-alone.test.ts
+++ b/packages/dispatch/test/find-alone.test.ts
@@ -33,6 +33,7 @@
       places: {acquire: async () => ({kind: 'unavailable'})},
       quarantine: {standingOf: () => 'unknown'},
       limits: {takeShareToken: () => true},
+      rests: {remainingMs: () => 0, count: () => 0},
     },
     req: {
       ...{id: 'r1', service: 'holds', key: null, route, firstAskedAt: 1_000},
--- a/packages/dispatch/test/forward.test.ts
+++ b/packages/dispatch/test/forward.test.ts
@@ -10,6 +10,7 @@
 import {createRetryBudget} from '@banyandrum/dispatch/retry-budget.js';
 import {createServerEnds} from '@banyandrum/dispatch/server-ends.js';
 import {createServerLimits} from '@banyandrum/dispatch/server-limits.js';
+import {createServerRests} from '@banyandrum/dispatch/server-rests.js';
 import {createSuspects} from '@banyandrum/dispatch/suspects.js';
 import type {RequestKind} from '@banyandrum/routing/config.js';
 import {listenRaw, NAMES, type RawServer} from './raw-server.js';
@@ -90,6 +91,7 @@
         createServerEnds({clock, probe: async () => 'open'}),
       ),
       limits: createServerLimits({clock, emit: () => undefined}),
+      rests: createServerRests({clock, emit: () => undefined}),
       noteLeaving: () => undefined,
       names: NAMES,
       clock,
--- a/packages/dispatch/test/raw-server.ts
+++ b/packages/dispatch/test/raw-server.ts
@@ -20,6 +20,7 @@
   load: 'x-load',
   limit: 'x-limit',
   leaving: 'x-leaving',
+  retryAfter: 'retry-after',
   key: 'x-key',
   serverId: 'x-server',
 };
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -20,6 +20,8 @@
   quarantined(): number;
   /** Servers that reported a request limit. */
   limitedServers(): number;
+  /** Servers whose requested rest period has not ended. */
+  restingServers(): number;
 }
 
 /** Metrics and the interface that serves them. */
@@ -87,6 +89,10 @@
       'Servers that named a limit on requests',
       source.limitedServers,
     ],
+    resting_servers: [
+      'Servers that want no requests of this router now',
+      source.restingServers,
+    ],
   };
   for (const [name, [help, read]] of Object.entries(gauges)) {
     const gauge: Gauge = new Gauge({
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -12,6 +12,10 @@
   createServerLimits,
   noteLimit,
 } from '@banyandrum/dispatch/server-limits.js';
+import {
+  createServerRests,
+  noteRetryAfter,
+} from '@banyandrum/dispatch/server-rests.js';
 import {createSuspects} from '@banyandrum/dispatch/suspects.js';
 import {createTiming} from '@banyandrum/ranges/timing.js';
 import {createSplitter} from '@banyandrum/routing/split.js';
@@ -93,6 +97,7 @@
   list.subscribe(() => backends.update(list.snapshot()!.servers));
   const suspects = createSuspects(clock, emit);
   const limits = createServerLimits({clock, emit});
+  const rests = createServerRests({clock, emit});
   const ends = createServerEnds({clock, probe: probeServer});
   list.subscribe(() => {
     ends.watched().filter(list.isReplaced).forEach(ends.noteReplaced);
@@ -192,6 +197,7 @@
   };
   platform.subscribeOrderOutcomes(outcome => {
     noteLimit(limits, platform.names, outcome);
+    noteRetryAfter(rests, platform.names, outcome);
     if (reportsLeaving(platform.names, outcome)) noteLeaving(outcome.server);
   });
   limits.subscribe((row, isOwn) => {
@@ -227,6 +233,7 @@
     suspected: () => suspects.count('suspected'),
     quarantined: () => suspects.count('quarantined'),
     limitedServers: () => limits.count(),
+    restingServers: () => rests.count(),
   };
   const page = createQuarantinePage(suspects, settings.operators.tokens);
   const metrics = createMetrics(source, page);
@@ -253,6 +260,7 @@
       budget: createRetryBudget(settings.retries, countRouters),
       quarantine: createQuarantine(suspects, ends),
       limits,
+      rests,
       noteLeaving,
       names: platform.names,
       clock,
