Send limits to routers only when they change

The leader compares the rows of limits that it last sent with those that it has. Each answer that repeats a limit moves its row to the end, so that with two or more limited servers all rows were sent with every heartbeat, five times a second to each router, though nothing had changed. Rows are now in the order of the servers' ids. Found by reading; the check of the order failed before.

--- a/packages/dispatch/src/server-limits.ts
+++ b/packages/dispatch/src/server-limits.ts
@@ -200,7 +200,7 @@
       const since = clock.now() - LIFTED_ROW_TTL_MS;
       return rowsOf(
         ({perSecond, updatedAt}) => perSecond !== null || updatedAt > since,
-      );
+      ).sort(([a], [b]) => (a < b ? -1 : 1));
     },
     ownRows: () =>
       rowsOf(
--- a/packages/dispatch/test/server-limits.test.ts
+++ b/packages/dispatch/test/server-limits.test.ts
@@ -119,11 +119,17 @@
   );
   await wait(11_000);
   t.same(limits.rows(), [['s1', 5]]);
+  limits.mergeFromFollower([['s0', 4]]);
+  t.same(limits.rows(), [
+    ['s0', 4],
+    ['s1', 5],
+  ]);
   t.same(heard, [
     ['s1', 5, false],
     ['s2', 3, false],
     ['s1', 2, true],
     ['s1', 5, false],
     ['s2', null, false],
+    ['s0', 4, false],
   ]);
 });
