Read and log the epoch of the store's history

The client of the store keeps the newest epoch, routers log store-epoch and expose banyandrum_store_epoch. Nothing is decided by it yet.

--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -22,6 +22,8 @@
   limitedServers(): number;
   /** Servers whose requested rest period has not ended. */
   restingServers(): number;
+  /** Epoch of the platform's history: one more after each restore. */
+  storeEpoch(): number;
 }
 
 /** Metrics and the interface that serves them. */
@@ -93,6 +95,10 @@
       'Servers that want no requests of this router now',
       source.restingServers,
     ],
+    store_epoch: [
+      'Epoch of the store’s history; rises when it is restored from a copy',
+      source.storeEpoch,
+    ],
   };
   for (const [name, [help, read]] of Object.entries(gauges)) {
     const gauge: Gauge = new Gauge({
--- a/packages/gateway/src/platform.ts
+++ b/packages/gateway/src/platform.ts
@@ -69,6 +69,20 @@
   drop(epoch: number, content: string): Promise<SaveEnd>;
 }
 
+/**
+ * The history of the platform's store as this router knows it. A store that is
+ * restored from a copy begins a new epoch: what was written since the copy is
+ * gone, and positions in its logs are given out again.
+ */
+export interface StoreHistory {
+  /** The newest epoch that is known; 0 before the first. */
+  epoch(): number;
+  /** Monotonic time at which that epoch was first seen, in ms. */
+  seenAt(): number;
+  /** `before` is null at the first epoch that this process sees. */
+  subscribe(listener: (epoch: number, before: number | null) => void): void;
+}
+
 /** The platform as the router process uses it. */
 export interface Platform {
   readonly names: WireNames;
@@ -77,6 +91,7 @@
   readServers(cursor: number | null): Promise<ListRead>;
   /** `self` is this router's name, which is how the others find it. */
   members(self: string): Members;
+  readonly history: StoreHistory;
   readonly ledger: Ledger;
   readonly suspects: SuspectRecords;
   readonly orders: Orders;
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -110,6 +110,9 @@
   const hasEnded = (server: string): boolean =>
     owners.isReplaced(server) || list.isReplaced(server);
 
+  platform.history.subscribe((storeEpoch, before) =>
+    emit('store-epoch', {storeEpoch, before}),
+  );
   const led = {backends, times, clock, limits, hasEnded};
   const wakefulNow = wakefulTime(clock, Date.now);
   const leadership = createLeadership({
@@ -234,6 +237,7 @@
     quarantined: () => suspects.count('quarantined'),
     limitedServers: () => limits.count(),
     restingServers: () => rests.count(),
+    storeEpoch: () => platform.history.epoch(),
   };
   const page = createQuarantinePage(suspects, settings.operators.tokens);
   const metrics = createMetrics(source, page);
