Hold keys at one server when the store comes back from a copy

Cause: a range's holder is recorded before it is granted, and a leader believed the record. After a restore the record is older than the last grants: the leader that worked went on without writing them again, and its successor, 20 s later, granted by the old table. Terms came from offsets, which are given out again, so fences could fall or be equal too, and a leader that the store had forgotten was confirmed by an older history.

- A term's epoch holds the epoch of the store's history, and with it each fence: they rise over restores.
A fence tells in which history its record stands.
- A leader's term counts in the history in which it began.
After a restore it begins another with what it remembers, and writes that down.
Each server must first accept a renewal under the fence that it knew: a leader that the store forgot moved a range only after the server had seen its fence, and recorded that before the restore.
Its authority bounds this.
- Who remembers nothing waits until leaders of the earlier history act no longer and holds have lapsed, from the first answer of the new one (15.9 s), for ranges whose fence is of an earlier history, and for keys without a record unless the system starts for the first time (platform.first_start).
- A record counts only where its answer is of the term's own history.
Routers without a leader don't route by outdated records.
A leader that is heard has 2 s to come back into touch after a restore before another begins.

--- a/packages/gateway/src/keep-up.ts
+++ b/packages/gateway/src/keep-up.ts
@@ -1,5 +1,7 @@
 import {sleep, type Clock} from '@banyandrum/base/clock.js';
 import type {Emit} from '@banyandrum/dispatch/events.js';
+import {storeEpochOfFence} from '@banyandrum/ranges/fence.js';
+import type {Holding, ServedRange} from '@banyandrum/ranges/table.js';
 import type {KeyOwners} from './key-owners.js';
 import type {Leadership} from './leadership.js';
 import type {LinkClient} from './link-client.js';
@@ -83,6 +85,13 @@
   });
 }
 
+/** What was recorded before the store was restored may hold no longer. */
+function toServed(holding: Holding, storeEpoch: number): ServedRange {
+  const {from, to, server, fence} = holding;
+  const isCurrent = storeEpochOfFence(fence) === storeEpoch;
+  return {from, to, server: isCurrent ? server : null};
+}
+
 /** Takes the tables from the store where no leader is heard for long. */
 async function readTables(cfg: KeepUpConfig): Promise<void> {
   const {platform, leadership, link, owners, emit} = cfg;
@@ -92,7 +101,13 @@
   const stored = await platform.ledger.load();
   if (stored === null || !isNeeded()) return;
   emit('tables-taken', {from: 'store', linkAgeMs: Math.round(link.ageMs())});
+  const storeEpoch = platform.history.epoch();
   owners.takeTables(
-    new Map(stored.map(({service, holdings}) => [service, holdings])),
+    new Map(
+      stored.map(({service, holdings}) => [
+        service,
+        holdings.map(holding => toServed(holding, storeEpoch)),
+      ]),
+    ),
   );
 }
--- a/packages/gateway/src/leadership.ts
+++ b/packages/gateway/src/leadership.ts
@@ -1,5 +1,15 @@
 import {sleep, type Clock} from '@banyandrum/base/clock.js';
 import type {Emit} from '@banyandrum/dispatch/events.js';
+import {
+  FENCES_A_TERM,
+  storeEpochOfTerm,
+  toFence,
+} from '@banyandrum/ranges/fence.js';
+import {
+  inheritRecorded,
+  isRecordedSinceRestore,
+  type InheritedHolding,
+} from '@banyandrum/ranges/inheritance.js';
 import {
   leadService,
   type ServiceLead,
@@ -52,6 +62,8 @@
   hasEnded(server: string): boolean;
   /** Whether no server came to the list for a while. */
   isListSettled(): boolean;
+  /** Whether the whole system, this process included, starts for the first time. */
+  readonly isFirstStart: boolean;
   /** Keys of the service whose requests wait for a place, one for each. */
   waitingKeys(service: string): readonly number[];
 }
@@ -65,17 +77,17 @@
  * a leader's authority, and one call to the platform each.
  */
 const CHECK_MS = 2_500;
-/**
- * Fences of one term; the epoch takes the digits above. A term at the size
- * designed for has some thousand ranges, and moves a few hundred a second.
- */
-const FENCES_A_TERM = 2 ** 20;
 /** A term ends with so many fences left, for moves under way. */
 const SPARE_FENCES = 2 ** 16;
 
+/** What a term takes over, by service. */
+type Inheritance = ReadonlyMap<string, readonly InheritedHolding[]>;
+
+const NOTHING: Inheritance = new Map();
+
 interface Term {
   readonly epoch: number;
-  readonly stored: readonly RangeTable[];
+  readonly inherited: Inheritance;
   readonly leads: Map<string, ServiceLead>;
   fence: number;
 }
@@ -91,7 +103,9 @@
  */
 export function createLeadership(cfg: LeadershipConfig): Leadership {
   const {platform, clock, emit} = cfg;
+  const {history} = platform;
   const listeners = new Set<() => void>();
+  let hasSeenRestore = false;
   let term: Term | null = null;
   let isStarting = false;
   let confirmedAt = -Infinity;
@@ -114,23 +128,41 @@
 
   const mayAct = (): boolean => cfg.wakefulNow() - confirmedAt < AUTHORITY_MS;
 
+  const stop = (own: Term): void => {
+    cancelTick();
+    for (const lead of own.leads.values()) lead.stop();
+  };
+
   const end = (why: string): void => {
     if (term === null) return;
     emit('leadership-ended', {epoch: term.epoch, why});
-    cancelTick();
-    for (const lead of term.leads.values()) lead.stop();
+    stop(term);
     term = null;
     changes++;
     gathered.now();
   };
 
+  const earlierActUntil = (): number => history.seenAt() + AUTHORITY_MS;
+
+  const isUnrecordedFree = (): boolean => {
+    const isWhole =
+      history.epoch() === 0 || (cfg.isFirstStart && !hasSeenRestore);
+    return isWhole || clock.now() >= cfg.timing.lapseOf(earlierActUntil());
+  };
+
+  /** Whether the store was restored since the term began. */
+  const isRestored = ({epoch}: Term): boolean =>
+    storeEpochOfTerm(epoch) < history.epoch();
+
   const leadNew = (own: Term): void => {
     for (const service of cfg.keyedServices()) {
       if (own.leads.has(service)) continue;
-      const stored = own.stored.find(table => table.service === service);
       const lead = leadService({
         service,
-        stored: stored ?? null,
+        inherited: own.inherited.get(service) ?? null,
+        earlierActUntil: earlierActUntil(),
+        isUnrecordedFree,
+        wakefulNow: cfg.wakefulNow,
         ledger: platform.ledger,
         orders: platform.orders,
         clock,
@@ -139,7 +171,7 @@
         hasEnded: cfg.hasEnded,
         isListSettled: cfg.isListSettled,
         waitingKeys: () => cfg.waitingKeys(service),
-        nextFence: () => own.epoch * FENCES_A_TERM + own.fence++,
+        nextFence: () => toFence(own.epoch, own.fence++),
         mayAct: () => term === own && mayAct(),
         onChange: changed,
         onWithdrawn: withdrawn,
@@ -156,34 +188,86 @@
   const tick = (own: Term): void => {
     if (term !== own) return;
     if (own.fence >= FENCES_A_TERM - SPARE_FENCES) return end('fences-used');
+    if (isRestored(own) && !mayAct()) return end('restored');
     leadNew(own);
     for (const lead of own.leads.values()) lead.tick();
     cancelTick = clock.after(TICK_MS, () => tick(own));
   };
 
-  const begin = async (): Promise<void> => {
-    if (isStarting || term !== null) return;
+  /** What this router knows, where the store lost it. */
+  const rememberedBy = (before: Term): Inheritance => {
+    const actUntil = confirmedAt + AUTHORITY_MS;
+    return new Map(
+      [...before.leads]
+        .map(([name, lead]) => [name, lead.remembered(actUntil)] as const)
+        .filter(([, holdings]) => holdings.length > 0),
+    );
+  };
+
+  const inherit = (
+    epoch: number,
+    stored: readonly RangeTable[],
+    remembered: Inheritance,
+  ): Inheritance => {
+    const inherited = new Map(remembered);
+    for (const table of stored) {
+      const {service} = table;
+      // What was recorded since the restore is newer than what was known then.
+      const isNewer = isRecordedSinceRestore(table, epoch);
+      if (inherited.has(service) && !isNewer) continue;
+      inherited.set(service, inheritRecorded(table, epoch));
+    }
+    return inherited;
+  };
+
+  /** Begins a term, in place of `before`, which the store lost. */
+  const start = async (before: Term | null): Promise<void> => {
     isStarting = true;
     const askedAt = cfg.wakefulNow();
     const epoch = await platform.ledger.begin(cfg.address);
     const stored = epoch === null ? null : await platform.ledger.load();
-    if (epoch === null || stored === null) {
+    if (
+      epoch === null ||
+      stored === null ||
+      storeEpochOfTerm(epoch) !== history.epoch()
+    ) {
       emit('leadership-failed', {epoch});
       await sleep(clock, RETRY_MS);
-    } else {
+    } else if (term === before) {
+      const remembered = before === null ? NOTHING : rememberedBy(before);
+      const inherited = inherit(epoch, stored, remembered);
+      if (before !== null) stop(before);
       confirmedAt = askedAt;
-      emit('leadership-began', {epoch, tables: stored.length});
-      term = {epoch, stored, leads: new Map(), fence: 1};
+      emit('leadership-began', {
+        ...{epoch, tables: stored.length, before: before?.epoch ?? null},
+        remembered: remembered.size,
+      });
+      term = {epoch, inherited, leads: new Map(), fence: 1};
       tick(term);
       void checkOn(term);
     }
     isStarting = false;
   };
 
+  const begin = async (): Promise<void> => {
+    if (isStarting || term !== null) return;
+    await start(null);
+  };
+
+  /**
+   * Goes on in a new term after the store lost this one's: only this router
+   * knows of what was recorded since the copy.
+   */
+  const goOn = async (own: Term): Promise<void> => {
+    if (isStarting) return;
+    while (term === own && isRestored(own) && mayAct()) await start(own);
+  };
+
   const check = async (own: Term): Promise<void> => {
     const askedAt = cfg.wakefulNow();
     const isNewest = await platform.ledger.isNewest();
     if (term !== own) return;
+    if (isRestored(own)) return void goOn(own);
     if (isNewest === true) confirmedAt = Math.max(confirmedAt, askedAt);
     if (isNewest === false) end('replaced');
   };
@@ -195,12 +279,22 @@
     }
   };
 
+  history.subscribe((_epoch, before) => {
+    hasSeenRestore ||= before !== null;
+    if (term !== null) void goOn(term);
+  });
+
   return {
     isLeading: () => term !== null,
     touchMs: () => cfg.wakefulNow() - confirmedAt,
     epoch: () => term?.epoch ?? null,
     noteTerm(epoch) {
-      if (term !== null && epoch > term.epoch) end('replaced');
+      if (term === null || epoch <= term.epoch) return;
+      // One that began since a restore knows less than this router.
+      if (storeEpochOfTerm(epoch) > storeEpochOfTerm(term.epoch)) {
+        return void goOn(term);
+      }
+      end('replaced');
     },
     tables() {
       if (term === null) return null;
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -110,9 +110,11 @@
   const hasEnded = (server: string): boolean =>
     owners.isReplaced(server) || list.isReplaced(server);
 
-  platform.history.subscribe((storeEpoch, before) =>
-    emit('store-epoch', {storeEpoch, before}),
-  );
+  let restoredAt = -Infinity;
+  platform.history.subscribe((storeEpoch, before) => {
+    if (before !== null) restoredAt = clock.now();
+    emit('store-epoch', {storeEpoch, before});
+  });
   const led = {backends, times, clock, limits, hasEnded};
   const wakefulNow = wakefulTime(clock, Date.now);
   const leadership = createLeadership({
@@ -128,6 +130,7 @@
     hasEnded,
     isListSettled: () => list.settledMs() >= SETTLE_MS,
     waitingKeys: service => issuer.waitingKeys(service),
+    isFirstStart: settings.platform.isFirstStart,
   });
   const routers = followRouters({
     members: platform.members(self),
@@ -178,6 +181,7 @@
     self: settings.listen.peers,
     isChosen: () => routers.isChosen(),
     isLeading: () => leadership.isLeading(),
+    restoredMs: () => clock.now() - restoredAt,
     heardLeaderTouchMs: () => link.leaderTouchMs(),
     lastLeader: () => platform.ledger.lastLeader(),
     reach: link.reach,
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -23,6 +23,8 @@
     readonly address: string;
     /** The least time after which it takes out silent routers, in ms. */
     readonly silenceMinMs: number;
+    /** Whether the whole system starts for the first time. */
+    readonly isFirstStart: boolean;
   };
   readonly servers: {
     /** By then a server that leaves must get no more requests, in ms. */
@@ -80,6 +82,11 @@
     if (typeof value === 'number' && value >= 0) return value;
     throw new SettingsError(`${section}.${key}: no number of 0 or more`);
   };
+  const flagAt = (section: string, key: string): boolean => {
+    const value = at(section, key) ?? false;
+    if (typeof value === 'boolean') return value;
+    throw new SettingsError(`${section}.${key}: neither true nor false`);
+  };
   const timeAt = (section: string, key: string, fallback: string): number =>
     parseTime(`${section}.${key}`, textAt(section, key, fallback));
   const addressAt = (section: string, key: string): string =>
@@ -104,6 +111,7 @@
     platform: {
       address: addressAt('platform', 'address'),
       silenceMinMs: timeAt('platform', 'silence_min', '1s'),
+      isFirstStart: flagAt('platform', 'first_start'),
     },
     servers: {
       leaveWithinMs: timeAt('servers', 'leave_within', '2s'),
--- a/packages/gateway/src/succession.ts
+++ b/packages/gateway/src/succession.ts
@@ -10,6 +10,8 @@
   /** Whether the platform chose this router, as it said a moment ago. */
   isChosen(): boolean;
   isLeading(): boolean;
+  /** Since a restore of the store was noticed here, in ms. */
+  restoredMs(): number;
   /** Since when the leader that is heard had no answer of the platform, ms. */
   heardLeaderTouchMs(): number | null;
   lastLeader(): Promise<LeaderRead>;
@@ -40,6 +42,11 @@
  * it can't record moves. Some joins without an answer in a row.
  */
 const OUT_OF_TOUCH_MS = 2_000;
+/**
+ * After a restore of the store a leader that is heard has this time to come back
+ * into touch with it, in ms: it alone knows who holds which keys.
+ */
+const RESTORED_MS = 2_000;
 
 /**
  * The platform chooses anew whenever routers come or go. A leader that works is
@@ -60,7 +67,8 @@
 
   const hearsWorking = (): boolean => {
     const touchMs = cfg.heardLeaderTouchMs();
-    return touchMs !== null && touchMs <= OUT_OF_TOUCH_MS;
+    if (touchMs === null) return false;
+    return touchMs <= OUT_OF_TOUCH_MS || cfg.restoredMs() < RESTORED_MS;
   };
 
   const isNeeded = (): boolean =>
--- /dev/null
+++ b/packages/gateway/test/fake-history.ts
@@ -0,0 +1,23 @@
+import type {StoreHistory} from '@banyandrum/gateway/platform.js';
+
+/** A store's history that a test restores. */
+export interface FakeHistory extends StoreHistory {
+  restore(): void;
+}
+
+/** Starts in epoch 0, which no restore came before. */
+export function createFakeHistory(now: () => number): FakeHistory {
+  const listeners = new Set<(epoch: number, before: number | null) => void>();
+  let epoch = 0;
+  let seenAt = -Infinity;
+  return {
+    epoch: () => epoch,
+    seenAt: () => seenAt,
+    subscribe: listener => void listeners.add(listener),
+    restore() {
+      epoch++;
+      seenAt = now();
+      listeners.forEach(listener => listener(epoch, epoch - 1));
+    },
+  };
+}
--- a/packages/gateway/test/leadership.test.ts
+++ b/packages/gateway/test/leadership.test.ts
@@ -6,6 +6,7 @@
 import type {Orders} from '@banyandrum/ranges/orders.js';
 import {createTiming} from '@banyandrum/ranges/timing.js';
 import {createManualClock} from '@banyandrum/standins/manual-clock.js';
+import {createFakeHistory} from './fake-history.js';
 
 /** Answers whether the first term is the newest one; null: not at all. */
 let isNewest: boolean | null = true;
@@ -34,8 +35,9 @@
     release: async () => ({kind: 'done', handover: null}),
   };
   const wakefulNow = wakefulTime(clock, () => today);
+  const history = createFakeHistory(() => clock.now());
   const leadership = createLeadership({
-    platform: {ledger: LEDGER, orders} as unknown as Platform,
+    platform: {ledger: LEDGER, orders, history} as unknown as Platform,
     clock,
     wakefulNow,
     timing: createTiming(10_000),
@@ -55,6 +57,7 @@
     hasEnded: () => false,
     isListSettled: () => true,
     waitingKeys: () => [],
+    isFirstStart: true,
   });
   const pass = async (ms: number): Promise<void> => {
     for (let passed = 0; passed < ms; passed += 50) {
--- a/packages/gateway/test/many-changes.test.ts
+++ b/packages/gateway/test/many-changes.test.ts
@@ -15,6 +15,7 @@
   createManualClock,
   type ManualClock,
 } from '@banyandrum/standins/manual-clock.js';
+import {createFakeHistory} from './fake-history.js';
 
 const SERVERS = 200;
 const LEAVING = 40;
@@ -58,8 +59,9 @@
       return {kind: 'done', handover: null};
     },
   };
+  const history = createFakeHistory(() => clock.now());
   const leadership = createLeadership({
-    platform: {ledger, orders} as unknown as Platform,
+    platform: {ledger, orders, history} as unknown as Platform,
     ...{clock, timing: createTiming(10_000), boot: 'b1'},
     ...{address: '10.0.0.9:7200', emit: () => undefined},
     wakefulNow: () => clock.now(),
@@ -68,6 +70,7 @@
     hasEnded: () => false,
     isListSettled: () => true,
     waitingKeys: () => [],
+    isFirstStart: true,
   });
   const scene: Scene = {
     ...{clock, leadership, servers: ALL, fences: []},
--- a/packages/gateway/test/succession.test.ts
+++ b/packages/gateway/test/succession.test.ts
@@ -35,6 +35,7 @@
     emit: () => undefined,
     self: SELF,
     isChosen: () => found.isChosen ?? true,
+    restoredMs: () => Infinity,
     isLeading: () => begins > 0,
     heardLeaderTouchMs: () => found.heardTouchMs ?? null,
     lastLeader: async () => found.last ?? {kind: 'read', address: OTHER},
--- a/packages/ranges/src/lead-service.ts
+++ b/packages/ranges/src/lead-service.ts
@@ -1,5 +1,7 @@
 import {balance, mergeOne} from './balancing.js';
+import {confirm} from './confirming.js';
 import {grantNow} from './granting.js';
+import {inheritRemembered, type InheritedHolding} from './inheritance.js';
 import {createKeyLoad, type KeyLoad} from './key-load.js';
 import {
   record,
@@ -7,7 +9,7 @@
   type LeadConfig,
   type LedServer,
 } from './lead-state.js';
-import {createLive, type LiveHolding} from './live-holding.js';
+import {createLive, type LiveHolding, type Standing} from './live-holding.js';
 import {move} from './moving.js';
 import {createSaveLoop} from './save-loop.js';
 import {cutEvenly, type RangeTable, type ServedRange} from './table.js';
@@ -18,6 +20,11 @@
   readonly service: string;
   readonly load: KeyLoad;
   served(): readonly ServedRange[];
+  /**
+   * What this leader knows, for its next term after a restore of the store;
+   * `actUntil` is when its authority ends, in wakeful ms.
+   */
+  remembered(actUntil: number): readonly InheritedHolding[];
   tick(): void;
   stop(): void;
 }
@@ -86,10 +93,11 @@
     lead.isStopped = true;
     cfg.onFenced();
   });
-  if (cfg.stored !== null) adopt(lead, cfg.stored);
+  if (cfg.inherited !== null) adopt(lead, cfg.inherited);
   return {
     service: cfg.service,
     load: lead.load,
+    remembered: actUntil => inheritRemembered(lead.lives, actUntil),
     served: () => lead.lives.map(toServed),
     tick: () => tick(lead),
     stop() {
@@ -104,24 +112,49 @@
   return {from, to, server: isServed ? server : null};
 }
 
-/**
- * Takes over what an earlier leader recorded. Its servers go on serving, and
- * a higher fence shuts out its orders; one that can't be reached may still be
- * renewed by it as long as its authority lasts.
- */
-function adopt(lead: Lead, stored: RangeTable): void {
+function adopt(lead: Lead, inherited: readonly InheritedHolding[]): void {
   const now = lead.clock.now();
-  const stepMs = Math.min(ADOPT_MS, ADOPT_MOST_MS / stored.holdings.length);
-  lead.lives = stored.holdings.map((holding, at) => {
-    const fence = lead.nextFence();
-    const live = createLive({...holding, fence}, now);
-    live.renewAt = now + at * stepMs;
+  const stepMs = Math.min(ADOPT_MS, ADOPT_MOST_MS / inherited.length);
+  lead.lives = inherited.map((each, at) => ({
+    ...ADOPTERS[each.standing](lead, each),
+    renewAt: now + at * stepMs,
+  }));
+  const recorded = lead.lives.filter(({standing}) => standing === 'recorded');
+  if (recorded.length > 0) void record(lead, recorded);
+}
+
+type Adopter = (lead: Lead, inherited: InheritedHolding) => LiveHolding;
+
+const ADOPTERS: Readonly<Record<Standing, Adopter>> = {
+  /**
+   * The server goes on serving, and a higher fence shuts out an earlier leader's
+   * orders; one that can't be reached may still be renewed by it as long as its
+   * authority lasts.
+   */
+  recorded(lead, {holding}) {
+    const now = lead.clock.now();
+    const live = createLive({...holding, fence: lead.nextFence()}, now);
     if (holding.server === null) return live;
     const lapseAt = lead.timing.lapseOf(now + AUTHORITY_MS);
     return {...live, isServed: true, lapseAt, foreignUntil: lapseAt};
-  });
-  void record(lead, lead.lives);
-}
+  },
+  /** The server goes on serving once it confirms the fence that it knew. */
+  remembered(lead, {holding, confirmBy}) {
+    const lapseAt = lead.timing.lapseOf(lead.earlierActUntil);
+    return {
+      ...createLive(holding, lead.clock.now()),
+      ...{standing: 'remembered', phase: 'held', isServed: true},
+      ...{lapseAt, foreignUntil: lapseAt, confirmBy},
+    };
+  },
+  unknown(lead, {holding}) {
+    return {
+      ...createLive(holding, lead.clock.now()),
+      ...{standing: 'unknown', phase: 'held'},
+      lapseAt: lead.timing.lapseOf(lead.earlierActUntil),
+    };
+  },
+};
 
 function tick(lead: Lead): void {
   if (lead.isStopped || !lead.mayAct()) return;
@@ -153,7 +186,7 @@
  * moves there; so it waits for the others, until the first request.
  */
 function mayCut(lead: Lead, servers: readonly LedServer[]): boolean {
-  if (servers.length === 0) return false;
+  if (servers.length === 0 || !lead.isUnrecordedFree()) return false;
   if (lead.isListSettled() || !lead.load.isEmpty()) return true;
   return lead.waitingKeys().length > 0;
 }
@@ -178,6 +211,10 @@
 ): void {
   if (live.phase !== 'held' || live.order !== null) return;
   const {server} = live.holding;
+  if (live.standing === 'unknown') {
+    return void move(lead, live, 'unknown', server);
+  }
+  if (live.standing === 'remembered') return confirm(lead, live, now);
   if (server === null) return void move(lead, live, 'free');
   if (lead.hasEnded(server)) return void move(lead, live, 'ended');
   if (!open.has(server)) return void move(lead, live, 'leaving');
--- a/packages/ranges/src/lead-state.ts
+++ b/packages/ranges/src/lead-state.ts
@@ -1,10 +1,11 @@
 import type {Clock} from '@banyandrum/base/clock.js';
+import type {InheritedHolding} from './inheritance.js';
 import type {KeyLoad} from './key-load.js';
 import type {Ledger} from './ledger.js';
 import type {LiveHolding} from './live-holding.js';
 import type {OrderEnd, Orders} from './orders.js';
 import type {PlacedServer} from './planner.js';
-import type {Holding, RangeTable} from './table.js';
+import type {Holding} from './table.js';
 import type {HoldTiming} from './timing.js';
 
 /** A server of the service, as the leader knows it now. */
@@ -15,8 +16,15 @@
 /** What leading a service needs. */
 export interface LeadConfig {
   readonly service: string;
-  /** The newest table in the ledger; null where there never was one. */
-  readonly stored: RangeTable | null;
+  /** The holdings that an earlier leader left; null where there are none. */
+  readonly inherited: readonly InheritedHolding[] | null;
+  /**
+   * Monotonic time, in ms, until which leaders of earlier epochs of the store's
+   * history may act.
+   */
+  readonly earlierActUntil: number;
+  /** Whether keys that no record names are surely held by nobody. */
+  isUnrecordedFree(): boolean;
   readonly ledger: Ledger;
   readonly orders: Orders;
   readonly clock: Clock;
@@ -28,6 +36,8 @@
   /** Whether the servers that there are are likely to be known by now. */
   isListSettled(): boolean;
   nextFence(): number;
+  /** Time that also passes while the host is suspended, in ms. */
+  wakefulNow(): number;
   /** Whether this leader may still act. */
   mayAct(): boolean;
   /** Keys whose requests wait for a place now, one for each. */
@@ -45,6 +55,8 @@
 export type MoveReason =
   /** Nobody held it. */
   | 'free'
+  /** Its record may be outdated, and nobody remembers a newer one. */
+  | 'unknown'
   /** The server's run has ended. */
   | 'ended'
   /** The server leaves, or is listed no more. */
--- a/packages/ranges/src/ledger.ts
+++ b/packages/ranges/src/ledger.ts
@@ -22,18 +22,22 @@
 export interface Ledger {
   /**
    * Shuts earlier leaders out and records who begins, by its address for the
-   * other routers; yields this leader's epoch, or null.
+   * other routers; yields this leader's epoch, or null. Epochs rise over
+   * restores of the store (`fence.ts`).
    */
   begin(address: string): Promise<number | null>;
   /**
    * Whether nobody began after this leader, at the time of the question; null
-   * where that isn't known.
+   * where that isn't known, as after a restore of the store.
    */
   isNewest(): Promise<boolean | null>;
   /** Who began last. */
   lastLeader(): Promise<LeaderRead>;
   /** The newest tables; null where they can't be read. */
   load(): Promise<readonly RangeTable[] | null>;
-  /** Writes a table; one call at a time. */
+  /**
+   * Writes a table; one call at a time. It fails once the store was restored:
+   * what is saved stands in the history in which the term began.
+   */
   save(table: RangeTable): Promise<SaveEnd>;
 }
--- a/packages/ranges/src/live-holding.ts
+++ b/packages/ranges/src/live-holding.ts
@@ -1,8 +1,21 @@
 import type {Holding, KeyRange} from './table.js';
 
+/** What a leader knows of a holding's server. */
+export type Standing =
+  /** Recorded in the store's present history. */
+  | 'recorded'
+  /**
+   * Known from this router's term before the store was restored, under the
+   * fence of that term.
+   */
+  | 'remembered'
+  /** The record may be outdated: another server may hold the range. */
+  | 'unknown';
+
 /** A holding as its leader keeps it. */
 export interface LiveHolding {
   holding: Holding;
+  standing: Standing;
   /** `waiting`: for its record; `moving`: to another server. */
   phase: 'waiting' | 'held' | 'moving';
   /** Whether requests may go to the server. */
@@ -20,12 +33,18 @@
    * once the server has seen a fence of this leader's for the range.
    */
   foreignUntil: number;
+  /**
+   * A remembered holding must be confirmed by then, in wakeful ms: this router's
+   * authority in its term before the restore ends.
+   */
+  confirmBy: number;
 }
 
 /** A holding that nobody has granted yet. */
 export function createLive(holding: Holding, now: number): LiveHolding {
   return {
     holding,
+    standing: 'recorded',
     phase: 'waiting',
     isServed: false,
     order: null,
@@ -33,13 +52,15 @@
     lapseAt: now,
     unprovedUntil: 0,
     foreignUntil: 0,
+    confirmBy: Infinity,
   };
 }
 
 /** Whether the server surely holds it, and nothing is under way that moves it. */
 export function isSettled(live: LiveHolding, now: number): boolean {
-  const {phase, isServed, unprovedUntil} = live;
-  return phase === 'held' && isServed && unprovedUntil <= now;
+  const {phase, standing, isServed, unprovedUntil} = live;
+  if (phase !== 'held' || standing !== 'recorded') return false;
+  return isServed && unprovedUntil <= now;
 }
 
 /** A part of a holding that the same server goes on holding. */
--- a/packages/ranges/src/moving.ts
+++ b/packages/ranges/src/moving.ts
@@ -56,6 +56,10 @@
   const {holding} = live;
   if (holding.server === null) return holding.handover;
   await live.order;
+  if (why === 'unknown') {
+    await waitUntil(lead, () => live.lapseAt);
+    return null;
+  }
   if (why === 'ended') return null;
   // An earlier leader's grant may still be carried out after the release,
   // unless the server has seen a higher fence before.
--- a/packages/ranges/test/scene.ts
+++ b/packages/ranges/test/scene.ts
@@ -1,3 +1,4 @@
+import {inheritRecorded} from '@banyandrum/ranges/inheritance.js';
 import {
   leadService,
   type ServiceLead,
@@ -58,7 +59,10 @@
       let fence = 1;
       const lead = leadService({
         service: 'rounds',
-        stored: stored[0] ?? null,
+        inherited: stored[0] ? inheritRecorded(stored[0], epoch) : null,
+        earlierActUntil: -Infinity,
+        isUnrecordedFree: () => true,
+        wakefulNow: () => clock.now(),
         ledger,
         orders: world.ordersFor(number),
         clock,
