Keep what is known of servers when the store comes back from a copy

Callers' requests reached a server up to 4.5 s after it said that it leaves, and one that had just joined got none for 2.0 s: the restored list had the one as ready and lacked the other, and routers believed it. A run that was ever listed as leaving leaves for good, and servers that a restored list lacks are kept for the time that they have to register again, by leader and followers alike.

restored-servers.test.ts failed before: 53 requests later than 2 s after the server left, no requests for 2,044 ms; none and 27 ms now.

--- a/packages/gateway/src/platform.ts
+++ b/packages/gateway/src/platform.ts
@@ -36,6 +36,11 @@
       readonly kind: 'read';
       /** Whether `changes` are the whole list instead. */
       readonly isWhole: boolean;
+      /**
+       * Whether it is the first read since the store was restored: servers that
+       * registered since the copy have yet to do it again.
+       */
+      readonly isRestored?: boolean;
       readonly changes: readonly ListChange[];
       readonly cursor: number;
     }
--- a/packages/gateway/src/server-list.ts
+++ b/packages/gateway/src/server-list.ts
@@ -71,13 +71,16 @@
   /** Address and order of first sight of each server ever listed. */
   const seen = new Map<string, {address: string; order: number}>();
   const removals = new Set<string>();
-  /** Runs reported as leaving by an answer or by another router's list. */
+  /** Servers that a restored list lacks, until they had time to register. */
+  const unregistered = new Set<string>();
+  /** Runs that were ever reported as leaving; none of them comes back. */
   const leavingRuns = new Set<string>();
   const listeners = new Set<() => void>();
   let cursor: number | null = null;
   let version = 0;
   let confirmedAt = -Infinity;
   let troubleAt = -Infinity;
+  let restoredAt = -Infinity;
   let grewAt = clock.now();
 
   const changed = (): void => {
@@ -93,10 +96,14 @@
     }
   };
 
-  /** Returns whether the list changed. */
-  const markLeaving = (id: string): boolean => {
+  const noteLeavingRun = (id: string): void => {
     leavingRuns.add(id);
     if (leavingRuns.size > MAX_SEEN) leavingRuns.delete([...leavingRuns][0]!);
+  };
+
+  /** Returns whether the list changed. */
+  const markLeaving = (id: string): boolean => {
+    noteLeavingRun(id);
     const known = servers.get(id);
     if (known === undefined || known.isLeaving) return false;
     servers.set(id, {...known, isLeaving: true});
@@ -113,6 +120,8 @@
   };
 
   const put = (entry: ServerInfo): boolean => {
+    unregistered.delete(entry.id);
+    if (entry.isLeaving) noteLeavingRun(entry.id);
     const server = leavingRuns.has(entry.id)
       ? {...entry, isLeaving: true}
       : entry;
@@ -148,6 +157,7 @@
 
   const expire = (id: string): boolean => {
     if (!servers.has(id)) return false;
+    unregistered.delete(id);
     if (clock.now() - troubleAt > returnMs) return remove(id);
     // Others are told of it by the version: with an older one they would take
     // the cursor that lies behind the removal, and keep the server for good.
@@ -170,17 +180,27 @@
     return tellUnreadable(change.id, change.detail);
   };
 
-  const applyWhole = (changes: readonly ListChange[]): boolean => {
+  const applyWhole = (
+    changes: readonly ListChange[],
+    isRestored: boolean,
+  ): boolean => {
     const listed = new Set<string>();
     for (const change of changes) {
       if (change.kind === 'listed') listed.add(nameOfRun(change.server.id));
       if (change.kind === 'unreadable') listed.add(nameOfRun(change.id));
     }
     const gone = [...servers.keys()].filter(id => !listed.has(nameOfRun(id)));
-    const results = [...changes.map(apply), ...gone.map(expire)];
+    if (isRestored) gone.forEach(id => unregistered.add(id));
+    const expired = gone.filter(id => !unregistered.has(id));
+    const results = [...changes.map(apply), ...expired.map(expire)];
     return results.includes(true);
   };
 
+  const expireUnregistered = (): boolean => {
+    if (clock.now() - restoredAt <= returnMs) return false;
+    return [...unregistered].map(expire).includes(true);
+  };
+
   const applyDue = (): boolean => {
     if (clock.now() - troubleAt <= returnMs) return false;
     const due = [...removals];
@@ -194,10 +214,13 @@
         troubleAt = clock.now();
         return;
       }
+      const {isRestored = false} = read;
+      if (isRestored) restoredAt = clock.now();
       const results = [
         read.isWhole
-          ? applyWhole(read.changes)
+          ? applyWhole(read.changes, isRestored)
           : read.changes.map(apply).includes(true),
+        expireUnregistered(),
         applyDue(),
       ];
       cursor = read.cursor;
@@ -215,7 +238,7 @@
       cursor = snapshot.cursor;
       const results = [
         hasNewLeaving,
-        isNewer && applyWhole(snapshot.servers.map(toListed)),
+        isNewer && applyWhole(snapshot.servers.map(toListed), false),
         applyDue(),
       ];
       if (results.includes(true)) changed();
