Write quarantines again that a restored store lacks

A request that ends servers was refused by all routers, but after a restore no longer on record: once all routers had been replaced it would have ended servers again. A leader took what it had written once for recorded; each of its terms, and so the one after a restore, now starts from what the store has. share-suspects.test.ts failed before (the row was missing from the record).

--- a/packages/gateway/src/share-suspects.ts
+++ b/packages/gateway/src/share-suspects.ts
@@ -50,6 +50,8 @@
     const rows = await platform.suspects.load();
     if (rows === null) return false;
     isRead = true;
+    // A store that was restored from a copy may lack what it had.
+    recorded.clear();
     for (const row of rows) recorded.set(row.content, row);
     suspects.merge(rows);
     return true;
