--- a/packages/model/src/range-spec.ts
+++ b/packages/model/src/range-spec.ts
@@ -10,14 +10,14 @@
   type RangeServer,
   type RangeState,
 } from './range-state.js';
+import {RESTORE_STEP, RESTORED_LEADER_STEPS} from './range-restore.js';
 import {
   LEADER_RANGE_STEPS,
   ORDER_RANGE_STEPS,
   SERVER_RANGE_STEPS,
   WHOLE_RANGE_STEPS,
-  type RangeContext,
-  type RangeStep,
 } from './range-steps.js';
+import type {RangeContext, RangeStep} from './range-rules.js';
 
 /** One step of one leader at one server. */
 export interface RangeEvent {
@@ -31,6 +31,8 @@
   ...ORDER_RANGE_STEPS,
   ...SERVER_RANGE_STEPS,
   ...WHOLE_RANGE_STEPS,
+  ...RESTORED_LEADER_STEPS,
+  restore: RESTORE_STEP,
 };
 
 const EVENTS = listEvents();
@@ -90,7 +92,8 @@
       ),
     );
   return [
-    ...toEvents(WHOLE_RANGE_STEPS, [leader], [server]),
+    ...toEvents({...WHOLE_RANGE_STEPS, restore: 0}, [leader], [server]),
+    ...toEvents(RESTORED_LEADER_STEPS, RANGE_LEADERS, [server]),
     ...toEvents(SERVER_RANGE_STEPS, [leader], RANGE_SERVERS),
     ...toEvents(LEADER_RANGE_STEPS, RANGE_LEADERS, [server]),
     ...toEvents(ORDER_RANGE_STEPS, RANGE_LEADERS, RANGE_SERVERS),
--- a/packages/model/src/range-state.ts
+++ b/packages/model/src/range-state.ts
@@ -13,6 +13,8 @@
 
 /** Fences of one term; the term's epoch takes what is above. */
 export const TERM_FENCES = 10;
+/** Fences of one epoch of the store's history. */
+export const EPOCH_FENCES = 1_000;
 
 /** Safeguards that a test can take away, one at a time. */
 export interface RangeSafeguards {
@@ -42,6 +44,16 @@
   readonly fencesRise: boolean;
   /** Only another run at its address proves that a server's run ended. */
   readonly provesEnds: boolean;
+  /** Fences are above all of earlier epochs of the store's history. */
+  readonly fencesRiseOverRestores: boolean;
+  /** The store confirms and records only for terms of its present history. */
+  readonly staysInHistory: boolean;
+  /** Servers confirm what a leader remembers from before a restore. */
+  readonly confirmsRemembered: boolean;
+  /** What is remembered is confirmed within the authority of that time. */
+  readonly boundsRemembered: boolean;
+  /** A record of an earlier history is believed by nobody. */
+  readonly distrustsCopies: boolean;
 }
 
 export const ALL_RANGE_SAFEGUARDS: RangeSafeguards = {
@@ -58,6 +70,11 @@
   seesSuspension: true,
   fencesRise: true,
   provesEnds: true,
+  fencesRiseOverRestores: true,
+  staysInHistory: true,
+  confirmsRemembered: true,
+  boundsRemembered: true,
+  distrustsCopies: true,
 };
 
 /** What may happen in one exploration; keeps each one exhaustible. */
@@ -70,6 +87,8 @@
   readonly slowTicks: number;
   /** Ticks for which L's host may be suspended. */
   readonly suspendedTicks: number;
+  /** Restores of the store from a copy of the first record. */
+  readonly restores: number;
   /** Whether all hosts and servers may lose power at once. */
   readonly powerLoss: boolean;
   /** Orders of each leader to each server that may be carried out late. */
@@ -106,7 +125,16 @@
    * - `lapsing`: its holder can't be asked, or didn't answer.
    * - `free`: its holder's run has ended.
    */
-  readonly phase: 'held' | 'moving' | 'released' | 'lapsing' | 'free';
+  readonly phase:
+    | 'held'
+    | 'moving'
+    | 'released'
+    | 'lapsing'
+    | 'free'
+    /** Known from before a restore of the store; not confirmed yet. */
+    | 'remembered'
+    /** By a record of before a restore: anybody may hold it. */
+    | 'unknown';
   /** Ticks until each of these is surely over. */
   readonly lapse: number;
   readonly unproved: number;
@@ -121,6 +149,10 @@
   readonly asked: number | null;
   /** Stopped for good. */
   readonly isOver: boolean;
+  /** Epoch of the store's history in which its term began. */
+  readonly storeEpoch: number;
+  /** Ticks for which it may ask for what it remembers. */
+  readonly confirmLeft: number;
   readonly view: RangeView;
   readonly moved: number;
   /** Late grants by server. */
@@ -129,8 +161,15 @@
 
 /** Everything. */
 export interface RangeState {
-  /** Whether the successor has begun. */
-  readonly hasSuccessor: boolean;
+  /** Who began last, as the store has it. */
+  readonly newest: RangeLeader;
+  /** Epoch of the store's history. */
+  readonly storeEpoch: number;
+  /** Terms that began in it. */
+  readonly terms: number;
+  /** Ticks until leaders of earlier histories surely act no longer. */
+  readonly earlierLeft: number;
+  readonly restoresLeft: number;
   /** The record in the store. */
   readonly record: Pick<RangeView, 'server' | 'run' | 'fence'>;
   readonly servers: Readonly<Record<RangeServer, ServerRun>>;
@@ -160,12 +199,18 @@
     authority: AUTHORITY,
     asked: null,
     isOver: false,
+    storeEpoch: 0,
+    confirmLeft: 0,
     view,
     moved: 0,
     late: {A: null, B: null},
   };
   return {
-    hasSuccessor: false,
+    newest: 'L',
+    storeEpoch: 0,
+    terms: 0,
+    earlierLeft: 0,
+    restoresLeft: scope.restores,
     record: first,
     servers: {A: {...idle, left: HOLD, seen: 1}, B: idle},
     leaders: {L: leader, N: {...leader, authority: 0, isOver: true}},
@@ -213,7 +258,8 @@
   const {record, servers, leaders, top} = state;
   const {A, B} = servers;
   return [
-    Number(state.hasSuccessor),
+    `${state.newest}${state.storeEpoch}.${state.terms}`,
+    `${state.earlierLeft}${state.restoresLeft}`,
     `${record.server}${record.run}.${record.fence}`,
     `${A.run}${A.left}.${A.seen}`,
     `${B.run}${B.left}.${B.seen}`,
@@ -228,12 +274,14 @@
 function serializeLeader(leader: LeaderRun): string {
   // One that is over only matters by its late grants.
   const late = RANGE_SERVERS.map(server => serializeLate(leader.late[server]));
-  if (leader.isOver) return `x,${late.join(',')}`;
+  const {storeEpoch, confirmLeft} = leader;
+  if (leader.isOver) return `x${storeEpoch},${late.join(',')}`;
   const {authority, asked, moved, view} = leader;
   const {server, run, fence, phase, lapse, unproved, foreign} = view;
   const held = `${server}${run}.${fence}${phase.slice(0, 2)}`;
   const times = `${lapse}.${unproved}.${foreign}`;
-  return `${authority}${asked ?? '-'}${moved},${held},${times},${late.join(',')}`;
+  const own = `${authority}${asked ?? '-'}${moved}.${storeEpoch}${confirmLeft}`;
+  return `${own},${held},${times},${late.join(',')}`;
 }
 
 function serializeLate(late: LateGrant | null): string {
--- a/packages/model/src/range-steps.ts
+++ b/packages/model/src/range-steps.ts
@@ -1,50 +1,34 @@
 import {
   AUTHORITY,
-  DRIFT,
   HOLD,
   RANGE_LEADERS,
   RANGE_SERVERS,
   setLeaderRun,
   setRun,
   setView,
-  TERM_FENCES,
   type LateGrant,
   type LeaderRun,
   type RangeLeader,
-  type RangeSafeguards,
-  type RangeScope,
   type RangeServer,
   type RangeState,
   type ServerRun,
 } from './range-state.js';
-
-/** What the steps of one specification depend on. */
-export interface RangeContext {
-  readonly guards: RangeSafeguards;
-  readonly scope: RangeScope;
-}
-
-type Can = (
-  ctx: RangeContext,
-  state: RangeState,
-  leader: RangeLeader,
-  server: RangeServer,
-) => boolean;
-
-type Next = (
-  ctx: RangeContext,
-  state: RangeState,
-  leader: RangeLeader,
-  server: RangeServer,
-) => RangeState;
-
-/** One kind of step. */
-export interface RangeStep {
-  /** How a trace names it; `M` stands for the leader, `P` for the server. */
-  readonly says: string;
-  readonly can: Can;
-  readonly next: Next;
-}
+import {
+  isEnded,
+  lapseTime,
+  mayAct,
+  obey,
+  type RangeContext,
+  type RangeStep,
+} from './range-rules.js';
+import {
+  beginTerm,
+  firstFence,
+  isNewest,
+  isOfHistory,
+  isOutdated,
+  unknownView,
+} from './range-restore.js';
 
 /** Steps of a leader that concern no server by name. */
 export const LEADER_RANGE_STEPS = {
@@ -111,7 +95,7 @@
   },
   ask: {
     says: 'M asks the store whether it still leads',
-    can: (_ctx, state, leader) => leader === 'L' && mayAsk(state),
+    can: (ctx, state, leader) => leader === 'L' && mayAsk(ctx, state),
     next: (_ctx, state, leader) => setLeaderRun(state, leader, {asked: 0}),
   },
   hear: {
@@ -126,8 +110,10 @@
   },
   resign: {
     says: 'M learns that another was chosen',
-    can: (_ctx, {hasSuccessor, leaders}, leader) =>
-      leader === 'L' && hasSuccessor && !leaders.L.isOver,
+    can: (_ctx, {newest, storeEpoch, leaders}, leader) =>
+      newest !== leader &&
+      leaders[leader].storeEpoch === storeEpoch &&
+      !leaders[leader].isOver,
     next: (_ctx, state, leader) => setLeaderRun(state, leader, {isOver: true}),
   },
 } satisfies Readonly<Record<string, RangeStep>>;
@@ -137,7 +123,9 @@
   assign: {
     says: 'M records the range for P',
     can: (ctx, state, leader) =>
-      mayAct(ctx, state.leaders[leader]) && isFree(ctx, state, leader),
+      mayAct(ctx, state.leaders[leader]) &&
+      isOfHistory(ctx, state, leader) &&
+      isFree(ctx, state, leader),
     next: assign,
   },
   obeyLate: {
@@ -191,7 +179,8 @@
   },
   succeed: {
     says: 'N is chosen, shuts L’s records out and adopts the record',
-    can: (_ctx, {hasSuccessor}) => !hasSuccessor,
+    // One that led before a restore goes on by what it remembers instead.
+    can: (_ctx, {newest, leaders}) => newest !== 'N' && leaders.N.isOver,
     next: succeed,
   },
   losePower: {
@@ -206,13 +195,10 @@
   },
 } satisfies Readonly<Record<string, RangeStep>>;
 
-function mayAct({guards}: RangeContext, leader: LeaderRun): boolean {
-  if (leader.isOver) return false;
-  return leader.authority > 0 || !guards.boundsAuthority;
-}
-
-function mayAsk({hasSuccessor, leaders}: RangeState): boolean {
-  return !hasSuccessor && !leaders.L.isOver && leaders.L.asked === null;
+function mayAsk(ctx: RangeContext, state: RangeState): boolean {
+  const {L} = state.leaders;
+  if (L.isOver || L.asked !== null) return false;
+  return isNewest(ctx, state, 'L');
 }
 
 /** Renewals, and a first order to a holder that an earlier leader had. */
@@ -239,12 +225,6 @@
   return !isOver && view.phase === 'moving';
 }
 
-/** Whether another run answers at the holder's address. */
-function isEnded(state: RangeState, leader: RangeLeader): boolean {
-  const {view} = state.leaders[leader];
-  return state.servers[view.server].run !== view.run;
-}
-
 /** Whether nobody holds the range any more, by the leader's count. */
 function isFree(
   {guards}: RangeContext,
@@ -253,28 +233,12 @@
 ): boolean {
   const {phase, lapse, unproved, foreign} = state.leaders[leader].view;
   if (phase === 'free') return true;
+  if (phase === 'unknown') return lapse === 0;
   if (phase === 'released') return unproved === 0 && foreign === 0;
   if (phase !== 'lapsing') return false;
   return lapse === 0 || !guards.waitsForLapse;
 }
 
-/** A server's state after a grant; null where it refuses. */
-function obey(
-  state: RangeState,
-  server: RangeServer,
-  fence: number,
-  left: number,
-): RangeState | null {
-  const {seen} = state.servers[server];
-  if (fence < seen) return null;
-  const {top} = state;
-  const hasSunk =
-    state.hasSunk || (top.server !== server && fence <= top.fence);
-  const held = setRun(state, server, {left, seen: fence});
-  if (fence < top.fence) return {...held, hasSunk};
-  return {...held, hasSunk, top: {fence, server}};
-}
-
 function obeyNow(state: RangeState, leader: RangeLeader): RangeState | null {
   const {server, fence} = state.leaders[leader].view;
   return obey(state, server, fence, HOLD);
@@ -304,8 +268,16 @@
   return setView(state, leader, {unproved, lapse});
 }
 
-function lapseTime({addsDrift}: RangeSafeguards): number {
-  return addsDrift ? HOLD + DRIFT : HOLD;
+/**
+ * N stays in touch with the store while that knows it: what a second successor
+ * would do is what N does here.
+ */
+function isInTouch(
+  {storeEpoch, newest, leaders}: RangeState,
+  name: RangeLeader,
+): boolean {
+  if (name !== 'N' || newest !== 'N') return false;
+  return leaders.N.storeEpoch === storeEpoch;
 }
 
 function addLate(state: RangeState, leader: RangeLeader): RangeState {
@@ -335,7 +307,7 @@
   server: RangeServer,
 ): RangeState {
   const {view, moved} = state.leaders[leader];
-  const isShutOut = leader === 'L' && state.hasSuccessor;
+  const isShutOut = state.newest !== leader;
   if (isShutOut && guards.fencesRecords && guards.recordsFirst) {
     return setLeaderRun(state, leader, {isOver: true});
   }
@@ -356,25 +328,25 @@
   const foreign = guards.waitsForAuthority
     ? AUTHORITY + lapseTime(guards)
     : lapseTime(guards);
+  const begun = beginTerm(guards, state, 'N');
+  if (guards.distrustsCopies && isOutdated(state)) {
+    return setView(begun, 'N', unknownView(guards, begun));
+  }
   const holding = {
     ...record,
-    fence: guards.fencesRise ? TERM_FENCES + 1 : 1,
+    fence: guards.fencesRise ? firstFence(guards, state) : 1,
   };
-  const next = setLeaderRun(state, 'N', {
-    isOver: false,
-    authority: AUTHORITY,
-    view: {
-      ...holding,
-      phase: 'held',
-      lapse: foreign,
-      unproved: 0,
-      foreign: guards.countsForeign ? foreign : 0,
-    },
+  const next = setView(begun, 'N', {
+    ...holding,
+    phase: 'held',
+    lapse: foreign,
+    unproved: 0,
+    foreign: guards.countsForeign ? foreign : 0,
   });
-  return {...next, hasSuccessor: true, record: holding};
+  return {...next, record: holding};
 }
 
-function restart(state: RangeState, server: RangeServer): RangeState {
+export function restart(state: RangeState, server: RangeServer): RangeState {
   const run = state.servers[server].run + 1;
   return setRun(state, server, {run, left: 0, seen: 0});
 }
@@ -386,7 +358,7 @@
   slow: RangeServer | null,
   suspended: RangeLeader | null,
 ): RangeState {
-  let next = state;
+  let next = {...state, earlierLeft: less(state.earlierLeft)};
   for (const server of RANGE_SERVERS) {
     if (server === slow) continue;
     next = setRun(next, server, ageServer(next.servers[server]));
@@ -396,7 +368,7 @@
     next = setLeaderRun(next, leader, {
       ...(leader === suspended
         ? ageSuspended(ctx, own)
-        : ageLeader(own, leader)),
+        : ageLeader(own, isInTouch(state, leader))),
       late: {
         A: ageLate(own.late.A, slow === 'A'),
         B: ageLate(own.late.B, slow === 'B'),
@@ -410,8 +382,11 @@
   return {left: less(left)};
 }
 
-function ageLeader(leader: LeaderRun, name: RangeLeader): Partial<LeaderRun> {
-  const {authority, asked, view} = leader;
+function ageLeader(
+  leader: LeaderRun,
+  isConfirmed: boolean,
+): Partial<LeaderRun> {
+  const {authority, asked, confirmLeft, view} = leader;
   const {lapse, unproved, foreign} = view;
   const times = {
     lapse: less(lapse),
@@ -419,9 +394,8 @@
     foreign: less(foreign),
   };
   return {
-    // N stays in touch with the store: what a second successor would do is
-    // what N does here.
-    authority: name === 'L' ? less(authority) : authority,
+    authority: isConfirmed ? authority : less(authority),
+    confirmLeft: less(confirmLeft),
     asked: asked === null ? null : Math.min(AUTHORITY, asked + 1),
     view: {...view, ...times},
   };
@@ -433,7 +407,7 @@
   leader: LeaderRun,
 ): Partial<LeaderRun> {
   if (!guards.seesSuspension) return {};
-  return {...ageLeader(leader, 'L'), view: leader.view};
+  return {...ageLeader(leader, false), view: leader.view};
 }
 
 function ageLate(late: LateGrant | null, isSlow: boolean): LateGrant | null {
--- a/packages/model/test/range-spec.test.ts
+++ b/packages/model/test/range-spec.test.ts
@@ -12,6 +12,7 @@
   restarts: 0,
   slowTicks: 0,
   suspendedTicks: 0,
+  restores: 0,
   powerLoss: false,
   lateOrders: true,
 };
