Record nothing for a term that the store lost

While a leader began its next term after a restore, moves of the term before could still be written, under the number of the new one: the writer of the store has one epoch at a time, and a write that waited behind another took the newer. The move had made no new fence known at the server it left, so a leader that the store forgot could have gone on granting there: two holders, by two rare events in some 10 ms.

--- a/packages/gateway/src/leadership.ts
+++ b/packages/gateway/src/leadership.ts
@@ -14,6 +14,7 @@
   leadService,
   type ServiceLead,
 } from '@banyandrum/ranges/lead-service.js';
+import type {Ledger} from '@banyandrum/ranges/ledger.js';
 import type {LedServer} from '@banyandrum/ranges/lead-state.js';
 import type {RangeTable} from '@banyandrum/ranges/table.js';
 import {AUTHORITY_MS, type HoldTiming} from '@banyandrum/ranges/timing.js';
@@ -154,6 +155,12 @@
   const isRestored = ({epoch}: Term): boolean =>
     storeEpochOfTerm(epoch) < history.epoch();
 
+  /** A term that the store lost records nothing: its successor would. */
+  const ledgerOf = (own: Term): Pick<Ledger, 'save'> => ({
+    save: async table =>
+      isRestored(own) ? 'failed' : platform.ledger.save(table),
+  });
+
   const leadNew = (own: Term): void => {
     for (const service of cfg.keyedServices()) {
       if (own.leads.has(service)) continue;
@@ -163,7 +170,7 @@
         earlierActUntil: earlierActUntil(),
         isUnrecordedFree,
         wakefulNow: cfg.wakefulNow,
-        ledger: platform.ledger,
+        ledger: ledgerOf(own),
         orders: platform.orders,
         clock,
         timing: cfg.timing,
--- a/packages/ranges/src/lead-state.ts
+++ b/packages/ranges/src/lead-state.ts
@@ -25,7 +25,7 @@
   readonly earlierActUntil: number;
   /** Whether keys that no record names are surely held by nobody. */
   isUnrecordedFree(): boolean;
-  readonly ledger: Ledger;
+  readonly ledger: Pick<Ledger, 'save'>;
   readonly orders: Orders;
   readonly clock: Clock;
   readonly timing: HoldTiming;
--- a/packages/ranges/src/save-loop.ts
+++ b/packages/ranges/src/save-loop.ts
@@ -26,7 +26,7 @@
  * ```
  */
 export function createSaveLoop(
-  ledger: Ledger,
+  ledger: Pick<Ledger, 'save'>,
   clock: Clock,
   current: () => RangeTable,
   onFenced: () => void,
