--- a/packages/model/src/range-restore.ts
+++ b/packages/model/src/range-restore.ts
@@ -99,11 +99,7 @@
 }
 
 /** The leader begins a term, and shuts out those before it. */
-export function beginTerm(
-  _guards: RangeSafeguards,
-  state: RangeState,
-  leader: RangeLeader,
-): RangeState {
+export function beginTerm(state: RangeState, leader: RangeLeader): RangeState {
   const next = setLeaderRun(state, leader, {
     isOver: false,
     authority: AUTHORITY,
@@ -129,7 +125,7 @@
   leader: RangeLeader,
 ): RangeState {
   const {authority, view, confirmLeft: before} = state.leaders[leader];
-  const begun = beginTerm(guards, state, leader);
+  const begun = beginTerm(state, leader);
   if (!isOutdated(state)) {
     const fence = firstFence(guards, state);
     const foreign = AUTHORITY + lapseTime(guards);
--- a/packages/model/src/range-steps.ts
+++ b/packages/model/src/range-steps.ts
@@ -328,7 +328,7 @@
   const foreign = guards.waitsForAuthority
     ? AUTHORITY + lapseTime(guards)
     : lapseTime(guards);
-  const begun = beginTerm(guards, state, 'N');
+  const begun = beginTerm(state, 'N');
   if (guards.distrustsCopies && isOutdated(state)) {
     return setView(begun, 'N', unknownView(guards, begun));
   }
