Log and count each decision to send a request to a server again

Cause: no log line told of a retry, by which right it was sent or why it was withheld, so the hypotheses of docs/incidents/budget.md could not be told apart. Change: events retry and retry-withheld with what is left of this router's share and the number of routers by which it is divided; a counter by service and outcome. The decision moves to a module of its own; it is the same.

--- a/packages/dispatch/src/forward-state.ts
+++ b/packages/dispatch/src/forward-state.ts
@@ -10,6 +10,7 @@
 import type {SlotProvider} from './slots.js';
 import type {Quarantine} from './quarantine.js';
 import type {RetryBudget} from './retry-budget.js';
+import type {RetryOutcome} from './retry-decision.js';
 import type {ServerLimits} from './server-limits.js';
 import type {ServerRests} from './server-rests.js';
 import type {Standing} from './suspect.js';
@@ -53,6 +54,8 @@
   readonly slotProvider: SlotProvider;
   readonly dataCentre: string;
   readonly budget: RetryBudget;
+  /** Counts a decision on a retry, for the metrics. */
+  readonly recordRetry: (service: string, outcome: RetryOutcome) => void;
   readonly quarantine: Quarantine;
   readonly limits: ServerLimits;
   readonly rests: ServerRests;
--- a/packages/dispatch/src/forward.ts
+++ b/packages/dispatch/src/forward.ts
@@ -11,14 +11,13 @@
   type ForwardState,
   type Reply,
 } from './forward-state.js';
+import {decideRetry} from './retry-decision.js';
 import {noteLimit} from './server-limits.js';
 import {noteRetryAfter} from './server-rests.js';
 import {serverName} from './server-instance.js';
 import {slotOutcomeOf, handleResult} from './handle-result.js';
 import type {WireNames} from './wire.js';
 
-/** Maximum attempts per request, including those that reached no server. */
-const MAX_ATTEMPTS = 6;
 /** Retry delay for callers unless a refusal determines another, in ms. */
 const DEFAULT_RETRY_AFTER_MS = 150;
 
@@ -59,7 +58,7 @@
     if (target === null) return finalReply(state);
     const reply = await tryTarget(state, target);
     if (reply !== null) return reply;
-    if (!mayRetry(state)) return finalReply(state);
+    if (!decideRetry(state)) return finalReply(state);
   }
 }
 
@@ -128,14 +127,3 @@
     serverName(backend.info.id),
   ];
 }
-
-/** Whether the request may be sent to a server again. */
-function mayRetry(state: ForwardState): boolean {
-  const {cfg, req, possibleRuns, attemptCount, sentCount} = state;
-  if (req.signal.aborted) return false;
-  if (attemptCount >= MAX_ATTEMPTS || possibleRuns >= req.route.maxAttempts)
-    return false;
-  if (cfg.clock.now() > req.deadline - MIN_SEND_MS) return false;
-  if (sentCount === 0) return true;
-  return cfg.budget.tryWithdraw(req.service);
-}
--- a/packages/dispatch/src/retry-budget.ts
+++ b/packages/dispatch/src/retry-budget.ts
@@ -6,12 +6,31 @@
   readonly slack: number;
 }
 
+/** What a decision on a retry rests on, as it is logged. */
+export interface RetryBasis {
+  /** Retries that this router may still send at once, rounded. */
+  readonly left: number;
+  /** Number of routers by which the slack is divided. */
+  readonly routers: number;
+  /** Time since that number was last reported, in ms; -1 if it never was. */
+  readonly routersAgeMs: number;
+}
+
 /** One router's share of the allowance, for each service. */
 export interface RetryBudget {
   /** Credits a caller's request for the service. */
   deposit(service: string): void;
   /** Takes one retry from the budget; false if none is left. */
   tryWithdraw(service: string): boolean;
+  /** The state of the service's budget. */
+  basis(service: string): RetryBasis;
+}
+
+/** The number of routers that share the allowance. */
+export interface RouterCountSource {
+  current(): number;
+  /** Time since the number was last reported, in ms; infinite if never. */
+  ageMs(): number;
 }
 
 /**
@@ -30,17 +49,18 @@
  *
  * @example
  * ```ts
- * const budget = createRetryBudget({ratio: 0.2, slack: 60}, () => 12);
+ * const budget = createRetryBudget({ratio: 0.2, slack: 60}, routerCount);
  * if (budget.tryWithdraw('holds')) sendAgain();
  * ```
  */
 export function createRetryBudget(
   allowance: RetryAllowance,
-  routerCount: () => number,
+  routerCount: RouterCountSource,
 ): RetryBudget {
   const tokens = new Map<string, number>();
   const ownSlack = (): number =>
-    (allowance.slack * SLACK_SAFETY_FACTOR) / Math.max(1, routerCount());
+    (allowance.slack * SLACK_SAFETY_FACTOR) /
+    Math.max(1, routerCount.current());
   // With many routers, a share is less than one retry and must accumulate.
   const maxBalance = (): number => Math.max(1, ownSlack());
   const balance = (service: string): number =>
@@ -55,5 +75,13 @@
       tokens.set(service, balance(service) - 1);
       return true;
     },
+    basis(service) {
+      const ageMs = routerCount.ageMs();
+      return {
+        left: Math.round(balance(service) * 100) / 100,
+        routers: routerCount.current(),
+        routersAgeMs: ageMs === Infinity ? -1 : Math.round(ageMs),
+      };
+    },
   };
 }
--- a/packages/dispatch/test/forward.test.ts
+++ b/packages/dispatch/test/forward.test.ts
@@ -88,7 +88,11 @@
       owners: NO_OWNERS,
       slotProvider: {acquire: async () => ({kind: 'unavailable'})},
       dataCentre: 'a',
-      budget: createRetryBudget({ratio: 1, slack: 100}, () => 1),
+      budget: createRetryBudget(
+        {ratio: 1, slack: 100},
+        {current: () => 1, ageMs: () => 0},
+      ),
+      recordRetry: () => undefined,
       quarantine: createQuarantine(
         createSuspects(clock, () => undefined),
         createCrashDetector({clock, probe: async () => 'open'}),
--- a/packages/dispatch/test/retry-budget.test.ts
+++ b/packages/dispatch/test/retry-budget.test.ts
@@ -9,7 +9,10 @@
     const requests = 3_000;
     let retries = 0;
     for (let router = 0; router < routers; router++) {
-      const budget = createRetryBudget(allowance, () => routers);
+      const budget = createRetryBudget(allowance, {
+        current: () => routers,
+        ageMs: () => 0,
+      });
       const ownRequests = Math.floor(requests / routers);
       for (let sent = 0; sent < ownRequests; sent++) {
         budget.deposit('holds');
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -1,4 +1,5 @@
 import {createServer, type Server} from 'node:http';
+import type {RetryOutcome} from '@banyandrum/dispatch/retry-decision.js';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {RequestOutcome} from './frontend.js';
 import type {PageHandler} from './quarantine-page.js';
@@ -30,6 +31,8 @@
 export interface Metrics {
   readonly server: Server;
   recordRequest(outcome: RequestOutcome): void;
+  /** Counts a decision on sending a request to a server again. */
+  recordRetry(service: string, outcome: RetryOutcome): void;
 }
 
 /** Upper bounds in seconds: from fast responses to the longest timeouts. */
@@ -70,6 +73,12 @@
     buckets: DURATION_BUCKETS,
     registers,
   });
+  const retries = new Counter({
+    name: 'banyandrum_retries_total',
+    help: 'Retries sent to servers, or withheld, by service and reason',
+    labelNames: ['service', 'outcome'],
+    registers,
+  });
   const gauges: Readonly<Record<string, readonly [string, () => number]>> = {
     routers: ['Routers in touch with the platform', source.routers],
     leading: ['1 while this router leads', () => Number(source.isLeading())],
@@ -132,6 +141,7 @@
       requests.inc({route: label, status, outcome});
       durations.observe({route: label}, tookMs / 1000);
     },
+    recordRetry: (service, outcome) => retries.inc({service, outcome}),
   };
 }
 
--- a/packages/gateway/src/router-count.ts
+++ b/packages/gateway/src/router-count.ts
@@ -6,6 +6,8 @@
   record(count: number): void;
   /** The highest count of the current and the previous window; at least 1. */
   current(): number;
+  /** Time since a count was last recorded, in ms; infinite if never. */
+  ageMs(): number;
 }
 
 /**
@@ -29,6 +31,7 @@
   let windowStart = clock.now();
   let previousMax = 1;
   let currentMax = 1;
+  let recordedAt = -Infinity;
 
   const rotateWindow = (): void => {
     const age = clock.now() - windowStart;
@@ -41,11 +44,13 @@
   return {
     record(count) {
       rotateWindow();
+      recordedAt = clock.now();
       currentMax = Math.max(currentMax, count);
     },
     current() {
       rotateWindow();
       return Math.max(previousMax, currentMax);
     },
+    ageMs: () => clock.now() - recordedAt,
   };
 }
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -289,7 +289,11 @@
         link: linkClient,
       }),
       dataCentre: settings.host.dataCentre,
-      budget: createRetryBudget(settings.retries, countRouters),
+      budget: createRetryBudget(settings.retries, {
+        current: countRouters,
+        ageMs: routerCount.ageMs,
+      }),
+      recordRetry: metrics.recordRetry,
       quarantine: createQuarantine(suspects, crashDetector),
       limits: serverLimits,
       rests: serverRests,
