Bound retries by each router's own requests and a known share of the slack

Callers saw: repeats piled up at the servers of a keyed service, 116 in 10 s where 86 were allowed, while most of their requests could not be served anyway. Cause: the slack of the retry budget was divided by a number of routers that was one until somebody told otherwise. Five routers that had started again without store or leader each took the whole of it. The same number fell back to one where no leader had spoken for 10 to 20 s, a list of the group that leaves out all followers counted as well, and each start gave a full bucket again. Change: the number of routers is unknown until a leader has told it, and the last one stays in effect without a leader. While it is unknown a router has no share of the slack, only the ratio of its own requests. Retries and requests are counted over the budget's window (now a setting, from the deployment's terms) instead of a bucket that never empties by time; after a start the share grows over a window; where the limit is a fraction of a retry, a random threshold decides. A reload puts a changed budget in force; numbers that are not finite are refused. Ruled out: a fresh start's share alone (4 retries each) and the count that runs out (from 20 s on in the logs) can't explain 37 retries a router. Why it works: shares are of a leader's count, and each router that has one was counted; what restarts and cut off routers can add is covered by using 0.4 of the slack.

--- a/packages/dispatch/src/find-target.ts
+++ b/packages/dispatch/src/find-target.ts
@@ -211,13 +211,13 @@
     .filter(({connections}) => connections.hasFree())
     .filter(({info}) => cfg.rests.remainingMs(info.id) === 0);
   const now = cfg.clock.now();
-  const routerCount = cfg.routerCount();
+  const routerCount = cfg.routers.current();
   const skipped = new Set(excluded);
   for (;;) {
-    const backend = chooseServer(group, skipped, routerCount, now);
+    const backend = chooseServer(group, skipped, routerCount ?? 1, now);
     if (backend === null) return null;
     const {id} = backend.info;
-    if (cfg.limits.takeShareToken(id, routerCount)) return backend;
+    if (cfg.limits.takeShareToken(id, routerCount ?? 1)) return backend;
     skipped.add(id);
   }
 }
@@ -231,9 +231,8 @@
   if (backend.ejectedUntil > now) return null;
   if (cfg.rests.remainingMs(owner.server) > 0) return null;
   if (!hasCapacity(backend, estimateLoad(backend, 0, now))) return null;
-  return cfg.limits.takeShareToken(owner.server, cfg.routerCount())
-    ? backend
-    : null;
+  const routerCount = cfg.routers.current() ?? 1;
+  return cfg.limits.takeShareToken(owner.server, routerCount) ? backend : null;
 }
 
 /**
--- a/packages/dispatch/src/forward-state.ts
+++ b/packages/dispatch/src/forward-state.ts
@@ -11,6 +11,7 @@
 import type {Quarantine} from './quarantine.js';
 import type {RetryBudget} from './retry-budget.js';
 import type {RetryOutcome} from './retry-decision.js';
+import type {RouterTotal} from './router-total.js';
 import type {ServerLimits} from './server-limits.js';
 import type {ServerRests} from './server-rests.js';
 import type {Standing} from './suspect.js';
@@ -64,8 +65,7 @@
   readonly names: WireNames;
   readonly clock: Clock;
   readonly emit: Emit;
-  /** Number of routers that share the servers. */
-  readonly routerCount: () => number;
+  readonly routers: RouterTotal;
 }
 
 /** State of a request across its attempts. */
--- a/packages/dispatch/src/retry-budget.ts
+++ b/packages/dispatch/src/retry-budget.ts
@@ -1,87 +1,155 @@
+import type {Clock} from '@banyandrum/base/clock.js';
+import type {RouterTotal} from './router-total.js';
+import {createSlidingCount, type SlidingCount} from './sliding-count.js';
+
 /** Limit on the retries that all routers together may send. */
 export interface RetryAllowance {
   /** Retries allowed per request. */
   readonly ratio: number;
   /** Additional retries allowed in any window. */
   readonly slack: number;
+  /** Length of a window, in ms. */
+  readonly windowMs: number;
 }
 
 /** What a decision on a retry rests on, as it is logged. */
 export interface RetryBasis {
-  /** Retries that this router may still send at once, rounded. */
+  /** Retries that this router may still send now, rounded. */
   readonly left: number;
-  /** Number of routers by which the slack is divided. */
-  readonly routers: number;
-  /** Time since that number was last reported, in ms; -1 if it never was. */
-  readonly routersAgeMs: number;
+  /** This router's share of the slack, rounded. */
+  readonly share: number;
+  /** Number of routers among which the slack is divided; null if unknown. */
+  readonly routers: number | null;
+  /** Time since a leader last told that number, in ms; null if none did. */
+  readonly routersAgeMs: number | null;
 }
 
-/** One router's share of the allowance, for each service. */
+/** One router's part of the allowance, for each service. */
 export interface RetryBudget {
-  /** Credits a caller's request for the service. */
+  /** Counts a caller's request for the service. */
   deposit(service: string): void;
   /** Takes one retry from the budget; false if none is left. */
   tryWithdraw(service: string): boolean;
   /** The state of the service's budget. */
   basis(service: string): RetryBasis;
+  /** Replaces the allowance while the router runs. */
+  configure(allowance: RetryAllowance): void;
+}
+
+/** Dependencies of the retry budget. */
+export interface RetryBudgetConfig {
+  readonly clock: Clock;
+  readonly routers: RouterTotal;
+  /** Returns numbers from 0 to 1. */
+  random(): number;
 }
 
-/** The number of routers that share the allowance. */
-export interface RouterCountSource {
-  current(): number;
-  /** Time since the number was last reported, in ms; infinite if never. */
-  ageMs(): number;
+/** The retries and requests of one service. */
+interface ServiceCounts {
+  readonly requests: SlidingCount;
+  readonly retries: SlidingCount;
+  /** Part of a retry, from 0 to 1, that must be left for the next one. */
+  threshold: number;
 }
 
 /**
- * Fractions of the allowance that are used. The rest is a margin, as routers
- * don't count each other's retries, and a restarted router has a full share
- * again.
+ * Fraction of the ratio that is used. The rest is a margin for load that moves
+ * from one router to another within a window.
  */
 const RATIO_SAFETY_FACTOR = 0.85;
-const SLACK_SAFETY_FACTOR = 0.6;
+/**
+ * Fraction of the slack that is used, because up to 2.5 times as much may be in
+ * one window: by a router that starts three times in it and its predecessor, or
+ * by routers that are cut off from the leader and keep the shares of an earlier
+ * count while the others use those of a new one.
+ */
+const SLACK_SAFETY_FACTOR = 0.4;
+/** Fraction of its share that a router has at its start. */
+const INITIAL_SHARE = 0.25;
 
 /**
- * Creates a budget with a token bucket for each service, filled by its
- * requests. In any window, routers retry at most the sum of their bucket sizes
- * plus the tokens from requests in that window. This keeps them within the
- * allowance without communication.
+ * Creates a budget that bounds the retries of any window by a ratio of this
+ * router's requests in it and by this router's share of the slack. The routers
+ * keep within the allowance without communication.
+ *
+ * A router has no share of the slack while it doesn't know among how many it is
+ * divided. After its start the share grows over one window: its predecessor
+ * may have used the same share just before, and a new leader may not have
+ * counted all routers yet.
  *
  * @example
  * ```ts
- * const budget = createRetryBudget({ratio: 0.2, slack: 60}, routerCount);
+ * const budget = createRetryBudget(allowance, {clock, routers, random});
  * if (budget.tryWithdraw('holds')) sendAgain();
  * ```
  */
 export function createRetryBudget(
-  allowance: RetryAllowance,
-  routerCount: RouterCountSource,
+  initial: RetryAllowance,
+  {clock, routers, random}: RetryBudgetConfig,
 ): RetryBudget {
-  const tokens = new Map<string, number>();
-  const ownSlack = (): number =>
-    (allowance.slack * SLACK_SAFETY_FACTOR) /
-    Math.max(1, routerCount.current());
-  // With many routers, a share is less than one retry and must accumulate.
-  const maxBalance = (): number => Math.max(1, ownSlack());
-  const balance = (service: string): number =>
-    tokens.get(service) ?? ownSlack();
+  let allowance = initial;
+  let startedAt = clock.now();
+  const services = new Map<string, ServiceCounts>();
+
+  // With many routers, a router's limit is often less than one retry. Random
+  // thresholds make such a share of the routers send one, not all or none.
+  const nextThreshold = (): number => 1 - random();
+
+  const countsOf = (service: string): ServiceCounts => {
+    const known = services.get(service);
+    if (known !== undefined) return known;
+    const {windowMs} = allowance;
+    const counts = {
+      requests: createSlidingCount(clock, windowMs),
+      retries: createSlidingCount(clock, windowMs),
+      threshold: nextThreshold(),
+    };
+    services.set(service, counts);
+    return counts;
+  };
+
+  const share = (): number => {
+    const count = routers.current();
+    if (count === null) return 0;
+    const age = Math.min(1, (clock.now() - startedAt) / allowance.windowMs);
+    const grown = INITIAL_SHARE + (1 - INITIAL_SHARE) * age;
+    return (allowance.slack * SLACK_SAFETY_FACTOR * grown) / Math.max(1, count);
+  };
+
+  const left = ({requests, retries}: ServiceCounts): number =>
+    allowance.ratio * RATIO_SAFETY_FACTOR * requests.atLeast() +
+    share() -
+    retries.atMost();
+
   return {
-    deposit(service) {
-      const earned = balance(service) + allowance.ratio * RATIO_SAFETY_FACTOR;
-      tokens.set(service, Math.min(maxBalance(), earned));
-    },
+    deposit: service => countsOf(service).requests.add(),
     tryWithdraw(service) {
-      if (balance(service) < 1) return false;
-      tokens.set(service, balance(service) - 1);
+      const counts = countsOf(service);
+      if (left(counts) < counts.threshold) return false;
+      counts.retries.add();
+      counts.threshold = nextThreshold();
       return true;
     },
     basis(service) {
-      const ageMs = routerCount.ageMs();
+      const ageMs = routers.ageMs();
       return {
-        left: Math.round(balance(service) * 100) / 100,
-        routers: routerCount.current(),
-        routersAgeMs: ageMs === Infinity ? -1 : Math.round(ageMs),
+        left: roundToHundredth(left(countsOf(service))),
+        share: roundToHundredth(share()),
+        routers: routers.current(),
+        routersAgeMs: ageMs === Infinity ? null : Math.round(ageMs),
       };
     },
+    configure(next) {
+      // Counts of another window can't be converted: start as a new router.
+      if (next.windowMs !== allowance.windowMs) {
+        services.clear();
+        startedAt = clock.now();
+      }
+      allowance = next;
+    },
   };
 }
+
+function roundToHundredth(retries: number): number {
+  return Math.round(retries * 100) / 100;
+}
--- a/packages/gateway/src/limit-connections.ts
+++ b/packages/gateway/src/limit-connections.ts
@@ -8,7 +8,8 @@
 
 /**
  * Limits this router's connections to each server to its share of the number
- * that the server accepts from all routers together.
+ * that the server accepts from all routers together. `routers` is their number,
+ * null if it is unknown.
  *
  * @example
  * ```ts
@@ -18,11 +19,12 @@
 export function limitConnections(
   backends: Backends,
   services: RoutingConfig['services'],
-  routers: number,
+  routers: number | null,
 ): void {
+  const count = routers ?? 1;
   backends.setConnectionLimit(service => {
     const serverLimit = services.get(service)?.maxConnections ?? 0;
-    const share = Math.floor((serverLimit - RESERVED_CONNECTIONS) / routers);
+    const share = Math.floor((serverLimit - RESERVED_CONNECTIONS) / count);
     return Math.max(MIN_CONNECTIONS, share);
   });
 }
--- a/packages/gateway/src/membership.ts
+++ b/packages/gateway/src/membership.ts
@@ -11,8 +11,6 @@
   isChosen(): boolean;
   /** Time since the last call that the platform answered was sent, in ms. */
   contactAgeMs(): number;
-  /** Number of routers connected to the platform, including this one. */
-  count(): number;
   /**
    * Stops joining and removes this router from the group. Resolves once it is
    * removed or `goesOn` returns false.
@@ -122,7 +120,6 @@
       !isLeaving &&
       cfg.suspendAwareNow() - answeredAt < CHOSEN_TTL_MS,
     contactAgeMs: () => cfg.suspendAwareNow() - answeredAt,
-    count: () => Math.max(1, names.length),
     async leave(goesOn) {
       isLeaving = true;
       while (goesOn() && !(await members.leave())) {
--- a/packages/gateway/src/router-count.ts
+++ b/packages/gateway/src/router-count.ts
@@ -1,13 +1,10 @@
 import type {Clock} from '@banyandrum/base/clock.js';
+import type {RouterTotal} from '@banyandrum/dispatch/router-total.js';
 
 /** Number of routers among which limits for all routers are divided. */
-export interface RouterCount {
-  /** Records a count of working routers, from whichever source counts them. */
+export interface RouterCount extends RouterTotal {
+  /** Records a leader's count of itself and the routers that follow it. */
   record(count: number): void;
-  /** The highest count of the current and the previous window; at least 1. */
-  current(): number;
-  /** Time since a count was last recorded, in ms; infinite if never. */
-  ageMs(): number;
 }
 
 /**
@@ -19,7 +16,9 @@
 const WINDOW_MS = 10_000;
 
 /**
- * Tracks the highest count of the recent past.
+ * Tracks the highest count of the current and the previous window. Without a
+ * leader the last count stays in effect: the routers that it counted still use
+ * their shares.
  *
  * @example
  * ```ts
@@ -28,29 +27,23 @@
  * ```
  */
 export function createRouterCount(clock: Clock): RouterCount {
-  let windowStart = clock.now();
-  let previousMax = 1;
-  let currentMax = 1;
+  let windowStart = -Infinity;
+  let previousMax: number | null = null;
+  let currentMax: number | null = null;
   let recordedAt = -Infinity;
 
-  const rotateWindow = (): void => {
-    const age = clock.now() - windowStart;
-    if (age < WINDOW_MS) return;
-    previousMax = age < 2 * WINDOW_MS ? currentMax : 1;
-    currentMax = 1;
-    windowStart = clock.now();
-  };
-
   return {
     record(count) {
-      rotateWindow();
       recordedAt = clock.now();
-      currentMax = Math.max(currentMax, count);
-    },
-    current() {
-      rotateWindow();
-      return Math.max(previousMax, currentMax);
+      if (recordedAt - windowStart >= WINDOW_MS) {
+        previousMax = currentMax;
+        currentMax = null;
+        windowStart = recordedAt;
+      }
+      currentMax = Math.max(currentMax ?? 1, count);
     },
+    current: () =>
+      currentMax === null ? null : Math.max(previousMax ?? 1, currentMax),
     ageMs: () => clock.now() - recordedAt,
   };
 }
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -54,6 +54,8 @@
     readonly readiness: string;
     readonly metrics: string;
   };
+  /** Applies those of the changed settings that need no restart. */
+  applySettings(settings: Settings): void;
   /** Stops gracefully: requests in flight are completed. */
   stop(): Promise<void>;
 }
@@ -159,14 +161,18 @@
     followsLeader: () => leadership.isLeading() || linkClient.leader() !== null,
   });
   const routerCount = createRouterCount(clock);
-  const countRouters = (): number => {
-    routerCount.record(routerGroup.count());
-    return routerCount.current();
-  };
+  const retryBudget = createRetryBudget(settings.retries, {
+    ...{clock, routers: routerCount, random: Math.random},
+  });
   const updateConnectionLimits = (): void => {
     const services = configKeeper.current()?.services;
     if (services === undefined) return;
-    limitConnections(backends, services, countRouters());
+    limitConnections(backends, services, routerCount.current());
+  };
+  const recordRouterCount = (count: number): void => {
+    const wasKnown = routerCount.current() !== null;
+    routerCount.record(count);
+    if (!wasKnown) updateConnectionLimits();
   };
   const chosenAddress = (): string | null => {
     const name = routerGroup.chosenName();
@@ -190,7 +196,7 @@
     onConfigCursor: cursor => configKeeper.onCursorAnnounced(cursor),
     applyConfig: (config, cursor) => configKeeper.applyRelayed(config, cursor),
     configCursor: () => configKeeper.cursor(),
-    setRouterCount: routerCount.record,
+    setRouterCount: recordRouterCount,
   });
   const election = createLeaderElection({
     emit,
@@ -245,7 +251,7 @@
   });
   const loopLag = monitorLoopLag(clock);
   const metricsSource: MetricsSource = {
-    routers: countRouters,
+    routers: () => routerCount.current() ?? 0,
     isLeading: () => leadership.isLeading(),
     waiting: () => slotAllocator.waitingCount(),
     listAgeMs: () => serverList.ageMs(),
@@ -289,10 +295,7 @@
         link: linkClient,
       }),
       dataCentre: settings.host.dataCentre,
-      budget: createRetryBudget(settings.retries, {
-        current: countRouters,
-        ageMs: routerCount.ageMs,
-      }),
+      budget: retryBudget,
       recordRetry: metrics.recordRetry,
       quarantine: createQuarantine(suspects, crashDetector),
       limits: serverLimits,
@@ -301,7 +304,7 @@
       names: platform.names,
       clock,
       emit,
-      routerCount: countRouters,
+      routers: routerCount,
     },
   });
   const isReady = (): boolean =>
@@ -381,7 +384,7 @@
     keyedServices,
     updateConnectionLimits,
     collectOwnMeasurements() {
-      routerCount.record(linkServer.followers() + 1);
+      recordRouterCount(linkServer.followers() + 1);
       leadership.addRequestCounts(keyOwners.drainCounts());
       serviceTimes.add(
         drainServiceTimes(
@@ -406,6 +409,7 @@
 
   return {
     addresses,
+    applySettings: ({retries}) => retryBudget.configure(retries),
     async stop() {
       if (isStopping) return;
       isStopping = true;
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -39,6 +39,8 @@
   readonly retries: {
     readonly ratio: number;
     readonly slack: number;
+    /** Length of the window in which the retries are counted, in ms. */
+    readonly windowMs: number;
   };
   readonly logging: {
     readonly level: LogLevel;
@@ -83,7 +85,8 @@
   };
   const numberAt = (section: string, key: string, fallback: number): number => {
     const value = valueAt(section, key) ?? fallback;
-    if (typeof value === 'number' && value >= 0) return value;
+    if (typeof value === 'number' && value >= 0 && value < Infinity)
+      return value;
     throw new SettingsError(`${section}.${key}: must be a number of 0 or more`);
   };
   const booleanAt = (section: string, key: string): boolean => {
@@ -125,6 +128,10 @@
     retries: {
       ratio: numberAt('retries', 'ratio', 0.2),
       slack: numberAt('retries', 'slack', 20),
+      windowMs: checkPositive(
+        'retries.window',
+        durationAt('retries', 'window', '10s'),
+      ),
     },
     logging: {level: checkLevel(stringAt('logging', 'level', 'info'))},
     operators: {tokens: checkTokens(valueAt('operators', 'tokens') ?? [])},
@@ -139,6 +146,11 @@
   return Number(match[1]) * (match[2] === 's' ? 1000 : 1);
 }
 
+function checkPositive(key: string, value: number): number {
+  if (value > 0) return value;
+  throw new SettingsError(`${key}: must be more than 0`);
+}
+
 function parseToml(text: string): Record<string, unknown> {
   try {
     return parse(text);
--- a/packages/gateway/test/settings.test.ts
+++ b/packages/gateway/test/settings.test.ts
@@ -25,6 +25,11 @@
   ['name = "entry-1"', '', /host\.name/],
   ['grace = "6s"', 'grace = "soon"', /stop\.grace/],
   ['ratio = 0.2', 'ratio = -1', /retries\.ratio/],
+  ['ratio = 0.2', 'ratio = inf', /retries\.ratio/],
+  ['ratio = 0.2', 'ratio = nan', /retries\.ratio/],
+  ['slack = 58', 'slack = "58"', /retries\.slack/],
+  ['slack = 58', 'window = "0s"', /retries\.window/],
+  ['slack = 58', 'window = 10', /retries\.window/],
   ['ratio = 0.2', 'ratio = 0.2\n[logging]\nlevel = "loud"', /logging\.level/],
   ['ratio = 0.2', 'ratio = 0.2\n[servers]\nhold_max = 4', /hold_max/],
   [
@@ -40,6 +45,7 @@
   t.equal(settings.stop.graceMs, 6_000);
   t.equal(settings.listen.peers, '10.0.0.1:82');
   t.equal(settings.logging.level, 'info');
+  t.equal(settings.retries.windowMs, 10_000);
 });
 
 for (const [valid, invalid, message] of INVALID) {
