--- a/packages/dispatch/src/find-target.ts
+++ b/packages/dispatch/src/find-target.ts
@@ -7,6 +7,7 @@
   type ForwardConfig,
   type ForwardState,
 } from './forward-state.js';
+import {ASSUMED_ROUTERS} from './router-total.js';
 import type {SlotOutcome} from './slots.js';
 
 /** A server and connection that a request can be sent on now. */
@@ -217,7 +218,8 @@
     const backend = chooseServer(group, skipped, routerCount ?? 1, now);
     if (backend === null) return null;
     const {id} = backend.info;
-    if (cfg.limits.takeShareToken(id, routerCount ?? 1)) return backend;
+    if (cfg.limits.takeShareToken(id, routerCount ?? ASSUMED_ROUTERS))
+      return backend;
     skipped.add(id);
   }
 }
@@ -231,7 +233,7 @@
   if (backend.ejectedUntil > now) return null;
   if (cfg.rests.remainingMs(owner.server) > 0) return null;
   if (!hasCapacity(backend, estimateLoad(backend, 0, now))) return null;
-  const routerCount = cfg.routers.current() ?? 1;
+  const routerCount = cfg.routers.current() ?? ASSUMED_ROUTERS;
   return cfg.limits.takeShareToken(owner.server, routerCount) ? backend : null;
 }
 
--- a/packages/dispatch/src/router-total.ts
+++ b/packages/dispatch/src/router-total.ts
@@ -5,3 +5,10 @@
   /** Time since a leader last told it, in ms; infinite if none ever did. */
   ageMs(): number;
 }
+
+/**
+ * Routers among which a limit is divided while their number is unknown. It
+ * exceeds the size of the known deployments, because a router that assumes too
+ * few uses the share of others.
+ */
+export const ASSUMED_ROUTERS = 200;
--- a/packages/gateway/src/limit-connections.ts
+++ b/packages/gateway/src/limit-connections.ts
@@ -1,4 +1,5 @@
 import type {Backends} from '@banyandrum/dispatch/backends.js';
+import {ASSUMED_ROUTERS} from '@banyandrum/dispatch/router-total.js';
 import type {RoutingConfig} from '@banyandrum/routing/config.js';
 
 /** Connections of each server that are reserved for lease calls. */
@@ -21,7 +22,7 @@
   services: RoutingConfig['services'],
   routers: number | null,
 ): void {
-  const count = routers ?? 1;
+  const count = routers ?? ASSUMED_ROUTERS;
   backends.setConnectionLimit(service => {
     const serverLimit = services.get(service)?.maxConnections ?? 0;
     const share = Math.floor((serverLimit - RESERVED_CONNECTIONS) / count);
