Send a request no more to a server that has just answered that it lacks the key

Callers saw: keyed requests refused after six tries at one server within 25 ms, which had answered each time that it does not hold the key; the tries used up the retry budget of the service. Cause: after such an answer the same owner was chosen again from the same table. Without a leader nobody could have granted it the key meanwhile; with one, its leader heard nothing of the answer and granted at the next renewal, up to 1.1 s later. Class: a repeat on the same ground, before anything is known to have changed. Besides, a retry was taken from the budget before a server was found. Change: without a leader the key is refused at once for a second, with the rest of it as Retry-After; then one may try again. With a leader the answer goes to it as the outcome of the slot; it stops sending requests for the range and grants it anew at once, five times a second at the most, and not for an answer that is older than its last grant. A retry is taken as it is sent.

--- a/packages/dispatch/src/find-target.ts
+++ b/packages/dispatch/src/find-target.ts
@@ -118,7 +118,7 @@
       refuseAsQuarantined(state, standing);
       return null;
     }
-    if (refuseIfAllResting(state)) return null;
+    if (refuseIfAllResting(state) || refuseIfNotHeld(state)) return null;
     const target = pickTarget(state);
     if (target !== null) return target;
     const leftMs = waitUntil - cfg.clock.now();
@@ -166,6 +166,22 @@
   return minMs === Infinity ? 0 : minMs;
 }
 
+/**
+ * Refuses the request if the key's owner has just answered that it doesn't hold
+ * the key: without a leader nothing can have changed since.
+ */
+function refuseIfNotHeld(state: ForwardState): boolean {
+  const {cfg, req} = state;
+  if (req.key === null) return false;
+  const notHeldMs = cfg.owners.notHeldMs(req.service, req.key);
+  if (notHeldMs <= 0) return false;
+  const {id, service, key} = req;
+  cfg.emit('key-unserved', {id, service, key, retryAfterMs: notHeldMs});
+  state.cause = 'no-owner';
+  state.retryAfterMs = notHeldMs;
+  return true;
+}
+
 function refuseUntilRestEnds(state: ForwardState, restMs: number): void {
   const {cfg, req} = state;
   cfg.emit('servers-rest', {id: req.id, service: req.service, restMs});
--- a/packages/dispatch/src/forward.ts
+++ b/packages/dispatch/src/forward.ts
@@ -11,7 +11,7 @@
   type ForwardState,
   type Reply,
 } from './forward-state.js';
-import {decideRetry} from './retry-decision.js';
+import {mayRetry, takeRetry} from './retry-decision.js';
 import {noteLimit} from './server-limits.js';
 import {noteRetryAfter} from './server-rests.js';
 import {serverName} from './server-instance.js';
@@ -56,9 +56,13 @@
   for (;;) {
     const target = await findTarget(state);
     if (target === null) return finalReply(state);
+    if (state.sentCount > 0 && !takeRetry(state)) {
+      abandonTarget(target);
+      return finalReply(state);
+    }
     const reply = await tryTarget(state, target);
     if (reply !== null) return reply;
-    if (!decideRetry(state)) return finalReply(state);
+    if (!mayRetry(state)) return finalReply(state);
   }
 }
 
@@ -71,8 +75,7 @@
   const sentAt = cfg.clock.now();
   const withinMs = req.deadline - sentAt;
   if (withinMs < MIN_SEND_MS) {
-    backend.connections.release(connection, true);
-    target.releaseSlot('cancelled', 0);
+    abandonTarget(target);
     return finalReply(state);
   }
   state.attemptCount++;
@@ -91,7 +94,7 @@
   req.signal.removeEventListener('abort', cancel);
   backend.inFlight--;
   backend.connections.release(connection, result.kind === 'answered');
-  const slotOutcome = slotOutcomeOf(cfg.names, result);
+  const slotOutcome = slotOutcomeOf(cfg.names, backend.info.id, result);
   const {isTrial} = target;
   const completed = {server: backend.info.id, sentAt, result};
   noteLimit(cfg.limits, cfg.names, completed);
@@ -113,6 +116,12 @@
   return reply;
 }
 
+/** Gives back a target that nothing was sent to. */
+function abandonTarget({backend, connection, releaseSlot}: Target): void {
+  backend.connections.release(connection, true);
+  releaseSlot('cancelled', 0);
+}
+
 function withAttemptHeaders(
   names: WireNames,
   req: ForwardRequest,
--- a/packages/dispatch/src/free-server.ts
+++ b/packages/dispatch/src/free-server.ts
@@ -14,6 +14,11 @@
   readonly clock: Clock;
   readonly emit: Emit;
   ownerOf(service: string, key: number): Owner;
+  /**
+   * Called when the key's owner answered that it doesn't hold the key, to a
+   * request that was sent at `sentAt` or later.
+   */
+  onNotHeld(service: string, key: number, server: string, sentAt: number): void;
   readonly suspects: Pick<Suspects, 'standingOf' | 'noteAlive'>;
   readonly limits: Pick<ServerLimits, 'limitOf' | 'hasToken' | 'takeToken'>;
 }
--- a/packages/dispatch/src/handle-result.ts
+++ b/packages/dispatch/src/handle-result.ts
@@ -23,9 +23,13 @@
   return result.kind === 'answered' && result.answer.fields.has(names.notRun);
 }
 
-/** Converts an attempt's result for the allocator of its slot. */
+/**
+ * Converts the result of an attempt at the server with this id for the
+ * allocator of its slot.
+ */
 export function slotOutcomeOf(
   names: WireNames,
+  server: string,
   result: AttemptResult,
 ): SlotOutcome {
   if (result.kind === 'lost') {
@@ -33,7 +37,12 @@
     return result.isWritten ? 'lost' : 'unreached';
   }
   const {answer} = result;
-  if (isRefusal(names, result)) return 'refused';
+  if (isRefusal(names, result)) {
+    const other = answer.fields.get(names.serverId);
+    const isMisdirected =
+      answer.status === 421 && !isOtherServer(server, other);
+    return isMisdirected ? 'not-held' : 'refused';
+  }
   return isFailure(names, answer) ? 'failed' : 'answered';
 }
 
--- a/packages/dispatch/src/owners.ts
+++ b/packages/dispatch/src/owners.ts
@@ -16,8 +16,13 @@
   waitForChange(service: string, ms: number): Promise<void>;
   /** Counts a request for the key; the counts are used for placing keys. */
   noteRequest(service: string, key: number): void;
-  /** Records that the server answered that it doesn't own the key. */
+  /** Records that the server answered that it doesn't hold the key. */
   noteNotHeld(service: string, key: number, server: string): void;
+  /**
+   * Time until the key may be requested again from its owner, in ms, because
+   * the owner answered that it doesn't hold it; 0 if it may be now.
+   */
+  notHeldMs(service: string, key: number): number;
   /** Records that another instance answers at the server's address. */
   noteReplaced(server: string): void;
 }
--- a/packages/dispatch/src/retry-budget.ts
+++ b/packages/dispatch/src/retry-budget.ts
@@ -28,6 +28,8 @@
 export interface RetryBudget {
   /** Counts a caller's request for the service. */
   deposit(service: string): void;
+  /** Whether a retry is left. */
+  hasLeft(service: string): boolean;
   /** Takes one retry from the budget; false if none is left. */
   tryWithdraw(service: string): boolean;
   /** The state of the service's budget. */
@@ -121,11 +123,15 @@
     share() -
     retries.atMost();
 
+  const hasLeft = (counts: ServiceCounts): boolean =>
+    left(counts) >= counts.threshold;
+
   return {
     deposit: service => countsOf(service).requests.add(),
+    hasLeft: service => hasLeft(countsOf(service)),
     tryWithdraw(service) {
       const counts = countsOf(service);
-      if (left(counts) < counts.threshold) return false;
+      if (!hasLeft(counts)) return false;
       counts.retries.add();
       counts.threshold = nextThreshold();
       return true;
--- a/packages/dispatch/src/slot-allocator.ts
+++ b/packages/dispatch/src/slot-allocator.ts
@@ -223,6 +223,8 @@
         waiter.server = null;
         if (server !== null || waiter.queue !== null) endTrial(waiter);
         if (server === null) return removeWaiter(waiter);
+        if (outcome === 'not-held' && req.key !== null)
+          cfg.onNotHeld(req.service, req.key, server, waiter.grantedAt);
         const backend = cfg.backends.get(server);
         if (backend !== undefined)
           releaseSlot(cfg, backend, waiter, outcome, tookMs);
--- a/packages/dispatch/src/slots.ts
+++ b/packages/dispatch/src/slots.ts
@@ -33,6 +33,8 @@
   | 'failed'
   /** The server didn't run it. */
   | 'refused'
+  /** The server didn't run it because it doesn't hold the key. */
+  | 'not-held'
   /** No complete answer was received. */
   | 'lost'
   /** The request was not written to the server. */
--- a/packages/dispatch/test/forward.test.ts
+++ b/packages/dispatch/test/forward.test.ts
@@ -20,6 +20,7 @@
   waitForChange: async () => undefined,
   noteRequest: () => undefined,
   noteNotHeld: () => undefined,
+  notHeldMs: () => 0,
   noteReplaced: () => undefined,
 };
 
--- a/packages/dispatch/test/simulate-limits.ts
+++ b/packages/dispatch/test/simulate-limits.ts
@@ -66,6 +66,7 @@
       ...{backends, clock, emit: quiet, limits: routers[router]!},
       suspects: createSuspects(clock, quiet, () => 0),
       ownerOf: () => ({kind: 'none'}),
+      onNotHeld: () => undefined,
     });
   };
   const resign = (): void => {
--- a/packages/dispatch/test/simulate-load.ts
+++ b/packages/dispatch/test/simulate-load.ts
@@ -95,6 +95,7 @@
     suspects: createSuspects(clock, () => undefined),
     limits: createServerLimits({clock, emit: () => undefined}),
     ownerOf: (_, key) => ownerOf(key),
+    onNotHeld: () => undefined,
   });
   const slownessOf = new Map(
     servers.map(({id}, at) => [id, load.slowness[at]!]),
--- a/packages/dispatch/test/simulate-poison.ts
+++ b/packages/dispatch/test/simulate-poison.ts
@@ -155,6 +155,7 @@
       ...{backends, clock, emit: quiet, suspects: tables[router]!},
       limits,
       ownerOf: () => ({kind: 'none'}),
+      onNotHeld: () => undefined,
     });
     // Followers send their rows to the new leader.
     for (const table of tables) tables[router]!.merge(table.rows());
--- a/packages/dispatch/test/slot-allocator-work.test.ts
+++ b/packages/dispatch/test/slot-allocator-work.test.ts
@@ -69,6 +69,7 @@
     suspects: createSuspects(clock, () => undefined),
     limits: createServerLimits({clock, emit: () => undefined}),
     ownerOf: () => ({kind: 'none'}),
+    onNotHeld: () => undefined,
   });
   const running: ReturnType<SlotAllocator['ask']>[] = [];
   let requestCount = 0;
--- a/packages/dispatch/test/slot-allocator.test.ts
+++ b/packages/dispatch/test/slot-allocator.test.ts
@@ -64,6 +64,7 @@
     suspects,
     limits,
     ownerOf: (_, key) => ownerOf(key),
+    onNotHeld: () => undefined,
   });
   return {
     clock,
--- a/packages/gateway/src/key-owners.ts
+++ b/packages/gateway/src/key-owners.ts
@@ -1,6 +1,7 @@
 import type {Clock} from '@banyandrum/base/clock.js';
 import type {Emit} from '@banyandrum/dispatch/events.js';
 import type {Owner, Owners} from '@banyandrum/dispatch/owners.js';
+import {createNotHeldKeys} from './not-held-keys.js';
 import {findRange, type ServedRange} from '@banyandrum/ranges/table.js';
 
 /** The served ranges of each service. */
@@ -38,16 +39,19 @@
   let counts = new Map<string, Map<number, number>>();
   const replaced = new Set<string>();
   let waiting: (() => void)[] = [];
+  const notHeld = createNotHeldKeys(clock);
+
+  const ownerOf = (service: string, key: number): Owner => {
+    const ranges = tables.get(service);
+    if (ranges === undefined) return {kind: 'none'};
+    const range = findRange(ranges, key);
+    if (range === undefined) return {kind: 'none'};
+    if (range.server === null) return {kind: 'moving'};
+    return {kind: 'held', server: range.server};
+  };
 
   return {
-    ownerOf(service, key): Owner {
-      const ranges = tables.get(service);
-      if (ranges === undefined) return {kind: 'none'};
-      const range = findRange(ranges, key);
-      if (range === undefined) return {kind: 'none'};
-      if (range.server === null) return {kind: 'moving'};
-      return {kind: 'held', server: range.server};
-    },
+    ownerOf,
     waitForChange(_, ms) {
       return new Promise(resolve => {
         const cancel = clock.after(ms, resolve);
@@ -63,8 +67,14 @@
       group.set(key, (group.get(key) ?? 0) + 1);
     },
     noteNotHeld(service, key, server) {
+      notHeld.note(service, key, server);
       emit('key-not-held', {service, key, server});
     },
+    notHeldMs(service, key) {
+      const owner = ownerOf(service, key);
+      if (owner.kind !== 'held') return 0;
+      return notHeld.remainingMs(service, key, owner.server);
+    },
     noteReplaced(server) {
       replaced.add(server);
       if (replaced.size > MAX_REPLACED_INSTANCES) {
--- a/packages/gateway/src/leadership.ts
+++ b/packages/gateway/src/leadership.ts
@@ -49,6 +49,16 @@
   /** Ends the term because this router shuts down. */
   resign(): void;
   addRequestCounts(counts: KeyCounts): void;
+  /**
+   * The key's owner answered that it doesn't hold the key, to a request that
+   * was sent at the monotonic time `sentAt`, in ms, or later.
+   */
+  noteNotHeld(
+    service: string,
+    key: number,
+    server: string,
+    sentAt: number,
+  ): void;
   subscribe(listener: () => void): void;
 }
 
@@ -354,6 +364,9 @@
         for (const [key, count] of keys) load.add(key, count);
       }
     },
+    noteNotHeld(service, key, server, sentAt) {
+      term?.services.get(service)?.noteNotHeld(key, server, sentAt);
+    },
     subscribe: listener => void listeners.add(listener),
   };
 }
--- a/packages/gateway/src/local-slot-provider.ts
+++ b/packages/gateway/src/local-slot-provider.ts
@@ -1,5 +1,9 @@
 import type {SlotAllocator} from '@banyandrum/dispatch/slot-allocator.js';
-import type {SlotResult, SlotProvider} from '@banyandrum/dispatch/slots.js';
+import type {
+  SlotOutcome,
+  SlotResult,
+  SlotProvider,
+} from '@banyandrum/dispatch/slots.js';
 import type {KeyOwners} from './key-owners.js';
 import type {Leadership} from './leadership.js';
 
@@ -39,9 +43,9 @@
         const endSlot = allocator.ask(request, reply => {
           signal.removeEventListener('abort', cancel);
           if (reply.kind !== 'granted') return resolve(reply);
-          // The request's own code records the outcome; this only releases
-          // the slot.
-          const end = (): void => endSlot('cancelled', 0);
+          // The request's own code records the other outcomes.
+          const end = (outcome: SlotOutcome): void =>
+            endSlot(outcome === 'not-held' ? outcome : 'cancelled', 0);
           resolve({kind: 'granted', server: reply.server, release: end});
         });
       });
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -217,6 +217,7 @@
     clock,
     emit,
     ownerOf: (service, key) => keyOwners.ownerOf(service, key),
+    onNotHeld: leadership.noteNotHeld,
     suspects,
     limits: serverLimits,
   });
--- a/packages/gateway/test/link.test.ts
+++ b/packages/gateway/test/link.test.ts
@@ -97,6 +97,7 @@
   checkTerm: () => undefined,
   resign: () => undefined,
   addRequestCounts: () => undefined,
+  noteNotHeld: () => undefined,
   subscribe: () => undefined,
 };
 
@@ -173,6 +174,7 @@
   const allocator = createSlotAllocator({
     ...{backends, clock, emit, suspects, limits},
     ownerOf: () => ({kind: 'none'}),
+    onNotHeld: () => undefined,
   });
   const listen = await freeAddress();
   const leaderList = createServerList(clock, emit, 2_000);
--- a/packages/ranges/src/grant-lease.ts
+++ b/packages/ranges/src/grant-lease.ts
@@ -66,6 +66,7 @@
     // A server that has accepted this fence rejects earlier leaders, so from
     // now on only this leader can renew the lease.
     lease.earlierLeaderGrantUntil = 0;
+    lease.grantedAt = now;
     lease.expiresAt = Math.max(
       leader.timing.expiryOf(now),
       lease.lateGrantUntil,
--- a/packages/ranges/src/range-lease.ts
+++ b/packages/ranges/src/range-lease.ts
@@ -28,6 +28,11 @@
    * so that none overtakes another.
    */
   pendingCall: Promise<void> | null;
+  /**
+   * Monotonic time of the answer to the last accepted grant, in ms; -Infinity
+   * before it.
+   */
+  grantedAt: number;
   /** Monotonic time of the next grant or renewal, in ms. */
   renewAt: number;
   /**
@@ -63,6 +68,7 @@
     phase: 'waiting',
     isServed: false,
     pendingCall: null,
+    grantedAt: -Infinity,
     renewAt: now,
     expiresAt: now,
     lateGrantUntil: 0,
--- a/packages/ranges/src/service-leader.ts
+++ b/packages/ranges/src/service-leader.ts
@@ -2,6 +2,7 @@
 import {confirmLease} from './confirm-lease.js';
 import {grantLease} from './grant-lease.js';
 import {inheritRemembered, type InheritedAssignment} from './inheritance.js';
+import {regrantLease} from './regrant-lease.js';
 import {createKeyLoad, type KeyLoad} from './key-load.js';
 import {
   saveAssignments,
@@ -31,6 +32,11 @@
    * term ends, in ms on the suspend-aware clock.
    */
   remembered(authorityEndsAt: number): readonly InheritedAssignment[];
+  /**
+   * The server answered that it doesn't hold the key, to a request that was
+   * sent at the monotonic time `sentAt`, in ms, or later.
+   */
+  noteNotHeld(key: number, server: string, sentAt: number): void;
   /** Renews leases and moves ranges; called at short intervals. */
   tick(): void;
   stop(): void;
@@ -118,6 +124,8 @@
     remembered: authorityEndsAt =>
       inheritRemembered(leader.leases, authorityEndsAt),
     served: () => leader.leases.map(toServedRange),
+    noteNotHeld: (key, server, sentAt) =>
+      regrantLease(leader, key, server, sentAt),
     tick: () => tick(leader),
     stop() {
       leader.isStopped = true;
--- a/packages/ranges/test/service-leader.test.ts
+++ b/packages/ranges/test/service-leader.test.ts
@@ -2,7 +2,8 @@
 import {AUTHORITY_MS} from '@banyandrum/ranges/lease-timing.js';
 import {findRange, MAX_KEY} from '@banyandrum/ranges/table.js';
 import {createRandom} from '@banyandrum/standins/seeded-random.js';
-import {createHarness, countUnserved} from './harness.js';
+import type {FakeServer} from './fake-cluster.js';
+import {createHarness, countUnserved, type TestLeader} from './harness.js';
 
 void tap.test('every key has one lease holder', async t => {
   const {cluster, startLeader, advance} = createHarness(1, ['a', 'b', 'c']);
@@ -125,8 +126,15 @@
   // carried out after its successor's release.
   ...[53, 67, 80, 100, 107, 113, 120, 142, 178, 217, 226, 258],
 ];
-for (const seed of SEEDS) {
-  void tap.test(`random faults, seed ${seed}`, async t => {
+const CASES = [
+  ...SEEDS.map(seed => ({seed, losesLeases: false})),
+  ...SEEDS.map(seed => ({seed, losesLeases: true})),
+];
+for (const {seed, losesLeases} of CASES) {
+  const faults = losesLeases
+    ? 'random faults and lost leases'
+    : 'random faults';
+  void tap.test(`${faults}, seed ${seed}`, async t => {
     const random = createRandom(seed * 7_919);
     const harness = createHarness(seed, ['a', 'b', 'c', 'd']);
     const {cluster, unlisted, startLeader, advance} = harness;
@@ -145,6 +153,7 @@
       for (let hot = 0; hot < 20; hot++) {
         leader.serviceLeader.load.add(Math.floor(random() * 3_000) + 20_000, 1);
       }
+      if (losesLeases) loseLeases(server, leader, random, harness.clock.now());
       await advance(200 + random() * 1_500);
     }
     t.same(cluster.violations, []);
@@ -158,6 +167,20 @@
   });
 }
 
+/** Ends the server's leases early, and reports some of its keys as not held. */
+function loseLeases(
+  server: FakeServer,
+  {serviceLeader}: TestLeader,
+  random: () => number,
+  now: number,
+): void {
+  server.leases = [];
+  for (let at = 0; at < 10; at++) {
+    const key = Math.floor(random() * (MAX_KEY + 1));
+    serviceLeader.noteNotHeld(key, server.id, now);
+  }
+}
+
 function toggleNumber(set: Set<number>, each: number): void {
   if (!set.delete(each)) set.add(each);
 }
@@ -165,3 +188,29 @@
 function toggle(set: Set<string>, id: string): void {
   if (!set.delete(id) && set.size < 3) set.add(id);
 }
+
+// Guards against sending requests to a server that lost its lease early until
+// the next renewal, and against grants for each outdated answer.
+void tap.test('a range that its server lost is granted anew', async t => {
+  const {clock, cluster, startLeader, advance} = createHarness(8, ['a', 'b']);
+  const {serviceLeader} = await startLeader();
+  await advance(500);
+  const [server] = cluster.servers;
+  const lost = serviceLeader.served().find(range => range.server === 'a')!;
+  const ownerOf = (key: number): string | null =>
+    findRange(serviceLeader.served(), key)!.server;
+  server!.leases = [];
+  serviceLeader.noteNotHeld(lost.from, 'b', clock.now());
+  t.equal(ownerOf(lost.from), 'a', 'told of a server that is not its owner');
+  serviceLeader.noteNotHeld(lost.from, 'a', clock.now() - 10_000);
+  t.equal(ownerOf(lost.from), 'a', 'told of a request before the last grant');
+  serviceLeader.noteNotHeld(lost.from, 'a', clock.now());
+  t.equal(ownerOf(lost.from), null, 'not served until the grant is accepted');
+  await clock.advance(20);
+  t.equal(ownerOf(lost.from), 'a');
+  t.same(cluster.holdersOf(lost.from), ['a']);
+  server!.leases = [];
+  serviceLeader.noteNotHeld(lost.from, 'a', clock.now());
+  t.equal(ownerOf(lost.from), 'a', 'granted a moment ago');
+  t.same(cluster.violations, []);
+});
