Show the retries that a router may send and the age of the number of routers

Cause: on-call engineers saw the share of the retry budget in logs of single requests alone. Change: gauges of the retries left by service and of the time since a leader told the number of routers; the gauge of routers is 0 while it is unknown.

--- a/packages/dispatch/src/retry-budget.ts
+++ b/packages/dispatch/src/retry-budget.ts
@@ -34,6 +34,8 @@
   tryWithdraw(service: string): boolean;
   /** The state of the service's budget. */
   basis(service: string): RetryBasis;
+  /** Services that had a request. */
+  services(): Iterable<string>;
   /** Replaces the allowance while the router runs. */
   configure(allowance: RetryAllowance): void;
 }
@@ -145,6 +147,7 @@
         routersAgeMs: ageMs === Infinity ? null : Math.round(ageMs),
       };
     },
+    services: () => services.keys(),
     configure(next) {
       // Counts of another window can't be converted: start as a new router.
       if (next.windowMs !== allowance.windowMs) {
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -25,6 +25,10 @@
   restingServers(): number;
   /** Epoch of the platform's store; incremented by each restore. */
   storeEpoch(): number;
+  /** Time since a leader told the number of routers, in ms. */
+  routersAgeMs(): number;
+  /** Retries that this router may send now, by service. */
+  retriesLeft(): Iterable<readonly [service: string, left: number]>;
 }
 
 /** The process's metrics and the HTTP server that exposes them. */
@@ -80,7 +84,11 @@
     registers,
   });
   const gauges: Readonly<Record<string, readonly [string, () => number]>> = {
-    routers: ['Routers in touch with the platform', source.routers],
+    routers: ['Routers counted by a leader; 0: unknown', source.routers],
+    routers_age_seconds: [
+      'Since a leader told the number of routers',
+      inSeconds(source.routersAgeMs),
+    ],
     leading: ['1 while this router leads', () => Number(source.isLeading())],
     waiting: ['Requests that wait for a place', source.waiting],
     list_age_seconds: ['Age of the servers’ list', inSeconds(source.listAgeMs)],
@@ -120,6 +128,17 @@
       collect: (): void => gauge.set(read()),
     });
   }
+  const retriesLeft: Gauge = new Gauge({
+    name: 'banyandrum_retries_left',
+    help: 'Retries that this router may send now, by service',
+    labelNames: ['service'],
+    registers,
+    collect() {
+      retriesLeft.reset();
+      for (const [service, left] of source.retriesLeft())
+        retriesLeft.set({service}, left);
+    },
+  });
   const routes = new Set<string>();
   const labelOf = (route: string | null): string => {
     if (route === null) return 'none';
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -265,6 +265,11 @@
     limitedServers: () => serverLimits.count(),
     restingServers: () => serverRests.count(),
     storeEpoch: () => platform.history.epoch(),
+    routersAgeMs: routerCount.ageMs,
+    retriesLeft: () =>
+      [...retryBudget.services()].map(
+        service => [service, retryBudget.basis(service).left] as const,
+      ),
   };
   const quarantinePage = createQuarantinePage(
     suspects,
