Reword the host list's and the log's clients and their tests

Cause: comments and titles that a newcomer stumbles over (patience that lengthens, a tail that bears an outage, connections that go silent and are left behind). Change: words, and local names: the adaptive timeout of the tail is called so.

--- a/packages/hosts/src/http-client.ts
+++ b/packages/hosts/src/http-client.ts
@@ -7,9 +7,9 @@
 export interface HostListClientOptions {
   /** `ip:port` of the host list. */
   readonly address: string;
-  /** How long a call may take, in ms. */
+  /** Timeout of a call, in ms. */
   readonly timeoutMs: number;
-  /** The largest answer accepted; more is an error. */
+  /** Maximum size of a response; a larger one is an error. */
   readonly maxAnswerBytes?: number;
   readonly clock?: Clock;
 }
@@ -26,7 +26,7 @@
   state: z.enum(['live', 'leaving']),
 });
 
-// A list that names a host twice would let its reader believe either entry.
+// If a host is listed twice, neither entry can be trusted.
 const LIST = z.object({
   hosts: z
     .array(HOST)
@@ -36,9 +36,9 @@
 });
 
 /**
- * A client of the platform's host list over HTTP. A list with a single bad
- * entry is an error as a whole: leaving the entry out would look as if its
- * host were gone.
+ * Creates an HTTP client of the platform's host list. A list with one invalid
+ * entry is rejected as a whole: without the entry, its host would appear to
+ * have left.
  *
  * @example
  * ```ts
--- a/packages/hosts/src/watch.ts
+++ b/packages/hosts/src/watch.ts
@@ -4,32 +4,33 @@
 
 export interface HostWatchOptions {
   readonly client: HostListClient;
-  /** Mean pause between two polls, in ms. */
+  /** Mean delay between two polls, in ms. */
   readonly pollMs: number;
   readonly clock: Clock;
   readonly log: Logger;
-  /** From 0 to below 1, as `Math.random`. */
+  /** Returns numbers from 0 to below 1, as `Math.random` does. */
   readonly random?: () => number;
 }
 
 export type HostListener = (hosts: readonly Host[]) => void;
 
-/** The newest host list that could be had, by polling. */
+/** Polls the host list and keeps the last one that could be read. */
 export interface HostWatch {
-  /** The newest list, or null before the first one; failures keep it. */
+  /** The last list read, even if later polls failed; null before the first. */
   current(): readonly Host[] | null;
-  /** Time since the newest successful poll was sent, in ms, or `Infinity`. */
+  /** Time since the last successful poll was sent, in ms; else `Infinity`. */
   ageMs(): number;
-  /** Calls `listener` after each change; returns how to stop. */
+  /** Calls `listener` after each change; returns a function that stops it. */
   subscribe(listener: HostListener): () => void;
-  /** Polls until the signal aborts; to be called once. */
+  /** Polls until the signal aborts; must be called once. */
   run(signal: AbortSignal): Promise<void>;
 }
 
+/** Range of the random variation of the delay between polls, as a fraction. */
 const JITTER = 0.2;
 
 /**
- * Makes a watch of the host list; it does nothing until it runs.
+ * Creates a watch of the host list. It polls only while `run` is active.
  *
  * @example
  * ```ts
@@ -44,11 +45,11 @@
   const listeners = new Set<HostListener>();
   let hosts: readonly Host[] | null = null;
   let polledAt = -Infinity;
-  let failing = false;
+  let isFailing = false;
 
   const accept = (list: readonly Host[], sentAt: number): void => {
-    if (failing) log.info('host list readable again');
-    failing = false;
+    if (isFailing) log.info('host list readable again');
+    isFailing = false;
     polledAt = sentAt;
     if (hosts !== null && sameHosts(hosts, list)) return;
     hosts = list;
@@ -60,8 +61,9 @@
     const listed = await client.list(signal);
     if (signal.aborted) return;
     if (listed.ok) return accept(listed.val, sentAt);
-    if (!failing) log.warn('host list unreadable', {detail: listed.val.detail});
-    failing = true;
+    if (!isFailing)
+      log.warn('host list unreadable', {detail: listed.val.detail});
+    isFailing = true;
   };
 
   return {
@@ -82,7 +84,7 @@
   };
 }
 
-/** Whether both hold the same hosts; their order says nothing. */
+/** Whether both lists have the same hosts, in any order. */
 function sameHosts(a: readonly Host[], b: readonly Host[]): boolean {
   if (a.length !== b.length) return false;
   const byName = new Map(a.map(host => [host.name, host]));
--- a/packages/hosts/test/contract.ts
+++ b/packages/hosts/test/contract.ts
@@ -3,7 +3,7 @@
 import {createManualClock} from '@banyandrum/standins/manual-clock.js';
 import type {TAP} from 'tap';
 
-/** Faults that an adapter's platform, or a proxy before it, can bring about. */
+/** Faults of the platform, or of a proxy in front of it. */
 export const HOST_LIST_FAULTS = [
   'refuse',
   'hang',
@@ -17,11 +17,11 @@
 ] as const;
 export type HostListContractFault = (typeof HOST_LIST_FAULTS)[number];
 
-/** A platform's host list that the contract may fill. */
+/** A host list whose content the contract tests can set. */
 export interface HostListContractTarget {
-  /** A client whose time-outs are `TIMEOUT_MS` on the given clock. */
+  /** Creates a client with timeouts of `TIMEOUT_MS` on the given clock. */
   createClient(clock: Clock): HostListClient;
-  /** Replaces the list; resolves once clients can see it. */
+  /** Replaces the list; resolves once clients can read it. */
   fill(hosts: readonly Host[]): Promise<void>;
   induce(fault: HostListContractFault): Promise<void>;
   heal(): Promise<void>;
@@ -48,7 +48,7 @@
 ];
 
 /**
- * Runs the contract of the host list against one adapter.
+ * Runs the contract tests of the host list against one client.
  *
  * @example
  * ```ts
@@ -60,7 +60,7 @@
   name: string,
   createTarget: () => Promise<HostListContractTarget>,
 ): void {
-  void root.test(`${name}: the list as it was filled`, async t => {
+  void root.test(`${name}: the list is returned as it was set`, async t => {
     const target = await createTarget();
     const client = target.createClient(createManualClock());
     t.teardown(() => Promise.all([client.close(), target.close()]));
@@ -72,9 +72,8 @@
   });
 
   for (const fault of HOST_LIST_FAULTS) {
-    // The list fails, or answers with something else than a whole list. The
-    // reader hears so in bounded time and never gets a list with hosts
-    // missing, which would look as if they were gone; then it reads again.
+    // Guards against a list with missing hosts, which would appear to have
+    // left: the client reports an error in bounded time, and then recovers.
     void root.test(`${name}: an error while ${fault}`, async t => {
       const target = await createTarget();
       const clock = createManualClock();
--- a/packages/hosts/test/watch.test.ts
+++ b/packages/hosts/test/watch.test.ts
@@ -15,10 +15,9 @@
 const OTHER: Host = {...HOST, name: 'server-2'};
 const LEAVING: Host = {...HOST, state: 'leaving'};
 
-void tap.test('a watch keeps the newest list through failures', async t => {
-  // The list fails for a while and comes back. The watch goes on with the
-  // newest list it had, says how old that is, counted from the sending of the
-  // poll, and reports changes only, whatever the order of the entries.
+void tap.test('a watch keeps the last list during failures', async t => {
+  // The age counts from when the poll was sent. Only changes are reported, and
+  // a different order of the entries is none.
   const clock = createManualClock();
   const answers = [
     Ok([HOST, OTHER]),
--- a/packages/log/src/backoff.ts
+++ b/packages/log/src/backoff.ts
@@ -1,24 +1,24 @@
 export interface BackoffOptions {
-  /** Upper bound of the first pause, in ms; it doubles with each failure. */
+  /** Maximum of the first delay, in ms; doubled after each failure. */
   readonly firstMs: number;
-  /** Upper bound of every pause, in ms. */
+  /** Maximum of any delay, in ms. */
   readonly capMs: number;
-  /** From 0 to below 1, as `Math.random`. */
+  /** Returns numbers from 0 to below 1, as `Math.random` does. */
   readonly random: () => number;
 }
 
-/** Pauses between retries. */
+/** Delays between retries. */
 export interface Backoff {
-  /** The pause after one more failure, in ms. */
+  /** The delay after another failure, in ms. */
   next(): number;
-  /** Starts over after a success. */
+  /** Resets the delay after a success. */
   reset(): void;
 }
 
 /**
- * Capped exponential backoff with full jitter: each pause is drawn evenly
- * from 0 to its bound. Readers that lost the log at the same moment would
- * else come back at the same moments, too, and keep it down.
+ * Creates a capped exponential backoff with full jitter: each delay is uniform
+ * between 0 and its maximum. Without jitter, readers that lost the log at the
+ * same time would also retry at the same time and overload it again.
  *
  * @example
  * ```ts
@@ -28,15 +28,15 @@
  */
 export function createBackoff(options: BackoffOptions): Backoff {
   const {firstMs, capMs, random} = options;
-  let bound = firstMs;
+  let maxMs = firstMs;
   return {
     next() {
-      const pause = random() * bound;
-      bound = Math.min(capMs, bound * 2);
-      return pause;
+      const delayMs = random() * maxMs;
+      maxMs = Math.min(capMs, maxMs * 2);
+      return delayMs;
     },
     reset() {
-      bound = firstMs;
+      maxMs = firstMs;
     },
   };
 }
--- a/packages/log/src/client.ts
+++ b/packages/log/src/client.ts
@@ -4,9 +4,9 @@
 /**
  * Why a call to the log failed.
  *
- * - `unavailable`: proved not applied (refused, or never written).
- * - `unknown`: an append that may have been applied; read back to find out.
- * - `expired`: the records asked for are gone; `first` is the oldest kept.
+ * - `unavailable`: certainly not applied (rejected, or never sent).
+ * - `unknown`: an append that may have been applied; a read shows whether.
+ * - `expired`: the requested records were deleted; `first` is the oldest left.
  * - `too-large`: the record exceeds the log's limit; not applied.
  */
 export type LogErrorKind = 'unavailable' | 'unknown' | 'expired' | 'too-large';
@@ -14,7 +14,7 @@
 export interface LogError {
   readonly kind: LogErrorKind;
   readonly detail: string;
-  /** With `expired`: the oldest offset kept. */
+  /** With `expired`: the oldest retained offset. */
   readonly first?: Offset;
 }
 
@@ -24,26 +24,26 @@
 }
 
 export interface LogPage {
-  /** The oldest offset kept. */
+  /** The oldest retained offset. */
   readonly first: Offset;
-  /** The offset that the next append gets. */
+  /** The offset of the next append. */
   readonly end: Offset;
   readonly records: readonly LogRecord[];
 }
 
 export interface ReadOptions {
-  /** The first offset wanted. */
+  /** The first offset to read. */
   readonly from: Offset;
   readonly maxRecords: number;
-  /** How long the log may wait for a record to arrive, in ms. */
+  /** Maximum time that the log waits for a record, in ms. */
   readonly waitMs: number;
-  /** How long the answer may take beyond `waitMs`, in ms; else the client's. */
+  /** Timeout in addition to `waitMs`, in ms; by default the client's. */
   readonly timeoutMs?: number;
 }
 
 /**
- * The platform's append-only log. Assumed of it, and stated in the contract
- * tests: a read that begins after an append was confirmed sees that append.
+ * Client of the platform's append-only log. The contract tests check the
+ * assumption that a read which begins after an append was confirmed sees it.
  */
 export interface LogClient {
   append(
--- a/packages/log/src/connections.ts
+++ b/packages/log/src/connections.ts
@@ -5,13 +5,13 @@
 export interface ConnectionsOptions {
   /** `ip:port`. */
   readonly address: string;
-  /** How long opening a connection may take, in ms. */
+  /** Timeout for opening a connection, in ms. */
   readonly timeoutMs: number;
   readonly maxAnswerBytes?: number;
   readonly clock?: Clock;
 }
 
-/** Connections to one HTTP service, replaced when they go silent. */
+/** Connections to one HTTP service, replaced after a timeout. */
 export interface Connections {
   exchange(options: Omit<ExchangeOptions, 'clock'>): Promise<Exchange>;
   close(): Promise<void>;
@@ -19,11 +19,11 @@
 
 const DEFAULT_MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 
-/** Enough for the long poll, a catch-up and some appends at once. */
+/** Covers the long poll, reads that catch up, and some appends at once. */
 const MAX_CONNECTIONS = 8;
 
 /**
- * Opens nothing yet: connections come about with the calls.
+ * Creates the connections; each is opened when a call needs it.
  *
  * @example
  * ```ts
@@ -56,12 +56,11 @@
     async exchange(wanted) {
       const pool = current;
       const exchanged = await exchange(pool, {...wanted, clock});
-      const silent =
+      const hasTimedOut =
         exchanged.kind === 'failed' && exchanged.reason === 'timeout';
-      // Idle connections may have gone silent for good as this one did, and
-      // each would cost the next call its whole time-out. So all are left
-      // behind: calls in progress finish there, new ones connect anew.
-      if (silent && pool === current) {
+      // The idle connections may be dead as well, and each would cost the next
+      // call its whole timeout. Calls in progress finish on the old ones.
+      if (hasTimedOut && pool === current) {
         current = open();
         void retire(pool);
       }
--- a/packages/log/src/exchange.ts
+++ b/packages/log/src/exchange.ts
@@ -5,19 +5,19 @@
   readonly method: 'GET' | 'POST';
   readonly path: string;
   readonly body?: Uint8Array;
-  /** From the call until the whole answer is here, in ms. */
+  /** Timeout for receiving the whole response, in ms. */
   readonly timeoutMs: number;
   readonly clock: Clock;
   readonly signal: AbortSignal | undefined;
 }
 
 /**
- * Why there is no whole answer.
+ * Why no whole response was received.
  *
- * - `unsent`: proved that nothing was written.
- * - `oversize`: the answer exceeds the client's bound.
- * - `timeout`: no whole answer in time; the request may have arrived.
- * - `lost`: anything else; the request may have arrived.
+ * - `unsent`: certainly nothing was sent.
+ * - `oversize`: the response exceeds the client's limit.
+ * - `timeout`: no whole response in time; the request may have arrived.
+ * - `lost`: any other failure; the request may have arrived.
  */
 export type ExchangeFailure = 'unsent' | 'oversize' | 'timeout' | 'lost';
 
@@ -29,7 +29,7 @@
       readonly detail: string;
     };
 
-/** Sends one HTTP request and takes in its whole answer; never rejects. */
+/** Sends one HTTP request and reads its whole response; never rejects. */
 export async function exchange(
   pool: Pool,
   options: ExchangeOptions,
@@ -72,9 +72,9 @@
   if (err instanceof AnswerTimeoutError) return 'timeout';
   const {code, syscall} = err as NodeJS.ErrnoException;
   if (code === 'UND_ERR_RES_EXCEEDED_MAX_SIZE') return 'oversize';
-  const unconnected =
+  const isUnconnected =
     syscall === 'connect' || code === 'UND_ERR_CONNECT_TIMEOUT';
-  return unconnected ? 'unsent' : 'lost';
+  return isUnconnected ? 'unsent' : 'lost';
 }
 
 function describe(err: unknown): string {
--- a/packages/log/src/http-client.ts
+++ b/packages/log/src/http-client.ts
@@ -9,11 +9,11 @@
   /** `ip:port` of the log. */
   readonly address: string;
   readonly stream: string;
-  /** How long a call may take; a read has its `waitMs` besides. */
+  /** Timeout of a call, in ms; that of a read is longer by its `waitMs`. */
   readonly timeoutMs: number;
-  /** Records larger than this are refused before anything is sent. */
+  /** Larger records are rejected without sending them. */
   readonly maxRecordBytes: number;
-  /** The largest answer accepted; more is an error. */
+  /** Maximum size of a response; a larger one is an error. */
   readonly maxAnswerBytes?: number;
   readonly clock?: Clock;
 }
@@ -28,11 +28,11 @@
 });
 
 /**
- * A client of the platform's log over HTTP.
+ * Creates an HTTP client of the platform's log.
  *
- * An append that fails is `unavailable` only where it is proved that nothing
- * was applied: no connection came about, or the log said `503`. Everything
- * else is `unknown`: the caller reads back before it appends again.
+ * A failed append is `unavailable` only if it was certainly not applied: no
+ * connection was opened, or the log responded with 503. Any other failure is
+ * `unknown`, and the caller must read before it appends again.
  *
  * @example
  * ```ts
@@ -77,7 +77,7 @@
     async read(wanted, signal) {
       for (let max = wanted.maxRecords; ; max = Math.ceil(max / 2)) {
         const exchanged = await get({...wanted, maxRecords: max}, signal);
-        // Large records together may exceed the bound though each is within.
+        // Large records may exceed the limit together, though none does alone.
         if (!isOversize(exchanged) || max <= 1) {
           return readResult(exchanged, wanted.from);
         }
@@ -115,12 +115,12 @@
   const parsed = PAGE.safeParse(json);
   if (!parsed.success) return fail('unavailable', 'malformed page');
   const {first, end, records} = parsed.data;
-  // A page with a hole would lose a record for good and let the reader count
-  // as up to date; so a page counts only if its records follow one another.
+  // With a gap in the page, the reader would miss a record and still consider
+  // itself up to date.
   const consecutive = records.every(({offset}, i) => offset === from + i);
   const next = from + records.length;
-  const stuck = end > from && next === from;
-  if (!consecutive || stuck || first > from || next > Math.max(end, from)) {
+  const isStuck = end > from && next === from;
+  if (!consecutive || isStuck || first > from || next > Math.max(end, from)) {
     return fail('unavailable', 'page with a hole');
   }
   return Ok({
--- a/packages/log/src/tail.ts
+++ b/packages/log/src/tail.ts
@@ -4,47 +4,46 @@
 import {createBackoff} from './backoff.js';
 import type {LogClient, LogPage} from './client.js';
 
-/** What one successful read yielded. */
+/** Result of a successful read. */
 export interface TailPage {
   readonly page: LogPage;
   /**
-   * Monotonic time at which the read was sent, where the page reaches the
-   * log's end; else null. Whoever has applied the page then knows every
-   * record that was appended before that time.
+   * Monotonic time at which the read was sent, in ms, if the page reaches the
+   * end of the log; else null. With the page, the reader has every record that
+   * was appended before that time.
    */
   readonly confirmedAt: number | null;
 }
 
 export interface TailOptions {
   readonly client: LogClient;
-  /** The first offset wanted. */
+  /** The first offset to read. */
   readonly from: Offset;
-  /** Applies a page; the next read waits for it. */
+  /** Applies a page; the next read starts after it resolves. */
   readonly onPage: (page: TailPage) => void | Promise<void>;
   /**
-   * Told that records below `first` are gone before they were read; returns
-   * the offset to go on from, at least `first`. What the lost records said is
-   * unknown: the state must come anew, from a snapshot, before the next page
-   * counts as a confirmation.
+   * Called if records below `first` were deleted before they were read.
+   * Returns the offset to continue at, which is at least `first`. The state
+   * must be loaded from a snapshot, because the deleted records are unknown.
    */
   readonly onExpired: (first: Offset) => Offset | Promise<Offset>;
   readonly clock: Clock;
   /**
-   * How long the log may hold back a read, in ms. The newest confirmation is
-   * up to twice this old, and twice the log's own latency on top.
+   * Maximum time that the log waits for a record, in ms. The age of the last
+   * confirmation is at most twice this plus twice the latency of the log.
    */
   readonly waitMs: number;
-  /** Ends the tail. */
+  /** Stops reading. */
   readonly signal: AbortSignal;
   readonly log: Logger;
   readonly maxRecords?: number;
-  /** Patience with an answer beyond `waitMs`, in ms; grows while it fails. */
+  /** Range of the timeout in addition to `waitMs`, in ms. */
   readonly minTimeoutMs?: number;
   readonly maxTimeoutMs?: number;
-  /** Bounds of the pause after a failure, in ms. */
+  /** Range of the delay after a failure, in ms. */
   readonly firstPauseMs?: number;
   readonly maxPauseMs?: number;
-  /** From 0 to below 1, as `Math.random`. */
+  /** Returns numbers from 0 to below 1, as `Math.random` does. */
   readonly random?: () => number;
 }
 
@@ -55,9 +54,9 @@
 const DEFAULT_MAX_PAUSE_MS = 2000;
 
 /**
- * Reads the log from an offset on until the signal aborts: by long polls at
- * its end, page after page while it catches up, with pauses while it fails.
- * Rejects only with what a callback threw.
+ * Reads the log from an offset on until the signal aborts: page by page until
+ * it has caught up, then by long polls. After a failure it retries with backoff.
+ * Rejects only if a callback throws.
  *
  * @example
  * ```ts
@@ -70,7 +69,7 @@
  */
 export async function runTail(options: TailOptions): Promise<void> {
   const {clock, signal, log} = options;
-  const patience = createPatience(
+  const readTimeout = createReadTimeout(
     options.minTimeoutMs ?? DEFAULT_MIN_TIMEOUT_MS,
     options.maxTimeoutMs ?? DEFAULT_MAX_TIMEOUT_MS,
   );
@@ -80,7 +79,7 @@
     random: options.random ?? Math.random,
   });
   let from = options.from;
-  let failing = false;
+  let isFailing = false;
 
   const handlers: OutcomeHandlers = {
     stopped: async () => {},
@@ -89,17 +88,17 @@
       from = Math.max(first, await options.onExpired(first));
     },
     failed: async ({detail, timedOut}) => {
-      // Once for each outage: a line for each retry would bury the rest.
-      if (!failing) log.warn('log unreadable', {from, detail});
-      failing = true;
-      if (timedOut) patience.lengthen();
+      // Logged once per outage instead of once per retry.
+      if (!isFailing) log.warn('log unreadable', {from, detail});
+      isFailing = true;
+      if (timedOut) readTimeout.increase();
       await sleep(clock, backoff.next(), signal);
     },
     page: async ({page, sentAt, latencyMs}) => {
-      if (failing) log.info('log readable again', {from, end: page.end});
-      failing = false;
+      if (isFailing) log.info('log readable again', {from, end: page.end});
+      isFailing = false;
       backoff.reset();
-      patience.shorten(latencyMs);
+      readTimeout.decrease(latencyMs);
       from += page.records.length;
       const confirmedAt = from === page.end ? sentAt : null;
       await options.onPage({page, confirmedAt});
@@ -107,7 +106,7 @@
   };
 
   while (!signal.aborted) {
-    const outcome = await readOnce(options, from, patience.timeoutMs());
+    const outcome = await readOnce(options, from, readTimeout.currentMs());
     await handle(handlers, outcome);
   }
 }
@@ -124,7 +123,7 @@
       readonly kind: 'page';
       readonly page: LogPage;
       readonly sentAt: number;
-      /** How long the answer took beyond what it was told to wait, in ms. */
+      /** Time to the response beyond the requested wait, in ms. */
       readonly latencyMs: number;
     };
 
@@ -151,9 +150,8 @@
   if (signal.aborted) return {kind: 'stopped'};
   const latencyMs = clock.now() - sentAt - waitMs;
   if (read.ok && read.val.end < from) {
-    // The log has lost its newest records, or a stale copy answered. As a
-    // confirmation it would let a deposed leader go on, so it counts as a
-    // failure until the end is back.
+    // The log lost its newest records, or an outdated replica responded. If it
+    // counted as a confirmation, a replaced leader could continue to act.
     const detail = `end ${read.val.end} lies below ${from}`;
     return {kind: 'failed', detail, timedOut: false};
   }
@@ -163,26 +161,28 @@
   return {kind: 'failed', detail, timedOut: latencyMs >= timeoutMs};
 }
 
-interface Patience {
-  timeoutMs(): number;
-  lengthen(): void;
-  shorten(latencyMs: number): void;
+/** An adaptive timeout. */
+interface ReadTimeout {
+  currentMs(): number;
+  /** Called after a timeout. */
+  increase(): void;
+  /** Called after a response. */
+  decrease(latencyMs: number): void;
 }
 
 /**
- * How long to wait for an answer. A short time-out finds a silent connection
- * early; but with a fixed one, a log that stays slower than it would never be
- * read. So it doubles with each time-out, and shrinks again once answers come
- * in well below it.
+ * Creates a timeout that doubles after each timeout and is halved after each
+ * response well below it. A short timeout detects a dead connection early, but
+ * with a fixed one, a log that is slower could never be read.
  */
-function createPatience(minMs: number, maxMs: number): Patience {
+function createReadTimeout(minMs: number, maxMs: number): ReadTimeout {
   let timeoutMs = minMs;
   return {
-    timeoutMs: () => timeoutMs,
-    lengthen() {
+    currentMs: () => timeoutMs,
+    increase() {
       timeoutMs = Math.min(maxMs, timeoutMs * 2);
     },
-    shorten(latencyMs) {
+    decrease(latencyMs) {
       if (latencyMs >= timeoutMs / 4) return;
       timeoutMs = Math.max(minMs, timeoutMs / 2);
     },
--- a/packages/log/test/contract.ts
+++ b/packages/log/test/contract.ts
@@ -7,7 +7,7 @@
 } from '@banyandrum/standins/manual-clock.js';
 import type {TAP, Test} from 'tap';
 
-/** Faults that an adapter's platform, or a proxy before it, can bring about. */
+/** Faults of the platform, or of a proxy in front of it. */
 export type LogContractFault =
   | 'refuse'
   | 'hang'
@@ -24,29 +24,29 @@
   | 'read-oversize'
   | 'read-failed';
 
-/** A platform's log with nothing in it, as the contract needs it. */
+/** An empty log whose faults the contract tests can control. */
 export interface LogContractTarget {
   /**
-   * A client whose time-outs are `TIMEOUT_MS` on the given clock, and whose
-   * own bound of a record is `CLIENT_RECORD_BYTES`.
+   * Creates a client with timeouts of `TIMEOUT_MS` on the given clock, which
+   * rejects records above `CLIENT_RECORD_BYTES`.
    */
   createClient(clock: Clock): LogClient;
   induce(fault: LogContractFault): Promise<void>;
   heal(): Promise<void>;
-  /** Makes the records below `first` expire. */
+  /** Deletes the records below `first`. */
   expire(first: Offset): Promise<void>;
   close(): Promise<void>;
 }
 
 export const TIMEOUT_MS = 1000;
-/** The largest record that the log accepts. */
+/** Maximum size of a record that the log accepts. */
 export const LOG_RECORD_BYTES = 1000;
 export const CLIENT_RECORD_BYTES = 2000;
 
 const LONG_WAIT_MS = 20_000;
 
 /**
- * Runs the contract of the log against one adapter.
+ * Runs the contract tests of the log against one client.
  *
  * @example
  * ```ts
@@ -87,7 +87,7 @@
 
 const ORDINARY_ROWS: readonly Row[] = [
   {
-    name: 'offsets start at 1 and follow one another; bytes stay as they are',
+    name: 'offsets are consecutive from 1, and bytes are unchanged',
     run: async (t, {a}) => {
       const all = Uint8Array.from({length: 256}, (_, byte) => byte);
       t.same(await append(a, all), 1);
@@ -101,8 +101,8 @@
     },
   },
   {
-    // A leader acts for a while on a read that it sent. Were a claim that was
-    // confirmed before hidden from that read, two leaders could act at once.
+    // Guards against two leaders at once: a leader acts on its last read, which
+    // must show any claim confirmed before.
     name: 'a read sent after a confirmed append sees it',
     run: async (t, {a, b}) => {
       for (let i = 0; i < 50; i++) {
@@ -113,7 +113,7 @@
     },
   },
   {
-    name: 'two appenders at once: every record once, in one order for all',
+    name: 'concurrent appends: each record once, in the same order for all',
     run: async (t, {a, b}) => {
       const offsets = await Promise.all(
         Array.from({length: 40}, (_, i) => append(i % 2 ? a : b, text(i))),
@@ -128,7 +128,7 @@
     },
   },
   {
-    name: 'a page holds no more than asked for, and a read at the end nothing',
+    name: 'a page is limited as requested, and empty at the end of the log',
     run: async (t, {a}) => {
       for (let i = 0; i < 5; i++) await append(a, text(i));
       const page = await read(a, 2, 2);
@@ -147,9 +147,8 @@
     },
   },
   {
-    // A reader that was away for long asks for what is gone. It must hear so,
-    // and where to go on, rather than get later records as if they were next.
-    name: 'expired records are reported with the oldest one kept',
+    // Guards against a slow reader that misses deleted records unnoticed.
+    name: 'expired records are reported with the oldest retained one',
     run: async (t, {target, a}) => {
       for (let i = 0; i < 6; i++) await append(a, text(i));
       await target.expire(4);
@@ -170,7 +169,6 @@
     },
   },
   {
-    // The caller gives up before anything was written: proved not applied.
     name: 'an append aborted before it starts is not applied',
     run: async (t, {a}) => {
       const appended = await a.append(text(1), AbortSignal.abort());
@@ -179,9 +177,9 @@
     },
   },
   {
-    // The caller gives up on an append that the log has applied but not
-    // answered: only `unknown` is true, `unavailable` would make it repeat.
-    name: 'an append aborted under way is unknown',
+    // Guards against `unavailable` for an append that was applied, which the
+    // caller would repeat.
+    name: 'an append aborted after it was sent is unknown',
     run: async (t, {target, a, b}) => {
       await target.induce('append-lost-hang');
       const stop = new AbortController();
@@ -192,10 +190,9 @@
     },
   },
   {
-    // Something between the ends loses track of the open connections: they
-    // stay open and silent. One call pays its time-out; the next ones connect
-    // anew, and don't pay once more for each connection that was idle.
-    name: 'silent connections are left behind after one time-out',
+    // Guards against one timeout for each idle connection after a network
+    // device dropped the state of all connections.
+    name: 'dead connections are replaced after one timeout',
     run: async (t, {target, clock, a}) => {
       await Promise.all([append(a, text(1)), append(a, text(2))]);
       await clock.advance(0); // Two connections are idle and will be reused.
@@ -226,9 +223,8 @@
 ];
 
 /**
- * The log fails while a record is appended. The appender hears `unavailable`
- * only where the record is proved absent, else `unknown`; it reads back once
- * the fault is over and finds there whether the record was applied.
+ * An append that fails is `unavailable` only if the record was certainly not
+ * applied, else `unknown`. A read after the fault shows whether it was applied.
  */
 const APPEND_FAULT_ROWS = APPEND_FAULT_CASES.map(
   ({fault, kind, applied}): Row => ({
@@ -260,12 +256,11 @@
 ];
 
 /**
- * The log fails, or answers with something else than a whole page. The reader
- * hears `unavailable` in bounded time and never gets records with one of them
- * missing; the same client reads on once the fault is over.
+ * A read that fails, or gets an incomplete page, is `unavailable` in bounded
+ * time and never returns records with a gap. The client then recovers.
  */
 const READ_FAULT_ROWS = READ_FAULTS.map((fault): Row => ({
-  name: `read while ${fault}: unavailable, then whole again`,
+  name: `read while ${fault}: unavailable, then complete`,
   run: async (t, {target, clock, a}) => {
     await append(a, text(0));
     await append(a, text(1));
--- a/packages/log/test/http-client.test.ts
+++ b/packages/log/test/http-client.test.ts
@@ -9,10 +9,9 @@
 
 const TIMEOUT_MS = 1000;
 
-void tap.test('large records come in smaller pages', async t => {
-  // A reader catches up over records that together exceed what it takes in
-  // one answer. It must get them page by page: were the whole page refused
-  // each time, the reader would be stuck there for good.
+void tap.test('large records are read in smaller pages', async t => {
+  // Guards against a reader that never catches up, because the records together
+  // exceed the maximum size of a response.
   const {client} = await start(t, {maxAnswerBytes: 5000});
   for (let i = 0; i < 8; i++) await client.append(new Uint8Array(1000));
   const page = await client.read({from: 1, maxRecords: 8, waitMs: 0});
@@ -23,10 +22,9 @@
   t.equal(page.unwrap().end, 9);
 });
 
-void tap.test('an append may take effect after its time-out', async t => {
-  // The caller hears `unknown` when the time is up. A read right then shows
-  // nothing; the log applies the record later all the same. So an absent
-  // record is no proof, and whoever appends again must bear the first one.
+void tap.test('an append may take effect after its timeout', async t => {
+  // A read after the timeout doesn't show the record, but the log applies it
+  // later. A caller that appends again must tolerate both records.
   const {client, clock, log, arrival} = await start(t, {});
   await log.setFaults({applyDelayMs: 2 * TIMEOUT_MS});
   const appending = client.append(new Uint8Array(1));
@@ -38,9 +36,9 @@
   t.equal(log.records('main').length, 1);
 });
 
-void tap.test('a slow log is read with more patience', async t => {
-  // The log answers after three time-outs. A read that allows for it gets the
-  // page as of its arrival, which is why its age counts from the sending.
+void tap.test('a slow log is read with a longer timeout', async t => {
+  // The page is as of the arrival of the request, so its age counts from when
+  // the request was sent.
   const {client, clock, log, arrival} = await start(t, {});
   await log.setFaults({delayMs: 3 * TIMEOUT_MS});
   const reading = client.read({
@@ -59,7 +57,7 @@
   readonly client: LogClient;
   readonly clock: ManualClock;
   readonly log: Awaited<ReturnType<typeof createLogStandin>>;
-  /** Resolves with the first request's arrival at the log. */
+  /** Resolves once the first request has arrived at the log. */
   readonly arrival: Promise<void>;
 }
 
@@ -70,7 +68,7 @@
   const clock = createManualClock();
   let onRequest = (): void => {};
   const arrival = new Promise<void>(resolve => {
-    // The handler goes on after this call; let it get to its timer.
+    // The handler sets its timer only after this call returns.
     onRequest = () => setImmediate(resolve);
   });
   const log = await createLogStandin({clock, onRequest: () => onRequest()});
--- a/packages/log/test/tail.test.ts
+++ b/packages/log/test/tail.test.ts
@@ -15,24 +15,25 @@
 
 const WAIT_MS = 250;
 
-void tap.test('a page confirms the time at which it was sent', async t => {
-  // A leader acts on the age of its last read of the end. A read takes 400 ms
-  // to answer: whatever was appended meanwhile may be missing in it, so it
-  // counts from when it was sent, and not at all where more is to come.
-  const tail = startTail(t, [
-    {tookMs: 400, result: page(1, 2, 5)},
-    {tookMs: 100, result: page(3, 2, 5)},
-    {tookMs: 250, result: page(5, 0, 5)},
-  ]);
-  await tail.clock.advance(750);
-  t.same(tail.froms, [1, 3, 5, 5]);
-  t.same(tail.confirmed, [null, 400, 500]);
-});
+void tap.test(
+  'a page confirms the state at the time its read was sent',
+  async t => {
+    // Guards against a leader that acts on an outdated read: records appended
+    // after the read was sent may be missing, as are those of further pages.
+    const tail = startTail(t, [
+      {tookMs: 400, result: page(1, 2, 5)},
+      {tookMs: 100, result: page(3, 2, 5)},
+      {tookMs: 250, result: page(5, 0, 5)},
+    ]);
+    await tail.clock.advance(750);
+    t.same(tail.froms, [1, 3, 5, 5]);
+    t.same(tail.confirmed, [null, 400, 500]);
+  },
+);
 
-void tap.test('an outage is borne with growing pauses', async t => {
-  // The log is down for six reads, then back. The reader retries after pauses
-  // drawn from a doubling, capped range, so that many readers spread out;
-  // nothing is confirmed meanwhile, and one success starts the range over.
+void tap.test('reads are retried with backoff during an outage', async t => {
+  // The log is down for six reads. Nothing is confirmed meanwhile, and one
+  // successful read resets the backoff.
   const down = {tookMs: 0, result: failed('unavailable')};
   const tail = startTail(t, [
     ...Array.from({length: 6}, () => down),
@@ -47,10 +48,8 @@
   t.ok(tail.timeouts.every(timeoutMs => timeoutMs === 1000));
 });
 
-void tap.test('pauses are spread over their whole range', async t => {
-  // Twelve routers lose the log at once. Were their pauses alike, they would
-  // all come back in the same instant; the first pause alone spreads them
-  // from 0 to its bound.
+void tap.test('delays are spread over their whole range', async t => {
+  // Guards against routers that lost the log together and all retry together.
   const firstRetry = async (draw: number): Promise<number | undefined> => {
     const script = [{tookMs: 0, result: failed('unavailable')}];
     const tail = startTail(t, script, () => draw);
@@ -63,10 +62,9 @@
   );
 });
 
-void tap.test('expired records go to the callback', async t => {
-  // The reader comes back after the log has dropped what it had not read. It
-  // is told from where records are kept, takes a snapshot up to 40, and goes
-  // on from there; the expiry itself confirms nothing.
+void tap.test('expired records are reported to the callback', async t => {
+  // The callback loads a snapshot up to 40, and the reader continues there. The
+  // expiry itself confirms nothing.
   const expired = Err({kind: 'expired', detail: '', first: 30} as const);
   const tail = startTail(
     t,
@@ -83,10 +81,9 @@
   t.same(tail.confirmed, [10]);
 });
 
-void tap.test('an end that went back confirms nothing', async t => {
-  // A stale copy of the log answers with an end below what was read already.
-  // Were that a confirmation, a deposed leader could go on by it. The reader
-  // waits until the log has caught up.
+void tap.test('an end that moved back confirms nothing', async t => {
+  // Guards against a replaced leader that continues to act, confirmed by an
+  // outdated replica of the log.
   const tail = startTail(t, [
     {tookMs: 10, result: page(1, 5, 6)},
     {tookMs: 10, result: page(6, 0, 3)},
@@ -97,10 +94,9 @@
   t.same(tail.confirmed, [0, 70]);
 });
 
-void tap.test('patience grows with time-outs and shrinks again', async t => {
-  // The log is slower than the time-out for long. With a fixed one no read
-  // would ever succeed; so it doubles up to a cap, and comes down once the
-  // log is fast, since a short one finds silent connections early.
+void tap.test('the timeout grows after timeouts and shrinks again', async t => {
+  // Guards against a log that can never be read because it is slower than a
+  // fixed timeout.
   const timedOut = (timeoutMs: number): Scripted => ({
     tookMs: WAIT_MS + timeoutMs,
     result: failed('unavailable'),
@@ -132,7 +128,7 @@
   readonly expired: number[];
 }
 
-/** Runs a tail on scripted answers; after the last one reads never return. */
+/** Runs a tail with scripted responses; further reads never return. */
 function startTail(
   t: Test,
   script: readonly Scripted[],
