--- a/packages/requests/src/age-list.ts
+++ b/packages/requests/src/age-list.ts
@@ -1,23 +1,23 @@
-/** An entry linked to its neighbours in age; the list keeps the links. */
+/** An entry with links to the next older and newer ones, set by the list. */
 export interface AgedNode<N> {
-  /** Grows with each arrival. */
+  /** Increases with each arrival. */
   readonly order: number;
   older: N | null;
   newer: N | null;
 }
 
-/** Entries from the oldest to the newest, each removable at once. */
+/** A list ordered by age with removal in constant time. */
 export interface AgeList<N extends AgedNode<N>> {
-  /** Adds the newest of all. */
+  /** Adds the newest entry. */
   append(node: N): void;
-  /** Puts one back that was removed; cheap where it is among the oldest. */
+  /** Adds a removed entry again; fast if it is among the oldest. */
   putBack(node: N): void;
   remove(node: N): void;
   oldest(): N | null;
 }
 
 /**
- * Makes an empty list.
+ * Creates an empty list.
  *
  * @example
  * ```ts
--- a/packages/requests/src/answer-end.ts
+++ b/packages/requests/src/answer-end.ts
@@ -1,16 +1,15 @@
 import type {Body, ServiceAnswer} from '@banyandrum/base/request.js';
 
-/** An answer and how to learn of its end. */
+/** An answer whose end is tracked. */
 export interface WatchedAnswer {
   readonly answer: ServiceAnswer;
-  /** Counts the answer as ended, if it has not ended yet. */
+  /** Marks the answer as ended, unless it has ended. */
   end(): void;
 }
 
 /**
- * Calls `ended` once, when the answer's body came whole, failed or was given
- * up by its reader: until then the server is still busy with it. A body in
- * one piece has ended already.
+ * Calls `ended` once, when the answer's body is complete, failed or abandoned by
+ * its reader. The server is busy until then. A buffered body has ended already.
  *
  * @example
  * ```ts
@@ -25,10 +24,10 @@
     ended(true);
     return {answer: received, end: () => {}};
   }
-  let open = true;
+  let isOpen = true;
   const finish = (whole: boolean): void => {
-    if (!open) return;
-    open = false;
+    if (!isOpen) return;
+    isOpen = false;
     ended(whole);
   };
   const body = watched(received.body, finish);
@@ -36,8 +35,8 @@
 }
 
 /**
- * A generator would not do: given up before its first piece, it runs none of
- * its clean-up, and the slot would stay taken.
+ * Wraps the body. A generator that is abandoned before its first chunk would
+ * skip its cleanup, and the slot would never be released.
  */
 function watched(
   body: AsyncIterable<Uint8Array>,
--- a/packages/requests/src/backoff.ts
+++ b/packages/requests/src/backoff.ts
@@ -2,8 +2,8 @@
 const MAX_MS = 1000;
 
 /**
- * The pause before retry number `retry` (from 1), in ms: exponential with
- * full jitter, so that requests that failed together don't come back
+ * Returns the delay before retry number `retry` (from 1), in ms: exponential
+ * with full jitter, so that requests that failed together aren't retried
  * together.
  *
  * @example
@@ -12,6 +12,6 @@
  * ```
  */
 export function backoffMs(retry: number, random: () => number): number {
-  const ceiling = Math.min(MAX_MS, BASE_MS * 2 ** (retry - 1));
-  return ceiling * random();
+  const maxMs = Math.min(MAX_MS, BASE_MS * 2 ** (retry - 1));
+  return maxMs * random();
 }
--- a/packages/requests/src/cell-load.ts
+++ b/packages/requests/src/cell-load.ts
@@ -5,7 +5,7 @@
 import type {LoadMeter} from './load-meter.js';
 import type {ServerQueue} from './server-queue.js';
 
-/** The leader's own observation of a cell, for ownership. */
+/** Returns the load of a cell as its leader measured it. */
 export function cellLoadOf(
   load: LoadMeter,
   servers: Iterable<ServerQueue>,
--- a/packages/requests/src/deadline-guard.ts
+++ b/packages/requests/src/deadline-guard.ts
@@ -4,28 +4,28 @@
 import type {Verdict} from '@banyandrum/base/verdict.js';
 import type {DeadlineWheel} from './deadline.js';
 
-/** What an attempt yields. */
+/** Result of an attempt. */
 export type Outcome = Result<ServiceAnswer, Failure>;
 
-/** How long after a deadline the next hop's own verdict is waited for. */
+/** Time after a deadline to wait for the next hop's verdict, in ms. */
 export const VERDICT_GRACE_MS = 250;
 
-/** How an attempt is judged that ends without a word of its own. */
+/** An attempt, and its verdict if it ends without one. */
 export interface GuardOptions {
   readonly run: () => Promise<Outcome>;
   readonly wheel: DeadlineWheel;
   readonly deadline: number;
-  /** Verdict where the attempt ends without one. */
+  /** Verdict if the attempt ends without one. */
   readonly verdict: () => Verdict;
   /** Called once. */
   readonly done: (outcome: Outcome) => void;
 }
 
 /**
- * Runs one attempt and ends it shortly after the deadline, whatever happens:
- * without that, a hop that never answers would keep the caller's request and
- * its slot for good. An exception counts like no word. An answer that comes
- * after that is closed unread.
+ * Runs one attempt and ends it shortly after the deadline at the latest.
+ * Otherwise a hop that never answers would keep the caller's request and its
+ * slot forever. An exception counts as no verdict. A later answer is closed
+ * without reading it.
  *
  * @example
  * ```ts
@@ -40,20 +40,20 @@
  */
 export function guardDeadline(options: GuardOptions): void {
   const {wheel, deadline, verdict} = options;
-  let open = true;
+  let isOpen = true;
   const settle = (outcome: Outcome): void => {
-    if (!open) return discard(outcome);
-    open = false;
+    if (!isOpen) return discard(outcome);
+    isOpen = false;
     cancel();
     options.done(outcome);
   };
   const cancel = wheel.schedule(deadline + VERDICT_GRACE_MS, () =>
-    settle(Err(silence(verdict()))),
+    settle(Err(noVerdict(verdict()))),
   );
   options.run().then(settle, err => settle(Err(failureOf(err, verdict()))));
 }
 
-function silence(verdict: Verdict): Failure {
+function noVerdict(verdict: Verdict): Failure {
   return failure(verdict, 'deadline', 'no answer by the deadline');
 }
 
--- a/packages/requests/src/deadline.ts
+++ b/packages/requests/src/deadline.ts
@@ -1,10 +1,10 @@
 import type {CancelTimer, Clock} from '@banyandrum/base/clock.js';
 
-/** Many deadlines behind one timer. */
+/** Runs tasks at many deadlines with one timer. */
 export interface DeadlineWheel {
-  /** Runs `task` once at `at` or up to one tick later, unless cancelled. */
+  /** Runs `task` once at `at`, or up to one tick later, unless cancelled. */
   schedule(at: number, task: () => void): CancelTimer;
-  /** How many are pending. */
+  /** Number of pending tasks. */
   size(): number;
 }
 
@@ -19,9 +19,9 @@
 const SLOT_COUNT = 1024;
 
 /**
- * Makes a hashed timer wheel. A timer of the runtime for each request costs
- * more than the rest of the queue's work; here adding and cancelling are a
- * few assignments, and one timer waits for the earliest slot in use.
+ * Creates a hashed timer wheel. A runtime timer per request would cost more than
+ * the rest of the queue's work. Here, adding and cancelling are a few
+ * assignments, and one timer waits for the earliest slot in use.
  *
  * @example
  * ```ts
@@ -71,14 +71,14 @@
 
   return {
     schedule(at, task) {
-      // Where nothing waits no timer runs, so the cursor may lag behind.
+      // Without pending tasks no timer runs, so the cursor may be behind.
       if (pending === 0) cursor = Math.floor(clock.now() / TICK_MS);
       const tick = Math.max(Math.ceil(at / TICK_MS), cursor + 1);
       const entry = insert(slotOf(slots, tick), tick, task);
       pending++;
       arm(tick);
       return () => {
-        // It may be due in this very tick, behind the task that cancels it.
+        // It may be due in the same tick, after the task that cancels it.
         entry.task = noop;
         if (unlink(entry)) pending--;
       };
@@ -105,7 +105,7 @@
   return entry;
 }
 
-/** `false` where it was unlinked before. */
+/** Returns `false` if it was already unlinked. */
 function unlink(entry: Entry): boolean {
   if (entry.next === entry) return false;
   entry.prev.next = entry.next;
@@ -115,7 +115,7 @@
   return true;
 }
 
-/** Moves the due entries of one slot; those of later rounds stay. */
+/** Moves the due entries of one slot to `due`. */
 function collect(head: Entry, nowTick: number, due: Entry[]): void {
   let entry = head.next;
   while (entry !== head) {
--- a/packages/requests/src/decaying-sum.ts
+++ b/packages/requests/src/decaying-sum.ts
@@ -1,21 +1,21 @@
-/** A sum whose older parts fade. */
+/** A sum that decays exponentially. */
 export interface DecayingSum {
   add(amount: number, now: number): void;
-  /** The sum, as if nothing older than the period counted. */
+  /** The sum; approximates that of the last period. */
   value(now: number): number;
-  /** Mean amount a millisecond, right from the start on. */
+  /** Mean amount per ms, corrected for the time since the start. */
   perMs(now: number): number;
 }
 
-/** Below this age a rate is counted as if over so long, in ms. */
+/** Minimum age by which a rate is computed, in ms. */
 const MIN_AGE_MS = 100;
 
-/** Additions closer together than this fade as one, in ms. */
-const GRAIN_MS = 10;
+/** The decay is applied at this interval, in ms. */
+const DECAY_STEP_MS = 10;
 
 /**
- * Makes a sum that fades exponentially with `periodMs`. Times are monotonic,
- * in ms.
+ * Creates a sum that decays with the time constant `periodMs`. Times are
+ * monotonic, in ms.
  *
  * @example
  * ```ts
@@ -32,7 +32,7 @@
   let at = startedAt;
 
   const value = (now: number): number => {
-    if (now - at < GRAIN_MS) return sum;
+    if (now - at < DECAY_STEP_MS) return sum;
     sum *= Math.exp((at - now) / periodMs);
     at = now;
     return sum;
--- a/packages/requests/src/dispatch.ts
+++ b/packages/requests/src/dispatch.ts
@@ -13,26 +13,28 @@
   readonly gate: ShardGate;
 }
 
-/** A dispatch that remembers what `mayWrite` said. */
+/** A dispatch that records the result of `mayWrite`. */
 export interface TrackedDispatch extends Dispatch {
-  /** It was let through, so it may have been written. */
+  /** Whether it was allowed, so the request may have been written. */
   written: boolean;
-  /** It was held back when it was last asked about. */
+  /** Whether it was denied the last time. */
   held: boolean;
 }
 
 /**
- * Why a request that was proved not to have run goes back into the queue.
+ * Why a request that certainly didn't run returns to the queue.
  *
- * - `held`: this leader held it back itself.
- * - `shed`: the server has no capacity for it now.
+ * - `held`: this leader didn't allow sending it.
+ * - `shed`: the server has no capacity at present.
  * - `away`: the server can't be reached, or doesn't own the shard (yet).
  */
 export type ReturnReason = 'held' | 'shed' | 'away';
 
-/** Times that a request is sent again after `fenced`, before it is passed on:
- * the server may just have restarted, and its next lease order is on the way;
- * or another leader's fence is in force, which only the entry can follow. */
+/**
+ * Maximum number of retries after `fenced`. The server may have restarted and
+ * get its next lease soon. Otherwise another leader's fence is in effect, and
+ * only the entry can find that leader.
+ */
 const MAX_FENCED = 4;
 
 const REASONS: Readonly<Partial<Record<FailureCode, ReturnReason>>> = {
@@ -43,12 +45,11 @@
 };
 
 /**
- * Makes the order to send a request to its owner; `signal` ends it. It has
- * to arrive within the lease in force. A server that checks fences stops it
- * when it loses the shard, so the caller's own deadline holds there. Another
- * server honours nothing but deadlines: there the deadline ends with the
- * lease, so that the server never runs a request after it may have lost the
- * shard.
+ * Creates the dispatch of a request to its owner; `signal` aborts it. It must
+ * arrive before the lease ends. A server that checks fences stops the request
+ * when it loses the shard, so the caller's deadline applies. Other servers only
+ * respect deadlines: there the deadline is limited to the end of the lease, so
+ * that the server runs no request after it may have lost the shard.
  *
  * @example
  * ```ts
@@ -75,8 +76,8 @@
     written: false,
     held: false,
     mayWrite() {
-      // A process that was paused here has no authority any more, and its
-      // successor may have given the shard away: nothing may be written.
+      // A process that was suspended before this point may have lost its
+      // authority, and its successor may have moved the shard.
       const may = led.mayAct() && clock.now() < startBy && !gate.closed;
       if (may) dispatch.written = true;
       dispatch.held = !may;
@@ -86,7 +87,7 @@
   return dispatch;
 }
 
-/** Why the failed request goes back, or null where its failure is final. */
+/** Why the failed request returns to the queue; null if it doesn't. */
 export function returnReason(
   failed: Failure,
   dispatch: TrackedDispatch,
--- a/packages/requests/src/entry-limits.ts
+++ b/packages/requests/src/entry-limits.ts
@@ -4,18 +4,18 @@
 import {bodySize} from './body-size.js';
 import {overloaded} from './refusals.js';
 
-/** What one entry process holds at most at the same time. */
+/** Maximum of concurrent requests in one entry process. */
 export interface EntryCapacity {
   readonly requests: number;
-  /** Bytes of bodies; a streamed one counts as its window. */
+  /** Bytes of bodies; a streamed body counts as its window. */
   readonly bytes: number;
 }
 
-/** Bounds what is under way in this process. */
+/** Limits the concurrent requests of this process. */
 export interface EntryLimits {
-  /** Takes the request in, or says why not. */
+  /** Admits the request, or returns why not. */
   enter(req: ServiceRequest): Failure | null;
-  /** The request that was taken in has its answer. */
+  /** Called when an admitted request has ended. */
   leave(req: ServiceRequest): void;
 }
 
@@ -24,15 +24,14 @@
   bytes: 128 * 1024 * 1024,
 };
 
-/** Part of the capacity that the lowest level of precedence may fill. */
+/** Fraction of the capacity that the lowest level of precedence may use. */
 const LOWEST_SHARE = 0.5;
 
 const FULL_RETRY_MS = 200;
 
 /**
- * Makes the limits of one entry process. Lower levels may fill less of it:
- * reports that wait long for their turn must not keep the process from
- * taking in a hold.
+ * Creates the limits of one entry process. Lower levels may use less of the
+ * capacity, so that waiting reports don't keep the process from admitting holds.
  *
  * @example
  * ```ts
@@ -66,7 +65,7 @@
   };
 }
 
-/** A streamed body is counted where it arrives. */
+/** The size of a streamed body is checked as it arrives. */
 function isTooLarge({body}: ServiceRequest, maxBytes: number): boolean {
   return body instanceof Uint8Array && body.length > maxBytes;
 }
--- a/packages/requests/src/entry.ts
+++ b/packages/requests/src/entry.ts
@@ -21,17 +21,17 @@
 import {createThrottle} from './throttle.js';
 import {createViewWatch} from './view-watch.js';
 
-/** How a service's keys are divided; fixed for the life of the service. */
+/** Division of a service's keys; never changes for a service. */
 export interface ServiceTopology {
   readonly shards: number;
   readonly cells: number;
 }
 
-/** Called at events that somebody counts; must not throw. */
+/** Called for metrics; must not throw. */
 export interface EntryEvents {
-  /** A request is sent once more because of `code`. */
+  /** A request is sent again because of `code`. */
   retried(cell: CellId, code: FailureCode): void;
-  /** A request is refused, since its cell refuses most of its level. */
+  /** A request is refused because its cell refuses most of its level. */
   throttled(cell: CellId, level: number): void;
 }
 
@@ -39,11 +39,11 @@
   readonly self: Incarnation;
   readonly topology: (service: string) => ServiceTopology | null;
   readonly leaderOf: (cell: CellId) => View | null;
-  /** Calls back after each change of the views; returns how to stop. */
+  /** Calls back after each change of views; returns a function that stops. */
   readonly subscribe: (listener: () => void) => () => void;
-  /** The queue of a cell that this process leads, else null. */
+  /** The queue of a cell if this process leads it, else null. */
   readonly localLeader: (cell: CellId) => LeaderQueue | null;
-  /** Carries a request to another router: `Peers.send`. */
+  /** Sends a request to another router: `Peers.send`. */
   readonly send: (
     to: Incarnation,
     req: ServiceRequest,
@@ -56,17 +56,17 @@
   readonly capacity?: EntryCapacity;
 }
 
-/** The way of callers' requests into the system. */
+/** Handles callers' requests. */
 export interface Entry {
   readonly handle: RequestHandler;
-  /** Stops watching the views; requests under way go on. */
+  /** Stops watching the views; requests in progress continue. */
   close(): void;
 }
 
 /**
- * Makes the entry: it finds the leader of a key's cell, hands the request to
- * it, and follows the leadership where that changes. Failures are retried by
- * verdict only, within the retry budget and the request's deadline.
+ * Creates the entry. It sends requests to the leader of the key's cell, and to
+ * its successor if the leader changes. Failures are retried according to their
+ * verdict, within the retry budget and the request's deadline.
  *
  * @example
  * ```ts
@@ -94,7 +94,7 @@
       options.events?.throttled?.(cell, req.precedence);
       return Err(overloaded('the cell is overloaded', retryAfterMs));
     }
-    budget.earn();
+    budget.deposit();
     const outcome = await route(cell, trackBody(req));
     if (outcome.ok || outcome.val.code !== 'overloaded') {
       throttle.accepted(cell, req);
--- a/packages/requests/src/fair-level.ts
+++ b/packages/requests/src/fair-level.ts
@@ -2,49 +2,48 @@
 import {createFlows} from './flows.js';
 import {createHeap, type HeapNode} from './heap.js';
 
-/** What the queue goes by. */
+/** The properties by which a queue orders its items. */
 export interface QueueItem {
-  /** Index into the levels of precedence; 0 goes first. */
+  /** Index of its level of precedence; 0 is the highest. */
   readonly level: number;
   readonly caller: string;
   readonly key: string;
   readonly bytes: number;
-  /** Monotonic time in ms at which it first came. */
+  /** Monotonic time of its first arrival, in ms. */
   readonly queuedAt: number;
 }
 
-/** An item's place in a queue. */
+/** An item's entry in a queue. */
 export interface Ticket<T extends QueueItem>
   extends HeapNode, AgedNode<Ticket<T>> {
   readonly item: T;
-  /** Turn within the level; the lowest goes first. */
+  /** Turn within the level; the lowest is served first. */
   readonly turn: number;
 }
 
 /** The requests of one level of precedence, fair by caller and by key. */
 export interface FairLevel<T extends QueueItem> {
   push(item: T): Ticket<T>;
-  /** Puts a taken ticket back; its turn brings it to the head again. */
+  /** Adds a removed ticket again; its turn puts it at the head. */
   putBack(ticket: Ticket<T>): void;
-  /** The one whose turn it is. */
+  /** The ticket to serve next. */
   next(): Ticket<T> | null;
   oldest(): Ticket<T> | null;
-  /** `served`: it goes to the server; else it gives its turn back. */
+  /** Removes a ticket. One that wasn't `served` releases its turn. */
   remove(ticket: Ticket<T>, served: boolean): boolean;
-  /** The one with the latest turn among those that `may` go. */
+  /** The ticket with the latest turn among those that `may` be dropped. */
   last(may: (item: T) => boolean): Ticket<T> | null;
-  /** At most how many are served before the ticket. */
+  /** Maximum number of tickets that are served before this one. */
   ahead(ticket: Ticket<T>): number;
   size(): number;
   tickets(): readonly Ticket<T>[];
 }
 
 /**
- * Makes one level. Every caller and every key has an account that moves on
- * by one turn with each of its requests; a request's turn is the later of
- * the two. So a caller who sends a hundred at once, or a key that everybody
- * asks for, waits behind its own requests, and a quiet caller with a quiet
- * key is served within one turn of the others.
+ * Creates one level. Each caller and each key reserves consecutive turns for its
+ * requests; a request has the later one of the two. So a caller that sends many
+ * requests at once, or a hot key, only delays its own requests, and another
+ * caller with another key is served within one turn.
  *
  * @example
  * ```ts
@@ -64,7 +63,10 @@
 
   const bookTurn = ({caller, key}: T): number => {
     if (!fair) return 0;
-    return Math.max(callers.book(caller, now), keys.book(key, now));
+    return Math.max(
+      callers.reserveTurn(caller, now),
+      keys.reserveTurn(key, now),
+    );
   };
 
   return {
--- a/packages/requests/src/fair-queue.ts
+++ b/packages/requests/src/fair-queue.ts
@@ -6,24 +6,24 @@
   type Ticket,
 } from './fair-level.js';
 
-/** The requests that wait for one server, by precedence with ageing. */
+/** The requests that wait for one server, ordered by precedence with ageing. */
 export interface FairQueue<T extends QueueItem> {
   push(item: T): Ticket<T>;
-  /** Puts a ticket back that was taken; it is next within its level. */
+  /** Adds a taken ticket again; it is next within its level. */
   putBack(ticket: Ticket<T>): void;
-  /** Takes the next one, or null where none waits. */
+  /** Takes the next ticket; null if none waits. */
   take(now: number): Ticket<T> | null;
-  /** `false` where it doesn't wait here. */
+  /** Returns `false` if it doesn't wait here. */
   remove(ticket: Ticket<T>): boolean;
   /**
-   * The one to give up when there is no room for `newcomer`, which waits
-   * already: the latest turn of the lowest level, be it the newcomer itself.
-   * Whoever has aged up to the newcomer's level is spared.
+   * The ticket to drop if there is no room for `newcomer`, which was already
+   * added: the latest turn of the lowest level, possibly the newcomer itself.
+   * Tickets that have aged up to the newcomer's level are kept.
    */
-  victim(newcomer: Ticket<T>, now: number): Ticket<T>;
-  /** At most how many of `level` are served before the ticket. */
+  chooseToDrop(newcomer: Ticket<T>, now: number): Ticket<T>;
+  /** Maximum number of tickets of `level` that are served before this one. */
   ahead(ticket: Ticket<T>, level: number): number;
-  /** All that wait, in no particular order. */
+  /** All waiting items in no particular order. */
   items(): T[];
   size(): number;
   bytes(): number;
@@ -33,20 +33,19 @@
 export interface FairQueueOptions {
   /** Levels of precedence from the rules. */
   readonly levels: () => readonly PrecedenceLevel[];
-  /** `false`: first come, first served within a level. */
+  /** Whether turns are fair by caller and key; else by order of arrival. */
   readonly fair: boolean;
 }
 
 /**
- * While higher levels wait too, one turn in this many goes to a request that
- * has aged up to them. Without a share of its own a low level would starve;
- * without a bound on it, a backlog of old reports would push aside the
- * requests that can't wait.
+ * While requests of higher levels wait, one turn in this many goes to a request
+ * that has aged up to them. Without it, low levels would starve; with more, a
+ * backlog of old reports would delay the urgent requests.
  */
 const AGED_TURN = 8;
 
 /**
- * Makes an empty queue.
+ * Creates an empty queue.
  *
  * @example
  * ```ts
@@ -73,14 +72,14 @@
     bytes += sign * item.bytes;
   };
 
-  /** The level that the item counts as by now. */
+  /** The item's level with ageing. */
   const agedLevel = (item: T, now: number): number => {
     const ageAfterMs = options.levels()[item.level]?.ageAfterMs ?? 0;
     if (ageAfterMs <= 0) return item.level;
     return item.level - Math.floor((now - item.queuedAt) / ageAfterMs);
   };
 
-  /** The oldest of a lower level that counts as `level` or higher by now. */
+  /** The oldest ticket of a lower level that has aged up to `level`. */
   const agedUpTo = (level: number, now: number): Ticket<T> | null => {
     let best: Ticket<T> | null = null;
     for (let lower = level + 1; lower < levels.length; lower++) {
@@ -123,7 +122,7 @@
       count(ticket.item, -1);
       return true;
     },
-    victim(newcomer, now) {
+    chooseToDrop(newcomer, now) {
       const own = newcomer.item.level;
       const isYoung = (item: T): boolean => agedLevel(item, now) > own;
       for (let lower = levels.length - 1; lower > own; lower--) {
--- a/packages/requests/src/flows.ts
+++ b/packages/requests/src/flows.ts
@@ -1,32 +1,32 @@
-/** Turns of callers, or of keys, among the requests that wait. */
+/** Turns of callers, or of keys, among the waiting requests. */
 export interface Flows {
-  /** Books the flow's next turn, at `now` (virtual time) or later. */
-  book(name: string, now: number): number;
-  /** One request of the flow waits again; its turn was booked before. */
+  /** Reserves the flow's next turn, at `now` (virtual time) or later. */
+  reserveTurn(name: string, now: number): number;
+  /** A request of the flow waits again, with the turn reserved before. */
   rejoin(name: string, turn: number): void;
-  /** One request of the flow waits no more. */
+  /** A request of the flow no longer waits. */
   leave(name: string, served: boolean, now: number): void;
-  /** Flows of which something waits. */
+  /** Number of flows with waiting requests. */
   active(): number;
 }
 
 interface Flow {
-  /** The first turn that is not booked. */
+  /** The first turn that isn't reserved. */
   next: number;
   queued: number;
 }
 
-/** Departures between two clean-ups of flows that nobody waits in. */
-const CLEAN_UP_EVERY = 512;
+/** Departures between two cleanups of flows without waiting requests. */
+const DEPARTURES_PER_CLEAN_UP = 512;
 
 /**
- * Makes an empty account of flows. Memory is bounded by what waits plus the
- * departures between two clean-ups, however many names callers make up.
+ * Creates an empty set of flows. Its memory is bounded by the waiting requests
+ * plus the departures between two cleanups, however many names callers use.
  *
  * @example
  * ```ts
  * const callers = createFlows();
- * const turn = callers.book('night-desk', now);
+ * const turn = callers.reserveTurn('night-desk', now);
  * ```
  */
 export function createFlows(): Flows {
@@ -54,7 +54,7 @@
   };
 
   return {
-    book(name, now) {
+    reserveTurn(name, now) {
       const flow = flowOf(name, now);
       const turn = Math.max(now, flow.next);
       flow.next = turn + 1;
@@ -66,9 +66,9 @@
       const flow = flows.get(name);
       if (flow === undefined) return;
       if (--flow.queued === 0) active--;
-      // One that was never served gives its turn back.
+      // A request that wasn't served releases its turn.
       if (!served) flow.next = Math.max(now, flow.next - 1);
-      if (++departures >= CLEAN_UP_EVERY) cleanUp(now);
+      if (++departures >= DEPARTURES_PER_CLEAN_UP) cleanUp(now);
     },
     active: () => active,
   };
--- a/packages/requests/src/heap.ts
+++ b/packages/requests/src/heap.ts
@@ -1,21 +1,21 @@
-/** An entry that knows its own place, so that it can leave from anywhere. */
+/** An entry that stores its index, so that it can be removed. */
 export interface HeapNode {
-  /** Place in the heap; -1 outside. Kept by the heap. */
+  /** Index in the heap, set by the heap; -1 outside of it. */
   index: number;
 }
 
-/** A binary heap; the least entry by `isBefore` is on top. */
+/** A binary heap with the least entry by `isBefore` on top. */
 export interface Heap<N extends HeapNode> {
   push(node: N): void;
   top(): N | undefined;
-  /** `false` where the node is not in the heap. */
+  /** Returns `false` if the node isn't in the heap. */
   remove(node: N): boolean;
-  /** All nodes, in no particular order; not to be changed. */
+  /** All nodes in no particular order; must not be changed. */
   readonly nodes: readonly N[];
 }
 
 /**
- * Makes an empty heap.
+ * Creates an empty heap.
  *
  * @example
  * ```ts
--- a/packages/requests/src/hot-key-meter.ts
+++ b/packages/requests/src/hot-key-meter.ts
@@ -2,7 +2,7 @@
 import type {HotKey} from '@banyandrum/ownership/led-cell.js';
 import type {HotKeyMeter} from './load-meter.js';
 
-/** A sketch of the heaviest keys whose counts fade with a half-life. */
+/** A sketch of the keys with the largest counts, which decay by a half-life. */
 export interface KeySketch {
   add(key: string, now: number, weight?: number): void;
   top(
@@ -11,24 +11,24 @@
   ): readonly {
     readonly key: string;
     readonly weight: number;
-    /** The weight is at most so much too high. */
+    /** Maximum by which the weight is too high. */
     readonly error: number;
   }[];
 }
 
 export interface HotKeyMeterOptions {
-  /** Makes an empty sketch; one counts requests, one the time they took. */
+  /** Creates an empty sketch: one for requests, one for their duration. */
   readonly createSketch: () => KeySketch;
   readonly halfLifeMs: number;
   readonly clock: Clock;
 }
 
-/** Keys named at most. */
-const HOTTEST = 128;
+/** Maximum number of keys returned. */
+const MAX_HOT_KEYS = 128;
 
 /**
- * Makes a meter of hot keys: the keys that keep the most slots busy, with
- * what they cost at least.
+ * Creates a meter of the keys that keep the most slots busy, with lower bounds
+ * of their load.
  *
  * @example
  * ```ts
@@ -45,11 +45,11 @@
   const requests = options.createSketch();
   const busyMs = options.createSketch();
 
-  /** A steady rate adds up to this many times itself. */
+  /** Sum of a constant rate of 1 per ms with the decay. */
   const spanMs = halfLifeMs / Math.LN2;
 
   const perMs = (sketch: KeySketch, now: number): Map<string, number> => {
-    const top = sketch.top(HOTTEST, now);
+    const top = sketch.top(MAX_HOT_KEYS, now);
     return new Map(
       top.map(({key, weight, error}) => [key, (weight - error) / spanMs]),
     );
--- a/packages/requests/src/leader-queues.ts
+++ b/packages/requests/src/leader-queues.ts
@@ -21,21 +21,21 @@
   readonly client: Pick<ServerClient, 'send'>;
   readonly rules: () => Pick<Rules, 'limits' | 'precedence' | 'timing'>;
   readonly clock: Clock;
-  /** Makes the sketch of one cell's keys; without it no key is hot. */
+  /** Creates the meter of one cell's keys; without it no key is hot. */
   readonly createHotKeys?: () => HotKeyMeter;
   readonly policy?: Partial<QueuePolicy>;
 }
 
-/** The admission of all cells that this process leads. */
+/** The queues of all cells that this process leads. */
 export interface LeaderQueues extends DispatchGate, LoadSource {
-  /** Starts a cell's admission, or goes on with it under a new epoch. */
+  /** Starts a cell's queue, or continues it under a new epoch. */
   lead(led: LedCell): LeaderQueue;
   /**
-   * Refuses what waits with `moved` and lets what is in flight finish;
-   * resolves when nothing is in flight any more.
+   * Refuses waiting requests with `moved`. Resolves when the requests in flight
+   * have ended.
    */
   stop(cell: CellId): Promise<void>;
-  /** The queue of a cell that this process leads now, else null. */
+  /** The queue of a cell if this process leads it now, else null. */
   queueOf(cell: CellId): LeaderQueue | null;
 }
 
@@ -49,7 +49,7 @@
 const NO_LOAD: CellLoad = {shards: [], servers: [], hotKeys: []};
 
 /**
- * Makes the admission for whatever cells this process comes to lead.
+ * Creates the queues of the cells that this process will lead.
  *
  * @example
  * ```ts
--- a/packages/requests/src/lease-watch.ts
+++ b/packages/requests/src/lease-watch.ts
@@ -4,33 +4,33 @@
 import {VERDICT_GRACE_MS} from './deadline-guard.js';
 import type {DeadlineWheel} from './deadline.js';
 
-/** Follows the lease that a request runs under. */
+/** Watches the lease under which a request runs. */
 export interface LeaseWatch {
-  /** Aborted when the caller gives up, or with the lease. */
+  /** Aborted when the caller cancels or the lease is lost. */
   readonly signal: CancelSignal;
-  /** The server has lost the shard, so it has stopped the request. */
+  /** Whether the server has lost the shard, and so stopped the request. */
   isLost(): boolean;
-  /** The request is over. */
+  /** Called when the request has ended. */
   end(): void;
 }
 
 export interface LeaseWatchOptions {
   readonly led: LedCell;
   readonly where: Owned;
-  /** The caller's. */
+  /** The caller's signal. */
   readonly signal: CancelSignal;
   readonly wheel: DeadlineWheel;
   readonly clock: Clock;
 }
 
-/** How soon a process without authority asks again who keeps the lease. */
-const UNSURE_MS = 500;
+/** Interval at which a process without authority checks again, in ms. */
+const AUTHORITY_RECHECK_MS = 500;
 
 /**
  * Watches the lease of a request that may outlive it. A server that lost its
- * lease has stopped the request, but may be unable to say so: without the
- * watch the caller would hear of it at its own deadline, minutes later. A
- * process that may not act ends nothing: its successor may keep the lease.
+ * lease has stopped the request but may be unable to report it, and the caller
+ * would only learn it at its deadline, minutes later. A process without
+ * authority ends no request, as its successor may renew the lease.
  *
  * @example
  * ```ts
@@ -43,25 +43,25 @@
   const {led, where, signal, wheel, clock} = options;
   const stopper = createCanceller();
   const stop = (): void => stopper.abort();
-  let lost = false;
-  let over = false;
+  let isLost = false;
+  let hasEnded = false;
   let cancel = (): void => {};
 
   const schedule = (at: number, task: () => void): void => {
-    if (!over && at < Infinity) cancel = wheel.schedule(at, task);
+    if (!hasEnded && at < Infinity) cancel = wheel.schedule(at, task);
   };
 
   const giveUp = (): void => {
-    lost = true;
+    isLost = true;
     stop();
   };
 
   const check = (): void => {
     const now = clock.now();
-    if (!led.mayAct()) return schedule(now + UNSURE_MS, check);
+    if (!led.mayAct()) return schedule(now + AUTHORITY_RECHECK_MS, check);
     const until = where.heldUntil();
     if (until > now) return schedule(until, check);
-    // The server's own word may still be on its way.
+    // The server's own answer may still be in transit.
     schedule(now + VERDICT_GRACE_MS, giveUp);
   };
 
@@ -70,9 +70,9 @@
   schedule(where.leaseEnd, check);
   return {
     signal: stopper.signal,
-    isLost: () => lost,
+    isLost: () => isLost,
     end() {
-      over = true;
+      hasEnded = true;
       cancel();
       signal.removeEventListener('abort', stop);
     },
--- a/packages/requests/src/load-meter.ts
+++ b/packages/requests/src/load-meter.ts
@@ -7,14 +7,14 @@
 } from '@banyandrum/ownership/led-cell.js';
 import {createDecayingSum, type DecayingSum} from './decaying-sum.js';
 
-/** Finds the hottest keys in bounded memory. */
+/** Measures the hottest keys in bounded memory. */
 export interface HotKeyMeter {
-  /** One request for the key kept a slot busy for `busyMs`. */
+  /** Records a request for the key that kept a slot busy for `busyMs`. */
   record(key: string, busyMs: number): void;
   hottest(): readonly HotKey[];
 }
 
-/** One answered or failed dispatch. */
+/** A dispatch that was answered or failed. */
 export interface Served {
   readonly shard: ShardId;
   readonly server: string;
@@ -22,21 +22,21 @@
   readonly busyMs: number;
 }
 
-/** The leader's own observation of one cell. */
+/** The leader's measurement of one cell's load. */
 export interface LoadMeter {
   arrived(shard: ShardId, now: number): void;
   served(served: Served, now: number): void;
   shed(server: string): void;
   shards(): readonly ShardLoad[];
-  /** What was seen of one server, beside its queue. */
+  /** The measured load of one server. */
   server(name: string): Pick<ServerObservation, 'busy' | 'shed'>;
   hotKeys(): readonly HotKey[];
 }
 
-/** Over how long loads are averaged. */
+/** Averaging period of loads, in ms. */
 export const LOAD_PERIOD_MS = 10_000;
 
-/** A shard below both is left out and forgotten; in requests a second. */
+/** Shards below both limits are removed; in requests per second, and slots. */
 const MIN_RATE = 0.01;
 const MIN_BUSY = 1e-4;
 
@@ -51,7 +51,7 @@
 }
 
 /**
- * Makes the meter of one cell.
+ * Creates the meter of one cell.
  *
  * @example
  * ```ts
--- a/packages/requests/src/peer-handler.ts
+++ b/packages/requests/src/peer-handler.ts
@@ -8,13 +8,13 @@
 
 export interface PeerHandlerOptions {
   readonly topology: (service: string) => ServiceTopology | null;
-  /** The queue of a cell that this process leads, else null. */
+  /** The queue of a cell if this process leads it, else null. */
   readonly localLeader: (cell: CellId) => LeaderQueue | null;
 }
 
 /**
- * Handles the requests that other routers pass on. They end here: passing
- * them on once more could send them round in circles while views differ.
+ * Creates the handler of requests that other routers forward. They aren't
+ * forwarded again, which could loop while the routers' views differ.
  *
  * @example
  * ```ts
--- a/packages/requests/src/pending.ts
+++ b/packages/requests/src/pending.ts
@@ -9,30 +9,30 @@
 import {cancelled} from './refusals.js';
 import {trackBody} from './tracked-body.js';
 
-/** One request in the leader's hands. */
+/** A request that the leader has not answered yet. */
 export interface Pending extends QueueItem {
   readonly req: ServiceRequest;
-  /** Whether the body can be sent once more. */
+  /** Whether the body can be sent again. */
   isWhole(): boolean;
   resolve(outcome: Outcome): void;
-  /** Where it waits, if it does. */
-  spot: Spot | null;
-  /** Times that a server refused it as not the owner. */
+  /** Its position while it waits, else null. */
+  position: QueuePosition | null;
+  /** Number of refusals by servers that don't own the shard. */
   fenced: number;
-  /** Stops what `guard` started. */
+  /** Removes the listener and the timer of `guard`. */
   unguard: () => void;
 }
 
-/** A place in one of the queues. */
-export interface Spot {
+/** A position in one of the queues. */
+export interface QueuePosition {
   readonly queue: FairQueue<Pending>;
   readonly ticket: Ticket<Pending>;
   readonly since: number;
-  /** Wait estimated on arrival, in ms; 0 where there was no estimate. */
+  /** Wait estimated on arrival, in ms; 0 if there was no estimate. */
   expectedMs: number;
 }
 
-/** Takes a request into the leader's hands; `levels` are in the rules. */
+/** Creates the state of a request; `levels` is their number in the rules. */
 export function createPending(
   req: ServiceRequest,
   levels: number,
@@ -49,29 +49,28 @@
     key: req.key,
     bytes: bodySize(req.body),
     queuedAt: now,
-    spot: null,
+    position: null,
     fenced: 0,
     unguard: noop,
   };
 }
 
-/** Ends a waiting request with the reason why it was not run. */
+/** Refuses a waiting request with the reason why it was not run. */
 export function refuse(pending: Pending, why: Failure): void {
-  leaveSpot(pending);
+  leaveQueue(pending);
   pending.unguard();
   pending.resolve(Err(why));
 }
 
-/** Takes a request out of the queue that it waits in. */
-export function leaveSpot(pending: Pending): void {
-  pending.spot?.queue.remove(pending.spot.ticket);
-  pending.spot = null;
+/** Removes a request from the queue in which it waits. */
+export function leaveQueue(pending: Pending): void {
+  pending.position?.queue.remove(pending.position.ticket);
+  pending.position = null;
 }
 
 /**
- * Ends a waiting request when its caller gives up, or at `until`, where it
- * calls `expire`. Requests that are sent at once never come here, which
- * saves them a listener and a timer.
+ * Refuses a waiting request when its caller cancels, and calls `expire` at
+ * `until`. Requests that are sent at once need neither listener nor timer.
  */
 export function guard(
   pending: Pending,
@@ -92,7 +91,7 @@
   };
 }
 
-/** Another router's rules may be older and name more levels. */
+/** Another router's rules may be older and have more levels. */
 function clampLevel(precedence: number, levels: number): number {
   return Math.max(0, Math.min(levels - 1, precedence));
 }
--- a/packages/requests/src/queue.ts
+++ b/packages/requests/src/queue.ts
@@ -15,43 +15,43 @@
 import type {DeadlineWheel} from './deadline.js';
 import type {Ticket} from './fair-level.js';
 import type {FairQueueOptions} from './fair-queue.js';
-import {createHold} from './hold.js';
-import {isAt, isLeaseShort, isTooLate} from './launch-checks.js';
+import {createDispatchResumer} from './dispatch-resumer.js';
+import {isAt, isLeaseShort, isTooLate} from './send-checks.js';
 import {createLoadMeter, type HotKeyMeter} from './load-meter.js';
-import {createPending, leaveSpot, refuse, type Pending} from './pending.js';
+import {createPending, leaveQueue, refuse, type Pending} from './pending.js';
 import {cancelled, expired, moved, noOwner} from './refusals.js';
-import {createSender, type Flight} from './sender.js';
+import {createSender, type Send} from './sender.js';
 import {createServerQueue, type ServerQueue} from './server-queue.js';
 import {createShardGates} from './shard-gates.js';
 import {snapshotOf, type QueueSnapshot} from './snapshot.js';
 import {createWaitingRoom} from './waiting-room.js';
 
-/** The leader's admission for one cell. */
+/** The leader's queue of one cell. */
 export interface LeaderQueue {
   readonly cell: CellId;
-  /** Queues the request, sends it when its turn comes, yields its answer. */
+  /** Queues the request, sends it in its turn and returns its answer. */
   readonly handle: RequestHandler;
-  /** What waits and runs now; with a key, also what waits for it. */
+  /** The waiting and running requests; with a key, also those for it. */
   snapshot(key?: string): QueueSnapshot;
 }
 
-/** What the process that leads the cell may do with its queue. */
+/** The queue as its leader controls it. */
 export interface CellQueue extends LeaderQueue {
-  /** Goes on under another epoch of the same cell. */
+  /** Continues under another epoch of the same cell. */
   adopt(led: LedCell): void;
-  /** Stops dispatch of a shard; resolves when none of it is in flight. */
+  /** Stops sending for a shard; resolves when none of it is in flight. */
   close(shard: ShardId, wait?: GateWait): Promise<void>;
   open(shard: ShardId): void;
-  /** Refuses what waits; resolves when nothing is in flight any more. */
+  /** Refuses waiting requests; resolves when none is in flight. */
   stop(): Promise<void>;
   load(): CellLoad;
 }
 
-/** Parts that can be switched off, so that their gain can be measured. */
+/** Parts of the policy that measurements can switch off. */
 export interface QueuePolicy {
-  /** Turns by caller and key; else first come, first served. */
+  /** Whether turns are fair by caller and key; else by order of arrival. */
   readonly fair: boolean;
-  /** Refuses on arrival what its deadline leaves no time for. */
+  /** Whether to refuse requests on arrival that can't meet their deadline. */
   readonly refuseEarly: boolean;
 }
 
@@ -64,16 +64,16 @@
   readonly policy: QueuePolicy;
 }
 
-/** How often a held queue looks whether it may go on. */
+/** Interval at which a stopped queue is checked, in ms. */
 const HOLD_POLL_MS = 10;
 
-/** A server that kept less than this busy of late is forgotten. */
-const IDLE_BUSY = 1e-5;
+/** Idle servers with a lower recent load are removed, in slots. */
+const MIN_BUSY = 1e-5;
 
 /**
- * Makes the admission of a cell that this process leads: exactly the slots
- * in flight at each server and a queue for each, while requests of a shard
- * that moves wait at the shard and follow it.
+ * Creates the queue of a cell that this process leads. Each server has a queue
+ * and at most as many requests in flight as slots. Requests for a moving shard
+ * wait until it has an owner again.
  *
  * @example
  * ```ts
@@ -108,19 +108,19 @@
     });
   };
 
-  /** Puts a request where its shard is now. */
+  /** Queues a request where its shard is now. */
   const place = (pending: Pending, where: Location): void => {
     if (where.kind === 'unowned') return refuse(pending, noOwner(where.reason));
     const gate = gates.of(where.shard);
     if (where.kind === 'moving') {
-      room.park(pending, gate);
+      waitingRoom.waitForShard(pending, gate);
       return gates.follow(gate, where.settled);
     }
-    if (gate.closed) return room.park(pending, gate);
+    if (gate.closed) return waitingRoom.waitForShard(pending, gate);
     const server = serverOf(where);
-    const ticket = room.enter(pending, server);
-    pump(server);
-    if (pending.spot?.ticket === ticket) room.admit(pending, server);
+    const ticket = waitingRoom.enter(pending, server);
+    sendWaiting(server);
+    if (pending.position?.ticket === ticket) waitingRoom.admit(pending, server);
   };
 
   const serverOf = ({server}: Owned): ServerQueue => {
@@ -132,24 +132,24 @@
     return queue;
   };
 
-  /** Sends what may be sent now. */
-  const pump = (server: ServerQueue): void => {
+  /** Sends the waiting requests that may be sent now. */
+  const sendWaiting = (server: ServerQueue): void => {
     while (server.slots.isFree() && server.waiting.size() > 0) {
       if (!led.mayAct()) {
         server.heldBack();
-        return hold.lost();
+        return resumer.noteAuthorityLost();
       }
-      hold.found();
+      resumer.noteAuthorityHeld();
       const ticket = server.waiting.take(clock.now());
       if (ticket === null || !launch(server, ticket)) return;
     }
     wakeAfterPause(server);
   };
 
-  /** `false` where the server must be left alone for a while. */
+  /** Returns `false` if nothing may be sent to the server for a while. */
   const launch = (server: ServerQueue, ticket: Ticket<Pending>): boolean => {
     const pending = ticket.item;
-    room.leave(pending, server);
+    waitingRoom.leave(pending, server);
     const where = led.locate(pending.key);
     const gate = gates.of(where.shard);
     if (!isAt(server, where) || gate.closed) {
@@ -157,9 +157,9 @@
       return true;
     }
     if (mustAwaitRenewal(server, pending, where)) {
-      room.putBack(ticket, server);
+      waitingRoom.putBack(ticket, server);
       server.heldBack();
-      hold.poll();
+      resumer.poll();
       return false;
     }
     if (isTooLate(server, pending, clock.now())) {
@@ -185,19 +185,19 @@
   const wakeAfterPause = (server: ServerQueue): void => {
     const {slots, waiting} = server;
     if (waiting.size() === 0 || slots.pausedUntil() <= clock.now()) return;
-    hold.wake(server, slots.pausedUntil());
+    resumer.wake(server, slots.pausedUntil());
   };
 
-  /** A request comes back from a server without having run. */
-  const takeBack = ({pending, server, ticket}: Flight): void => {
+  /** Queues a request again that a server didn't run. */
+  const takeBack = ({pending, server, ticket}: Send): void => {
     if (stopped) return refuse(pending, moved('no longer leading'));
     const where = led.locate(pending.key);
     const stays = isAt(server, where) && !gates.of(where.shard).closed;
-    if (stays) room.putBack(ticket, server);
+    if (stays) waitingRoom.putBack(ticket, server);
     else place(pending, where);
   };
 
-  /** Those in the servers' queues that ask for the shard, oldest first. */
+  /** Waiting requests for the shard in the servers' queues, oldest first. */
   const waitingFor = (shard: ShardId): readonly Pending[] =>
     [...servers.values()]
       .flatMap(server => server.waiting.items())
@@ -216,13 +216,13 @@
   const pruneServers = (): void => {
     for (const [name, {slots, waiting}] of servers) {
       const empty = slots.inFlight() === 0 && waiting.size() === 0;
-      if (empty && load.server(name).busy < IDLE_BUSY) servers.delete(name);
+      if (empty && load.server(name).busy < MIN_BUSY) servers.delete(name);
     }
   };
 
-  const pumpAll = (): void => servers.forEach(pump);
+  const sendAllWaiting = (): void => servers.forEach(sendWaiting);
 
-  const room = createWaitingRoom({
+  const waitingRoom = createWaitingRoom({
     clock,
     wheel,
     rules,
@@ -233,13 +233,13 @@
     fairness,
     replace: pending => place(pending, led.locate(pending.key)),
   });
-  const hold = createHold({
+  const resumer = createDispatchResumer({
     clock,
     wheel,
     pollMs: HOLD_POLL_MS,
     limitMs: () => rules().timing.authorityMs,
-    pump,
-    pumpAll,
+    sendWaiting: sendWaiting,
+    sendAllWaiting: sendAllWaiting,
     giveUp: refuseAll,
   });
   const sender = createSender({
@@ -248,7 +248,7 @@
     wheel,
     load,
     takeBack,
-    ended: pump,
+    ended: sendWaiting,
   });
 
   return {
@@ -259,14 +259,14 @@
       led = next;
       if (stopped) gates.all().forEach(gates.open);
       stopped = false;
-      pumpAll();
+      sendAllWaiting();
     },
     close(shard, wait = 'ended') {
       const gate = gates.of(shard);
       gate.closed = true;
       for (const pending of waitingFor(shard)) {
-        leaveSpot(pending);
-        room.park(pending, gate);
+        leaveQueue(pending);
+        waitingRoom.waitForShard(pending, gate);
       }
       return gate.idle(wait);
     },
--- a/packages/requests/src/refusals.ts
+++ b/packages/requests/src/refusals.ts
@@ -1,6 +1,6 @@
 import {failure, type Failure} from '@banyandrum/base/failure.js';
 
-/** A shard that moves or recovers arrives within some such time. */
+/** Typical time until a moving or recovering shard is served again, in ms. */
 export const SETTLING_RETRY_MS = 500;
 
 const MOVED_RETRY_MS = 100;
@@ -8,7 +8,7 @@
 const MIN_OVERLOAD_RETRY_MS = 20;
 const MAX_OVERLOAD_RETRY_MS = 30_000;
 
-/** This process doesn't lead the cell, or not any more. */
+/** This process doesn't lead the cell, or no longer. */
 export function moved(detail: string): Failure {
   return failure('not-run', 'moved', detail, MOVED_RETRY_MS);
 }
@@ -17,7 +17,7 @@
   return failure('not-run', 'cancelled', 'the caller gave up');
 }
 
-/** Its turn came too late to finish; `waitMs` is what others wait now. */
+/** There was no time left when its turn came; `waitMs` is the present wait. */
 export function expired(waitMs: number): Failure {
   const detail = 'its turn did not come in time';
   return failure('not-run', 'deadline', detail, overloadRetryMs(waitMs));
@@ -28,15 +28,15 @@
 }
 
 /**
- * The shard is on its way and its waiting room is full. Not `overloaded`:
- * the entries would throttle the cell for seconds after the move is over.
+ * The shard is moving and too many requests wait for it. Not `overloaded`, which
+ * would make the entries throttle the cell for seconds after the move.
  */
 export function tooManyWait(): Failure {
   const detail = 'its shard is moving and too many wait for it';
   return failure('not-run', 'no-owner', detail, SETTLING_RETRY_MS);
 }
 
-/** Refused at once; what is ahead now will be done after `waitMs`. */
+/** Refused on arrival; the present queue takes `waitMs`. */
 export function overloaded(detail: string, waitMs: number): Failure {
   return failure('not-run', 'overloaded', detail, overloadRetryMs(waitMs));
 }
--- a/packages/requests/src/retry-budget.ts
+++ b/packages/requests/src/retry-budget.ts
@@ -1,35 +1,35 @@
-/** Bounds retries to a share of the requests. */
+/** Limits retries to a fraction of the requests. */
 export interface RetryBudget {
   /** Counts a first attempt. */
-  earn(): void;
-  /** Takes what one retry costs; `false` where nothing is left. */
-  spend(): boolean;
+  deposit(): void;
+  /** Takes one retry from the budget; `false` if none is left. */
+  tryWithdraw(): boolean;
 }
 
-/** Retries saved up at most; also what a quiet process starts with. */
-const MAX_SAVED = 10;
+/** Maximum and initial number of tokens. */
+const MAX_TOKENS = 10;
 
 /**
- * Makes a token bucket filled by first attempts. When everything fails, each
- * request retried would multiply the load just when it can be borne least;
- * with the bucket the whole load grows by `percent` at most.
+ * Creates a token bucket that is filled by first attempts. If all requests fail,
+ * retries would multiply the load during an overload. With the bucket, they add
+ * at most `percent` to it.
  *
  * @example
  * ```ts
  * const budget = createRetryBudget(() => rules.limits.retryPercent);
- * budget.earn();
- * if (budget.spend()) await retry();
+ * budget.deposit();
+ * if (budget.tryWithdraw()) await retry();
  * ```
  */
 export function createRetryBudget(percent: () => number): RetryBudget {
-  let saved = MAX_SAVED;
+  let tokens = MAX_TOKENS;
   return {
-    earn() {
-      saved = Math.min(MAX_SAVED, saved + percent() / 100);
+    deposit() {
+      tokens = Math.min(MAX_TOKENS, tokens + percent() / 100);
     },
-    spend() {
-      if (percent() <= 0 || saved < 1) return false;
-      saved -= 1;
+    tryWithdraw() {
+      if (percent() <= 0 || tokens < 1) return false;
+      tokens -= 1;
       return true;
     },
   };
--- a/packages/requests/src/retry-policy.ts
+++ b/packages/requests/src/retry-policy.ts
@@ -1,23 +1,23 @@
 import type {Failure, FailureCode} from '@banyandrum/base/failure.js';
 
 /**
- * - `final`: passed to the caller at once.
- * - `follow`: the cell's leader may have changed; a newer view helps.
- * - `again`: the same leader may do better a little later.
+ * - `final`: the caller gets the failure at once.
+ * - `follow`: the cell's leader may have changed; retry with a newer view.
+ * - `again`: retry at the same leader after a delay.
  */
 export type RetryAdvice = 'final' | 'follow' | 'again';
 
 /** What a retry depends on, beside the budget and the deadline. */
 export interface RetryContext {
-  /** The request must not be repeated. */
+  /** Whether the request must not be repeated. */
   readonly once: boolean;
-  /** The body can be sent once more. */
+  /** Whether the body can be sent again. */
   readonly whole: boolean;
 }
 
 type AdviceTable = Readonly<Partial<Record<FailureCode, RetryAdvice>>>;
 
-/** Proved not run: safe to send again, whatever the request. */
+/** Certainly not run: any request may be sent again. */
 const NOT_RUN_ADVICE: AdviceTable = {
   'no-leader': 'follow',
   moved: 'follow',
@@ -27,7 +27,7 @@
   'no-owner': 'again',
 };
 
-/** May have run: only for requests that may run twice. */
+/** May have run: only idempotent requests may be sent again. */
 const MAY_HAVE_RUN_ADVICE: AdviceTable = {
   'connection-lost': 'follow',
   truncated: 'again',
@@ -36,9 +36,8 @@
 };
 
 /**
- * What to do with a failed request, by its verdict. An explicit `overloaded`
- * is final: retrying it here would hold back the caller's answer and feed
- * the overload.
+ * Decides what to do with a failed request, by its verdict. An explicit
+ * `overloaded` is final: a retry would delay the answer and add to the overload.
  *
  * @example
  * ```ts
@@ -59,8 +58,8 @@
 }
 
 /**
- * The failure that the caller sees after several attempts. If an earlier one
- * may have run, a later `not-run` alone would be a lie about the request.
+ * Returns the failure for the caller after several attempts. If an earlier one
+ * may have run, a later `not-run` would be wrong for the request.
  *
  * @example
  * ```ts
--- a/packages/requests/src/route.ts
+++ b/packages/requests/src/route.ts
@@ -22,32 +22,32 @@
   readonly budget: RetryBudget;
 }
 
-/** Brings one request to its cell's leader, within its deadline. */
+/** Sends one request to its cell's leader, within its deadline. */
 export type Route = (cell: CellId, tracked: TrackedRequest) => Promise<Outcome>;
 
-/** Times that one request is sent to a leader, at most. */
+/** Maximum number of times that a request is sent to a leader. */
 const MAX_ATTEMPTS = 6;
 
 /**
- * How long requests wait for a cell's next leader, counted from the first
- * one that found none. A takeover ends within 4 s; whoever comes later than
- * that is told at once, instead of being held for a leader who may not come.
+ * Maximum time that requests wait for a cell's next leader, in ms, from the first
+ * request that found none. A takeover takes up to 4 s; later requests are refused
+ * at once, as there may be no leader soon.
  */
 const TAKEOVER_WAIT_MS = 5000;
 
-/** How often a request asks whether this process is ready to lead. */
+/** Interval at which a request checks whether the router leads, in ms. */
 const LEADING_POLL_MS = 20;
 
-/** Retry hint once a takeover takes longer than it should. */
-const LONG_TROUBLE_RETRY_MS = 1000;
+/** Retry delay for callers while a takeover takes too long, in ms. */
+const LATE_TAKEOVER_RETRY_MS = 1000;
 
-interface Trouble {
+interface LeaderGap {
   readonly epoch: number;
   readonly since: number;
 }
 
-/** One request's way so far. */
-interface Trip {
+/** A request and its attempts so far. */
+interface RoutedRequest {
   readonly cell: CellId;
   readonly tracked: TrackedRequest;
   attempts: number;
@@ -55,9 +55,9 @@
 }
 
 /**
- * Makes the attempts of a request: to the leader of the current view, then,
- * as far as verdict, budget and deadline allow, to the same one after a
- * pause or to its successor.
+ * Creates the route of requests to leaders. A request is sent to the leader of
+ * the current view. If verdict, budget and deadline allow, it is sent again: to
+ * the same leader after a delay, or to its successor.
  *
  * @example
  * ```ts
@@ -67,9 +67,9 @@
  */
 export function createRoute(options: RouteOptions): Route {
   const {clock, watch, budget} = options;
-  const troubles = new Map<CellId, Trouble>();
+  const leaderGaps = new Map<CellId, LeaderGap>();
 
-  const attempt = (view: View, trip: Trip): Promise<Outcome> => {
+  const attempt = (view: View, trip: RoutedRequest): Promise<Outcome> => {
     trip.attempts++;
     const {req} = trip.tracked;
     const local = isSameIncarnation(view.leader, options.self);
@@ -88,67 +88,67 @@
     );
   };
 
-  const waitLimit = (cell: CellId, epoch: number): number => {
-    let trouble = troubles.get(cell);
+  const waitDeadline = (cell: CellId, epoch: number): number => {
+    let trouble = leaderGaps.get(cell);
     if (trouble === undefined || trouble.epoch !== epoch) {
       trouble = {epoch, since: clock.now()};
-      troubles.set(cell, trouble);
+      leaderGaps.set(cell, trouble);
     }
     return trouble.since + TAKEOVER_WAIT_MS;
   };
 
-  const pauseMs = (failed: Failure, trip: Trip): number =>
+  const retryDelayMs = (failed: Failure, trip: RoutedRequest): number =>
     NOT_LEADING.has(failed.code)
       ? LEADING_POLL_MS
       : backoffMs(trip.attempts, options.random);
 
-  /** The view for the next attempt, or null where there is to be none. */
-  const awaitNext = async (
+  /** The view for the next attempt; null if there is none. */
+  const nextView = async (
     view: View | null,
     failed: Failure,
-    trip: Trip,
+    trip: RoutedRequest,
   ): Promise<View | null> => {
     const {req} = trip.tracked;
     const whole = trip.tracked.isWhole();
     const advice = adviseRetry(failed, {once: req.once, whole});
     if (advice === 'final' || trip.attempts >= MAX_ATTEMPTS) return null;
     const epoch = view?.epoch ?? 0;
-    const limit = Math.min(req.deadline, waitLimit(trip.cell, epoch));
-    const pauseEnd = clock.now() + pauseMs(failed, trip);
+    const limit = Math.min(req.deadline, waitDeadline(trip.cell, epoch));
+    const pauseEnd = clock.now() + retryDelayMs(failed, trip);
     if (pauseEnd >= req.deadline) return null;
     const {cell} = trip;
     const newer = await watch.newerThan(cell, epoch, pauseEnd, req.signal);
     if (newer !== null || req.signal.aborted) return newer;
     const waiting = NOT_LEADING.has(failed.code);
     if (waiting && view !== null && clock.now() < limit) return view;
-    if (!waiting && budget.spend()) return view;
+    if (!waiting && budget.tryWithdraw()) return view;
     if (advice === 'again' || clock.now() >= limit) return null;
     return watch.newerThan(cell, epoch, limit, req.signal);
   };
 
   return async (cell, tracked) => {
-    const trip: Trip = {cell, tracked, attempts: 0, worst: null};
+    const trip: RoutedRequest = {cell, tracked, attempts: 0, worst: null};
     let view = options.leaderOf(cell);
     for (;;) {
       const outcome =
         view === null ? Err(noLeader()) : await attempt(view, trip);
       if (outcome.ok) {
-        troubles.delete(cell);
+        leaderGaps.delete(cell);
         return outcome;
       }
       if (outcome.val.code === 'moved') trip.attempts--;
       const failed = worstOf(trip.worst, outcome.val);
       trip.worst = failed;
-      if (!ROUTING_CODES.has(outcome.val.code)) troubles.delete(cell);
-      view = await awaitNext(view, outcome.val, trip);
-      if (view === null) return Err(conclude(failed, tracked.req));
+      if (!ROUTING_CODES.has(outcome.val.code)) leaderGaps.delete(cell);
+      view = await nextView(view, outcome.val, trip);
+      if (view === null) return Err(toFinalFailure(failed, tracked.req));
       options.events?.retried?.(cell, failed.code);
     }
   };
 }
 
-/** The view names this process, which isn't ready yet; nothing was sent. */
-function notYetLeading(trip: Trip): Promise<Outcome> {
+/** This process is the leader but not ready yet; nothing was sent. */
+function notYetLeading(trip: RoutedRequest): Promise<Outcome> {
   trip.attempts--;
   return Promise.resolve(Err(noLeader()));
 }
@@ -158,9 +158,9 @@
 }
 
 /**
- * The router that the newest view names does not lead yet: it waits until the
- * old leader cannot act, or has not read that view itself. A newer view may
- * never come, so the same one is tried again; nothing was run.
+ * The leader of the newest view isn't ready: it waits until the old leader can't
+ * act, or hasn't read that view. There may be no newer view, so the same leader
+ * is tried again; nothing was run.
  */
 const NOT_LEADING: ReadonlySet<FailureCode> = new Set([
   'no-leader',
@@ -175,12 +175,12 @@
   'connection-lost',
 ] as const);
 
-/** Adds what the caller needs to come back at a good time. */
-function conclude(failed: Failure, req: ServiceRequest): Failure {
+/** Adds a retry delay for the caller if the failure has none. */
+function toFinalFailure(failed: Failure, req: ServiceRequest): Failure {
   if (req.signal.aborted && failed.verdict === 'not-run') {
     return failure('not-run', 'cancelled', 'the caller gave up');
   }
   if (failed.retryAfterMs !== undefined) return failed;
   if (!ROUTING_CODES.has(failed.code)) return failed;
-  return {...failed, retryAfterMs: LONG_TROUBLE_RETRY_MS};
+  return {...failed, retryAfterMs: LATE_TAKEOVER_RETRY_MS};
 }
--- a/packages/requests/src/launch-checks.ts
+++ b/packages/requests/src/send-checks.ts
@@ -2,18 +2,18 @@
 import type {Pending} from './pending.js';
 import type {ServerQueue} from './server-queue.js';
 
-/** Part of a lease that must be left for a request that outlives it. */
-const SHORT_LEASE = 1 / 4;
+/** Fraction of a lease that must remain for a request that outlives it. */
+const LEASE_SHARE = 1 / 4;
 
-/** Whether the server owns the place. */
+/** Whether the server owns the shard. */
 export function isAt(server: ServerQueue, where: Location): where is Owned {
   return where.kind === 'owned' && where.server.name === server.name;
 }
 
 /**
- * Whether too little is left of the lease to send the request. One whose
- * deadline lies beyond the lease's end would be cut there; a healthy lease is
- * renewed long before, so it is worth waiting for the renewal.
+ * Whether too little of the lease remains to send the request. A request with a
+ * later deadline would be aborted as the lease ends. Leases are normally renewed
+ * long before, so waiting for the renewal is better.
  */
 export function isLeaseShort(
   leftMs: number,
@@ -22,13 +22,12 @@
   serviceMs: number,
 ): boolean {
   if (leftMs <= 0) return true;
-  return outlives && leftMs < Math.min(serviceMs, leaseMs * SHORT_LEASE);
+  return outlives && leftMs < Math.min(serviceMs, leaseMs * LEASE_SHARE);
 }
 
 /**
- * Whether the request can't finish by its deadline any more. With nothing in
- * flight it is sent all the same: without a trial the server would never be
- * seen to have become faster.
+ * Whether the request can't finish by its deadline. With nothing in flight it
+ * is sent anyway: otherwise a server that became faster would never be noticed.
  */
 export function isTooLate(
   server: ServerQueue,
--- a/packages/requests/src/sender.ts
+++ b/packages/requests/src/sender.ts
@@ -20,28 +20,28 @@
 import type {ServerQueue} from './server-queue.js';
 import {createCountdown, type ShardGate} from './shard-gate.js';
 
-/** One request on its way to a server. */
-export interface Flight {
+/** A request to send to a server. */
+export interface Send {
   readonly led: LedCell;
   readonly pending: Pending;
   readonly where: Owned;
   readonly gate: ShardGate;
   readonly server: ServerQueue;
-  /** The place that it comes back to where it has not run. */
+  /** Its queue entry, to which it returns if it didn't run. */
   readonly ticket: Ticket<Pending>;
 }
 
-/** A flight that has begun. */
-interface Begun extends Flight {
+/** A request that was sent. */
+interface StartedSend extends Send {
   readonly sentAt: number;
   readonly dispatch: TrackedDispatch;
   readonly watch: LeaseWatch;
 }
 
-/** Sends requests and keeps account of their slots. */
+/** Sends requests and manages the slots that they use. */
 export interface Sender {
-  /** Takes a slot and sends; nothing else may happen in between. */
-  send(flight: Flight): void;
+  /** Takes a slot and sends the request, synchronously. */
+  send(flight: Send): void;
   /** Resolves once nothing is in flight. */
   idle(): Promise<void>;
 }
@@ -51,14 +51,14 @@
   readonly clock: Clock;
   readonly wheel: DeadlineWheel;
   readonly load: LoadMeter;
-  /** The request has not run and goes back into a queue. */
-  readonly takeBack: (flight: Flight) => void;
-  /** A slot of the server became free. */
+  /** Called if the request didn't run and returns to a queue. */
+  readonly takeBack: (flight: Send) => void;
+  /** Called when a slot of the server became free. */
   readonly ended: (server: ServerQueue) => void;
 }
 
 /**
- * Makes the sender of one cell.
+ * Creates the sender of one cell.
  *
  * @example
  * ```ts
@@ -68,15 +68,15 @@
  */
 export function createSender(options: SenderOptions): Sender {
   const {client, clock, wheel, load} = options;
-  const flying = createCountdown();
+  const inFlight = createCountdown();
 
-  const begin = ({server, gate}: Flight): void => {
+  const begin = ({server, gate}: Send): void => {
     server.slots.take();
     gate.begin();
-    flying.begin();
+    inFlight.begin();
   };
 
-  const end = (flight: Begun, isOver: boolean, now: number): void => {
+  const end = (flight: StartedSend, isOver: boolean, now: number): void => {
     const {server, gate, where, pending, dispatch, sentAt} = flight;
     const busyMs = now - sentAt;
     flight.watch.end();
@@ -84,14 +84,14 @@
     load.served({shard, server: server.name, key: pending.key, busyMs}, now);
     server.slots.give();
     gate.answered();
-    // The server may run it until the deadline, though nobody waits for it.
+    // The server may run it until the deadline, although nobody waits for it.
     if (isOver) gate.ended();
     else wheel.schedule(dispatch.req.deadline, gate.ended);
-    flying.end();
+    inFlight.end();
     options.ended(server);
   };
 
-  const answered = (flight: Begun, whole: boolean): void => {
+  const answered = (flight: StartedSend, whole: boolean): void => {
     const {server, pending, sentAt} = flight;
     const now = clock.now();
     const busyMs = now - sentAt;
@@ -102,14 +102,14 @@
     end(flight, whole, now);
   };
 
-  const pass = (flight: Begun, answer: ServiceAnswer): void => {
+  const pass = (flight: StartedSend, answer: ServiceAnswer): void => {
     const {deadline} = flight.dispatch.req;
     let cancel = (): void => {};
     const watched = watchAnswerEnd(answer, whole => {
       cancel();
       answered(flight, whole);
     });
-    // The server stops at the deadline, whether or not somebody still reads.
+    // The server stops at the deadline, even if the answer is still read.
     if (watched.answer !== answer) {
       cancel = wheel.schedule(deadline + VERDICT_GRACE_MS, watched.end);
     }
@@ -117,7 +117,7 @@
   };
 
   const handleReturn: Readonly<
-    Record<ReturnReason, (flight: Flight, failed: Failure, at: number) => void>
+    Record<ReturnReason, (flight: Send, failed: Failure, at: number) => void>
   > = {
     held: () => {},
     away: ({server}) => server.slots.pause(),
@@ -127,7 +127,7 @@
     },
   };
 
-  const fail = (flight: Begun, told: Failure): void => {
+  const fail = (flight: StartedSend, told: Failure): void => {
     const {pending, server, dispatch, sentAt} = flight;
     const failed = flight.watch.isLost() ? lostLease(told) : told;
     const now = clock.now();
@@ -139,7 +139,7 @@
       return pending.resolve(Err(failed));
     }
     handleReturn[reason](flight, failed, sentAt);
-    // Back in its place before the slot is free, else another one takes it.
+    // Must return to the queue before the slot is free for the next request.
     options.takeBack(flight);
     end(flight, true, now);
   };
@@ -152,7 +152,7 @@
       const watch = createLeaseWatch({led, where, signal, wheel, clock});
       const dispatch = createDispatch(flight, watch.signal, clock);
       const {deadline} = dispatch.req;
-      const begun: Begun = {
+      const begun: StartedSend = {
         led,
         pending,
         where,
@@ -175,7 +175,7 @@
         },
       });
     },
-    idle: flying.idle,
+    idle: inFlight.idle,
   };
 }
 
--- a/packages/requests/src/server-queue.ts
+++ b/packages/requests/src/server-queue.ts
@@ -12,40 +12,40 @@
 import {createWaitError, type WaitError} from './wait-error.js';
 import {createServiceTimes, type ServiceTimes} from './service-times.js';
 
-/** What waits for one server, and how fast it is served. */
+/** The requests that wait for one server, and its service times. */
 export interface ServerQueue {
   readonly name: string;
   readonly slots: ServerSlots;
   readonly waiting: FairQueue<Pending>;
-  /** Takes up what the inventory says now. */
+  /** Applies the present entry of the inventory. */
   update(ref: ServerRef): void;
-  /** An answer of `level` came whole. */
+  /** Records a complete answer to a request of `level`. */
   answered(level: number, ms: number, now: number): void;
-  /** A request of `level` ended without an answer. */
+  /** Records a request of `level` that ended without an answer. */
   cut(level: number, ms: number, now: number): void;
-  /** Nearly no request of `level` takes less, in ms. */
+  /** Nearly all requests of `level` take longer than this, in ms. */
   lowMs(level: number): number;
-  /** Mean service time of `level`, or of all where it has none yet. */
+  /** Mean service time of `level`, or of all levels if it has none yet. */
   meanMs(level?: number): number;
-  /** Time until the ticket's turn, in ms, as things stand. */
+  /** Estimated time until the ticket's turn, in ms. */
   waitMs(ticket: Ticket<Pending>): number;
   /**
-   * A request that came at `since` had its turn now, or gave up. Waits while
-   * the leader itself was held back say nothing of the queue's speed.
+   * Records the end of a wait since `since`. Waits during which the leader was
+   * not allowed to send are ignored.
    */
   waited(level: number, since: number, expectedMs: number): void;
-  /** The leader may not send to the server now. */
+  /** Records that the leader is not allowed to send to the server now. */
   heldBack(): void;
 }
 
-/** Over how long the share of each level is averaged. */
+/** Averaging period of each level's share, in ms. */
 const SHARE_PERIOD_MS = 5000;
 
-/** However busy the levels above are, this part is left for the rest. */
+/** Minimum share of the slots that higher levels leave to the lower ones. */
 const MIN_SHARE = 0.1;
 
 /**
- * Makes the queue of one server.
+ * Creates the queue of one server.
  *
  * @example
  * ```ts
@@ -82,7 +82,7 @@
     return own > 0 ? own : overall.mean();
   };
 
-  /** Part of the slots that the levels above leave. */
+  /** Fraction of the slots that the higher levels leave. */
   const shareOf = (level: number): number => {
     const now = clock.now();
     let busy = 0;
--- a/packages/requests/src/server-slots.ts
+++ b/packages/requests/src/server-slots.ts
@@ -1,35 +1,35 @@
 import type {Clock} from '@banyandrum/base/clock.js';
 
 /**
- * The requests in flight at one server: never more than its slots, and fewer
- * where it proved that it can't take them.
+ * The requests in flight at one server: at most its slots, and fewer after it
+ * refused requests.
  */
 export interface ServerSlots {
-  /** Whether one more may be sent now. */
+  /** Whether another request may be sent now. */
   isFree(): boolean;
   take(): void;
   give(): void;
   inFlight(): number;
-  /** How many may be in flight now. */
+  /** Present maximum of requests in flight. */
   window(): number;
   /** Monotonic time in ms until which nothing may be sent. */
   pausedUntil(): number;
-  /** An answer came. */
+  /** Records an answer. */
   succeeded(): void;
-  /** The server refused a request sent at `sentAt` for lack of capacity. */
+  /** Records that the server shed a request that was sent at `sentAt`. */
   shed(sentAt: number, retryAfterMs: number): void;
-  /** The server refused for another reason, or could not be reached. */
+  /** Records another refusal, or that the server could not be reached. */
   pause(): void;
-  /** Follows the inventory. */
+  /** Sets the number of slots from the inventory. */
   resize(slots: number): void;
 }
 
-/** Part of the window that is left after the server shed load. */
+/** Factor of the window after the server shed load. */
 const SHED_FACTOR = 0.6;
 
 /**
- * What the window gains by each answer, shared among those in flight: some
- * ten answers win one slot back. Growing faster would find the limit again
+ * Growth of the window per answer, divided by the window: about ten rounds of
+ * answers regain one slot. With faster growth, the server would shed load again
  * at every other request.
  */
 const GROWTH = 0.1;
@@ -38,8 +38,8 @@
 const MAX_PAUSE_MS = 500;
 
 /**
- * Makes the count of one server's slots, with additive increase and
- * multiplicative decrease of its window.
+ * Creates the slots of one server. The window has additive increase and
+ * multiplicative decrease.
  *
  * @example
  * ```ts
@@ -81,7 +81,7 @@
     },
     shed(sentAt, retryAfterMs) {
       pause(retryAfterMs);
-      // Those sent together are refused together; they tell one thing.
+      // Requests that were sent together and refused together count once.
       if (sentAt < cutAt) return;
       cutAt = clock.now();
       window = Math.max(1, window * SHED_FACTOR);
--- a/packages/requests/src/service-times.ts
+++ b/packages/requests/src/service-times.ts
@@ -1,8 +1,8 @@
-/** What one server's answers of one level of precedence took of late. */
+/** Recent service times of one server at one level of precedence. */
 export interface ServiceTimes {
-  /** One answer came whole after `ms`. */
+  /** Records a complete answer after `ms`. */
   record(ms: number): void;
-  /** One request ended without an answer after `ms`. */
+  /** Records a request that ended without an answer after `ms`. */
   recordCut(ms: number): void;
   /** Mean in ms; 0 before the first answer. */
   mean(): number;
@@ -15,7 +15,7 @@
 const LOW_RISE_WEIGHT = 0.01;
 
 /**
- * Makes an empty record; newer answers weigh more.
+ * Creates an empty record. Newer answers have more weight.
  *
  * @example
  * ```ts
@@ -26,11 +26,11 @@
 export function createServiceTimes(): ServiceTimes {
   let mean = 0;
   let low = 0;
-  let any = false;
+  let hasAny = false;
   return {
     record(ms) {
-      if (!any) {
-        any = true;
+      if (!hasAny) {
+        hasAny = true;
         mean = ms;
         low = ms;
         return;
@@ -39,7 +39,7 @@
       low += (ms - low) * (ms < low ? LOW_FALL_WEIGHT : LOW_RISE_WEIGHT);
     },
     recordCut(ms) {
-      // It would have taken longer still, so it can only raise the mean.
+      // The service time was at least `ms`, so it can only raise the mean.
       if (ms > mean) mean += (ms - mean) * MEAN_WEIGHT;
     },
     mean: () => mean,
--- a/packages/requests/src/shard-gate.ts
+++ b/packages/requests/src/shard-gate.ts
@@ -7,30 +7,30 @@
 } from './fair-queue.js';
 import type {Pending} from './pending.js';
 
-/** One shard's gate, what is in flight and what waits behind it. */
+/** One shard's gate, with its requests in flight and those that wait. */
 export interface ShardGate {
   readonly shard: ShardId;
   readonly waiting: FairQueue<Pending>;
   closed: boolean;
-  /** What the requests wait for where ownership says `moving`. */
+  /** What the requests wait for while the shard is `moving`, else null. */
   settling: Promise<void> | null;
-  /** What they waited for the last time. */
+  /** What they waited for last. */
   settled: Promise<void> | null;
   begin(): void;
-  /** The caller has its outcome; the server may still run the request. */
+  /** The caller has the outcome, but the server may still run the request. */
   answered(): void;
-  /** After `answered`: the server doesn't run the request any more. */
+  /** After `answered`: the server no longer runs the request. */
   ended(): void;
   /** Resolves once nothing of the shard is in flight. */
   idle(wait: GateWait): Promise<void>;
-  /** Nothing is left to remember of it. */
+  /** Whether the gate has no state and can be removed. */
   isIdle(): boolean;
-  /** Takes out all that wait, in their order. */
+  /** Removes and returns all waiting requests in order. */
   drain(now: number): readonly Pending[];
 }
 
 /**
- * Makes an open gate.
+ * Creates an open gate.
  *
  * @example
  * ```ts
@@ -63,7 +63,7 @@
       for (;;) {
         const ticket = waiting.take(now);
         if (ticket === null) return drained;
-        ticket.item.spot = null;
+        ticket.item.position = null;
         drained.push(ticket.item);
       }
     },
@@ -75,17 +75,17 @@
   return gate;
 }
 
-/** Counts what is under way and tells when nothing is. */
+/** Counts operations in progress. */
 export interface Countdown {
   begin(): void;
   end(): void;
-  /** Resolves once nothing is under way. */
+  /** Resolves once none is in progress. */
   idle(): Promise<void>;
   count(): number;
 }
 
 /**
- * Makes a count that starts at 0.
+ * Creates a count that starts at 0.
  *
  * @example
  * ```ts
--- a/packages/requests/src/shard-gates.ts
+++ b/packages/requests/src/shard-gates.ts
@@ -8,25 +8,25 @@
 export interface ShardGates {
   of(shard: ShardId): ShardGate;
   all(): readonly ShardGate[];
-  /** Lets what waits at the gate go once `settled` resolves. */
+  /** Releases the requests that wait at the gate once `settled` resolves. */
   follow(gate: ShardGate, settled: Promise<void>): void;
   open(gate: ShardGate): void;
-  /** Forgets shards that nothing is left of. */
+  /** Removes the gates that are idle. */
   prune(): void;
 }
 
 export interface ShardGatesOptions {
   readonly clock: Clock;
   readonly fairness: FairQueueOptions;
-  /** Puts a request where its shard is by now. */
+  /** Queues a request where its shard is now. */
   readonly replace: (pending: Pending) => void;
 }
 
-/** Pause before a location that has not settled is asked for again. */
+/** Delay before the location of an unsettled shard is checked again, in ms. */
 const UNSETTLED_PAUSE_MS = 10;
 
 /**
- * Makes the gates of one cell, all open.
+ * Creates the gates of one cell, all open.
  *
  * @example
  * ```ts
@@ -62,7 +62,7 @@
         gate.settled = settled;
         release(gate);
       };
-      // One that says `moving` for ever would spin without the pause.
+      // Without the delay, a shard that stays `moving` would cause a busy loop.
       const later = (): void => void clock.after(UNSETTLED_PAUSE_MS, go);
       settled.then(seenBefore ? later : go, seenBefore ? later : go);
     },
--- a/packages/requests/src/snapshot.ts
+++ b/packages/requests/src/snapshot.ts
@@ -2,11 +2,11 @@
 import type {ServerQueue} from './server-queue.js';
 import type {ShardGate} from './shard-gate.js';
 
-/** What waits and runs at one server. */
+/** Requests that wait for one server and run there. */
 export interface ServerSnapshot {
   readonly server: string;
   readonly inFlight: number;
-  /** Most that may be in flight now. */
+  /** Maximum number in flight at present. */
   readonly window: number;
   readonly queued: number;
   readonly queuedBytes: number;
@@ -14,23 +14,23 @@
   readonly serviceMs: number;
 }
 
-/** What waits for one shard to arrive somewhere. */
+/** Requests that wait for one shard. */
 export interface ShardSnapshot {
   readonly shard: ShardId;
   readonly closed: boolean;
   readonly queued: number;
 }
 
-/** One cell's queue at this moment, for operators. */
+/** Present state of one cell's queue, for operators. */
 export interface QueueSnapshot {
   readonly servers: readonly ServerSnapshot[];
-  /** Only those that are closed or waited for. */
+  /** Only shards that are closed or have waiting requests. */
   readonly shards: readonly ShardSnapshot[];
-  /** Requests that wait for the key asked about, else 0. */
+  /** Requests that wait for the requested key; 0 without one. */
   readonly queuedForKey: number;
 }
 
-/** Describes a cell's queue; takes time in proportion to what waits. */
+/** Describes a cell's queue, in time linear in the waiting requests. */
 export function snapshotOf(
   servers: readonly ServerQueue[],
   gates: readonly ShardGate[],
--- a/packages/requests/src/throttle.ts
+++ b/packages/requests/src/throttle.ts
@@ -3,17 +3,17 @@
 import type {CellId} from '@banyandrum/base/ids.js';
 import type {ServiceRequest} from '@banyandrum/base/request.js';
 
-/** Refuses at the entry what the leader would most likely refuse. */
+/** Refuses requests at the entry that the leader would probably refuse. */
 export interface Throttle {
   /**
-   * Null where the request may go to the leader; then `accepted` or `refused`
-   * is called once with its outcome. A number where it is to be refused at
-   * once: the leader's own retry hint in ms.
+   * Returns null if the request may be sent to the leader; `accepted` or
+   * `refused` must then be called once. Returns the leader's last retry delay, in
+   * ms, if the request must be refused.
    */
   refuses(cell: CellId, req: ServiceRequest): number | null;
-  /** The request was not refused for lack of capacity. */
+  /** The leader didn't refuse the request for lack of capacity. */
   accepted(cell: CellId, req: ServiceRequest): void;
-  /** The leader refused it for lack of capacity. */
+  /** The leader refused the request for lack of capacity. */
   refused(cell: CellId, req: ServiceRequest, retryAfterMs: number): void;
 }
 
@@ -23,42 +23,42 @@
   readonly random: () => number;
 }
 
-/** Over how long the leader's answers count, in ms. */
+/** Time constant with which counts decay, in ms. */
 const PERIOD_MS = 2000;
 
 /**
- * Requests let through for each one accepted. Above 1, so that the entry
- * notices when the leader takes more again.
+ * Requests sent to the leader for each accepted one. Above 1, so that the entry
+ * notices when the leader accepts more again.
  */
 const HEADROOM = 2;
 
-/** Requests of one bucket let through in any case, over the period. */
+/** Requests of one bucket that are always sent, per period. */
 const FREE_REQUESTS = 2;
 
-/** Callers share these by their hash, and so do keys. */
+/** Number of buckets for hashes of callers, and of keys. */
 const BUCKETS = 256;
 
-/** Counts are faded this often, in ms. */
-const GRAIN_MS = 50;
+/** Interval at which counts decay, in ms. */
+const DECAY_INTERVAL_MS = 50;
 
-/** Requests of one cell and one level of precedence. */
-interface Ledger {
-  /** All by bucket of the key, then by bucket of the caller. */
+/** Request counts of one cell and one level of precedence. */
+interface RequestCounts {
+  /** All requests, by bucket of the key, then by bucket of the caller. */
   readonly asked: Float64Array;
   readonly accepted: Float64Array;
-  /** With the leader now; it refuses fast, so they count as accepted. */
-  readonly underWay: Float64Array;
-  fadedAt: number;
+  /** At the leader now; counted as accepted, because it refuses fast. */
+  readonly inFlight: Float64Array;
+  decayedAt: number;
   retryAfterMs: number;
 }
 
 /**
- * Makes the entry's throttle: it refuses at random just as many that what is
- * left is a fixed multiple of what the leader accepts, by level of precedence.
- * It does so only where the caller's requests and the key's requests are both
- * being refused: with a count for the whole cell, one contested key or one
- * noisy caller would get everybody else's requests refused here, before the
- * leader's fair turns could protect them.
+ * Creates the entry's throttle. It refuses a random share, so that the requests
+ * sent are a fixed multiple of those that the leader accepts, by level of
+ * precedence. It refuses only if both the caller's and the key's requests are
+ * being refused. With one count for the whole cell, one hot key or one aggressive
+ * caller would cause refusals of all others, which the leader's fair queue would
+ * have served.
  *
  * @example
  * ```ts
@@ -68,50 +68,50 @@
  */
 export function createThrottle(options: ThrottleOptions): Throttle {
   const {clock, random} = options;
-  const cells = new Map<CellId, Ledger[]>();
+  const cells = new Map<CellId, RequestCounts[]>();
 
-  const ledgerOf = (cell: CellId, level: number): Ledger => {
+  const ledgerOf = (cell: CellId, level: number): RequestCounts => {
     const levels = cells.get(cell) ?? [];
     if (levels.length === 0) cells.set(cell, levels);
-    return (levels[level] ??= createLedger(clock.now()));
+    return (levels[level] ??= createCounts(clock.now()));
   };
 
   return {
     refuses(cell, req) {
       const ledger = ledgerOf(cell, req.precedence);
       const [key, caller] = bucketsOf(req);
-      fade(ledger, clock.now());
+      decay(ledger, clock.now());
       const share = Math.min(excess(ledger, key), excess(ledger, caller));
       if (share > 0 && random() < share) {
         count(ledger.asked, key, caller, 1);
         return ledger.retryAfterMs;
       }
-      count(ledger.underWay, key, caller, 1);
+      count(ledger.inFlight, key, caller, 1);
       return null;
     },
     accepted(cell, req) {
       const ledger = ledgerOf(cell, req.precedence);
       const [key, caller] = bucketsOf(req);
-      count(ledger.underWay, key, caller, -1);
+      count(ledger.inFlight, key, caller, -1);
       count(ledger.asked, key, caller, 1);
       count(ledger.accepted, key, caller, 1);
     },
     refused(cell, req, retryAfterMs) {
       const ledger = ledgerOf(cell, req.precedence);
       const [key, caller] = bucketsOf(req);
-      count(ledger.underWay, key, caller, -1);
+      count(ledger.inFlight, key, caller, -1);
       count(ledger.asked, key, caller, 1);
       ledger.retryAfterMs = retryAfterMs;
     },
   };
 }
 
-function createLedger(now: number): Ledger {
+function createCounts(now: number): RequestCounts {
   return {
     asked: new Float64Array(2 * BUCKETS),
     accepted: new Float64Array(2 * BUCKETS),
-    underWay: new Float64Array(2 * BUCKETS),
-    fadedAt: now,
+    inFlight: new Float64Array(2 * BUCKETS),
+    decayedAt: now,
     retryAfterMs: 0,
   };
 }
@@ -132,18 +132,18 @@
   sums[caller] = (sums[caller] ?? 0) + by;
 }
 
-/** The part of a bucket's requests that is too much; below 0 where none is. */
-function excess(ledger: Ledger, bucket: number): number {
-  const underWay = ledger.underWay[bucket] ?? 0;
-  const asked = (ledger.asked[bucket] ?? 0) + underWay;
-  const accepted = (ledger.accepted[bucket] ?? 0) + underWay;
+/** Fraction of a bucket's requests to refuse; not above 0 if none. */
+function excess(ledger: RequestCounts, bucket: number): number {
+  const inFlight = ledger.inFlight[bucket] ?? 0;
+  const asked = (ledger.asked[bucket] ?? 0) + inFlight;
+  const accepted = (ledger.accepted[bucket] ?? 0) + inFlight;
   return 1 - (accepted * HEADROOM + FREE_REQUESTS) / Math.max(1, asked);
 }
 
-function fade(ledger: Ledger, now: number): void {
-  const elapsed = now - ledger.fadedAt;
-  if (elapsed < GRAIN_MS) return;
-  ledger.fadedAt = now;
+function decay(ledger: RequestCounts, now: number): void {
+  const elapsed = now - ledger.decayedAt;
+  if (elapsed < DECAY_INTERVAL_MS) return;
+  ledger.decayedAt = now;
   const factor = Math.exp(-elapsed / PERIOD_MS);
   for (const sums of [ledger.asked, ledger.accepted]) {
     for (let i = 0; i < sums.length; i++) sums[i] = (sums[i] ?? 0) * factor;
--- a/packages/requests/src/tracked-body.ts
+++ b/packages/requests/src/tracked-body.ts
@@ -1,15 +1,15 @@
 import type {Body, ServiceRequest} from '@banyandrum/base/request.js';
 
-/** A request whose body tells whether it can be sent once more. */
+/** A request that tracks whether its body can be sent again. */
 export interface TrackedRequest {
   readonly req: ServiceRequest;
-  /** Whether the body is still whole. */
+  /** Whether no part of the body was read yet. */
   isWhole(): boolean;
 }
 
 /**
- * Watches a request's body: one in a single piece stays whole, a streamed one
- * only until somebody asks for its first piece.
+ * Tracks a request's body: a buffered one can always be sent again, a streamed
+ * one only until its first chunk is read.
  *
  * @example
  * ```ts
--- a/packages/requests/src/view-watch.ts
+++ b/packages/requests/src/view-watch.ts
@@ -3,11 +3,11 @@
 import type {View} from '@banyandrum/config/state.js';
 import type {DeadlineWheel} from './deadline.js';
 
-/** Waits for a cell's next leader. */
+/** Waits for newer views of cells. */
 export interface ViewWatch {
   /**
-   * Resolves with a view of a higher epoch than `epoch` as soon as there is
-   * one; with null at the time `until` or when `signal` aborts.
+   * Resolves with the first view whose epoch is higher than `epoch`; with null
+   * at the time `until` or when `signal` aborts.
    */
   newerThan(
     cell: CellId,
@@ -30,7 +30,7 @@
 }
 
 /**
- * Makes a watch over the views that the log yields.
+ * Creates a watch of the views in the log.
  *
  * @example
  * ```ts
--- a/packages/requests/src/wait-error.ts
+++ b/packages/requests/src/wait-error.ts
@@ -1,8 +1,8 @@
-/** How far the estimates of waiting times were off of late. */
+/** Correction of estimated waiting times by recent errors. */
 export interface WaitError {
-  /** A wait took `ratio` times what had been estimated with `factor()`. */
+  /** Records a wait that took `ratio` times the estimate with `factor()`. */
   observe(ratio: number): void;
-  /** What to multiply an estimate by. */
+  /** Factor by which to multiply an estimate. */
   factor(): number;
 }
 
@@ -11,15 +11,14 @@
 const MIN_FACTOR = 0.5;
 const MAX_FACTOR = 8;
 
-/** One odd wait must not count as many. */
+/** Limits the effect of a single outlier. */
 const MAX_RATIO = 4;
 
 /**
- * Makes the correction for one server and level. An estimate can't know who
- * will come and overtake: more urgent requests, quieter callers. Where it is
- * too low, requests are taken in, wait and are refused just before their
- * deadline; so the correction rises faster than it falls, and most of those
- * taken in are served.
+ * Creates the correction for one server and level. An estimate can't include
+ * later requests that are served first: more urgent ones, or those of callers
+ * with fewer requests. If it is too low, requests are queued and then refused
+ * just before their deadline. So the factor rises faster than it falls.
  *
  * @example
  * ```ts
--- a/packages/requests/src/waiting-room.ts
+++ b/packages/requests/src/waiting-room.ts
@@ -14,20 +14,20 @@
 import type {ServerQueue} from './server-queue.js';
 import type {ShardGate} from './shard-gate.js';
 
-/** Who may wait, how long, and who gives way. */
+/** Decides which requests wait, for how long, and which are dropped. */
 export interface WaitingRoom {
-  /** Takes a request into the server's queue, without a decision yet. */
+  /** Adds a request to the server's queue, to be decided by `admit`. */
   enter(pending: Pending, server: ServerQueue): Ticket<Pending>;
   /**
-   * Decides on a request that entered and could not be sent at once: it
-   * stays, or it is refused now, or another one gives way.
+   * Decides on a request that could not be sent at once: it waits, or it is
+   * refused, or another one is dropped for it.
    */
   admit(pending: Pending, server: ServerQueue): void;
-  /** Lets a request wait for its shard. */
-  park(pending: Pending, gate: ShardGate): void;
-  /** Puts a request back that was taken from the server's queue. */
+  /** Adds a request to those that wait for their shard. */
+  waitForShard(pending: Pending, gate: ShardGate): void;
+  /** Adds a request again that was taken from the server's queue. */
   putBack(ticket: Ticket<Pending>, server: ServerQueue): void;
-  /** Ends the wait of a taken request, and learns from how long it was. */
+  /** Ends the wait of a taken request and records its duration. */
   leave(pending: Pending, server: ServerQueue): void;
 }
 
@@ -35,63 +35,64 @@
   readonly clock: Clock;
   readonly wheel: DeadlineWheel;
   readonly rules: () => Pick<Rules, 'limits'>;
-  /** Refuses on arrival what its deadline leaves no time for. */
+  /** Whether to refuse requests on arrival that can't meet their deadline. */
   readonly refuseEarly: boolean;
 }
 
 /**
- * A request that leaves time for so many service times and still can't be
- * served in time shows an overload; one in more of a hurry shows only that.
- * The entry throttles its cell for the first kind alone.
+ * A request with time for this many service times that can't be served in time
+ * indicates overload, for which the entry throttles the cell. One with less time
+ * only has a short deadline.
  */
-const PATIENCE = 4;
+const OVERLOAD_SERVICE_TIMES = 4;
 
 /**
- * Makes the rules of waiting of one cell.
+ * Creates the waiting room of one cell.
  *
  * @example
  * ```ts
- * const ticket = room.enter(pending, server);
- * pump(server);
- * if (pending.spot?.ticket === ticket) room.admit(pending, server);
+ * const ticket = waitingRoom.enter(pending, server);
+ * sendWaiting(server);
+ * if (pending.position?.ticket === ticket)
+ *   waitingRoom.admit(pending, server);
  * ```
  */
 export function createWaitingRoom(options: WaitingRoomOptions): WaitingRoom {
   const {clock, wheel, rules} = options;
 
-  const sit = (pending: Pending, queue: FairQueue<Pending>): void => {
+  const enqueue = (pending: Pending, queue: FairQueue<Pending>): void => {
     const ticket = queue.push(pending);
-    pending.spot = {queue, ticket, since: clock.now(), expectedMs: 0};
+    pending.position = {queue, ticket, since: clock.now(), expectedMs: 0};
   };
 
-  /** Makes room for a newcomer, or refuses it where it is the last. */
-  const trim = (newcomer: Pending, why: () => Failure): void => {
+  /** Drops requests beyond the limits, if need be the newcomer. */
+  const enforceLimits = (newcomer: Pending, why: () => Failure): void => {
     const {maxQueued, maxQueuedBytes} = rules().limits;
-    while (newcomer.spot !== null) {
-      const {queue, ticket} = newcomer.spot;
+    while (newcomer.position !== null) {
+      const {queue, ticket} = newcomer.position;
       if (queue.size() <= maxQueued && queue.bytes() <= maxQueuedBytes) return;
-      refuse(queue.victim(ticket, clock.now()).item, why());
+      refuse(queue.chooseToDrop(ticket, clock.now()).item, why());
     }
   };
 
-  const learn = (pending: Pending, server: ServerQueue): void => {
-    if (pending.spot === null) return;
-    const {since, expectedMs} = pending.spot;
+  const recordWait = (pending: Pending, server: ServerQueue): void => {
+    if (pending.position === null) return;
+    const {since, expectedMs} = pending.position;
     server.waited(pending.level, since, expectedMs);
   };
 
-  /** Refuses the request once there is no time left to run it. */
+  /** Refuses the request once there is no time left to serve it. */
   const guardAtServer = (pending: Pending, server: ServerQueue): void => {
     const until = pending.req.deadline - server.lowMs(pending.level);
     guard(pending, wheel, until, () => {
-      learn(pending, server);
-      const ticket = pending.spot?.ticket;
+      recordWait(pending, server);
+      const ticket = pending.position?.ticket;
       refuse(pending, expired(ticket ? server.waitMs(ticket) : 0));
     });
   };
 
-  /** Why the request has to go at once, or null where it may stay. */
-  const objection = (
+  /** Why the request must be refused at once; null if it may wait. */
+  const refusalReason = (
     {level, req}: Pending,
     server: ServerQueue,
     waitMs: number,
@@ -99,31 +100,31 @@
     const spareMs = req.deadline - clock.now();
     if (!options.refuseEarly) return null;
     if (waitMs + server.lowMs(level) <= spareMs) return null;
-    const patient = spareMs >= PATIENCE * server.meanMs(level);
-    if (!patient) return expired(waitMs);
+    const hasTime = spareMs >= OVERLOAD_SERVICE_TIMES * server.meanMs(level);
+    if (!hasTime) return expired(waitMs);
     return overloaded('the queue is too long', waitMs);
   };
 
   return {
     enter(pending, server) {
-      sit(pending, server.waiting);
-      return (pending.spot as NonNullable<Pending['spot']>).ticket;
+      enqueue(pending, server.waiting);
+      return (pending.position as NonNullable<Pending['position']>).ticket;
     },
     admit(pending, server) {
-      const {spot} = pending;
+      const {position: spot} = pending;
       if (spot === null) return;
       const waitMs = server.waitMs(spot.ticket);
-      const why = objection(pending, server, waitMs);
+      const why = refusalReason(pending, server, waitMs);
       if (why !== null) return refuse(pending, why);
-      trim(pending, () => overloaded('the queue is full', waitMs));
-      if (pending.spot === null) return;
+      enforceLimits(pending, () => overloaded('the queue is full', waitMs));
+      if (pending.position === null) return;
       spot.expectedMs = waitMs;
       guardAtServer(pending, server);
     },
-    park(pending, gate) {
-      sit(pending, gate.waiting);
-      trim(pending, tooManyWait);
-      if (pending.spot === null) return;
+    waitForShard(pending, gate) {
+      enqueue(pending, gate.waiting);
+      enforceLimits(pending, tooManyWait);
+      if (pending.position === null) return;
       guard(pending, wheel, pending.req.deadline, () =>
         refuse(pending, expired(SETTLING_RETRY_MS)),
       );
@@ -132,12 +133,12 @@
       const queue = server.waiting;
       const pending = ticket.item;
       queue.putBack(ticket);
-      pending.spot = {queue, ticket, since: clock.now(), expectedMs: 0};
+      pending.position = {queue, ticket, since: clock.now(), expectedMs: 0};
       guardAtServer(pending, server);
     },
     leave(pending, server) {
-      learn(pending, server);
-      pending.spot = null;
+      recordWait(pending, server);
+      pending.position = null;
     },
   };
 }
--- a/packages/requests/test/bench.ts
+++ b/packages/requests/test/bench.ts
@@ -22,7 +22,7 @@
   type TestRules,
 } from './fakes.js';
 
-/** One led cell with one server, `s1`, in the test's hands. */
+/** One led cell with one server, `s1`, both controlled by the test. */
 export interface QueueBench {
   readonly clock: ManualClock;
   readonly client: FakeClient;
@@ -35,7 +35,7 @@
 export interface BenchOptions {
   readonly slots?: number;
   readonly rules?: TestRules;
-  /** Takes the place of the client that the test answers by hand. */
+  /** Replaces the client whose answers the test controls. */
   readonly send?: ServerClient['send'];
 }
 
--- a/packages/requests/test/deadline.test.ts
+++ b/packages/requests/test/deadline.test.ts
@@ -2,11 +2,11 @@
 import {createDeadlineWheel} from '@banyandrum/requests/deadline.js';
 import {createManualClock} from '@banyandrum/standins/manual-clock.js';
 
-void tap.test('deadlines come neither early nor much late', async t => {
+void tap.test('tasks run neither early nor much too late', async t => {
   const clock = createManualClock(12_345);
   const wheel = createDeadlineWheel(clock);
   const start = clock.now();
-  // Beyond one round of the wheel too, in no order.
+  // Includes deadlines after more than one round of the wheel.
   const delays = [7000, 3, 0, 5121, 999, 20_001, 12, 5119, -5];
   const late: number[] = [];
   for (const delay of delays) {
@@ -21,7 +21,7 @@
   t.equal(wheel.size(), 0);
 });
 
-void tap.test('a cancelled deadline stays silent', async t => {
+void tap.test('a cancelled task does not run', async t => {
   const clock = createManualClock();
   const wheel = createDeadlineWheel(clock);
   const seen: string[] = [];
@@ -32,7 +32,7 @@
   t.equal(wheel.size(), 1);
   await clock.advance(100);
   t.same(seen, ['kept']);
-  // After an idle time, longer than a round, it starts anew.
+  // Idle for longer than one round.
   await clock.advance(60_000);
   wheel.schedule(clock.now() + 30, () => seen.push('later'));
   await clock.advance(25);
@@ -41,7 +41,7 @@
   t.same(seen, ['kept', 'later']);
 });
 
-void tap.test('one task may cancel or add another', async t => {
+void tap.test('a task may cancel or add another', async t => {
   const clock = createManualClock();
   const wheel = createDeadlineWheel(clock);
   const seen: string[] = [];
--- a/packages/requests/test/entry-overload.test.ts
+++ b/packages/requests/test/entry-overload.test.ts
@@ -34,7 +34,7 @@
   },
 ];
 
-void tap.test('what is under way is bounded, by level', async t => {
+void tap.test('concurrent requests are limited by level', async t => {
   for (const c of LIMIT_CASES) {
     const limits = createEntryLimits({requests: 10, bytes: 1000}, () => RULES);
     const held = Array.from({length: c.held}, () =>
@@ -52,14 +52,14 @@
 });
 
 interface Flow {
-  /** Requests each 10 ms. */
+  /** Requests per 10 ms. */
   readonly rate: number;
-  /** Part that the leader accepts. */
+  /** Fraction that the leader accepts. */
   readonly accepts: number;
   readonly of: () => Partial<ServiceRequest>;
 }
 
-/** Runs flows for some seconds; yields the part let through of each. */
+/** Runs flows for some seconds; returns the fraction of each that is sent. */
 async function letThrough(
   clock: ManualClock,
   throttle: ReturnType<typeof createThrottle>,
@@ -92,7 +92,7 @@
 const THROTTLE_CASES: readonly {
   readonly name: string;
   readonly flows: readonly Flow[];
-  /** Least and most that is let through, by flow. */
+  /** Minimum and maximum fraction that is sent, by flow. */
   readonly through: readonly (readonly [number, number])[];
 }[] = [
   {
@@ -122,7 +122,7 @@
     ],
   },
   {
-    name: 'one contested key does not throttle its callers',
+    name: 'one hot key does not throttle its callers',
     flows: [
       {rate: 3, accepts: 1, of: many},
       {rate: 10, accepts: 0.05, of: () => ({...many(), key: 'hot'})},
@@ -133,7 +133,7 @@
     ],
   },
   {
-    name: 'one noisy caller does not throttle its keys',
+    name: 'one aggressive caller does not throttle its keys',
     flows: [
       {rate: 3, accepts: 1, of: many},
       {rate: 10, accepts: 0.05, of: () => ({...many(), caller: 'noisy'})},
@@ -157,32 +157,38 @@
   }
 });
 
-void tap.test('the throttle opens again after an overload', async t => {
-  // For ten seconds the leader refuses everything, then it takes all again.
-  // Callers are let through again within seconds, not minutes.
-  const clock = createManualClock();
-  const throttle = createThrottle({clock, random: createRandom(1)});
-  const none = {rate: 5, accepts: 0, of: many};
-  const all = {rate: 5, accepts: 1, of: many};
-  const [during] = await letThrough(clock, throttle, [none], 10);
-  t.ok((during ?? 1) < 0.3, `during: ${during}`);
-  const [first] = await letThrough(clock, throttle, [all], 4);
-  t.comment(`first 4 s after it: ${first}`);
-  const [after] = await letThrough(clock, throttle, [all], 2);
-  t.ok((after ?? 0) > 0.99, `from 4 s after it: ${after}`);
-});
+void tap.test(
+  'the throttle sends requests again after an overload',
+  async t => {
+    // Guards against refusals that continue for minutes after the leader accepts
+    // requests again.
+    const clock = createManualClock();
+    const throttle = createThrottle({clock, random: createRandom(1)});
+    const none = {rate: 5, accepts: 0, of: many};
+    const all = {rate: 5, accepts: 1, of: many};
+    const [during] = await letThrough(clock, throttle, [none], 10);
+    t.ok((during ?? 1) < 0.3, `during: ${during}`);
+    const [first] = await letThrough(clock, throttle, [all], 4);
+    t.comment(`first 4 s after it: ${first}`);
+    const [after] = await letThrough(clock, throttle, [all], 2);
+    t.ok((after ?? 0) > 0.99, `from 4 s after it: ${after}`);
+  },
+);
 
-void tap.test('the hint of the leader is passed on', async t => {
-  const clock = createManualClock();
-  const throttle = createThrottle({clock, random: () => 0});
-  const refused = failure('not-run', 'overloaded', '', 1234);
-  let hint: number | null = null;
-  for (let i = 0; i < 50 && hint === null; i++) {
-    const req = request();
-    hint = throttle.refuses('holds/0', req);
-    if (hint === null) {
-      throttle.refused('holds/0', req, refused.retryAfterMs ?? 0);
+void tap.test(
+  'the retry delay of the leader is returned to the caller',
+  async t => {
+    const clock = createManualClock();
+    const throttle = createThrottle({clock, random: () => 0});
+    const refused = failure('not-run', 'overloaded', '', 1234);
+    let hint: number | null = null;
+    for (let i = 0; i < 50 && hint === null; i++) {
+      const req = request();
+      hint = throttle.refuses('holds/0', req);
+      if (hint === null) {
+        throttle.refused('holds/0', req, refused.retryAfterMs ?? 0);
+      }
     }
-  }
-  t.equal(hint, 1234);
-});
+    t.equal(hint, 1234);
+  },
+);
--- a/packages/requests/test/entry.test.ts
+++ b/packages/requests/test/entry.test.ts
@@ -23,10 +23,10 @@
 interface Bench {
   readonly clock: ReturnType<typeof createManualClock>;
   readonly entry: Entry;
-  /** Hosts that requests were sent to. */
+  /** Hosts to which requests were sent. */
   readonly sent: string[];
   setView(leader: Incarnation | null): void;
-  /** From now on this process leads, if the view says so. */
+  /** Makes this process lead if the view names it. */
   startLeading(): void;
 }
 
@@ -76,9 +76,8 @@
 }
 
 void tap.test('a request finds the next leader', async t => {
-  // The caller sees its answer as soon as the takeover is over. The leader
-  // is lost before it was written to, so nothing ran; the request waits for
-  // the successor's view and goes there.
+  // The leader is lost before the request was written, so it waits for the
+  // successor's view and is answered there.
   const b = bench(to => (to.host === 'a' ? Err(notWritten()) : Ok(ANSWER)), 0);
   b.setView(router('a'));
   const seen = watch(b.entry.handle(request({deadline: 9000, once: true})));
@@ -101,8 +100,8 @@
   t.ok(seen.outcome?.err && seen.outcome.val.retryAfterMs);
 });
 
-void tap.test('a new leader is waited for until it is ready', async t => {
-  // The view names this process already; it answers once it may act.
+void tap.test('a request waits until the new leader is ready', async t => {
+  // The view already names this process, which may not act yet.
   const b = bench(() => Ok(ANSWER), 0);
   b.setView(router('me'));
   const seen = watch(b.entry.handle(request({deadline: 4000, once: true})));
@@ -114,7 +113,7 @@
   t.same(b.sent, [], 'nothing went to another router');
 });
 
-void tap.test('a caller may give up while there is no leader', async t => {
+void tap.test('a caller may cancel while there is no leader', async t => {
   const b = bench(() => Ok(ANSWER));
   const caller = new AbortController();
   const {signal} = caller;
@@ -125,34 +124,34 @@
   t.equal(told(seen), 'not-run cancelled');
 });
 
-void tap.test('a leader that never answers costs no caller', async t => {
-  // The stream is silent for good. The caller is told by its deadline, with
-  // some grace for the leader's own verdict, that it may have run.
-  const clock = createManualClock();
-  const entry = createEntry({
-    self: router('me'),
-    topology: () => ({shards: 16, cells: 1}),
-    leaderOf: cell => {
-      const leader = router('a');
-      return {cell, epoch: 1, leader, standby: null, unsettled: []};
-    },
-    subscribe: () => () => {},
-    localLeader: () => null,
-    send: () => new Promise(() => {}),
-    rules: () => RULES,
-    clock,
-    random: () => 0.5,
-  });
-  const seen = watch(entry.handle(request({deadline: 1000})));
-  await clock.advance(1300);
-  t.equal(told(seen), 'may-have-run deadline');
-});
+void tap.test(
+  'a leader that never answers does not block the caller',
+  async t => {
+    // The caller learns shortly after its deadline that the request may have run.
+    const clock = createManualClock();
+    const entry = createEntry({
+      self: router('me'),
+      topology: () => ({shards: 16, cells: 1}),
+      leaderOf: cell => {
+        const leader = router('a');
+        return {cell, epoch: 1, leader, standby: null, unsettled: []};
+      },
+      subscribe: () => () => {},
+      localLeader: () => null,
+      send: () => new Promise(() => {}),
+      rules: () => RULES,
+      clock,
+      random: () => 0.5,
+    });
+    const seen = watch(entry.handle(request({deadline: 1000})));
+    await clock.advance(1300);
+    t.equal(told(seen), 'may-have-run deadline');
+  },
+);
 
-// The caller's hold arrives during a takeover. The new leader's view is in
-// force at the entry, but the leader itself waits until the old one cannot
-// act, or has not read that view yet, and says `moved`. No newer view comes;
-// an entry that waited for one kept the caller to the deadline.
-void tap.test('a new leader that does not lead yet is asked again', async t => {
+// Guards against an entry that waits until the deadline for a newer view while
+// the new leader isn't ready yet and answers `moved`.
+void tap.test('a new leader that is not ready is tried again', async t => {
   let isLeading = false;
   const {clock, entry, setView} = bench(() =>
     isLeading ? Ok(ANSWER) : Err(failure('not-run', 'moved', '')),
@@ -167,29 +166,32 @@
   t.equal(told(seen), 'ok');
 });
 
-void tap.test('what another router passes on ends here', async t => {
-  const {queue, client} = queueBench();
-  client.answersAtOnce = true;
-  const led: readonly (LeaderQueue | null)[] = [queue, null];
-  const answers: string[] = [];
-  for (const localLeader of led) {
-    const handle = createPeerHandler({
-      topology: name => (name === 'holds' ? {shards: 16, cells: 1} : null),
-      localLeader: () => localLeader,
-    });
-    for (const service of ['holds', 'beds']) {
-      const seen = watch(handle(request({service})));
-      await settle();
-      answers.push(told(seen));
+void tap.test(
+  'a request from another router is not forwarded again',
+  async t => {
+    const {queue, client} = queueBench();
+    client.answersAtOnce = true;
+    const led: readonly (LeaderQueue | null)[] = [queue, null];
+    const answers: string[] = [];
+    for (const localLeader of led) {
+      const handle = createPeerHandler({
+        topology: name => (name === 'holds' ? {shards: 16, cells: 1} : null),
+        localLeader: () => localLeader,
+      });
+      for (const service of ['holds', 'beds']) {
+        const seen = watch(handle(request({service})));
+        await settle();
+        answers.push(told(seen));
+      }
     }
-  }
-  t.same(answers, [
-    'ok',
-    'not-run unknown-service',
-    'not-run moved',
-    'not-run unknown-service',
-  ]);
-});
+    t.same(answers, [
+      'ok',
+      'not-run unknown-service',
+      'not-run moved',
+      'not-run unknown-service',
+    ]);
+  },
+);
 
 interface RetryCase {
   readonly name: string;
@@ -210,7 +212,7 @@
     told: 'ok',
   },
   {
-    name: 'moved, streamed and untouched',
+    name: 'moved, streamed and unread',
     failed: failure('not-run', 'moved', ''),
     streamed: 'untouched',
     attempts: 2,
@@ -251,7 +253,7 @@
   },
 ];
 
-void tap.test('retries by verdict only', async t => {
+void tap.test('retries depend on the verdict', async t => {
   for (const c of RETRY_CASES) {
     let attempts = 0;
     const b = bench((_, req) => {
@@ -269,8 +271,7 @@
 });
 
 void tap.test('a later not-run does not hide an earlier write', async t => {
-  // The caller must not be told `not-run`: the first attempt was written and
-  // its answer lost; only the second one was refused.
+  // The first attempt was written and its answer lost; the second was refused.
   const answers: Outcome[] = [
     Err(failure('may-have-run', 'connection-lost', '')),
     Err(failure('not-run', 'overloaded', '', 300)),
--- a/packages/requests/test/fair-queue.test.ts
+++ b/packages/requests/test/fair-queue.test.ts
@@ -27,7 +27,7 @@
   return {...base, ...over, name};
 }
 
-/** Takes all, in order. */
+/** Takes all tickets in order. */
 function order(q: FairQueue<Item>, now = 0): string {
   const names: string[] = [];
   for (let t = q.take(now); t !== null; t = q.take(now)) {
@@ -68,7 +68,7 @@
     order: 'x1 y1 x2',
   },
   {
-    name: 'a caller of a contested key keeps its turn for other keys',
+    name: 'a caller of a hot key keeps its turn for other keys',
     items: [
       item('x1', {key: 'x'}),
       item('x2', {key: 'x'}),
@@ -88,7 +88,7 @@
   }
 });
 
-void tap.test('one turn in eight goes to what has aged', async t => {
+void tap.test('one turn in eight goes to an aged request', async t => {
   const q = queue();
   for (let i = 0; i < 20; i++) q.push(item('h', {queuedAt: 199}));
   q.push(item('r1', {level: 2}));
@@ -100,11 +100,11 @@
   t.equal(names.indexOf('young'), 22);
 });
 
-void tap.test('who gives way when there is no room', async t => {
+void tap.test('which request is dropped when the queue is full', async t => {
   const cases = [
     {name: 'the lowest level', newcomer: item('new'), victim: 'report'},
     {
-      name: 'not who has aged up to the newcomer',
+      name: 'not one that has aged up to the newcomer',
       newcomer: item('new', {level: 1, queuedAt: 100}),
       victim: 'new',
       now: 100,
@@ -115,7 +115,7 @@
       victim: 'new',
     },
     {
-      name: 'the loud caller, for a quiet one of its level',
+      name: 'the caller with more requests of the same level',
       newcomer: item('new', {level: 2}),
       victim: 'report',
     },
@@ -126,27 +126,30 @@
     q.push(item('first', {level: 2, caller: 'loud'}));
     q.push(item('report', {level: 2, caller: 'loud'}));
     const ticket = q.push(c.newcomer);
-    t.equal(q.victim(ticket, c.now ?? 0).item.name, c.victim, c.name);
+    t.equal(q.chooseToDrop(ticket, c.now ?? 0).item.name, c.victim, c.name);
   }
 });
 
-void tap.test('a ticket leaves once and comes back to its place', async t => {
-  const q = queue();
-  const first = q.push(item('first'));
-  const second = q.push(item('second'));
-  q.push(item('third', {bytes: 5}));
-  t.equal(q.remove(second), true);
-  t.equal(q.remove(second), false);
-  t.equal(q.take(0), first as Ticket<Item>);
-  q.putBack(first);
-  t.equal(q.size(), 2);
-  t.equal(q.bytes(), 6);
-  t.equal(order(q), 'first third');
-});
+void tap.test(
+  'a ticket is removed once and returns to its position',
+  async t => {
+    const q = queue();
+    const first = q.push(item('first'));
+    const second = q.push(item('second'));
+    q.push(item('third', {bytes: 5}));
+    t.equal(q.remove(second), true);
+    t.equal(q.remove(second), false);
+    t.equal(q.take(0), first as Ticket<Item>);
+    q.putBack(first);
+    t.equal(q.size(), 2);
+    t.equal(q.bytes(), 6);
+    t.equal(order(q), 'first third');
+  },
+);
 
-void tap.test('who cancels gets no better turn than who waits', async t => {
-  // A caller that cancels and asks again would otherwise either lose turns
-  // it never had, or jump ahead of its own older requests' shares.
+void tap.test('a cancelled request does not improve the next turn', async t => {
+  // Guards against a caller that gains or loses turns by cancelling and sending
+  // again.
   const q = queue();
   q.push(item('b1', {caller: 'b'}));
   q.push(item('a1', {caller: 'a'}));
--- a/packages/requests/test/fakes.ts
+++ b/packages/requests/test/fakes.ts
@@ -60,7 +60,7 @@
 
 let nextId = 0;
 
-/** A request for key `k`, due in a second of a clock at 0. */
+/** A request for key `k` with a deadline of 1 s on a clock that starts at 0. */
 export function request(over: Partial<ServiceRequest> = {}): ServiceRequest {
   return {
     id: `r${nextId++}`,
@@ -79,13 +79,13 @@
   };
 }
 
-/** A cell whose table the test holds in its hands. */
+/** A cell whose table the test controls. */
 export interface FakeCell extends LedCell {
   acting: boolean;
   leaseEnd: number;
-  /** Whether its servers stop what runs when they lose a shard. */
+  /** Whether its servers stop requests when they lose their shard. */
   checksFences: boolean;
-  /** Replaces the answer for single shards. */
+  /** Overrides the location of single shards. */
   readonly where: Map<string, Location>;
 }
 
@@ -130,23 +130,23 @@
   };
 }
 
-/** One request at a fake server, in the test's hands. */
+/** A request at a fake server, which the test answers. */
 export interface Sent {
   readonly server: string;
   readonly dispatch: Dispatch;
-  /** Whether `mayWrite` let it pass. */
+  /** Whether `mayWrite` allowed it. */
   readonly written: boolean;
   answer(answer?: ServiceAnswer): Promise<void>;
   fail(failed: Failure): Promise<void>;
 }
 
 export interface FakeClient extends Pick<ServerClient, 'send'> {
-  /** In the order of sending; answered ones stay. */
+  /** In the order of sending, including answered ones. */
   readonly sent: Sent[];
-  /** In flight now and at most, by server. */
+  /** Present and maximum number in flight, by server. */
   readonly inFlight: Map<string, number>;
   readonly peak: Map<string, number>;
-  /** Answers by itself instead of waiting for the test. */
+  /** Answers automatically instead of waiting for the test. */
   answersAtOnce: boolean;
   /** Fails at once, as `cancelled`, when the request's signal aborts. */
   heedsSignals: boolean;
@@ -202,7 +202,7 @@
   await setImmediate();
 }
 
-/** Watches an outcome without waiting for it. */
+/** Tracks an outcome without waiting for it. */
 export function watch(promise: Promise<Outcome>): {outcome: Outcome | null} {
   const seen: {outcome: Outcome | null} = {outcome: null};
   void promise.then(outcome => {
--- a/packages/requests/test/faults.test.ts
+++ b/packages/requests/test/faults.test.ts
@@ -31,7 +31,7 @@
 const REQUESTS = 150;
 const RUNS = 12;
 
-/** What a server may do to one request. */
+/** Possible outcomes of a request at a server. */
 type Fate = 'run' | 'run-lost' | 'lost' | 'unreached' | FailureCode;
 
 const FATES: readonly Fate[] = [
@@ -81,9 +81,9 @@
   readonly clock: ManualClock;
   readonly random: () => number;
   readonly executions: ReadonlyMap<string, number>;
-  /** Asks through the entry of router `a`. */
+  /** Sends a request through the entry of router `a`. */
   ask(req: ServiceRequest): Promise<Outcome>;
-  /** One random fault of the routers, for a while. */
+  /** Causes one random temporary fault of the routers. */
   disturb(): void;
 }
 
@@ -175,11 +175,10 @@
 }
 
 void tap.test('verdicts hold under random faults', async t => {
-  // Leaders change, pause and lose leases; servers refuse, vanish or lose
-  // their answers; streams break on either side of the leader. Whatever
-  // happens, a request not to be repeated runs once at most, one that is
-  // called `not-run` did not run, an answer means it ran, and every caller
-  // is told something.
+  // Leaders change, pause and lose leases; servers refuse, disappear or lose
+  // answers; streams break on both sides of the leader. A request that must not
+  // be repeated runs at most once, one reported as `not-run` did not run, one
+  // with an answer ran, and every request ends.
   const seen = new Map<string, number>();
   for (let seed = 1; seed <= RUNS; seed++) {
     const world = createWorld(seed);
@@ -218,10 +217,9 @@
   t.ok([...seen.keys()].some(outcome => outcome.startsWith('not-run')));
 });
 
-void tap.test('a storm of failures is not fed by retries', async t => {
-  // Every attempt is lost after the write. Callers of idempotent requests
-  // get their failure; the attempts stay within the budget of 10 retries
-  // for each 100 requests beside the ten saved up.
+void tap.test('retries do not multiply a wave of failures', async t => {
+  // All attempts are lost after the write. The attempts stay within the budget
+  // of 10 retries per 100 requests plus the initial ten.
   const clock = createManualClock();
   let attempts = 0;
   const view = viewOf(1, router('b'));
--- a/packages/requests/test/load-meter.test.ts
+++ b/packages/requests/test/load-meter.test.ts
@@ -3,7 +3,7 @@
 import {createHotKeyMeter} from '@banyandrum/requests/hot-key-meter.js';
 import {createManualClock} from '@banyandrum/standins/manual-clock.js';
 
-void tap.test('a hot key is named with what it costs', async t => {
+void tap.test('a hot key is returned with its load', async t => {
   const clock = createManualClock();
   const halfLifeMs = 10_000;
   const meter = createHotKeyMeter({
--- a/packages/requests/test/load.ts
+++ b/packages/requests/test/load.ts
@@ -26,7 +26,7 @@
 /** One kind of request in the offered load. */
 export interface Kind {
   readonly level: number;
-  /** Requests a second. */
+  /** Requests per second. */
   readonly rate: number;
   readonly deadlineMs: number;
   readonly pickKey: (random: () => number) => string;
@@ -45,7 +45,7 @@
   readonly levelOf: (kind: Kind) => number;
 }
 
-/** What became of one kind's requests. */
+/** Outcomes of one kind's requests. */
 export interface Tally {
   readonly kind: Kind;
   /** Answered by the deadline. */
@@ -70,7 +70,7 @@
 /** A refusal within this counts as early, in ms. */
 const AT_ONCE_MS = 1;
 
-/** An entry that leads the cell itself, over servers of the given speed. */
+/** An entry that leads the cell itself, with servers of the given speed. */
 export interface LoadedSystem {
   readonly clock: ManualClock;
   readonly random: () => number;
@@ -108,7 +108,7 @@
   return {clock, random, handle};
 }
 
-/** Offers an open load; yields what became of each kind. */
+/** Offers an open-loop load; returns the outcomes of each kind. */
 export async function offer(options: LoadOptions): Promise<readonly Tally[]> {
   const {clock, random, handle} = createLoadedSystem(options);
   const ask = async (tally: Tally): Promise<void> => {
@@ -154,7 +154,7 @@
   };
 }
 
-/** Servers that answer after some time, and stop at the deadline. */
+/** Servers that answer after their service time and stop at the deadline. */
 function timedClient(
   clock: Clock,
   serviceMs: () => number,
@@ -193,13 +193,13 @@
   tally.waits.push(ms);
 }
 
-/** The p-th part of the waits, in ms. */
+/** The p-quantile of the waits, in ms. */
 export function quantile(waits: readonly number[], p: number): number {
   const sorted = [...waits].sort((a, b) => a - b);
   return sorted[Math.floor(p * (sorted.length - 1))] ?? 0;
 }
 
-/** Useful answers a second, of all kinds. */
+/** Answers in time per second, of all kinds. */
 export function usefulRate(tallies: readonly Tally[], seconds: number): number {
   return tallies.reduce((sum, {useful}) => sum + useful, 0) / seconds;
 }
--- a/packages/requests/test/overload.test.ts
+++ b/packages/requests/test/overload.test.ts
@@ -12,7 +12,7 @@
   type Tally,
 } from './load.js';
 
-/** Two servers with four slots and 50 ms a request. */
+/** Two servers with four slots each and 50 ms per request. */
 const CAPACITY = 160;
 
 const ANYBODY = {
@@ -64,24 +64,24 @@
   return offer({...DEFAULT_LOAD, rules: AGEING, ...over, kinds});
 }
 
-/** Part of the requests with an outcome that were answered in time. */
+/** Fraction of the ended requests that were answered in time. */
 function served(tally: Tally | undefined): number {
   if (tally === undefined) return 0;
   const {useful, refusedAtOnce, refusedLate, wasted} = tally;
   return useful / (useful + refusedAtOnce + refusedLate + wasted);
 }
 
-/** Part of the refusals that came only after a wait. */
+/** Fraction of the refusals that came after a wait. */
 function late(tallies: readonly Tally[]): number {
   const waited = tallies.reduce((sum, tally) => sum + tally.refusedLate, 0);
   const all = tallies.reduce((sum, tally) => sum + tally.refusedAtOnce, waited);
   return all === 0 ? 0 : waited / all;
 }
 
-void tap.test('useful throughput holds beyond saturation', async t => {
-  // Callers offer up to three times what the servers can do. Holds are
-  // served as ever, lookups in part, reports wait; whoever can't be served
-  // in time is told on arrival, so that no slot is spent in vain.
+void tap.test('goodput is stable beyond saturation', async t => {
+  // At up to three times the capacity, holds are served as before, lookups in
+  // part, and reports wait. Requests that can't be served in time are refused on
+  // arrival, so that no slot is wasted.
   const rates: number[] = [];
   for (const times of [1, 2, 3]) {
     const tallies = await run({}, mix(times));
@@ -97,15 +97,18 @@
   t.ok(Math.min(...rates) > 0.9 * peak, `useful a second: ${rates.join()}`);
 });
 
-void tap.test('each part of the policy earns its place at 3x', async t => {
-  const [holds] = await run(ONE_LEVEL, mix(3));
-  t.ok(served(holds) < 0.5, `holds without precedence: ${served(holds)}`);
-  const [, , reports] = await run({rules: NO_AGEING}, mix(3));
-  t.ok(served(reports) < 0.01, `reports without ageing: ${served(reports)}`);
-  const plain = await run(PLAIN, mix(3));
-  t.ok(late(plain) > 0.5, `late without early refusal: ${late(plain)}`);
-  t.ok(served(plain[0]) < 0.2, `holds in plain order: ${served(plain[0])}`);
-});
+void tap.test(
+  'each part of the policy is needed at 3x the capacity',
+  async t => {
+    const [holds] = await run(ONE_LEVEL, mix(3));
+    t.ok(served(holds) < 0.5, `holds without precedence: ${served(holds)}`);
+    const [, , reports] = await run({rules: NO_AGEING}, mix(3));
+    t.ok(served(reports) < 0.01, `reports without ageing: ${served(reports)}`);
+    const plain = await run(PLAIN, mix(3));
+    t.ok(late(plain) > 0.5, `late without early refusal: ${late(plain)}`);
+    t.ok(served(plain[0]) < 0.2, `holds in plain order: ${served(plain[0])}`);
+  },
+);
 
 const QUIET: Kind = {
   ...ANYBODY,
@@ -122,7 +125,7 @@
   ['one contested key', {...QUIET, pickKey: () => 'hot', rate: 3 * CAPACITY}],
 ]);
 
-void tap.test('a crowd does not starve the rest', async t => {
+void tap.test('many requests of one caller do not starve others', async t => {
   for (const [name, crowd] of CROWDS) {
     const [quiet, loud] = await run({}, [QUIET, crowd]);
     t.ok(served(quiet) > 0.98, `${name}: quiet ones ${served(quiet)}`);
@@ -133,10 +136,10 @@
   }
 });
 
-void tap.test('refused callers are told when to come back', async t => {
-  // For two seconds three times the capacity is asked for. Callers who are
-  // refused come back when they were told to, and nearly all are served
-  // after a few attempts; asking again every 100 ms would cost many more.
+void tap.test('refused callers are told when to retry', async t => {
+  // During two seconds at three times the capacity, refused callers retry when
+  // told to. Nearly all are served after a few attempts, many fewer than with
+  // retries every 100 ms.
   const told = await comeBack(hintMs => hintMs);
   const impatient = await comeBack(() => 100);
   t.equal(told.served, told.asked);
@@ -150,7 +153,7 @@
   attempts: number;
 }
 
-/** A burst of callers who come back after each refusal. */
+/** A burst of callers that retry after each refusal. */
 async function comeBack(pauseOf: (hintMs: number) => number): Promise<Returns> {
   const options = {...DEFAULT_LOAD, rules: AGEING};
   const {clock, random, handle} = createLoadedSystem(options);
--- a/packages/requests/test/queue-faults.test.ts
+++ b/packages/requests/test/queue-faults.test.ts
@@ -5,10 +5,10 @@
 
 interface FaultCase {
   readonly name: string;
-  /** Answers of the server, one after the other; then it answers well. */
+  /** Outcomes at the server in order; later requests succeed. */
   readonly faults: readonly Failure[];
   readonly once?: boolean;
-  /** Streamed, and the server read some of it before it refused. */
+  /** Whether the body is streamed and partly read before a refusal. */
   readonly partlyRead?: boolean;
   readonly sent: number;
   readonly told: string;
@@ -92,9 +92,9 @@
   }
 });
 
-void tap.test('a refused request keeps its place', async t => {
-  // The caller sees its answer in turn. The server refuses the first one
-  // for lack of capacity; it goes ahead of those that came after it.
+void tap.test('a refused request keeps its position', async t => {
+  // The first request, refused for lack of capacity, is sent again before those
+  // that arrived after it.
   const b = queueBench({slots: 1});
   b.ask({id: 'first'});
   b.ask({id: 'second'});
@@ -105,9 +105,9 @@
   t.equal(b.client.sent[1]?.dispatch.req.id, 'first');
 });
 
-void tap.test('a client that breaks its promise costs no slot', async t => {
-  // The caller is told the truth in bounded time: nothing says whether the
-  // request ran, unless it was never let through to be written.
+void tap.test('a client that never settles loses no slot', async t => {
+  // The caller gets a verdict in bounded time: it may have run, unless it was
+  // never allowed to be written.
   const cases = [
     {write: true, throws: false, told: 'may-have-run deadline'},
     {write: false, throws: false, told: 'not-run deadline'},
@@ -131,35 +131,37 @@
   }
 });
 
-void tap.test('unchecked, a request never outlives the lease', async t => {
-  // The server may lose the shard when the lease ends, and doesn't check
-  // fences: what it is sent ends with the lease. With no lease left nothing
-  // is sent until it is renewed.
-  const b = queueBench({slots: 2});
-  b.led.checksFences = false;
-  b.led.leaseEnd = 700;
-  b.ask({deadline: 5000});
-  await settle();
-  const dispatch = b.client.sent[0]?.dispatch;
-  t.equal(dispatch?.req.deadline, 700);
-  t.same(dispatch?.serverDeadline, {boot: 's1', ms: 700});
-  t.same(dispatch?.serverStartBy, {boot: 's1', ms: 700});
-  await b.clock.advance(701);
-  t.equal(dispatch?.mayWrite(), false);
-  b.ask({deadline: 5000});
-  await b.clock.advance(50);
-  t.equal(b.client.sent.length, 1);
-  b.led.leaseEnd = 2600;
-  await b.clock.advance(20);
-  t.equal(b.client.sent.length, 2);
-});
+void tap.test(
+  'without fence checks, a request never outlives the lease',
+  async t => {
+    // The server may lose the shard when the lease ends and doesn't check fences,
+    // so deadlines end with the lease. Without a lease nothing is sent.
+    const b = queueBench({slots: 2});
+    b.led.checksFences = false;
+    b.led.leaseEnd = 700;
+    b.ask({deadline: 5000});
+    await settle();
+    const dispatch = b.client.sent[0]?.dispatch;
+    t.equal(dispatch?.req.deadline, 700);
+    t.same(dispatch?.serverDeadline, {boot: 's1', ms: 700});
+    t.same(dispatch?.serverStartBy, {boot: 's1', ms: 700});
+    await b.clock.advance(701);
+    t.equal(dispatch?.mayWrite(), false);
+    b.ask({deadline: 5000});
+    await b.clock.advance(50);
+    t.equal(b.client.sent.length, 1);
+    b.led.leaseEnd = 2600;
+    await b.clock.advance(20);
+    t.equal(b.client.sent.length, 2);
+  },
+);
 
 interface LeaseCase {
   readonly name: string;
-  /** What happens to the lease, by time in ms; it ends at 1000 at first. */
+  /** Changes of the lease by time in ms; it initially ends at 1000. */
   readonly events: readonly (readonly [number, (cell: FakeCell) => void])[];
   readonly once?: boolean;
-  /** When the server answers; never, without it. */
+  /** Time of the server's answer, in ms; never if undefined. */
   readonly answerAt?: number;
   readonly toldAt: number;
   readonly told: string;
@@ -171,21 +173,21 @@
 
 const LEASE_CASES: readonly LeaseCase[] = [
   {
-    name: 'renewed all the while',
+    name: 'renewed throughout',
     events: RENEWED,
     answerAt: 5000,
     toldAt: 5000,
     told: 'ok',
   },
   {
-    name: 'lost under way',
+    name: 'lost while the request runs',
     events: RENEWED.slice(0, 2),
     once: true,
     toldAt: 3260,
     told: 'may-have-run connection-lost',
   },
   {
-    name: 'lost, while the last answer was on its way',
+    name: 'lost while the answer is in transit',
     events: RENEWED.slice(0, 2),
     answerAt: 3200,
     toldAt: 3200,
@@ -209,11 +211,10 @@
   },
 ];
 
-void tap.test('a request outlives its lease where it is renewed', async t => {
-  // A report takes longer than a lease. Its server checks fences, so it stops
-  // the report when it loses the lease and only then. The caller hears of the
-  // loss at once, not at its own deadline minutes later, and what is sent
-  // once is not sent again.
+void tap.test('a request may outlive its lease if that is renewed', async t => {
+  // A report takes longer than a lease. Its server checks fences, so it stops the
+  // report only when it loses the lease. The caller learns that at once instead
+  // of at its deadline minutes later, and the request isn't sent again.
   for (const c of LEASE_CASES) {
     const b = queueBench({slots: 1});
     b.client.heedsSignals = true;
@@ -241,35 +242,36 @@
   }
 });
 
-void tap.test('a closed gate waits for what may still run', async t => {
-  // The caller gives up. Its server may run the request until the deadline
-  // all the same, and without a check of fences nothing but that ends it: the
-  // shard's next owner must wait. Where an order ends it, it need not.
-  const b = queueBench({slots: 1});
-  b.led.checksFences = false;
-  const cancel = new AbortController();
-  b.ask({deadline: 700, signal: cancel.signal});
-  await settle();
-  cancel.abort();
-  await b.client.sent[0]?.fail(failure('may-have-run', 'cancelled', ''));
-  const shard = b.led.locate('k').shard;
-  const seen: string[] = [];
-  void b.queues.close('holds/0', shard).then(() => seen.push('ended'));
-  void b.queues
-    .close('holds/0', shard, 'answered')
-    .then(() => seen.push('answered'));
-  await settle();
-  t.same(seen, ['answered']);
-  await b.clock.advance(690);
-  t.same(seen, ['answered']);
-  await b.clock.advance(20);
-  t.same(seen, ['answered', 'ended']);
-});
+void tap.test(
+  'a closed gate waits for requests that may still run',
+  async t => {
+    // The caller cancels, but its server may run the request until the deadline.
+    // Without fence checks, the shard's next owner must wait for that.
+    const b = queueBench({slots: 1});
+    b.led.checksFences = false;
+    const cancel = new AbortController();
+    b.ask({deadline: 700, signal: cancel.signal});
+    await settle();
+    cancel.abort();
+    await b.client.sent[0]?.fail(failure('may-have-run', 'cancelled', ''));
+    const shard = b.led.locate('k').shard;
+    const seen: string[] = [];
+    void b.queues.close('holds/0', shard).then(() => seen.push('ended'));
+    void b.queues
+      .close('holds/0', shard, 'answered')
+      .then(() => seen.push('answered'));
+    await settle();
+    t.same(seen, ['answered']);
+    await b.clock.advance(690);
+    t.same(seen, ['answered']);
+    await b.clock.advance(20);
+    t.same(seen, ['answered', 'ended']);
+  },
+);
 
-void tap.test('held back at the last moment, it waits again', async t => {
-  // The process was paused between its decision and the write. The client
-  // asks once more, is told no, and the request, of which nothing was
-  // written, goes back to its place until the leader may act again.
+void tap.test('a request denied just before the write waits again', async t => {
+  // The process was suspended between its decision and the write. The client
+  // checks again and is denied, and the request returns to its position.
   const b = queueBench({slots: 1});
   const seen = b.ask({once: true});
   await settle();
@@ -286,8 +288,7 @@
 });
 
 void tap.test('without authority the wait is bounded', async t => {
-  // The caller's entry gets the request back and finds the next leader,
-  // instead of waiting here for an authority that is gone for good.
+  // The request is returned to the caller's entry, which finds the next leader.
   const b = queueBench();
   b.led.acting = false;
   const seen = b.ask({deadline: 60_000});
--- a/packages/requests/test/queue.test.ts
+++ b/packages/requests/test/queue.test.ts
@@ -24,7 +24,7 @@
   t.equal(client.peak.get('s1'), 2);
 });
 
-void tap.test('a cancelled request gives up its place', async t => {
+void tap.test('a cancelled request leaves the queue', async t => {
   const {client, ask} = queueBench({slots: 1});
   const caller = new AbortController();
   ask();
@@ -56,10 +56,9 @@
   t.equal(client.sent.length, 2);
 });
 
-void tap.test('a planned move keeps newcomers waiting', async t => {
-  // The caller sees one answer, a little later than usual. The gate closes
-  // while a request is in flight; close() ends only with its answer. What
-  // comes meanwhile waits at the shard and is sent to the new server.
+void tap.test('new requests wait during a planned move', async t => {
+  // The gate closes while a request is in flight, and close() resolves with its
+  // answer. Requests that arrive meanwhile are sent to the new server.
   const {client, led, queues, ask} = queueBench();
   const shard = shardOfKey('k', SHARDS);
   ask();
@@ -81,9 +80,8 @@
 });
 
 void tap.test('a leader that may not act sends nothing', async t => {
-  // The caller sees its answer once the leader may act again, or `not-run`.
-  // The process was paused and its authority lapsed; it must not write,
-  // since a successor may already have given the shard away.
+  // The process was suspended and its authority expired. A successor may have
+  // moved the shard, so nothing may be written until the leader may act again.
   const {clock, client, led, queues, ask} = queueBench();
   led.acting = false;
   const held = ask();
@@ -102,7 +100,7 @@
   t.equal(queues.queueOf(CELL), null);
 });
 
-void tap.test('what waits too long is refused, never sent', async t => {
+void tap.test('a request that waits too long is refused, not sent', async t => {
   const {clock, client, ask} = queueBench({slots: 1});
   ask({deadline: 5000});
   const late = ask({deadline: 100});
@@ -113,8 +111,7 @@
 });
 
 void tap.test('a request in flight is not called `not-run`', async t => {
-  // The caller gives up after its request has left the queue. Only the
-  // client knows what became of it, so its verdict counts.
+  // The caller cancels after the request was sent, so the client's verdict counts.
   const {client, ask} = queueBench({slots: 1});
   const caller = new AbortController();
   ask();
@@ -129,9 +126,8 @@
   t.equal(told(second), 'may-have-run cancelled');
 });
 
-void tap.test('what waits for a shard on its way goes with it', async t => {
-  // The caller sees its answer when the shard has settled. Its old server
-  // was lost and ownership asks around; the first answer is `moving` again.
+void tap.test('requests for a moving shard follow it', async t => {
+  // The old server was lost; the location is `moving` twice until it settles.
   const {clock, client, led, ask} = queueBench();
   const shard = shardOfKey('k', SHARDS);
   let settleShard = (): void => {};
@@ -172,7 +168,7 @@
   }
 });
 
-void tap.test('the load is what the leader saw', async t => {
+void tap.test('the load is measured by the leader', async t => {
   const {clock, client, queues, ask} = queueBench({slots: 1});
   for (let i = 0; i < 20; i++) {
     ask({deadline: clock.now() + 1000});
--- a/packages/requests/test/server-slots.test.ts
+++ b/packages/requests/test/server-slots.test.ts
@@ -6,12 +6,12 @@
 import {queueBench} from './bench.js';
 import {ANSWER} from './fakes.js';
 
-void tap.test('the window falls at once and grows back slowly', async t => {
+void tap.test('the window shrinks at once and grows slowly', async t => {
   const clock = createManualClock();
   const slots = createServerSlots(4, clock);
   for (let i = 0; i < 4; i++) slots.take();
   t.equal(slots.isFree(), false);
-  // Sent together and refused together: one sign of one limit.
+  // Requests that were sent together and refused together count once.
   await clock.advance(5);
   slots.shed(0, 0);
   slots.shed(0, 0);
@@ -29,23 +29,25 @@
   t.equal(slots.window(), 2);
 });
 
-void tap.test('refusals in a row pause longer, within bounds', async t => {
-  const clock = createManualClock();
-  const slots = createServerSlots(2, clock);
-  const pauses: number[] = [];
-  for (let i = 0; i < 8; i++) {
-    slots.pause();
-    pauses.push(slots.pausedUntil() - clock.now());
-    await clock.advance(pauses[i] ?? 0);
-    t.equal(slots.isFree(), true);
-  }
-  t.same(pauses, [10, 20, 40, 80, 160, 320, 500, 500]);
-});
+void tap.test(
+  'consecutive refusals cause longer pauses, up to a limit',
+  async t => {
+    const clock = createManualClock();
+    const slots = createServerSlots(2, clock);
+    const pauses: number[] = [];
+    for (let i = 0; i < 8; i++) {
+      slots.pause();
+      pauses.push(slots.pausedUntil() - clock.now());
+      await clock.advance(pauses[i] ?? 0);
+      t.equal(slots.isFree(), true);
+    }
+    t.same(pauses, [10, 20, 40, 80, 160, 320, 500, 500]);
+  },
+);
 
-void tap.test('a server that can do less than it says', async t => {
-  // The callers see answers and no refusals. The server reports 4 slots and
-  // refuses what goes beyond 2. The leader finds that out by itself, so few
-  // requests are refused, and the server is kept busy all the same.
+void tap.test('a server with less capacity than reported', async t => {
+  // The server reports 4 slots and refuses requests beyond 2. The leader adapts:
+  // few requests are refused, and the server is kept busy.
   let busy = 0;
   let shed = 0;
   const b = queueBench({
