Reword the client of the backend servers and its tests

Cause: comments that a newcomer stumbles over (a way to all servers, connections that proved nothing, an order that is obeyed, answers that have slipped). Change: comments and titles of tests.

--- a/packages/servers/src/answer-reader.ts
+++ b/packages/servers/src/answer-reader.ts
@@ -6,25 +6,25 @@
 import type {BodySource, BodyStream} from './body-stream.js';
 import type {AnswerHead} from './fields.js';
 
-/** A server's answer: its head, and its body whole or as a stream. */
+/** A server's answer with its buffered or streamed body. */
 export interface ServerAnswer {
   readonly head: AnswerHead;
   readonly body: Body;
 }
 
-/** Builds an answer from the parts that arrive. */
+/** Assembles an answer from its parts. */
 export interface AnswerReader {
-  /** Takes the head; gives the answer where its body is streamed. */
+  /** Starts with the head; returns the answer if its body is streamed. */
   begin(head: AnswerHead, source: BodySource): ServerAnswer | null;
-  /** False where the connection should pause. */
+  /** Returns false if the connection should pause. */
   push(chunk: Uint8Array): boolean;
-  /** The body is whole; gives the answer where it was gathered. */
+  /** Ends the body; returns the answer if it was buffered. */
   end(): ServerAnswer | null;
   /** Fails the stream, if there is one; it throws with the verdict `ran`. */
   fail(code: FailureCode, detail: string): boolean;
 }
 
-/** Answers to these have no body, whatever their head says. */
+/** Answers with these statuses have no body, whatever their head says. */
 const BODILESS_STATUS: ReadonlySet<number> = new Set([204, 304]);
 
 /** Whether an answer to `method` has no body, whatever its head says. */
@@ -33,8 +33,8 @@
 }
 
 /**
- * Makes a reader that gathers bodies of at most `gatherBytes` in one piece
- * and streams the others.
+ * Creates a reader that buffers bodies of up to `gatherBytes` and streams larger
+ * ones.
  *
  * @example
  * ```ts
--- a/packages/servers/src/body-stream.ts
+++ b/packages/servers/src/body-stream.ts
@@ -1,18 +1,18 @@
-/** What a streamed body asks of its connection. */
+/** The connection that a streamed body is read from. */
 export interface BodySource {
-  /** Goes on reading after `push` returned false. */
+  /** Continues reading after `push` returned false. */
   resume(): void;
-  /** The reader wants no more. */
+  /** Called if the reader stops early. */
   abandon(): void;
 }
 
-/** A body on its way from a connection to one reader. */
+/** A body that is passed from a connection to one reader. */
 export interface BodyStream {
   readonly body: AsyncIterable<Uint8Array>;
-  /** False where the source should pause until `resume`. */
+  /** Returns false if the source should pause until `resume`. */
   push(chunk: Uint8Array): boolean;
   end(): void;
-  /** The reader gets what came before, then `error`. */
+  /** The reader gets the chunks received before, then `error`. */
   fail(error: Error): void;
 }
 
@@ -21,7 +21,7 @@
 const DONE: IteratorResult<Uint8Array> = {done: true, value: undefined};
 
 /**
- * Makes a body stream with back pressure, to be read once.
+ * Creates a body stream with back pressure, which can be read once.
  *
  * @example
  * ```ts
--- a/packages/servers/src/client.ts
+++ b/packages/servers/src/client.ts
@@ -5,13 +5,13 @@
 
 /** A reading of one backend server's own monotonic clock. */
 export interface Stamp {
-  /** Random for each run of the server. */
+  /** Random for each start of the server. */
   readonly boot: string;
   /** Its monotonic clock, in ms. */
   readonly ms: number;
 }
 
-/** Where a backend server is, and how much it takes. */
+/** A backend server's address and capacity. */
 export interface ServerRef {
   readonly name: string;
   readonly service: string;
@@ -22,11 +22,11 @@
 }
 
 /**
- * Grants, renews and releases in one: the whole set of shards that the
- * server may serve for a cell from now on. A shard that is missing is
- * released. The lease ends `ttlMs` after `echo` on the server's own clock, so
- * that an order delivered late extends nothing. Without an echo the order
- * grants nothing and only fetches a stamp.
+ * Grants, renews and releases leases: the complete set of shards that the server
+ * may serve for a cell. Shards that aren't listed are released. The lease ends
+ * `ttlMs` after `echo` on the server's clock, so an order that is delivered late
+ * extends nothing. Without an echo, the order grants nothing and only returns a
+ * stamp.
  */
 export interface LeaseOrder {
   readonly cell: CellId;
@@ -36,19 +36,19 @@
   readonly shards: readonly ShardId[];
 }
 
-/** What the server holds after an order. */
+/** The shards that the server holds after an order. */
 export interface LeaseAck {
   readonly stamp: Stamp;
-  /** The fence it obeys for the cell, or null where it holds nothing. */
+  /** The fence in effect for the cell; null if it holds nothing. */
   readonly fence: Fence | null;
   readonly shards: readonly ShardId[];
 }
 
 /**
- * - `fenced`: it obeys a higher fence; `fence` says which.
- * - `unreachable`: proved not delivered.
- * - `unknown`: may have been obeyed, or may be later.
- * - `invalid`: it answered something that is no acknowledgement.
+ * - `fenced`: the server has seen a higher fence, `fence`.
+ * - `unreachable`: certainly not delivered.
+ * - `unknown`: may have taken effect, or may do so later.
+ * - `invalid`: the response isn't a valid acknowledgement.
  */
 export type ServerErrorKind = 'fenced' | 'unreachable' | 'unknown' | 'invalid';
 
@@ -60,7 +60,7 @@
 
 export type ServerHealth = 'ok' | 'cold' | 'shedding' | 'leaving';
 
-/** What a server says of itself; lags and may mislead. */
+/** A server's report of its load, which may be outdated or wrong. */
 export interface ServerLoad {
   readonly health: ServerHealth;
   readonly busy: number;
@@ -68,30 +68,30 @@
   readonly queued: number;
 }
 
-/** One request on its way to a backend server. */
+/** A request to send to a backend server. */
 export interface Dispatch {
   readonly req: ServiceRequest;
   readonly cell: CellId;
   readonly shard: ShardId;
   readonly fence: Fence;
-  /** On the server's own clock; it refuses or stops the request after it. */
+  /** On the server's clock; it refuses or stops the request afterwards. */
   readonly serverDeadline: Stamp;
   /**
-   * On the server's own clock; it refuses the request when it arrives later.
-   * Bound to the lease in force at dispatch.
+   * On the server's clock; it refuses a request that arrives later. Limited by
+   * the lease at the time of dispatch.
    */
   readonly serverStartBy: Stamp;
   /**
-   * Asked synchronously right before the request is written. A process that
-   * was paused between the decision and the write gets `false` and writes
-   * nothing, so the request has not run.
+   * Called synchronously just before the request is written. It returns `false`
+   * in a process that was suspended since the decision to send, which then
+   * writes nothing.
    */
   mayWrite(): boolean;
 }
 
-/** The way to all backend servers, within each one's connection limit. */
+/** Client of all backend servers, within the connection limit of each. */
 export interface ServerClient {
-  /** `mayWrite` is asked as in a `Dispatch`; `false` gives `unreachable`. */
+  /** `mayWrite` is as in a `Dispatch`; `false` results in `unreachable`. */
   order(
     server: ServerRef,
     order: LeaseOrder,
@@ -106,7 +106,7 @@
     server: ServerRef,
     dispatch: Dispatch,
   ): Promise<Result<ServiceAnswer, Failure>>;
-  /** Drops the connections to servers that are gone from the inventory. */
+  /** Closes the connections to a server that left the inventory. */
   forget(server: ServerRef): void;
   close(): Promise<void>;
 }
--- a/packages/servers/src/connections.ts
+++ b/packages/servers/src/connections.ts
@@ -1,47 +1,47 @@
 import type {Clock} from '@banyandrum/base/clock.js';
 import {Client} from 'undici';
 
-/** What a connection is wanted for. */
+/** Purpose of a connection. */
 export type ConnectionUse = 'request' | 'control';
 
-/** A connection that serves one exchange at a time. */
+/** A connection for one exchange at a time. */
 export interface Connection {
   readonly client: Client;
   readonly use: ConnectionUse;
 }
 
-/** Gets a connection, or null once the server is given up. */
+/** Receives a connection, or null if the server was retired. */
 export type Grant = (connection: Connection | null) => void;
 
 /** Limits on the connections to one server. */
 export interface ConnectionLimits {
-  /** A new connection must stand within this time, in ms. */
+  /** Timeout for opening a connection, in ms. */
   readonly connectMs: number;
-  /** An unused connection is closed after this time, in ms. */
+  /** Idle connections are closed after this time, in ms. */
   readonly idleMs: number;
 }
 
-/** All connections to one server, within its limit. */
+/** The connections to one server, within its limit. */
 export interface Connections {
   /**
-   * Calls `grant` once, at once where a connection is free. The result
-   * cancels the wait, and does nothing after the grant.
+   * Calls `grant` once, synchronously if a connection is free. The returned
+   * function cancels the wait; it has no effect after the grant.
    */
   acquire(use: ConnectionUse, grant: Grant): () => void;
-  /** Gives a connection back; `answered` says whether it proved alive. */
+  /** Returns a connection; `answered` is whether it delivered an answer. */
   release(connection: Connection, answered: boolean): void;
   /**
-   * Closes the unused connections without an answer since `since`. Called
-   * when one stayed silent: whatever lost track of that connection has
-   * probably lost the others too, and each would cost a request its whole
-   * deadline. New connections work, so the next exchange opens one.
+   * Closes the idle connections without an answer since `since`. Called after a
+   * timeout: if a network device dropped the state of that connection, it
+   * probably dropped the others too, and each would cost a request its whole
+   * deadline.
    */
   dropUnproved(since: number): void;
-  /** Sets the server's limit anew. */
+  /** Changes the server's limit. */
   setLimit(limit: number): void;
-  /** Gives the server up: unused connections close now, others after use. */
+  /** Closes idle connections now and the others after use. */
   retire(): void;
-  /** Closes all connections, whatever is under way. */
+  /** Closes all connections, including those in use. */
   destroy(): void;
 }
 
@@ -51,9 +51,9 @@
 }
 
 /**
- * Makes the connections to `origin`. Each is an undici client of its own: a
- * pool would not let us close the unused ones of a server that went silent.
- * One connection is kept for control, so that requests can't delay renewals.
+ * Creates the connections to `origin`. Each is a separate undici client, because
+ * a pool can't close only its idle connections. One connection is reserved for
+ * control, so that requests can't delay renewals.
  *
  * @example
  * ```ts
@@ -81,7 +81,7 @@
   };
 
   const take = (use: ConnectionUse): Slot => {
-    // The one used last goes first: the rest can run into their idle time.
+    // The last used one is reused first, so that the others can time out.
     const slot = idle.pop() ?? createSlot(origin, use, limits);
     slot.use = use;
     busy.add(slot);
--- a/packages/servers/src/exchange.ts
+++ b/packages/servers/src/exchange.ts
@@ -12,26 +12,26 @@
 import type {AnswerHead} from './fields.js';
 import {toDispatchBody} from './request-body.js';
 
-/** One request to a server, and when to give it up. */
+/** One request to a server, with its deadline. */
 export interface ExchangeSpec {
   readonly use: ConnectionUse;
   readonly method: string;
   readonly path: string;
-  /** Names and values in turn. */
+  /** Alternating names and values. */
   readonly headers: readonly string[];
   readonly body: Body;
-  /** Of the answer, where the server repeats it; null matches any. */
+  /** Must match that of the answer, if it has one; null matches any. */
   readonly requestId: string | null;
-  /** On the injected clock, in ms; the whole answer is due by then. */
+  /** Deadline of the whole answer on the injected clock, in ms. */
   readonly deadline: number;
   readonly signal: CancelSignal | undefined;
-  /** Answers up to this size, in bytes, are gathered in one piece. */
+  /** Answers up to this size, in bytes, are buffered. */
   readonly gatherBytes: number;
-  /** Asked right before the request is written. */
+  /** Called just before the request is written. */
   mayWrite(): boolean;
 }
 
-/** How far an exchange came. */
+/** Progress of an exchange. */
 export type ExchangeStage = 'unwritten' | 'written' | 'answering';
 
 export interface ExchangeError {
@@ -47,7 +47,7 @@
 
 type Handler = Parameters<Dispatcher['dispatch']>[1];
 
-/** An exchange under way, as the parts of this module see it. */
+/** State of an exchange in progress. */
 interface Exchange {
   readonly spec: ExchangeSpec;
   readonly connections: Connections;
@@ -55,14 +55,14 @@
   readonly settle: (result: ExchangeResult) => void;
   stage: ExchangeStage;
   writtenAt: number;
-  /** Null before it is granted, and after it was given back. */
+  /** Null before it is acquired and after it is released. */
   connection: Connection | null;
-  /** Set once undici is about to write; drops request and connection. */
+  /** Set when undici is about to write; aborts request and connection. */
   abort: (() => void) | null;
   reason: Reason | null;
-  /** Takes a failure once the answer's head is out; false before. */
+  /** Fails the answer's stream; returns false if there is none yet. */
   failStream: (code: FailureCode, detail: string) => boolean;
-  /** Ends waiting for a connection, a deadline and a cancellation. */
+  /** Stops waiting for a connection, the deadline and a cancellation. */
   stopWaiting: () => void;
 }
 
@@ -71,7 +71,7 @@
   detail: 'no authority any more when the request was due',
 };
 
-/** Errors of undici that say that the request can't be written at all. */
+/** Errors of undici for requests that can't be written. */
 const INVALID_CODES: ReadonlySet<unknown> = new Set([
   'UND_ERR_INVALID_ARG',
   'UND_ERR_NOT_SUPPORTED',
@@ -79,9 +79,9 @@
 ]);
 
 /**
- * Writes one request and reads its answer. Resolves once the answer is there
- * in one piece, or with its head and a stream. A stream that fails throws a
- * `FailureError` with the verdict `ran`.
+ * Writes one request and reads its answer. Resolves with the buffered answer, or
+ * with its head and a stream. A stream that fails throws a `FailureError` with
+ * the verdict `ran`.
  *
  * @example
  * ```ts
@@ -170,10 +170,10 @@
   return {
     onConnect(abort) {
       ex.abort = abort;
-      // Given up while it connected: it was reported as unwritten.
+      // Aborted while it connected, and reported as unwritten.
       if (ex.reason !== null) return abort();
-      // undici may write a request again after some losses; a second write
-      // could run it twice, so the first one's outcome stays open instead.
+      // undici resends a request after some connection losses. The server could
+      // then run it twice, so the exchange ends with an unknown outcome.
       if (isStarted) return giveUp(ex, lost('lost after it was written'));
       isStarted = true;
       if (!spec.mayWrite()) return giveUp(ex, FORBIDDEN);
@@ -209,17 +209,17 @@
   };
 }
 
-/** Whether the answer goes on; else the exchange is given up. */
+/** Whether to continue with the answer; else aborts the exchange. */
 function acceptHead(ex: Exchange, head: AnswerHead): boolean {
   const {requestId, method} = ex.spec;
-  // The connection's answers have slipped: nothing is known of this request.
+  // A late or duplicate answer: the outcome of this request is unknown.
   if (requestId !== null && (head.requestId ?? requestId) !== requestId) {
     giveUp(ex, lost("another request's answer"));
     return false;
   }
   ex.stage = 'answering';
   if (head.isDelimited || isBodiless(method, head.status)) return true;
-  // A body that ends with its connection looks whole wherever it is cut.
+  // A truncated body can't be detected if only the connection's end delimits it.
   const detail = 'the answer does not say where it ends';
   giveUp(ex, {code: 'truncated', detail});
   return false;
@@ -233,8 +233,7 @@
 function giveUp(ex: Exchange, reason: Reason): void {
   if (ex.reason !== null) return;
   ex.reason = reason;
-  // Without a connection, or before it stands, nothing has been written, and
-  // `onConnect` will see that nothing must be.
+  // Nothing was written before the connection is open, and `onConnect` aborts.
   if (ex.abort === null) return fail(ex, reason);
   ex.abort();
 }
--- a/packages/servers/src/fields.ts
+++ b/packages/servers/src/fields.ts
@@ -2,19 +2,19 @@
 import type {HeaderField} from '@banyandrum/base/request.js';
 import * as names from './headers.js';
 
-/** The parts of an answer's head that the product itself reads. */
+/** The parsed head of an answer. */
 export interface AnswerHead {
   readonly status: number;
-  /** What goes on to the caller. */
+  /** Fields to forward to the caller. */
   readonly fields: readonly HeaderField[];
-  /** The answer to an explicit refusal says `not-run`. */
+  /** `not-run` for an explicit refusal. */
   readonly verdict: string | null;
   readonly retryAfterMs: number | null;
-  /** Whose answer it is, where the server says so. */
+  /** Id of the answered request, if the server sent it. */
   readonly requestId: string | null;
-  /** Bytes of the body, null where it is chunked. */
+  /** Bytes of the body; null if it is chunked. */
   readonly length: number | null;
-  /** Whether a cut body can be told from a whole one. */
+  /** Whether a truncated body can be detected. */
   readonly isDelimited: boolean;
 }
 
@@ -22,9 +22,8 @@
 const NOT_PLAIN = /[^\x21-\x24\x26-\x7e]+/gu;
 
 /**
- * Adds the caller's fields to a flat list of names and values, without those
- * of one connection and the product's own. `content-length` stays out too,
- * except where `keepsLength`.
+ * Adds the caller's fields to a flat list of names and values, except hop-by-hop
+ * fields and the product's own. `content-length` is only added if `keepsLength`.
  */
 export function addForwarded(
   list: string[],
@@ -40,8 +39,8 @@
 }
 
 /**
- * A value for a header field in printable ASCII; other characters are
- * percent-encoded, since a hot key's shard holds the key itself.
+ * Encodes a value for a header field in printable ASCII. Other characters are
+ * percent-encoded, as the name of a hot key's shard includes the key.
  *
  * @example
  * ```ts
--- a/packages/servers/src/headers.ts
+++ b/packages/servers/src/headers.ts
@@ -9,9 +9,9 @@
 export const VERDICT = 'banyandrum-verdict';
 export const RETRY_AFTER_MS = 'retry-after-ms';
 
-/** Every header of the product begins so; callers can't set or see them. */
+/** Prefix of the product's headers, which callers can't set or see. */
 export const OWN_PREFIX = 'banyandrum-';
 
-/** Where orders and load questions go. */
+/** Paths of lease orders and load requests. */
 export const LEASE_PATH = '/control/v1/lease';
 export const LOAD_PATH = '/control/v1/load';
--- a/packages/servers/src/http-client.ts
+++ b/packages/servers/src/http-client.ts
@@ -5,17 +5,17 @@
 import {askLoad, sendOrder} from './lease-orders.js';
 import {sendRequest} from './requests.js';
 
-/** Limits in time and size; see `DEFAULT_LIMITS`. */
+/** Timeouts and sizes; see `DEFAULT_LIMITS`. */
 export interface ServerClientLimits {
-  /** A new connection must stand within this time, in ms. */
+  /** Timeout for opening a connection, in ms. */
   readonly connectMs: number;
-  /** An unused connection is closed after this time, in ms. */
+  /** Idle connections are closed after this time, in ms. */
   readonly idleMs: number;
-  /** A lease order is given up after this time, in ms. */
+  /** Timeout of a lease order, in ms. */
   readonly orderMs: number;
-  /** A question for the load is given up after this time, in ms. */
+  /** Timeout of a load request, in ms. */
   readonly loadMs: number;
-  /** Answers up to this size, in bytes, come in one piece. */
+  /** Answers up to this size, in bytes, are buffered. */
   readonly gatherBytes: number;
 }
 
@@ -33,9 +33,9 @@
 }
 
 /**
- * Makes the way to all backend servers, over HTTP. An exchange without an
- * answer by its time closes its connection and the unused ones that have
- * proved nothing since, so that the next call opens a new one.
+ * Creates an HTTP client of all backend servers. An exchange that times out
+ * closes its connection and the idle ones without an answer since then, so that
+ * the next call opens a new one.
  *
  * @example
  * ```ts
--- a/packages/servers/src/lease-orders.ts
+++ b/packages/servers/src/lease-orders.ts
@@ -18,7 +18,7 @@
 import {LEASE_PATH, LOAD_PATH} from './headers.js';
 import {fencedSchema, leaseAckSchema, serverLoadSchema} from './schemas.js';
 
-/** When to give a control exchange up. */
+/** Options of a control exchange. */
 export interface ControlOptions {
   readonly timeoutMs: number;
   readonly signal: AbortSignal | undefined;
@@ -34,8 +34,8 @@
 const MAX_ANSWER_BYTES = 4 * 1024 * 1024;
 
 /**
- * Sends a lease order. `unreachable` means that nothing was written; after
- * `unknown` and `invalid` the order may have been obeyed, or may be later.
+ * Sends a lease order. `unreachable` means that nothing was written. After
+ * `unknown` and `invalid` the order may have taken effect, or may do so later.
  *
  * @example
  * ```ts
@@ -65,7 +65,7 @@
 }
 
 /**
- * Asks a server for its load.
+ * Requests a server's load.
  *
  * @example
  * ```ts
@@ -79,8 +79,8 @@
 ): Promise<Result<ServerLoad, ServerError>> {
   const result = await exchange(connections, clock, {
     ...exchangeBase(clock, options),
-    // Not by the connection for control: a load report that hangs would
-    // hold up the renewals behind it.
+    // Not on the connection for control, as a load request that hangs would
+    // delay renewals.
     use: 'request',
     method: 'GET',
     path: LOAD_PATH,
@@ -95,7 +95,7 @@
 
 interface ControlAnswer {
   readonly status: number;
-  /** Parsed JSON, or undefined where it is none. */
+  /** Parsed JSON; undefined if invalid. */
   readonly value: unknown;
 }
 
--- a/packages/servers/src/request-body.ts
+++ b/packages/servers/src/request-body.ts
@@ -1,24 +1,24 @@
 import type {Body} from '@banyandrum/base/request.js';
 import type {Dispatcher} from 'undici';
 
-/** What writing a body needs to know and reports. */
+/** Callbacks while a body is written. */
 export interface BodyHooks {
-  /** Asked right before the head goes out. */
+  /** Called just before the head is written. */
   mayWrite(): boolean;
-  /** The head goes out now. */
+  /** Called when the head is written. */
   onWrite(): void;
-  /** Permission was gone before the first byte. */
+  /** Called if `mayWrite` returned false. */
   onForbidden(): void;
-  /** The source of the body failed. */
+  /** Called if the source of the body failed. */
   onCut(err: unknown): void;
 }
 
-/** A body in the form that undici takes. */
+/** A body in the form that undici accepts. */
 export type DispatchBody = NonNullable<
   Dispatcher.DispatchOptions['body']
 > | null;
 
-/** The body for undici, which knows iterables, though its types don't. */
+/** Converts a body for undici, which accepts iterables unlike its types. */
 export function toDispatchBody(body: Body, hooks: BodyHooks): DispatchBody {
   if (body instanceof Uint8Array) {
     return body.byteLength === 0 ? null : body;
@@ -27,10 +27,9 @@
 }
 
 /**
- * A streamed request's head is written together with the first bytes of its
- * body, which may come long after the connection was taken. A process paused
- * meanwhile would write without authority, so permission is asked again right
- * before those bytes.
+ * Checks `mayWrite` before the first bytes. The head of a streamed request is
+ * written with them, possibly long after the connection was acquired, and the
+ * process may have been suspended and lost its authority meanwhile.
  */
 async function* guardBody(
   body: AsyncIterable<Uint8Array>,
--- a/packages/servers/src/requests.ts
+++ b/packages/servers/src/requests.ts
@@ -20,22 +20,22 @@
   answering: 'ran',
 };
 
-/** What a server's explicit refusal means, by status. */
+/** Failure codes of explicit refusals, by status. */
 const REFUSALS: Readonly<Record<number, FailureCode>> = {
   408: 'deadline',
   421: 'fenced',
   503: 'overloaded',
 };
 
-/** Methods that make the connection something else than a request's. */
+/** Methods that can't be forwarded as plain requests. */
 const FORBIDDEN_METHODS: ReadonlySet<string> = new Set(['CONNECT', 'TRACE']);
 
 const PATH = /^(?:[/?][\x21\x22\x24-\x7e]*)?$/;
 const DOTS = /^\.{1,2}$/;
 
 /**
- * Sends one request; it is written once at most. The failure's verdict is
- * `not-run` only where nothing was written or the server refused explicitly.
+ * Sends one request, which is written at most once. A failure's verdict is
+ * `not-run` only if nothing was written or the server refused explicitly.
  *
  * @example
  * ```ts
@@ -93,14 +93,14 @@
   void body[Symbol.asyncIterator]().return?.();
 }
 
-/** The target, or null where it can't be written as one. */
+/** Returns the request target, or null if it is invalid. */
 function pathOf({req}: Dispatch): string | null {
   if (!PATH.test(req.path) || DOTS.test(req.key)) return null;
   try {
     const service = encodeURIComponent(req.service);
     return `/${service}/${encodeURIComponent(req.key)}${req.path}`;
   } catch {
-    // A key with half a surrogate pair has no UTF-8 form.
+    // A key with an unpaired surrogate can't be encoded as UTF-8.
     return null;
   }
 }
@@ -132,7 +132,7 @@
   return list;
 }
 
-/** In whole ms, rounded to the earlier side. */
+/** Encodes a stamp in whole ms, rounded down. */
 function encodeStamp({boot, ms}: Stamp): string {
   return `${boot}.${Math.floor(ms)}`;
 }
--- a/packages/servers/src/schemas.ts
+++ b/packages/servers/src/schemas.ts
@@ -23,7 +23,7 @@
   shards: z.array(z.string().min(1)),
 });
 
-/** The JSON form of the refusal of an order with too low a fence. */
+/** The JSON form of the rejection of an order because of its fence. */
 export const fencedSchema = z.object({fence: fenceSchema});
 
 /** The JSON form of a `ServerLoad`. */
--- a/packages/servers/test/lease-orders.test.ts
+++ b/packages/servers/test/lease-orders.test.ts
@@ -11,7 +11,7 @@
 const LOWER = {epoch: 16, sequence: 9};
 const HIGHER = {epoch: 17, sequence: 4};
 
-/** One step: wait, then order; `echoAge` makes the echo older. */
+/** One step: waits, then sends an order with an echo of age `echoAge`. */
 interface Step {
   readonly wait?: number;
   readonly echoAge?: number;
@@ -22,7 +22,7 @@
 
 interface OrderCase {
   readonly name: string;
-  /** Which servers it is run on. */
+  /** Kinds of servers on which the case runs. */
   readonly checksFences: readonly boolean[];
   readonly steps: readonly Step[];
 }
@@ -75,7 +75,7 @@
     steps: [{echoAge: 2000, ...nothing}],
   },
   {
-    name: 'the whole set: what is missing is released',
+    name: 'shards that are not listed are released',
     checksFences: BOTH,
     steps: [held, {order: {fence: HIGHER, shards: ['8']}, shards: ['8']}],
   },
@@ -90,7 +90,7 @@
     steps: [held, {wait: 2000, order: {fence: LOWER}, fenced: FENCE}],
   },
   {
-    name: 'lower fence obeyed by a server that does not check',
+    name: 'lower fence accepted by a server that does not check',
     checksFences: [false],
     steps: [held, {order: {fence: LOWER, shards: ['8']}, shards: ['8']}],
   },
@@ -122,9 +122,9 @@
   readonly name: string;
   readonly fault: FaultChange;
   readonly kind: ServerError['kind'];
-  /** What the server holds afterwards. */
+  /** Shards that the server holds afterwards. */
   readonly shards: readonly string[];
-  /** Whether the answer is awaited in vain, up to the timeout. */
+  /** Whether the order times out. */
   readonly timesOut: boolean;
 }
 
@@ -192,10 +192,9 @@
   });
 }
 
-void tap.test('a silent connection is not used again', async t => {
-  // The leader's renewal gets no answer within its time. Something between
-  // has lost track of every open connection, while new ones work. If the next
-  // renewal used one of them, the lease would lapse on a healthy server.
+void tap.test('a connection is not reused after a timeout', async t => {
+  // A network device dropped the state of all open connections. If the next
+  // renewal used one of them, the lease of a healthy server would expire.
   const {clock, server, client} = await start(t, true);
   const ref = server.ref(4);
   await server.change({orderDelayMs: 1});
@@ -259,7 +258,7 @@
   });
 }
 
-void tap.test('load reports: true, lagging, lying', async t => {
+void tap.test('load reports: correct, outdated, wrong', async t => {
   const {clock, server, client} = await start(t, true);
   const ask = async () => (await client.load(server.ref(2))).unwrap();
   t.same(await ask(), {health: 'ok', busy: 0, slots: 4, queued: 0});
--- a/packages/servers/test/long-requests.test.ts
+++ b/packages/servers/test/long-requests.test.ts
@@ -20,11 +20,11 @@
 interface LongCase {
   readonly name: string;
   readonly checksFences: readonly boolean[];
-  /** The request's deadline; without it, long after the report. */
+  /** The request's deadline; long after the report by default. */
   readonly deadlineMs?: number;
-  /** What happens after the start, by time in ms. */
+  /** Events after the start, by time in ms. */
   readonly events: readonly (readonly [number, (s: Scene) => Promise<void>])[];
-  /** What becomes of the report, and when. */
+  /** Outcome of the report, and its time. */
   readonly outcome: 'done' | 'stopped';
   readonly endMs: number;
   readonly verdict: 'may-have-run' | null;
@@ -70,7 +70,7 @@
     endMs: 3500,
   },
   {
-    name: 'frozen while the lease ends, and the shard is back at the thaw',
+    name: 'frozen while the lease ends, with the shard granted again at the thaw',
     checksFences: [true],
     events: [
       [1000, s => s.server.change({frozen: true})],
@@ -89,7 +89,7 @@
     endMs: 700,
   },
   {
-    name: 'hot key taken, whatever shard the request named',
+    name: 'hot key taken, although the request names another shard',
     checksFences: [true],
     events: [
       [500, s => s.order({fence: NEXT, shards: ['7', 'k:ward-7']})],
@@ -99,7 +99,7 @@
     endMs: 900,
   },
   {
-    name: 'unchecked, the deadline alone ends it',
+    name: 'without fence checks, only the deadline ends it',
     checksFences: [false],
     deadlineMs: 1800,
     events: [[700, s => s.order({fence: NEXT, shards: []})]],
@@ -113,10 +113,9 @@
   for (const checksFences of row.checksFences) {
     const name = `${row.name} (checks fences: ${checksFences})`;
     void tap.test(`long request: ${name}`, async t => {
-      // A report runs longer than a lease. It ends well while the lease is
-      // renewed. When the server loses the shard it stops the report in that
-      // moment, since from then on the next owner's requests may run; the
-      // caller is told that it may have run, and it has had no effect.
+      // A report runs longer than a lease, which is renewed. If the server loses
+      // the shard, it stops the report at once, as the next owner's requests may
+      // run. The report then has no effect, and may have run for the caller.
       const scene = await start(t, checksFences);
       const {clock, server, client} = scene;
       const begun = clock.now();
--- a/packages/servers/test/raw-server.ts
+++ b/packages/servers/test/raw-server.ts
@@ -2,18 +2,18 @@
 import type {AddressInfo, Socket} from 'node:net';
 import type {ServerRef} from '@banyandrum/servers/client.js';
 
-/** A server that answers bytes of a test's choice. */
+/** A server that answers with given bytes. */
 export interface RawServer {
   readonly ref: ServerRef;
-  /** All bytes that came in, over all connections. */
+  /** All bytes received on all connections. */
   received(): string;
   connections(): number;
   close(): Promise<void>;
 }
 
 /**
- * Starts a server on 127.0.0.1 that calls `reply` for each head it gets, with
- * the number of the head.
+ * Starts a server on 127.0.0.1 that calls `reply` for each head it receives,
+ * with the number of the head.
  */
 export async function createRawServer(
   reply: (socket: Socket, count: number) => void,
--- a/packages/servers/test/requests.test.ts
+++ b/packages/servers/test/requests.test.ts
@@ -16,7 +16,7 @@
 
 const MEGABYTE = 1024 * 1024;
 
-void tap.test('whole answers, small and streamed, both ways', async t => {
+void tap.test('complete answers, buffered and streamed', async t => {
   const {clock, server, client} = await start(t, {});
   const ref = server.ref(4);
 
@@ -100,7 +100,7 @@
     failure: NOT_OWNER,
   },
   {
-    name: 'lower fence, unchecked',
+    name: 'lower fence, without fence checks',
     checksFences: [false],
     change: {fence: {epoch: 16, sequence: 9}},
     failure: null,
@@ -124,7 +124,7 @@
     failure: TOO_LATE,
   },
   {
-    name: 'to be started on the clock of another run',
+    name: 'start limit on the clock of another run',
     checksFences: BOTH,
     change: {serverStartBy: {boot: 'other', ms: 1e9}},
     failure: TOO_LATE,
@@ -165,11 +165,10 @@
   }
 }
 
-void tap.test('a frozen server that returns does no harm', async t => {
-  // The server freezes while it runs a hold, and returns after the request's
-  // deadline, perhaps with its lease gone and the key served elsewhere. The
-  // caller was told "may have run" at its deadline; the hold has no effect,
-  // and the late answer reaches nobody, the next caller least of all.
+void tap.test('a frozen server that resumes has no effect', async t => {
+  // The server freezes while it runs a hold and resumes after the deadline, when
+  // its lease may be lost and the key served elsewhere. The hold has no effect,
+  // and its late answer reaches no other caller.
   const {clock, server, client} = await start(t, {service: 100});
   const ref = server.ref(2);
   const stamp = server.stamp();
@@ -215,8 +214,8 @@
 
 void tap.test('a cancelled request leaves the queue', async t => {
   // One slot: the first request runs, the second waits at the server and the
-  // third is shed. The second's caller gives up: its verdict is "may have
-  // run", since it was written, but the server drops it before it starts.
+  // third is shed. The second is cancelled: it may have run, since it was
+  // written, but the server drops it before it starts.
   const {clock, server, client} = await start(t, {service: 100, slots: 1});
   const ref = server.ref(5);
   const cancel = new AbortController();
@@ -240,34 +239,37 @@
   t.equal(server.stats().peakBusy, 1);
 });
 
-void tap.test('connections stay within the limit; orders get by', async t => {
-  const {clock, server, client} = await start(t, {service: 100, slots: 9});
-  const ref = server.ref(3);
-  const answers = Array.from({length: 8}, (_, index) =>
-    client.send(ref, dispatchTo(server, {id: `r${index}`}, {}, clock)),
-  );
-  const cancel = new AbortController();
-  const waiting = client.send(
-    ref,
-    dispatchTo(server, {signal: cancel.signal}, {}, clock),
-  );
-  await until(() => server.executions().length === 2);
-  const orders = [1, 2, 3].map(() => client.order(ref, orderFor(server)));
-  for (const order of await Promise.all(orders)) {
-    t.ok(order.ok, 'not behind requests');
-  }
-  cancel.abort();
-  t.match((await waiting).val, {verdict: 'not-run', code: 'cancelled'});
-  for (const running of [4, 6, 8]) {
+void tap.test(
+  'connections stay within the limit; orders are not delayed',
+  async t => {
+    const {clock, server, client} = await start(t, {service: 100, slots: 9});
+    const ref = server.ref(3);
+    const answers = Array.from({length: 8}, (_, index) =>
+      client.send(ref, dispatchTo(server, {id: `r${index}`}, {}, clock)),
+    );
+    const cancel = new AbortController();
+    const waiting = client.send(
+      ref,
+      dispatchTo(server, {signal: cancel.signal}, {}, clock),
+    );
+    await until(() => server.executions().length === 2);
+    const orders = [1, 2, 3].map(() => client.order(ref, orderFor(server)));
+    for (const order of await Promise.all(orders)) {
+      t.ok(order.ok, 'not behind requests');
+    }
+    cancel.abort();
+    t.match((await waiting).val, {verdict: 'not-run', code: 'cancelled'});
+    for (const running of [4, 6, 8]) {
+      await clock.advance(100);
+      await until(() => server.executions().length === running);
+    }
     await clock.advance(100);
-    await until(() => server.executions().length === running);
-  }
-  await clock.advance(100);
-  for (const answer of answers) t.ok((await answer).ok);
-  t.equal(server.stats().peakConnections, 3);
-});
+    for (const answer of answers) t.ok((await answer).ok);
+    t.equal(server.stats().peakConnections, 3);
+  },
+);
 
-void tap.test('an unread answer is given up at the deadline', async t => {
+void tap.test('an unread answer is aborted at the deadline', async t => {
   const {clock, server, client} = await start(t, {});
   const req = {path: `/bytes?n=${8 * MEGABYTE}`, deadline: clock.now() + 50};
   const answer = await client.send(
@@ -281,9 +283,8 @@
 });
 
 void tap.test('no answer reaches another request', async t => {
-  // Many requests at once over few connections; some callers give up midway,
-  // and the server names two answers wrongly. Each answer that arrives must
-  // be its own request's, byte for byte.
+  // Many concurrent requests on few connections. Some callers cancel, and two
+  // answers have a wrong id. Each answer must belong to its request.
   const {clock, server, client} = await start(t, {slots: 99});
   const ref = server.ref(5);
   await server.change({mixedAnswers: 2});
@@ -311,10 +312,9 @@
   t.equal(count('own') + count('cut'), 298);
 });
 
-void tap.test('a second write by the library is stopped', async t => {
-  // The HTTP library may write a request again after it lost a connection.
-  // A hold would be recorded twice, so the client stops the second write and
-  // says that the request may have run.
+void tap.test('a resend by the library is prevented', async t => {
+  // Guards against a hold that is recorded twice, because the HTTP library resends
+  // a request after it lost a connection.
   const clock = createManualClock();
   let aborts = 0;
   const dispatch: Connection['client']['dispatch'] = (_, handler) => {
@@ -344,7 +344,7 @@
 interface StartOptions {
   readonly checksFences?: boolean;
   readonly slots?: number;
-  /** Time of each request, in ms. */
+  /** Duration of each request, in ms. */
   readonly service?: number;
 }
 
--- a/packages/servers/test/setup.ts
+++ b/packages/servers/test/setup.ts
@@ -12,12 +12,12 @@
 
 const realClock = createClock();
 
-/** Resolves once `isTrue`; the test's own timeout ends a wait in vain. */
+/** Resolves once `isTrue` returns true; else the test times out. */
 export async function until(isTrue: () => boolean): Promise<void> {
   while (!isTrue()) await new Promise(resolve => setImmediate(resolve));
 }
 
-/** An order for `SHARD` that the server obeys for `LONG_MS`. */
+/** An order that grants `SHARD` for `LONG_MS`. */
 export function orderFor(
   server: ServerStandin,
   change: Partial<LeaseOrder> = {},
@@ -73,7 +73,7 @@
   };
 }
 
-/** The whole body; throws where it is cut. */
+/** Reads the whole body; throws if it is truncated. */
 export async function readAll(body: Body): Promise<Buffer> {
   if (body instanceof Uint8Array) return Buffer.from(body);
   const pieces: Uint8Array[] = [];
@@ -81,7 +81,7 @@
   return Buffer.concat(pieces);
 }
 
-/** A body that comes in pieces. */
+/** A body of several chunks. */
 export async function* inPieces(
   bytes: Uint8Array,
   size: number,
--- a/packages/servers/test/verdicts.test.ts
+++ b/packages/servers/test/verdicts.test.ts
@@ -14,9 +14,9 @@
 
 interface AnswerCase {
   readonly name: string;
-  /** What the server writes before it closes the connection. */
+  /** Bytes that the server writes before it closes the connection. */
   readonly bytes: string;
-  /** How `send` fails, or else how its body does. */
+  /** Failure of `send`, or else of its body. */
   readonly failure?: Partial<Failure>;
   readonly bodyFailure?: Partial<Failure>;
   readonly answer?: string;
@@ -114,7 +114,7 @@
     failure: {verdict: 'not-run', code: 'refused'},
   },
   {
-    name: 'an error that is no refusal',
+    name: 'an error that is not a refusal',
     bytes: 'HTTP/1.1 503 No\r\ncontent-length: 2\r\n\r\n{}',
     answer: '{}',
   },
@@ -148,7 +148,7 @@
 interface UnwrittenCase {
   readonly name: string;
   readonly req?: Partial<ServiceRequest>;
-  /** Answers of `mayWrite`, in turn. */
+  /** Results of `mayWrite`, in order. */
   readonly mayWrite?: readonly boolean[];
   readonly code: Failure['code'];
 }
@@ -184,9 +184,9 @@
     {name: 'line break in the id', id: 'r1\r\nx: y'},
     {name: 'line break in the path', path: '/a\r\nx: y'},
     {name: 'space in the path', path: '/a HTTP/1.1'},
-    {name: 'path that is no path', path: '@evil'},
+    {name: 'invalid path', path: '@evil'},
     {name: 'dots as a key', key: '..'},
-    {name: 'half a surrogate pair', key: '\ud800'},
+    {name: 'unpaired surrogate', key: '\ud800'},
     {name: 'tunnel', method: 'CONNECT'},
     {name: 'method with a line break', method: 'GET / \r\n'},
   ].map(({name, ...req}) => ({name, req, code: 'bad-request' as const})),
@@ -214,10 +214,9 @@
   });
 }
 
-void tap.test('a request body that is cut never looks whole', async t => {
-  // The caller's connection breaks while its body streams through. The server
-  // must see a broken body, not a shorter one; the caller, if it still
-  // listens, learns that the request may have run.
+void tap.test('a truncated request body is never complete', async t => {
+  // The caller's connection breaks while its body is streamed. The server must
+  // see a broken body, not a shorter one, and the request may have run.
   const client = createServerClient({clock});
   const server = await createRawServer(() => {});
   t.teardown(() => Promise.all([client.close(), server.close()]));
@@ -242,51 +241,54 @@
   t.match(val, {verdict: 'not-run', code: 'connection-lost'});
 });
 
-void tap.test('fields of one hop and of the product stay out', async t => {
-  const client = createServerClient({clock});
-  const server = await createRawServer(socket => {
-    socket.write(
-      `${OK}connection: x-hop\r\nx-hop: 1\r\nbanyandrum-x: 1\r\n` +
-        'Set-Cookie: a\r\nset-cookie: b\r\ncontent-length: 0\r\n\r\n',
+void tap.test(
+  'hop-by-hop fields and those of the product are not forwarded',
+  async t => {
+    const client = createServerClient({clock});
+    const server = await createRawServer(socket => {
+      socket.write(
+        `${OK}connection: x-hop\r\nx-hop: 1\r\nbanyandrum-x: 1\r\n` +
+          'Set-Cookie: a\r\nset-cookie: b\r\ncontent-length: 0\r\n\r\n',
+      );
+    });
+    t.teardown(() => Promise.all([client.close(), server.close()]));
+    const headers = [
+      {name: 'accept', value: 'text/plain'},
+      {name: 'connection', value: 'close, x-private'},
+      {name: 'x-private', value: '1'},
+      {name: 'transfer-encoding', value: 'chunked'},
+      {name: 'content-length', value: '7'},
+      {name: 'host', value: 'elsewhere'},
+      {name: 'expect', value: '100-continue'},
+      {name: 'banyandrum-fence', value: '99.99'},
+    ];
+    const dispatch = dispatchTo(
+      stamps,
+      {headers, once: true, key: 'a/b'},
+      {shard: 'k:a વ%'},
+      clock,
     );
-  });
-  t.teardown(() => Promise.all([client.close(), server.close()]));
-  const headers = [
-    {name: 'accept', value: 'text/plain'},
-    {name: 'connection', value: 'close, x-private'},
-    {name: 'x-private', value: '1'},
-    {name: 'transfer-encoding', value: 'chunked'},
-    {name: 'content-length', value: '7'},
-    {name: 'host', value: 'elsewhere'},
-    {name: 'expect', value: '100-continue'},
-    {name: 'banyandrum-fence', value: '99.99'},
-  ];
-  const dispatch = dispatchTo(
-    stamps,
-    {headers, once: true, key: 'a/b'},
-    {shard: 'k:a વ%'},
-    clock,
-  );
-  const answer = (await client.send(server.ref, dispatch)).unwrap();
-  t.same(answer.headers, [
-    {name: 'set-cookie', value: 'a'},
-    {name: 'set-cookie', value: 'b'},
-    {name: 'content-length', value: '0'},
-  ]);
-  t.same(server.received().trimEnd().split('\r\n'), [
-    'GET /holds/a%2Fb HTTP/1.1',
-    `host: ${server.ref.address}`,
-    'connection: keep-alive',
-    'banyandrum-request-id: r1',
-    'banyandrum-cell: holds/0',
-    'banyandrum-shard: k:a%20%E0%AA%B5%25',
-    'banyandrum-fence: 17.3',
-    'banyandrum-deadline: b1.30000',
-    'banyandrum-start-by: b1.30000',
-    'banyandrum-once: 1',
-    'accept: text/plain',
-  ]);
-});
+    const answer = (await client.send(server.ref, dispatch)).unwrap();
+    t.same(answer.headers, [
+      {name: 'set-cookie', value: 'a'},
+      {name: 'set-cookie', value: 'b'},
+      {name: 'content-length', value: '0'},
+    ]);
+    t.same(server.received().trimEnd().split('\r\n'), [
+      'GET /holds/a%2Fb HTTP/1.1',
+      `host: ${server.ref.address}`,
+      'connection: keep-alive',
+      'banyandrum-request-id: r1',
+      'banyandrum-cell: holds/0',
+      'banyandrum-shard: k:a%20%E0%AA%B5%25',
+      'banyandrum-fence: 17.3',
+      'banyandrum-deadline: b1.30000',
+      'banyandrum-start-by: b1.30000',
+      'banyandrum-once: 1',
+      'accept: text/plain',
+    ]);
+  },
+);
 
 async function* failingBody(pieces: number): AsyncGenerator<Uint8Array> {
   for (let sent = 0; sent < pieces; sent++) yield Buffer.from('piece');
