Show how old a router's configuration is, and who confirmed it

A router that served by an outdated version logged nothing that tells why: not by whom a version was told, nor that a read hangs, nor that the leader's word no longer counts. Logs and metrics only, no decision changes.

--- a/packages/gateway/src/config-keeper.ts
+++ b/packages/gateway/src/config-keeper.ts
@@ -2,9 +2,22 @@
 import type {Emit} from '@banyandrum/dispatch/events.js';
 import type {RoutingConfig} from '@banyandrum/routing/config.js';
 import {toWireConfig, type WireConfig} from './link-config.js';
-import type {Platform} from './platform.js';
+import type {ConfigRead, Platform} from './platform.js';
 import {repeat} from './repeat.js';
 
+/** How up to date this router's configuration is, for logs and metrics. */
+export interface ConfigStatus {
+  /** Time since it was last confirmed that nothing is newer, in ms. */
+  readonly ageMs: number;
+  /** What confirmed it last; null while nothing has. */
+  readonly confirmedBy: ConfigSource | null;
+  /** How long the longest pending read has taken, in ms; 0 without one. */
+  readonly readMs: number;
+}
+
+/** An own read of the platform, or the address of the leader that relayed. */
+export type ConfigSource = 'read' | `leader ${string}`;
+
 /** Keeps the newest configuration that this router knows. */
 export interface ConfigKeeper {
   current(): RoutingConfig | null;
@@ -18,7 +31,10 @@
   /**
    * Applies a version that the leader relayed, which it read up to `cursor`.
    */
-  applyRelayed(config: RoutingConfig, cursor: number): void;
+  applyRelayed(config: RoutingConfig, cursor: number, leader: string): void;
+  /** The leader confirmed that nothing is newer, `ageMs` ago. */
+  confirmRelayed(ageMs: number, leader: string): void;
+  status(): ConfigStatus;
   /** Up to where the platform's log was read; null before the first read. */
   cursor(): number | null;
   /** The newest version in wire format; null while none is known. */
@@ -63,6 +79,19 @@
  */
 const ANNOUNCE_DELAY_MS = 300;
 
+/** A read that takes this much longer than its wait is reported, in ms. */
+const SLOW_READ_MS = 400;
+
+interface PendingRead {
+  readonly startedAt: number;
+}
+
+interface Confirmation {
+  /** Monotonic time as of which nothing newer existed, in ms. */
+  readonly at: number;
+  readonly by: ConfigSource | null;
+}
+
 /**
  * Reads the configuration until stopped. A version never replaces a newer one.
  * `isNotified` tells whether a leader announces changes to this router. While
@@ -92,15 +121,32 @@
   let readStartedAt = clock.now();
   let hasFailed = false;
   let confirmedAt = -Infinity;
+  let lastConfirmation: Confirmation = {at: -Infinity, by: null};
+  const pendingReads = new Set<PendingRead>();
   let backoffMs = RETRY_MS;
   let retryAt = -Infinity;
   const listeners = new Set<() => void>();
 
-  const apply = (next: RoutingConfig | null): void => {
+  const status = (): ConfigStatus => {
+    const now = clock.now();
+    const starts = [...pendingReads].map(({startedAt}) => startedAt);
+    return {
+      ageMs: now - lastConfirmation.at,
+      confirmedBy: lastConfirmation.by,
+      readMs: now - Math.min(now, ...starts),
+    };
+  };
+
+  const confirm = (at: number, by: ConfigSource): void => {
+    if (at >= lastConfirmation.at) lastConfirmation = {at, by};
+  };
+
+  const apply = (next: RoutingConfig | null, by: ConfigSource): void => {
     if (next === null) return;
     if (config !== null && next.version <= config.version) return;
     config = next;
-    emit('config-taken', {version: next.version, cursor});
+    const ageMs = Math.round(status().ageMs);
+    emit('config-taken', {version: next.version, cursor, by, ageMs});
     listeners.forEach(listener => listener());
   };
 
@@ -112,8 +158,25 @@
     });
   };
 
-  const read = async (waitMs: number): Promise<boolean> => {
+  /** Reads, and reports a read that takes much longer than it may wait. */
+  const readPlatform = async (waitMs: number): Promise<ConfigRead> => {
+    const pending: PendingRead = {startedAt: clock.now()};
+    pendingReads.add(pending);
+    const cancelReport = clock.after(waitMs + SLOW_READ_MS, () =>
+      emit('config-read-slow', {
+        ...{waitMs, readMs: Math.round(clock.now() - pending.startedAt)},
+        ageMs: Math.round(status().ageMs),
+      }),
+    );
     const result = await platform.readConfig(cursor, waitMs);
+    cancelReport();
+    pendingReads.delete(pending);
+    return result;
+  };
+
+  const read = async (waitMs: number): Promise<boolean> => {
+    const startedAt = clock.now();
+    const result = await readPlatform(waitMs);
     if (result.kind === 'failed') {
       if (!hasFailed) emit('config-unreadable', {detail: result.detail});
       hasFailed = true;
@@ -130,13 +193,22 @@
       const detail = result.unreadable;
       emit('config-refused', {detail, cursor: result.cursor});
     }
-    apply(result.config);
+    apply(result.config, 'read');
+    confirm(startedAt, 'read');
     return true;
   };
 
   const goesOn = (): boolean => !isStopped;
   const loop = {clock, emit, goesOn};
+  let wasRelayed = false;
+  const reportSource = (): void => {
+    if (isRelayed() === wasRelayed) return;
+    wasRelayed = !wasRelayed;
+    const ageMs = Math.round(status().ageMs);
+    emit('config-source', {by: wasRelayed ? 'leader' : 'read', ageMs});
+  };
   repeat({...loop, name: 'config', pauseMs: 0}, async () => {
+    reportSource();
     if (isRelayed()) {
       await sleep(clock, RELAY_CHECK_MS);
       readStartedAt = clock.now();
@@ -170,10 +242,14 @@
       if (cursor !== null && other <= cursor) return;
       readNow();
     },
-    applyRelayed(next, other) {
+    applyRelayed(next, other, leader) {
       if (cursor === null || other > cursor) advanceCursor(other);
-      apply(next);
+      apply(next, `leader ${leader}`);
+    },
+    confirmRelayed(ageMs, leader) {
+      confirm(clock.now() - ageMs, `leader ${leader}`);
     },
+    status,
     cursor: () => cursor,
     wireConfig() {
       if (config === null || cursor === null) return null;
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -13,13 +13,14 @@
   type DigestInput,
   type ContentDigests,
 } from '@banyandrum/dispatch/content-digests.js';
-import type {Emit} from '@banyandrum/dispatch/events.js';
+import type {Emit, EventFields} from '@banyandrum/dispatch/events.js';
 import {forward} from '@banyandrum/dispatch/forward.js';
 import type {ForwardConfig} from '@banyandrum/dispatch/forward-state.js';
 import type {Route, RoutingConfig} from '@banyandrum/routing/config.js';
 import {matchRoute} from '@banyandrum/routing/match-route.js';
 import type {Splitter} from '@banyandrum/routing/split.js';
 import {createRetryAges, type RetryAges} from './retry-ages.js';
+import type {ConfigStatus} from './config-keeper.js';
 import {
   callerTimeoutMs,
   forwardedHeaders,
@@ -47,6 +48,7 @@
   readonly clock: Clock;
   readonly emit: Emit;
   config(): RoutingConfig | null;
+  configStatus(): ConfigStatus;
   /** Whether the list of quarantined requests is loaded. */
   isQuarantineKnown(): boolean;
   /** Event loop lag of this process, in ms. */
@@ -204,11 +206,17 @@
   state.emit('request', {
     ...{id, route: routeName, status, outcome, verdict, server, tookMs},
     config: state.config()?.version ?? null,
+    ...(response.kind === 'rejected' && configFields(state.configStatus())),
     ...(askedMs > 0 && {askedMs}),
     ...(isGone && {isGone}),
   });
 }
 
+/** Tells how up to date the configuration was that a request was refused by. */
+function configFields({ageMs, confirmedBy}: ConfigStatus): EventFields {
+  return {configAgeMs: Math.round(ageMs), configBy: confirmedBy};
+}
+
 interface ResponseSummary {
   readonly status: number;
   readonly outcome: string;
--- a/packages/gateway/src/link-session.ts
+++ b/packages/gateway/src/link-session.ts
@@ -24,7 +24,9 @@
   readonly suspects: Suspects;
   readonly limits: ServerLimits;
   onConfigCursor(cursor: number): void;
-  applyConfig(config: RoutingConfig, cursor: number): void;
+  applyConfig(config: RoutingConfig, cursor: number, leader: string): void;
+  /** The leader confirmed `ageMs` ago that this configuration is the newest. */
+  confirmConfig(ageMs: number, leader: string): void;
   /** Up to where this router has read the platform's configurations. */
   configCursor(): number | null;
   /** Sets the number of working routers as the leader counts them. */
@@ -190,12 +192,14 @@
   }
   if (state.limits !== undefined) cfg.limits.mergeFromLeader(state.limits);
   if (state.config !== null) {
-    cfg.applyConfig(fromWireConfig(state.config), state.config.cursor);
+    const {cursor} = state.config;
+    cfg.applyConfig(fromWireConfig(state.config), cursor, session.leader);
   }
   if (configCursor !== null) cfg.onConfigCursor(configCursor);
-  session.relaysConfig =
-    state.configAgeMs < MAX_RELAY_AGE_MS &&
-    // If the leader found no configuration, there is none to read.
-    (configCursor === null || (cfg.configCursor() ?? -1) >= configCursor);
+  // If the leader found no configuration, there is none to read.
+  const isNewest =
+    configCursor === null || (cfg.configCursor() ?? -1) >= configCursor;
+  if (isNewest) cfg.confirmConfig(state.configAgeMs, session.leader);
+  session.relaysConfig = isNewest && state.configAgeMs < MAX_RELAY_AGE_MS;
   cfg.setRouterCount(state.routers);
 }
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -13,6 +13,10 @@
   listAgeMs(): number;
   leaderAgeMs(): number;
   configVersion(): number;
+  /** Time since it was confirmed that no configuration is newer, in ms. */
+  configAgeMs(): number;
+  /** How long the pending read of the configuration has taken, in ms. */
+  configReadMs(): number;
   droppedLines(): number;
   /** Key ranges without an owner, if this router leads; else 0. */
   unheldRanges(): number;
@@ -97,6 +101,14 @@
       inSeconds(source.leaderAgeMs),
     ],
     config_version: ['Version of the configuration', source.configVersion],
+    config_age_seconds: [
+      'Since it was confirmed that no configuration is newer',
+      inSeconds(source.configAgeMs),
+    ],
+    config_read_seconds: [
+      'How long the pending read of the configuration has taken',
+      inSeconds(source.configReadMs),
+    ],
     log_dropped_lines: ['Log lines dropped', source.droppedLines],
     unheld_ranges: ['Key ranges that nobody serves', source.unheldRanges],
     suspected_requests: [
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -194,7 +194,10 @@
     onLeaderLost: () => void election.runIfNeeded(),
     termEpoch: () => leadership.epoch(),
     onConfigCursor: cursor => configKeeper.onCursorAnnounced(cursor),
-    applyConfig: (config, cursor) => configKeeper.applyRelayed(config, cursor),
+    applyConfig: (config, cursor, leader) =>
+      configKeeper.applyRelayed(config, cursor, leader),
+    confirmConfig: (ageMs, leader) =>
+      configKeeper.confirmRelayed(ageMs, leader),
     configCursor: () => configKeeper.cursor(),
     setRouterCount: recordRouterCount,
   });
@@ -258,6 +261,8 @@
     listAgeMs: () => serverList.ageMs(),
     leaderAgeMs: () => linkClient.leaderAgeMs(),
     configVersion: () => configKeeper.current()?.version ?? 0,
+    configAgeMs: () => configKeeper.status().ageMs,
+    configReadMs: () => configKeeper.status().readMs,
     droppedLines: () => log.dropped(),
     unheldRanges: () => countUnheldRanges(leadership.tables()),
     suspected: () => suspects.count('suspected'),
@@ -282,6 +287,7 @@
     recordRequest: metrics.recordRequest,
     splitter: createSplitter(),
     config: () => configKeeper.current(),
+    configStatus: () => configKeeper.status(),
     isQuarantineKnown: () => isQuarantineKnown(),
     lagMs: () => loopLag.lagMs(),
     forward: {
--- a/packages/gateway/test/config-keeper.test.ts
+++ b/packages/gateway/test/config-keeper.test.ts
@@ -1,6 +1,7 @@
 import tap from 'tap';
 import {sleep} from '@banyandrum/base/clock.js';
 import {createConfigKeeper} from '@banyandrum/gateway/config-keeper.js';
+import type {EventFields} from '@banyandrum/dispatch/events.js';
 import type {ConfigRead, Platform} from '@banyandrum/gateway/platform.js';
 import type {RoutingConfig} from '@banyandrum/routing/config.js';
 import {
@@ -8,6 +9,9 @@
   type ManualClock,
 } from '@banyandrum/standins/manual-clock.js';
 
+/** Address of the leader. */
+const LEADER = '10.1.0.18:7200';
+
 function config(version: number): RoutingConfig {
   const limits = {
     ...{maxHeaderBytes: 1, maxBodyBytes: 1},
@@ -20,9 +24,12 @@
 function createSource(clock: ManualClock): {
   readonly platform: Platform;
   versions: number[];
+  /** Waiting reads fail. */
   hangs: boolean;
+  /** No read that waits is ever answered. */
+  neverAnswers: boolean;
 } {
-  const source = {versions: [1], hangs: false};
+  const source = {versions: [1], hangs: false, neverAnswers: false};
   const read = (cursor: number | null): ConfigRead => {
     const end = source.versions.length;
     const isNew = cursor === null || cursor < end;
@@ -34,6 +41,7 @@
       new Promise<ConfigRead>(resolve => {
         const hasNewer = cursor === null || cursor < source.versions.length;
         if (hasNewer || waitMs === 0) return resolve(read(cursor));
+        if (source.neverAnswers) return;
         const failed: ConfigRead = {kind: 'failed', detail: 'timeout'};
         const answer = (): void =>
           resolve(source.hangs ? failed : read(cursor));
@@ -124,7 +132,7 @@
   isRelayed = true;
   await clock.advance(2_000);
   const readsBefore = counted.reads;
-  keeper.applyRelayed(config(2), 2);
+  keeper.applyRelayed(config(2), 2, LEADER);
   keeper.onCursorAnnounced(2);
   await clock.advance(20_000);
   t.equal(keeper.current()?.version, 2);
@@ -191,7 +199,7 @@
   isRelayed = true;
   await clock.advance(6_000);
   t.ok(reads <= 2, `${reads} reads`);
-  keeper.applyRelayed(config(1), 1);
+  keeper.applyRelayed(config(1), 1, LEADER);
   t.equal(keeper.current()?.version, 1);
   keeper.stop();
 });
@@ -222,3 +230,28 @@
   t.equal(keeper.current()?.version, 2, 'reads continue without a leader');
   keeper.stop();
 });
+
+// Guards against a read that hangs without any trace in the log.
+void tap.test('a read that hangs is reported', async t => {
+  const clock = createManualClock(1_000);
+  const source = createSource(clock);
+  const events: [string, EventFields][] = [];
+  const keeper = createConfigKeeper(
+    source.platform,
+    clock,
+    (event, fields) => void events.push([event, fields]),
+    () => false,
+  );
+  await clock.advance(1_000);
+  t.match(keeper.status(), {confirmedBy: 'read'});
+  keeper.confirmRelayed(30, LEADER);
+  t.match(keeper.status(), {ageMs: 30, confirmedBy: `leader ${LEADER}`});
+  keeper.confirmRelayed(500, LEADER);
+  t.equal(keeper.status().ageMs, 30, 'an older confirmation is ignored');
+  source.neverAnswers = true;
+  await clock.advance(2_500);
+  t.ok(keeper.status().readMs > 1_000, `${keeper.status().readMs} ms`);
+  const slow = events.find(([event]) => event === 'config-read-slow');
+  t.match(slow?.[1], {waitMs: 900, readMs: 1_300});
+  keeper.stop();
+});
--- a/packages/gateway/test/link.test.ts
+++ b/packages/gateway/test/link.test.ts
@@ -159,6 +159,7 @@
     termEpoch: () => null,
     onConfigCursor: () => undefined,
     applyConfig: () => undefined,
+    confirmConfig: () => undefined,
     configCursor: () => null,
     setRouterCount: () => undefined,
   });
