Reproduce configurations that are not in force in time (red)

Each router process has a way of its own to the store's stand-in, which can lose calls, answers or all, also for the leader alone. Versions add, drop and move routes; routers that are in touch are asked for what was acknowledged over 2 s ago.

The keeper's test: version 2 missing after 2 s.

--- a/packages/gateway/test/config-keeper.test.ts
+++ b/packages/gateway/test/config-keeper.test.ts
@@ -4,6 +4,7 @@
 import type {EventFields} from '@banyandrum/dispatch/events.js';
 import type {ConfigRead, Platform} from '@banyandrum/gateway/platform.js';
 import type {RoutingConfig} from '@banyandrum/routing/config.js';
+import {knownRed} from '@banyandrum/standins/known-red.js';
 import {
   createManualClock,
   type ManualClock,
@@ -255,3 +256,32 @@
   t.match(slow?.[1], {waitMs: 900, readMs: 1_300});
   keeper.stop();
 });
+
+// Guards against a long read on a dead connection while the leader is heard but
+// can't read the configuration either.
+void tap.test(
+  'a leader that cannot read is no reason to wait long for a version',
+  async t => {
+    const clock = createManualClock(1_000);
+    const source = createSource(clock);
+    let isRelayed = false;
+    const keeper = createConfigKeeper(
+      source.platform,
+      clock,
+      () => undefined,
+      () => true,
+      () => isRelayed,
+    );
+    await clock.advance(400);
+    isRelayed = true;
+    await clock.advance(1_000);
+    source.neverAnswers = true;
+    isRelayed = false;
+    await clock.advance(500);
+    source.versions.push(2);
+    await clock.advance(2_000);
+    const todo = knownRed(t.name) ?? false;
+    t.equal(keeper.current()?.version, 2, {todo});
+    keeper.stop();
+  },
+);
