Read the configuration as soon as what is known of it grows old

What callers saw: requests refused with 404, or served by a dropped or moved route, at routers in touch with the store, more than 2 s after the version was acknowledged.

Cause: a leader that is heard was taken for one that has read. A router followed by its heartbeats read the store with a wait of 15 s whenever the leader's own read was old, and looked after a stalled read only where no leader was heard. A read pending since a cut of the router's own way so held back all others for up to 16.2 s, and with the leader cut off as well nobody told of the next version. Class: the liveness of the one who relays taken for the freshness of what he relays; a read in flight that holds back the next one.

Now what counts is the time as of which the log is known to end at the router's position, by whoever told it, counted from when the question was sent (or its wait was over) and with the delay of the leader's message. An answer without its header, or with a part of the records, confirms nothing. A change is announced at once: routers that follow have no reads pending any more, for which the delay of 0.3 s was.

--- a/packages/gateway/src/link-broadcaster.ts
+++ b/packages/gateway/src/link-broadcaster.ts
@@ -33,7 +33,7 @@
   configCursor(): number | null;
   /** The newest version that this router knows. */
   config(): WireConfig | null;
-  /** Time since it confirmed that nothing is newer, in ms. */
+  /** Time since the log was known to end at `configCursor`, in ms. */
   configAgeMs(): number;
   /** Time since this router last reached the platform, in ms. */
   contactAgeMs(): number;
@@ -337,15 +337,17 @@
 
 /** A heartbeat without state. */
 function heartbeatState(
-  {list, config, configCursor, configAgeMs, contactAgeMs}: BroadcasterConfig,
+  cfg: BroadcasterConfig,
   totals: RouterTotals,
 ): StateMessage {
+  const {list, clock, config, configCursor, configAgeMs, contactAgeMs} = cfg;
   return {
     ...{kind: 'state', tables: null, list: null, listCursor: null},
     listAgeMs: Math.round(list.ageMs()),
     configCursor: config() === null ? null : configCursor(),
     config: null,
     configAgeMs: Math.round(configAgeMs()),
+    sentAt: Math.round(clock.now()),
     deputies: null,
     ...totals,
     touchMs: Math.round(contactAgeMs()),
--- a/packages/gateway/src/link-messages.ts
+++ b/packages/gateway/src/link-messages.ts
@@ -79,8 +79,10 @@
        * A version that the follower doesn't have, if the link has bandwidth.
        */
       readonly config: WireConfig | null;
-      /** Time since the leader confirmed that nothing is newer, in ms. */
+      /** Time since the log was known to end at `configCursor`, in ms. */
       readonly configAgeMs: number;
+      /** The leader's monotonic clock as it sent this, in ms. */
+      readonly sentAt: number;
       /**
        * Routers designated to lead next, the best first. Null if they are the
        * same as in the stream's last state.
--- a/packages/gateway/src/link-session.ts
+++ b/packages/gateway/src/link-session.ts
@@ -14,6 +14,7 @@
 } from './link-messages.js';
 import {fromWireConfig} from './link-config.js';
 import {applyList, applyTables} from './link-state.js';
+import {createDelayEstimator, type DelayEstimator} from './transit-delay.js';
 import type {Candidate} from './host-capacity.js';
 import type {ServerList} from './server-list.js';
 
@@ -25,7 +26,7 @@
   readonly limits: ServerLimits;
   onConfigCursor(cursor: number): void;
   applyConfig(config: RoutingConfig, cursor: number, leader: string): void;
-  /** The leader confirmed `ageMs` ago that this configuration is the newest. */
+  /** `ageMs` ago the platform's log ended at `configCursor`. */
   confirmConfig(ageMs: number, leader: string): void;
   /** Up to where this router has read the platform's configurations. */
   configCursor(): number | null;
@@ -33,14 +34,6 @@
   setRouterCount(count: number): void;
 }
 
-/**
- * A leader whose last read of the configuration is older than this may have
- * missed a version, in ms: covers a short waiting read and its response. A
- * version must be in force 2 s after it was accepted, which includes one read
- * by this router itself.
- */
-const MAX_RELAY_AGE_MS = 1_200;
-
 /** A stream to a router that may lead. */
 export type LinkStream = ClientDuplexStream<FollowerMessage, LeaderMessage>;
 
@@ -63,9 +56,10 @@
   redirect: string | null;
   deputies: readonly Candidate[];
   leaderContactAgeMs: number;
-  /** Whether the last state made own reads of the configuration unnecessary. */
+  /** Whether this router has all versions that the last state speaks of. */
   relaysConfig: boolean;
   isOpen: boolean;
+  readonly transitDelay: DelayEstimator;
 }
 
 /** Creates the session of a stream without any message yet. */
@@ -89,6 +83,7 @@
     leaderContactAgeMs: 0,
     relaysConfig: false,
     isOpen: true,
+    transitDelay: createDelayEstimator(),
   };
 }
 
@@ -197,9 +192,12 @@
   }
   if (configCursor !== null) cfg.onConfigCursor(configCursor);
   // If the leader found no configuration, there is none to read.
-  const isNewest =
+  session.relaysConfig =
     configCursor === null || (cfg.configCursor() ?? -1) >= configCursor;
-  if (isNewest) cfg.confirmConfig(state.configAgeMs, session.leader);
-  session.relaysConfig = isNewest && state.configAgeMs < MAX_RELAY_AGE_MS;
+  if (session.relaysConfig) {
+    const {transitDelay, heardAt, leader} = session;
+    const delayMs = transitDelay.observe(state.sentAt, heardAt);
+    cfg.confirmConfig(state.configAgeMs + delayMs, leader);
+  }
   cfg.setRouterCount(state.routers);
 }
--- a/packages/gateway/src/platform.ts
+++ b/packages/gateway/src/platform.ts
@@ -16,6 +16,10 @@
        * Why a newer configuration can't be read; null if there is none such.
        */
       readonly unreadable: string | null;
+      /** Whether the log ended at the requested position. */
+      readonly isUnchanged: boolean;
+      /** Whether the log ends at `cursor`: nothing is left to read. */
+      readonly isAtEnd: boolean;
       /** Position from which the next read continues. */
       readonly cursor: number;
     }
--- a/packages/gateway/src/refresh-loops.ts
+++ b/packages/gateway/src/refresh-loops.ts
@@ -55,7 +55,7 @@
  * Whether the leader was heard from recently, so that its state is newer than
  * a read of the store would be.
  */
-export function hasFreshLeaderState(link: LinkClient): boolean {
+function hasFreshLeaderState(link: LinkClient): boolean {
   return link.leaderAgeMs() < FRESH_MS;
 }
 
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -22,7 +22,7 @@
 import {createConfigKeeper} from './config-keeper.js';
 import {createFrontend} from './frontend.js';
 import type {EventLog} from './event-log.js';
-import {hasFreshLeaderState, startRefreshLoops} from './refresh-loops.js';
+import {startRefreshLoops} from './refresh-loops.js';
 import {createKeyOwners, type ServedTables} from './key-owners.js';
 import {createLeadership} from './leadership.js';
 import {listAssignableServers} from './assignable-servers.js';
@@ -236,13 +236,10 @@
   serverLimits.subscribe((row, isOwn) => {
     if (isOwn && !leadership.isLeading()) linkClient.reportLimits([row]);
   });
-  const configKeeper = createConfigKeeper(
-    platform,
-    clock,
-    emit,
-    () => hasFreshLeaderState(linkClient),
-    () => !leadership.isLeading() && linkClient.relaysConfig(),
-  );
+  const configKeeper = createConfigKeeper({
+    ...{platform, clock, suspendAwareNow, emit},
+    isRelayed: () => !leadership.isLeading() && linkClient.relaysConfig(),
+  });
   configKeeper.subscribe(() => {
     const config = configKeeper.current()!;
     frontend.applyLimits(config);
@@ -348,9 +345,9 @@
     list: serverList,
     suspects,
     limits: serverLimits,
-    configCursor: () => configKeeper.announcedCursor(),
+    configCursor: () => configKeeper.cursor(),
     config: () => configKeeper.wireConfig(),
-    configAgeMs: () => configKeeper.ageMs(),
+    configAgeMs: () => configKeeper.cursorAgeMs(),
     leader: () => linkClient.leader(),
     // The followers of a stopping leader should switch to the next one chosen.
     contactAgeMs: () =>
