Read once more right after a change, so that the leader's word stays recent

The age of what a waiting read brings counts from when it was sent, up to 0.8 s ago, and the next wait takes as long: after each change all followers read by themselves for a moment.

--- a/packages/gateway/src/config-reader.ts
+++ b/packages/gateway/src/config-reader.ts
@@ -65,7 +65,8 @@
 /**
  * Reads until stopped. A read that gets no answer never delays the next one:
  * its connection may have failed without a sign. A read waits for a change only
- * right after an answered one, so that a dead connection is noticed early.
+ * right after an answer without news: a dead connection is noticed early, and
+ * what is known is up to date when the wait begins.
  *
  * @example
  * ```ts
@@ -79,7 +80,7 @@
   let isStopped = false;
   let isFirst = true;
   let wasRelayed = false;
-  /** Whether the last read was answered and nothing has been relayed since. */
+  /** Whether the last read had no news and nothing has been relayed since. */
   let mayWait = false;
   /** Reads in a row that failed or are overdue. */
   let failures = 0;
@@ -160,7 +161,7 @@
       failures++;
     } else {
       failures = 0;
-      mayWait = true;
+      mayWait = result.isUnchanged;
       pausedUntil = isFirst
         ? clock.now() + STARTUP_PAUSE_MS
         : current.startedAt + MIN_INTERVAL_MS;
--- a/packages/gateway/test/config-keeper.test.ts
+++ b/packages/gateway/test/config-keeper.test.ts
@@ -272,3 +272,43 @@
     keeper.stop();
   },
 );
+
+// Guards against followers that read by themselves after each change, since the
+// leader's word is as old as the read that waited for it.
+void tap.test('what is known is up to date right after a change', async t => {
+  const clock = createManualClock(1_000);
+  const source = createSource(clock);
+  const keeper = startKeeper(source.platform, clock);
+  await clock.advance(1_000);
+  for (const version of [2, 3]) {
+    await clock.advance(700);
+    source.versions.push(version);
+    keeper.onCursorAnnounced(version);
+    await clock.advance(450);
+    t.equal(keeper.current()?.version, version);
+    t.ok(keeper.cursorAgeMs() < 450, `${keeper.cursorAgeMs()} ms`);
+  }
+  keeper.stop();
+});
+
+// Guards against a router that polls without a pause while its calls are lost.
+void tap.test('reads that get no answer are bounded', async t => {
+  const clock = createManualClock(1_000);
+  let reads = 0;
+  let pending = 0;
+  let mostPending = 0;
+  const platform = {
+    async readConfig(): Promise<ConfigRead> {
+      reads++;
+      mostPending = Math.max(mostPending, ++pending);
+      await sleep(clock, 1_200);
+      pending--;
+      return {kind: 'failed', detail: 'timeout'};
+    },
+  } as unknown as Platform;
+  const keeper = startKeeper(platform, clock);
+  await clock.advance(10_000);
+  t.ok(reads >= 8 && reads <= 16, `${reads} reads in 10 s`);
+  t.ok(mostPending <= 4, `${mostPending} at once`);
+  keeper.stop();
+});
