Read at once when the leader knows a version that it doesn't relay

The follower learnt of the version before it knew that it is not relayed, and read up to 0.25 s later. A state of an earlier version of the program has no time of sending.

--- a/packages/gateway/src/link-messages.ts
+++ b/packages/gateway/src/link-messages.ts
@@ -81,8 +81,11 @@
       readonly config: WireConfig | null;
       /** Time since the log was known to end at `configCursor`, in ms. */
       readonly configAgeMs: number;
-      /** The leader's monotonic clock as it sent this, in ms. */
-      readonly sentAt: number;
+      /**
+       * The leader's monotonic clock as it sent this, in ms; absent from earlier
+       * versions of the program.
+       */
+      readonly sentAt?: number;
       /**
        * Routers designated to lead next, the best first. Null if they are the
        * same as in the stream's last state.
--- a/packages/gateway/src/link-session.ts
+++ b/packages/gateway/src/link-session.ts
@@ -158,6 +158,14 @@
   }
 }
 
+/** How long the state was held up on its way, in ms. */
+function transitDelayMs(
+  {transitDelay, heardAt}: Session,
+  {sentAt}: StateMessage,
+): number {
+  return sentAt === undefined ? 0 : transitDelay.observe(sentAt, heardAt);
+}
+
 function applyState(
   cfg: FollowerState,
   session: Session,
@@ -190,14 +198,11 @@
     const {cursor} = state.config;
     cfg.applyConfig(fromWireConfig(state.config), cursor, session.leader);
   }
-  if (configCursor !== null) cfg.onConfigCursor(configCursor);
+  const ageMs = state.configAgeMs + transitDelayMs(session, state);
   // If the leader found no configuration, there is none to read.
   session.relaysConfig =
     configCursor === null || (cfg.configCursor() ?? -1) >= configCursor;
-  if (session.relaysConfig) {
-    const {transitDelay, heardAt, leader} = session;
-    const delayMs = transitDelay.observe(state.sentAt, heardAt);
-    cfg.confirmConfig(state.configAgeMs + delayMs, leader);
-  }
+  if (session.relaysConfig) cfg.confirmConfig(ageMs, session.leader);
+  else if (configCursor !== null) cfg.onConfigCursor(configCursor);
   cfg.setRouterCount(state.routers);
 }
