Wait for a change on no connection that was idle while a leader relayed

A read that was pending as a leader appeared ended later without news, and allowed the first read after the leader's loss to wait 0.8 s at once, seconds or minutes later. On a dead connection that read would be repeated after 1.1 s instead of 0.3 s. Found by reading; the keeper's test waits 800 ms before, none now. The reader's long function is divided.

--- a/packages/gateway/src/config-reader.ts
+++ b/packages/gateway/src/config-reader.ts
@@ -99,7 +99,6 @@
     const isNow = isRelayed();
     if (isNow === wasRelayed) return;
     wasRelayed = isNow;
-    if (isNow) mayWait = false;
     const ageMs = Math.round(cfg.cursorAgeMs());
     emit('config-source', {by: isNow ? 'leader' : 'read', ageMs});
   };
@@ -119,6 +118,7 @@
     if (isStopped) return;
     cancelStep();
     reportSource();
+    if (wasRelayed) mayWait = false;
     const now = clock.now();
     if (isReadDue(now)) void runRead();
     cancelStep = clock.after(untilNextStep(), step);
@@ -143,35 +143,45 @@
     emit('config-read-slow', {waitMs, readMs, ageMs});
   };
 
-  const runRead = async (): Promise<void> => {
+  const registerRead = (): PendingRead => {
     const isRepeated = pending.size > 0;
     if (isRepeated) reportOverdue();
     const waitMs = mayWait && !isRepeated ? WAIT_MS : 0;
-    const current: PendingRead = {startedAt: clock.now(), waitMs};
-    answerDueAt = current.startedAt + waitMs + backoff(OVERDUE_MS);
+    const startedAt = clock.now();
+    answerDueAt = startedAt + waitMs + backoff(OVERDUE_MS);
     if (isRepeated) failures++;
     mayWait = false;
-    pending.add(current);
+    const read = {startedAt, waitMs};
+    pending.add(read);
+    return read;
+  };
+
+  const onFailed = (): void => {
+    if (pending.size === 0) retryAt = clock.now() + backoff(RETRY_MS);
+    failures++;
+  };
+
+  const onAnswered = ({startedAt}: PendingRead, isUnchanged: boolean): void => {
+    failures = 0;
+    mayWait = isUnchanged;
+    pausedUntil = isFirst
+      ? clock.now() + STARTUP_PAUSE_MS
+      : startedAt + MIN_INTERVAL_MS;
+    isFirst = false;
+  };
+
+  const runRead = async (): Promise<void> => {
+    const current = registerRead();
     const startedAt = cfg.suspendAwareNow();
-    const result = await readSafely(waitMs);
+    const result = await readSafely(current.waitMs);
     pending.delete(current);
     if (isStopped) return;
-    if (result.kind === 'failed') {
-      if (pending.size === 0) retryAt = clock.now() + backoff(RETRY_MS);
-      failures++;
-    } else {
-      failures = 0;
-      mayWait = result.isUnchanged;
-      pausedUntil = isFirst
-        ? clock.now() + STARTUP_PAUSE_MS
-        : current.startedAt + MIN_INTERVAL_MS;
-      isFirst = false;
-    }
-    // An answer without news is given when the wait is over, not before.
+    if (result.kind === 'failed') onFailed();
+    else onAnswered(current, result.isUnchanged);
     const elapsedMs = cfg.suspendAwareNow() - startedAt;
-    const isOfEnd =
-      result.kind === 'read' && result.isUnchanged && elapsedMs >= waitMs;
-    cfg.applyRead(result, startedAt + (isOfEnd ? waitMs : 0));
+    const hasWaited = elapsedMs >= current.waitMs && isUnchanged(result);
+    // An answer without news is given when the wait is over, not before.
+    cfg.applyRead(result, startedAt + (hasWaited ? current.waitMs : 0));
     step();
   };
 
@@ -206,3 +216,7 @@
     },
   };
 }
+
+function isUnchanged(result: ConfigRead): boolean {
+  return result.kind === 'read' && result.isUnchanged;
+}
--- a/packages/gateway/test/config-keeper.test.ts
+++ b/packages/gateway/test/config-keeper.test.ts
@@ -312,3 +312,27 @@
   t.ok(mostPending <= 4, `${mostPending} at once`);
   keeper.stop();
 });
+
+// Guards against a wait on a connection that was idle while a leader relayed.
+void tap.test('the first read without a leader does not wait', async t => {
+  const clock = createManualClock(1_000);
+  const source = createSource(clock);
+  const waits: number[] = [];
+  const platform = {
+    readConfig(cursor: number | null, waitMs: number) {
+      waits.push(waitMs);
+      return source.platform.readConfig(cursor, waitMs);
+    },
+  } as Platform;
+  let isRelayed = false;
+  const keeper = startKeeper(platform, clock, () => isRelayed);
+  await clock.advance(1_000);
+  t.equal(waits.at(-1), 800, 'a read waits as the leader appears');
+  isRelayed = true;
+  await clock.advance(5_000);
+  waits.length = 0;
+  isRelayed = false;
+  await clock.advance(300);
+  t.equal(waits[0], 0);
+  keeper.stop();
+});
