--- a/packages/callers/src/answer.ts
+++ b/packages/callers/src/answer.ts
@@ -13,7 +13,7 @@
   readonly clock: Clock;
   /** Headers that the router adds, names and values in turn. */
   readonly extra: readonly string[];
-  /** How long a caller may take nothing of an answer, in ms. */
+  /** Timeout for a caller that reads nothing of the response, in ms. */
   readonly stallMs: number;
 }
 
@@ -21,21 +21,24 @@
 export type AnswerOutcome =
   /** The whole answer was written. */
   | {readonly kind: 'sent'}
-  /** Nothing was written; the caller can still be told of the failure. */
+  /** Nothing was written, so an error response can still be sent. */
   | {readonly kind: 'unsent'; readonly failure: Failure}
   /** A part was written; the connection was destroyed. */
   | {readonly kind: 'cut'; readonly failure: Failure};
 
-/** HTTP/1.0 cannot mark the end of a body without a length. */
+/**
+ * Maximum size of a response body that is buffered, in bytes. HTTP/1.0 can't
+ * mark the end of a body without a length.
+ */
 export const MAX_COLLECTED_BYTES = 4 * 1024 * 1024;
 
 const BODILESS_STATUS: ReadonlySet<number> = new Set([204, 205, 304]);
 const LENGTH = /^[0-9]{1,15}$/;
 
 /**
- * Writes a backend server's answer. A caller never takes a part for the
- * whole: a body that breaks off destroys the connection before the length
- * that was declared, or before the end of the chunked coding.
+ * Writes a backend server's response. A truncated body destroys the connection
+ * before the declared length, or the final chunk, has been sent, so that no
+ * caller mistakes it for a complete one.
  *
  * @example
  * ```ts
@@ -70,13 +73,13 @@
   return writeStream(context, answer, answer.body, declared.val);
 }
 
-/** Tells a body's source that nobody reads on. */
+/** Ends the iteration of a body that isn't read to its end. */
 export async function closeBody(body: ServiceAnswer['body']): Promise<void> {
   if (body instanceof Uint8Array) return;
   try {
     await body[Symbol.asyncIterator]().return?.();
   } catch {
-    // The source failed while it was closed: it is closed all the same.
+    // The source is closed even if closing it failed.
   }
 }
 
@@ -105,7 +108,7 @@
   try {
     for await (const chunk of body) {
       if (!started) {
-        // Until the first bytes are there a failure can be told as one.
+        // Before the first chunk, a failure can still get an error response.
         const head = writeHead(context, answer, declared);
         if (head.err) return {kind: 'unsent', failure: head.val};
         started = true;
@@ -169,7 +172,7 @@
   }
 }
 
-/** Whether the caller took the chunk, or is expected to. */
+/** Returns whether the caller still reads. */
 async function writeChunk(
   context: AnswerContext,
   chunk: Uint8Array,
@@ -190,7 +193,8 @@
     };
     const onDrain = (): void => finish(true);
     const onClose = (): void => finish(false);
-    // A caller that stops reading would hold its server's connection forever.
+    // Otherwise a caller that stops reading would occupy its server's connection
+    // indefinitely.
     const cancel = clock.after(stallMs, onClose);
     res.on('drain', onDrain);
     res.on('close', onClose);
--- a/packages/callers/src/body.ts
+++ b/packages/callers/src/body.ts
@@ -5,22 +5,22 @@
 import type {Result} from '@banyandrum/base/result.js';
 import {Err, Ok} from '@banyandrum/base/result.js';
 
-/** Bodies of a declared length up to this are read whole before dispatch. */
+/** Bodies with a declared length of up to this are buffered, in bytes. */
 export const WHOLE_BODY_BYTES = 16 * 1024;
 
-/** How a request's body is framed; `null` where no length is declared. */
+/** Declared length of a request's body in bytes; null if there is none. */
 export type BodyLength = number | null;
 
-/** A body that is streamed, and why its reading failed, if it did. */
+/** A streamed body, and why reading it failed. */
 export interface StreamedBody {
   readonly chunks: AsyncIterable<Uint8Array>;
-  /** The failure that the reader met; null while there is none. */
+  /** Why reading the body failed; null if it hasn't. */
   fault(): Failure | null;
 }
 
 /**
- * The length of a request's body as its headers declare it. Node's parser has
- * refused contradictory headers before.
+ * The length of a request's body as declared by its headers. Node's parser has
+ * already rejected conflicting headers.
  */
 export function declaredLength(req: IncomingMessage): BodyLength {
   if (req.headers['transfer-encoding'] !== undefined) return null;
@@ -28,8 +28,8 @@
 }
 
 /**
- * Reads a body of a known, small length. Nothing has been passed on yet, so
- * that every failure is `not-run`.
+ * Buffers a body of a known, small length. Nothing has been forwarded yet, so
+ * the verdict of every failure is `not-run`.
  */
 export function readWhole(
   req: IncomingMessage,
@@ -52,10 +52,10 @@
 }
 
 /**
- * Streams a body, once, and never more than `maxBytes` of it. A body that is
- * cut or too large throws a `FailureError`. What was passed on before may have
- * been executed, so that its verdict is `may-have-run`; whoever knows better
- * replaces it.
+ * Streams at most `maxBytes` of a body; it can be read once. A truncated or too
+ * large body throws a `FailureError`. Its verdict is `may-have-run`, since the
+ * bytes forwarded so far may have been executed; the handler replaces it if it
+ * knows more.
  */
 export function streamBody(
   req: IncomingMessage,
@@ -65,7 +65,7 @@
   async function* read(): AsyncGenerator<Uint8Array> {
     let bytes = 0;
     try {
-      // An early return must not destroy the socket that the answer needs.
+      // An early return must not destroy the socket, which the response needs.
       for await (const chunk of req.iterator({destroyOnReturn: false})) {
         bytes += (chunk as Buffer).length;
         if (bytes > maxBytes) throw new FailureError(tooLarge(maxBytes));
--- a/packages/callers/src/controls.ts
+++ b/packages/callers/src/controls.ts
@@ -85,10 +85,10 @@
 ] satisfies readonly (readonly [string, ControlHeader])[]);
 
 /**
- * Reads the headers by which a caller steers its request. One that is
- * malformed or given twice fails the request as `bad-request`: to guess would
- * be to repeat a request that its caller meant to mark. Only the correlation,
- * which proxies set too, is left out instead.
+ * Parses the headers that control how a request is handled. A malformed or
+ * duplicate header fails the request as `bad-request`, since a wrong guess could
+ * repeat a request that its caller marked as unsafe. Only an invalid correlation
+ * id, which proxies set as well, is ignored.
  *
  * @example
  * ```ts
--- a/packages/callers/src/exchange.ts
+++ b/packages/callers/src/exchange.ts
@@ -31,29 +31,29 @@
 import {sendProblem, toProblem} from './problem.js';
 import {within} from './within.js';
 
-/** What the exchanges of one interface share. */
+/** Dependencies of the exchanges of one interface. */
 export interface ExchangeConfig {
   readonly handle: RequestHandler;
   readonly policyOf: PolicyLookup;
   readonly clock: Clock;
   readonly log: Logger;
-  /** How long a caller may take nothing of its answer, in ms. */
+  /** Timeout for a caller that reads nothing of its response, in ms. */
   readonly stallMs: number;
-  /** Whether connections are to be closed after their answer. */
+  /** Whether to close connections after their response. */
   readonly draining: () => boolean;
 }
 
-/** What the server saw before the request's body. */
+/** A request whose headers have been received. */
 export interface Arrival {
   readonly req: IncomingMessage;
   readonly res: ServerResponse;
-  /** Aborted when the caller went away or the process must stop. */
+  /** Aborted when the caller disconnects or the process stops. */
   readonly controller: Canceller;
   /** The caller waits for `100 Continue` before it sends its body. */
   readonly expectsContinue: boolean;
 }
 
-/** How long a handler may overrun its deadline before it is given up. */
+/** Time by which a handler may exceed its deadline, in ms. */
 const OVERRUN_MS = 250;
 
 interface Exchange extends Arrival {
@@ -68,7 +68,7 @@
 }
 
 /**
- * Carries one request from its headers to the end of its answer; never
+ * Handles one request from its headers to the end of its response. Never
  * rejects.
  *
  * @example
@@ -142,7 +142,8 @@
     headers: selectEndToEnd(fields),
     body,
     deadline,
-    // A caller may only make it stricter: the rules know what repeats harm.
+    // Callers can't relax the rules, which know which requests are unsafe to
+    // repeat.
     once: policy.once || controls.once,
     precedence: policy.precedence,
     caller: controls.caller ?? req.socket.remoteAddress ?? 'unknown',
@@ -151,8 +152,8 @@
 }
 
 /**
- * Runs the handler, which keeps the deadline itself. One that doesn't is given
- * up a little later, so that no caller waits for ever.
+ * Runs the handler, which enforces the deadline itself. A handler that exceeds
+ * it is abandoned shortly afterwards, so that no caller waits indefinitely.
  */
 async function runUntil(
   {cfg, controller}: Exchange,
@@ -179,7 +180,7 @@
   }
 }
 
-/** The verdict is the handler's; the cause may be known better here. */
+/** Keeps the handler's verdict, with a more specific cause if there is one. */
 function explain(
   {res, controller}: Exchange,
   failed: Failure,
@@ -189,7 +190,7 @@
   if (cause !== null) return failure(verdict, cause.code, cause.detail);
   const given = controller.signal.aborted && !res.destroyed;
   if (code !== 'cancelled' || !given) return failed;
-  // The caller is still there: it is the router that gave the request up.
+  // The caller is still connected, so the router itself cancelled the request.
   return failure(verdict, 'stopping', 'the router is stopping');
 }
 
@@ -204,8 +205,8 @@
   extra.push(...commonHeaders(exchange, controls, true));
   const context = {res, clock: cfg.clock, extra, stallMs: cfg.stallMs};
   const outcome = await writeAnswer(context, answered);
-  // A body that the handler left unread would block the connection's next
-  // request: node only drops what nobody has begun to read.
+  // An unread rest of the body would block the connection's next request: Node
+  // only discards bodies that nobody has started to read.
   if (outcome.kind === 'sent') return void req.resume();
   const {code, detail} = outcome.failure;
   cfg.log.warn('answer not given whole', {id, code, detail, url: req.url});
--- a/packages/callers/src/headers.ts
+++ b/packages/callers/src/headers.ts
@@ -5,8 +5,8 @@
 export const OWN_PREFIX = 'banyandrum-';
 
 /**
- * Headers that belong to one connection. `content-length` is among them: each
- * hop frames the body anew and checks its length itself.
+ * Hop-by-hop headers. `content-length` is among them: each hop frames the body
+ * anew and checks its length itself.
  */
 const NOT_FORWARDED: ReadonlySet<string> = new Set([
   ...HOP_BY_HOP,
@@ -14,8 +14,8 @@
 ]);
 
 /**
- * Header fields that may go on to the next hop: none that belong to one
- * connection, none of the router's own.
+ * Returns the header fields to forward: neither hop-by-hop fields nor the
+ * router's own.
  *
  * @example
  * ```ts
--- a/packages/callers/src/in-flight.ts
+++ b/packages/callers/src/in-flight.ts
@@ -14,7 +14,7 @@
 }
 
 /**
- * Keeps count of requests, so that a stop can wait for them.
+ * Counts requests in flight, so that a graceful stop can wait for them.
  *
  * @example
  * ```ts
--- a/packages/callers/src/linger.ts
+++ b/packages/callers/src/linger.ts
@@ -6,12 +6,12 @@
 const LINGER_BYTES = 1024 * 1024;
 
 /**
- * Ends an answer that was written before its request was read to the end.
+ * Ends a response that was written before its request was read completely.
  *
- * A connection that is closed while the caller still sends is reset, and the
- * caller's system may then drop the answer unread: the caller sees a lost
- * connection instead of its verdict. So the rest of the request is read and
- * dropped first, within bounds of time and bytes.
+ * Closing a connection while the caller still sends resets it, and the caller's
+ * system may then discard the response: the caller sees a connection error
+ * instead of the verdict. So the rest of the request is read and discarded
+ * first, up to a limit of time and bytes.
  */
 export function endAfterRequest(
   req: IncomingMessage,
@@ -39,7 +39,7 @@
   req.once('close', finish);
 }
 
-/** The same for a connection that carries no valid request. */
+/** Does the same for a connection without a valid request. */
 export function lingerOnSocket(socket: Socket, clock: Clock): void {
   let left = LINGER_BYTES;
   const cancel = clock.after(LINGER_MS, () => socket.destroy());
--- a/packages/callers/src/problem.ts
+++ b/packages/callers/src/problem.ts
@@ -45,7 +45,7 @@
 };
 
 /**
- * The problem that a caller is told of a failure.
+ * Converts a failure to the problem details that the caller gets.
  *
  * @example
  * ```ts
@@ -84,7 +84,7 @@
 }
 
 /**
- * Answers with a problem; nothing may have been sent before.
+ * Sends a problem as the response; nothing may have been sent before.
  *
  * @example
  * ```ts
@@ -107,7 +107,7 @@
   if (failure.retryAfterMs !== undefined) {
     return Math.max(0, Math.ceil(failure.retryAfterMs));
   }
-  // A hint on a request that may have run would invite a second run.
+  // Retry-After for a request that may have run would invite a second run.
   if (failure.verdict !== 'not-run') return null;
   return PROBLEM_KINDS[failure.code].retryAfterMs ?? null;
 }
--- a/packages/callers/src/server.ts
+++ b/packages/callers/src/server.ts
@@ -46,8 +46,8 @@
 };
 
 /**
- * An HTTP server with strict parsing and bounds against slow callers. It does
- * not listen yet.
+ * Creates an HTTP server with strict parsing and timeouts for slow callers. It
+ * isn't listening yet.
  *
  * @example
  * ```ts
@@ -62,7 +62,7 @@
 ): http.Server {
   const server = http.createServer({
     insecureHTTPParser: false,
-    // Checked by the handler, which answers with a problem.
+    // The handler checks it and responds with problem details.
     requireHostHeader: false,
     maxHeaderSize: limits.maxHeaderBytes,
     headersTimeout: limits.headersTimeoutMs,
@@ -87,9 +87,9 @@
   err: NodeJS.ErrnoException,
   socket: Socket,
 ): void {
-  // An answer still due on this connection would be taken for this one, and
-  // this one for it: the caller of a pipelined request would read that it was
-  // not run. So nothing is written then.
+  // Nothing is written while another response is due on this connection: the
+  // caller would take this one for the response to an earlier, pipelined request
+  // and believe that it wasn't run.
   if (!socket.writable || hasAnswerDue(socket)) {
     socket.destroy(err);
     return;
--- a/packages/callers/src/service.ts
+++ b/packages/callers/src/service.ts
@@ -40,11 +40,10 @@
   /** Requests whose answers have not been written to the end. */
   inFlight(): number;
   /**
-   * Stops gracefully: readiness goes off and connections close after their
-   * answers, while requests are still served, for `noticeMs` at least; when
-   * none is in flight the listener closes. After `graceMs` in all, the rest
-   * is aborted, answered with its verdict and then cut. Yields how many
-   * requests were aborted.
+   * Stops gracefully. For at least `noticeMs`, readiness is off and connections
+   * close after their responses, while requests are still served; once none is
+   * in flight, the listener closes. After `graceMs` in total, the remaining
+   * requests are aborted and get their verdict. Resolves to their number.
    */
   stop(graceMs: number, noticeMs?: number): Promise<number>;
 }
@@ -71,12 +70,12 @@
 ]);
 
 /**
- * The callers' HTTP interface as a service on moleculer-web.
+ * Creates the callers' HTTP interface as a moleculer-web service.
  *
- * Requests skip the gateway's own routing, which would cost about a third of
- * the throughput: a context, a second parse of the URL and several promises
- * for each request. And the server is our own, as the gateway sets none of the
- * parser's limits and only logs that it could not listen.
+ * Requests bypass moleculer-web's routing, which would cost about a third of the
+ * throughput: a context, a second parse of the URL and several promises per
+ * request. The server is our own because moleculer-web sets none of the parser's
+ * limits and only logs a failure to listen.
  *
  * @example
  * ```ts
@@ -161,7 +160,7 @@
   const left = (): number => Math.max(0, end - clock.now());
   await inFlight.idleWithin(left());
   const closed = closeServer(server);
-  // A request may have arrived in part: it counts once its headers are whole.
+  // A partially received request counts once its headers are complete.
   await settleWithin(closed, clock, Math.min(left(), ABORT_MS));
   await inFlight.idleWithin(left());
   const aborted = inFlight.abortAll();
--- a/packages/callers/src/target.ts
+++ b/packages/callers/src/target.ts
@@ -3,12 +3,12 @@
 import type {Result} from '@banyandrum/base/result.js';
 import {Err, Ok} from '@banyandrum/base/result.js';
 
-/** What a request's URL names. */
+/** The service, key and path named by a request's URL. */
 export interface Target {
   readonly service: string;
   /** Decoded. */
   readonly key: string;
-  /** What follows the key, with the query, as it was sent. */
+  /** The rest of the URL with the query, as it was sent. */
   readonly path: string;
 }
 
@@ -25,8 +25,8 @@
 const DOT_SEGMENT = /(?:^|\/)(?:\.|%2e){1,2}(?:\/|$)/i;
 
 /**
- * Reads `/v1/{service}/{key}{path}` from a request's URL. Every failure is
- * `not-run` and `bad-request`.
+ * Parses `/v1/{service}/{key}{path}`. All failures are `not-run` with the code
+ * `bad-request`.
  *
  * @example
  * ```ts
@@ -94,8 +94,8 @@
     return `the key is longer than ${MAX_KEY_BYTES} bytes`;
   }
   if (CONTROL_CHARACTER.test(key)) return 'the key has control characters';
-  // Any URL parser further on would take these for steps between paths, and
-  // the request would reach another key than the one it was routed by.
+  // URL parsers would resolve these as dot segments, and the request would reach
+  // another key than the one it was routed by.
   if (key === '.' || key === '..') return 'the key cannot be . or ..';
   return null;
 }
--- a/packages/callers/src/within.ts
+++ b/packages/callers/src/within.ts
@@ -3,7 +3,7 @@
 import type {Result} from '@banyandrum/base/result.js';
 import {Err} from '@banyandrum/base/result.js';
 
-/** The task's result, or `late` as the error once `limit` has come. */
+/** Resolves to the task's result, or to the error `late` at time `limit`. */
 export function within<T>(
   clock: Clock,
   limit: number,
