Let no older version hide that the newest record can't be read

A router that can't read the newest record answers 503 in place of 404. A leader that relayed the version before it ended that, and a version was relayed with the position that its leader had read up to since, behind the record. Found by reading; the keeper's test fails on the code before (position 9 for 5, confirmed by the leader).

--- a/packages/gateway/src/config-keeper.ts
+++ b/packages/gateway/src/config-keeper.ts
@@ -82,10 +82,12 @@
   const {platform, emit, suspendAwareNow} = cfg;
   let config: RoutingConfig | null = null;
   let cursor: number | null = null;
+  /** Position after the record that `config` is from. */
+  let configCursor = -Infinity;
   let wireConfig: WireConfig | null = null;
   let hasFailed = false;
-  /** Whether the newest record is one that this router can't decode. */
-  let isNewestUnreadable = false;
+  /** Position after a newer record that this router can't decode. */
+  let unreadableCursor = -Infinity;
   /** When the log was last known to end at the cursor. */
   let cursorConfirmedAt = -Infinity;
   let lastConfirmation = NEVER;
@@ -93,7 +95,8 @@
 
   const confirm = (at: number, by: ConfigSource): void => {
     cursorConfirmedAt = Math.max(cursorConfirmedAt, at);
-    if (isNewestUnreadable || at < lastConfirmation.at) return;
+    const isOutdated = unreadableCursor > configCursor;
+    if (isOutdated || at < lastConfirmation.at) return;
     lastConfirmation = {at, by};
   };
 
@@ -103,9 +106,13 @@
     readMs: reader.pendingMs(),
   });
 
-  const apply = (next: RoutingConfig | null, by: ConfigSource): void => {
+  const apply = (
+    next: RoutingConfig | null,
+    nextCursor: number,
+    by: ConfigSource,
+  ): void => {
     if (next === null) return;
-    isNewestUnreadable = false;
+    configCursor = Math.max(configCursor, nextCursor);
     if (config !== null && next.version <= config.version) return;
     config = next;
     const ageMs = Math.round(status().ageMs);
@@ -128,9 +135,9 @@
     if (result.unreadable !== null) {
       const detail = result.unreadable;
       emit('config-refused', {detail, cursor: result.cursor});
-      isNewestUnreadable = true;
+      unreadableCursor = result.cursor;
     }
-    apply(result.config, 'read');
+    apply(result.config, result.cursor, 'read');
     if (result.isAtEnd) confirm(asOf, 'read');
   };
 
@@ -148,7 +155,7 @@
     },
     applyRelayed(next, other, leader) {
       if (cursor === null || other > cursor) cursor = other;
-      apply(next, `leader ${leader}`);
+      apply(next, other, `leader ${leader}`);
     },
     confirmRelayed(ageMs, leader) {
       confirm(suspendAwareNow() - ageMs, `leader ${leader}`);
@@ -156,9 +163,9 @@
     status,
     cursor: () => cursor,
     wireConfig() {
-      if (config === null || cursor === null) return null;
+      if (config === null) return null;
       if (wireConfig?.version !== config.version) {
-        wireConfig = toWireConfig(config, cursor);
+        wireConfig = toWireConfig(config, configCursor);
       }
       return wireConfig;
     },
--- a/packages/gateway/test/config-keeper.test.ts
+++ b/packages/gateway/test/config-keeper.test.ts
@@ -336,3 +336,28 @@
   t.equal(waits[0], 0);
   keeper.stop();
 });
+
+// Guards against taking an older version for the newest after a record that
+// can't be read.
+void tap.test('an older version does not hide an unreadable one', async t => {
+  const clock = createManualClock(1_000);
+  const unreadable: ConfigRead = {
+    ...{kind: 'read', config: null, unreadable: 'not JSON', cursor: 9},
+    ...{isUnchanged: false, isAtEnd: true},
+  };
+  const platform = {
+    async readConfig(cursor: number | null) {
+      return {...unreadable, unreadable: cursor === 9 ? null : 'not JSON'};
+    },
+  } as unknown as Platform;
+  const keeper = startKeeper(platform, clock);
+  await clock.advance(100);
+  keeper.applyRelayed(config(5), 5, LEADER);
+  t.equal(keeper.wireConfig()?.cursor, 5, 'relayed with its own position');
+  keeper.confirmRelayed(0, LEADER);
+  t.equal(keeper.status().confirmedBy, null, 'version 5 is not the newest');
+  keeper.applyRelayed(config(6), 10, LEADER);
+  keeper.confirmRelayed(0, LEADER);
+  t.equal(keeper.status().ageMs, 0);
+  keeper.stop();
+});
