--- a/packages/gateway/test/settings.test.ts
+++ b/packages/gateway/test/settings.test.ts
@@ -32,6 +32,11 @@
   ['slack = 58', 'window = 10', /retries\.window/],
   ['ratio = 0.2', 'ratio = 0.2\n[logging]\nlevel = "loud"', /logging\.level/],
   ['ratio = 0.2', 'ratio = 0.2\n[servers]\nhold_max = 4', /hold_max/],
+  [
+    'ratio = 0.2',
+    'ratio = 0.2\n[configuration]\napply_within = "0s"',
+    /configuration\.apply_within/,
+  ],
   [
     'ratio = 0.2',
     'ratio = 0.2\n[operators]\ntokens = [{operator = "a", role = "root"}]',
@@ -46,6 +51,10 @@
   t.equal(settings.listen.peers, '10.0.0.1:82');
   t.equal(settings.logging.level, 'info');
   t.equal(settings.retries.windowMs, 10_000);
+  t.equal(settings.configuration.applyWithinMs, 2_000);
+  const applyWithin = '[configuration]\napply_within = "2500ms"';
+  const {configuration} = parseSettings(`${VALID}${applyWithin}`);
+  t.equal(configuration.applyWithinMs, 2_500);
 });
 
 for (const [valid, invalid, message] of INVALID) {
