Log when a server is ejected, and on whose evidence

The hypotheses on routers cut off from all servers can't be told apart by the logs: nothing tells that the leader ejects a server at the word of another router. No decision changes.

--- a/packages/dispatch/src/backend.ts
+++ b/packages/dispatch/src/backend.ts
@@ -150,14 +150,18 @@
   backend.serviceMs += raise;
 }
 
-/** Ejects the server for a time that doubles with each consecutive ejection. */
-export function eject(backend: Backend, now: number): void {
-  if (backend.ejectedUntil > now) return;
+/**
+ * Ejects the server for a time that doubles with each consecutive ejection.
+ * Returns whether it was not ejected before.
+ */
+export function eject(backend: Backend, now: number): boolean {
+  if (backend.ejectedUntil > now) return false;
   backend.ejectionMs = Math.min(
     MAX_EJECTION_MS,
     Math.max(MIN_EJECTION_MS, backend.ejectionMs * 2),
   );
   backend.ejectedUntil = now + backend.ejectionMs;
+  return true;
 }
 
 /** Failure rate decayed to the present, 0 to 1. */
--- a/packages/dispatch/src/handle-result.ts
+++ b/packages/dispatch/src/handle-result.ts
@@ -1,6 +1,7 @@
 import {failure} from '@banyandrum/base/failure.js';
 import type {Answer, AttemptResult} from './attempt.js';
-import {noteAnswer, noteLoss, eject, type Backend} from './backend.js';
+import {noteAnswer, noteLoss, type Backend} from './backend.js';
+import {ejectServer} from './eject-server.js';
 import {
   failureReply,
   finalReply,
@@ -111,8 +112,10 @@
   const now = cfg.clock.now();
   if (result.reason === 'cancelled') return finalReply(state);
   noteLoss(backend, now, now - sentAt);
+  const outcome = result.isWritten ? 'lost' : 'unreached';
+  const evidence = {id: req.id, outcome, by: 'attempt'} as const;
   if (!result.isWritten) {
-    eject(backend, now);
+    ejectServer(cfg.emit, backend, now, evidence);
     state.excluded.add(backend.info.id);
     return null;
   }
@@ -120,7 +123,8 @@
   state.possibleRuns++;
   if (result.reason === 'timeout')
     backend.connections.closeIdleUnansweredSince(sentAt);
-  else if (result.reason === 'connection-lost') eject(backend, now);
+  else if (result.reason === 'connection-lost')
+    ejectServer(cfg.emit, backend, now, evidence);
   const code = result.reason === 'timeout' ? 'deadline' : 'connection-lost';
   state.unknownOutcome = failure('may-have-run', code, result.detail);
   if (req.route.kind === 'once') return failureReply(state.unknownOutcome);
--- a/packages/dispatch/src/slot-allocator.ts
+++ b/packages/dispatch/src/slot-allocator.ts
@@ -1,5 +1,6 @@
-import {noteAnswer, noteLoss, eject, type Backend} from './backend.js';
+import {noteAnswer, noteLoss, type Backend} from './backend.js';
 import {createCapacityCache} from './capacity-cache.js';
+import {ejectServer} from './eject-server.js';
 import {findFreeServer, type SlotAllocatorConfig} from './free-server.js';
 import {
   countAhead,
@@ -264,7 +265,7 @@
 }
 
 function releaseSlot(
-  {clock, suspects}: SlotAllocatorConfig,
+  {clock, suspects, emit}: SlotAllocatorConfig,
   backend: Backend,
   {grantedAt, req}: Waiter,
   outcome: SlotOutcome,
@@ -279,8 +280,9 @@
   } else if (outcome === 'lost') {
     noteLoss(backend, now, tookMs);
     // No answer since then: a host without power would time out each request.
-    if (backend.lastAnswerAt < grantedAt) eject(backend, now);
+    if (backend.lastAnswerAt < grantedAt)
+      ejectServer(emit, backend, now, {id: req.id, outcome, by: 'slot'});
   } else if (outcome === 'unreached') {
-    eject(backend, now);
+    ejectServer(emit, backend, now, {id: req.id, outcome, by: 'slot'});
   }
 }
