--- a/packages/base/src/failure.ts
+++ b/packages/base/src/failure.ts
@@ -14,6 +14,7 @@
   | 'fenced'
   | 'refused'
   | 'quarantined'
+  | 'unreachable'
   | 'connection-lost'
   | 'truncated'
   | 'stopping'
--- a/packages/callers/src/problem.ts
+++ b/packages/callers/src/problem.ts
@@ -38,6 +38,7 @@
     title: 'Servers ended under it',
     retryAfterMs: 60_000,
   },
+  unreachable: {status: 503, title: 'No way to a server', retryAfterMs: 200},
   'connection-lost': {status: 502, title: 'The connection was lost'},
   truncated: {status: 502, title: 'The answer was cut short'},
   stopping: {status: 503, title: 'Stopping', retryAfterMs: 1000},
--- a/packages/dispatch/src/attempt.ts
+++ b/packages/dispatch/src/attempt.ts
@@ -13,6 +13,8 @@
   readonly requestId: string;
   /** Time limit for receiving the complete answer, in ms. */
   readonly withinMs: number;
+  /** Time limit for opening the connection, in ms; that of the pool if absent. */
+  readonly connectWithinMs?: number;
 }
 
 /** A complete answer from a server. */
@@ -32,6 +34,12 @@
   | 'truncated'
   | 'mismatched'
   | 'timeout'
+  /** No answer came, and no other connection to the server can be opened. */
+  | 'silent'
+  /** The router that sent it for this one was lost; it may have been sent. */
+  | 'carrier-lost'
+  /** The server can't be reached, and no other router could be asked. */
+  | 'no-way'
   | 'cancelled';
 
 /** Result of an attempt. */
@@ -53,7 +61,7 @@
 export interface Attempt {
   readonly result: Promise<AttemptResult>;
   /** Aborts the request and resets its connection; `reason` is the result. */
-  abort(reason: 'timeout' | 'cancelled'): void;
+  abort(reason: 'timeout' | 'cancelled' | 'silent'): void;
 }
 
 const NO_FIELDS: Answer['fields'] = new Map();
@@ -102,7 +110,17 @@
     // The connection isn't open yet; `onConnect` then aborts before writing.
     settleLost(reason, 'aborted before the request was written');
   };
-  const cancelTimer = clock.after(spec.withinMs, () => abort('timeout'));
+  const cancelDeadline = clock.after(spec.withinMs, () => abort('timeout'));
+  const cancelConnect =
+    spec.connectWithinMs === undefined
+      ? (): void => undefined
+      : clock.after(spec.connectWithinMs, () => {
+          if (!isWritten) abort('not-connected');
+        });
+  const cancelTimer = (): void => {
+    cancelDeadline();
+    cancelConnect();
+  };
 
   const handler: Handler = {
     onConnect(abortRequest) {
@@ -182,7 +200,10 @@
   return status === 0 ? 'connection-lost' : 'truncated';
 }
 
-function toFieldMap(raw: readonly string[]): ReadonlyMap<string, string> {
+/** Returns the headers by lower-case name; of repeated ones, the last. */
+export function toFieldMap(
+  raw: readonly string[],
+): ReadonlyMap<string, string> {
   const fields = new Map<string, string>();
   for (let at = 0; at + 1 < raw.length; at += 2) {
     fields.set(raw[at]!.toLowerCase(), raw[at + 1]!);
--- a/packages/dispatch/src/connections.ts
+++ b/packages/dispatch/src/connections.ts
@@ -17,12 +17,19 @@
 
 /** Connection pool of this router for one server. */
 export interface ServerConnections {
-  /** Returns a connection for one request; null if the limit is reached. */
-  acquire(): Connection | null;
+  /**
+   * Returns a connection for one request; null if the limit is reached. Idle
+   * connections whose last complete answer predates `trustedSince` are closed.
+   */
+  acquire(trustedSince?: number): Connection | null;
+  /** The same, but returns only an idle connection. */
+  acquireIdle(trustedSince: number): Connection | null;
   /** Whether `acquire` would return a connection. */
   hasFree(): boolean;
   /** Returns a connection to the pool, or closes it unless `isReusable`. */
   release(connection: Connection, isReusable: boolean): void;
+  /** Whether any connection had a complete answer since. */
+  hasAnsweredSince(since: number): boolean;
   /** Closes idle connections whose last complete answer predates `since`. */
   closeIdleUnansweredSince(since: number): void;
   setLimit(limit: number): void;
@@ -61,24 +68,37 @@
   const busy = new Set<Connection>();
   let idle: Connection[] = [];
 
+  const closeIdleUnansweredSince = (since: number): void => {
+    const kept = idle.filter(({lastAnswerAt}) => lastAnswerAt >= since);
+    idle.filter(each => !kept.includes(each)).forEach(closeConnection);
+    idle = kept;
+  };
+
+  const acquireIdle = (trustedSince: number): Connection | null => {
+    if (trustedSince > -Infinity) closeIdleUnansweredSince(trustedSince);
+    const connection = idle.pop() ?? null;
+    if (connection !== null) busy.add(connection);
+    return connection;
+  };
+
   return {
-    acquire() {
-      const idleConnection = idle.pop();
-      if (idleConnection === undefined && busy.size >= maxOpen) return null;
-      const connection = idleConnection ?? openConnection(origin);
+    acquire(trustedSince = -Infinity) {
+      const idleConnection = acquireIdle(trustedSince);
+      if (idleConnection !== null) return idleConnection;
+      if (busy.size >= maxOpen) return null;
+      const connection = openConnection(origin);
       busy.add(connection);
       return connection;
     },
+    acquireIdle,
     release(connection, isReusable) {
       busy.delete(connection);
       if (isReusable && !isRetired) idle.push(connection);
       else closeConnection(connection);
     },
-    closeIdleUnansweredSince(since) {
-      const kept = idle.filter(({lastAnswerAt}) => lastAnswerAt >= since);
-      idle.filter(each => !kept.includes(each)).forEach(closeConnection);
-      idle = kept;
-    },
+    closeIdleUnansweredSince,
+    hasAnsweredSince: since =>
+      [...busy, ...idle].some(({lastAnswerAt}) => lastAnswerAt >= since),
     setLimit(next) {
       maxOpen = next;
     },
--- a/packages/dispatch/src/find-target.ts
+++ b/packages/dispatch/src/find-target.ts
@@ -13,7 +13,8 @@
 /** A server and connection that a request can be sent on now. */
 export interface Target {
   readonly backend: Backend;
-  readonly connection: Connection;
+  /** Null if another router sends the request. */
+  readonly connection: Connection | null;
   /** Estimated requests at the server; 0 if the leader allocated a slot. */
   readonly inFlightAtSend: number;
   /**
@@ -31,6 +32,11 @@
  * A server may still be used for this time after its shutdown is known, in ms.
  */
 const LEAVING_GRACE_MS = 500;
+/**
+ * Retry delay while this router can't reach the servers, in ms: another router
+ * may serve the caller at once.
+ */
+const UNREACHABLE_RETRY_MS = 50;
 
 /**
  * Finds the server to send a request to next; returns null if none can answer
@@ -47,7 +53,7 @@
       refuseAsQuarantined(state, standing);
       return null;
     }
-    if (refuseIfAllResting(state)) return null;
+    if (refuseIfAllResting(state) || refuseIfUnreachable(state)) return null;
     const slot = await cfg.slotProvider.acquire(
       {
         id: req.id,
@@ -85,12 +91,19 @@
     }
     const backend = cfg.backends.get(slot.server);
     if (backend !== undefined && mayUse(cfg, backend)) {
-      const connection = backend.connections.acquire();
-      if (connection !== null) {
+      const way = pickWay(cfg, backend);
+      if (way === 'none') {
+        slot.release('cut-off', 0);
+        if (req.key !== null) return refuseAsUnreachable(state);
+        state.hasFoundNoWay = true;
+        state.excluded.add(slot.server);
+        continue;
+      }
+      if (way !== 'busy') {
         const isTrial = standing === 'suspected';
         return {
           backend,
-          connection,
+          connection: way.connection,
           inFlightAtSend: 0,
           isTrial,
           releaseSlot: slot.release,
@@ -119,6 +132,7 @@
       return null;
     }
     if (refuseIfAllResting(state) || refuseIfNotHeld(state)) return null;
+    if (refuseIfUnreachable(state)) return null;
     const target = pickTarget(state);
     if (target !== null) return target;
     const leftMs = waitUntil - cfg.clock.now();
@@ -182,6 +196,63 @@
   return true;
 }
 
+/**
+ * Refuses the request if no server is left that could serve it: each was tried,
+ * or can be reached neither from here nor by another router.
+ */
+function refuseIfUnreachable(state: ForwardState): boolean {
+  const {cfg, req, excluded} = state;
+  if (req.key !== null) {
+    const owner = cfg.owners.ownerOf(req.service, req.key);
+    const backend =
+      owner.kind === 'held' ? cfg.backends.get(owner.server) : undefined;
+    if (backend === undefined || hasWay(cfg, backend)) return false;
+  } else {
+    const usable = cfg.backends
+      .ofService(req.service)
+      .filter(({info, isReplaced}) => !info.isLeaving && !isReplaced);
+    const reached = usable.filter(backend => hasWay(cfg, backend));
+    if (reached.length === usable.length && !state.hasFoundNoWay) return false;
+    if (reached.some(({info}) => !excluded.has(info.id))) return false;
+  }
+  if (state.cause !== 'refused') refuseAsUnreachable(state);
+  return true;
+}
+
+function hasWay(
+  {paths, carriers}: ForwardConfig,
+  {info: {id}, connections}: Backend,
+): boolean {
+  if (paths.isOpen(id)) return true;
+  if (connections.hasAnsweredSince(paths.trustedSince(id))) return true;
+  return carriers.isAvailable() && !paths.isLost(id);
+}
+
+function refuseAsUnreachable(state: ForwardState): null {
+  state.cause = 'unreachable';
+  state.retryAfterMs = UNREACHABLE_RETRY_MS;
+  return null;
+}
+
+/**
+ * How a request can get to the server: by an own connection, by a carrier
+ * (`connection` is null), not at present since all connections are busy, or not
+ * at all.
+ */
+type Way = {readonly connection: Connection | null} | 'busy' | 'none';
+
+function pickWay({paths, carriers}: ForwardConfig, backend: Backend): Way {
+  const {info, connections} = backend;
+  const trustedSince = paths.trustedSince(info.id);
+  if (paths.isOpen(info.id)) {
+    const connection = connections.acquire(trustedSince);
+    return connection === null ? 'busy' : {connection};
+  }
+  const connection = connections.acquireIdle(trustedSince);
+  if (connection !== null || carriers.isAvailable()) return {connection};
+  return 'none';
+}
+
 function refuseUntilRestEnds(state: ForwardState, restMs: number): void {
   const {cfg, req} = state;
   cfg.emit('servers-rest', {id: req.id, service: req.service, restMs});
@@ -204,8 +275,13 @@
   const {cfg, req} = state;
   const backend = req.key === null ? pickAny(state) : pickOwner(state);
   if (backend === null) return null;
-  const connection = backend.connections.acquire();
-  if (connection === null) {
+  const way = pickWay(cfg, backend);
+  if (way === 'none') {
+    state.hasFoundNoWay = true;
+    state.excluded.add(backend.info.id);
+    return null;
+  }
+  if (way === 'busy') {
     cfg.emit('no-connection', {id: req.id, server: backend.info.id});
     return null;
   }
@@ -213,7 +289,7 @@
   const releaseSlot = (): void => undefined;
   return {
     backend,
-    connection,
+    connection: way.connection,
     inFlightAtSend,
     isTrial: false,
     releaseSlot,
@@ -225,7 +301,10 @@
   // would wait for the server that seems fastest while other servers are idle.
   const group = cfg.backends
     .ofService(req.service)
-    .filter(({connections}) => connections.hasFree())
+    .filter(
+      ({connections, info}) =>
+        connections.hasFree() || !cfg.paths.isOpen(info.id),
+    )
     .filter(({info}) => cfg.rests.remainingMs(info.id) === 0);
   const now = cfg.clock.now();
   const routerCount = cfg.routers.current();
--- a/packages/dispatch/src/forward-state.ts
+++ b/packages/dispatch/src/forward-state.ts
@@ -3,6 +3,7 @@
 import {failure, type Failure} from '@banyandrum/base/failure.js';
 import type {Route} from '@banyandrum/routing/config.js';
 import type {Answer} from './attempt.js';
+import type {Carriers} from './carriers.js';
 import type {ContentDigests} from './content-digests.js';
 import type {Backends} from './backends.js';
 import type {Emit} from './events.js';
@@ -13,6 +14,7 @@
 import type {RetryOutcome} from './retry-decision.js';
 import type {RouterTotal} from './router-total.js';
 import type {ServerLimits} from './server-limits.js';
+import type {ServerPaths} from './server-paths.js';
 import type {ServerRests} from './server-rests.js';
 import type {Standing} from './suspect.js';
 import type {WireNames} from './wire.js';
@@ -53,6 +55,8 @@
   readonly backends: Backends;
   readonly owners: Owners;
   readonly slotProvider: SlotProvider;
+  readonly paths: ServerPaths;
+  readonly carriers: Carriers;
   readonly dataCentre: string;
   readonly budget: RetryBudget;
   /** Counts a decision on a retry, for the metrics. */
@@ -78,6 +82,10 @@
   sentCount: number;
   /** Attempts, including those that reached no server. */
   attemptCount: number;
+  /** Whether a server could be reached neither from here nor by another way. */
+  hasFoundNoWay: boolean;
+  /** `ip:port` of the router that sent the last attempt; null if this one. */
+  carrier: string | null;
   /** Servers that must not be chosen again. */
   readonly excluded: Set<string>;
   /** Set if an attempt's outcome is unknown or its answer can't be returned. */
@@ -87,7 +95,7 @@
   /** Delay after which a refused caller should retry, in ms. */
   retryAfterMs: number;
   /** Reason for a `not-run` reply. */
-  cause: 'overloaded' | 'no-owner' | 'refused' | 'quarantined';
+  cause: 'overloaded' | 'no-owner' | 'refused' | 'quarantined' | 'unreachable';
 }
 
 /** Minimum time left to the deadline for sending a request, in ms. */
@@ -98,6 +106,7 @@
   'no-owner': 'no server owns the key at present',
   refused: 'the server refused the request',
   quarantined: 'servers crashed while running the request',
+  unreachable: 'this router can reach no server that could run the request',
 };
 
 /**
--- a/packages/dispatch/src/forward.ts
+++ b/packages/dispatch/src/forward.ts
@@ -1,6 +1,4 @@
 import {reportsLeaving} from './completed-attempt.js';
-import {startAttempt} from './attempt.js';
-import type {Backend} from './backend.js';
 import {findTarget, type Target} from './find-target.js';
 import {
   finalReply,
@@ -13,13 +11,15 @@
 } from './forward-state.js';
 import {mayRetry, takeRetry} from './retry-decision.js';
 import {noteLimit} from './server-limits.js';
+import {sendAttempt} from './send-attempt.js';
 import {noteRetryAfter} from './server-rests.js';
-import {serverName} from './server-instance.js';
 import {slotOutcomeOf, handleResult} from './handle-result.js';
-import type {WireNames} from './wire.js';
+import type {SlotOutcome} from './slots.js';
 
 /** Retry delay for callers unless a refusal determines another, in ms. */
 const DEFAULT_RETRY_AFTER_MS = 150;
+/** Outcomes that speak of the server only if it could be reached. */
+const NO_ANSWER: ReadonlySet<SlotOutcome> = new Set(['lost', 'unreached']);
 
 /**
  * Sends a request to a backend server, and retries on other servers where that
@@ -41,7 +41,9 @@
     possibleRuns: 0,
     sentCount: 0,
     attemptCount: 0,
+    hasFoundNoWay: false,
     excluded: new Set(),
+    carrier: null,
     unknownOutcome: null,
     serverFailure: null,
     retryAfterMs: DEFAULT_RETRY_AFTER_MS,
@@ -80,20 +82,16 @@
   }
   state.attemptCount++;
   backend.inFlight++;
-  const attempt = startAttempt(connection, cfg.names, cfg.clock, {
-    method: req.method,
-    path: req.path,
-    headers: withAttemptHeaders(cfg.names, req, backend, withinMs),
-    body: req.body,
-    requestId: req.id,
-    withinMs,
-  });
-  const cancel = (): void => attempt.abort('cancelled');
-  req.signal.addEventListener('abort', cancel);
-  const result = await attempt.result;
-  req.signal.removeEventListener('abort', cancel);
+  const spec = {
+    ...{server: backend.info.id, requestId: req.id, withinMs},
+    ...{method: req.method, path: req.path, headers: req.headers},
+    ...{body: req.body, isRepeatable: req.route.kind !== 'once'},
+  };
+  const {result, carrier} = await sendAttempt(
+    ...([cfg, backend, connection, spec, req.signal] as const),
+  );
   backend.inFlight--;
-  backend.connections.release(connection, result.kind === 'answered');
+  state.carrier = carrier;
   const slotOutcome = slotOutcomeOf(cfg.names, backend.info.id, result);
   const {isTrial} = target;
   const completed = {server: backend.info.id, sentAt, result};
@@ -110,7 +108,10 @@
     slotOutcome,
     sentAt,
   });
-  target.releaseSlot(slotOutcome, cfg.clock.now() - sentAt);
+  const isCutOff =
+    NO_ANSWER.has(slotOutcome) && cfg.paths.isCutOff(backend.info.id);
+  const tookMs = cfg.clock.now() - sentAt;
+  target.releaseSlot(isCutOff ? 'cut-off' : slotOutcome, tookMs);
   const reply = handleResult(state, backend, result, sentAt, inFlightAtSend);
   cfg.backends.notifyCapacity(req.service);
   return reply;
@@ -118,21 +119,6 @@
 
 /** Gives back a target that nothing was sent to. */
 function abandonTarget({backend, connection, releaseSlot}: Target): void {
-  backend.connections.release(connection, true);
+  if (connection !== null) backend.connections.release(connection, true);
   releaseSlot('cancelled', 0);
 }
-
-function withAttemptHeaders(
-  names: WireNames,
-  req: ForwardRequest,
-  backend: Backend,
-  withinMs: number,
-): readonly string[] {
-  return [
-    ...req.headers,
-    names.deadlineMs,
-    String(Math.floor(withinMs)),
-    names.expectedServer,
-    serverName(backend.info.id),
-  ];
-}
--- a/packages/dispatch/src/handle-result.ts
+++ b/packages/dispatch/src/handle-result.ts
@@ -1,5 +1,5 @@
 import {failure} from '@banyandrum/base/failure.js';
-import type {Answer, AttemptResult} from './attempt.js';
+import type {Answer, AttemptResult, LossReason} from './attempt.js';
 import {noteAnswer, noteLoss, type Backend} from './backend.js';
 import {ejectServer} from './eject-server.js';
 import {
@@ -19,6 +19,12 @@
  */
 const OWNER_REFUSED_RETRY_MS = 30;
 
+/** Losses on the way to another router, which say nothing of the server. */
+const SAYS_NOTHING: ReadonlySet<LossReason> = new Set([
+  'no-way',
+  'carrier-lost',
+]);
+
 /** Whether the server answered that it didn't run the request. */
 function isRefusal(names: WireNames, result: AttemptResult): boolean {
   return result.kind === 'answered' && result.answer.fields.has(names.notRun);
@@ -35,6 +41,7 @@
 ): SlotOutcome {
   if (result.kind === 'lost') {
     if (result.reason === 'cancelled') return 'cancelled';
+    if (SAYS_NOTHING.has(result.reason)) return 'cut-off';
     return result.isWritten ? 'lost' : 'unreached';
   }
   const {answer} = result;
@@ -111,11 +118,15 @@
   const {cfg, req} = state;
   const now = cfg.clock.now();
   if (result.reason === 'cancelled') return finalReply(state);
-  noteLoss(backend, now, now - sentAt);
+  // A router that is partitioned from the server can't judge it.
+  const isCutOff =
+    SAYS_NOTHING.has(result.reason) || cfg.paths.isCutOff(backend.info.id);
+  if (!isCutOff) noteLoss(backend, now, now - sentAt);
   const outcome = result.isWritten ? 'lost' : 'unreached';
   const evidence = {id: req.id, outcome, by: 'attempt'} as const;
   if (!result.isWritten) {
-    ejectServer(cfg.emit, backend, now, evidence);
+    if (!isCutOff) ejectServer(cfg.emit, backend, now, evidence);
+    state.hasFoundNoWay = true;
     state.excluded.add(backend.info.id);
     return null;
   }
@@ -123,7 +134,7 @@
   state.possibleRuns++;
   if (result.reason === 'timeout')
     backend.connections.closeIdleUnansweredSince(sentAt);
-  else if (result.reason === 'connection-lost')
+  else if (result.reason === 'connection-lost' && !isCutOff)
     ejectServer(cfg.emit, backend, now, evidence);
   const code = result.reason === 'timeout' ? 'deadline' : 'connection-lost';
   state.unknownOutcome = failure('may-have-run', code, result.detail);
--- a/packages/dispatch/src/probe-server.ts
+++ b/packages/dispatch/src/probe-server.ts
@@ -3,7 +3,7 @@
 import type {ProbeResult} from './crash-detector.js';
 
 /** Probe timeout, in ms. Hosts in the same region answer within a few ms. */
-const PROBE_TIMEOUT_MS = 400;
+const DEFAULT_TIMEOUT_MS = 400;
 
 /**
  * Opens a connection to the server's address and closes it again. The host
@@ -15,7 +15,10 @@
  * const result = await probeServer(backend);
  * ```
  */
-export function probeServer({info}: Backend): Promise<ProbeResult> {
+export function probeServer(
+  {info}: Backend,
+  timeoutMs = DEFAULT_TIMEOUT_MS,
+): Promise<ProbeResult> {
   const separatorAt = info.address.lastIndexOf(':');
   const host = info.address.slice(0, separatorAt);
   const port = Number(info.address.slice(separatorAt + 1));
@@ -25,7 +28,7 @@
       socket.destroy();
       resolve(result);
     };
-    socket.setTimeout(PROBE_TIMEOUT_MS, () => finish('silent'));
+    socket.setTimeout(timeoutMs, () => finish('silent'));
     socket.once('connect', () => finish('open'));
     socket.on('error', (err: NodeJS.ErrnoException) =>
       finish(err.code === 'ECONNREFUSED' ? 'refused' : 'silent'),
--- a/packages/dispatch/src/slot-allocator.ts
+++ b/packages/dispatch/src/slot-allocator.ts
@@ -282,7 +282,7 @@
     // No answer since then: a host without power would time out each request.
     if (backend.lastAnswerAt < grantedAt)
       ejectServer(emit, backend, now, {id: req.id, outcome, by: 'slot'});
-  } else if (outcome === 'unreached') {
+  } else if (outcome === 'unreached' && backend.lastAnswerAt < grantedAt) {
     ejectServer(emit, backend, now, {id: req.id, outcome, by: 'slot'});
   }
 }
--- a/packages/dispatch/src/slots.ts
+++ b/packages/dispatch/src/slots.ts
@@ -39,6 +39,8 @@
   | 'lost'
   /** The request was not written to the server. */
   | 'unreached'
+  /** The router can't reach the server, which says nothing of the server. */
+  | 'cut-off'
   | 'cancelled';
 
 /** Reply to a slot request. */
--- a/packages/dispatch/test/find-without-leader.test.ts
+++ b/packages/dispatch/test/find-without-leader.test.ts
@@ -6,6 +6,7 @@
 import type {ForwardState} from '@banyandrum/dispatch/forward-state.js';
 import {createManualClock} from '@banyandrum/standins/manual-clock.js';
 import {NAMES} from './raw-server.js';
+import {openPaths} from './open-paths.js';
 
 // Guards against waiting for a connection to the fastest server while others
 // are idle. When the connections to the leader were reset during a burst, all
@@ -38,6 +39,7 @@
       },
       emit: (event: string) => void events.push(event),
       slotProvider: {acquire: async () => ({kind: 'unavailable'})},
+      ...openPaths(clock),
       quarantine: {standingOf: () => 'unknown'},
       limits: {takeShareToken: () => true},
       rests: {remainingMs: () => 0, count: () => 0},
@@ -54,7 +56,7 @@
   t.equal(second?.backend.info.id, 'slow');
   t.same(events, []);
   const waiting = findTarget(journey);
-  first!.backend.connections.release(first!.connection, true);
+  first!.backend.connections.release(first!.connection!, true);
   await clock.advance(100);
   t.equal(
     (await waiting)?.backend.info.id,
@@ -89,6 +91,7 @@
           routers: {current: () => null, ageMs: () => Infinity},
           emit: () => undefined,
           slotProvider: {acquire: async () => ({kind: 'unavailable'})},
+          ...openPaths(clock),
           quarantine: {standingOf: () => 'unknown'},
           rests: {remainingMs: () => 0, count: () => 0},
         },
@@ -104,7 +107,7 @@
       const target = await finding;
       if (target === null) continue;
       sent++;
-      target.backend.connections.release(target.connection, true);
+      target.backend.connections.release(target.connection!, true);
     }
     // 6 s at 10 a second, of which 200 routers may use 0.45 without a leader.
     t.ok(sent <= 1, `${sent} requests of 60 that all may send`);
--- a/packages/dispatch/test/forward.test.ts
+++ b/packages/dispatch/test/forward.test.ts
@@ -13,6 +13,7 @@
 import {createServerRests} from '@banyandrum/dispatch/server-rests.js';
 import {createSuspects} from '@banyandrum/dispatch/suspects.js';
 import type {RequestKind} from '@banyandrum/routing/config.js';
+import {openPaths} from './open-paths.js';
 import {listenRaw, NAMES, type RawServer} from './raw-server.js';
 
 const NO_OWNERS: Owners = {
@@ -92,6 +93,7 @@
       owners: NO_OWNERS,
       slotProvider: {acquire: async () => ({kind: 'unavailable'})},
       dataCentre: 'a',
+      ...openPaths(clock),
       budget: createRetryBudget(AMPLE_ALLOWANCE, {
         ...{clock, routers: ROUTERS, random: Math.random},
       }),
--- /dev/null
+++ b/packages/gateway/src/carry-client.ts
@@ -0,0 +1,203 @@
+import type {CancelSignal} from '@banyandrum/base/cancel.js';
+import type {Clock} from '@banyandrum/base/clock.js';
+import type {AttemptResult, LossReason} from '@banyandrum/dispatch/attempt.js';
+import type {Carriers} from '@banyandrum/dispatch/carriers.js';
+import type {Emit} from '@banyandrum/dispatch/events.js';
+import {status, type ClientUnaryCall, type ServiceError} from '@grpc/grpc-js';
+import type {CarryReply, CarryRequest} from './carry-messages.js';
+import {createStub, type LinkStub} from './link-stub.js';
+
+/** Dependencies of `createCarryClient`. */
+export interface CarryClientConfig {
+  readonly clock: Clock;
+  readonly emit: Emit;
+  /** Addresses (`ip:port`) of routers that may carry, the nearest first. */
+  candidates(): readonly string[];
+}
+
+/** The carriers, and the end of the connections to them. */
+export interface CarryClient extends Carriers {
+  stop(): void;
+}
+
+interface Peer {
+  readonly stub: LinkStub;
+  usedAt: number;
+}
+
+/** What became of one call to one router. */
+type CallResult =
+  | {readonly kind: 'replied'; readonly reply: CarryReply}
+  /** The call was not sent, or the router doesn't carry. */
+  | {readonly kind: 'unsent'; readonly retryMs: number}
+  /** The call may have been carried out. */
+  | {readonly kind: 'lost'; readonly reason: LossReason};
+
+/** Routers that are asked to carry one attempt, one after another. */
+const MAX_CARRIERS_ASKED = 2;
+/** Time to connect to another router, in ms. */
+const CONNECT_TIMEOUT_MS = 200;
+/** Time for another router to acknowledge a call, in ms. */
+const ACK_TIMEOUT_MS = 300;
+/** Timeout of a probe by another router, in ms. */
+const PROBE_TIMEOUT_MS = 500;
+/** A router that could not be used isn't asked again for this long, in ms. */
+const FAILED_BACKOFF_MS = 500;
+/** The same for one whose version of the program doesn't carry. */
+const UNSUPPORTED_BACKOFF_MS = 10_000;
+/** Connections without calls are closed after this time, in ms. */
+const IDLE_TIMEOUT_MS = 10_000;
+
+/**
+ * Creates the carriers' client, which connects to other routers on demand.
+ *
+ * @example
+ * ```ts
+ * const carriers = createCarryClient({clock, emit, candidates});
+ * const carried = await carriers.send(attempt, signal);
+ * ```
+ */
+export function createCarryClient(cfg: CarryClientConfig): CarryClient {
+  const {clock} = cfg;
+  const peers = new Map<string, Peer>();
+  const unusableUntil = new Map<string, number>();
+  let turn = 0;
+
+  const isUsable = (address: string): boolean =>
+    (unusableUntil.get(address) ?? -Infinity) <= clock.now();
+
+  /** Routers to ask, each in turn the first. */
+  const usableCandidates = (): readonly string[] => {
+    const usable = cfg.candidates().filter(isUsable);
+    const first = usable.length === 0 ? 0 : turn++ % usable.length;
+    return [...usable.slice(first), ...usable.slice(0, first)].slice(
+      ...([0, MAX_CARRIERS_ASKED] as const),
+    );
+  };
+
+  const closePeer = (address: string): void => {
+    peers.get(address)?.stub.close();
+    peers.delete(address);
+  };
+
+  const backOff = (address: string, ms: number): void => {
+    cfg.emit('carrier-unusable', {carrier: address, forMs: ms});
+    unusableUntil.set(address, clock.now() + ms);
+    clock.after(ms, () => {
+      if (isUsable(address)) unusableUntil.delete(address);
+    });
+    closePeer(address);
+  };
+
+  const closeIdle = (): void => {
+    for (const [address, {usedAt}] of peers) {
+      if (clock.now() - usedAt >= IDLE_TIMEOUT_MS) closePeer(address);
+    }
+  };
+
+  const peerAt = (address: string): Peer => {
+    const known = peers.get(address);
+    if (known !== undefined) {
+      known.usedAt = clock.now();
+      return known;
+    }
+    const peer = {stub: createStub(address), usedAt: clock.now()};
+    peers.set(address, peer);
+    clock.after(IDLE_TIMEOUT_MS, closeIdle);
+    return peer;
+  };
+
+  const waitUntilConnected = ({stub}: Peer): Promise<boolean> =>
+    new Promise(resolve => {
+      const cancel = clock.after(CONNECT_TIMEOUT_MS, () => resolve(false));
+      stub.waitForReady(Infinity, err => {
+        cancel();
+        resolve(err === undefined);
+      });
+    });
+
+  const call = async (
+    address: string,
+    req: CarryRequest,
+    withinMs: number,
+    signal: CancelSignal | null,
+  ): Promise<CallResult> => {
+    const peer = peerAt(address);
+    if (!(await waitUntilConnected(peer)))
+      return {kind: 'unsent', retryMs: FAILED_BACKOFF_MS};
+    if (signal?.aborted) return {kind: 'lost', reason: 'cancelled'};
+    return new Promise(resolve => {
+      let reason: LossReason = 'carrier-lost';
+      const cancelAs = (why: LossReason): void => {
+        reason = why;
+        pending.cancel();
+      };
+      const onReply = (err: ServiceError | null, reply?: CarryReply): void => {
+        cancelDeadline();
+        cancelAck();
+        signal?.removeEventListener('abort', onAbort);
+        if (err === null) return resolve({kind: 'replied', reply: reply!});
+        if (err.code === status.UNIMPLEMENTED)
+          return resolve({kind: 'unsent', retryMs: UNSUPPORTED_BACKOFF_MS});
+        resolve({kind: 'lost', reason});
+      };
+      const onAbort = (): void => cancelAs('cancelled');
+      const pending: ClientUnaryCall = peer.stub.carry(req, onReply);
+      // gRPC computes deadlines from the wall clock, which may jump.
+      const cancelDeadline = clock.after(withinMs, () => cancelAs('timeout'));
+      const cancelAck = clock.after(ACK_TIMEOUT_MS, () =>
+        cancelAs('carrier-lost'),
+      );
+      pending.on('metadata', cancelAck);
+      signal?.addEventListener('abort', onAbort);
+    });
+  };
+
+  const send: Carriers['send'] = async (attempt, signal) => {
+    const startedAt = clock.now();
+    for (const by of usableCandidates()) {
+      const withinMs = attempt.withinMs - (clock.now() - startedAt);
+      const request = {kind: 'send', attempt: {...attempt, withinMs}} as const;
+      const result = await call(by, request, withinMs, signal);
+      if (result.kind === 'lost') {
+        if (result.reason === 'carrier-lost') backOff(by, FAILED_BACKOFF_MS);
+        return {kind: 'sent', by, result: lostOnTheWay(result.reason)};
+      }
+      if (result.kind === 'unsent') {
+        backOff(by, result.retryMs);
+        continue;
+      }
+      const {reply} = result;
+      if (reply.kind === 'sent')
+        return {kind: 'sent', by, result: reply.result};
+      if (reply.kind === 'unreachable') return {kind: 'unreachable', by};
+    }
+    return {kind: 'unavailable'};
+  };
+
+  return {
+    isAvailable: () => cfg.candidates().some(isUsable),
+    send,
+    async probe(server) {
+      for (const by of usableCandidates()) {
+        const request = {kind: 'probe', server} as const;
+        const result = await call(by, request, PROBE_TIMEOUT_MS, null);
+        if (result.kind !== 'replied') continue;
+        if (result.reply.kind === 'probed') return result.reply.result;
+      }
+      return null;
+    },
+    stop() {
+      [...peers.keys()].forEach(closePeer);
+    },
+  };
+}
+
+/** The request may have been sent, and its outcome is unknown. */
+function lostOnTheWay(reason: LossReason): AttemptResult {
+  return {
+    ...{kind: 'lost', reason, isWritten: true},
+    detail: 'the router that sent it for this one gave no result',
+    fields: new Map(),
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/carry-server.ts
@@ -0,0 +1,165 @@
+import {createCanceller} from '@banyandrum/base/cancel.js';
+import type {Backends} from '@banyandrum/dispatch/backends.js';
+import {
+  NO_CARRIERS,
+  type CarriedAttempt,
+} from '@banyandrum/dispatch/carriers.js';
+import {reportsLeaving} from '@banyandrum/dispatch/completed-attempt.js';
+import type {ProbeResult} from '@banyandrum/dispatch/crash-detector.js';
+import type {Backend} from '@banyandrum/dispatch/backend.js';
+import {
+  sendDirectly,
+  type SendConfig,
+} from '@banyandrum/dispatch/send-attempt.js';
+import {
+  noteLimit,
+  type ServerLimits,
+} from '@banyandrum/dispatch/server-limits.js';
+import {
+  noteRetryAfter,
+  type ServerRests,
+} from '@banyandrum/dispatch/server-rests.js';
+import {
+  Metadata,
+  type sendUnaryData,
+  type ServerUnaryCall,
+} from '@grpc/grpc-js';
+import type {CarryReply, CarryRefusal, CarryRequest} from './carry-messages.js';
+
+/** Dependencies of `createCarryServer`. */
+export interface CarryServerConfig extends Omit<SendConfig, 'carriers'> {
+  readonly backends: Backends;
+  readonly limits: ServerLimits;
+  readonly rests: ServerRests;
+  probe(backend: Backend): Promise<ProbeResult>;
+  lagMs(): number;
+  /** Called when an answer reports that its server is shutting down. */
+  noteLeaving(server: string): void;
+}
+
+type CarryCall = ServerUnaryCall<CarryRequest, CarryReply>;
+
+/** Sends attempts for routers that can't reach their servers. */
+export interface CarryServer {
+  handle(call: CarryCall, reply: sendUnaryData<CarryReply>): void;
+  /** Attempts that are being sent for other routers. */
+  inFlight(): number;
+  /** Refuses further attempts. */
+  startClosing(): void;
+}
+
+/** Attempts that are sent for other routers at a time. */
+const MAX_CARRIED = 256;
+/**
+ * Event loop lag above which this router refuses to carry, in ms, so that its
+ * own callers don't have to wait for others.
+ */
+const MAX_LOOP_LAG_MS = 100;
+
+/**
+ * Creates the carrier's side. Attempts are sent on this router's own
+ * connections or not at all, so that there is no second detour.
+ *
+ * @example
+ * ```ts
+ * const carryServer = createCarryServer(cfg);
+ * grpcServer.addService(LINK_SERVICE, {carry: carryServer.handle, ...rest});
+ * ```
+ */
+export function createCarryServer(cfg: CarryServerConfig): CarryServer {
+  let inFlight = 0;
+  let isClosing = false;
+
+  const findRefusal = (backend: Backend | undefined): CarryRefusal | null => {
+    if (isClosing) return 'stopping';
+    if (inFlight >= MAX_CARRIED || cfg.lagMs() > MAX_LOOP_LAG_MS) return 'busy';
+    if (backend === undefined || backend.isReplaced) return 'unknown-server';
+    if (backend.leavingSince !== null) return 'leaving';
+    return cfg.rests.remainingMs(backend.info.id) > 0 ? 'resting' : null;
+  };
+
+  const replyUnreached = (): CarryReply =>
+    cfg.paths.isSuspect()
+      ? {kind: 'refused', why: 'cut-off'}
+      : {kind: 'unreachable'};
+
+  const send = async (
+    call: CarryCall,
+    attempt: CarriedAttempt,
+  ): Promise<CarryReply> => {
+    const {backends, paths, names, limits, rests} = cfg;
+    const {server} = attempt;
+    const backend = backends.get(server);
+    const why = findRefusal(backend);
+    if (why !== null) return {kind: 'refused', why};
+    if (!paths.isOpen(server)) return replyUnreached();
+    const connection = backend!.connections.acquire(paths.trustedSince(server));
+    if (connection === null) return {kind: 'refused', why: 'no-connection'};
+    const sentAt = cfg.clock.now();
+    const canceller = createCanceller();
+    call.on('cancelled', canceller.abort);
+    inFlight++;
+    backend!.inFlight++;
+    const sendCfg = {...cfg, carriers: NO_CARRIERS};
+    const {signal} = canceller;
+    const result = await sendDirectly(
+      ...([sendCfg, backend!, connection, attempt, signal] as const),
+    );
+    backend!.inFlight--;
+    inFlight--;
+    const completed = {server, sentAt, result};
+    noteLimit(limits, names, completed);
+    noteRetryAfter(rests, names, completed);
+    if (reportsLeaving(names, completed)) cfg.noteLeaving(server);
+    const isUnreached =
+      result.kind === 'lost' && !result.isWritten && !signal.aborted;
+    return isUnreached ? replyUnreached() : {kind: 'sent', result};
+  };
+
+  const probe = async (server: string): Promise<CarryReply> => {
+    const backend = cfg.backends.get(server);
+    if (backend === undefined) return {kind: 'refused', why: 'unknown-server'};
+    const result = await cfg.probe(backend);
+    if (result !== 'open' && cfg.paths.isSuspect()) return replyUnreached();
+    return {kind: 'probed', result};
+  };
+
+  const log = (call: CarryCall, reply: CarryReply): void => {
+    const {request} = call;
+    if (request.kind === 'probe') return;
+    const {server, requestId} = request.attempt;
+    const outcome = reply.kind === 'sent' ? reply.result.kind : reply.kind;
+    const why = reply.kind === 'refused' ? {why: reply.why} : {};
+    const from = call.getPeer();
+    cfg.emit('carried', {id: requestId, server, from, outcome, ...why});
+  };
+
+  return {
+    handle(call, reply) {
+      // Acknowledges the call: without it, the other router asks another one.
+      call.sendMetadata(new Metadata());
+      const {request} = call;
+      const work =
+        request.kind === 'probe'
+          ? probe(request.server)
+          : send(call, request.attempt);
+      work.then(
+        result => {
+          log(call, result);
+          reply(null, result);
+        },
+        (err: Error) => {
+          cfg.emit('internal-error', {
+            loop: 'carry',
+            detail: String(err.stack),
+          });
+          reply(err);
+        },
+      );
+    },
+    inFlight: () => inFlight,
+    startClosing() {
+      isClosing = true;
+    },
+  };
+}
--- a/packages/gateway/src/leader-election.ts
+++ b/packages/gateway/src/leader-election.ts
@@ -24,6 +24,8 @@
   readLastLeader(): Promise<LeaderRead>;
   /** Follows the leader at the address; false if no router leads there. */
   followAt(address: string): Promise<boolean>;
+  /** Whether there are servers that this router can't reach and others can. */
+  isCutOff(): boolean;
   /** Routers that the last leader designated to lead next, the best first. */
   deputies(): readonly Candidate[];
   readonly room: HostCapacity;
@@ -99,8 +101,8 @@
     if ((await findLeader()) !== 'none' || !isNeeded()) return;
     cfg.emit('succession', {heardTouchMs: cfg.leaderContactAgeMs()});
     for (const {address, room} of cfg.deputies()) {
-      if (address === cfg.self || !hasClearlyMoreCapacity(room, cfg.room))
-        continue;
+      const isBetter = cfg.isCutOff() || hasClearlyMoreCapacity(room, cfg.room);
+      if (address === cfg.self || !isBetter) continue;
       const isLeader = await cfg.offerLeadership(address);
       cfg.emit('leading-offered', {to: address, leads: isLeader});
       if (isLeader) return void (await cfg.followAt(address));
@@ -120,6 +122,8 @@
     },
     async handleOffer() {
       if (cfg.isLeading() || hasWorkingLeader()) return true;
+      // Leases are granted and renewed by calls to the servers.
+      if (cfg.isCutOff()) return false;
       return cfg.startTerm();
     },
   };
--- a/packages/gateway/src/link-broadcaster.ts
+++ b/packages/gateway/src/link-broadcaster.ts
@@ -52,6 +52,8 @@
   candidate: Candidate | null;
   /** Whether its `hello`, with what it knows, may still arrive. */
   awaitsHello: boolean;
+  /** Servers that it can't reach although others can. */
+  unreachable: number;
 }
 
 /** Sends the leader's state to the followers. */
@@ -94,6 +96,7 @@
       listDigest: null,
       candidate: null,
       awaitsHello: true,
+      unreachable: 0,
     },
   };
 }
@@ -117,9 +120,9 @@
 
   return {
     send(some, all) {
-      const candidates = [...all].map(({candidate}) => candidate);
-      const next = shared.current(candidates.flatMap(each => each ?? []));
-      const totals = {routers: candidates.length + 1};
+      const subscribers = [...all];
+      const totals = {routers: subscribers.length + 1};
+      const next = shared.current(candidatesToLead(subscribers), totals);
       const changes = new Map<SharedState, EncodedMessage>();
       const {deputies} = next;
       const heartbeat = encodeLazily(() => ({
@@ -169,6 +172,16 @@
   };
 }
 
+/** Those that reach all servers that others reach, if there are any such. */
+function candidatesToLead(
+  subscribers: readonly Subscriber[],
+): readonly Candidate[] {
+  const known = subscribers.filter(({candidate}) => candidate !== null);
+  const reaching = known.filter(({unreachable}) => unreachable === 0);
+  const preferred = reaching.length > 0 ? reaching : known;
+  return preferred.map(({candidate}) => candidate!);
+}
+
 /** The state for all followers at one point in time. */
 export interface SharedState {
   readonly tables: ServedTables;
@@ -185,7 +198,7 @@
 /** Tracks the state for followers; returns the same object until it changes. */
 function createSharedState(cfg: BroadcasterConfig): {
   /** `candidates` are the routers that may lead next. */
-  current(candidates: readonly Candidate[]): SharedState;
+  current(candidates: readonly Candidate[], totals: RouterTotals): SharedState;
 } {
   const {leadership, list, clock, config} = cfg;
   let shared: SharedState = {
@@ -258,9 +271,9 @@
   };
 
   return {
-    current(candidates) {
+    current(candidates, {routers}) {
       updateDeputies(candidates);
-      updateTables(candidates.length + 1);
+      updateTables(routers);
       updateList();
       updateConfig();
       updateSuspects();
--- a/packages/gateway/src/link-client.ts
+++ b/packages/gateway/src/link-client.ts
@@ -3,9 +3,7 @@
 import type {SlotResult, SlotProvider} from '@banyandrum/dispatch/slots.js';
 import type {LimitRow} from '@banyandrum/dispatch/server-limits.js';
 import type {Suspect} from '@banyandrum/dispatch/suspect.js';
-import {credentials, makeGenericClientConstructor} from '@grpc/grpc-js';
 import {
-  LINK_SERVICE,
   LEADER_TIMEOUT_MS,
   toWireCounts,
   type OfferReply,
@@ -18,9 +16,9 @@
   leavingUnknownToLeader,
   suspectsUnknownToLeader,
   type FollowerState,
-  type LinkStream,
   type Session,
 } from './link-session.js';
+import {createStub} from './link-stub.js';
 import {digestServers} from './link-state.js';
 import {repeat} from './repeat.js';
 import type {Candidate} from './host-capacity.js';
@@ -36,6 +34,8 @@
   termEpoch(): number | null;
   /** How this router identifies itself to the leader. */
   readonly self: Candidate;
+  /** Servers that this router can't reach although others can. */
+  unreachableCount(): number;
   /** Called when the leader asks this router to lead in its place. */
   onLeadershipOffered(): void;
   /** Called when the stream to the leader ended or timed out. */
@@ -65,6 +65,10 @@
   hasOtherDeputies(): boolean;
   /** Asks the router at the address to lead; returns whether it does. */
   offerLeadership(address: string): Promise<boolean>;
+  /** Addresses of routers that may send attempts for this one. */
+  carriers(): readonly string[];
+  /** Tells the leader at once how many servers this router can't reach. */
+  reportUnreachable(): void;
   /** Reports that another instance replaced the server. */
   reportReplaced(server: string): void;
   /** Reports that a server announced that it is leaving. */
@@ -109,15 +113,6 @@
  */
 const WORKING_CONTACT_AGE_MS = 1_000;
 
-const LinkStub = makeGenericClientConstructor(LINK_SERVICE, 'Link');
-
-function createStub(address: string): InstanceType<typeof LinkStub> {
-  return new LinkStub(address, credentials.createInsecure(), {
-    'grpc.use_local_subchannel_pool': 1,
-    'grpc.enable_http_proxy': 0,
-  });
-}
-
 /**
  * Follows the leader until stopped. Each stream uses its own connection: if a
  * network device dropped the state of the last connection, a new stream on it
@@ -136,6 +131,8 @@
   let isSynced = false;
   let lastAsk = 0;
   let deputies: readonly Candidate[] = [];
+  /** Routers that a leader named last to carry attempts. */
+  let carriers: readonly string[] = [];
   let heardAt = -Infinity;
   /** The leader that the last contacted router named. */
   let redirect: string | null = null;
@@ -156,20 +153,29 @@
 
   const follow = async (leader: string): Promise<void> => {
     const stub = createStub(leader);
-    const stream = stub['follow']!() as LinkStream;
+    const stream = stub.follow();
     const current = createSession(stream, leader, clock.now());
     session = current;
     const known = cfg.list.snapshot();
     current.servers = known?.servers ?? [];
     const listDigest = known && digestServers(known.servers);
     const {address, room, dataCentre} = cfg.self;
-    stream.write({kind: 'hello', address, room, dataCentre, listDigest});
+    const unreachable = cfg.unreachableCount();
+    current.reportedUnreachable = unreachable;
+    stream.write({
+      ...{kind: 'hello', address, room, dataCentre, listDigest},
+      ...(unreachable > 0 && {unreachable}),
+    });
     const markClosed = (): void => {
       current.isOpen = false;
     };
     stream.on('data', message => {
       current.heardAt = clock.now();
       if (message.kind === 'lead') return cfg.onLeadershipOffered();
+      if (message.kind === 'carriers') {
+        carriers = message.addresses;
+        return;
+      }
       const {isLeader: wasLeader, isSynced: wasSynced} = current;
       handleMessage(cfg, current, message);
       // Reports what this router learnt from another leader or without one.
@@ -258,10 +264,16 @@
     if (isOpen && rows.length > 0) stream.write({kind: 'limits', rows});
   };
 
-  const sendCounts = ({stream, isOpen}: Session): void => {
+  const sendCounts = (current: Session): void => {
     const counts = cfg.owners.drainCounts();
-    if (!isOpen || counts.size === 0) return;
-    stream.write({kind: 'counts', counts: toWireCounts(counts)});
+    const unreachable = cfg.unreachableCount();
+    const isNews = unreachable !== current.reportedUnreachable;
+    if (!current.isOpen || (counts.size === 0 && !isNews)) return;
+    current.reportedUnreachable = unreachable;
+    current.stream.write({
+      ...{kind: 'counts', counts: toWireCounts(counts)},
+      ...(isNews && {unreachable}),
+    });
   };
 
   /** The router that the platform chose, or one of the deputies, in turn. */
@@ -343,11 +355,21 @@
           stub.close();
           resolve(err === null && reply!.leads);
         };
-        const call = stub['lead']!({from: cfg.self.address}, onReply);
+        const call = stub.lead({from: cfg.self.address}, onReply);
         // gRPC computes deadlines from the wall clock, which may jump.
         const cancelTimer = clock.after(OFFER_TIMEOUT_MS, () => call.cancel());
       });
     },
+    carriers() {
+      if (carriers.length > 0) return carriers;
+      const addresses = deputies.map(({address}) => address);
+      const leader = liveSession()?.leader ?? null;
+      const known = leader === null ? addresses : [...addresses, leader];
+      return known.filter(address => address !== cfg.self.address);
+    },
+    reportUnreachable() {
+      if (session !== null) sendCounts(session);
+    },
     reportReplaced(server) {
       if (session?.isOpen) session.stream.write({kind: 'replaced', server});
     },
--- a/packages/gateway/src/link-messages.ts
+++ b/packages/gateway/src/link-messages.ts
@@ -9,6 +9,12 @@
 import type {KeyCounts} from './key-owners.js';
 import type {WireConfig} from './link-config.js';
 import type {ListDelta, TablesDelta} from './link-state.js';
+import {
+  decodeCarryReply,
+  decodeCarryRequest,
+  encodeCarryReply,
+  encodeCarryRequest,
+} from './carry-messages.js';
 import {
   decode,
   decodeFollower,
@@ -29,6 +35,8 @@
       readonly kind: 'hello';
       /** Digest of the server list that it has; null if it has none. */
       readonly listDigest: string | null;
+      /** Servers that it can't reach although others can; 0 if absent. */
+      readonly unreachable?: number;
     })
   /** Requests a slot; `ask` identifies the request within the stream. */
   | {
@@ -51,6 +59,8 @@
   | {
       readonly kind: 'counts';
       readonly counts: WireCounts;
+      /** Servers that it can't reach although others can; absent if unchanged. */
+      readonly unreachable?: number;
     }
   /** Requests during which servers crashed, as this router observed it. */
   | {readonly kind: 'suspects'; readonly rows: readonly Suspect[]}
@@ -100,8 +110,13 @@
       /** Time since the leader last reached the platform, in ms. */
       readonly touchMs: number;
     }
-  /** Asks this router, whose host has more capacity, to lead. */
+  /** Asks this router, which is better placed to lead, to do so. */
   | {readonly kind: 'lead'}
+  /**
+   * Addresses of routers that may carry this one's attempts, the nearest first.
+   * Sent only to those that reported servers that they can't reach.
+   */
+  | {readonly kind: 'carriers'; readonly addresses: readonly string[]}
   /**
    * Last message of a router that doesn't lead: the leader it follows, if any.
    */
@@ -137,7 +152,10 @@
   readonly leads: boolean;
 }
 
-/** The gRPC service between routers: the leader stream and the offer. */
+/**
+ * The gRPC service between routers: the leader stream, the offer, and attempts
+ * that one router sends for another.
+ */
 export const LINK_SERVICE = {
   follow: {
     path: '/banyandrum.Link/Follow',
@@ -157,6 +175,15 @@
     responseSerialize: encode,
     responseDeserialize: decode as (bytes: Buffer) => OfferReply,
   },
+  carry: {
+    path: '/banyandrum.Link/Carry',
+    requestStream: false,
+    responseStream: false,
+    requestSerialize: encodeCarryRequest,
+    requestDeserialize: decodeCarryRequest,
+    responseSerialize: encodeCarryReply,
+    responseDeserialize: decodeCarryReply,
+  },
 } as const satisfies ServiceDefinition;
 
 /** Converts request counts to wire format. */
--- a/packages/gateway/src/link-server.ts
+++ b/packages/gateway/src/link-server.ts
@@ -2,6 +2,7 @@
 import type {SlotAllocator} from '@banyandrum/dispatch/slot-allocator.js';
 import type {SlotOutcome} from '@banyandrum/dispatch/slots.js';
 import type {ServerLimits} from '@banyandrum/dispatch/server-limits.js';
+import type {ServerPaths} from '@banyandrum/dispatch/server-paths.js';
 import type {Suspects} from '@banyandrum/dispatch/suspects.js';
 import {
   Server,
@@ -9,6 +10,7 @@
   type sendUnaryData,
   type ServerDuplexStream,
 } from '@grpc/grpc-js';
+import type {CarryServer} from './carry-server.js';
 import {createChangeCoalescer} from './change-coalescer.js';
 import {
   HEARTBEAT_MS,
@@ -25,7 +27,12 @@
   type Subscriber,
   type BroadcasterConfig,
 } from './link-broadcaster.js';
-import {pickLargestHost, type Candidate} from './host-capacity.js';
+import {
+  pickCarriers,
+  pickSuccessor,
+  type CarrierCandidate,
+  type Successor,
+} from './leader-transfer.js';
 
 /** What serving followers needs. */
 export interface LinkServerConfig extends BroadcasterConfig {
@@ -37,6 +44,10 @@
   readonly limits: ServerLimits;
   /** `ip:port` of the leader that this router follows; null if none. */
   leader(): string | null;
+  /** How other routers reach this one. */
+  readonly self: Pick<CarrierCandidate, 'address' | 'dataCentre'>;
+  readonly paths: Pick<ServerPaths, 'unreachableCount' | 'unreachableSince'>;
+  readonly carryServer: Pick<CarryServer, 'handle'>;
   /** A follower reported that another instance replaced the server. */
   noteReplaced(server: string): void;
   /** A follower reported that the server announced that it is leaving. */
@@ -53,6 +64,8 @@
 export interface LinkServer {
   /** Number of routers that follow this one. */
   followers(): number;
+  /** Followers that may send attempts for this router while it leads. */
+  carriers(): readonly string[];
   close(): void;
 }
 
@@ -74,6 +87,10 @@
   readonly stream: Stream;
   /** Releases pending requests and allocated slots, by ask number. */
   readonly pending: Map<number, EndSlot>;
+  /** Carriers that it was told, separated by blanks. */
+  toldCarriers: string;
+  /** Monotonic time of the last answer to one of its requests, in ms. */
+  answeredAt: number;
   /** Whether it was asked to lead. */
   wasOfferedLeadership: boolean;
   /** Whether it reported that it leads now. */
@@ -101,6 +118,8 @@
   const server = new Server({
     'grpc.keepalive_time_ms': KEEPALIVE_MS,
     'grpc.keepalive_timeout_ms': KEEPALIVE_TIMEOUT_MS,
+    // Bodies are as large as the configuration allows.
+    'grpc.max_receive_message_length': -1,
   });
 
   const broadcaster = createStateBroadcaster(cfg);
@@ -122,15 +141,44 @@
     const now = cfg.clock.now();
     if (!cfg.leadership.isLeading() || now - offeredAt < OFFER_INTERVAL_MS)
       return;
-    const next = pickLargestHost(cfg.room, candidatesOf(followers));
+    const unreachable = cfg.paths.unreachableCount();
+    const unreachableSince = cfg.paths.unreachableSince();
+    const position = {room: cfg.room, unreachable, unreachableSince, now};
+    const next = pickSuccessor(position, successorsOf(followers));
     if (next === null) return;
     offeredAt = now;
     next.follower.wasOfferedLeadership = true;
-    cfg.emit('leading-offered', {to: next.address});
+    cfg.emit('leading-offered', {to: next.address, unreachable});
     next.follower.stream.write({kind: 'lead'});
   };
+
+  const ownPosition = (): CarrierCandidate => ({
+    ...cfg.self,
+    unreachable: cfg.paths.unreachableCount(),
+  });
+
+  /** Tells followers that can't reach servers which routers can. */
+  const nameCarriers = (): void => {
+    if (!cfg.leadership.isLeading()) return;
+    const able = [...followers].flatMap(toCarrierCandidate);
+    for (const follower of followers) {
+      const [router] = toCarrierCandidate(follower);
+      if (router === undefined || router.unreachable === 0) continue;
+      const addresses = pickCarriers(router, [ownPosition(), ...able]);
+      const told = addresses.join(' ');
+      if (told === follower.toldCarriers) continue;
+      follower.toldCarriers = told;
+      cfg.emit('carriers-named', {
+        ...{router: router.address, unreachable: router.unreachable},
+        carriers: told,
+      });
+      follower.stream.write({kind: 'carriers', addresses});
+    }
+  };
+
   const ctx: HandlerContext = {
     ...cfg,
+    onUnreachable: nameCarriers,
     onHello(follower) {
       broadcaster.send([follower], followers);
       considerTransfer();
@@ -150,6 +198,7 @@
   const sendHeartbeat = (): void => {
     broadcaster.onHeartbeat(followers);
     sendToAll();
+    nameCarriers();
     considerTransfer();
     cancelHeartbeat = cfg.clock.after(HEARTBEAT_MS, sendHeartbeat);
   };
@@ -165,6 +214,8 @@
       ...{
         stream,
         pending: new Map(),
+        toldCarriers: '',
+        answeredAt: -Infinity,
         wasOfferedLeadership: false,
         hasStartedTerm: false,
       },
@@ -191,7 +242,11 @@
     void cfg.onLeadershipOffered().then(leads => reply(null, {leads}));
   };
 
-  server.addService(LINK_SERVICE, {follow, lead});
+  server.addService(LINK_SERVICE, {
+    follow,
+    lead,
+    carry: cfg.carryServer.handle,
+  });
   await new Promise<void>((resolve, reject) => {
     const credentials = ServerCredentials.createInsecure();
     server.bindAsync(cfg.listen, credentials, err =>
@@ -200,6 +255,11 @@
   });
   return {
     followers: () => followers.size,
+    carriers() {
+      const unreachable = Math.max(1, cfg.paths.unreachableCount());
+      const able = [...followers].flatMap(toCarrierCandidate);
+      return pickCarriers({...cfg.self, unreachable}, able);
+    },
     close() {
       cancelHeartbeat();
       server.forceShutdown();
@@ -207,20 +267,30 @@
   };
 }
 
-function* candidatesOf(
+function* successorsOf(
   followers: Iterable<Follower>,
-): Iterable<Candidate & {readonly follower: Follower}> {
+): Iterable<Successor & {readonly follower: Follower}> {
   for (const follower of followers) {
-    const {candidate, wasOfferedLeadership} = follower;
+    const {candidate, wasOfferedLeadership, unreachable, answeredAt} = follower;
     if (candidate !== null && !wasOfferedLeadership)
-      yield {...candidate, follower};
+      yield {...candidate, unreachable, answeredAt, follower};
   }
 }
 
+/** Empty until the follower has identified itself. */
+function toCarrierCandidate({
+  candidate,
+  unreachable,
+}: Follower): readonly CarrierCandidate[] {
+  return candidate === null ? [] : [{...candidate, unreachable}];
+}
+
 /** What the message handlers use. */
 interface HandlerContext extends LinkServerConfig {
   /** A follower identified itself. */
   onHello(follower: Follower): void;
+  /** A follower reported how many servers it can't reach. */
+  onUnreachable(): void;
 }
 
 type MessageHandlers = {
@@ -232,9 +302,11 @@
 };
 
 const MESSAGE_HANDLERS: MessageHandlers = {
-  hello({onHello}, follower, {address, room, dataCentre, listDigest}) {
+  hello({onHello}, follower, hello) {
+    const {address, room, dataCentre} = hello;
     follower.candidate = {address, room, dataCentre};
-    follower.listDigest = listDigest;
+    follower.listDigest = hello.listDigest;
+    follower.unreachable = hello.unreachable ?? 0;
     onHello(follower);
   },
   leading({leadership}, follower, {epoch}) {
@@ -256,12 +328,17 @@
     });
     if (!isRefused) pending.set(ask, endSlot);
   },
-  end(_cfg, {pending}, {ask, how, tookMs}) {
+  end({clock}, follower, {ask, how, tookMs}) {
+    const {pending} = follower;
+    if (how === 'answered') follower.answeredAt = clock.now();
     pending.get(ask)?.(how, tookMs);
     pending.delete(ask);
   },
-  counts(cfg, _follower, {counts}) {
+  counts(cfg, follower, {counts, unreachable}) {
     cfg.leadership.addRequestCounts(fromWireCounts(counts));
+    if (unreachable === undefined) return;
+    follower.unreachable = unreachable;
+    cfg.onUnreachable();
   },
   suspects(cfg, _follower, {rows}) {
     cfg.suspects.merge(rows);
--- a/packages/gateway/src/link-session.ts
+++ b/packages/gateway/src/link-session.ts
@@ -55,6 +55,8 @@
   /** Address of the leader that the other router named instead. */
   redirect: string | null;
   deputies: readonly Candidate[];
+  /** The number of unreachable servers that the leader was told last. */
+  reportedUnreachable: number;
   leaderContactAgeMs: number;
   /** Whether this router has all versions that the last state speaks of. */
   relaysConfig: boolean;
@@ -80,6 +82,7 @@
     isLeader: false,
     redirect: null,
     deputies: [],
+    reportedUnreachable: 0,
     leaderContactAgeMs: 0,
     relaysConfig: false,
     isOpen: true,
@@ -142,7 +145,7 @@
 export function handleMessage(
   cfg: FollowerState,
   session: Session,
-  message: Exclude<LeaderMessage, {kind: 'lead'}>,
+  message: Exclude<LeaderMessage, {kind: 'lead' | 'carriers'}>,
 ): void {
   if (message.kind === 'state') return applyState(cfg, session, message);
   if (message.kind === 'elsewhere') {
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -27,6 +27,10 @@
   limitedServers(): number;
   /** Servers whose requested rest period has not ended. */
   restingServers(): number;
+  /** Servers that this router can't reach although others can. */
+  unreachableServers(): number;
+  /** Attempts that this router sends for others now. */
+  carried(): number;
   /** Epoch of the platform's store; incremented by each restore. */
   storeEpoch(): number;
   /** Time since a leader told the number of routers, in ms. */
@@ -127,6 +131,14 @@
       'Servers that want no requests of this router now',
       source.restingServers,
     ],
+    unreachable_servers: [
+      'Servers that only other routers reach',
+      source.unreachableServers,
+    ],
+    carried_requests: [
+      'Requests that are being sent for other routers',
+      source.carried,
+    ],
     store_epoch: [
       'Epoch of the store’s history; rises when it is restored from a copy',
       source.storeEpoch,
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -4,7 +4,6 @@
 import {reportsLeaving} from '@banyandrum/dispatch/completed-attempt.js';
 import {createBackends} from '@banyandrum/dispatch/backends.js';
 import {createSlotAllocator} from '@banyandrum/dispatch/slot-allocator.js';
-import {probeServer} from '@banyandrum/dispatch/probe-server.js';
 import {createQuarantine} from '@banyandrum/dispatch/quarantine.js';
 import {createRetryBudget} from '@banyandrum/dispatch/retry-budget.js';
 import {createCrashDetector} from '@banyandrum/dispatch/crash-detector.js';
@@ -37,7 +36,9 @@
 import type {Platform} from './platform.js';
 import {createQuarantinePage} from './quarantine-page.js';
 import {createRouterCount} from './router-count.js';
+import {createCarryServer} from './carry-server.js';
 import {createServerList} from './server-list.js';
+import {createServerReach} from './server-reach.js';
 import {createServiceTimes, drainServiceTimes} from './service-times.js';
 import type {Settings} from './settings.js';
 import {shareSuspects} from './share-suspects.js';
@@ -107,7 +108,17 @@
   const suspects = createSuspects(clock, emit);
   const serverLimits = createServerLimits({clock, emit});
   const serverRests = createServerRests({clock, emit});
-  const crashDetector = createCrashDetector({clock, probe: probeServer});
+  const reach = createServerReach({
+    clock,
+    emit,
+    backends,
+    carrierAddresses: () => {
+      const followers = leadership.isLeading() ? linkServer.carriers() : [];
+      return followers.length > 0 ? followers : linkClient.carriers();
+    },
+  });
+  const {paths, carriers} = reach;
+  const crashDetector = createCrashDetector({clock, probe: reach.probe});
   serverList.subscribe(() => {
     crashDetector
       .watchedServers()
@@ -190,8 +201,11 @@
     chosenAddress,
     isLeading: () => leadership.isLeading(),
     self: {address: settings.listen.peers, ...settings.host},
-    onLeadershipOffered: () => void acceptLeadershipOffer(),
+    onLeadershipOffered() {
+      if (!paths.isRouterCutOff()) void acceptLeadershipOffer();
+    },
     onLeaderLost: () => void election.runIfNeeded(),
+    unreachableCount: paths.unreachableCount,
     termEpoch: () => leadership.epoch(),
     onConfigCursor: cursor => configKeeper.onCursorAnnounced(cursor),
     applyConfig: (config, cursor, leader) =>
@@ -212,6 +226,7 @@
     followAt: linkClient.followAt,
     deputies: () => linkClient.deputies(),
     room: settings.host.room,
+    isCutOff: paths.isRouterCutOff,
     offerLeadership: linkClient.offerLeadership,
     startTerm: acceptLeadershipOffer,
   });
@@ -228,7 +243,9 @@
     if (!serverList.noteLeaving(server) || leadership.isLeading()) return;
     linkClient.reportLeaving(server);
   };
+  paths.subscribe(() => linkClient.reportUnreachable());
   platform.subscribeLeaseCallOutcomes(outcome => {
+    reach.noteLeaseCall(outcome);
     noteLimit(serverLimits, platform.names, outcome);
     noteRetryAfter(serverRests, platform.names, outcome);
     if (reportsLeaving(platform.names, outcome)) reportLeaving(outcome.server);
@@ -266,6 +283,8 @@
     quarantined: () => suspects.count('quarantined'),
     limitedServers: () => serverLimits.count(),
     restingServers: () => serverRests.count(),
+    unreachableServers: paths.unreachableCount,
+    carried: () => carryServer.inFlight(),
     storeEpoch: () => platform.history.epoch(),
     routersAgeMs: routerCount.ageMs,
     retriesLeft: () =>
@@ -290,6 +309,8 @@
     lagMs: () => loopLag.lagMs(),
     forward: {
       backends,
+      paths,
+      carriers,
       owners: {
         ...keyOwners,
         noteReplaced(server) {
@@ -335,8 +356,18 @@
   serverList.subscribe(() => slotAllocator.reevaluate());
 
   const {callers, readiness: readyAt, peers} = settings.listen;
+  const carryServer = createCarryServer({
+    ...{backends, paths, clock, emit, names: platform.names},
+    ...{limits: serverLimits, rests: serverRests},
+    probe: reach.probeDirectly,
+    noteLeaving: reportLeaving,
+    lagMs: () => loopLag.lagMs(),
+  });
   const linkServer = await serveLinks({
     listen: peers,
+    self: {address: peers, dataCentre: settings.host.dataCentre},
+    paths,
+    carryServer,
     clock,
     emit,
     room: settings.host.room,
@@ -413,6 +444,7 @@
     configKeeper.stop();
     linkClient.stop();
     linkServer.close();
+    carriers.stop();
     readiness.close();
     metrics.server.close();
   };
@@ -428,6 +460,7 @@
           clock,
           emit,
           frontend,
+          carryServer,
           routers: routerGroup,
           leadership,
           goesOn,
--- /dev/null
+++ b/packages/gateway/src/server-reach.ts
@@ -0,0 +1,95 @@
+import type {Clock} from '@banyandrum/base/clock.js';
+import type {Backend} from '@banyandrum/dispatch/backend.js';
+import type {Backends} from '@banyandrum/dispatch/backends.js';
+import type {CompletedAttempt} from '@banyandrum/dispatch/completed-attempt.js';
+import type {ProbeResult} from '@banyandrum/dispatch/crash-detector.js';
+import type {Emit} from '@banyandrum/dispatch/events.js';
+import {probeServer} from '@banyandrum/dispatch/probe-server.js';
+import {
+  createServerPaths,
+  type ServerPaths,
+} from '@banyandrum/dispatch/server-paths.js';
+import {createCarryClient, type CarryClient} from './carry-client.js';
+
+/** Which servers this router reaches, and the routers that reach others. */
+export interface ServerReach {
+  readonly paths: ServerPaths;
+  readonly carriers: CarryClient;
+  /**
+   * Opens a connection to a server whose connection was lost. A refusal counts
+   * only if another router is refused as well, where one can be asked.
+   */
+  probe(backend: Backend): Promise<ProbeResult>;
+  /** The same, but tells only what this router finds. */
+  probeDirectly(backend: Backend): Promise<ProbeResult>;
+  /** Records what a lease call shows of the path to its server. */
+  noteLeaseCall(outcome: CompletedAttempt): void;
+}
+
+/** Dependencies of `createServerReach`. */
+export interface ServerReachConfig {
+  readonly clock: Clock;
+  readonly emit: Emit;
+  readonly backends: Backends;
+  /** Addresses (`ip:port`) of routers that may carry, the nearest first. */
+  carrierAddresses(): readonly string[];
+}
+
+/**
+ * Creates the state of what this router reaches, and the client of carriers.
+ *
+ * @example
+ * ```ts
+ * const reach = createServerReach({clock, emit, backends, carrierAddresses});
+ * ```
+ */
+export function createServerReach(cfg: ServerReachConfig): ServerReach {
+  const {clock, emit, backends} = cfg;
+  const paths = createServerPaths({
+    ...{clock, emit, backendOf: backends.get, probe: probeServer},
+  });
+  const carriers = createCarryClient({
+    ...{clock, emit, candidates: cfg.carrierAddresses},
+  });
+
+  const probeDirectly = async (backend: Backend): Promise<ProbeResult> => {
+    const {id} = backend.info;
+    const sentAt = clock.now();
+    const result = await probeServer(backend);
+    if (result === 'open') paths.noteReached(id);
+    else paths.noteFailed(backend, sentAt, `probe: ${result}`);
+    return result;
+  };
+
+  const probe = async (backend: Backend): Promise<ProbeResult> => {
+    const {id} = backend.info;
+    const own = await probeDirectly(backend);
+    if (own !== 'refused') return own;
+    const other = await carriers.probe(id);
+    // Unconfirmed, it counts only if this router isn't cut off itself.
+    if (other === null) return paths.isCutOff(id) ? 'silent' : own;
+    if (other !== 'open') {
+      paths.noteOtherView(id, false);
+      return own;
+    }
+    // Either it has started again meanwhile, or only this router is refused.
+    if ((await probeDirectly(backend)) === 'open') return own;
+    paths.noteOtherView(id, true);
+    return 'silent';
+  };
+
+  return {
+    paths,
+    carriers,
+    probe,
+    probeDirectly,
+    noteLeaseCall({server, sentAt, result}) {
+      const backend = backends.get(server);
+      if (backend === undefined) return;
+      if (result.kind === 'answered') return paths.noteReached(server);
+      if (result.reason === 'not-connected')
+        return paths.noteFailed(backend, sentAt, result.detail);
+      if (result.reason === 'timeout') void paths.verify(backend, sentAt);
+    },
+  };
+}
--- a/packages/gateway/src/stop-router.ts
+++ b/packages/gateway/src/stop-router.ts
@@ -1,5 +1,6 @@
 import {sleep, type Clock} from '@banyandrum/base/clock.js';
 import type {Emit} from '@banyandrum/dispatch/events.js';
+import type {CarryServer} from './carry-server.js';
 import type {Frontend} from './frontend.js';
 import {handOverLeadership} from './leadership-handover.js';
 import type {Leadership} from './leadership.js';
@@ -12,6 +13,7 @@
   /** Time from the stop signal to the end of the process, in ms. */
   readonly graceMs: number;
   readonly frontend: Frontend;
+  readonly carryServer: Pick<CarryServer, 'inFlight' | 'startClosing'>;
   readonly routers: RouterGroup;
   readonly leadership: Leadership;
   /** Whether the router has not been closed yet. */
@@ -37,9 +39,11 @@
  */
 export async function stopRouter(cfg: StopConfig): Promise<void> {
   const {clock, emit, graceMs, frontend, routers, leadership} = cfg;
+  const {carryServer} = cfg;
   const startedAt = clock.now();
   emit('stopping', {inFlight: frontend.inFlight()});
   frontend.startClosing();
+  carryServer.startClosing();
   // The platform chooses another leader only after this router has left the
   // group. While the store is down, this router keeps renewing leases: without
   // a leader they would expire.
@@ -53,7 +57,9 @@
   // it; one that arrived just before the process exits would be lost.
   frontend.server.close();
   const isNeeded = (): boolean =>
-    frontend.inFlight() > 0 || leadership.isLeading();
+    frontend.inFlight() > 0 ||
+    carryServer.inFlight() > 0 ||
+    leadership.isLeading();
   while (isNeeded() && clock.now() < end) {
     await sleep(clock, DRAIN_POLL_MS);
   }
--- a/packages/gateway/test/leader-election.test.ts
+++ b/packages/gateway/test/leader-election.test.ts
@@ -18,6 +18,8 @@
   deputies?: readonly Candidate[];
   /** Addresses of routers that accept an offer of leadership. */
   accepting?: readonly string[];
+  /** Whether the router can't reach servers that others reach. */
+  isCutOff?: boolean;
 }
 
 const SMALL = {processors: 0.27, linkMbps: 10};
@@ -38,6 +40,7 @@
     isChosen: () => conditions.isChosen ?? true,
     sinceRestoreMs: () => Infinity,
     isLeading: () => terms > 0,
+    isCutOff: () => conditions.isCutOff ?? false,
     leaderContactAgeMs: () => conditions.leaderContactAgeMs ?? null,
     readLastLeader: async () =>
       conditions.last ?? {kind: 'read', address: OTHER},
--- a/packages/routers/src/notes.ts
+++ b/packages/routers/src/notes.ts
@@ -30,6 +30,7 @@
   fenced: true,
   refused: true,
   quarantined: true,
+  unreachable: true,
   'connection-lost': true,
   truncated: true,
   stopping: true,
