Let a leader without callers learn that only it can't reach the servers

A path that fails under a lease call is confirmed by another router, once. The lead moves only if the cut has lasted 0.4 s, so that a busy host's slow connections don't move it. Checks of silent servers are spaced out, 10 a second at most. The leader names itself as a carrier only if there is no other.

--- a/packages/dispatch/src/server-paths.ts
+++ b/packages/dispatch/src/server-paths.ts
@@ -1,4 +1,4 @@
-import type {Clock} from '@banyandrum/base/clock.js';
+import {sleep, type Clock} from '@banyandrum/base/clock.js';
 import type {Backend} from './backend.js';
 import type {ProbeResult} from './crash-detector.js';
 import type {Emit} from './events.js';
@@ -27,11 +27,14 @@
   noteReached(server: string): void;
   /** No connection could be opened for a request that was sent at `sentAt`. */
   noteFailed(backend: Backend, sentAt: number, detail: string): void;
+  /** Whether the path failed, and no other router has tried to reach it yet. */
+  isUnconfirmed(server: string): boolean;
   /** What another router found as it tried to reach the server. */
   noteOtherView(server: string, isReached: boolean): void;
   /**
    * Opens a connection to see whether the server can be reached, at most once a
-   * second for each server. Resolves to false if it can't.
+   * second for each server and a few times a second for all. Resolves to false
+   * if it can't.
    */
   verify(backend: Backend, sentAt: number): Promise<boolean>;
   /**
@@ -83,6 +86,8 @@
 const LOST_TTL_MS = 500;
 /** Minimum interval between verifications of one server, in ms. */
 const VERIFY_GAP_MS = 1_000;
+/** Minimum interval between verifications of any servers, in ms. */
+const VERIFY_SPACING_MS = 100;
 /**
  * With this many servers that only others reach, this router counts as cut off:
  * it doesn't lead, and servers that fail from here are presumed to be reached by
@@ -113,6 +118,7 @@
   let unreachable = 0;
   let unreachableSince: number | null = null;
   let isProbing = false;
+  let nextVerifyAt = -Infinity;
 
   const recount = (): void => {
     let count = 0;
@@ -199,6 +205,10 @@
   ): Promise<boolean> => {
     const {id} = backend.info;
     verifiedAt.set(id, clock.now());
+    const waitMs = Math.max(0, nextVerifyAt - clock.now());
+    nextVerifyAt = clock.now() + waitMs + VERIFY_SPACING_MS;
+    if (waitMs > 0) await sleep(clock, waitMs);
+    if (failed.has(id)) return false;
     const result = await cfg.probe(backend, PROBE_TIMEOUT_MS);
     if (result === 'open') noteReached(id);
     else noteFailed(backend, sentAt, `probe: ${result}`);
@@ -219,6 +229,7 @@
     },
     trustedSince: server =>
       Math.max(suspectSince, failed.get(server)?.failedAt ?? -Infinity),
+    isUnconfirmed: server => failed.get(server)?.others === 'unknown',
     noteReached,
     noteFailed,
     noteOtherView(server, isReached) {
--- a/packages/gateway/src/leader-transfer.ts
+++ b/packages/gateway/src/leader-transfer.ts
@@ -27,6 +27,8 @@
  * just be slow to open connections.
  */
 const MIN_UNREACHABLE = 2;
+/** The lead moves once that has lasted for this long, in ms. */
+const MIN_CUT_MS = 400;
 /**
  * Until then, followers without an answer since the leader was cut off aren't
  * chosen, in ms: they may be cut off as well, and not know it yet.
@@ -54,6 +56,7 @@
     return pickLargestHost(room, reaching);
   }
   const since = unreachableSince ?? now;
+  if (now - since < MIN_CUT_MS) return null;
   const proved = others.filter(
     each => each.unreachable === 0 && each.answeredAt > since,
   );
--- a/packages/gateway/src/link-server.ts
+++ b/packages/gateway/src/link-server.ts
@@ -164,7 +164,10 @@
     for (const follower of followers) {
       const [router] = toCarrierCandidate(follower);
       if (router === undefined || router.unreachable === 0) continue;
-      const addresses = pickCarriers(router, [ownPosition(), ...able]);
+      const named = pickCarriers(router, able);
+      // The leader's own processor is needed for the slots of all.
+      const addresses =
+        named.length > 0 ? named : pickCarriers(router, [ownPosition()]);
       const told = addresses.join(' ');
       if (told === follower.toldCarriers) continue;
       follower.toldCarriers = told;
--- a/packages/gateway/src/server-reach.ts
+++ b/packages/gateway/src/server-reach.ts
@@ -78,6 +78,13 @@
     return 'silent';
   };
 
+  /** Lets another router try a server whose path failed, once. */
+  const confirm = async (server: string): Promise<void> => {
+    if (!paths.isUnconfirmed(server)) return;
+    const other = await carriers.probe(server);
+    if (other !== null) paths.noteOtherView(server, other === 'open');
+  };
+
   return {
     paths,
     carriers,
@@ -87,9 +94,12 @@
       const backend = backends.get(server);
       if (backend === undefined) return;
       if (result.kind === 'answered') return paths.noteReached(server);
-      if (result.reason === 'not-connected')
-        return paths.noteFailed(backend, sentAt, result.detail);
-      if (result.reason === 'timeout') void paths.verify(backend, sentAt);
+      if (result.reason === 'not-connected') {
+        paths.noteFailed(backend, sentAt, result.detail);
+        return void confirm(server);
+      }
+      if (result.reason !== 'timeout') return;
+      void paths.verify(backend, sentAt).then(() => confirm(server));
     },
   };
 }
