Wait for a lost owner's keys to move instead of refusing at once

Found by reading. They are refused only if no server of the service can be reached.

Early refusals, the choice of a way and what servers say of themselves are modules of their own; the last stood in three places.

--- /dev/null
+++ b/packages/dispatch/src/early-refusal.ts
@@ -0,0 +1,88 @@
+import type {ForwardState} from './forward-state.js';
+import {hasWay} from './pick-way.js';
+
+/**
+ * Retry delay while this router can't reach the servers, in ms: another router
+ * may serve the caller at once.
+ */
+const UNREACHABLE_RETRY_MS = 50;
+
+/** Refuses the request if all servers that could serve it are resting. */
+export function refuseIfAllResting(state: ForwardState): boolean {
+  const restMs = remainingRestMs(state);
+  if (restMs > 0) refuseUntilRestEnds(state, restMs);
+  return restMs > 0;
+}
+
+/**
+ * Time until the first rest period of the eligible servers ends, in ms; 0 if
+ * the request need not be refused for it.
+ */
+function remainingRestMs(state: ForwardState): number {
+  const {cfg, req, excluded} = state;
+  if (cfg.rests.count() === 0) return 0;
+  if (req.key !== null) {
+    const owner = cfg.owners.ownerOf(req.service, req.key);
+    return owner.kind === 'held' ? cfg.rests.remainingMs(owner.server) : 0;
+  }
+  let minMs = Infinity;
+  for (const {info, isReplaced} of cfg.backends.ofService(req.service)) {
+    if (info.isLeaving || isReplaced) continue;
+    const restMs = cfg.rests.remainingMs(info.id);
+    if (restMs > 0) minMs = Math.min(minMs, restMs);
+    else if (!excluded.has(info.id)) return 0;
+  }
+  return minMs === Infinity ? 0 : minMs;
+}
+
+/**
+ * Refuses the request if the key's owner has just answered that it doesn't hold
+ * the key: without a leader nothing can have changed since.
+ */
+export function refuseIfNotHeld(state: ForwardState): boolean {
+  const {cfg, req} = state;
+  if (req.key === null) return false;
+  const notHeldMs = cfg.owners.notHeldMs(req.service, req.key);
+  if (notHeldMs <= 0) return false;
+  const {id, service, key} = req;
+  cfg.emit('key-unserved', {id, service, key, retryAfterMs: notHeldMs});
+  state.cause = 'no-owner';
+  state.retryAfterMs = notHeldMs;
+  return true;
+}
+
+/**
+ * Refuses the request if no server is left that could serve it: each was tried,
+ * or can be reached neither from here nor by another router. A key whose owner
+ * is lost moves to another server, for which its requests wait.
+ */
+export function refuseIfUnreachable(state: ForwardState): boolean {
+  const {cfg, req, excluded} = state;
+  const usable = cfg.backends
+    .ofService(req.service)
+    .filter(({info, isReplaced}) => !info.isLeaving && !isReplaced);
+  const reached = usable.filter(backend => hasWay(cfg, backend));
+  if (reached.length === usable.length && !state.hasFoundNoWay) return false;
+  const isLeft =
+    req.key === null
+      ? reached.some(({info}) => !excluded.has(info.id))
+      : reached.length > 0;
+  if (isLeft) return false;
+  if (state.cause !== 'refused') refuseAsUnreachable(state);
+  return true;
+}
+
+/** Refuses the request, which no reachable server can serve. */
+export function refuseAsUnreachable(state: ForwardState): null {
+  state.cause = 'unreachable';
+  state.retryAfterMs = UNREACHABLE_RETRY_MS;
+  return null;
+}
+
+/** Refuses the request for the rest of the servers’ rest period. */
+export function refuseUntilRestEnds(state: ForwardState, restMs: number): void {
+  const {cfg, req} = state;
+  cfg.emit('servers-rest', {id: req.id, service: req.service, restMs});
+  state.cause = 'refused';
+  state.retryAfterMs = restMs;
+}
--- a/packages/dispatch/src/find-target.ts
+++ b/packages/dispatch/src/find-target.ts
@@ -1,12 +1,20 @@
 import type {Backend} from './backend.js';
 import {chooseServer, hasCapacity, estimateLoad} from './choose-server.js';
 import type {Connection} from './connections.js';
+import {
+  refuseAsUnreachable,
+  refuseIfAllResting,
+  refuseIfNotHeld,
+  refuseIfUnreachable,
+  refuseUntilRestEnds,
+} from './early-refusal.js';
 import {
   MIN_SEND_MS,
   refuseAsQuarantined,
   type ForwardConfig,
   type ForwardState,
 } from './forward-state.js';
+import {pickWay} from './pick-way.js';
 import {ASSUMED_ROUTERS} from './router-total.js';
 import type {SlotOutcome} from './slots.js';
 
@@ -32,11 +40,6 @@
  * A server may still be used for this time after its shutdown is known, in ms.
  */
 const LEAVING_GRACE_MS = 500;
-/**
- * Retry delay while this router can't reach the servers, in ms: another router
- * may serve the caller at once.
- */
-const UNREACHABLE_RETRY_MS = 50;
 
 /**
  * Finds the server to send a request to next; returns null if none can answer
@@ -152,114 +155,6 @@
     .filter(id => cfg.rests.remainingMs(id) > 0);
 }
 
-/** Refuses the request if all servers that could serve it are resting. */
-function refuseIfAllResting(state: ForwardState): boolean {
-  const restMs = remainingRestMs(state);
-  if (restMs > 0) refuseUntilRestEnds(state, restMs);
-  return restMs > 0;
-}
-
-/**
- * Time until the first rest period of the eligible servers ends, in ms; 0 if
- * the request need not be refused for it.
- */
-function remainingRestMs(state: ForwardState): number {
-  const {cfg, req, excluded} = state;
-  if (cfg.rests.count() === 0) return 0;
-  if (req.key !== null) {
-    const owner = cfg.owners.ownerOf(req.service, req.key);
-    return owner.kind === 'held' ? cfg.rests.remainingMs(owner.server) : 0;
-  }
-  let minMs = Infinity;
-  for (const {info, isReplaced} of cfg.backends.ofService(req.service)) {
-    if (info.isLeaving || isReplaced) continue;
-    const restMs = cfg.rests.remainingMs(info.id);
-    if (restMs > 0) minMs = Math.min(minMs, restMs);
-    else if (!excluded.has(info.id)) return 0;
-  }
-  return minMs === Infinity ? 0 : minMs;
-}
-
-/**
- * Refuses the request if the key's owner has just answered that it doesn't hold
- * the key: without a leader nothing can have changed since.
- */
-function refuseIfNotHeld(state: ForwardState): boolean {
-  const {cfg, req} = state;
-  if (req.key === null) return false;
-  const notHeldMs = cfg.owners.notHeldMs(req.service, req.key);
-  if (notHeldMs <= 0) return false;
-  const {id, service, key} = req;
-  cfg.emit('key-unserved', {id, service, key, retryAfterMs: notHeldMs});
-  state.cause = 'no-owner';
-  state.retryAfterMs = notHeldMs;
-  return true;
-}
-
-/**
- * Refuses the request if no server is left that could serve it: each was tried,
- * or can be reached neither from here nor by another router.
- */
-function refuseIfUnreachable(state: ForwardState): boolean {
-  const {cfg, req, excluded} = state;
-  if (req.key !== null) {
-    const owner = cfg.owners.ownerOf(req.service, req.key);
-    const backend =
-      owner.kind === 'held' ? cfg.backends.get(owner.server) : undefined;
-    if (backend === undefined || hasWay(cfg, backend)) return false;
-  } else {
-    const usable = cfg.backends
-      .ofService(req.service)
-      .filter(({info, isReplaced}) => !info.isLeaving && !isReplaced);
-    const reached = usable.filter(backend => hasWay(cfg, backend));
-    if (reached.length === usable.length && !state.hasFoundNoWay) return false;
-    if (reached.some(({info}) => !excluded.has(info.id))) return false;
-  }
-  if (state.cause !== 'refused') refuseAsUnreachable(state);
-  return true;
-}
-
-function hasWay(
-  {paths, carriers}: ForwardConfig,
-  {info: {id}, connections}: Backend,
-): boolean {
-  if (paths.isOpen(id)) return true;
-  if (connections.hasAnsweredSince(paths.trustedSince(id))) return true;
-  return carriers.isAvailable() && !paths.isLost(id);
-}
-
-function refuseAsUnreachable(state: ForwardState): null {
-  state.cause = 'unreachable';
-  state.retryAfterMs = UNREACHABLE_RETRY_MS;
-  return null;
-}
-
-/**
- * How a request can get to the server: by an own connection, by a carrier
- * (`connection` is null), not at present since all connections are busy, or not
- * at all.
- */
-type Way = {readonly connection: Connection | null} | 'busy' | 'none';
-
-function pickWay({paths, carriers}: ForwardConfig, backend: Backend): Way {
-  const {info, connections} = backend;
-  const trustedSince = paths.trustedSince(info.id);
-  if (paths.isOpen(info.id)) {
-    const connection = connections.acquire(trustedSince);
-    return connection === null ? 'busy' : {connection};
-  }
-  const connection = connections.acquireIdle(trustedSince);
-  if (connection !== null || carriers.isAvailable()) return {connection};
-  return 'none';
-}
-
-function refuseUntilRestEnds(state: ForwardState, restMs: number): void {
-  const {cfg, req} = state;
-  cfg.emit('servers-rest', {id: req.id, service: req.service, restMs});
-  state.cause = 'refused';
-  state.retryAfterMs = restMs;
-}
-
 /**
  * Returns the monotonic time until which a request waits for a server, in ms:
  * at most half the target latency from now, so that the answer can still be on
--- a/packages/dispatch/src/forward-state.ts
+++ b/packages/dispatch/src/forward-state.ts
@@ -13,11 +13,9 @@
 import type {RetryBudget} from './retry-budget.js';
 import type {RetryOutcome} from './retry-decision.js';
 import type {RouterTotal} from './router-total.js';
-import type {ServerLimits} from './server-limits.js';
 import type {ServerPaths} from './server-paths.js';
-import type {ServerRests} from './server-rests.js';
+import type {ServerSignalsConfig} from './server-signals.js';
 import type {Standing} from './suspect.js';
-import type {WireNames} from './wire.js';
 
 /** A caller's request, as it is sent to a backend server. */
 export interface ForwardRequest {
@@ -51,7 +49,7 @@
   | {readonly kind: 'failure'; readonly failure: Failure};
 
 /** Dependencies of `forward`. */
-export interface ForwardConfig {
+export interface ForwardConfig extends ServerSignalsConfig {
   readonly backends: Backends;
   readonly owners: Owners;
   readonly slotProvider: SlotProvider;
@@ -62,11 +60,6 @@
   /** Counts a decision on a retry, for the metrics. */
   readonly recordRetry: (service: string, outcome: RetryOutcome) => void;
   readonly quarantine: Quarantine;
-  readonly limits: ServerLimits;
-  readonly rests: ServerRests;
-  /** Called when an answer reports that its server is shutting down. */
-  readonly noteLeaving: (server: string) => void;
-  readonly names: WireNames;
   readonly clock: Clock;
   readonly emit: Emit;
   readonly routers: RouterTotal;
--- a/packages/dispatch/src/forward.ts
+++ b/packages/dispatch/src/forward.ts
@@ -1,4 +1,3 @@
-import {reportsLeaving} from './completed-attempt.js';
 import {findTarget, type Target} from './find-target.js';
 import {
   finalReply,
@@ -10,9 +9,8 @@
   type Reply,
 } from './forward-state.js';
 import {mayRetry, takeRetry} from './retry-decision.js';
-import {noteLimit} from './server-limits.js';
 import {sendAttempt} from './send-attempt.js';
-import {noteRetryAfter} from './server-rests.js';
+import {noteServerSignals} from './server-signals.js';
 import {slotOutcomeOf, handleResult} from './handle-result.js';
 import type {SlotOutcome} from './slots.js';
 
@@ -95,9 +93,7 @@
   const slotOutcome = slotOutcomeOf(cfg.names, backend.info.id, result);
   const {isTrial} = target;
   const completed = {server: backend.info.id, sentAt, result};
-  noteLimit(cfg.limits, cfg.names, completed);
-  noteRetryAfter(cfg.rests, cfg.names, completed);
-  if (reportsLeaving(cfg.names, completed)) cfg.noteLeaving(completed.server);
+  noteServerSignals(cfg, completed);
   // Before the slot is released, the leader must know whether the request
   // crashed the server, or the same request would be sent to another one.
   await cfg.quarantine.noteAttempt({
--- a/packages/gateway/src/carry-server.ts
+++ b/packages/gateway/src/carry-server.ts
@@ -4,7 +4,6 @@
   NO_CARRIERS,
   type CarriedAttempt,
 } from '@banyandrum/dispatch/carriers.js';
-import {reportsLeaving} from '@banyandrum/dispatch/completed-attempt.js';
 import type {ProbeResult} from '@banyandrum/dispatch/crash-detector.js';
 import type {Backend} from '@banyandrum/dispatch/backend.js';
 import {
@@ -12,13 +11,9 @@
   type SendConfig,
 } from '@banyandrum/dispatch/send-attempt.js';
 import {
-  noteLimit,
-  type ServerLimits,
-} from '@banyandrum/dispatch/server-limits.js';
-import {
-  noteRetryAfter,
-  type ServerRests,
-} from '@banyandrum/dispatch/server-rests.js';
+  noteServerSignals,
+  type ServerSignalsConfig,
+} from '@banyandrum/dispatch/server-signals.js';
 import {
   Metadata,
   type sendUnaryData,
@@ -27,14 +22,11 @@
 import type {CarryReply, CarryRefusal, CarryRequest} from './carry-messages.js';
 
 /** Dependencies of `createCarryServer`. */
-export interface CarryServerConfig extends Omit<SendConfig, 'carriers'> {
+export interface CarryServerConfig
+  extends Omit<SendConfig, 'carriers'>, ServerSignalsConfig {
   readonly backends: Backends;
-  readonly limits: ServerLimits;
-  readonly rests: ServerRests;
   probe(backend: Backend): Promise<ProbeResult>;
   lagMs(): number;
-  /** Called when an answer reports that its server is shutting down. */
-  noteLeaving(server: string): void;
 }
 
 type CarryCall = ServerUnaryCall<CarryRequest, CarryReply>;
@@ -87,7 +79,7 @@
     call: CarryCall,
     attempt: CarriedAttempt,
   ): Promise<CarryReply> => {
-    const {backends, paths, names, limits, rests} = cfg;
+    const {backends, paths} = cfg;
     const {server} = attempt;
     const backend = backends.get(server);
     const why = findRefusal(backend);
@@ -107,10 +99,7 @@
     );
     backend!.inFlight--;
     inFlight--;
-    const completed = {server, sentAt, result};
-    noteLimit(limits, names, completed);
-    noteRetryAfter(rests, names, completed);
-    if (reportsLeaving(names, completed)) cfg.noteLeaving(server);
+    noteServerSignals(cfg, {server, sentAt, result});
     const isUnreached =
       result.kind === 'lost' && !result.isWritten && !signal.aborted;
     return isUnreached ? replyUnreached() : {kind: 'sent', result};
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -1,20 +1,14 @@
 import {createServer} from 'node:http';
 import {createClock, type Clock} from '@banyandrum/base/clock.js';
 import {createId} from '@banyandrum/base/ids.js';
-import {reportsLeaving} from '@banyandrum/dispatch/completed-attempt.js';
 import {createBackends} from '@banyandrum/dispatch/backends.js';
 import {createSlotAllocator} from '@banyandrum/dispatch/slot-allocator.js';
 import {createQuarantine} from '@banyandrum/dispatch/quarantine.js';
 import {createRetryBudget} from '@banyandrum/dispatch/retry-budget.js';
 import {createCrashDetector} from '@banyandrum/dispatch/crash-detector.js';
-import {
-  createServerLimits,
-  noteLimit,
-} from '@banyandrum/dispatch/server-limits.js';
-import {
-  createServerRests,
-  noteRetryAfter,
-} from '@banyandrum/dispatch/server-rests.js';
+import {createServerLimits} from '@banyandrum/dispatch/server-limits.js';
+import {createServerRests} from '@banyandrum/dispatch/server-rests.js';
+import {noteServerSignals} from '@banyandrum/dispatch/server-signals.js';
 import {createSuspects} from '@banyandrum/dispatch/suspects.js';
 import {createLeaseTiming} from '@banyandrum/ranges/lease-timing.js';
 import {createSplitter} from '@banyandrum/routing/split.js';
@@ -243,12 +237,14 @@
     if (!serverList.noteLeaving(server) || leadership.isLeading()) return;
     linkClient.reportLeaving(server);
   };
+  const signalsCfg = {
+    ...{names: platform.names, limits: serverLimits, rests: serverRests},
+    noteLeaving: reportLeaving,
+  };
   paths.subscribe(() => linkClient.reportUnreachable());
   platform.subscribeLeaseCallOutcomes(outcome => {
     reach.noteLeaseCall(outcome);
-    noteLimit(serverLimits, platform.names, outcome);
-    noteRetryAfter(serverRests, platform.names, outcome);
-    if (reportsLeaving(platform.names, outcome)) reportLeaving(outcome.server);
+    noteServerSignals(signalsCfg, outcome);
   });
   serverLimits.subscribe((row, isOwn) => {
     if (isOwn && !leadership.isLeading()) linkClient.reportLimits([row]);
@@ -329,10 +325,7 @@
       budget: retryBudget,
       recordRetry: metrics.recordRetry,
       quarantine: createQuarantine(suspects, crashDetector),
-      limits: serverLimits,
-      rests: serverRests,
-      noteLeaving: reportLeaving,
-      names: platform.names,
+      ...signalsCfg,
       clock,
       emit,
       routers: routerCount,
@@ -357,10 +350,8 @@
 
   const {callers, readiness: readyAt, peers} = settings.listen;
   const carryServer = createCarryServer({
-    ...{backends, paths, clock, emit, names: platform.names},
-    ...{limits: serverLimits, rests: serverRests},
+    ...{...signalsCfg, backends, paths, clock, emit},
     probe: reach.probeDirectly,
-    noteLeaving: reportLeaving,
     lagMs: () => loopLag.lagMs(),
   });
   const linkServer = await serveLinks({
