--- a/packages/dispatch/src/send-attempt.ts
+++ b/packages/dispatch/src/send-attempt.ts
@@ -33,10 +33,13 @@
 const CONNECT_BEFORE_CARRY_MS = 150;
 /**
  * Without an answer for this many service times, or this time at the least, in
- * ms, it is checked whether the server can still be reached.
+ * ms, it is checked whether the server can still be reached if no other server
+ * has answered either.
  */
 const SILENT_SERVICE_TIMES = 3;
 const MIN_SILENCE_MS = 400;
+/** After this multiple of that time it is checked in any case. */
+const LONG_SILENCE_FACTOR = 2.5;
 
 /**
  * Sends a request to the server on `connection`. If that can't be opened, or if
@@ -82,11 +85,17 @@
   });
   const cancel = (): void => attempt.abort('cancelled');
   signal.addEventListener('abort', cancel);
-  const cancelWatch = clock.after(silenceMs(backend), async () => {
+  const verify = async (): Promise<void> => {
     const isReached = await paths.verify(backend, sentAt);
     // One that can't be repeated waits on: its connection may still work.
     if (!isReached && spec.isRepeatable && carriers.isAvailable())
       attempt.abort('silent');
+  };
+  const shortMs = silenceMs(backend);
+  let cancelWatch = clock.after(shortMs, () => {
+    if (!paths.hasReachedSince(sentAt)) return void verify();
+    const restMs = shortMs * (LONG_SILENCE_FACTOR - 1);
+    cancelWatch = clock.after(restMs, () => void verify());
   });
   const result = await attempt.result;
   cancelWatch();
--- a/packages/dispatch/src/server-paths.ts
+++ b/packages/dispatch/src/server-paths.ts
@@ -37,6 +37,8 @@
    * if it can't.
    */
   verify(backend: Backend, sentAt: number): Promise<boolean>;
+  /** Whether any server was reached since a monotonic time, in ms. */
+  hasReachedSince(at: number): boolean;
   /**
    * Whether this router may itself be cut off, so that what it fails to reach
    * may well be reached by others.
@@ -252,6 +254,7 @@
       verifications.set(id, verification);
       return verification;
     },
+    hasReachedSince: at => reachedAt >= at,
     isSuspect: () => unreachable > 0 || suspectSince > -Infinity,
     isRouterCutOff: () => unreachable >= MIN_CUT_OFF,
     unreachableCount: () => unreachable,
