--- a/packages/cli/src/cli.ts
+++ b/packages/cli/src/cli.ts
@@ -3,14 +3,14 @@
 import type {OperatorsClient} from '@banyandrum/operators/client.js';
 import type {ExitCode} from './exit-codes.js';
 
-/** The world outside the process, so that tests can stand in for it. */
+/** Access to everything outside of the command, replaced by tests. */
 export interface CliIo {
   /** Writes to the standard output. */
   readonly out: (text: string) => void;
   /** Writes to the standard error. */
   readonly err: (text: string) => void;
   readonly env: Readonly<Record<string, string | undefined>>;
-  /** Aborted when the user stops the command. */
+  /** Aborts when the user interrupts the command. */
   readonly signal: AbortSignal;
   readonly clock: Clock;
   readonly readFile: (path: string) => Promise<Uint8Array>;
@@ -18,29 +18,29 @@
   readonly fetch: typeof fetch;
 }
 
-/** A command line, parsed and checked. */
+/** The parsed and validated arguments of a command. */
 export interface CliArgs {
   readonly positionals: readonly string[];
-  /** Empty where it was left out and has no default. */
+  /** Returns the value of an option; empty if it is absent without a default. */
   text(name: string): string;
   flag(name: string): boolean;
 }
 
-/** One command of the binary. */
+/** A subcommand of the binary. */
 export interface CliCommand {
   readonly description: string;
   readonly args: ArgsDef;
-  /** How many positionals it takes at most; as declared where absent. */
+  /** Maximum number of positionals; by default those declared in `args`. */
   readonly maxPositionals?: number;
   run(args: CliArgs, io: CliIo): Promise<ExitCode>;
 }
 
-/** Something the user can put right; ends the command with one line. */
+/** An error that the user can correct, reported on one line. */
 export class CliError extends Error {
   constructor(
     readonly exitCode: ExitCode,
     message: string,
-    /** Further lines, one for each problem. */
+    /** Further problems, one per line. */
     readonly details: readonly string[] = [],
   ) {
     super(message);
--- a/packages/cli/src/commands/attest-lost.ts
+++ b/packages/cli/src/commands/attest-lost.ts
@@ -3,7 +3,7 @@
 import {formatJson} from '../format.js';
 import {CHANGE_ARGS, changeIdOf, unwrapChange, withClient} from '../session.js';
 
-/** `banyandrum attest-lost HOST`. */
+/** `banyandrum attest-lost HOST`: declares a host lost for good. */
 export const attestLostCommand: CliCommand = {
   description:
     'Give your word that the router process on a host is gone for good. ' +
--- a/packages/cli/src/commands/check.ts
+++ b/packages/cli/src/commands/check.ts
@@ -24,14 +24,14 @@
   Record<FileKind, (data: Uint8Array) => Result<unknown, readonly Problem[]>>
 > = {settings: parseSettings, inventory: parseInventory, rules: parseRules};
 
-/** Keys at the top of a file that tell which kind it is. */
+/** Top-level keys by which the kind of a file is recognized. */
 const TELLING_KEYS: readonly (readonly [FileKind, readonly string[]])[] = [
   ['inventory', ['places', 'services', 'servers']],
   ['rules', ['precedence', 'operations', 'placement', 'limits', 'timing']],
   ['settings', ['router', 'callers', 'operators', 'peers', 'log', 'host_list']],
 ];
 
-/** `banyandrum check FILES`: needs no router. */
+/** `banyandrum check FILES`: validates files without a router. */
 export const checkCommand: CliCommand = {
   description:
     'Check files of settings, inventory and rules; the last two, given ' +
--- a/packages/cli/src/commands/diff.ts
+++ b/packages/cli/src/commands/diff.ts
@@ -11,12 +11,12 @@
 import {formatJson, plain} from '../format.js';
 import {CONNECTION_ARGS, unwrap, withClient} from '../session.js';
 
-/** What is in force, with its version. */
+/** The publication in force, with its version. */
 interface InForce extends DiffSide {
   readonly version: number;
 }
 
-/** `banyandrum diff`: what a publication of the files would change. */
+/** `banyandrum diff`: shows what publishing the files would change. */
 export const diffCommand: CliCommand = {
   description: 'Show what publishing the files would change',
   args: {...FILE_ARGS, ...CONNECTION_ARGS},
--- a/packages/cli/src/commands/drain.ts
+++ b/packages/cli/src/commands/drain.ts
@@ -3,7 +3,7 @@
 import {formatJson} from '../format.js';
 import {CHANGE_ARGS, changeIdOf, unwrapChange, withClient} from '../session.js';
 
-/** `banyandrum drain NAME`. */
+/** `banyandrum drain NAME`: drains a server, or ends its drain. */
 export const drainCommand: CliCommand = {
   description: 'Take a server or a router out of use, or back into it (--off)',
   args: {
--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -3,7 +3,7 @@
 import {formatJson, formatTable, plain} from '../format.js';
 import {CONNECTION_ARGS, unwrap, withClient} from '../session.js';
 
-/** `banyandrum explain SERVICE KEY`. */
+/** `banyandrum explain SERVICE KEY`: shows how requests are routed. */
 export const explainCommand: CliCommand = {
   description: 'Show where a key is, and why',
   args: {
--- a/packages/cli/src/commands/history.ts
+++ b/packages/cli/src/commands/history.ts
@@ -7,7 +7,7 @@
 
 const MAX_LIMIT = 1_000;
 
-/** `banyandrum history`: the audit trail, or the outcome of one change. */
+/** `banyandrum history`: shows the audit trail, or one change's outcome. */
 export const historyCommand: CliCommand = {
   description: 'Show the audit trail: who, when, what, why; the newest first',
   args: {
--- a/packages/cli/src/commands/log-level.ts
+++ b/packages/cli/src/commands/log-level.ts
@@ -6,7 +6,7 @@
 import {formatJson} from '../format.js';
 import {CONNECTION_ARGS, unwrap, withClient} from '../session.js';
 
-/** `banyandrum log-level LEVEL`: of the router asked, until it ends. */
+/** `banyandrum log-level LEVEL`: sets a router's log level until it exits. */
 export const logLevelCommand: CliCommand = {
   description: 'Change the log level of the router asked, until it ends',
   args: {
--- a/packages/cli/src/commands/quarantine.ts
+++ b/packages/cli/src/commands/quarantine.ts
@@ -7,7 +7,7 @@
   type SuspectMessage,
 } from '../quarantine-client.js';
 
-/** `banyandrum quarantine`: requests under which servers ended. */
+/** `banyandrum quarantine`: lists requests during which servers crashed. */
 export const quarantineCommand: CliCommand = {
   description:
     'Show requests under which servers ended: refused ones, suspected ones, ' +
--- a/packages/cli/src/commands/readmit.ts
+++ b/packages/cli/src/commands/readmit.ts
@@ -3,7 +3,7 @@
 import {formatJson} from '../format.js';
 import {askRouter, ROUTER_ARGS} from '../quarantine-client.js';
 
-/** `banyandrum readmit CONTENT`. */
+/** `banyandrum readmit CONTENT`: clears a quarantined request. */
 export const readmitCommand: CliCommand = {
   description: 'Send a request to servers again under which some ended',
   args: {
--- a/packages/cli/src/commands/show.ts
+++ b/packages/cli/src/commands/show.ts
@@ -8,7 +8,7 @@
 import {formatAge, formatJson, formatTable} from '../format.js';
 import {CONNECTION_ARGS, unwrap, withClient} from '../session.js';
 
-/** `banyandrum show`: the publication in force on the router asked. */
+/** `banyandrum show`: prints the publication in force on a router. */
 export const showCommand: CliCommand = {
   description: 'Show what is in force on the router asked',
   args: {
@@ -52,7 +52,7 @@
   return formatTable(rows);
 }
 
-/** As it was published; ends with a line's end, or files would run together. */
+/** Returns the file as published, with a newline at its end. */
 function textOf(publication: PublicationMessage, wantsRules: boolean): string {
   const {inventoryToml, rulesToml} = publication;
   const text = wantsRules ? rulesToml : inventoryToml;
--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -8,7 +8,7 @@
 import {formatAge, formatJson, formatTable} from '../format.js';
 import {CONNECTION_ARGS, unwrap, withClient} from '../session.js';
 
-/** `banyandrum status`: routers, cells, shards and servers. */
+/** `banyandrum status`: lists routers, cells, shards and servers. */
 export const statusCommand: CliCommand = {
   description:
     'Show routers and their versions, cells and their leaders; of the asked ' +
--- a/packages/cli/src/commands/watch.ts
+++ b/packages/cli/src/commands/watch.ts
@@ -8,14 +8,14 @@
 
 const PAUSE_MS = 1_000;
 
-/** `banyandrum watch`: changes as they come into force, until Ctrl-C. */
+/** `banyandrum watch`: prints changes as they take effect, until Ctrl-C. */
 export const watchCommand: CliCommand = {
   description: 'Print changes as they come into force, until Ctrl-C',
   args: CONNECTION_ARGS,
   async run(args, io) {
     await withClient(args, io, async client => {
-      // Finds out about a wrong token or address at once; only a stream that
-      // breaks off later is opened again.
+      // Fails at once on a wrong token or address; only streams that break later
+      // are reopened.
       unwrap(await client.state());
       while (!io.signal.aborted) await follow(client, args, io);
     });
--- a/packages/cli/src/exit-codes.ts
+++ b/packages/cli/src/exit-codes.ts
@@ -1,15 +1,15 @@
 import type {ClientError} from '@banyandrum/operators/call.js';
 
-/** What the process ends with; stated in `--help` of each command. */
+/** Exit codes of the process, listed in the `--help` of each command. */
 export const EXIT = {
   ok: 0,
-  /** Refused: a conflict, invalid content, no such thing, not allowed. */
+  /** Rejected: a conflict, invalid content, not found, or not permitted. */
   refused: 1,
-  /** The command line or a file is wrong; nothing was sent. */
+  /** The command line or a file is invalid; nothing was sent. */
   usage: 2,
-  /** No answer, or the router cannot do it now; nothing was changed. */
+  /** No response, or the router is unable to at present; nothing changed. */
   unavailable: 3,
-  /** No answer to a change that may have been accepted. */
+  /** No response to a change, which may have been accepted. */
   unknown: 4,
 } as const;
 
@@ -32,7 +32,7 @@
   unknown: EXIT.unknown,
 };
 
-/** The exit code for a router's error. */
+/** Returns the exit code for an error that a router responded with. */
 export function exitCodeOf(error: ClientError): ExitCode {
   return EXIT_OF_ERRORS[error.kind];
 }
--- a/packages/cli/src/files.ts
+++ b/packages/cli/src/files.ts
@@ -10,13 +10,13 @@
 import {CliError} from './cli.js';
 import {EXIT} from './exit-codes.js';
 
-/** Both files of a publication, read and checked. */
+/** The validated files of a publication, with their contents. */
 export interface ReadFiles extends CheckedPublication {
   readonly inventoryToml: string;
   readonly rulesToml: string;
 }
 
-/** Options that name the files of a publication. */
+/** Options for the paths of a publication's files. */
 export const FILE_ARGS = {
   inventory: {
     type: 'string',
@@ -32,7 +32,7 @@
   },
 } as const;
 
-/** Reads a file; a failure is one line for the user. */
+/** Reads a file; throws a `CliError` if that fails. */
 export async function readInput(io: CliIo, path: string): Promise<Uint8Array> {
   try {
     return await io.readFile(path);
@@ -43,7 +43,7 @@
 }
 
 /**
- * Reads and checks the files that the options name.
+ * Reads and validates the files given by the options.
  *
  * @example
  * ```ts
@@ -69,7 +69,7 @@
   };
 }
 
-/** Checks both files; the problems name the files by their paths. */
+/** Validates both files; problems are reported with the files' paths. */
 export function checkFiles(
   files: PublicationFiles,
   names: Readonly<Record<'inventory' | 'rules', string>>,
@@ -84,7 +84,7 @@
   );
 }
 
-/** The first problem as the message, the others as further lines. */
+/** Returns an error with the first problem as its message. */
 export function problemsError(problems: readonly Problem[]): CliError {
   const [first = '', ...others] = problems.map(formatProblem);
   return new CliError(EXIT.usage, first, others);
--- a/packages/cli/src/format.ts
+++ b/packages/cli/src/format.ts
@@ -2,15 +2,15 @@
 const CONTROL = /[\u0000-\u001f\u007f-\u009f]/g;
 
 /**
- * Text of others on one line: control characters, which could rewrite what
- * the terminal shows, are replaced.
+ * Replaces control characters in untrusted text, which could otherwise change
+ * what the terminal displays.
  */
 export function plain(text: string): string {
   return text.replace(CONTROL, '?');
 }
 
 /**
- * Rows as aligned columns, without trailing blanks.
+ * Formats rows as aligned columns without trailing blanks.
  *
  * @example
  * ```ts
@@ -31,12 +31,12 @@
     .join('');
 }
 
-/** An answer as one line of JSON. */
+/** Formats a value as one line of JSON. */
 export function formatJson(value: unknown): string {
   return `${JSON.stringify(value)}\n`;
 }
 
-/** An age for people: `840 ms`, `12.3 s`; `never` for null. */
+/** Formats an age for display: `840 ms`, `12.3 s`; `never` for null. */
 export function formatAge(ageMs: number | null): string {
   if (ageMs === null) return 'never';
   if (ageMs < 1_000) return `${Math.round(ageMs)} ms`;
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -5,7 +5,7 @@
 import {runCli} from './run-cli.js';
 
 /**
- * Runs the command line of this process and sets its exit code.
+ * Runs the command given by the process arguments and sets the exit code.
  *
  * @example
  * ```ts
@@ -16,12 +16,12 @@
   argv: readonly string[] = process.argv.slice(2),
 ): Promise<void> {
   const stopping = new AbortController();
-  // Other commands end at once, as is usual; only `watch` ends in good order.
+  // Only `watch` handles interrupts; other commands terminate at once.
   if (argv[0] === 'watch') {
     process.once('SIGINT', () => stopping.abort());
     process.once('SIGTERM', () => stopping.abort());
   }
-  // A reader such as `head` that has seen enough closes the pipe: no error.
+  // A reader such as `head` may close the pipe early, which is not an error.
   process.stdout.on('error', () => process.exit());
   process.exitCode = await runCli(argv, {
     out: text => write(process.stdout, text),
--- a/packages/cli/src/parse-command-line.ts
+++ b/packages/cli/src/parse-command-line.ts
@@ -5,8 +5,8 @@
 import {EXIT} from './exit-codes.js';
 
 /**
- * Parses a command's arguments. Unlike the library alone it refuses unknown
- * options: with `--resaon` ignored, a change would go out without its reason.
+ * Parses a command's arguments. Unlike the library, it rejects unknown options:
+ * if a misspelled `--resaon` were ignored, a change would lack its reason.
  *
  * @example
  * ```ts
@@ -19,13 +19,13 @@
   argv: readonly string[],
 ): CliArgs {
   const parsed = parse(argv, command.args);
-  refuseUnknown(parsed, command.args);
+  rejectUnknown(parsed, command.args);
   const {_: positionals} = parsed;
-  const most = command.maxPositionals ?? countPositionals(command.args);
-  if (positionals.length > most) {
-    throw usage(`unexpected argument ${positionals[most]}`);
+  const maxCount = command.maxPositionals ?? countPositionals(command.args);
+  if (positionals.length > maxCount) {
+    throw usage(`unexpected argument ${positionals[maxCount]}`);
   }
-  refuseEmpty(parsed, command.args);
+  rejectEmpty(parsed, command.args);
   return {
     positionals,
     text: name => String(parsed[name] ?? ''),
@@ -45,7 +45,7 @@
   }
 }
 
-function refuseUnknown(parsed: Parsed, defs: ArgsDef): void {
+function rejectUnknown(parsed: Parsed, defs: ArgsDef): void {
   const known = new Set(Object.keys(defs).flatMap(key => [key, camel(key)]));
   const unknown = Object.keys(parsed).find(
     key => key !== '_' && !known.has(key),
@@ -55,12 +55,12 @@
   throw usage(`unknown option ${dashes}${unknown}`);
 }
 
-/** An option that needs a value and got none is parsed as an empty text. */
-function refuseEmpty(parsed: Parsed, defs: ArgsDef): void {
+/** Rejects empty values: the library returns one for an option without it. */
+function rejectEmpty(parsed: Parsed, defs: ArgsDef): void {
   for (const [name, def] of Object.entries(defs)) {
     if (def.type === 'boolean' || parsed[name] !== '') continue;
-    const shown = def.type === 'positional' ? name.toUpperCase() : `--${name}`;
-    throw usage(`${shown} needs a value`);
+    const label = def.type === 'positional' ? name.toUpperCase() : `--${name}`;
+    throw usage(`${label} needs a value`);
   }
 }
 
--- a/packages/cli/src/quarantine-client.ts
+++ b/packages/cli/src/quarantine-client.ts
@@ -5,7 +5,7 @@
 import {EXIT, type ExitCode} from './exit-codes.js';
 import {CONNECTION_ARGS, required} from './session.js';
 
-/** A request under which servers ended, as a router shows it. */
+/** A request during which servers crashed, as a router reports it. */
 export interface SuspectMessage {
   readonly content: string;
   readonly scope: string;
@@ -25,7 +25,7 @@
   } | null;
 }
 
-/** Options of the commands that ask a router on the users' platform. */
+/** Options of the commands for routers on the users' platform. */
 export const ROUTER_ARGS = {
   router: {
     type: 'string',
@@ -36,7 +36,8 @@
   json: CONNECTION_ARGS.json,
 } as const satisfies ArgsDef;
 
-const WITHIN_MS = 5_000;
+/** Timeout of a call to a router, in ms. */
+const TIMEOUT_MS = 5_000;
 
 const EXIT_OF_STATUS: Readonly<Record<number, ExitCode>> = {
   400: EXIT.usage,
@@ -46,7 +47,7 @@
   413: EXIT.usage,
 };
 
-/** Asks the router that the options or the environment name. */
+/** Calls the router given by the options or the environment. */
 export async function askRouter<T>(
   args: CliArgs,
   io: CliIo,
@@ -64,14 +65,16 @@
     .fetch(`http://${address}${path}`, {
       method,
       headers: {authorization: `Bearer ${token}`},
-      signal: AbortSignal.timeout(WITHIN_MS),
+      signal: AbortSignal.timeout(TIMEOUT_MS),
       ...(body !== undefined && {body: JSON.stringify(body)}),
     })
     .catch((err: Error) => {
       throw new CliError(EXIT.unavailable, `no answer: ${err.message}`);
     });
-  const told = (await res.json().catch(() => ({}))) as T & {detail?: string};
-  if (res.ok) return told;
+  const response = (await res.json().catch(() => ({}))) as T & {
+    detail?: string;
+  };
+  if (res.ok) return response;
   const code = EXIT_OF_STATUS[res.status] ?? EXIT.unavailable;
-  throw new CliError(code, told.detail ?? `status ${res.status}`);
+  throw new CliError(code, response.detail ?? `status ${res.status}`);
 }
--- a/packages/cli/src/run-cli.ts
+++ b/packages/cli/src/run-cli.ts
@@ -41,8 +41,8 @@
 const VERSION = new Set(['--version', '-v']);
 
 /**
- * Runs one command line and returns the exit code; never throws. Errors are
- * one line each, on the standard error.
+ * Runs a command and returns its exit code; never throws. Errors are written to
+ * the standard error, one line each.
  *
  * @example
  * ```ts
--- a/packages/cli/src/session.ts
+++ b/packages/cli/src/session.ts
@@ -8,7 +8,7 @@
 import {CliError} from './cli.js';
 import {EXIT, exitCodeOf} from './exit-codes.js';
 
-/** Options of every command that speaks to a router. */
+/** Options of every command that connects to a router. */
 export const CONNECTION_ARGS = {
   operators: {
     type: 'string',
@@ -23,7 +23,7 @@
   json: {type: 'boolean', description: 'Print JSON'},
 } as const satisfies ArgsDef;
 
-/** Options of every command that changes something. */
+/** Options of every command that makes a change. */
 export const CHANGE_ARGS = {
   reason: {
     type: 'string',
@@ -38,8 +38,8 @@
 } as const satisfies ArgsDef;
 
 /**
- * Runs a task with a client of the router that the options or the environment
- * name, and closes it.
+ * Runs a task with a client of the router given by the options or the
+ * environment, then closes the client.
  *
  * @example
  * ```ts
@@ -68,7 +68,7 @@
   }
 }
 
-/** The value of a router's answer; throws its error as one for the user. */
+/** Returns the value of a router's response; throws a `CliError` for an error. */
 export function unwrap<T>(result: Result<T, ClientError>): T {
   if (result.ok) return result.val;
   const {kind, detail, problems} = result.val;
@@ -80,8 +80,9 @@
 }
 
 /**
- * The value of the answer to a change. Where it may have been accepted, the
- * error says how to find out, and how to repeat it without doing it twice.
+ * Returns the value of the response to a change. If the change may have been
+ * accepted, the error explains how to check that, and how to retry it so that it
+ * is applied once.
  */
 export function unwrapChange<T>(
   result: Result<T, ClientError>,
@@ -96,12 +97,12 @@
   );
 }
 
-/** The id given, or a new one. */
+/** Returns the id given by the user, or a new one. */
 export function changeIdOf(args: CliArgs): string {
   return args.text('change-id') || createId();
 }
 
-/** The value of an option, or of the variable that stands in for it. */
+/** Returns the value of an option, or of the corresponding variable. */
 export function required(
   args: CliArgs,
   io: CliIo,
