Name carriers to the router that reports, not to all at each report

With 50 of 195 routers cut off, each report made the leader order all routers for all of them, with a SHA-1 for each pair (found by reading; not measured). Now one router a report, all at a heartbeat, with a hash that takes no time to speak of.

--- a/packages/gateway/src/leader-transfer.ts
+++ b/packages/gateway/src/leader-transfer.ts
@@ -1,4 +1,3 @@
-import {createHash} from 'node:crypto';
 import {
   pickLargestHost,
   type Candidate,
@@ -110,7 +109,7 @@
       each,
       weight: weightOf(router.address, each.address),
     }))
-    .sort((a, b) => b.weight.localeCompare(a.weight))
+    .sort((a, b) => b.weight - a.weight)
     .map(({each}) => each);
   const near = best.filter(each => each.dataCentre === router.dataCentre);
   const far = best.filter(each => each.dataCentre !== router.dataCentre);
@@ -118,7 +117,18 @@
   return named.slice(0, MAX_CARRIERS).map(({address}) => address);
 }
 
+/** Parameters of the 32-bit FNV-1a hash. */
+const FNV_OFFSET = 0x811c9dc5;
+const FNV_PRIME = 0x01000193;
+/** A factor of MurmurHash3's finalizer, which spreads the last characters. */
+const MURMUR_FACTOR = 0x85ebca6b;
+
 /** Orders candidates differently for each router (rendezvous hashing). */
-function weightOf(router: string, candidate: string): string {
-  return createHash('sha1').update(`${router} ${candidate}`).digest('hex');
+function weightOf(router: string, candidate: string): number {
+  let hash = FNV_OFFSET;
+  for (const char of `${candidate} ${router}`) {
+    hash = Math.imul(hash ^ char.codePointAt(0)!, FNV_PRIME);
+  }
+  hash = Math.imul(hash ^ (hash >>> 16), MURMUR_FACTOR);
+  return (hash ^ (hash >>> 13)) >>> 0;
 }
--- a/packages/gateway/src/link-server.ts
+++ b/packages/gateway/src/link-server.ts
@@ -157,11 +157,11 @@
     unreachable: cfg.paths.unreachableCount(),
   });
 
-  /** Tells followers that can't reach servers which routers can. */
-  const nameCarriers = (): void => {
+  /** Tells those of `some` that can't reach servers which routers can. */
+  const nameCarriers = (some: Iterable<Follower>): void => {
     if (!cfg.leadership.isLeading()) return;
     const able = [...followers].flatMap(toCarrierCandidate);
-    for (const follower of followers) {
+    for (const follower of some) {
       const [router] = toCarrierCandidate(follower);
       if (router === undefined || router.unreachable === 0) continue;
       const named = pickCarriers(router, able);
@@ -181,7 +181,7 @@
 
   const ctx: HandlerContext = {
     ...cfg,
-    onUnreachable: nameCarriers,
+    onUnreachable: follower => nameCarriers([follower]),
     onHello(follower) {
       broadcaster.send([follower], followers);
       considerTransfer();
@@ -201,7 +201,7 @@
   const sendHeartbeat = (): void => {
     broadcaster.onHeartbeat(followers);
     sendToAll();
-    nameCarriers();
+    nameCarriers(followers);
     considerTransfer();
     cancelHeartbeat = cfg.clock.after(HEARTBEAT_MS, sendHeartbeat);
   };
@@ -293,7 +293,7 @@
   /** A follower identified itself. */
   onHello(follower: Follower): void;
   /** A follower reported how many servers it can't reach. */
-  onUnreachable(): void;
+  onUnreachable(follower: Follower): void;
 }
 
 type MessageHandlers = {
@@ -341,7 +341,7 @@
     cfg.leadership.addRequestCounts(fromWireCounts(counts));
     if (unreachable === undefined) return;
     follower.unreachable = unreachable;
-    cfg.onUnreachable();
+    cfg.onUnreachable(follower);
   },
   suspects(cfg, _follower, {rows}) {
     cfg.suspects.merge(rows);
