End probes and timers of carriers when a router stops

A stopped router went on probing servers that the test had closed. In the product the process exits, so callers saw nothing.

--- a/packages/dispatch/src/server-paths.ts
+++ b/packages/dispatch/src/server-paths.ts
@@ -52,6 +52,8 @@
   unreachableSince(): number | null;
   /** Calls `listener` whenever `unreachableCount` changed. */
   subscribe(listener: () => void): void;
+  /** Ends the probes. */
+  stop(): void;
 }
 
 /** Dependencies of `createServerPaths`. */
@@ -120,6 +122,8 @@
   let unreachable = 0;
   let unreachableSince: number | null = null;
   let isProbing = false;
+  let cancelProbe = (): void => undefined;
+  let isStopped = false;
   let nextVerifyAt = -Infinity;
 
   const recount = (): void => {
@@ -159,7 +163,7 @@
     if (!isProbing) return;
     const isRestoring = clock.now() - restoredAt < RESTORING_MS;
     const spacingMs = isRestoring ? RESTORING_SPACING_MS : PROBE_SPACING_MS;
-    clock.after(spacingMs, probeNext);
+    cancelProbe = clock.after(spacingMs, probeNext);
     const next = nextToProbe();
     if (next === null) return;
     const [server, path] = next;
@@ -196,9 +200,9 @@
       ...{probeAt: now + MIN_PROBE_GAP_MS, probeGapMs: MIN_PROBE_GAP_MS},
     });
     emit('server-unreachable', {server: id, detail, failing: failed.size});
-    if (isProbing) return;
+    if (isProbing || isStopped) return;
     isProbing = true;
-    clock.after(PROBE_SPACING_MS, probeNext);
+    cancelProbe = clock.after(PROBE_SPACING_MS, probeNext);
   };
 
   const verifyNow = async (
@@ -260,5 +264,9 @@
     unreachableCount: () => unreachable,
     unreachableSince: () => unreachableSince,
     subscribe: listener => void listeners.add(listener),
+    stop() {
+      isStopped = true;
+      cancelProbe();
+    },
   };
 }
--- a/packages/dispatch/test/server-paths.test.ts
+++ b/packages/dispatch/test/server-paths.test.ts
@@ -63,6 +63,19 @@
   t.equal(probed.length, count, 'nothing is probed while all paths work');
 });
 
+// Guards against probes that keep a stopped router's process alive.
+void tap.test('a stopped router probes nothing', async t => {
+  const setup = createSetup();
+  const {clock, paths, probed} = setup;
+  cutOff(setup, ['s1']);
+  await clock.advance(600);
+  const count = probed.length;
+  paths.stop();
+  cutOff(setup, ['s2']);
+  await clock.advance(5_000);
+  t.equal(probed.length, count);
+});
+
 // Guards against a wave of connections by each router during and after a cut.
 void tap.test('probes of many failed paths are spaced out', async t => {
   const setup = createSetup(200);
--- a/packages/gateway/src/carry-client.ts
+++ b/packages/gateway/src/carry-client.ts
@@ -62,6 +62,7 @@
   const peers = new Map<string, Peer>();
   const unusableUntil = new Map<string, number>();
   let turn = 0;
+  let cancelIdleCheck = (): void => undefined;
 
   const isUsable = (address: string): boolean =>
     (unusableUntil.get(address) ?? -Infinity) <= clock.now();
@@ -82,10 +83,10 @@
 
   const backOff = (address: string, ms: number): void => {
     cfg.emit('carrier-unusable', {carrier: address, forMs: ms});
+    for (const known of unusableUntil.keys()) {
+      if (isUsable(known)) unusableUntil.delete(known);
+    }
     unusableUntil.set(address, clock.now() + ms);
-    clock.after(ms, () => {
-      if (isUsable(address)) unusableUntil.delete(address);
-    });
     closePeer(address);
   };
 
@@ -93,6 +94,13 @@
     for (const [address, {usedAt}] of peers) {
       if (clock.now() - usedAt >= IDLE_TIMEOUT_MS) closePeer(address);
     }
+    scheduleIdleCheck();
+  };
+
+  const scheduleIdleCheck = (): void => {
+    cancelIdleCheck();
+    if (peers.size === 0) return;
+    cancelIdleCheck = clock.after(IDLE_TIMEOUT_MS, closeIdle);
   };
 
   const peerAt = (address: string): Peer => {
@@ -103,7 +111,7 @@
     }
     const peer = {stub: createStub(address), usedAt: clock.now()};
     peers.set(address, peer);
-    clock.after(IDLE_TIMEOUT_MS, closeIdle);
+    if (peers.size === 1) scheduleIdleCheck();
     return peer;
   };
 
@@ -188,6 +196,7 @@
       return null;
     },
     stop() {
+      cancelIdleCheck();
       [...peers.keys()].forEach(closePeer);
     },
   };
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -435,7 +435,7 @@
     configKeeper.stop();
     linkClient.stop();
     linkServer.close();
-    carriers.stop();
+    reach.stop();
     readiness.close();
     metrics.server.close();
   };
--- a/packages/gateway/src/server-reach.ts
+++ b/packages/gateway/src/server-reach.ts
@@ -22,6 +22,8 @@
   probe(backend: Backend): Promise<ProbeResult>;
   /** The same, but tells only what this router finds. */
   probeDirectly(backend: Backend): Promise<ProbeResult>;
+  /** Ends the probes and closes the connections to carriers. */
+  stop(): void;
   /** Records what a lease call shows of the path to its server. */
   noteLeaseCall(outcome: CompletedAttempt): void;
 }
@@ -90,6 +92,10 @@
     carriers,
     probe,
     probeDirectly,
+    stop() {
+      paths.stop();
+      carriers.stop();
+    },
     noteLeaseCall({server, sentAt, result}) {
       const backend = backends.get(server);
       if (backend === undefined) return;
