Ask routers of other data centres too when the near ones are cut off

Class: a report that needs the help it asks for.

At most two near carriers are named, the rest from other data centres; deputies and the leader are asked after them, six at most within 0.4 s.

--- a/packages/gateway/src/carry-client.ts
+++ b/packages/gateway/src/carry-client.ts
@@ -34,7 +34,9 @@
   | {readonly kind: 'lost'; readonly reason: LossReason};
 
 /** Routers that are asked to carry one attempt, one after another. */
-const MAX_CARRIERS_ASKED = 2;
+const MAX_CARRIERS_ASKED = 6;
+/** After this time, no further router is asked, in ms. */
+const MAX_ASKING_MS = 400;
 /** Time to connect to another router, in ms. */
 const CONNECT_TIMEOUT_MS = 200;
 /** Time for another router to acknowledge a call, in ms. */
@@ -67,13 +69,13 @@
   const isUsable = (address: string): boolean =>
     (unusableUntil.get(address) ?? -Infinity) <= clock.now();
 
-  /** Routers to ask, each in turn the first. */
+  /** Routers to ask: the two nearest are first in turn. */
   const usableCandidates = (): readonly string[] => {
     const usable = cfg.candidates().filter(isUsable);
-    const first = usable.length === 0 ? 0 : turn++ % usable.length;
-    return [...usable.slice(first), ...usable.slice(0, first)].slice(
-      ...([0, MAX_CARRIERS_ASKED] as const),
-    );
+    const [first, second, ...others] = usable;
+    if (second === undefined) return usable;
+    const nearest = turn++ % 2 === 0 ? [first!, second] : [second, first!];
+    return [...nearest, ...others].slice(0, MAX_CARRIERS_ASKED);
   };
 
   const closePeer = (address: string): void => {
@@ -164,7 +166,9 @@
   const send: Carriers['send'] = async (attempt, signal) => {
     const startedAt = clock.now();
     for (const by of usableCandidates()) {
-      const withinMs = attempt.withinMs - (clock.now() - startedAt);
+      const askedMs = clock.now() - startedAt;
+      if (askedMs > MAX_ASKING_MS) break;
+      const withinMs = attempt.withinMs - askedMs;
       const request = {kind: 'send', attempt: {...attempt, withinMs}} as const;
       const result = await call(by, request, withinMs, signal);
       if (result.kind === 'lost') {
--- a/packages/gateway/src/leader-transfer.ts
+++ b/packages/gateway/src/leader-transfer.ts
@@ -76,8 +76,8 @@
 
 /** Routers that are named to carry the attempts of one other. */
 const MAX_CARRIERS = 4;
-/** With this many in its own data centre, no others are named. */
-const ENOUGH_NEAR = 2;
+/** Of these, at most so many in its own data centre, which may be cut off whole. */
+const MAX_NEAR_CARRIERS = 2;
 
 /** A router that may carry attempts. */
 export type CarrierCandidate = Pick<
@@ -113,7 +113,11 @@
     .map(({each}) => each);
   const near = best.filter(each => each.dataCentre === router.dataCentre);
   const far = best.filter(each => each.dataCentre !== router.dataCentre);
-  const named = near.length >= ENOUGH_NEAR ? near : [...near, ...far];
+  const named = [
+    ...near.slice(0, MAX_NEAR_CARRIERS),
+    ...far,
+    ...near.slice(MAX_NEAR_CARRIERS),
+  ];
   return named.slice(0, MAX_CARRIERS).map(({address}) => address);
 }
 
--- a/packages/gateway/src/link-client.ts
+++ b/packages/gateway/src/link-client.ts
@@ -361,11 +361,15 @@
       });
     },
     carriers() {
-      if (carriers.length > 0) return carriers;
-      const addresses = deputies.map(({address}) => address);
+      // Those named in an earlier cut may be cut off themselves now.
       const leader = liveSession()?.leader ?? null;
-      const known = leader === null ? addresses : [...addresses, leader];
-      return known.filter(address => address !== cfg.self.address);
+      const known = new Set([
+        ...carriers,
+        ...deputies.map(({address}) => address),
+        ...(leader === null ? [] : [leader]),
+      ]);
+      known.delete(cfg.self.address);
+      return [...known];
     },
     reportUnreachable() {
       if (session !== null) sendCounts(session);
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -108,7 +108,7 @@
     backends,
     carrierAddresses: () => {
       const followers = leadership.isLeading() ? linkServer.carriers() : [];
-      return followers.length > 0 ? followers : linkClient.carriers();
+      return [...new Set([...followers, ...linkClient.carriers()])];
     },
   });
   const {paths, carriers} = reach;
