Order the leader's own carriers once a change, not for each request

A leader asks before each attempt whether a carrier is known, for which it ordered all followers, hashed and sorted. Kept now until a follower comes, goes or reports, or its own reach changes; found by reading, not measured. The carrier in a request's state was written and never read: it is gone.

--- a/packages/dispatch/src/forward-state.ts
+++ b/packages/dispatch/src/forward-state.ts
@@ -77,8 +77,6 @@
   attemptCount: number;
   /** Whether a server could be reached neither from here nor by another way. */
   hasFoundNoWay: boolean;
-  /** `ip:port` of the router that sent the last attempt; null if this one. */
-  carrier: string | null;
   /** Servers that must not be chosen again. */
   readonly excluded: Set<string>;
   /** Set if an attempt's outcome is unknown or its answer can't be returned. */
--- a/packages/dispatch/src/forward.ts
+++ b/packages/dispatch/src/forward.ts
@@ -41,7 +41,6 @@
     attemptCount: 0,
     hasFoundNoWay: false,
     excluded: new Set(),
-    carrier: null,
     unknownOutcome: null,
     serverFailure: null,
     retryAfterMs: DEFAULT_RETRY_AFTER_MS,
@@ -85,11 +84,10 @@
     ...{method: req.method, path: req.path, headers: req.headers},
     ...{body: req.body, isRepeatable: req.route.kind !== 'once'},
   };
-  const {result, carrier} = await sendAttempt(
+  const result = await sendAttempt(
     ...([cfg, backend, connection, spec, req.signal] as const),
   );
   backend.inFlight--;
-  state.carrier = carrier;
   const slotOutcome = slotOutcomeOf(cfg.names, backend.info.id, result);
   const {isTrial} = target;
   const completed = {server: backend.info.id, sentAt, result};
--- a/packages/dispatch/src/send-attempt.ts
+++ b/packages/dispatch/src/send-attempt.ts
@@ -19,13 +19,6 @@
   readonly emit: Emit;
 }
 
-/** The result of an attempt, and the way it took. */
-export interface SentAttempt {
-  readonly result: AttemptResult;
-  /** `ip:port` of the router that sent it; null if it was this one. */
-  readonly carrier: string | null;
-}
-
 /**
  * Time to open a connection before a carrier is asked instead, in ms. Hosts in
  * the same region answer within a few ms.
@@ -47,7 +40,7 @@
  *
  * @example
  * ```ts
- * const {result} = await sendAttempt(cfg, backend, connection, spec, signal);
+ * const result = await sendAttempt(cfg, backend, connection, spec, signal);
  * ```
  */
 export async function sendAttempt(
@@ -56,15 +49,14 @@
   connection: Connection | null,
   spec: CarriedAttempt,
   signal: CancelSignal,
-): Promise<SentAttempt> {
+): Promise<AttemptResult> {
   const startedAt = cfg.clock.now();
   if (connection === null) return carry(cfg, spec, signal, NO_WAY);
   const result = await sendDirectly(cfg, backend, connection, spec, signal);
   const isUnsent =
     result.kind === 'lost' && !result.isWritten && !signal.aborted;
   const leftMs = spec.withinMs - (cfg.clock.now() - startedAt);
-  if (!isUnsent || leftMs <= 0 || !cfg.carriers.isAvailable())
-    return {result, carrier: null};
+  if (!isUnsent || leftMs <= 0 || !cfg.carriers.isAvailable()) return result;
   return carry(cfg, {...spec, withinMs: leftMs}, signal, result);
 }
 
@@ -142,7 +134,7 @@
   spec: CarriedAttempt,
   signal: CancelSignal,
   unsent: Lost,
-): Promise<SentAttempt> {
+): Promise<AttemptResult> {
   const startedAt = clock.now();
   const carried = await carriers.send(spec, signal);
   const carrier = carried.kind === 'unavailable' ? null : carried.by;
@@ -154,7 +146,7 @@
     outcome: result.kind === 'lost' ? result.reason : result.kind,
     tookMs: Math.round(clock.now() - startedAt),
   });
-  return {result, carrier};
+  return result;
 }
 
 function withAttemptHeaders(
--- a/packages/gateway/src/link-server.ts
+++ b/packages/gateway/src/link-server.ts
@@ -46,7 +46,10 @@
   leader(): string | null;
   /** How other routers reach this one. */
   readonly self: Pick<CarrierCandidate, 'address' | 'dataCentre'>;
-  readonly paths: Pick<ServerPaths, 'unreachableCount' | 'unreachableSince'>;
+  readonly paths: Pick<
+    ServerPaths,
+    'unreachableCount' | 'unreachableSince' | 'subscribe'
+  >;
   readonly carryServer: Pick<CarryServer, 'handle'>;
   /** A follower reported that another instance replaced the server. */
   noteReplaced(server: string): void;
@@ -152,6 +155,13 @@
     next.follower.stream.write({kind: 'lead'});
   };
 
+  /** Followers that may carry for this router; null until asked for again. */
+  let ownCarriers: readonly string[] | null = null;
+  const forgetOwnCarriers = (): void => {
+    ownCarriers = null;
+  };
+  cfg.paths.subscribe(forgetOwnCarriers);
+
   const ownPosition = (): CarrierCandidate => ({
     ...cfg.self,
     unreachable: cfg.paths.unreachableCount(),
@@ -181,8 +191,12 @@
 
   const ctx: HandlerContext = {
     ...cfg,
-    onUnreachable: follower => nameCarriers([follower]),
+    onUnreachable(follower) {
+      forgetOwnCarriers();
+      nameCarriers([follower]);
+    },
     onHello(follower) {
+      forgetOwnCarriers();
       broadcaster.send([follower], followers);
       considerTransfer();
     },
@@ -226,6 +240,7 @@
     followers.add(follower);
     const leave = (): void => {
       if (!followers.delete(follower)) return;
+      forgetOwnCarriers();
       for (const endSlot of follower.pending.values()) endSlot('cancelled', 0);
       follower.pending.clear();
       // A router that starts to lead stops following.
@@ -259,9 +274,11 @@
   return {
     followers: () => followers.size,
     carriers() {
+      if (ownCarriers !== null) return ownCarriers;
       const unreachable = Math.max(1, cfg.paths.unreachableCount());
       const able = [...followers].flatMap(toCarrierCandidate);
-      return pickCarriers({...cfg.self, unreachable}, able);
+      ownCarriers = pickCarriers({...cfg.self, unreachable}, able);
+      return ownCarriers;
     },
     close() {
       cancelHeartbeat();
--- a/packages/gateway/test/link.test.ts
+++ b/packages/gateway/test/link.test.ts
@@ -197,7 +197,11 @@
     configAgeMs: () => 0,
     leader: () => null,
     self: {address: listen, dataCentre: 'a'},
-    paths: {unreachableCount: () => 0, unreachableSince: () => null},
+    paths: {
+      unreachableCount: () => 0,
+      unreachableSince: () => null,
+      subscribe: () => undefined,
+    },
     carryServer: {handle: () => undefined},
     contactAgeMs: () => 0,
     onLeadershipOffered: async () => true,
