Move the decisions about slots into a package of their own

What decides who gets a slot and who is refused (allocator, wait queues, queue policy, slack, capacity, choice of a free server) stood among the 47 files of the dispatch package, which sends requests and judges servers. No behaviour changes; the tests that simulate load on the allocator move along.

--- a/packages/dispatch/test/evacuated-servers.test.ts
+++ b/packages/dispatch/test/evacuated-servers.test.ts
@@ -3,8 +3,8 @@
 import {createBackends, type Backends} from '@banyandrum/dispatch/backends.js';
 import {findTarget} from '@banyandrum/dispatch/find-target.js';
 import type {ForwardState} from '@banyandrum/dispatch/forward-state.js';
-import {findFreeServer} from '@banyandrum/dispatch/free-server.js';
-import type {SlotAllocatorConfig} from '@banyandrum/dispatch/free-server.js';
+import {findFreeServer} from '@banyandrum/slots/free-server.js';
+import type {SlotAllocatorConfig} from '@banyandrum/slots/free-server.js';
 import type {Owners} from '@banyandrum/dispatch/owners.js';
 import type {SlotRequest} from '@banyandrum/dispatch/slots.js';
 import {
--- a/packages/dispatch/test/simulate-poison.ts
+++ b/packages/dispatch/test/simulate-poison.ts
@@ -4,7 +4,7 @@
 import {
   createSlotAllocator,
   type SlotAllocator,
-} from '@banyandrum/dispatch/slot-allocator.js';
+} from '@banyandrum/slots/slot-allocator.js';
 import type {SlotOutcome, SlotReply} from '@banyandrum/dispatch/slots.js';
 import {shouldBroadcast} from '@banyandrum/dispatch/suspect.js';
 import {createServerLimits} from '@banyandrum/dispatch/server-limits.js';
--- a/packages/gateway/src/link-server.ts
+++ b/packages/gateway/src/link-server.ts
@@ -1,5 +1,5 @@
 import type {Emit} from '@banyandrum/dispatch/events.js';
-import type {SlotAllocator} from '@banyandrum/dispatch/slot-allocator.js';
+import type {SlotAllocator} from '@banyandrum/slots/slot-allocator.js';
 import type {SlotOutcome} from '@banyandrum/dispatch/slots.js';
 import type {ServerLimits} from '@banyandrum/dispatch/server-limits.js';
 import type {ServerPaths} from '@banyandrum/dispatch/server-paths.js';
--- a/packages/gateway/src/local-slot-provider.ts
+++ b/packages/gateway/src/local-slot-provider.ts
@@ -1,4 +1,4 @@
-import type {SlotAllocator} from '@banyandrum/dispatch/slot-allocator.js';
+import type {SlotAllocator} from '@banyandrum/slots/slot-allocator.js';
 import type {
   SlotOutcome,
   SlotResult,
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -2,7 +2,7 @@
 import {createClock, type Clock} from '@banyandrum/base/clock.js';
 import {createId} from '@banyandrum/base/ids.js';
 import {createBackends, type Backends} from '@banyandrum/dispatch/backends.js';
-import {createSlotAllocator} from '@banyandrum/dispatch/slot-allocator.js';
+import {createSlotAllocator} from '@banyandrum/slots/slot-allocator.js';
 import {createQuarantine} from '@banyandrum/dispatch/quarantine.js';
 import {createRetryBudget} from '@banyandrum/dispatch/retry-budget.js';
 import {createCrashDetector} from '@banyandrum/dispatch/crash-detector.js';
--- a/packages/gateway/test/link.test.ts
+++ b/packages/gateway/test/link.test.ts
@@ -10,7 +10,7 @@
 import {createClock} from '@banyandrum/base/clock.js';
 import type {ServerInfo} from '@banyandrum/dispatch/backend.js';
 import {createBackends} from '@banyandrum/dispatch/backends.js';
-import {createSlotAllocator} from '@banyandrum/dispatch/slot-allocator.js';
+import {createSlotAllocator} from '@banyandrum/slots/slot-allocator.js';
 import type {SlotResult, SlotRequest} from '@banyandrum/dispatch/slots.js';
 import {createServerLimits} from '@banyandrum/dispatch/server-limits.js';
 import {createSuspects} from '@banyandrum/dispatch/suspects.js';
--- a/packages/dispatch/src/capacity-cache.ts
+++ b/packages/slots/src/capacity-cache.ts
@@ -1,8 +1,8 @@
 import type {Clock} from '@banyandrum/base/clock.js';
-import {isEligible, type Backend} from './backend.js';
-import type {Backends} from './backends.js';
-import {typicalServiceMs} from './server-cost.js';
-import type {ServerLimits} from './server-limits.js';
+import {isEligible, type Backend} from '@banyandrum/dispatch/backend.js';
+import type {Backends} from '@banyandrum/dispatch/backends.js';
+import {typicalServiceMs} from '@banyandrum/dispatch/server-cost.js';
+import type {ServerLimits} from '@banyandrum/dispatch/server-limits.js';
 
 /** Combined capacity of a service's servers, or of one server. */
 export interface Capacity {
--- a/packages/dispatch/src/free-server.ts
+++ b/packages/slots/src/free-server.ts
@@ -1,12 +1,20 @@
 import type {Clock} from '@banyandrum/base/clock.js';
-import {isEligible, mayServeOwnedKeys, type Backend} from './backend.js';
-import type {Backends} from './backends.js';
-import type {Emit} from './events.js';
-import type {Owner} from './owners.js';
-import type {SlotRequest} from './slots.js';
-import type {ServerLimits} from './server-limits.js';
-import type {Suspects} from './suspects.js';
-import {costOf, DEFAULT_SERVICE_MS, isHealthy} from './server-cost.js';
+import {
+  isEligible,
+  mayServeOwnedKeys,
+  type Backend,
+} from '@banyandrum/dispatch/backend.js';
+import type {Backends} from '@banyandrum/dispatch/backends.js';
+import type {Emit} from '@banyandrum/dispatch/events.js';
+import type {Owner} from '@banyandrum/dispatch/owners.js';
+import type {SlotRequest} from '@banyandrum/dispatch/slots.js';
+import type {ServerLimits} from '@banyandrum/dispatch/server-limits.js';
+import type {Suspects} from '@banyandrum/dispatch/suspects.js';
+import {
+  costOf,
+  DEFAULT_SERVICE_MS,
+  isHealthy,
+} from '@banyandrum/dispatch/server-cost.js';
 
 /** Dependencies of `createSlotAllocator`. */
 export interface SlotAllocatorConfig {
--- a/packages/dispatch/src/queue-policy.ts
+++ b/packages/slots/src/queue-policy.ts
@@ -1,4 +1,4 @@
-import type {Backends} from './backends.js';
+import type {Backends} from '@banyandrum/dispatch/backends.js';
 import {
   capacityOf,
   type CapacityCache,
@@ -12,7 +12,7 @@
   type Waiter,
 } from './wait-queue.js';
 import type {SlackTracker} from './slack-tracker.js';
-import type {ServerLimits} from './server-limits.js';
+import type {ServerLimits} from '@banyandrum/dispatch/server-limits.js';
 
 /**
  * A longer wait is accepted only if its estimate is within this fraction of the
--- a/packages/dispatch/src/slot-allocator.ts
+++ b/packages/slots/src/slot-allocator.ts
@@ -1,6 +1,10 @@
-import {noteAnswer, noteLoss, type Backend} from './backend.js';
+import {
+  noteAnswer,
+  noteLoss,
+  type Backend,
+} from '@banyandrum/dispatch/backend.js';
 import {createCapacityCache} from './capacity-cache.js';
-import {ejectServer} from './eject-server.js';
+import {ejectServer} from '@banyandrum/dispatch/eject-server.js';
 import {findFreeServer, type SlotAllocatorConfig} from './free-server.js';
 import {
   countAhead,
@@ -20,7 +24,11 @@
   findOverdue,
   nextWaiter,
 } from './queue-policy.js';
-import type {SlotRequest, SlotOutcome, SlotReply} from './slots.js';
+import type {
+  SlotRequest,
+  SlotOutcome,
+  SlotReply,
+} from '@banyandrum/dispatch/slots.js';
 
 /** Allocates the slots of all servers to the requests of all routers. */
 export interface SlotAllocator {
--- a/packages/dispatch/src/wait-queue.ts
+++ b/packages/slots/src/wait-queue.ts
@@ -1,4 +1,4 @@
-import type {SlotRequest, SlotReply} from './slots.js';
+import type {SlotRequest, SlotReply} from '@banyandrum/dispatch/slots.js';
 
 /** A request that waits for a slot, or has one. */
 export interface Waiter {
--- a/packages/dispatch/src/wait-queues.ts
+++ b/packages/slots/src/wait-queues.ts
@@ -1,6 +1,6 @@
 import {ownerServerOf, type SlotAllocatorConfig} from './free-server.js';
 import {enqueue, NO_OWNER, waitersIn, type WaitQueue} from './wait-queue.js';
-import type {SlotRequest} from './slots.js';
+import type {SlotRequest} from '@banyandrum/dispatch/slots.js';
 
 /** Wait queues of all services, by the servers that can serve them. */
 export interface WaitQueues {
--- a/packages/dispatch/test/simulate-load.ts
+++ b/packages/slots/test/simulate-load.ts
@@ -4,7 +4,7 @@
 import {
   createSlotAllocator,
   type SlotAllocator,
-} from '@banyandrum/dispatch/slot-allocator.js';
+} from '@banyandrum/slots/slot-allocator.js';
 import type {SlotReply} from '@banyandrum/dispatch/slots.js';
 import {createServerLimits} from '@banyandrum/dispatch/server-limits.js';
 import {createSuspects} from '@banyandrum/dispatch/suspects.js';
--- a/packages/dispatch/test/slot-allocator-work.test.ts
+++ b/packages/slots/test/slot-allocator-work.test.ts
@@ -3,7 +3,7 @@
 import {
   createSlotAllocator,
   type SlotAllocator,
-} from '@banyandrum/dispatch/slot-allocator.js';
+} from '@banyandrum/slots/slot-allocator.js';
 import type {SlotRequest} from '@banyandrum/dispatch/slots.js';
 import {createServerLimits} from '@banyandrum/dispatch/server-limits.js';
 import {createSuspects} from '@banyandrum/dispatch/suspects.js';
--- a/packages/dispatch/test/slot-allocator.test.ts
+++ b/packages/slots/test/slot-allocator.test.ts
@@ -5,7 +5,7 @@
 import {
   createSlotAllocator,
   type SlotAllocator,
-} from '@banyandrum/dispatch/slot-allocator.js';
+} from '@banyandrum/slots/slot-allocator.js';
 import type {
   SlotRequest,
   SlotOutcome,
