Let settings choose how requests are scheduled, and say who asks for what

Two deployments have callers that contend for too little capacity and servers of unlike speed. What is built for them must leave the others as they are: settings choose it, and the contracts in force choose their defaults. Rows of slot requests can carry hashes of the route and the caller, and rows of their ends the slowdown that the server reported; rows without them are as before. Nothing uses either yet.

--- a/packages/dispatch/src/slots.ts
+++ b/packages/dispatch/src/slots.ts
@@ -22,6 +22,10 @@
    * server at a time, and to none that runs another trial.
    */
   readonly trial?: string;
+  /** Hash of the request's route; absent if times aren't kept by route. */
+  readonly kind?: number;
+  /** Hash of the caller's address; absent if callers aren't told apart. */
+  readonly caller?: number;
   /** Data centre of the requesting router. */
   readonly dataCentre: string;
 }
--- a/packages/gateway/src/link-codec.ts
+++ b/packages/gateway/src/link-codec.ts
@@ -1,4 +1,8 @@
-import type {SlotOutcome, SlotReply} from '@banyandrum/dispatch/slots.js';
+import type {
+  SlotOutcome,
+  SlotReply,
+  SlotRequest,
+} from '@banyandrum/dispatch/slots.js';
 import type {
   EncodedMessage,
   FollowerMessage,
@@ -14,14 +18,19 @@
 /**
  * Kind, `ask`, id, service, key, priority, time left until the deadline, time
  * left until the target latency, retry age, trial or an empty string, excluded
- * servers.
+ * servers, and an `Origin`, if any.
  */
 type AskRow = [
   ...['a', number, string, string, number | null, number],
-  ...[number, number, number, string, ...string[]],
+  ...[number, number, number, string, ...(string | Origin)[]],
 ];
-/** Kind, `ask`, outcome, time taken. */
-type SlotEndRow = ['e', number, SlotOutcome, number];
+/**
+ * Hashes of the route and of the caller, 0 if absent. Earlier versions of the
+ * program take it for an excluded server, of which there is none by that name.
+ */
+type Origin = readonly [number, number];
+/** Kind, `ask`, outcome, time taken, slowdown if there is one. */
+type SlotEndRow = ['e', number, SlotOutcome, number, number?];
 /** Kind, `ask`, and the server of the granted slot or another reply. */
 type ReplyRow = ['r', number, string | Exclude<SlotReply, {kind: 'granted'}>];
 
@@ -44,12 +53,15 @@
     const row: AskRow = [
       ...(['a', message.ask, id, service, key, priority] as const),
       ...([left, aimLeft, asked, trial ?? '', ...excluded] as const),
+      ...originOf(message.place),
     ];
     return encode(row);
   }
   if (message.kind === 'end') {
-    const {ask, how, tookMs} = message;
-    return encode(['e', ask, how, tookMs] satisfies SlotEndRow);
+    const {ask, how, tookMs, slowdown} = message;
+    const row: SlotEndRow = ['e', ask, how, tookMs];
+    if (slowdown !== undefined) row.push(slowdown);
+    return encode(row);
   }
   return encode(message);
 }
@@ -59,15 +71,20 @@
   const decoded = decode(bytes) as FollowerMessage | AskRow | SlotEndRow;
   if (!Array.isArray(decoded)) return decoded;
   if (decoded[0] === 'e') {
-    const [, ask, how, tookMs] = decoded;
-    return {kind: 'end', ask, how, tookMs};
+    const [, ask, how, tookMs, slowdown] = decoded;
+    const end = {kind: 'end', ask, how, tookMs} as const;
+    return slowdown === undefined ? end : {...end, slowdown};
   }
   const [, ask, id, service, key, priority, ...times] = decoded;
-  const [leftMs, aimLeftMs, askedMs, trial, ...excluded] = times;
+  const [leftMs, aimLeftMs, askedMs, trial, ...rest] = times;
+  const excluded = rest.filter(each => typeof each === 'string');
+  const [kind, caller] = rest.find(each => typeof each !== 'string') ?? [0, 0];
   const limits = {leftMs, aimLeftMs, askedMs};
   const place = {
     ...{id, service, key, priority, ...limits, excluded},
     ...(trial !== '' && {trial}),
+    ...(kind !== 0 && {kind}),
+    ...(caller !== 0 && {caller}),
   };
   return {kind: 'ask', ask, place};
 }
@@ -90,3 +107,11 @@
     return {kind: 'reply', ask, reply: serverOrReply};
   return {kind: 'reply', ask, reply: {kind: 'granted', server: serverOrReply}};
 }
+
+/** Empty if the request has neither, so that its row doesn't grow. */
+function originOf({
+  kind = 0,
+  caller = 0,
+}: Pick<SlotRequest, 'kind' | 'caller'>): readonly Origin[] {
+  return kind === 0 && caller === 0 ? [] : [[kind, caller]];
+}
--- a/packages/gateway/src/link-messages.ts
+++ b/packages/gateway/src/link-messages.ts
@@ -50,6 +50,11 @@
       readonly ask: number;
       readonly how: SlotOutcome;
       readonly tookMs: number;
+      /**
+       * Slowdown by other work on the server's machine, as its answer reported
+       * it; 1 is usual. Absent if it didn't or if nobody uses it.
+       */
+      readonly slowdown?: number;
     }
   /** The last message of a router that leads now, with its term's epoch. */
   | {readonly kind: 'leading'; readonly epoch: number}
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -5,6 +5,18 @@
 /** Log level: `warn` leaves out answered requests, `off` logs nothing. */
 export type LogLevel = 'info' | 'warn' | 'off';
 
+/** How requests are scheduled; the first value of each is the default. */
+export interface SchedulingSettings {
+  /** What the time of a request is estimated from. */
+  readonly requestTimes: 'per_service' | 'per_kind';
+  /** What determines which server gets which keys. */
+  readonly placement: 'utilization' | 'latency';
+  /** The order of waiting requests of equal priority. */
+  readonly queue: 'by_slack' | 'fair';
+  /** What the retry delay of a refused caller is based on. */
+  readonly retryAfter: 'service_time' | 'scheduled';
+}
+
 /** Settings of one router process. */
 export interface Settings {
   readonly host: {
@@ -52,6 +64,7 @@
     /** Length of the window in which the retries are counted, in ms. */
     readonly windowMs: number;
   };
+  readonly scheduling: SchedulingSettings;
   readonly logging: {
     readonly level: LogLevel;
   };
@@ -63,13 +76,22 @@
 
 const LOG_LEVELS: readonly LogLevel[] = ['info', 'warn', 'off'];
 
+/** Schedules all requests of a service alike. */
+export const DEFAULT_SCHEDULING: SchedulingSettings = {
+  requestTimes: 'per_service',
+  placement: 'utilization',
+  queue: 'by_slack',
+  retryAfter: 'service_time',
+};
+
 /** An invalid setting; the message names its key. */
 export class SettingsError extends Error {
   override readonly name = 'SettingsError';
 }
 
 /**
- * Parses settings in TOML.
+ * Parses settings in TOML. `scheduling` is used for the keys of that section
+ * that the text doesn't set.
  *
  * @throws SettingsError that names the first invalid key.
  *
@@ -78,7 +100,10 @@
  * const settings = parseSettings(await readFile(path, 'utf8'));
  * ```
  */
-export function parseSettings(text: string): Settings {
+export function parseSettings(
+  text: string,
+  scheduling: SchedulingSettings = DEFAULT_SCHEDULING,
+): Settings {
   const root = parseToml(text);
   const valueAt = (section: string, key: string): unknown => {
     const table = root[section];
@@ -104,6 +129,13 @@
     if (typeof value === 'boolean') return value;
     throw new SettingsError(`${section}.${key}: must be true or false`);
   };
+  const choiceAt = <T extends string>(
+    section: string,
+    key: string,
+    choices: readonly T[],
+    fallback: T,
+  ): T =>
+    checkChoice(`${section}.${key}`, choices, stringAt(section, key, fallback));
   const durationAt = (section: string, key: string, fallback: string): number =>
     parseDuration(`${section}.${key}`, stringAt(section, key, fallback));
   const addressAt = (section: string, key: string): string =>
@@ -156,7 +188,33 @@
         durationAt('retries', 'window', '10s'),
       ),
     },
-    logging: {level: checkLevel(stringAt('logging', 'level', 'info'))},
+    scheduling: {
+      requestTimes: choiceAt(
+        'scheduling',
+        'request_times',
+        ['per_service', 'per_kind'],
+        scheduling.requestTimes,
+      ),
+      placement: choiceAt(
+        'scheduling',
+        'placement',
+        ['utilization', 'latency'],
+        scheduling.placement,
+      ),
+      queue: choiceAt(
+        'scheduling',
+        'queue',
+        ['by_slack', 'fair'],
+        scheduling.queue,
+      ),
+      retryAfter: choiceAt(
+        'scheduling',
+        'retry_after',
+        ['service_time', 'scheduled'],
+        scheduling.retryAfter,
+      ),
+    },
+    logging: {level: choiceAt('logging', 'level', LOG_LEVELS, 'info')},
     operators: {tokens: checkTokens(valueAt('operators', 'tokens') ?? [])},
   };
 }
@@ -206,12 +264,14 @@
   );
 }
 
-function checkLevel(text: string): LogLevel {
-  const level = LOG_LEVELS.find(each => each === text);
-  if (level !== undefined) return level;
-  throw new SettingsError(
-    `logging.level: matches none of ${LOG_LEVELS.join(', ')}`,
-  );
+function checkChoice<T extends string>(
+  key: string,
+  choices: readonly T[],
+  text: string,
+): T {
+  const choice = choices.find(each => each === text);
+  if (choice !== undefined) return choice;
+  throw new SettingsError(`${key}: matches none of ${choices.join(', ')}`);
 }
 
 const ROLES: readonly Role[] = ['viewer', 'publisher'];
--- a/packages/gateway/test/link-message-size.test.ts
+++ b/packages/gateway/test/link-message-size.test.ts
@@ -54,6 +54,18 @@
   t.ok(bytes <= 160, `${bytes} bytes`);
 });
 
+// Guards against routers that place requests by the wrong caller, or take a hash
+// for a server that must not be chosen.
+void tap.test('origin of a request and slowdown of its server', async t => {
+  const origin = {kind: 51_200, caller: 3_405_691_582};
+  const place = {...PLACE, ...origin, excluded: ['i-1', 'i-2']};
+  const arrived = sentToLeader({kind: 'ask', ask: 7, place});
+  t.match(arrived, {place: {...origin, excluded: ['i-1', 'i-2']}});
+  const end = {kind: 'end', ask: 7, how: 'answered', tookMs: 187} as const;
+  t.same(sentToLeader(end), end);
+  t.same(sentToLeader({...end, slowdown: 2.9}), {...end, slowdown: 2.9});
+});
+
 void tap.test('messages are decoded as they were sent', async t => {
   const ask = {kind: 'ask', ask: 7, place: PLACE} as const;
   const {id, service, key, priority, leftMs, aimLeftMs} = PLACE;
--- a/packages/gateway/test/settings.test.ts
+++ b/packages/gateway/test/settings.test.ts
@@ -1,5 +1,9 @@
 import tap from 'tap';
-import {parseSettings, parseDuration} from '@banyandrum/gateway/settings.js';
+import {
+  DEFAULT_SCHEDULING,
+  parseDuration,
+  parseSettings,
+} from '@banyandrum/gateway/settings.js';
 
 const VALID = `
 [host]
@@ -42,6 +46,11 @@
     'ratio = 0.2\n[operators]\ntokens = [{operator = "a", role = "root"}]',
     /operators\.tokens\[0\]\.role/,
   ],
+  [
+    'ratio = 0.2',
+    'ratio = 0.2\n[scheduling]\nqueue = "random"',
+    /scheduling\.queue: matches none of by_slack, fair/,
+  ],
   ['[host]', '[host', /./],
 ];
 
@@ -52,6 +61,9 @@
   t.equal(settings.logging.level, 'info');
   t.equal(settings.retries.windowMs, 10_000);
   t.equal(settings.configuration.applyWithinMs, 2_000);
+  t.same(settings.scheduling, DEFAULT_SCHEDULING);
+  const {scheduling} = parseSettings(`${VALID}[scheduling]\nqueue = "fair"`);
+  t.same(scheduling, {...DEFAULT_SCHEDULING, queue: 'fair'});
   const applyWithin = '[configuration]\napply_within = "2500ms"';
   const {configuration} = parseSettings(`${VALID}${applyWithin}`);
   t.equal(configuration.applyWithinMs, 2_500);
