Use the times of kinds and servers for slots, where they are kept

With a model of request times, slack and expiry of a request come from its own usual time, waits from the mean time at the owner, and a request without a key goes to the free server where it is expected to be answered first. Without a model nothing changes. Server-Load's fourth figure is read and passed on with the end of a slot.

--- a/packages/dispatch/src/backend.ts
+++ b/packages/dispatch/src/backend.ts
@@ -155,9 +155,7 @@
   }
   noteOutcome(backend, now, isFailure);
   if (isFailure) return;
-  const {slots} = backend.info;
-  const rounds = 1 + Math.max(0, inFlightAtSend - slots + 1) / slots;
-  const serviceMs = tookMs / rounds;
+  const serviceMs = withoutQueueing(backend, tookMs, inFlightAtSend);
   const {count, totalMs} = backend.unreportedServiceTimes;
   backend.unreportedServiceTimes = {
     count: count + 1,
@@ -170,6 +168,19 @@
         SERVICE_TIME_WEIGHT * (serviceMs - backend.serviceMs);
 }
 
+/**
+ * The time of a request without its wait in the server's own queue, in ms, which
+ * is estimated from the number of requests there when it was sent.
+ */
+export function withoutQueueing(
+  {info: {slots}}: Pick<Backend, 'info'>,
+  tookMs: number,
+  inFlightAtSend: number,
+): number {
+  const rounds = 1 + Math.max(0, inFlightAtSend - slots + 1) / slots;
+  return tookMs / rounds;
+}
+
 /**
  * Updates the state after a request without a complete answer. The elapsed time
  * is a lower bound of its service time, so it can only raise the average. If
--- a/packages/dispatch/src/find-target.ts
+++ b/packages/dispatch/src/find-target.ts
@@ -1,3 +1,4 @@
+import {kindOf} from '@banyandrum/service-times/kind.js';
 import {mayServeOwnedKeys, type Backend} from './backend.js';
 import {chooseServer, hasCapacity, estimateLoad} from './choose-server.js';
 import type {Connection} from './connections.js';
@@ -33,7 +34,7 @@
    */
   readonly isTrial: boolean;
   /** Releases the slot; tells its allocator the outcome of the request. */
-  releaseSlot(outcome: SlotOutcome, tookMs: number): void;
+  releaseSlot(outcome: SlotOutcome, tookMs: number, slowdown?: number): void;
 }
 
 /** Maximum time between checks for capacity or an owner, in ms. */
@@ -77,6 +78,7 @@
         ],
         dataCentre: cfg.dataCentre,
         ...(standing === 'suspected' && {trial: req.contents().anyQuery}),
+        ...(cfg.times !== undefined && {kind: kindOf(req.route.name)}),
       },
       req.signal,
     );
--- a/packages/dispatch/src/forward-state.ts
+++ b/packages/dispatch/src/forward-state.ts
@@ -2,6 +2,7 @@
 import type {Clock} from '@banyandrum/base/clock.js';
 import {failure, type Failure} from '@banyandrum/base/failure.js';
 import type {Route} from '@banyandrum/routing/config.js';
+import type {TimeModel} from '@banyandrum/service-times/time-model.js';
 import type {Answer} from './attempt.js';
 import type {Carriers} from './carriers.js';
 import type {ContentDigests} from './content-digests.js';
@@ -65,6 +66,8 @@
   /** Counts a decision on a retry, for the metrics. */
   readonly recordRetry: (service: string, outcome: RetryOutcome) => void;
   readonly quarantine: Quarantine;
+  /** Learns the times of answers; absent if times aren't kept by route. */
+  readonly times?: Pick<TimeModel, 'record'>;
   readonly clock: Clock;
   readonly emit: Emit;
   readonly routers: RouterTotal;
--- a/packages/dispatch/src/forward.ts
+++ b/packages/dispatch/src/forward.ts
@@ -15,6 +15,8 @@
 import {noteServerSignals} from './server-signals.js';
 import {slotOutcomeOf, handleResult} from './handle-result.js';
 import type {SlotOutcome} from './slots.js';
+import {readLoad} from './wire.js';
+import type {AttemptResult} from './attempt.js';
 
 /** Retry delay for callers unless a refusal determines another, in ms. */
 const DEFAULT_RETRY_AFTER_MS = 150;
@@ -120,12 +122,22 @@
   const isCutOff =
     NO_ANSWER.has(slotOutcome) && cfg.paths.isCutOff(backend.info.id);
   const tookMs = cfg.clock.now() - sentAt;
-  target.releaseSlot(isCutOff ? 'cut-off' : slotOutcome, tookMs);
+  const slowdown = reportedSlowdown(cfg, result);
+  target.releaseSlot(isCutOff ? 'cut-off' : slotOutcome, tookMs, slowdown);
   const reply = handleResult(state, backend, result, sentAt, inFlightAtSend);
   cfg.backends.notifyCapacity(req.service);
   return reply;
 }
 
+/** Slowdown in the server's answer; undefined if it is of no use or absent. */
+function reportedSlowdown(
+  {times, names}: ForwardConfig,
+  result: AttemptResult,
+): number | undefined {
+  if (times === undefined || result.kind === 'lost') return undefined;
+  return readLoad(result.answer.fields.get(names.load))?.slowdown;
+}
+
 /** Gives back a target that nothing was sent to. */
 function abandonTarget({backend, connection, releaseSlot}: Target): void {
   if (connection !== null) backend.connections.release(connection, true);
--- a/packages/dispatch/src/handle-result.ts
+++ b/packages/dispatch/src/handle-result.ts
@@ -1,6 +1,12 @@
 import {failure} from '@banyandrum/base/failure.js';
+import {kindOf} from '@banyandrum/service-times/kind.js';
 import type {Answer, AttemptResult, LossReason} from './attempt.js';
-import {noteAnswer, noteLoss, type Backend} from './backend.js';
+import {
+  noteAnswer,
+  noteLoss,
+  withoutQueueing,
+  type Backend,
+} from './backend.js';
 import {ejectServer} from './eject-server.js';
 import {
   failureReply,
@@ -94,6 +100,12 @@
   const hasFailed = isFailure(cfg.names, answer);
   noteAnswer(backend, now, tookMs, inFlightAtSend, hasFailed, load);
   if (!hasFailed) {
+    cfg.times?.record({
+      ...{service: req.service, kind: kindOf(req.route.name)},
+      server: backend.info.id,
+      tookMs: withoutQueueing(backend, tookMs, inFlightAtSend),
+      slowdown: load?.slowdown ?? null,
+    });
     return {kind: 'answer', answer, server: backend.info.id};
   }
   cfg.emit('attempt-failed', {...common, status});
--- a/packages/dispatch/src/server-cost.ts
+++ b/packages/dispatch/src/server-cost.ts
@@ -28,13 +28,15 @@
 /**
  * Cost of a request at the server: the expected service time in ms, increased
  * by the failure rate. `typicalMs` is used if no service time was measured.
+ * `expectedMs` replaces the measured time if the request's own is known.
  */
 export function costOf(
   backend: Backend,
   typicalMs: number,
   now: number,
+  expectedMs: number | null = null,
 ): number {
-  const serviceMs = backend.serviceMs || typicalMs;
+  const serviceMs = expectedMs ?? (backend.serviceMs || typicalMs);
   const cold = backend.coldUntil > now ? COLD_START_FACTOR : 1;
   const failures = currentFailureRate(backend, now);
   return (serviceMs * cold) / (1 - failures) ** 2;
--- a/packages/dispatch/src/slots.ts
+++ b/packages/dispatch/src/slots.ts
@@ -67,8 +67,11 @@
   | {
       readonly kind: 'granted';
       readonly server: string;
-      /** Releases the slot; must be called once. */
-      release(outcome: SlotOutcome, tookMs: number): void;
+      /**
+       * Releases the slot; must be called once. `slowdown` is that of the
+       * server's machine, if it was reported and is of use.
+       */
+      release(outcome: SlotOutcome, tookMs: number, slowdown?: number): void;
     }
   | Exclude<SlotReply, {kind: 'granted'}>;
 
--- a/packages/dispatch/src/wire.ts
+++ b/packages/dispatch/src/wire.ts
@@ -13,7 +13,10 @@
   readonly signature: string;
   /** Present if the server didn't run the request. */
   readonly notRun: string;
-  /** Running requests, waiting requests and slots of the server, as `3,0,8`. */
+  /**
+   * Running requests, waiting requests and slots of the server, and optionally
+   * how long work takes on its machine now, where 100 is usual: `3,0,8,290`.
+   */
   readonly load: string;
   /** Requests per second that the server accepts from all routers combined. */
   readonly limit: string;
@@ -32,14 +35,20 @@
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
+  /**
+   * Slowdown by other work on the server's machine, 1 is usual; absent if the
+   * server doesn't report it.
+   */
+  readonly slowdown?: number;
 }
 
 /** Parses a load report; null if it is malformed. */
 export function readLoad(text: string | undefined): ReportedLoad | null {
   if (text === undefined) return null;
-  const [running, waiting, slots] = text.split(',').map(Number);
+  const [running, waiting, slots, percent] = text.split(',').map(Number);
   if (!isCount(running) || !isCount(waiting) || !isCount(slots)) return null;
-  return {running, waiting, slots};
+  const load = {running, waiting, slots};
+  return isSlowdown(percent) ? {...load, slowdown: percent / 100} : load;
 }
 
 /**
@@ -61,6 +70,18 @@
 /** Rejects oversized values before the pattern is applied. */
 const MAX_LIMIT_LENGTH = 20;
 
+/**
+ * Bounds of a reported slowdown, in percent. Values beyond them are taken for
+ * faults of the server, and would distort the mean of its times.
+ */
+const MIN_SLOWDOWN_PERCENT = 10;
+const MAX_SLOWDOWN_PERCENT = 5_000;
+
+function isSlowdown(percent: number | undefined): percent is number {
+  if (percent === undefined) return false;
+  return percent >= MIN_SLOWDOWN_PERCENT && percent <= MAX_SLOWDOWN_PERCENT;
+}
+
 function isCount(value: number | undefined): value is number {
   return value !== undefined && Number.isInteger(value) && value >= 0;
 }
--- a/packages/slots/src/capacity-cache.ts
+++ b/packages/slots/src/capacity-cache.ts
@@ -3,6 +3,7 @@
 import type {Backends} from '@banyandrum/dispatch/backends.js';
 import {typicalServiceMs} from '@banyandrum/dispatch/server-cost.js';
 import type {ServerLimits} from '@banyandrum/dispatch/server-limits.js';
+import {meanMsAt, type TimeSource} from './request-time.js';
 
 /** Combined capacity of a service's servers, or of one server. */
 export interface Capacity {
@@ -22,7 +23,7 @@
 }
 
 /** Dependencies of `createCapacityCache`. */
-export interface CapacityCacheConfig {
+export interface CapacityCacheConfig extends TimeSource {
   readonly backends: Backends;
   readonly clock: Clock;
   readonly limits: Pick<ServerLimits, 'limitOf'>;
@@ -49,7 +50,7 @@
 
   const computeCapacity = (service: string): Capacity => {
     const group = backends.ofService(service);
-    const serviceMs = typicalServiceMs(group);
+    const serviceMs = meanMsAt(cfg, service) ?? typicalServiceMs(group);
     let slots = 0;
     let isLimited = false;
     for (const backend of group) {
@@ -79,11 +80,13 @@
  * time.
  */
 export function capacityOf(
-  {limits}: Pick<CapacityCacheConfig, 'limits'>,
+  cfg: Pick<CapacityCacheConfig, 'limits' | 'times'>,
   {info, serviceMs: measuredMs}: Backend,
   typicalMs: number,
 ): Capacity {
-  const serviceMs = measuredMs || typicalMs;
+  const {limits} = cfg;
+  const usualMs = meanMsAt(cfg, info.service, info.id);
+  const serviceMs = usualMs ?? (measuredMs || typicalMs);
   const perSecond = limits.limitOf(info.id);
   if (perSecond === null) {
     return {slots: info.slots, serviceMs, isLimited: false};
--- a/packages/slots/src/free-server.ts
+++ b/packages/slots/src/free-server.ts
@@ -15,9 +15,10 @@
   DEFAULT_SERVICE_MS,
   isHealthy,
 } from '@banyandrum/dispatch/server-cost.js';
+import {expectedMsAt, type TimeSource} from './request-time.js';
 
 /** Dependencies of `createSlotAllocator`. */
-export interface SlotAllocatorConfig {
+export interface SlotAllocatorConfig extends TimeSource {
   readonly backends: Backends;
   readonly clock: Clock;
   readonly emit: Emit;
@@ -85,10 +86,9 @@
   return allocatedSlots < (ejectionMs > 0 ? 1 : info.slots);
 }
 
-function findAny(
-  {backends, clock, limits}: SlotAllocatorConfig,
-  {service, excluded, dataCentre, trial}: SlotRequest,
-): Backend | null {
+function findAny(cfg: SlotAllocatorConfig, req: SlotRequest): Backend | null {
+  const {backends, clock, limits} = cfg;
+  const {service, excluded, trial} = req;
   const now = clock.now();
   const group = backends.ofService(service);
   const mayServe = (backend: Backend): boolean =>
@@ -103,7 +103,7 @@
     if (!hasFreeSlot(backend) || !mayServe(backend)) continue;
     if (trial !== undefined && backend.hasTrial) continue;
     if (!limits.hasToken(backend.info.id)) continue;
-    const ms = slotCost(backend, dataCentre, now);
+    const ms = slotCost(cfg, req, backend, now);
     if (isHealthy(backend, now)) {
       if (ms >= healthyMs) continue;
       healthy = backend;
@@ -122,15 +122,22 @@
 }
 
 /** Cost of one more request at the server, in ms. */
-function slotCost(backend: Backend, dataCentre: string, now: number): number {
+function slotCost(
+  cfg: SlotAllocatorConfig,
+  req: SlotRequest,
+  backend: Backend,
+  now: number,
+): number {
   const isUnknown =
     backend.lastAnswerAt === -Infinity && backend.allocatedSlots === 0;
   // Applies to remote servers too, as one request suffices to measure it.
   if (isUnknown) return DEFAULT_SERVICE_MS * UNMEASURED_COST_FACTOR;
   const remote =
-    backend.info.dataCentre === dataCentre ? 1 : REMOTE_COST_FACTOR;
+    backend.info.dataCentre === req.dataCentre ? 1 : REMOTE_COST_FACTOR;
   // Prefers an idle server to one with running requests.
   const occupancy =
     1 + (OCCUPANCY_COST * backend.allocatedSlots) / backend.info.slots;
-  return costOf(backend, DEFAULT_SERVICE_MS, now) * remote * occupancy;
+  const expectedMs = expectedMsAt(cfg, req, backend.info.id);
+  const cost = costOf(backend, DEFAULT_SERVICE_MS, now, expectedMs);
+  return cost * remote * occupancy;
 }
--- a/packages/slots/src/queue-policy.ts
+++ b/packages/slots/src/queue-policy.ts
@@ -11,6 +11,7 @@
   type PriorityLevel,
   type Waiter,
 } from './wait-queue.js';
+import type {TimeSource} from './request-time.js';
 import type {SlackTracker} from './slack-tracker.js';
 import type {ServerLimits} from '@banyandrum/dispatch/server-limits.js';
 
@@ -61,7 +62,7 @@
 }
 
 /** Dependencies of the queue policy. */
-export interface QueuePolicyConfig {
+export interface QueuePolicyConfig extends TimeSource {
   readonly backends: Backends;
   readonly capacities: CapacityCache;
   readonly slackTracker: SlackTracker;
@@ -138,12 +139,13 @@
 }
 
 function capacityFor(
-  {backends, capacities, limits}: QueuePolicyConfig,
+  cfg: QueuePolicyConfig,
   {service, owner}: WaitQueue,
 ): Capacity {
+  const {backends, capacities} = cfg;
   const all = capacities.of(service);
   if (owner === null) return all;
   const backend = backends.get(owner);
   if (backend === undefined) return {slots: 1, serviceMs: 0, isLimited: false};
-  return capacityOf({limits}, backend, all.serviceMs);
+  return capacityOf(cfg, backend, all.serviceMs);
 }
--- a/packages/slots/src/slot-allocator.ts
+++ b/packages/slots/src/slot-allocator.ts
@@ -3,9 +3,11 @@
   noteLoss,
   type Backend,
 } from '@banyandrum/dispatch/backend.js';
+import {UNKNOWN_KIND} from '@banyandrum/service-times/kind.js';
 import {createCapacityCache} from './capacity-cache.js';
 import {ejectServer} from '@banyandrum/dispatch/eject-server.js';
 import {findFreeServer, type SlotAllocatorConfig} from './free-server.js';
+import {requestTime} from './request-time.js';
 import {
   countAhead,
   queueLength,
@@ -39,7 +41,7 @@
   ask(
     req: SlotRequest,
     reply: (reply: SlotReply) => void,
-  ): (outcome: SlotOutcome, tookMs: number) => void;
+  ): (outcome: SlotOutcome, tookMs: number, slowdown?: number) => void;
   /** Processes all waiting requests again, as owners or servers changed. */
   reevaluate(): void;
   /** Replies `unavailable` to all waiting requests. */
@@ -209,12 +211,19 @@
   return {
     ask(req, reply) {
       const now = cfg.clock.now();
-      const {serviceMs} = capacities.of(req.service);
+      const meanMs = capacities.of(req.service).serviceMs;
+      const queue = queues.queueFor(req);
+      const time = requestTime(cfg, req, queue.owner, meanMs);
+      const serviceMs = time.ownMs;
       const {priority} = req;
       // The slack at the caller's first request. With the remaining slack,
       // retries would overtake and displace requests that are already queued.
       const slackMs = req.askedMs + req.aimLeftMs - serviceMs;
-      if (slackMs > 0) slackTracker.noteSlack(req.service, priority, slackMs);
+      // Independent of the owner's speed: keys of slow servers don't compete with
+      // those of others.
+      const typicalSlackMs = req.askedMs + req.aimLeftMs - time.typicalMs;
+      if (typicalSlackMs > 0)
+        slackTracker.noteSlack(req.service, priority, typicalSlackMs);
       const waiter: Waiter = {
         req,
         priority,
@@ -227,7 +236,6 @@
         server: null,
         queue: null,
       };
-      const queue = queues.queueFor(req);
       if (req.trial !== undefined) {
         const standing = cfg.suspects.standingOf(req.trial);
         if (standing === 'quarantined') return refuseTrial(waiter, standing);
@@ -238,7 +246,7 @@
       else if (countAhead(queue, waiter) > 0 || !tryGrant(waiter)) {
         enqueueOrRefuse(queue, waiter);
       }
-      return (outcome, tookMs) => {
+      return (outcome, tookMs, slowdown) => {
         const {server} = waiter;
         waiter.server = null;
         running.delete(waiter);
@@ -248,7 +256,7 @@
           cfg.onNotHeld(req.service, req.key, server, waiter.grantedAt);
         const backend = cfg.backends.get(server);
         if (backend !== undefined)
-          releaseSlot(cfg, backend, waiter, outcome, tookMs);
+          releaseSlot(cfg, backend, waiter, {outcome, tookMs, slowdown});
         for (const queue of queues.queuesServedBy(req.service, server))
           serveQueue(queue);
       };
@@ -288,17 +296,29 @@
   return waitersIn(from).flatMap(({req: {key}}) => (key === null ? [] : [key]));
 }
 
+/** How the use of a slot ended. */
+interface SlotEnd {
+  readonly outcome: SlotOutcome;
+  readonly tookMs: number;
+  readonly slowdown: number | undefined;
+}
+
 function releaseSlot(
-  {clock, suspects, emit}: SlotAllocatorConfig,
+  {clock, suspects, emit, times}: SlotAllocatorConfig,
   backend: Backend,
   {grantedAt, req}: Waiter,
-  outcome: SlotOutcome,
-  tookMs: number,
+  {outcome, tookMs, slowdown}: SlotEnd,
 ): void {
   backend.allocatedSlots = Math.max(0, backend.allocatedSlots - 1);
   if (req.trial !== undefined) backend.hasTrial = false;
   const now = clock.now();
-  if (outcome === 'answered') suspects.noteAlive(backend.info.id, grantedAt);
+  if (outcome === 'answered') {
+    const server = backend.info.id;
+    const {service, kind = UNKNOWN_KIND} = req;
+    suspects.noteAlive(server, grantedAt);
+    const sample = {service, kind, server, tookMs};
+    times?.record({...sample, slowdown: slowdown ?? null});
+  }
   if (outcome === 'answered' || outcome === 'failed') {
     noteAnswer(backend, now, tookMs, 0, outcome === 'failed', null);
   } else if (outcome === 'lost') {
--- a/packages/slots/test/simulate-load.ts
+++ b/packages/slots/test/simulate-load.ts
@@ -5,6 +5,8 @@
   createSlotAllocator,
   type SlotAllocator,
 } from '@banyandrum/slots/slot-allocator.js';
+import {kindOf} from '@banyandrum/service-times/kind.js';
+import {createTimeModel} from '@banyandrum/service-times/time-model.js';
 import type {SlotReply} from '@banyandrum/dispatch/slots.js';
 import {createServerLimits} from '@banyandrum/dispatch/server-limits.js';
 import {createSuspects} from '@banyandrum/dispatch/suspects.js';
@@ -46,6 +48,8 @@
   readonly ownerLoads?: readonly number[];
   /** Whether retries are treated as new requests. */
   readonly treatsRetriesAsNew?: boolean;
+  /** Whether times are kept by kind of caller and by server. */
+  readonly timesByKind?: boolean;
 }
 
 /** Slowdowns that come and go. */
@@ -114,6 +118,7 @@
     limits: createServerLimits({clock, emit: () => undefined}),
     ownerOf: (_, key) => ownerOf(key),
     onNotHeld: () => undefined,
+    ...(load.timesByKind && {times: createTimeModel({clock})}),
   });
   const slownessOf = new Map(
     servers.map(({id}, at) => [id, load.slowness[at]!]),
@@ -257,7 +262,7 @@
       const tookMs =
         kind.workMs * variation * simulation.slownessOf.get(server)!;
       work(server, tookMs, tookMs => {
-        release('answered', tookMs);
+        release('answered', tookMs, simulation.noiseOf.get(server));
         if (isDone) return;
         isDone = true;
         cancelTimeout();
@@ -270,7 +275,7 @@
       {
         ...{id: 'r', service: SERVICE, key, priority: kind.priority},
         ...{leftMs, aimLeftMs: kind.targetMs - elapsedMs, askedMs: elapsedMs},
-        ...{excluded: [], dataCentre: 'a'},
+        ...{excluded: [], dataCentre: 'a', kind: kindOf(kind.name)},
       },
       reply => clock.after(0, () => handleReply(reply)),
     );
