Place keys by expected late answers if a latency profile is known

A slow server at the same utilization as a fast one answers late even when no request waits, and the plan kept both at the same utilization. Where a profile of the request times is known, keys now leave the server where one request less saves the most late answers, for the one where one more costs the least. A single key that needs more than its server has moves to a clearly faster one although its requests run.

--- a/packages/gateway/src/leadership.ts
+++ b/packages/gateway/src/leadership.ts
@@ -14,6 +14,7 @@
   createServiceLeader,
   type ServiceLeader,
 } from '@banyandrum/ranges/service-leader.js';
+import type {LatencyProfile} from '@banyandrum/ranges/late-answers.js';
 import type {TableStore} from '@banyandrum/ranges/table-store.js';
 import type {ListedServer} from '@banyandrum/ranges/leader-state.js';
 import type {RangeTable} from '@banyandrum/ranges/table.js';
@@ -85,6 +86,8 @@
   waitingKeys(service: string): readonly number[];
   /** The key of each request of the service that has a slot. */
   runningKeys(service: string): readonly number[];
+  /** By what keys are placed; see `ServiceLeaderConfig.profile`. */
+  profileOf(service: string): LatencyProfile | null;
 }
 
 /** Interval at which grants, renewals and moves are processed, in ms. */
@@ -203,6 +206,7 @@
         isListSettled: cfg.isListSettled,
         queuedKeys: () => cfg.waitingKeys(service),
         runningKeys: () => cfg.runningKeys(service),
+        profile: () => cfg.profileOf(service),
         nextFence: () => toFence(ownTerm.epoch, ownTerm.fence++),
         mayAct: () => term === ownTerm && hasAuthority(),
         onChange: onTablesChanged,
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -168,6 +168,7 @@
     isListSettled: () => serverList.sinceNewServerMs() >= SERVER_LIST_SETTLE_MS,
     waitingKeys: service => slotAllocator.waitingKeys(service),
     runningKeys: service => slotAllocator.runningKeys(service),
+    profileOf: () => null,
     isFirstStart: settings.platform.isFirstStart,
   });
   const routerGroup = joinRouterGroup({
--- a/packages/gateway/test/leadership-restore.test.ts
+++ b/packages/gateway/test/leadership-restore.test.ts
@@ -81,6 +81,7 @@
       isListSettled: () => true,
       waitingKeys: () => [],
       runningKeys: () => [],
+      profileOf: () => null,
       isFirstStart: true,
     });
     return {leadership, access};
--- a/packages/gateway/test/leadership-scale.test.ts
+++ b/packages/gateway/test/leadership-scale.test.ts
@@ -76,6 +76,7 @@
     isListSettled: () => true,
     waitingKeys: () => [],
     runningKeys: () => [],
+    profileOf: () => null,
     isFirstStart: true,
   });
   const harness: Harness = {
--- a/packages/gateway/test/leadership.test.ts
+++ b/packages/gateway/test/leadership.test.ts
@@ -59,6 +59,7 @@
     isListSettled: () => true,
     waitingKeys: () => [],
     runningKeys: () => [],
+    profileOf: () => null,
     isFirstStart: true,
   });
   const advance = async (ms: number): Promise<void> => {
--- a/packages/ranges/src/balancing.ts
+++ b/packages/ranges/src/balancing.ts
@@ -9,7 +9,7 @@
 import {createMergedLease, isSettled, type RangeLease} from './range-lease.js';
 import {moveRange} from './move-range.js';
 import {planMoves, type PlannedMove} from './planner.js';
-import {MAX_KEY, type KeyRange} from './table.js';
+import {MAX_KEY, rangeSize, type KeyRange} from './table.js';
 import {mayMoveAtOnce, replaceLeases, splitLease} from './split-lease.js';
 
 const ALL_KEYS: KeyRange = {from: 0, to: MAX_KEY};
@@ -18,6 +18,11 @@
  * costs renewals.
  */
 const MAX_RANGES_PER_SERVER = 8;
+/**
+ * After a hot key has moved, it stays for this long, in ms. Its queue at the
+ * previous server and the service time at the new one are known by then.
+ */
+const HOT_KEY_REST_MS = 13_000;
 
 /**
  * Starts up to `maxMoves` moves that balance load. Returns whether one of them
@@ -43,7 +48,11 @@
   const assignments = settled.map(({assignment}) => assignment);
   const runningKeys = runningKeysOf(leader, ALL_KEYS);
   const plan = planMoves(
-    {assignments, servers: available, rates, runningKeys},
+    {
+      ...{assignments, servers: available, rates, runningKeys},
+      profile: leader.profile(),
+      recentlyMovedKeys: keysMovedSince(leader, now - HOT_KEY_REST_MS),
+    },
     maxMoves,
   );
   for (const move of plan.moves) {
@@ -54,6 +63,7 @@
     )!;
     leader.moveTargets.add(to);
     leader.activeMoves++;
+    emitPurpose(leader, move);
     void moveSegment(leader, lease, move).finally(() => {
       leader.moveTargets.delete(to);
       leader.activeMoves--;
@@ -80,11 +90,42 @@
   if (merged.length > 0) void saveAssignments(leader, merged);
 }
 
+/** Keys that moved alone after a time; forgets those that moved before it. */
+function keysMovedSince(
+  {hotKeyMoves}: LeaderState,
+  since: number,
+): ReadonlySet<number> {
+  for (const [key, movedAt] of hotKeyMoves) {
+    if (movedAt < since) hotKeyMoves.delete(key);
+  }
+  return new Set(hotKeyMoves.keys());
+}
+
+/** Logs why a range is to move by latency. */
+function emitPurpose(
+  leader: LeaderState,
+  {range, from, to, purpose}: PlannedMove,
+): void {
+  if (purpose === null) return;
+  leader.emit('range-placed', {
+    ...{from: range.from, to: range.to, server: from, target: to},
+    why: purpose.kind,
+    perSecond: roundToHundredth(purpose.rate),
+    savedPerSecond: roundToHundredth(purpose.savedPerSecond),
+  });
+}
+
+function roundToHundredth(value: number): number {
+  return Math.round(value * 100) / 100;
+}
+
 async function moveSegment(
   leader: LeaderState,
   lease: RangeLease,
-  {range, to}: PlannedMove,
+  move: PlannedMove,
 ): Promise<void> {
+  if (move.purpose?.kind === 'hot-key') return moveHotKey(leader, lease, move);
+  const {range, to} = move;
   const {assignment} = lease;
   if (range.from === assignment.from && range.to === assignment.to)
     return moveRange(leader, lease, 'load', to);
@@ -96,3 +137,18 @@
   if (part === undefined || !mayMoveAtOnce(leader, part)) return;
   await moveRange(leader, part, 'load', to);
 }
+
+/** Moves a single key although its requests run. */
+async function moveHotKey(
+  leader: LeaderState,
+  lease: RangeLease,
+  {range, to}: PlannedMove,
+): Promise<void> {
+  leader.hotKeyMoves.set(range.from, leader.clock.now());
+  const isAlone = rangeSize(lease.assignment) === 1;
+  const parts = isAlone ? [lease] : await splitLease(leader, lease, [range]);
+  const part = parts.find(each => each.assignment.from === range.from);
+  // An unanswered grant could delay the move beyond the end of the requests.
+  if (part === undefined || !isSettled(part, leader.clock.now())) return;
+  await moveRange(leader, part, 'load', to);
+}
--- a/packages/ranges/src/leader-state.ts
+++ b/packages/ranges/src/leader-state.ts
@@ -1,6 +1,7 @@
 import type {Clock} from '@banyandrum/base/clock.js';
 import type {InheritedAssignment} from './inheritance.js';
 import type {KeyLoad} from './key-load.js';
+import type {LatencyProfile} from './late-answers.js';
 import type {TableStore} from './table-store.js';
 import type {RangeLease} from './range-lease.js';
 import type {LeaseCallResult, LeaseClient} from './lease-client.js';
@@ -48,6 +49,11 @@
   queuedKeys(): readonly number[];
   /** The key of each request that has a slot. */
   runningKeys(): readonly number[];
+  /**
+   * How long the service's requests take and may take, the same object while it
+   * is unchanged; null if unknown, or if keys are placed by utilization.
+   */
+  profile(): LatencyProfile | null;
   /** Called when a range becomes served, or when ranges are split or merged. */
   onChange(): void;
   /** Called when a range stops being served, before its lease is released. */
@@ -83,6 +89,8 @@
   activeMoves: number;
   /** Target servers of those moves. */
   readonly moveTargets: Set<string>;
+  /** Monotonic time of the last move of each key that moved alone, in ms. */
+  readonly hotKeyMoves: Map<number, number>;
   nextPlanAt: number;
   lastDecayAt: number;
   /** Writes the table; see `TableWriter.save`. */
--- a/packages/ranges/src/move-range.ts
+++ b/packages/ranges/src/move-range.ts
@@ -8,8 +8,9 @@
   type ListedServer,
   type MoveReason,
 } from './leader-state.js';
+import {lateAnswersOf, type LateAnswers} from './late-answers.js';
 import {createRangeLease, type RangeLease} from './range-lease.js';
-import {utilization} from './planner.js';
+import {utilization} from './server-speed.js';
 import type {KeyRange} from './table.js';
 import {RELEASE_TIMEOUT_MS} from './lease-timing.js';
 
@@ -18,9 +19,14 @@
 /** Minimum timeout of a release call, in ms. */
 const MIN_RELEASE_TIMEOUT_MS = 400;
 
+/** Servers for a range with less load are compared at this rate, per second. */
+const MIN_COMPARED_RATE = 0.15;
+/** Weight of the utilization beside the share of late answers. */
+const UTILIZATION_WEIGHT = 0.02;
+
 /**
- * Moves a range to `preferredServer`, or to the least utilized server if there
- * is no preference or that server accepts no keys.
+ * Moves a range to `preferredServer`, or to the least loaded server if there is
+ * no preference or that server accepts no keys.
  */
 export async function moveRange(
   leader: LeaderState,
@@ -129,12 +135,19 @@
 ): ListedServer {
   const addedRate = leader.load.rateOf(range);
   const loads = loadByServer(leader);
+  const profile = leader.profile();
+  const late = profile === null ? null : lateAnswersOf(profile);
   let best = servers[0]!;
   let lowestScore = Infinity;
   for (const server of servers) {
     const {rate, count} = loads.get(server.id) ?? NO_LOAD;
     // The count breaks ties between idle servers: the fewest ranges win.
-    const score = utilization(server, rate + addedRate) + count * 1e-3;
+    const added = {rate, addedRate};
+    const score =
+      count * 1e-3 +
+      (late === null
+        ? utilization(server, rate + addedRate)
+        : lateShareAdded(late, server, added));
     if (score >= lowestScore) continue;
     best = server;
     lowestScore = score;
@@ -142,6 +155,18 @@
   return best;
 }
 
+/** Late answers per added request; utilization decides between equals. */
+function lateShareAdded(
+  late: LateAnswers,
+  server: ListedServer,
+  {rate, addedRate}: {readonly rate: number; readonly addedRate: number},
+): number {
+  const added = Math.max(addedRate, MIN_COMPARED_RATE);
+  const before = late.perSecond(server, rate);
+  const costPerSecond = late.perSecond(server, rate + added) - before;
+  return costPerSecond / added + utilization(server, rate) * UTILIZATION_WEIGHT;
+}
+
 /** Load assigned to a server: requests per second and number of ranges. */
 interface AssignedLoad {
   rate: number;
--- /dev/null
+++ b/packages/ranges/src/server-speed.ts
@@ -0,0 +1,24 @@
+/** What the response times of a server depend on, apart from its load. */
+export interface ServerSpeed {
+  /** Requests that the server processes concurrently. */
+  readonly slots: number;
+  /** Mean processing time of a request, without queueing, in ms. */
+  readonly serviceMs: number;
+}
+
+/**
+ * Returns the requests per second that a server can process.
+ *
+ * @example
+ * ```ts
+ * maxRate({slots: 3, serviceMs: 250}); // 12
+ * ```
+ */
+export function maxRate({slots, serviceMs}: ServerSpeed): number {
+  return (slots * 1000) / serviceMs;
+}
+
+/** The share of a server's slots that requests at this rate occupy. */
+export function utilization(server: ServerSpeed, rate: number): number {
+  return (rate * server.serviceMs) / 1000 / server.slots;
+}
--- a/packages/ranges/src/service-leader.ts
+++ b/packages/ranges/src/service-leader.ts
@@ -103,6 +103,7 @@
     isStopped: false,
     activeMoves: 0,
     moveTargets: new Set(),
+    hotKeyMoves: new Map(),
     nextPlanAt: now + FIRST_PLAN_DELAY_MS,
     lastDecayAt: now,
     save: () => tableWriter.save(),
--- a/packages/ranges/test/harness.ts
+++ b/packages/ranges/test/harness.ts
@@ -1,4 +1,5 @@
 import {inheritRecorded} from '@banyandrum/ranges/inheritance.js';
+import type {LatencyProfile} from '@banyandrum/ranges/late-answers.js';
 import {
   createServiceLeader,
   type ServiceLeader,
@@ -28,6 +29,25 @@
   replacedAt: number;
 }
 
+/** A line of a leader's log. */
+export interface TestEvent {
+  readonly event: string;
+  readonly fields: Readonly<Record<string, string | number | null>>;
+}
+
+/** Servers that differ, and what the leaders know of the service. */
+export interface HarnessOptions {
+  readonly slots: number;
+  serviceMsOf(id: string): number;
+  profile(): LatencyProfile | null;
+}
+
+const EQUAL_SERVERS: HarnessOptions = {
+  slots: 2,
+  serviceMsOf: () => 400,
+  profile: () => null,
+};
+
 /** Leaders, and the fake cluster that they work with. */
 export interface Harness {
   readonly clock: ManualClock;
@@ -38,6 +58,10 @@
   readonly evacuated: Set<string>;
   /** Keys of the requests that servers run. */
   runningKeys: readonly number[];
+  /** Keys of the requests that wait for a slot. */
+  queuedKeys: readonly number[];
+  /** What the leaders logged. */
+  readonly events: TestEvent[];
   /** When the list of servers counts as complete, in ms; by default at once. */
   listSettledAt: number;
   /** Starts a leader that succeeds the previous one. */
@@ -49,19 +73,26 @@
 }
 
 /** Creates a harness with the given servers; the seed determines the faults. */
-export function createHarness(seed: number, ids: readonly string[]): Harness {
+export function createHarness(
+  seed: number,
+  ids: readonly string[],
+  options: HarnessOptions = EQUAL_SERVERS,
+): Harness {
   const random = createRandom(seed);
   const clock = createManualClock(1_000);
   const cluster = createFakeCluster(clock, random, ids);
   const unlisted = new Set<string>();
   const evacuated = new Set<string>();
   const leaders: TestLeader[] = [];
+  const events: TestEvent[] = [];
   const harness: Harness = {
     clock,
     cluster,
     unlisted,
     evacuated,
     runningKeys: [],
+    queuedKeys: [],
+    events,
     listSettledAt: 0,
     async startLeader() {
       const tableStore = cluster.createTableStore();
@@ -83,14 +114,16 @@
           cluster.servers
             .filter(({id}) => !unlisted.has(id))
             .map(({id, address, isUp}) => ({
-              ...{id, address, slots: 2, serviceMs: 400},
+              ...{id, address, slots: options.slots},
+              serviceMs: options.serviceMsOf(id),
               isOpen: isUp && !evacuated.has(id),
               isEvacuated: evacuated.has(id),
             })),
         hasEnded: () => false,
         isListSettled: () => clock.now() >= harness.listSettledAt,
-        queuedKeys: () => [],
+        queuedKeys: () => harness.queuedKeys,
         runningKeys: () => harness.runningKeys,
+        profile: options.profile,
         nextFence: () => epoch * FENCES_PER_TERM + fence++,
         mayAct: () =>
           !leader.isReplaced &&
@@ -102,7 +135,7 @@
           leader.isReplaced = true;
           serviceLeader.stop();
         },
-        emit: () => undefined,
+        emit: (event, fields) => void events.push({event, fields}),
       });
       const leader: TestLeader = {
         ...{serviceLeader, isFrozen: false, isReplaced: false},
