Learn request times at the leader and pass them to its deputies, if asked for

With scheduling.request_times = "per_kind" each router keeps a model of request times: the leader learns from the ends of all slots, each router from its own requests, and deputies get changed rows with the state, at most once a second and only if their stream is idle. The planner's capacities, the slots and the choice of a server use it. Metrics and a log line every 10 s show the times of routes and servers at the leader.

--- a/packages/gateway/src/assignable-servers.ts
+++ b/packages/gateway/src/assignable-servers.ts
@@ -3,12 +3,16 @@
 import type {ServerLimits} from '@banyandrum/dispatch/server-limits.js';
 import {meanMs} from '@banyandrum/dispatch/server-cost.js';
 import type {ListedServer} from '@banyandrum/ranges/leader-state.js';
+import {UNKNOWN_KIND} from '@banyandrum/service-times/kind.js';
+import type {TimeModel} from '@banyandrum/service-times/time-model.js';
 import type {ServiceTimes} from './service-times.js';
 
 /** What `listAssignableServers` reads. */
 export interface AssignableServersConfig {
   readonly backends: Backends;
   readonly times: ServiceTimes;
+  /** Replaces `times` for services that it knows; absent if not in use. */
+  readonly requestTimes?: Pick<TimeModel, 'usualMs'> | undefined;
   readonly clock: Clock;
   readonly limits: Pick<ServerLimits, 'limitOf'>;
   /** Whether the server instance has provably terminated. */
@@ -20,9 +24,10 @@
 
 /** Lists the servers of `service` that may own keys, with their capacity. */
 export function listAssignableServers(
-  {backends, times, clock, limits, hasEnded}: AssignableServersConfig,
+  cfg: AssignableServersConfig,
   service: string,
 ): readonly ListedServer[] {
+  const {backends, times, requestTimes, clock, limits, hasEnded} = cfg;
   const listed = backends.ofService(service);
   const known = listed.map(({info}) => times.estimateMs(info.id, 0));
   const typicalMs = meanMs(known, DEFAULT_SERVICE_MS);
@@ -33,7 +38,8 @@
       address: info.address,
       slots: info.slots,
       serviceMs: Math.max(
-        times.estimateMs(info.id, typicalMs),
+        requestTimes?.usualMs(service, UNKNOWN_KIND, info.id) ??
+          times.estimateMs(info.id, typicalMs),
         limitedServiceMs(info.slots, limits.limitOf(info.id)),
       ),
       isOpen:
--- a/packages/gateway/src/link-broadcaster.ts
+++ b/packages/gateway/src/link-broadcaster.ts
@@ -5,7 +5,6 @@
 } from '@banyandrum/dispatch/server-limits.js';
 import {shouldBroadcast, type Suspect} from '@banyandrum/dispatch/suspect.js';
 import type {Suspects} from '@banyandrum/dispatch/suspects.js';
-import type {Clock} from '@banyandrum/base/clock.js';
 import type {RelayedPosition} from './config-keeper.js';
 import type {ServedTables} from './key-owners.js';
 import type {Leadership} from './leadership.js';
@@ -23,10 +22,14 @@
   type HostCapacity,
 } from './host-capacity.js';
 import type {ServerList} from './server-list.js';
+import {
+  createTimesShare,
+  type TimesReceiver,
+  type TimesShareConfig,
+} from './share-times.js';
 
 /** What sending state to the followers needs. */
-export interface BroadcasterConfig {
-  readonly clock: Clock;
+export interface BroadcasterConfig extends TimesShareConfig {
   readonly leadership: Leadership;
   readonly list: ServerList;
   readonly suspects: Pick<Suspects, 'rows'>;
@@ -45,7 +48,9 @@
 
 /** A follower that receives the state. */
 export interface Subscriber {
-  readonly stream: {write(message: EncodedMessage): unknown};
+  readonly stream: TimesReceiver['stream'] & {
+    write(message: EncodedMessage): unknown;
+  };
   /** The state sent last; null until the full state was sent. */
   lastSent: SharedState | null;
   /** Digest of the server list that it had when it connected; null if none. */
@@ -118,6 +123,7 @@
   cfg: BroadcasterConfig,
 ): StateBroadcaster {
   const shared = createSharedState(cfg);
+  const timesShare = createTimesShare(cfg);
   let budget = fullStateBudget(cfg.room);
 
   return {
@@ -148,6 +154,14 @@
           subscriber;
         if (candidate === null && awaitsHello) continue;
         if (lastSent !== null) {
+          const mayLead = candidate !== null && deputies.includes(candidate);
+          const times = mayLead ? timesShare.rowsFor(subscriber) : [];
+          if (times.length > 0) {
+            subscriber.lastSent = next;
+            const state = stateSince(cfg, lastSent, next, totals);
+            stream.write({bytes: encode({...state, times})});
+            continue;
+          }
           const message = changes.get(lastSent) ?? {
             bytes: encode(stateSince(cfg, lastSent, next, totals)),
           };
--- a/packages/gateway/src/link-messages.ts
+++ b/packages/gateway/src/link-messages.ts
@@ -5,6 +5,7 @@
 } from '@banyandrum/dispatch/slots.js';
 import type {LimitRow} from '@banyandrum/dispatch/server-limits.js';
 import type {Suspect} from '@banyandrum/dispatch/suspect.js';
+import type {TimeRow} from '@banyandrum/service-times/time-row.js';
 import type {ServiceDefinition} from '@grpc/grpc-js';
 import type {KeyCounts} from './key-owners.js';
 import type {WireConfig} from './link-config.js';
@@ -125,6 +126,11 @@
       readonly suspects?: readonly Suspect[];
       /** All limits, if any changed since the stream's last state. */
       readonly limits?: readonly LimitRow[];
+      /**
+       * Rows of request times that changed, if any. Sent only to deputies, at
+       * most once a second, and if times are kept by kind.
+       */
+      readonly times?: readonly TimeRow[];
       /** Number of followers plus the leader. */
       readonly routers: number;
       /** Time since the leader last reached the platform, in ms. */
--- a/packages/gateway/src/link-server.ts
+++ b/packages/gateway/src/link-server.ts
@@ -1,6 +1,5 @@
 import type {Emit} from '@banyandrum/dispatch/events.js';
 import type {SlotAllocator} from '@banyandrum/slots/slot-allocator.js';
-import type {SlotOutcome} from '@banyandrum/dispatch/slots.js';
 import type {ServerLimits} from '@banyandrum/dispatch/server-limits.js';
 import type {ServerPaths} from '@banyandrum/dispatch/server-paths.js';
 import type {Suspects} from '@banyandrum/dispatch/suspects.js';
@@ -90,7 +89,7 @@
   FollowerMessage,
   LeaderMessage | EncodedMessage
 >;
-type EndSlot = (how: SlotOutcome, tookMs: number) => void;
+type EndSlot = ReturnType<SlotAllocator['ask']>;
 
 interface Follower extends Subscriber {
   readonly stream: Stream;
@@ -354,10 +353,10 @@
     });
     if (!isRefused) pending.set(ask, endSlot);
   },
-  end({clock}, follower, {ask, how, tookMs}) {
+  end({clock}, follower, {ask, how, tookMs, slowdown}) {
     const {pending} = follower;
     if (how === 'answered') follower.answeredAt = clock.now();
-    pending.get(ask)?.(how, tookMs);
+    pending.get(ask)?.(how, tookMs, slowdown);
     pending.delete(ask);
   },
   counts(cfg, follower, {counts, unreachable}) {
--- a/packages/gateway/src/link-session.ts
+++ b/packages/gateway/src/link-session.ts
@@ -3,6 +3,7 @@
 import {mergeSuspects, type Suspect} from '@banyandrum/dispatch/suspect.js';
 import type {Suspects} from '@banyandrum/dispatch/suspects.js';
 import type {SlotResult, SlotReply} from '@banyandrum/dispatch/slots.js';
+import type {TimeModel} from '@banyandrum/service-times/time-model.js';
 import type {ClientDuplexStream} from '@grpc/grpc-js';
 import type {RoutingConfig} from '@banyandrum/routing/config.js';
 import type {RelayedPosition} from './config-keeper.js';
@@ -25,6 +26,8 @@
   readonly list: ServerList;
   readonly suspects: Suspects;
   readonly limits: ServerLimits;
+  /** Takes request times from the leader; absent if they aren't kept by kind. */
+  readonly times?: Pick<TimeModel, 'merge'>;
   onConfigCursor(cursor: number): void;
   applyConfig(config: RoutingConfig, cursor: number, leader: string): void;
   /** `ageMs` ago the platform's log ended at `configCursor`. */
@@ -106,7 +109,8 @@
   return {
     kind: 'granted',
     server: reply.server,
-    release: (how, tookMs) => sendEnd(session, number, how, tookMs),
+    release: (how, tookMs, slowdown) =>
+      sendEnd(session, number, how, tookMs, slowdown),
   };
 }
 
@@ -142,9 +146,11 @@
   ask: number,
   how: Extract<FollowerMessage, {kind: 'end'}>['how'],
   tookMs: number,
+  slowdown?: number,
 ): void {
   if (!isOpen) return;
-  stream.write({kind: 'end', ask, how, tookMs: Math.round(tookMs)});
+  const end = {kind: 'end', ask, how, tookMs: Math.round(tookMs)} as const;
+  stream.write(slowdown === undefined ? end : {...end, slowdown});
 }
 
 /** Handles a message from the other end of the stream. */
@@ -203,6 +209,7 @@
     cfg.suspects.merge(state.suspects);
   }
   if (state.limits !== undefined) cfg.limits.mergeFromLeader(state.limits);
+  if (state.times !== undefined) cfg.times?.merge(state.times);
   applyRelayedConfig(cfg, session, state);
   cfg.setRouterCount(state.routers);
 }
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -3,6 +3,7 @@
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {RequestOutcome} from './frontend.js';
 import type {PageHandler} from './quarantine-page.js';
+import {addTimeMetrics, type TimeMetricsSource} from './time-metrics.js';
 
 /** Values that the gauges read when metrics are scraped. */
 export interface MetricsSource {
@@ -43,6 +44,7 @@
   routersAgeMs(): number;
   /** Retries that this router may send now, by service. */
   retriesLeft(): Iterable<readonly [service: string, left: number]>;
+  readonly requestTimes: TimeMetricsSource['requestTimes'];
 }
 
 /** The process's metrics and the HTTP server that exposes them. */
@@ -181,6 +183,7 @@
         retriesLeft.set({service}, left);
     },
   });
+  addTimeMetrics(registry, source);
   const routes = new Set<string>();
   const labelOf = (route: string | null): string => {
     if (route === null) return 'none';
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -36,6 +36,7 @@
 import {createMetrics, type MetricsSource} from './metrics.js';
 import type {Platform} from './platform.js';
 import {createQuarantinePage} from './quarantine-page.js';
+import {createRequestTimes} from './request-times.js';
 import {createRouterCount} from './router-count.js';
 import {createCarryServer} from './carry-server.js';
 import {createServerList} from './server-list.js';
@@ -106,6 +107,12 @@
   const keyOwners = createKeyOwners(clock, emit);
   const serviceTimes = createServiceTimes();
   serverList.subscribe(() => backends.update(serverList.snapshot()!.servers));
+  const requestTimes = createRequestTimes({
+    ...{clock, emit, list: serverList},
+    mode: settings.scheduling.requestTimes,
+    config: () => configKeeper.current(),
+    isLeading: () => leadership.isLeading(),
+  });
   const suspects = createSuspects(clock, emit);
   const serverLimits = createServerLimits({clock, emit});
   const serviceConfig = (service: string): ServiceConfig | undefined =>
@@ -149,6 +156,7 @@
   const assignableServersCfg = {
     backends,
     times: serviceTimes,
+    requestTimes: requestTimes.part.times,
     clock,
     limits: requestLimits,
     hasEnded,
@@ -208,6 +216,7 @@
     list: serverList,
     suspects,
     limits: serverLimits,
+    ...requestTimes.part,
     chosenAddress,
     isLeading: () => leadership.isLeading(),
     self: {address: settings.listen.peers, ...settings.host},
@@ -250,6 +259,7 @@
     onNotHeld: leadership.noteNotHeld,
     suspects,
     limits: requestLimits,
+    ...requestTimes.part,
   });
   const reportLeaving = (server: string): void => {
     if (!serverList.noteLeaving(server) || leadership.isLeading()) return;
@@ -315,6 +325,7 @@
       [...retryBudget.services()].map(
         service => [service, retryBudget.basis(service).left] as const,
       ),
+    requestTimes,
   };
   const quarantinePage = createQuarantinePage(
     suspects,
@@ -357,6 +368,7 @@
       recordRetry: metrics.recordRetry,
       quarantine: createQuarantine(suspects, crashDetector),
       ...signalsCfg,
+      ...requestTimes.part,
       clock,
       emit,
       routers: routerCount,
@@ -399,6 +411,7 @@
     list: serverList,
     suspects,
     limits: serverLimits,
+    ...requestTimes.part,
     configPosition: () => configKeeper.position(),
     config: () => configKeeper.wireConfig(),
     configAgeMs: () => configKeeper.cursorAgeMs(),
@@ -462,6 +475,7 @@
   const shutDown = (): void => {
     isClosed = true;
     loopLag.stop();
+    requestTimes.stop();
     stopVitals();
     leadership.resign();
     configKeeper.stop();
