--- a/packages/ranges/src/late-answers.ts
+++ b/packages/ranges/src/late-answers.ts
@@ -25,15 +25,20 @@
 }
 
 /** Utilizations at which late answers are computed; linear between them. */
-const STEPS = 40;
+const STEPS = 32;
 /** Quantiles of the spread that are used: more would not change a decision. */
-const MAX_QUANTILES = 16;
+const MAX_QUANTILES = 12;
 /** Servers whose service times differ by less share a table, as a ratio. */
-const CLASS_RATIO = 1.04;
+const CLASS_RATIO = 1.06;
 
 /** Late answers at each step of utilization, as a fraction of the capacity. */
 type LateTable = Float64Array;
 
+/** A profile with few quantiles, and what is derived from it. */
+interface PreparedProfile extends LatencyProfile {
+  readonly meanSquare: number;
+}
+
 const knownProfiles = new WeakMap<LatencyProfile, LateAnswers>();
 
 /**
@@ -55,7 +60,8 @@
 }
 
 function createLateAnswers({kinds, spread}: LatencyProfile): LateAnswers {
-  const profile = {kinds, spread: groupQuantiles(spread)};
+  const grouped = {kinds, spread: groupQuantiles(spread)};
+  const profile = {...grouped, meanSquare: meanSquareOf({kinds, spread})};
   const tables = new Map<number, Map<number, LateTable>>();
   const tableOf = ({slots, serviceMs}: ServerSpeed): LateTable => {
     const speed = Math.round(Math.log(serviceMs) / Math.log(CLASS_RATIO));
@@ -94,7 +100,7 @@
  * further request is late: a queue that refuses what it can't serve in time
  * keeps the rate of answers on time at its maximum.
  */
-function createTable(profile: LatencyProfile, server: ServerSpeed): LateTable {
+function createTable(profile: PreparedProfile, server: ServerSpeed): LateTable {
   const table = new Float64Array(STEPS + 1);
   let slope = 0;
   let previous = 0;
@@ -118,13 +124,14 @@
 
 /** The share of requests that are answered late at a utilization from 0 to 1. */
 function lateShare(
-  {kinds, spread}: LatencyProfile,
+  {kinds, spread, meanSquare}: PreparedProfile,
   {slots, serviceMs}: ServerSpeed,
   load: number,
 ): number {
   if (load >= 1) return 1;
   const waitShare = shareThatWaits(slots, load);
-  const meanWaitMs = meanWait(kinds, spread, {slots, serviceMs}, load);
+  // The M/G/k approximation of the mean wait of those that wait.
+  const meanWaitMs = (serviceMs * meanSquare) / 2 / (slots * (1 - load));
   let late = 0;
   for (const {share, relativeWork, targetMs} of kinds) {
     for (const quantile of spread) {
@@ -137,20 +144,14 @@
   return late;
 }
 
-/** Mean wait of those requests that wait, in ms: the M/G/k approximation. */
-function meanWait(
-  kinds: LatencyProfile['kinds'],
-  spread: LatencyProfile['spread'],
-  {slots, serviceMs}: ServerSpeed,
-  load: number,
-): number {
-  const meanSquare =
-    kinds.reduce(
-      (sum, {share, relativeWork}) => sum + share * relativeWork ** 2,
-      0,
-    ) *
-    (spread.reduce((sum, each) => sum + each ** 2, 0) / spread.length);
-  return (serviceMs * meanSquare) / 2 / (slots * (1 - load));
+/** Mean square of a time relative to its mean. */
+function meanSquareOf({kinds, spread}: LatencyProfile): number {
+  const ofKinds = kinds.reduce(
+    (sum, {share, relativeWork}) => sum + share * relativeWork ** 2,
+    0,
+  );
+  const ofSpread = spread.reduce((sum, each) => sum + each ** 2, 0);
+  return (ofKinds * ofSpread) / spread.length;
 }
 
 /** The share of requests that wait for a slot: Erlang's C formula. */
--- a/packages/ranges/src/latency-planner.ts
+++ b/packages/ranges/src/latency-planner.ts
@@ -82,6 +82,7 @@
   const late = lateAnswersOf(profile);
   const loaded = ratesByAssignment(assignments, rates);
   const totals = rateByServer(loaded);
+  const ownLoads = groupByServer(loaded);
   const open = servers
     .filter(({isOpen}) => isOpen)
     .map(server => ({...server, rate: totals.get(server.id) ?? 0}));
@@ -99,7 +100,8 @@
     const to = byCost.find(({id}) => id !== from.id && !used.has(id));
     if (to === undefined) break;
     if (savingOf(from, late) <= costOf(to, late)) break;
-    const spans = idleSpans(loaded, from, runningKeys);
+    const own = ownLoads.get(from.id) ?? [];
+    const spans = own.flatMap(each => spansWithout(runningKeys, each));
     const move = bestMove(from, to, spans, {late, totalCapacity});
     if (move === null) continue;
     moves.push(move);
@@ -139,14 +141,17 @@
     .map(({server}) => server);
 }
 
-function idleSpans(
+function groupByServer(
   loaded: readonly AssignmentLoad[],
-  server: LoadedServer,
-  runningKeys: readonly number[],
-): readonly KeySpan[] {
-  return loaded
-    .filter(({assignment}) => assignment.server === server.id)
-    .flatMap(each => spansWithout(runningKeys, each));
+): ReadonlyMap<string | null, readonly AssignmentLoad[]> {
+  const groups = new Map<string | null, AssignmentLoad[]>();
+  for (const each of loaded) {
+    const {server} = each.assignment;
+    const group = groups.get(server);
+    if (group === undefined) groups.set(server, [each]);
+    else group.push(each);
+  }
+  return groups;
 }
 
 /** The segment whose move saves the most, if that justifies it; else null. */
@@ -180,9 +185,9 @@
 }
 
 function sumOfRates(spans: readonly KeySpan[]): number {
-  return spans
-    .flatMap(({rates}) => rates)
-    .reduce((sum, {rate}) => sum + rate, 0);
+  let sum = 0;
+  for (const {rates} of spans) for (const {rate} of rates) sum += rate;
+  return sum;
 }
 
 /** The rate up to `movable` whose move saves the most late answers. */
--- a/packages/ranges/src/segments.ts
+++ b/packages/ranges/src/segments.ts
@@ -55,16 +55,39 @@
   load: AssignmentLoad,
 ): readonly KeySpan[] {
   const {from, to} = load.assignment;
-  const cuts = excluded.filter(key => from <= key && key <= to);
+  const {rates} = load;
+  const firstCut = firstAtLeast(excluded, from, key => key);
+  const lastCut = firstAtLeast(excluded, to + 1, key => key);
+  const cuts = excluded.slice(firstCut, lastCut);
   const starts = [from, ...cuts.map(key => key + 1)];
   const ends = [...cuts.map(key => key - 1), to];
   return starts.map((start, at) => {
     const end = ends[at]!;
-    const rates = load.rates.filter(({key}) => start <= key && key <= end);
-    return {...load, from: start, to: end, rates};
+    const first = firstAtLeast(rates, start, ({key}) => key);
+    const afterLast = firstAtLeast(rates, end + 1, ({key}) => key);
+    return {
+      ...{...load, from: start, to: end},
+      rates: rates.slice(first, Math.max(first, afterLast)),
+    };
   });
 }
 
+/** Index of the first element with at least this key; they are in order. */
+function firstAtLeast<T>(
+  sorted: readonly T[],
+  key: number,
+  keyOf: (element: T) => number,
+): number {
+  let low = 0;
+  let high = sorted.length;
+  while (low < high) {
+    const middle = (low + high) >> 1;
+    if (keyOf(sorted[middle]!) < key) low = middle + 1;
+    else high = middle;
+  }
+  return low;
+}
+
 export function rateByServer(
   loaded: readonly AssignmentLoad[],
 ): ReadonlyMap<string, number> {
