Place keys by the measured times of requests, where the settings say so

The plan by expected late answers had no profile, and the estimate of request times no user in placement. A profile joins the measured mix and spread of a service with its routes' target latencies, and is kept for three seconds, as the planner computes its tables anew for each.

--- a/packages/gateway/src/latency-profile.ts
+++ b/packages/gateway/src/latency-profile.ts
@@ -1,22 +1,55 @@
+import type {Clock} from '@banyandrum/base/clock.js';
+import type {LatencyProfile} from '@banyandrum/ranges/late-answers.js';
 import type {RoutingConfig} from '@banyandrum/routing/config.js';
 import {kindOf} from '@banyandrum/service-times/kind.js';
-import type {ServiceProfile} from '@banyandrum/service-times/time-model.js';
+import type {
+  ServiceProfile,
+  TimeModel,
+} from '@banyandrum/service-times/time-model.js';
 
-/** The requests of a service, as far as they determine which are late. */
-export interface LatencyProfile {
-  readonly kinds: readonly KindLatency[];
-  /** Equally probable quantiles of a time relative to its mean, in order. */
-  readonly spread: readonly number[];
+/** What the profiles of services are built from. */
+export interface LatencyProfilesConfig {
+  readonly clock: Clock;
+  readonly model: Pick<TimeModel, 'profile'>;
+  /** Null until one is known. */
+  config(): RoutingConfig | null;
 }
 
-/** One kind of requests of a service. */
-export interface KindLatency {
-  /** Share of all requests of the service. */
-  readonly share: number;
-  /** Mean work relative to the mean of the service. */
-  readonly relativeWork: number;
-  /** Target latency, in ms. */
-  readonly targetMs: number;
+/**
+ * How long a profile is used, in ms. The mix of requests changes in seconds, and
+ * the planner computes its tables anew for each profile.
+ */
+const PROFILE_TTL_MS = 3_000;
+
+/**
+ * Returns a function that looks up a service's profile, and builds it anew every
+ * few seconds.
+ *
+ * @example
+ * ```ts
+ * const profileOf = createLatencyProfiles({clock, model, config});
+ * const profile = profileOf('lockers');
+ * ```
+ */
+export function createLatencyProfiles({
+  clock,
+  model,
+  config,
+}: LatencyProfilesConfig): (service: string) => LatencyProfile | null {
+  const built = new Map<string, {profile: LatencyProfile; until: number}>();
+  return service => {
+    const now = clock.now();
+    const last = built.get(service);
+    if (last !== undefined && now < last.until) return last.profile;
+    const current = config();
+    const profile =
+      current === null
+        ? null
+        : toLatencyProfile(model.profile(service), current);
+    if (profile !== null)
+      built.set(service, {profile, until: now + PROFILE_TTL_MS});
+    return profile;
+  };
 }
 
 /**
--- a/packages/gateway/src/request-times.ts
+++ b/packages/gateway/src/request-times.ts
@@ -1,5 +1,6 @@
 import type {Clock} from '@banyandrum/base/clock.js';
 import type {Emit} from '@banyandrum/dispatch/events.js';
+import type {LatencyProfile} from '@banyandrum/ranges/late-answers.js';
 import type {RoutingConfig} from '@banyandrum/routing/config.js';
 import {kindOf} from '@banyandrum/service-times/kind.js';
 import {
@@ -8,7 +9,7 @@
   type ServerSlowness,
   type TimeModel,
 } from '@banyandrum/service-times/time-model.js';
-import {toLatencyProfile, type LatencyProfile} from './latency-profile.js';
+import {createLatencyProfiles} from './latency-profile.js';
 import type {ServerList} from './server-list.js';
 import type {SchedulingSettings} from './settings.js';
 
@@ -26,7 +27,10 @@
   readonly part: {readonly times?: TimeModel};
   routeTimes(): readonly RouteTime[];
   servers(): readonly ServerSlowness[];
-  /** Mix and spread of the service's requests; null if they aren't known. */
+  /**
+   * Mix and spread of the service's requests, the same object for a few seconds;
+   * null if they aren't known.
+   */
   profileOf(service: string): LatencyProfile | null;
   stop(): void;
 }
@@ -109,8 +113,7 @@
     part: {times: model},
     routeTimes,
     servers: model.servers,
-    profileOf: service =>
-      config === null ? null : toLatencyProfile(model.profile(service), config),
+    profileOf: createLatencyProfiles({clock, model, config: () => config}),
     stop: () => cancel(),
   };
 }
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -176,7 +176,10 @@
     isListSettled: () => serverList.sinceNewServerMs() >= SERVER_LIST_SETTLE_MS,
     waitingKeys: service => slotAllocator.waitingKeys(service),
     runningKeys: service => slotAllocator.runningKeys(service),
-    profileOf: () => null,
+    profileOf: service =>
+      settings.scheduling.placement === 'latency'
+        ? requestTimes.profileOf(service)
+        : null,
     isFirstStart: settings.platform.isFirstStart,
   });
   const routerGroup = joinRouterGroup({
