--- a/packages/gateway/src/request-times.ts
+++ b/packages/gateway/src/request-times.ts
@@ -74,26 +74,29 @@
   if (cfg.mode === 'per_service') return OFF;
   const {clock, list} = cfg;
   const model = createTimeModel({clock});
-  let config: RoutingConfig | null = null;
+  /** The configuration that the model follows. */
+  let followed: RoutingConfig | null = null;
   let reportAt = clock.now() + REPORT_MS;
 
   const retainKnown = (): void => {
     const listed = list.snapshot();
-    if (listed === null || config === null) return;
+    if (listed === null || followed === null) return;
     model.retain({
       servers: new Set(listed.servers.map(({id}) => id)),
-      services: new Set(config.services.keys()),
-      kinds: new Set(routeNames(config).map(kindOf)),
+      services: new Set(followed.services.keys()),
+      kinds: new Set(routeNames(followed).map(kindOf)),
     });
   };
 
-  const routeTimes = (): readonly RouteTime[] =>
-    config === null ? [] : routeTimesOf(model, config);
+  const routeTimes = (): readonly RouteTime[] => {
+    const config = cfg.config();
+    return config === null ? [] : routeTimesOf(model, config);
+  };
 
   const check = (): void => {
-    const next = cfg.config();
-    if (next !== config) {
-      config = next;
+    const config = cfg.config();
+    if (config !== followed) {
+      followed = config;
       retainKnown();
     }
     if (clock.now() >= reportAt) {
@@ -109,8 +112,11 @@
     part: {times: model},
     routeTimes,
     servers: model.servers,
-    profileOf: service =>
-      config === null ? null : toLatencyProfile(model.profile(service), config),
+    profileOf(service) {
+      const config = cfg.config();
+      if (config === null) return null;
+      return toLatencyProfile(model.profile(service), config);
+    },
     stop: () => cancel(),
   };
 }
