--- a/packages/gateway/src/leadership.ts
+++ b/packages/gateway/src/leadership.ts
@@ -14,6 +14,7 @@
   createServiceLeader,
   type ServiceLeader,
 } from '@banyandrum/ranges/service-leader.js';
+import type {LatencyProfile} from '@banyandrum/ranges/late-answers.js';
 import type {TableStore} from '@banyandrum/ranges/table-store.js';
 import type {ListedServer} from '@banyandrum/ranges/leader-state.js';
 import type {RangeTable} from '@banyandrum/ranges/table.js';
@@ -48,6 +49,8 @@
   checkTerm(): void;
   /** Ends the term because this router shuts down. */
   resign(): void;
+  /** Expected late answers per second, of services with a latency profile. */
+  expectedLate(): number;
   addRequestCounts(counts: KeyCounts): void;
   /**
    * The key's owner answered that it doesn't hold the key, to a request that
@@ -85,6 +88,8 @@
   waitingKeys(service: string): readonly number[];
   /** The key of each request of the service that has a slot. */
   runningKeys(service: string): readonly number[];
+  /** By what keys are placed; see `ServiceLeaderConfig.profile`. */
+  profileOf(service: string): LatencyProfile | null;
 }
 
 /** Interval at which grants, renewals and moves are processed, in ms. */
@@ -203,6 +208,7 @@
         isListSettled: cfg.isListSettled,
         queuedKeys: () => cfg.waitingKeys(service),
         runningKeys: () => cfg.runningKeys(service),
+        profile: () => cfg.profileOf(service),
         nextFence: () => toFence(ownTerm.epoch, ownTerm.fence++),
         mayAct: () => term === ownTerm && hasAuthority(),
         onChange: onTablesChanged,
@@ -360,6 +366,10 @@
       confirmedAt = -Infinity;
       endTerm('resigned');
     },
+    expectedLate() {
+      const serviceLeaders = [...(term?.services.values() ?? [])];
+      return serviceLeaders.reduce((sum, each) => sum + each.expectedLate(), 0);
+    },
     addRequestCounts(counts) {
       for (const [service, keys] of counts) {
         const load = term?.services.get(service)?.load;
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -3,6 +3,7 @@
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {RequestOutcome} from './frontend.js';
 import type {PageHandler} from './quarantine-page.js';
+import {addTimeMetrics, type TimeMetricsSource} from './time-metrics.js';
 
 /** Values that the gauges read when metrics are scraped. */
 export interface MetricsSource {
@@ -20,6 +21,8 @@
   droppedLines(): number;
   /** Key ranges without an owner, if this router leads; else 0. */
   unheldRanges(): number;
+  /** Late answers per second by which keys are placed, if this router leads. */
+  expectedLate(): number;
   /** Requests that were in flight when servers crashed, by status. */
   suspected(): number;
   quarantined(): number;
@@ -43,6 +46,7 @@
   routersAgeMs(): number;
   /** Retries that this router may send now, by service. */
   retriesLeft(): Iterable<readonly [service: string, left: number]>;
+  readonly requestTimes: TimeMetricsSource['requestTimes'];
 }
 
 /** The process's metrics and the HTTP server that exposes them. */
@@ -120,6 +124,10 @@
       inSeconds(source.configReadMs),
     ],
     log_dropped_lines: ['Log lines dropped', source.droppedLines],
+    expected_late_per_second: [
+      'Late answers expected where keys are placed by latency',
+      source.expectedLate,
+    ],
     unheld_ranges: ['Key ranges that nobody serves', source.unheldRanges],
     suspected_requests: [
       'Contents under which servers ended, not refused',
@@ -181,6 +189,7 @@
         retriesLeft.set({service}, left);
     },
   });
+  addTimeMetrics(registry, source);
   const routes = new Set<string>();
   const labelOf = (route: string | null): string => {
     if (route === null) return 'none';
