Pause reads of a store that answers nothing, and ask a leader first after a start

While the store was down, each router read the configuration, the server list and tables at its own pace. Reads now pause once three calls in a row failed or are overdue; membership renewals, which cost a tenth, show that the store is back, and all reads resume at once. Renewals back off without a leader too. A starting router that is not chosen reads the store only after 250 ms without a leader's state. A router that knows deputies lists the group only 1.5 s after the leader was lost, and one that sent no renewal for 10 s does not leave.

--- a/packages/gateway/src/config-keeper.ts
+++ b/packages/gateway/src/config-keeper.ts
@@ -5,6 +5,7 @@
 import {toWireConfig, type WireConfig} from './link-config.js';
 import type {Evacuations} from './evacuations.js';
 import type {ConfigRead, Platform} from './platform.js';
+import type {StoreReads} from './store-contact.js';
 
 /** How up to date this router's configuration is. */
 export interface ConfigStatus {
@@ -92,6 +93,8 @@
    * it knows.
    */
   isRelayed(): boolean;
+  /** When reads are held back; never if absent. */
+  readonly reads?: Pick<StoreReads, 'mayProbe' | 'subscribe'>;
 }
 
 interface Confirmation {
--- a/packages/gateway/src/config-reader.ts
+++ b/packages/gateway/src/config-reader.ts
@@ -1,6 +1,7 @@
 import type {Clock} from '@banyandrum/base/clock.js';
 import type {Emit} from '@banyandrum/dispatch/events.js';
 import type {ConfigRead} from './platform.js';
+import type {StoreReads} from './store-contact.js';
 
 /** Dependencies of the configuration reader. */
 export interface ConfigReaderConfig {
@@ -16,6 +17,8 @@
   applyRead(result: ConfigRead, asOf: number): void;
   /** Time since the log was known to end at the keeper's cursor, in ms. */
   cursorAgeMs(): number;
+  /** When reads are held back; never if absent. */
+  readonly reads?: Pick<StoreReads, 'mayProbe' | 'subscribe'>;
 }
 
 /** Reads the configuration whenever nobody relays it. */
@@ -49,9 +52,10 @@
 const MAX_INTERVAL_MS = 1_000;
 /**
  * Delay after the first read, in ms. A starting router finds a leader within
- * about this time and needs no further reads of its own then.
+ * about this time and needs no further reads of its own then: after a restart of
+ * all routers, the platform chooses a leader once those before are removed.
  */
-const STARTUP_PAUSE_MS = 500;
+const STARTUP_PAUSE_MS = 800;
 /** Shortest interval between two reads that are answered at once, in ms. */
 const MIN_INTERVAL_MS = 100;
 /** Interval at which a router checks whether the leader still relays, in ms. */
@@ -111,7 +115,7 @@
   const isReadDue = (now: number): boolean => {
     if (now < retryAt || now < pausedUntil) return false;
     if (pending.size > 0 && now < answerDueAt) return false;
-    return !isRelayed();
+    return !isRelayed() && (cfg.reads?.mayProbe() ?? true);
   };
 
   const step = (): void => {
@@ -195,6 +199,15 @@
     }
   };
 
+  /** The store answers again: what was put off because of failures is due. */
+  const resume = (): void => {
+    failures = 0;
+    retryAt = -Infinity;
+    answerDueAt = -Infinity;
+    step();
+  };
+  cfg.reads?.subscribe(resume);
+
   // The first step runs later, so that `cfg` may use variables that are
   // initialized after this call.
   queueMicrotask(step);
--- a/packages/gateway/src/membership.ts
+++ b/packages/gateway/src/membership.ts
@@ -43,8 +43,16 @@
    * then, since renewals cost three calls per second and router.
    */
   maySkipJoin(): boolean;
+  /**
+   * Whether this router knows which routers the last leader designated to lead
+   * next. They are the group's members, so the group isn't listed at once when
+   * the leader is lost: 91 routers made 150 such calls at each loss.
+   */
+  knowsDeputies?(): boolean;
   /** Called when another router was chosen in place of this one. */
   onReplaced(): void;
+  /** Minimum time after which the platform removes silent members, in ms. */
+  readonly silenceMinMs?: number;
   /** Returns a number from 0 to 1, exclusive of 1. */
   readonly random?: () => number;
 }
@@ -54,9 +62,14 @@
 /**
  * Longest interval between renewals that fail while a leader is followed, in ms.
  * All routers that return to the platform must know within 3 s whether they are
- * chosen.
+ * chosen, and a configuration must be in force 2 s after the platform accepted
+ * it: reads wait for a renewal that succeeds.
  */
-const MAX_FAILED_INTERVAL_MS = 1_400;
+const MAX_FAILED_INTERVAL_MS = 1_350;
+/** The same without a leader, who is chosen by a renewal that succeeds, in ms. */
+const MAX_LEADERLESS_INTERVAL_MS = 1_000;
+/** Part of an interval by which renewals that fail are spread. */
+const RETRY_SPREAD = 0.15;
 /** How long an answer is valid, in ms: the next two should arrive within it. */
 const CHOSEN_TTL_MS = 1_000;
 /**
@@ -64,6 +77,19 @@
  * ms: when many routers start at once, each join changes the group for all.
  */
 const MIN_LIST_INTERVAL_MS = 700;
+/**
+ * A router that knows the deputies of the lost leader lists the group after
+ * this time without a leader, in ms. One of the deputies usually leads by then;
+ * if all are lost as well, another router is chosen about now.
+ */
+const LIST_AFTER_MS = 1_500;
+/**
+ * A router that sent no renewal for this long is no member any more, in ms, and
+ * need not leave. Also covers a renewal that took effect seconds late.
+ */
+const REMOVED_AFTER_MS = 10_000;
+/** The same, as a multiple of the time for which a member may be silent. */
+const REMOVED_AFTER_SILENCES = 3;
 
 /**
  * Joins the group of routers and renews the membership until `leave`.
@@ -76,6 +102,10 @@
  */
 export function joinRouterGroup(cfg: RouterGroupConfig): RouterGroup {
   const {members, clock, emit, random = Math.random} = cfg;
+  const removedAfterMs = Math.max(
+    REMOVED_AFTER_MS,
+    REMOVED_AFTER_SILENCES * (cfg.silenceMinMs ?? 0),
+  );
   let names: readonly string[] = [];
   let generation = -1;
   let listedAt = -Infinity;
@@ -85,8 +115,10 @@
   let answeredAt = -Infinity;
   /** Renewals in a row that failed. */
   let failures = 0;
-  /** While a leader is followed, no renewal is sent before, in ms. */
+  /** After a failure no renewal is sent before, in ms, unless as the leader. */
   let retryAt = -Infinity;
+  let askedAt = -Infinity;
+  let leaderlessSince: number | null = null;
 
   const recordContact = (membership: Membership | null): void => {
     const isAnswered = membership !== null;
@@ -110,18 +142,35 @@
   /** Spread, so that routers that fail together don't call together. */
   const scheduleRetry = (): void => {
     failures++;
-    const intervalMs = Math.min(
-      MAX_FAILED_INTERVAL_MS,
-      JOIN_INTERVAL_MS * 2 ** failures,
-    );
-    retryAt = clock.now() + intervalMs * (0.75 + random() / 4);
+    const maxMs = cfg.followsLeader()
+      ? MAX_FAILED_INTERVAL_MS
+      : MAX_LEADERLESS_INTERVAL_MS;
+    const intervalMs = Math.min(maxMs, JOIN_INTERVAL_MS * 2 ** failures);
+    retryAt = askedAt + intervalMs * (1 - random() * RETRY_SPREAD);
+  };
+
+  const pauseMs = (): number =>
+    cfg.isLeading()
+      ? JOIN_INTERVAL_MS
+      : Math.max(JOIN_INTERVAL_MS, retryAt - clock.now());
+
+  const observeLeader = (): void => {
+    if (cfg.followsLeader()) leaderlessSince = null;
+    else leaderlessSince ??= clock.now();
+  };
+
+  const mayList = (): boolean => {
+    observeLeader();
+    if (leaderlessSince === null) return false;
+    const isDue = clock.now() - leaderlessSince >= LIST_AFTER_MS;
+    return isDue || !(cfg.knowsDeputies?.() ?? false);
   };
 
   const join = async (): Promise<void> => {
+    observeLeader();
     if (cfg.maySkipJoin()) return;
-    const mayWait = cfg.followsLeader() && !cfg.isLeading();
-    if (mayWait && clock.now() < retryAt) return;
-    const askedAt = cfg.suspendAwareNow();
+    askedAt = clock.now();
+    const sentAt = cfg.suspendAwareNow();
     const membership = await members.join();
     recordContact(membership);
     if (membership === null) scheduleRetry();
@@ -129,9 +178,9 @@
     failures = 0;
     if (isChosen && !membership.isChosen) cfg.onReplaced();
     isChosen = membership.isChosen;
-    answeredAt = askedAt;
+    answeredAt = sentAt;
     cfg.onJoined();
-    if (cfg.followsLeader()) return;
+    if (!mayList()) return;
     if (clock.now() - listedAt < MIN_LIST_INTERVAL_MS) return;
     if (membership.generation === generation && names.length > 0) return;
     generation = membership.generation;
@@ -139,10 +188,7 @@
   };
 
   const goesOn = (): boolean => !isLeaving;
-  repeat(
-    {clock, emit, name: 'members', pauseMs: JOIN_INTERVAL_MS, goesOn},
-    join,
-  );
+  repeat({clock, emit, name: 'members', pauseMs, goesOn}, join);
 
   return {
     chosenName: () => names[0] ?? null,
@@ -153,6 +199,7 @@
     contactAgeMs: () => cfg.suspendAwareNow() - answeredAt,
     async leave(goesOn) {
       isLeaving = true;
+      if (clock.now() - askedAt > removedAfterMs) return;
       while (goesOn() && !(await members.leave())) {
         await sleep(clock, JOIN_INTERVAL_MS);
       }
--- a/packages/gateway/src/refresh-loops.ts
+++ b/packages/gateway/src/refresh-loops.ts
@@ -8,6 +8,7 @@
 import type {Platform} from './platform.js';
 import {repeat} from './repeat.js';
 import type {ServerList} from './server-list.js';
+import type {StoreReads} from './store-contact.js';
 
 /** Dependencies of the refresh loops. */
 export interface RefreshConfig {
@@ -18,6 +19,8 @@
   readonly list: ServerList;
   readonly owners: KeyOwners;
   readonly link: LinkClient;
+  /** When reads are held back; never if absent. */
+  readonly reads?: Pick<StoreReads, 'mayRead' | 'subscribe'>;
   /** Time within which a leaving server must stop getting requests, in ms. */
   readonly leaveWithinMs: number;
   /** Whether the loops should keep running. */
@@ -71,8 +74,12 @@
 export function startRefreshLoops(cfg: RefreshConfig): void {
   const {platform, leadership, list, link} = cfg;
   const noLeaderReadMs = cfg.leaveWithinMs * NO_LEADER_READ_SHARE;
+  const mayRead = (): boolean => cfg.reads?.mayRead() ?? true;
   let lastReadAt = -Infinity;
-  repeat({...cfg, name: 'servers', pauseMs: SERVER_LIST_READ_MS}, async () => {
+  let isReading = false;
+
+  const readListIfNeeded = async (): Promise<void> => {
+    if (isReading || !mayRead()) return;
     const ageMs = list.ageMs();
     const isFollower = !leadership.isLeading();
     if (isFollower && hasFreshLeaderState(link) && ageMs < FRESH_MS) return;
@@ -80,11 +87,26 @@
     const isKnown = list.cursor() !== null;
     if (isFollower && isKnown && now - lastReadAt < noLeaderReadMs) return;
     lastReadAt = now;
-    list.applyRead(await platform.readServers(list.cursor()));
-  });
-  repeat({...cfg, name: 'tables', pauseMs: TABLES_READ_MS}, () =>
-    readStoredTables(cfg),
+    isReading = true;
+    const read = platform.readServers(list.cursor());
+    list.applyRead(
+      await read.finally(() => {
+        isReading = false;
+      }),
+    );
+  };
+
+  repeat(
+    {...cfg, name: 'servers', pauseMs: SERVER_LIST_READ_MS},
+    readListIfNeeded,
   );
+  cfg.reads?.subscribe(() => {
+    lastReadAt = -Infinity;
+    if (cfg.goesOn()) void readListIfNeeded();
+  });
+  repeat({...cfg, name: 'tables', pauseMs: TABLES_READ_MS}, async () => {
+    if (mayRead()) await readStoredTables(cfg);
+  });
   repeat({...cfg, name: 'shares', pauseMs: CONNECTION_LIMITS_MS}, async () =>
     cfg.updateConnectionLimits(),
   );
--- a/packages/gateway/src/repeat.ts
+++ b/packages/gateway/src/repeat.ts
@@ -30,7 +30,8 @@
         emit('internal-error', {loop: name, detail: stack ?? message});
         await sleep(clock, ERROR_PAUSE_MS);
       }
-      if (pauseMs > 0) await sleep(clock, pauseMs);
+      const ms = typeof pauseMs === 'number' ? pauseMs : pauseMs();
+      if (ms > 0) await sleep(clock, ms);
     }
   };
   void run();
@@ -42,7 +43,8 @@
   readonly emit: Emit;
   /** Names the loop in the log. */
   readonly name: string;
-  readonly pauseMs: number;
+  /** The pause after each run, in ms, or a function that returns it. */
+  readonly pauseMs: number | (() => number);
   /** Checked before each run; the loop ends when it returns false. */
   goesOn(): boolean;
 }
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -46,6 +46,7 @@
 import {stopRouter} from './stop-router.js';
 import {createLeaderElection} from './leader-election.js';
 import {reportVitals} from './vitals.js';
+import {createStoreContact, trackStoreCalls} from './store-contact.js';
 import {createSuspendAwareTime} from './suspend-aware-clock.js';
 
 /** A running router process. */
@@ -86,7 +87,7 @@
  */
 export async function runRouter(
   settings: Settings,
-  platform: Platform,
+  externalPlatform: Platform,
   log: EventLog,
   clock: Clock = createClock(),
 ): Promise<RouterProcess> {
@@ -97,6 +98,10 @@
   let isClosed = false;
   const goesOn = (): boolean => !isClosed;
 
+  const storeContact = createStoreContact({
+    ...{clock, emit, isLeading: () => leadership.isLeading()},
+  });
+  const platform = trackStoreCalls(externalPlatform, storeContact);
   const backends = createBackends(clock);
   const serverList = createServerList(
     clock,
@@ -175,7 +180,12 @@
     clock,
     suspendAwareNow,
     emit,
-    onJoined: () => void election.runIfNeeded(),
+    onJoined() {
+      if (routerGroup.isChosen()) storeContact.endStartup();
+      void election.runIfNeeded();
+    },
+    silenceMinMs: settings.platform.silenceMinMs,
+    knowsDeputies: () => linkClient.deputies().length > 0,
     onReplaced: () => leadership.checkTerm(),
     maySkipJoin: () => !leadership.isLeading() && linkClient.hasOtherDeputies(),
     followsLeader: () => leadership.isLeading() || linkClient.leader() !== null,
@@ -276,6 +286,7 @@
   });
   const configKeeper = createConfigKeeper({
     ...{platform, evacuations, clock, suspendAwareNow, emit},
+    reads: storeContact,
     isRelayed: () => !leadership.isLeading() && linkClient.relaysConfig(),
   });
   configKeeper.subscribe(() => {
@@ -286,6 +297,7 @@
 
   const isQuarantineKnown = shareSuspects({
     ...{platform, clock, emit, leadership, suspects, link: linkClient, goesOn},
+    reads: storeContact,
     unixNow: Date.now,
   });
   const loopLag = monitorLoopLag(clock);
@@ -442,6 +454,7 @@
       list: serverList,
       owners: keyOwners,
       link: linkClient,
+      reads: storeContact,
     },
     leaveWithinMs: settings.servers.leaveWithinMs,
     goesOn,
--- a/packages/gateway/src/share-suspects.ts
+++ b/packages/gateway/src/share-suspects.ts
@@ -5,6 +5,7 @@
 import type {LinkClient} from './link-client.js';
 import type {Platform} from './platform.js';
 import {repeat, type RepeatConfig} from './repeat.js';
+import type {StoreReads} from './store-contact.js';
 
 /** What `shareSuspects` needs from the router. */
 export interface ShareSuspectsConfig extends Pick<
@@ -16,6 +17,8 @@
   readonly leadership: Leadership;
   readonly link: LinkClient;
   readonly platform: Platform;
+  /** When reads are held back; never if absent. */
+  readonly reads?: Pick<StoreReads, 'mayRead' | 'subscribe'>;
   /** Time of day, in ms since 1970. */
   unixNow(): number;
 }
@@ -130,11 +133,13 @@
   const startedAt = clock.now();
   const isUninformed = (): boolean => !isLoaded && !link.isSynced();
   const goesOn = (): boolean => cfg.goesOn() && isUninformed();
+  const loadIfAllowed = async (): Promise<void> => {
+    if (goesOn() && (cfg.reads?.mayRead() ?? true)) await loadRecords();
+  };
   repeat(
     {...cfg, name: 'suspects', pauseMs: LOAD_RETRY_MS, goesOn},
-    async () => {
-      await loadRecords();
-    },
+    loadIfAllowed,
   );
+  cfg.reads?.subscribe(() => void loadIfAllowed());
   return () => !isUninformed() || clock.now() - startedAt > MAX_STARTUP_WAIT_MS;
 }
