Close the connections of callers that read no answers before memory runs out

A caller that sent requests and read nothing made the router hold all its answers. A connection without progress for callers.unread_time (10 s) is closed.

Also: a router whose reads are paused does not leave out its membership renewal, and renewals that fail are at most 0.65 of servers.leave_within or configuration.apply_within apart.

--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -35,6 +35,7 @@
   createRequestPipelines,
   type RequestPipelines,
 } from './request-pipelines.js';
+import type {UnreadAnswers} from './unread-answers.js';
 import {
   sendResponse,
   statusOfFailure,
@@ -47,6 +48,8 @@
   readonly splitter: Splitter;
   readonly clock: Clock;
   readonly emit: Emit;
+  /** Limits the answers that callers don't read. */
+  readonly unread: UnreadAnswers;
   config(): RoutingConfig | null;
   configStatus(): ConfigStatus;
   /** Time within which a new version must be in force, in ms. */
@@ -189,7 +192,8 @@
     // Only the last accepted request's response may close the connection.
     const isLast = (state.isClosing && pipelined.isNewest()) || !req.complete;
     if (isLast) pipelined.markLast();
-    sendResponse({requestId, isLast}, req, res, response);
+    const {unread} = state;
+    sendResponse({requestId, isLast, unread}, req, res, response);
   }
   logAndCount(state, context, response, isGone);
 }
--- a/packages/gateway/src/membership.ts
+++ b/packages/gateway/src/membership.ts
@@ -51,6 +51,11 @@
   knowsDeputies?(): boolean;
   /** Called when another router was chosen in place of this one. */
   onReplaced(): void;
+  /**
+   * Time within which changes at the platform must be known here, in ms. Reads
+   * wait for a renewal that succeeds.
+   */
+  readonly learnWithinMs?: number;
   /** Minimum time after which the platform removes silent members, in ms. */
   readonly silenceMinMs?: number;
   /** Returns a number from 0 to 1, exclusive of 1. */
@@ -66,6 +71,8 @@
  * it: reads wait for a renewal that succeeds.
  */
 const MAX_FAILED_INTERVAL_MS = 1_350;
+/** The same as a share of the time in which changes must be learnt. */
+const MAX_FAILED_SHARE = 0.65;
 /** The same without a leader, who is chosen by a renewal that succeeds, in ms. */
 const MAX_LEADERLESS_INTERVAL_MS = 1_000;
 /** Part of an interval by which renewals that fail are spread. */
@@ -145,7 +152,9 @@
     const maxMs = cfg.followsLeader()
       ? MAX_FAILED_INTERVAL_MS
       : MAX_LEADERLESS_INTERVAL_MS;
-    const intervalMs = Math.min(maxMs, JOIN_INTERVAL_MS * 2 ** failures);
+    const learnMs = (cfg.learnWithinMs ?? Infinity) * MAX_FAILED_SHARE;
+    const backoffMs = JOIN_INTERVAL_MS * 2 ** failures;
+    const intervalMs = Math.min(maxMs, learnMs, backoffMs);
     retryAt = askedAt + intervalMs * (1 - random() * RETRY_SPREAD);
   };
 
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -37,6 +37,10 @@
   unreachableServers(): number;
   /** Attempts that this router sends for others now. */
   carried(): number;
+  /** Size of the answers that callers have not read, in bytes. */
+  unreadBytes(): number;
+  /** Connections closed because of them since the start. */
+  unreadClosed(): number;
   /** Epoch of the platform's store; incremented by each restore. */
   storeEpoch(): number;
   /** Time since a leader told the number of routers, in ms. */
@@ -157,6 +161,14 @@
       'Requests that are being sent for other routers',
       source.carried,
     ],
+    unread_bytes: [
+      'Size of answers that callers have not read',
+      source.unreadBytes,
+    ],
+    unread_closed: [
+      'Connections closed as their callers read nothing',
+      source.unreadClosed,
+    ],
     store_epoch: [
       'Epoch of the store’s history; rises when it is restored from a copy',
       source.storeEpoch,
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -45,6 +45,7 @@
 import {shareSuspects} from './share-suspects.js';
 import {stopRouter} from './stop-router.js';
 import {createLeaderElection} from './leader-election.js';
+import {createUnreadAnswers} from './unread-answers.js';
 import {reportVitals} from './vitals.js';
 import {createStoreContact, trackStoreCalls} from './store-contact.js';
 import {createSuspendAwareTime} from './suspend-aware-clock.js';
@@ -185,9 +186,16 @@
       void election.runIfNeeded();
     },
     silenceMinMs: settings.platform.silenceMinMs,
+    learnWithinMs: Math.min(
+      settings.servers.leaveWithinMs,
+      settings.configuration.applyWithinMs,
+    ),
     knowsDeputies: () => linkClient.deputies().length > 0,
     onReplaced: () => leadership.checkTerm(),
-    maySkipJoin: () => !leadership.isLeading() && linkClient.hasOtherDeputies(),
+    maySkipJoin: () =>
+      !leadership.isLeading() &&
+      linkClient.hasOtherDeputies() &&
+      !storeContact.isPaused(),
     followsLeader: () => leadership.isLeading() || linkClient.leader() !== null,
     isLeading: leadership.isLeading,
   });
@@ -301,6 +309,13 @@
     unixNow: Date.now,
   });
   const loopLag = monitorLoopLag(clock);
+  const unread = createUnreadAnswers({
+    ...{clock, emit},
+    limits: {
+      maxBytes: settings.callers.maxUnreadBytes,
+      maxMs: settings.callers.maxUnreadMs,
+    },
+  });
   const metricsSource: MetricsSource = {
     routers: () => routerCount.current() ?? 0,
     isLeading: () => leadership.isLeading(),
@@ -320,6 +335,8 @@
     limitedServers: () => serverLimits.count(),
     restingServers: () => serverRests.count(),
     unreachableServers: paths.unreachableCount,
+    unreadBytes: unread.bytes,
+    unreadClosed: unread.closed,
     carried: () => carryServer.inFlight(),
     storeEpoch: () => platform.history.epoch(),
     routersAgeMs: routerCount.ageMs,
@@ -336,6 +353,7 @@
   const frontend = createFrontend({
     clock,
     emit,
+    unread,
     recordRequest: metrics.recordRequest,
     splitter: createSplitter(),
     config: () => configKeeper.current(),
@@ -475,6 +493,7 @@
   const shutDown = (): void => {
     isClosed = true;
     loopLag.stop();
+    unread.stop();
     stopVitals();
     leadership.resign();
     configKeeper.stop();
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -54,6 +54,12 @@
     /** The longest lease that servers accept, in ms. */
     readonly holdMaxMs: number;
   };
+  readonly callers: {
+    /** Limit of the answers that callers have not read, in bytes. */
+    readonly maxUnreadBytes: number;
+    /** Longest time in which a caller reads nothing of an answer, in ms. */
+    readonly maxUnreadMs: number;
+  };
   readonly stop: {
     /** Time from the stop signal to the end of the process, in ms. */
     readonly graceMs: number;
@@ -84,6 +90,13 @@
   retryAfter: 'service_time',
 };
 
+const BYTES_PER_MIB = 1024 ** 2;
+/**
+ * Limit of unread answers, in MiB: an eighth of the 250 MB that the smallest
+ * hosts give the process. The rest is needed by the heap, of 200 MB at the most.
+ */
+const DEFAULT_UNREAD_MIB = 32;
+
 /** An invalid setting; the message names its key. */
 export class SettingsError extends Error {
   override readonly name = 'SettingsError';
@@ -179,6 +192,17 @@
       leaveWithinMs: durationAt('servers', 'leave_within', '2s'),
       holdMaxMs: durationAt('servers', 'hold_max', '10s'),
     },
+    callers: {
+      maxUnreadBytes:
+        checkPositive(
+          'callers.unread_mib',
+          numberAt('callers', 'unread_mib', DEFAULT_UNREAD_MIB),
+        ) * BYTES_PER_MIB,
+      maxUnreadMs: checkPositive(
+        'callers.unread_time',
+        durationAt('callers', 'unread_time', '10s'),
+      ),
+    },
     stop: {graceMs: durationAt('stop', 'grace', '6s')},
     retries: {
       ratio: numberAt('retries', 'ratio', 0.2),
--- a/packages/gateway/src/store-contact.ts
+++ b/packages/gateway/src/store-contact.ts
@@ -23,6 +23,11 @@
     isAnswered: (result: T) => boolean,
     waitMs?: number,
   ): Promise<T>;
+  /**
+   * Whether reads are paused until a call succeeds: the next membership renewal
+   * should not be left out then.
+   */
+  isPaused(): boolean;
   /** This router is chosen to lead: it can't expect a leader's state. */
   endStartup(): void;
 }
@@ -144,6 +149,7 @@
       else failures++;
       return result;
     },
+    isPaused: () => pausedAt !== null,
     endStartup,
   };
 }
--- a/packages/gateway/src/write-response.ts
+++ b/packages/gateway/src/write-response.ts
@@ -3,6 +3,7 @@
 import {HOP_BY_HOP} from '@banyandrum/base/hop-by-hop.js';
 import type {Reply} from '@banyandrum/dispatch/forward-state.js';
 import {headerValue} from './caller-headers.js';
+import {endResponse, type UnreadAnswers} from './unread-answers.js';
 
 /** The response to a caller: a reply of the dispatcher, or a rejection. */
 export type FrontendResponse =
@@ -24,6 +25,7 @@
    * the rest of its body for the next request.
    */
   readonly isLast: boolean;
+  readonly unread: UnreadAnswers;
 }
 
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
@@ -73,7 +75,8 @@
     if (!isBodiless) out.push('Content-Length', String(body.length));
     if (cfg.isLast) out.push('Connection', 'close');
     res.writeHead(status, out);
-    res.end(isBodiless ? undefined : body);
+    const content = isBodiless ? undefined : body;
+    endResponse(cfg.unread, req.socket, res, content);
   },
   rejected(cfg, req, res, response) {
     const {status, detail} = response;
@@ -96,15 +99,15 @@
   problem: Readonly<Record<string, string>>,
   retryAfterMs: number | null,
 ): void {
-  const body = JSON.stringify({status, ...problem});
+  const body = Buffer.from(JSON.stringify({status, ...problem}));
   const headers = ['Content-Type', 'application/problem+json'];
   const id = headerValue(req, cfg.requestId);
   if (id !== undefined) headers.push(cfg.requestId, id);
   if (retryAfterMs !== null) {
     headers.push('Retry-After', (retryAfterMs / 1000).toFixed(3));
   }
-  headers.push('Content-Length', String(Buffer.byteLength(body)));
+  headers.push('Content-Length', String(body.length));
   if (cfg.isLast) headers.push('Connection', 'close');
   res.writeHead(status, headers);
-  res.end(body);
+  endResponse(cfg.unread, req.socket, res, body);
 }
--- a/packages/gateway/test/router-group-sim.ts
+++ b/packages/gateway/test/router-group-sim.ts
@@ -314,7 +314,9 @@
     onReplaced: () => undefined,
     followsLeader: () => isLeading || isFollowing(),
     isLeading: () => isLeading,
-    maySkipJoin: () => !isLeading && link.hasOtherDeputies(),
+    maySkipJoin: () =>
+      !isLeading && link.hasOtherDeputies() && !reads.isPaused(),
+    learnWithinMs: LEAVE_WITHIN_MS,
   });
   const list = createServerList(clock, emit, LEAVE_WITHIN_MS);
   const keeper = createConfigKeeper({
