--- a/packages/gateway/src/refresh-loops.ts
+++ b/packages/gateway/src/refresh-loops.ts
@@ -8,6 +8,7 @@
 import type {Platform} from './platform.js';
 import {repeat} from './repeat.js';
 import type {ServerList} from './server-list.js';
+import type {StoreReads} from './store-contact.js';
 
 /** Dependencies of the refresh loops. */
 export interface RefreshConfig {
@@ -18,8 +19,12 @@
   readonly list: ServerList;
   readonly owners: KeyOwners;
   readonly link: LinkClient;
+  /** When reads are held back; never if absent. */
+  readonly reads?: Pick<StoreReads, 'mayRead' | 'subscribe'>;
   /** Time within which a leaving server must stop getting requests, in ms. */
   readonly leaveWithinMs: number;
+  /** Whether the last leader designated this router to lead next. */
+  isDeputy(): boolean;
   /** Whether the loops should keep running. */
   goesOn(): boolean;
   keyedServices(): readonly string[];
@@ -59,6 +64,15 @@
   return link.leaderAgeMs() < FRESH_MS;
 }
 
+/**
+ * Whether one of the deputies, which read the list while there is no leader,
+ * confirmed this router's list. Without it, each of 91 routers read the list
+ * once or twice whenever the leader was lost.
+ */
+function hasFreshNeighbourList({link, isDeputy}: RefreshConfig): boolean {
+  return link.neighbourAgeMs() < FRESH_MS && !isDeputy();
+}
+
 /**
  * Keeps this router's state up to date. A follower takes it from the leader;
  * the leader, and a router without a leader, read the platform.
@@ -71,20 +85,40 @@
 export function startRefreshLoops(cfg: RefreshConfig): void {
   const {platform, leadership, list, link} = cfg;
   const noLeaderReadMs = cfg.leaveWithinMs * NO_LEADER_READ_SHARE;
+  const mayRead = (): boolean => cfg.reads?.mayRead() ?? true;
   let lastReadAt = -Infinity;
-  repeat({...cfg, name: 'servers', pauseMs: SERVER_LIST_READ_MS}, async () => {
+  let isReading = false;
+
+  const readListIfNeeded = async (): Promise<void> => {
+    if (isReading || !mayRead()) return;
     const ageMs = list.ageMs();
     const isFollower = !leadership.isLeading();
-    if (isFollower && hasFreshLeaderState(link) && ageMs < FRESH_MS) return;
+    const isTold = hasFreshLeaderState(link) || hasFreshNeighbourList(cfg);
+    if (isFollower && isTold && ageMs < FRESH_MS) return;
     const now = cfg.clock.now();
     const isKnown = list.cursor() !== null;
     if (isFollower && isKnown && now - lastReadAt < noLeaderReadMs) return;
     lastReadAt = now;
-    list.applyRead(await platform.readServers(list.cursor()));
-  });
-  repeat({...cfg, name: 'tables', pauseMs: TABLES_READ_MS}, () =>
-    readStoredTables(cfg),
+    isReading = true;
+    const read = platform.readServers(list.cursor());
+    list.applyRead(
+      await read.finally(() => {
+        isReading = false;
+      }),
+    );
+  };
+
+  repeat(
+    {...cfg, name: 'servers', pauseMs: SERVER_LIST_READ_MS},
+    readListIfNeeded,
   );
+  cfg.reads?.subscribe(() => {
+    lastReadAt = -Infinity;
+    if (cfg.goesOn()) void readListIfNeeded();
+  });
+  repeat({...cfg, name: 'tables', pauseMs: TABLES_READ_MS}, async () => {
+    if (mayRead()) await readStoredTables(cfg);
+  });
   repeat({...cfg, name: 'shares', pauseMs: CONNECTION_LIMITS_MS}, async () =>
     cfg.updateConnectionLimits(),
   );
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -46,7 +46,9 @@
 import {shareSuspects} from './share-suspects.js';
 import {stopRouter} from './stop-router.js';
 import {createLeaderElection} from './leader-election.js';
+import {createUnreadAnswers} from './unread-answers.js';
 import {reportVitals} from './vitals.js';
+import {createStoreContact, trackStoreCalls} from './store-contact.js';
 import {createSuspendAwareTime} from './suspend-aware-clock.js';
 
 /** A running router process. */
@@ -87,7 +89,7 @@
  */
 export async function runRouter(
   settings: Settings,
-  platform: Platform,
+  externalPlatform: Platform,
   log: EventLog,
   clock: Clock = createClock(),
 ): Promise<RouterProcess> {
@@ -98,6 +100,10 @@
   let isClosed = false;
   const goesOn = (): boolean => !isClosed;
 
+  const storeContact = createStoreContact({
+    ...{clock, emit, isLeading: () => leadership.isLeading()},
+  });
+  const platform = trackStoreCalls(externalPlatform, storeContact);
   const backends = createBackends(clock);
   const serverList = createServerList(
     clock,
@@ -187,9 +193,21 @@
     clock,
     suspendAwareNow,
     emit,
-    onJoined: () => void election.runIfNeeded(),
+    onJoined() {
+      if (routerGroup.isChosen()) storeContact.endStartup();
+      void election.runIfNeeded();
+    },
+    silenceMinMs: settings.platform.silenceMinMs,
+    learnWithinMs: Math.min(
+      settings.servers.leaveWithinMs,
+      settings.configuration.applyWithinMs,
+    ),
+    knowsDeputies: () => linkClient.deputies().length > 0,
     onReplaced: () => leadership.checkTerm(),
-    maySkipJoin: () => !leadership.isLeading() && linkClient.hasOtherDeputies(),
+    maySkipJoin: () =>
+      !leadership.isLeading() &&
+      linkClient.hasOtherDeputies() &&
+      !storeContact.isPaused(),
     followsLeader: () => leadership.isLeading() || linkClient.leader() !== null,
     isLeading: leadership.isLeading,
   });
@@ -290,6 +308,7 @@
   });
   const configKeeper = createConfigKeeper({
     ...{platform, evacuations, clock, suspendAwareNow, emit},
+    reads: storeContact,
     isRelayed: () => !leadership.isLeading() && linkClient.relaysConfig(),
   });
   configKeeper.subscribe(() => {
@@ -300,9 +319,17 @@
 
   const isQuarantineKnown = shareSuspects({
     ...{platform, clock, emit, leadership, suspects, link: linkClient, goesOn},
+    reads: storeContact,
     unixNow: Date.now,
   });
   const loopLag = monitorLoopLag(clock);
+  const unread = createUnreadAnswers({
+    ...{clock, emit},
+    limits: {
+      maxBytes: settings.callers.maxUnreadBytes,
+      maxMs: settings.callers.maxUnreadMs,
+    },
+  });
   const metricsSource: MetricsSource = {
     routers: () => routerCount.current() ?? 0,
     isLeading: () => leadership.isLeading(),
@@ -323,6 +350,8 @@
     limitedServers: () => serverLimits.count(),
     restingServers: () => serverRests.count(),
     unreachableServers: paths.unreachableCount,
+    unreadBytes: unread.bytes,
+    unreadClosed: unread.closed,
     carried: () => carryServer.inFlight(),
     storeEpoch: () => platform.history.epoch(),
     routersAgeMs: routerCount.ageMs,
@@ -340,6 +369,7 @@
   const frontend = createFrontend({
     clock,
     emit,
+    unread,
     recordRequest: metrics.recordRequest,
     splitter: createSplitter(),
     config: () => configKeeper.current(),
@@ -460,8 +490,10 @@
       list: serverList,
       owners: keyOwners,
       link: linkClient,
+      reads: storeContact,
     },
     leaveWithinMs: settings.servers.leaveWithinMs,
+    isDeputy: linkClient.isDeputy,
     goesOn,
     keyedServices,
     updateConnectionLimits,
@@ -481,6 +513,7 @@
     isClosed = true;
     loopLag.stop();
     requestTimes.stop();
+    unread.stop();
     stopVitals();
     leadership.resign();
     configKeeper.stop();
