Hold back calls to the store only where the settings say so

What reduces calls while the store answers none was on for all deployments. It is chosen by platform.store_calls now, with a default by the contracts in force, so that the earlier deployments call the store as before. It is handed over as one object, and run-router passes it on.

--- a/packages/gateway/src/config-reader.ts
+++ b/packages/gateway/src/config-reader.ts
@@ -55,7 +55,9 @@
  * about this time and needs no further reads of its own then: after a restart of
  * all routers, the platform chooses a leader once those before are removed.
  */
-const STARTUP_PAUSE_MS = 800;
+const STARTUP_PAUSE_MS = 500;
+/** The same if a starting router waits for a leader before it reads, in ms. */
+const LONG_STARTUP_PAUSE_MS = 800;
 /** Shortest interval between two reads that are answered at once, in ms. */
 const MIN_INTERVAL_MS = 100;
 /** Interval at which a router checks whether the leader still relays, in ms. */
@@ -79,6 +81,8 @@
  * ```
  */
 export function startConfigReader(cfg: ConfigReaderConfig): ConfigReader {
+  const startupPauseMs =
+    cfg.reads === undefined ? STARTUP_PAUSE_MS : LONG_STARTUP_PAUSE_MS;
   const {clock, emit} = cfg;
   const pending = new Set<PendingRead>();
   let isStopped = false;
@@ -169,7 +173,7 @@
     failures = 0;
     mayWait = isUnchanged;
     pausedUntil = isFirst
-      ? clock.now() + STARTUP_PAUSE_MS
+      ? clock.now() + startupPauseMs
       : startedAt + MIN_INTERVAL_MS;
     isFirst = false;
   };
--- a/packages/gateway/src/membership.ts
+++ b/packages/gateway/src/membership.ts
@@ -49,6 +49,11 @@
    * the leader is lost: 91 routers made 150 such calls at each loss.
    */
   knowsDeputies?(): boolean;
+  /**
+   * Whether renewals that fail are also spaced out without a leader, and a router
+   * that the platform has removed doesn't leave.
+   */
+  readonly reducesCalls?: boolean;
   /** Called when another router was chosen in place of this one. */
   onReplaced(): void;
   /**
@@ -158,10 +163,13 @@
     retryAt = askedAt + intervalMs * (1 - random() * RETRY_SPREAD);
   };
 
+  const mayWait = (): boolean =>
+    !cfg.isLeading() && (cfg.reducesCalls === true || cfg.followsLeader());
+
   const pauseMs = (): number =>
-    cfg.isLeading()
-      ? JOIN_INTERVAL_MS
-      : Math.max(JOIN_INTERVAL_MS, retryAt - clock.now());
+    mayWait()
+      ? Math.max(JOIN_INTERVAL_MS, retryAt - clock.now())
+      : JOIN_INTERVAL_MS;
 
   const observeLeader = (): void => {
     if (cfg.followsLeader()) leaderlessSince = null;
@@ -208,7 +216,8 @@
     contactAgeMs: () => cfg.suspendAwareNow() - answeredAt,
     async leave(goesOn) {
       isLeaving = true;
-      if (clock.now() - askedAt > removedAfterMs) return;
+      const isRemoved = clock.now() - askedAt > removedAfterMs;
+      if (cfg.reducesCalls === true && isRemoved) return;
       while (goesOn() && !(await members.leave())) {
         await sleep(clock, JOIN_INTERVAL_MS);
       }
--- a/packages/gateway/src/refresh-loops.ts
+++ b/packages/gateway/src/refresh-loops.ts
@@ -69,8 +69,12 @@
  * confirmed this router's list. Without it, each of 91 routers read the list
  * once or twice whenever the leader was lost.
  */
-function hasFreshNeighbourList({link, isDeputy}: RefreshConfig): boolean {
-  return link.neighbourAgeMs() < FRESH_MS && !isDeputy();
+function hasFreshNeighbourList({
+  link,
+  isDeputy,
+  reads,
+}: RefreshConfig): boolean {
+  return reads !== undefined && link.neighbourAgeMs() < FRESH_MS && !isDeputy();
 }
 
 /**
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -48,7 +48,7 @@
 import {createLeaderElection} from './leader-election.js';
 import {createUnreadAnswers} from './unread-answers.js';
 import {reportVitals} from './vitals.js';
-import {createStoreContact, trackStoreCalls} from './store-contact.js';
+import {reduceStoreCalls} from './store-contact.js';
 import {createSuspendAwareTime} from './suspend-aware-clock.js';
 
 /** A running router process. */
@@ -100,10 +100,12 @@
   let isClosed = false;
   const goesOn = (): boolean => !isClosed;
 
-  const storeContact = createStoreContact({
-    ...{clock, emit, isLeading: () => leadership.isLeading()},
-  });
-  const platform = trackStoreCalls(externalPlatform, storeContact);
+  const storeCalls = reduceStoreCalls(
+    settings.platform.storeCalls,
+    {clock, emit, isLeading: () => leadership.isLeading()},
+    externalPlatform,
+  );
+  const {platform} = storeCalls;
   const backends = createBackends(clock);
   const serverList = createServerList(
     clock,
@@ -194,7 +196,7 @@
     suspendAwareNow,
     emit,
     onJoined() {
-      if (routerGroup.isChosen()) storeContact.endStartup();
+      if (routerGroup.isChosen()) storeCalls.endStartup();
       void election.runIfNeeded();
     },
     silenceMinMs: settings.platform.silenceMinMs,
@@ -202,12 +204,14 @@
       settings.servers.leaveWithinMs,
       settings.configuration.applyWithinMs,
     ),
-    knowsDeputies: () => linkClient.deputies().length > 0,
+    reducesCalls: storeCalls.isReduced,
+    knowsDeputies: () =>
+      storeCalls.isReduced && linkClient.deputies().length > 0,
     onReplaced: () => leadership.checkTerm(),
     maySkipJoin: () =>
       !leadership.isLeading() &&
       linkClient.hasOtherDeputies() &&
-      !storeContact.isPaused(),
+      !storeCalls.isPaused(),
     followsLeader: () => leadership.isLeading() || linkClient.leader() !== null,
     isLeading: leadership.isLeading,
   });
@@ -308,7 +312,7 @@
   });
   const configKeeper = createConfigKeeper({
     ...{platform, evacuations, clock, suspendAwareNow, emit},
-    reads: storeContact,
+    ...storeCalls.part,
     isRelayed: () => !leadership.isLeading() && linkClient.relaysConfig(),
   });
   configKeeper.subscribe(() => {
@@ -319,7 +323,7 @@
 
   const isQuarantineKnown = shareSuspects({
     ...{platform, clock, emit, leadership, suspects, link: linkClient, goesOn},
-    reads: storeContact,
+    ...storeCalls.part,
     unixNow: Date.now,
   });
   const loopLag = monitorLoopLag(clock);
@@ -490,7 +494,7 @@
       list: serverList,
       owners: keyOwners,
       link: linkClient,
-      reads: storeContact,
+      ...storeCalls.part,
     },
     leaveWithinMs: settings.servers.leaveWithinMs,
     isDeputy: linkClient.isDeputy,
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -5,6 +5,9 @@
 /** Log level: `warn` leaves out answered requests, `off` logs nothing. */
 export type LogLevel = 'info' | 'warn' | 'off';
 
+/** Whether calls to the platform are held back while it answers none. */
+export type StoreCallsMode = 'direct' | 'reduced';
+
 /** How requests are scheduled; the first value of each is the default. */
 export interface SchedulingSettings {
   /** What the time of a request is estimated from. */
@@ -37,6 +40,8 @@
     readonly silenceMinMs: number;
     /** Whether the whole system is being started for the first time. */
     readonly isFirstStart: boolean;
+    /** Whether calls are held back while the platform answers none. */
+    readonly storeCalls: StoreCallsMode;
   };
   readonly configuration: {
     /** Time within which a new version must be in force, in ms. */
@@ -82,6 +87,12 @@
 
 const LOG_LEVELS: readonly LogLevel[] = ['info', 'warn', 'off'];
 
+/** Values of settings that the text doesn't set. */
+export interface SettingsDefaults {
+  readonly scheduling: SchedulingSettings;
+  readonly storeCalls: StoreCallsMode;
+}
+
 /** Schedules all requests of a service alike. */
 export const DEFAULT_SCHEDULING: SchedulingSettings = {
   requestTimes: 'per_service',
@@ -90,6 +101,11 @@
   retryAfter: 'service_time',
 };
 
+const DEFAULTS: SettingsDefaults = {
+  scheduling: DEFAULT_SCHEDULING,
+  storeCalls: 'direct',
+};
+
 const BYTES_PER_MIB = 1024 ** 2;
 /**
  * Limit of unread answers, in MiB: an eighth of the 250 MB that the smallest
@@ -103,8 +119,8 @@
 }
 
 /**
- * Parses settings in TOML. `scheduling` is used for the keys of that section
- * that the text doesn't set.
+ * Parses settings in TOML; `defaults` are used for keys that the text doesn't
+ * set.
  *
  * @throws SettingsError that names the first invalid key.
  *
@@ -115,7 +131,7 @@
  */
 export function parseSettings(
   text: string,
-  scheduling: SchedulingSettings = DEFAULT_SCHEDULING,
+  {scheduling, storeCalls}: SettingsDefaults = DEFAULTS,
 ): Settings {
   const root = parseToml(text);
   const valueAt = (section: string, key: string): unknown => {
@@ -174,6 +190,12 @@
       address: addressAt('platform', 'address'),
       silenceMinMs: durationAt('platform', 'silence_min', '1s'),
       isFirstStart: booleanAt('platform', 'first_start'),
+      storeCalls: choiceAt(
+        'platform',
+        'store_calls',
+        ['direct', 'reduced'],
+        storeCalls,
+      ),
     },
     configuration: {
       applyWithinMs: checkPositive(
--- a/packages/gateway/src/store-contact.ts
+++ b/packages/gateway/src/store-contact.ts
@@ -1,6 +1,7 @@
 import type {Clock} from '@banyandrum/base/clock.js';
 import type {Emit} from '@banyandrum/dispatch/events.js';
 import type {Members, Platform} from './platform.js';
+import type {StoreCallsMode} from './settings.js';
 
 /** Whether this router should read the platform's store itself. */
 export interface StoreReads {
@@ -154,6 +155,49 @@
   };
 }
 
+/** The platform, and when this router should read it. */
+export interface StoreCalls {
+  /** The platform as the rest of the router should call it. */
+  readonly platform: Platform;
+  /** For the parts that read, to spread into their dependencies. */
+  readonly part: {readonly reads?: StoreReads};
+  readonly isReduced: boolean;
+  isPaused(): boolean;
+  endStartup(): void;
+}
+
+/**
+ * Reduces the calls to the platform while it answers none, if `mode` asks for
+ * that.
+ *
+ * @example
+ * ```ts
+ * const calls = reduceStoreCalls('reduced', cfg, platform);
+ * startRefreshLoops({...loopsCfg, ...calls.part});
+ * ```
+ */
+export function reduceStoreCalls(
+  mode: StoreCallsMode,
+  cfg: StoreContactConfig,
+  platform: Platform,
+): StoreCalls {
+  if (mode === 'direct') {
+    return {
+      ...{platform, part: {}, isReduced: false},
+      isPaused: () => false,
+      endStartup: () => undefined,
+    };
+  }
+  const contact = createStoreContact(cfg);
+  return {
+    platform: trackStoreCalls(platform, contact),
+    part: {reads: contact},
+    isReduced: true,
+    isPaused: contact.isPaused,
+    endStartup: contact.endStartup,
+  };
+}
+
 /**
  * Returns the platform with its frequent calls tracked by `contact`.
  *
--- a/packages/gateway/test/router-group-sim.ts
+++ b/packages/gateway/test/router-group-sim.ts
@@ -324,6 +324,7 @@
       if (group.isChosen()) reads.endStartup();
       void lead();
     },
+    reducesCalls: true,
     knowsDeputies: () => hadDeputies,
     onReplaced: () => undefined,
     followsLeader: () => isLeading || isFollowing(),
