Move the fair queue's general modules into a package of their own

The flows, the heap, the list by age and the fair level were internal to packages/requests. The allocator of slots needs them too. They move to packages/queueing; requests keeps the properties that only its queue has (level, bytes, time of arrival).

--- a/packages/bench/src/experiment-clock.ts
+++ b/packages/bench/src/experiment-clock.ts
@@ -1,5 +1,5 @@
 import type {Clock} from '@banyandrum/base/clock.js';
-import {createHeap, type HeapNode} from '@banyandrum/requests/heap.js';
+import {createHeap, type HeapNode} from '@banyandrum/queueing/heap.js';
 
 /** Virtual time: as fast as the work allows, and alike on every machine. */
 export interface VirtualClock extends Clock {
--- a/packages/requests/src/fair-queue.ts
+++ b/packages/requests/src/fair-queue.ts
@@ -1,10 +1,6 @@
 import type {PrecedenceLevel} from '@banyandrum/config/rules.js';
-import {
-  createFairLevel,
-  type FairLevel,
-  type QueueItem,
-  type Ticket,
-} from './fair-level.js';
+import {createFairLevel} from '@banyandrum/queueing/fair-level.js';
+import type {FairLevel, QueueItem, Ticket} from './fair-level.js';
 
 /** The requests that wait for one server, ordered by precedence with ageing. */
 export interface FairQueue<T extends QueueItem> {
