Charge service time in the general queueing modules

Turns were counted in requests, and there was no measure of who asks for more than a fair share of the slots. The decaying sum moves here too.

--- a/packages/queueing/src/flows.ts
+++ b/packages/queueing/src/flows.ts
@@ -1,15 +1,28 @@
 /** Turns of callers, or of keys, among the waiting requests. */
 export interface Flows {
-  /** Reserves the flow's next turn, at `now` (virtual time) or later. */
-  reserveTurn(name: string, now: number): number;
+  /**
+   * Reserves the flow's next turn, at `now` (virtual time) or later. The one
+   * after it follows by `cost`, which is one by default.
+   */
+  reserveTurn(name: string, now: number, cost?: number): number;
   /** A request of the flow waits again, with the turn reserved before. */
   rejoin(name: string, turn: number): void;
   /** A request of the flow no longer waits. */
-  leave(name: string, served: boolean, now: number): void;
+  leave(name: string, served: boolean, now: number, cost?: number): void;
   /** Number of flows with waiting requests. */
   active(): number;
 }
 
+/** Settings of `createFlows`. */
+export interface FlowsOptions {
+  /**
+   * Maximum lead over the virtual time at which a flow without waiting requests
+   * is forgotten at a cleanup. A forgotten flow starts again at the virtual
+   * time.
+   */
+  readonly forgivenLead: number;
+}
+
 interface Flow {
   /** The first turn that isn't reserved. */
   next: number;
@@ -29,7 +42,9 @@
  * const turn = callers.reserveTurn('night-desk', now);
  * ```
  */
-export function createFlows(): Flows {
+export function createFlows(
+  {forgivenLead}: FlowsOptions = {forgivenLead: 1},
+): Flows {
   const flows = new Map<string, Flow>();
   let active = 0;
   let departures = 0;
@@ -41,7 +56,8 @@
   const cleanUp = (now: number): void => {
     departures = 0;
     for (const [name, flow] of flows) {
-      if (flow.queued === 0 && flow.next <= now + 1) flows.delete(name);
+      const isForgiven = flow.next <= now + forgivenLead;
+      if (flow.queued === 0 && isForgiven) flows.delete(name);
     }
   };
 
@@ -54,20 +70,20 @@
   };
 
   return {
-    reserveTurn(name, now) {
+    reserveTurn(name, now, cost = 1) {
       const flow = flowOf(name, now);
       const turn = Math.max(now, flow.next);
-      flow.next = turn + 1;
+      flow.next = turn + cost;
       enter(flow);
       return turn;
     },
     rejoin: (name, turn) => enter(flowOf(name, turn + 1)),
-    leave(name, served, now) {
+    leave(name, served, now, cost = 1) {
       const flow = flows.get(name);
       if (flow === undefined) return;
       if (--flow.queued === 0) active--;
       // A request that wasn't served releases its turn.
-      if (!served) flow.next = Math.max(now, flow.next - 1);
+      if (!served) flow.next = Math.max(now, flow.next - cost);
       if (++departures >= DEPARTURES_PER_CLEAN_UP) cleanUp(now);
     },
     active: () => active,
--- a/packages/requests/src/load-meter.ts
+++ b/packages/requests/src/load-meter.ts
@@ -5,7 +5,10 @@
   ServerObservation,
   ShardLoad,
 } from '@banyandrum/ownership/led-cell.js';
-import {createDecayingSum, type DecayingSum} from './decaying-sum.js';
+import {
+  createDecayingSum,
+  type DecayingSum,
+} from '@banyandrum/queueing/decaying-sum.js';
 
 /** Measures the hottest keys in bounded memory. */
 export interface HotKeyMeter {
--- a/packages/requests/src/server-queue.ts
+++ b/packages/requests/src/server-queue.ts
@@ -1,6 +1,9 @@
 import type {Clock} from '@banyandrum/base/clock.js';
 import type {ServerRef} from '@banyandrum/servers/client.js';
-import {createDecayingSum, type DecayingSum} from './decaying-sum.js';
+import {
+  createDecayingSum,
+  type DecayingSum,
+} from '@banyandrum/queueing/decaying-sum.js';
 import type {Ticket} from './fair-level.js';
 import {
   createFairQueue,
