Order requests fairly by caller and key where the setting asks for it

With queue = 'fair', callers and keys that ask for less than their max-min share of a queue go first, the others get their shares of the rest, and equals are ordered by slack. What would wait too long in that order is refused on arrival, or as soon as others displace it. Off, decisions are as before.

--- a/packages/slots/src/free-server.ts
+++ b/packages/slots/src/free-server.ts
@@ -29,6 +29,8 @@
   onNotHeld(service: string, key: number, server: string, sentAt: number): void;
   readonly suspects: Pick<Suspects, 'standingOf' | 'noteAlive'>;
   readonly limits: Pick<ServerLimits, 'limitOf' | 'hasToken' | 'takeToken'>;
+  /** Order of the waiting requests of one priority; by slack by default. */
+  readonly queue?: 'by_slack' | 'fair';
 }
 
 /**
--- a/packages/slots/src/queue-policy.ts
+++ b/packages/slots/src/queue-policy.ts
@@ -21,13 +21,13 @@
  * full slack, one answer in 12 was late at 1.8 times the servers' capacity. With
  * 0.7, one more request in 20 was refused at 0.8 times the capacity.
  */
-const SLACK_SHARE = 0.8;
+export const SLACK_SHARE = 0.8;
 /**
  * A wait of up to this many service times is always accepted. The load of a few
  * slots varies that much by chance: if each request that may be late is refused
  * then, servers are idle soon after, and callers come back to find them busy.
  */
-const ACCEPTED_SERVICE_TIMES = 1;
+export const ACCEPTED_SERVICE_TIMES = 1;
 
 /**
  * Returns the next request to serve: by priority, then those that can still
@@ -137,7 +137,8 @@
   return isAnyOnTime ? overdue : [];
 }
 
-function capacityFor(
+/** Capacity of the servers that serve the queue. */
+export function capacityFor(
   {backends, capacities, limits}: QueuePolicyConfig,
   {service, owner}: WaitQueue,
 ): Capacity {
--- a/packages/slots/src/slack-tracker.ts
+++ b/packages/slots/src/slack-tracker.ts
@@ -10,6 +10,8 @@
    * mean of its slack and the lowest slack.
    */
   maxWaitMs(service: string, priority: number, slackMs: number): number;
+  /** Returns the lowest slack, in ms; `slackMs` if it is lower. */
+  lowestMs(service: string, priority: number, slackMs: number): number;
 }
 
 /**
@@ -45,6 +47,10 @@
       const minMs = minSlackMs.get(keyOf(service, priority)) ?? slackMs;
       return Math.min(slackMs, Math.sqrt(slackMs * minMs));
     },
+    lowestMs(service, priority, slackMs) {
+      const minMs = minSlackMs.get(keyOf(service, priority)) ?? slackMs;
+      return Math.min(slackMs, minMs);
+    },
   };
 }
 
--- a/packages/slots/src/slot-allocator.ts
+++ b/packages/slots/src/slot-allocator.ts
@@ -16,9 +16,19 @@
   type WaitQueue,
   type Waiter,
 } from './wait-queue.js';
+import {
+  createRefusalCounts,
+  largestFlows,
+  type FlowReport,
+  type RefusalCount,
+} from './queue-report.js';
 import {createSlackTracker} from './slack-tracker.js';
 import {createWaitQueues} from './wait-queues.js';
+import {exceedsFairWait} from './fair-admission.js';
+import {findDisplaced, nextFairWaiter} from './fair-choice.js';
+import {createFairTurns} from './fair-turns.js';
 import {
+  capacityFor,
   exceedsMaxWait,
   limitedWaitMs,
   findOverdue,
@@ -46,6 +56,13 @@
   close(): void;
   /** Number of waiting requests. */
   waitingCount(): number;
+  /** Number of requests that were refused since the start, by reason. */
+  refusals(): readonly RefusalCount[];
+  /**
+   * Callers and keys that hold the most slots; empty if the queue isn't fair by
+   * caller and key.
+   */
+  largestFlows(): readonly FlowReport[];
   /** Keys of the service's waiting requests, one entry per request. */
   waitingKeys(service: string): readonly number[];
   /** Keys of the service's requests that have a slot, one entry per request. */
@@ -80,6 +97,10 @@
   const capacities = createCapacityCache(cfg);
   const slackTracker = createSlackTracker();
   const policyCfg = {...cfg, capacities, slackTracker};
+  /** Null if waiting requests are ordered by slack alone. */
+  const turns = cfg.queue === 'fair' ? createFairTurns(cfg.clock) : null;
+  const next = turns === null ? nextWaiter : nextFairWaiter;
+  const refusalCounts = createRefusalCounts();
   /** Digests of suspected requests that wait or have a slot. */
   const trials = new Set<string>();
   /** Requests that have a slot. */
@@ -92,6 +113,7 @@
 
   const settle = (waiter: Waiter, reply: SlotReply): void => {
     removeWaiter(waiter);
+    turns?.release(waiter, reply.kind === 'granted');
     if (reply.kind !== 'granted') endTrial(waiter);
     waiter.reply(reply);
   };
@@ -101,8 +123,10 @@
     const now = cfg.clock.now();
     const queue = waiter.queue ?? queues.queueFor(req);
     const {serviceMs} = capacities.of(req.service);
+    refusalCounts.note(req.service, why);
     cfg.emit('place-refused', {
       ...{id: req.id, service: req.service, key: req.key, why},
+      ...(turns !== null && {caller: req.caller ?? 0}),
       waitedMs: Math.round(now - requestedAt),
       leftMs: Math.round(expiresAt - now),
       waiting: queueLength(queue),
@@ -125,6 +149,7 @@
    */
   const refuseTrial = (waiter: Waiter, why: string): (() => void) => {
     const {id, service, key, trial} = waiter.req;
+    refusalCounts.note(service, why);
     cfg.emit('place-refused', {id, service, key, why, trial});
     waiter.reply({
       kind: 'refused',
@@ -155,7 +180,7 @@
     const now = cfg.clock.now();
     const skipped = new Set<Waiter>();
     for (;;) {
-      const waiter = nextWaiter(queue, skipped, now);
+      const waiter = next(queue, skipped, now);
       if (waiter === null) return;
       if (waiter.expiresAt <= now) {
         refuse(waiter, 'waited-too-long');
@@ -177,6 +202,10 @@
       if (waiter.expiresAt <= now) refuse(waiter, 'waited-too-long');
     }
     for (const waiter of findOverdue(queue, now)) refuse(waiter, 'overdue');
+    if (turns === null || queueLength(queue) === 0) return;
+    const capacity = capacityFor(policyCfg, queue);
+    for (const waiter of findDisplaced(queue, capacity, now))
+      refuse(waiter, 'displaced');
   };
 
   const scheduleReevaluation = (): void => {
@@ -197,9 +226,17 @@
     if (isWaiting) scheduleReevaluation();
   };
 
+  const assignTurn = (queue: WaitQueue, waiter: Waiter): void => {
+    const {slots} = capacities.of(queue.service);
+    turns?.assign(queue, waiter, capacityFor(policyCfg, queue), slots);
+  };
+
   const enqueueOrRefuse = (queue: WaitQueue, waiter: Waiter): void => {
-    if (exceedsMaxWait(policyCfg, queue, waiter))
-      return refuse(waiter, 'too-many-wait');
+    const isTooLong =
+      turns === null
+        ? exceedsMaxWait(policyCfg, queue, waiter)
+        : exceedsFairWait(policyCfg, turns, queue, waiter);
+    if (isTooLong) return refuse(waiter, 'too-many-wait');
     enqueue(queue, waiter);
     scheduleReevaluation();
     // The waiters ahead may be trials that wait for a server without a trial.
@@ -221,6 +258,7 @@
         reply,
         requestedAt: now,
         orderAt: now + slackMs,
+        turn: 0,
         onTimeUntil: now + req.aimLeftMs - serviceMs,
         expiresAt: now + req.leftMs - serviceMs * MIN_SERVICE_TIMES_LEFT,
         grantedAt: 0,
@@ -234,6 +272,7 @@
         if (trials.has(req.trial)) return refuseTrial(waiter, 'trial-runs');
         trials.add(req.trial);
       }
+      assignTurn(queue, waiter);
       if (waiter.expiresAt < now) refuse(waiter, 'no-time');
       else if (countAhead(queue, waiter) > 0 || !tryGrant(waiter)) {
         enqueueOrRefuse(queue, waiter);
@@ -243,7 +282,11 @@
         waiter.server = null;
         running.delete(waiter);
         if (server !== null || waiter.queue !== null) endTrial(waiter);
-        if (server === null) return removeWaiter(waiter);
+        if (server === null) {
+          removeWaiter(waiter);
+          turns?.release(waiter, false);
+          return;
+        }
         if (outcome === 'not-held' && req.key !== null)
           cfg.onNotHeld(req.service, req.key, server, waiter.grantedAt);
         const backend = cfg.backends.get(server);
@@ -255,7 +298,8 @@
     },
     reevaluate() {
       capacities.invalidate();
-      queues.regroup();
+      queues.regroup(assignTurn);
+      turns?.cleanUp();
       serveAllQueues();
     },
     close() {
@@ -268,6 +312,9 @@
       }
       queues.clear();
     },
+    refusals: refusalCounts.all,
+    largestFlows: () =>
+      turns === null ? [] : largestFlows(turns.accounts(), cfg.clock.now()),
     waitingKeys: service =>
       [...queues.all()].flatMap(queue =>
         queue.service === service ? keysOf(queue) : [],
--- a/packages/slots/src/wait-queue.ts
+++ b/packages/slots/src/wait-queue.ts
@@ -8,9 +8,15 @@
   /** Monotonic time at which it requested a slot, in ms. */
   readonly requestedAt: number;
   /**
-   * Position among requests of equal priority, lowest first; monotonic, in ms.
+   * Position among requests of equal priority and turn, lowest first; monotonic,
+   * in ms.
    */
   readonly orderAt: number;
+  /**
+   * Turn among requests of equal priority, lowest first; 0 if the queue isn't
+   * fair by caller and key.
+   */
+  turn: number;
   /** Latest start time that meets the target latency, monotonic, in ms. */
   readonly onTimeUntil: number;
   /** Latest start time that leaves enough time to the deadline, in ms. */
@@ -35,7 +41,7 @@
   readonly levels: PriorityLevel[];
 }
 
-/** Requests of one priority, ordered by `orderAt`. */
+/** Requests of one priority, ordered by `turn` and `orderAt`. */
 export interface PriorityLevel {
   readonly priority: number;
   readonly waiters: Waiter[];
@@ -48,7 +54,7 @@
 export function enqueue(queue: WaitQueue, waiter: Waiter): void {
   waiter.queue = queue;
   const {waiters} = levelFor(queue, waiter.priority);
-  waiters.splice(insertionIndex(waiters, waiter.orderAt), 0, waiter);
+  waiters.splice(insertionIndex(waiters, waiter), 0, waiter);
 }
 
 /** Removes the waiter from its queue, if it is in one. */
@@ -67,19 +73,17 @@
 
 /**
  * Counts the waiters that precede a new one: those of higher priority, and
- * those of equal priority with a lower or equal `orderAt`, or all of them if
- * the new one can no longer meet its target latency.
+ * those of equal priority with a lower or equal turn and `orderAt`, or all of
+ * them if the new one can no longer meet its target latency.
  */
-export function countAhead(
-  {levels}: WaitQueue,
-  {priority, onTimeUntil, requestedAt, orderAt}: Waiter,
-): number {
+export function countAhead({levels}: WaitQueue, waiter: Waiter): number {
+  const {priority, onTimeUntil, requestedAt} = waiter;
   let count = 0;
   for (const level of levels) {
     if (level.priority > priority) break;
     const {waiters} = level;
     const isBehindAll = level.priority < priority || onTimeUntil < requestedAt;
-    count += isBehindAll ? waiters.length : insertionIndex(waiters, orderAt);
+    count += isBehindAll ? waiters.length : insertionIndex(waiters, waiter);
   }
   return count;
 }
@@ -91,13 +95,18 @@
   return count;
 }
 
-/** Index at which to insert a waiter: after those with an equal `orderAt`. */
-function insertionIndex(waiters: readonly Waiter[], orderAt: number): number {
+/** Index at which to insert a waiter: after those of equal order. */
+function insertionIndex(
+  waiters: readonly Waiter[],
+  {turn, orderAt}: Waiter,
+): number {
+  const isAhead = (other: Waiter): boolean =>
+    other.turn < turn || (other.turn === turn && other.orderAt <= orderAt);
   let from = 0;
   let to = waiters.length;
   while (from < to) {
     const middle = (from + to) >> 1;
-    if (waiters[middle]!.orderAt <= orderAt) from = middle + 1;
+    if (isAhead(waiters[middle]!)) from = middle + 1;
     else to = middle;
   }
   return from;
--- a/packages/slots/src/wait-queues.ts
+++ b/packages/slots/src/wait-queues.ts
@@ -1,5 +1,11 @@
 import {ownerServerOf, type SlotAllocatorConfig} from './free-server.js';
-import {enqueue, NO_OWNER, waitersIn, type WaitQueue} from './wait-queue.js';
+import {
+  enqueue,
+  NO_OWNER,
+  waitersIn,
+  type Waiter,
+  type WaitQueue,
+} from './wait-queue.js';
 import type {SlotRequest} from '@banyandrum/dispatch/slots.js';
 
 /** Wait queues of all services, by the servers that can serve them. */
@@ -9,8 +15,11 @@
   /** Returns the queues that can use a free slot of the server. */
   queuesServedBy(service: string, server: string): readonly WaitQueue[];
   all(): Iterable<WaitQueue>;
-  /** Moves all waiters to the right queue after ownership changes. */
-  regroup(): void;
+  /**
+   * Moves all waiters to the right queue after ownership changes. `prepare` is
+   * called before a waiter enters its queue.
+   */
+  regroup(prepare?: (queue: WaitQueue, waiter: Waiter) => void): void;
   clear(): void;
 }
 
@@ -56,12 +65,16 @@
       );
     },
     all,
-    regroup() {
+    regroup(prepare) {
       const waiting = [...all()].flatMap(waitersIn);
       // Also drops the queues of servers that no longer exist.
       services.clear();
       waiting.sort((a, b) => a.requestedAt - b.requestedAt);
-      for (const waiter of waiting) enqueue(queueFor(waiter.req), waiter);
+      for (const waiter of waiting) {
+        const queue = queueFor(waiter.req);
+        prepare?.(queue, waiter);
+        enqueue(queue, waiter);
+      }
     },
     clear: () => services.clear(),
   };
--- a/packages/slots/test/simulate-load.ts
+++ b/packages/slots/test/simulate-load.ts
@@ -28,6 +28,14 @@
   readonly limitMs: number;
   /** Value of an answer after the target latency, 0 to 1. */
   readonly lateValue: number;
+  /** Hashes of the callers' addresses, picked at random; absent if unknown. */
+  readonly callers?: readonly number[];
+  /** Keys of its requests, picked at random; any key by default. */
+  readonly keys?: readonly number[];
+  /** Retries of a refused request; one by default. */
+  readonly retries?: number;
+  /** Whether it ignores the retry delay of a refusal. */
+  readonly retriesAtOnce?: boolean;
 }
 
 /** Servers, callers and duration of a simulation. */
@@ -46,6 +54,8 @@
   readonly ownerLoads?: readonly number[];
   /** Whether retries are treated as new requests. */
   readonly treatsRetriesAsNew?: boolean;
+  /** Order of waiting requests of one priority; by slack by default. */
+  readonly queue?: 'by_slack' | 'fair';
 }
 
 /** Slowdowns that come and go. */
@@ -69,6 +79,10 @@
   waitedMs: number[];
   /** Callers that were refused again on their retry. */
   refusedAgain: number;
+  /** Slot requests, retries included. */
+  asks: number;
+  /** Time from each slot request to its refusal, in ms. */
+  refusedAfterMs: number[];
 }
 
 interface Simulation {
@@ -114,6 +128,7 @@
     limits: createServerLimits({clock, emit: () => undefined}),
     ownerOf: (_, key) => ownerOf(key),
     onNotHeld: () => undefined,
+    ...(load.queue !== undefined && {queue: load.queue}),
   });
   const slownessOf = new Map(
     servers.map(({id}, at) => [id, load.slowness[at]!]),
@@ -181,6 +196,7 @@
   return {
     ...{requests: 0, onTime: 0, late: 0, unserved: 0},
     ...{value: 0, waitedMs: [], refusedAgain: 0},
+    ...{asks: 0, refusedAfterMs: []},
   };
 }
 
@@ -199,8 +215,12 @@
 ): void {
   const {clock, random, load} = simulation;
   const startedAt = clock.now();
-  const key = load.isKeyed ? simulation.pickKey() : null;
+  const key = load.isKeyed
+    ? (pick(kind.keys, random) ?? simulation.pickKey())
+    : null;
+  const caller = pick(kind.callers, random);
   let waitedMs = 0;
+  let retriesLeft = kind.retries ?? 1;
   outcome.requests++;
 
   const giveUp = (isRetry: boolean): void => {
@@ -227,10 +247,12 @@
       isDone = true;
       cancelTimeout();
       waitedMs += clock.now() - requestedAt;
-      if (isRetry || reply.kind !== 'refused') return giveUp(isRetry);
+      outcome.refusedAfterMs.push(clock.now() - requestedAt);
+      if (retriesLeft-- === 0 || reply.kind !== 'refused')
+        return giveUp(isRetry);
       const remainingMs = kind.limitMs - (clock.now() - startedAt);
       const pause = Math.min(
-        reply.retryAfterMs,
+        kind.retriesAtOnce === true ? 0 : reply.retryAfterMs,
         remainingMs * MAX_RETRY_DELAY_SHARE,
       );
       clock.after(pause + ROUND_TRIP_MS, () => attempt(true));
@@ -266,11 +288,13 @@
       });
     };
     const elapsedMs = load.treatsRetriesAsNew ? 0 : kind.limitMs - leftMs;
+    outcome.asks++;
     const release = simulation.allocator.ask(
       {
         ...{id: 'r', service: SERVICE, key, priority: kind.priority},
         ...{leftMs, aimLeftMs: kind.targetMs - elapsedMs, askedMs: elapsedMs},
         ...{excluded: [], dataCentre: 'a'},
+        ...(caller !== undefined && {caller}),
       },
       reply => clock.after(0, () => handleReply(reply)),
     );
@@ -278,6 +302,14 @@
   attempt(false);
 }
 
+/** Picks an item at random; undefined if there are none to choose from. */
+function pick(
+  items: readonly number[] | undefined,
+  random: () => number,
+): number | undefined {
+  return items?.[Math.floor(random() * items.length)];
+}
+
 function computeValue(
   {kinds}: Load,
   outcomes: ReadonlyMap<string, Outcome>,
