--- a/packages/dispatch/src/find-target.ts
+++ b/packages/dispatch/src/find-target.ts
@@ -77,10 +77,12 @@
         ],
         dataCentre: cfg.dataCentre,
         ...(standing === 'suspected' && {trial: req.contents().anyQuery}),
+        ...(cfg.hashCaller && {caller: cfg.hashCaller(req.caller)}),
       },
       req.signal,
     );
     if (slot.kind === 'refused') {
+      logRefusedCaller(state);
       state.retryAfterMs = slot.retryAfterMs;
       state.cause = slot.isUnheld ? 'no-owner' : 'overloaded';
       return null;
@@ -129,6 +131,12 @@
   }
 }
 
+/** Logs the address behind the hash in the leader's `place-refused` line. */
+function logRefusedCaller({cfg, req: {id, caller}}: ForwardState): void {
+  const hash = cfg.hashCaller?.(caller);
+  if (hash !== undefined) cfg.emit('caller-refused', {id, caller, hash});
+}
+
 /** Chooses a server without the leader. */
 async function findWithoutLeader(state: ForwardState): Promise<Target | null> {
   const {cfg, req} = state;
--- a/packages/dispatch/src/forward-state.ts
+++ b/packages/dispatch/src/forward-state.ts
@@ -68,6 +68,8 @@
   readonly clock: Clock;
   readonly emit: Emit;
   readonly routers: RouterTotal;
+  /** Hash of a caller's address; absent if callers aren't told apart. */
+  readonly hashCaller?: (address: string) => number;
 }
 
 /** State of a request across its attempts. */
--- a/packages/gateway/src/link-server.ts
+++ b/packages/gateway/src/link-server.ts
@@ -1,3 +1,4 @@
+import {hashCaller} from '@banyandrum/dispatch/caller-hash.js';
 import type {Emit} from '@banyandrum/dispatch/events.js';
 import type {SlotAllocator} from '@banyandrum/slots/slot-allocator.js';
 import type {SlotOutcome} from '@banyandrum/dispatch/slots.js';
@@ -347,7 +348,10 @@
     if (place.key !== null) cfg.noteRequest(place.service, place.key);
     let isRefused = false;
     const dataCentre = candidate?.dataCentre ?? '';
-    const endSlot = cfg.allocator.ask({...place, dataCentre}, reply => {
+    // Routers that don't tell callers apart have one account each.
+    const caller = place.caller ?? hashCaller(candidate?.address ?? '');
+    const request = {...place, dataCentre, caller};
+    const endSlot = cfg.allocator.ask(request, reply => {
       isRefused = reply.kind !== 'granted';
       if (isRefused) pending.delete(ask);
       stream.write({kind: 'reply', ask, reply});
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -1,5 +1,6 @@
 import {createServer, type Server} from 'node:http';
 import type {RetryOutcome} from '@banyandrum/dispatch/retry-decision.js';
+import type {RefusalCount} from '@banyandrum/slots/queue-report.js';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {RequestOutcome} from './frontend.js';
 import type {PageHandler} from './quarantine-page.js';
@@ -43,6 +44,8 @@
   routersAgeMs(): number;
   /** Retries that this router may send now, by service. */
   retriesLeft(): Iterable<readonly [service: string, left: number]>;
+  /** Requests that this router refused a slot as the leader, by reason. */
+  slotRefusals(): Iterable<RefusalCount>;
 }
 
 /** The process's metrics and the HTTP server that exposes them. */
@@ -181,6 +184,17 @@
         retriesLeft.set({service}, left);
     },
   });
+  const refusals: Counter = new Counter({
+    name: 'banyandrum_slot_refusals_total',
+    help: 'Requests refused a slot by this router as leader, by reason',
+    labelNames: ['service', 'why'],
+    registers,
+    collect() {
+      refusals.reset();
+      for (const {service, why, count} of source.slotRefusals())
+        refusals.inc({service, why}, count);
+    },
+  });
   const routes = new Set<string>();
   const labelOf = (route: string | null): string => {
     if (route === null) return 'none';
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -2,6 +2,7 @@
 import {createClock, type Clock} from '@banyandrum/base/clock.js';
 import {createId} from '@banyandrum/base/ids.js';
 import {createBackends, type Backends} from '@banyandrum/dispatch/backends.js';
+import {hashCaller} from '@banyandrum/dispatch/caller-hash.js';
 import {createSlotAllocator} from '@banyandrum/slots/slot-allocator.js';
 import {createQuarantine} from '@banyandrum/dispatch/quarantine.js';
 import {createRetryBudget} from '@banyandrum/dispatch/retry-budget.js';
@@ -45,6 +46,7 @@
 import {shareSuspects} from './share-suspects.js';
 import {stopRouter} from './stop-router.js';
 import {createLeaderElection} from './leader-election.js';
+import {reportQueueShares} from './queue-reports.js';
 import {reportVitals} from './vitals.js';
 import {createSuspendAwareTime} from './suspend-aware-clock.js';
 
@@ -250,6 +252,7 @@
     onNotHeld: leadership.noteNotHeld,
     suspects,
     limits: requestLimits,
+    queue: settings.scheduling.queue,
   });
   const reportLeaving = (server: string): void => {
     if (!serverList.noteLeaving(server) || leadership.isLeading()) return;
@@ -315,6 +318,7 @@
       [...retryBudget.services()].map(
         service => [service, retryBudget.basis(service).left] as const,
       ),
+    slotRefusals: () => slotAllocator.refusals(),
   };
   const quarantinePage = createQuarantinePage(
     suspects,
@@ -360,6 +364,7 @@
       clock,
       emit,
       routers: routerCount,
+      ...(settings.scheduling.queue === 'fair' && {hashCaller}),
     },
   });
   const isReady = (): boolean =>
@@ -426,6 +431,7 @@
     waiting: () => slotAllocator.waitingCount(),
     callCounts: () => platform.callCounts(),
   });
+  const stopQueueReports = reportQueueShares(clock, emit, slotAllocator);
   emit('started', {
     self,
     ...addresses,
@@ -463,6 +469,7 @@
     isClosed = true;
     loopLag.stop();
     stopVitals();
+    stopQueueReports();
     leadership.resign();
     configKeeper.stop();
     evacuations.stop();
