--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -2,6 +2,7 @@
 import {createClock, type Clock} from '@banyandrum/base/clock.js';
 import {createId} from '@banyandrum/base/ids.js';
 import {createBackends, type Backends} from '@banyandrum/dispatch/backends.js';
+import {hashCaller} from '@banyandrum/dispatch/caller-hash.js';
 import {createSlotAllocator} from '@banyandrum/slots/slot-allocator.js';
 import {createQuarantine} from '@banyandrum/dispatch/quarantine.js';
 import {createRetryBudget} from '@banyandrum/dispatch/retry-budget.js';
@@ -47,6 +48,7 @@
 import {stopRouter} from './stop-router.js';
 import {createLeaderElection} from './leader-election.js';
 import {createUnreadAnswers} from './unread-answers.js';
+import {reportQueueShares} from './queue-reports.js';
 import {reportVitals} from './vitals.js';
 import {reduceStoreCalls} from './store-contact.js';
 import {createSuspendAwareTime} from './suspend-aware-clock.js';
@@ -286,6 +288,7 @@
     suspects,
     limits: requestLimits,
     ...requestTimes.part,
+    queue: settings.scheduling.queue,
   });
   const reportLeaving = (server: string): void => {
     if (!serverList.noteLeaving(server) || leadership.isLeading()) return;
@@ -364,6 +367,7 @@
         service => [service, retryBudget.basis(service).left] as const,
       ),
     requestTimes,
+    slotRefusals: () => slotAllocator.refusals(),
   };
   const quarantinePage = createQuarantinePage(
     suspects,
@@ -411,6 +415,7 @@
       clock,
       emit,
       routers: routerCount,
+      ...(settings.scheduling.queue === 'fair' && {hashCaller}),
     },
   });
   const isReady = (): boolean =>
@@ -478,6 +483,7 @@
     waiting: () => slotAllocator.waitingCount(),
     callCounts: () => platform.callCounts(),
   });
+  const stopQueueReports = reportQueueShares(clock, emit, slotAllocator);
   emit('started', {
     self,
     ...addresses,
@@ -519,6 +525,7 @@
     requestTimes.stop();
     unread.stop();
     stopVitals();
+    stopQueueReports();
     leadership.resign();
     configKeeper.stop();
     evacuations.stop();
