Spread a suddenly busy range over many servers by halves, also by latency

With a profile, a server gave only as much as another could process: with 200 servers and 39 % of all requests on 200 adjacent keys, 34 % of the requests exceeded their server in the first two seconds and 18 % in the next two.

--- a/packages/ranges/src/balancing.ts
+++ b/packages/ranges/src/balancing.ts
@@ -25,9 +25,10 @@
 const HOT_KEY_REST_MS = 13_000;
 /**
  * For this long a server that gave keys away gets none by latency, and one that
- * got some keeps them unless it is overloaded, in ms. It is half of the period
- * in which demand is known to swing. Without it there were 276 moves a minute
- * with 36 servers at 55 % of their capacity, with it 178 (placement-load.test.ts).
+ * got some keeps them, in ms, unless a server is overloaded. It is half of the
+ * period in which demand is known to swing. Without it there were 276
+ * moves a minute with 36 servers at 55 % of their capacity, with it 178
+ * (placement-load.test.ts).
  */
 const SERVER_REST_MS = 6_500;
 
--- a/packages/ranges/src/latency-planner.ts
+++ b/packages/ranges/src/latency-planner.ts
@@ -14,7 +14,7 @@
   type KeySpan,
   type Segment,
 } from './segments.js';
-import {maxRate, utilization} from './server-speed.js';
+import {maxRate, rateToEqualize, utilization} from './server-speed.js';
 import {KEY_COUNT, rangeSize} from './table.js';
 
 /** Change of a server's rate by which servers are ranked, per second. */
@@ -56,6 +56,12 @@
 const RATE_DEVIATIONS = 0.5;
 /** Time over which requests are counted, in seconds: as in `key-load.ts`. */
 const COUNTED_SECONDS = 24;
+/**
+ * From this utilization on, a server gives keys also to servers that gave some
+ * away a short time ago. From 1 on, 0.764 instead of 0.677 of the late answers by
+ * utilization were left at 55 % of the capacity (placement-load.test.ts).
+ */
+const FAR_OVERLOAD = 1.5;
 /** Steps that each take a third off the interval of rates that is searched. */
 const SEARCH_STEPS = 12;
 /** Rates to look for a segment with, relative to the best one. */
@@ -101,14 +107,18 @@
   const givers = others.filter(
     each => isOverloaded(each) || !input.recentTakers.has(each.id),
   );
-  const takers = others.filter(({id}) => !input.recentGivers.has(id));
   const bySaving = sortBy(givers, each => -savingOf(each, late));
-  const byCost = sortBy(takers, each => costOf(each, late));
+  const byCost = sortBy(others, each => costOf(each, late));
   for (const from of bySaving) {
     if (moves.length >= maxMoves) break;
     if (used.has(from.id)) continue;
-    const to = byCost.find(({id}) => id !== from.id && !used.has(id));
-    if (to === undefined) break;
+    const to = byCost.find(
+      ({id}) =>
+        id !== from.id &&
+        !used.has(id) &&
+        (isFarOverloaded(from) || !input.recentGivers.has(id)),
+    );
+    if (to === undefined) continue;
     if (savingOf(from, late) <= costOf(to, late)) break;
     const own = ownLoads.get(from.id) ?? [];
     const spans = own.flatMap(each => spansWithout(runningKeys, each));
@@ -121,6 +131,11 @@
   return {moves, isUrgent};
 }
 
+/** Whether a server has more than chance and short queues explain. */
+function isFarOverloaded(server: LoadedServer): boolean {
+  return utilization(server, server.rate) > FAR_OVERLOAD;
+}
+
 function isOverloaded(server: LoadedServer): boolean {
   return utilization(server, server.rate) > 1;
 }
@@ -173,13 +188,13 @@
 ): PlannedMove | null {
   const {late} = comparison;
   const movable = sumOfRates(spans);
-  const targetRate = rateToMove(from, to, movable, late);
+  const targetRates = ratesToMove(from, to, movable, late);
   const lowFrom = withDeviation(from, -RATE_DEVIATIONS);
   const highTo = withDeviation(to, RATE_DEVIATIONS);
   let best: PlannedMove | null = null;
   let bestValue = 0;
-  for (const ratio of TARGET_RATIOS) {
-    const segment = bestSegment(spans, targetRate * ratio, SIZE_COST);
+  for (const targetRate of targetRates) {
+    const segment = bestSegment(spans, targetRate, SIZE_COST);
     if (segment === null) continue;
     const {range, rate} = segment;
     const saved = savedByMove(lowFrom, highTo, rate, late);
@@ -200,6 +215,24 @@
   return sum;
 }
 
+/**
+ * Rates to look for a segment with. While what could move is more than both
+ * servers can process, half of it moves, so that many servers share it after few
+ * plans.
+ */
+function ratesToMove(
+  from: LoadedServer,
+  to: LoadedServer,
+  movable: number,
+  late: LateAnswers,
+): readonly number[] {
+  const bestRate = rateToMove(from, to, movable, late);
+  if (utilization(from, movable - bestRate) <= 1)
+    return TARGET_RATIOS.map(ratio => bestRate * ratio);
+  const gap = utilization(from, from.rate) - utilization(to, to.rate);
+  return [Math.max(bestRate, rateToEqualize(from, to, gap))];
+}
+
 /** The rate up to `movable` whose move saves the most late answers. */
 function rateToMove(
   from: LoadedServer,
--- a/packages/ranges/src/planner.ts
+++ b/packages/ranges/src/planner.ts
@@ -7,7 +7,7 @@
   ratesByAssignment,
   spansWithout,
 } from './segments.js';
-import {utilization, type ServerSpeed} from './server-speed.js';
+import {rateToEqualize, utilization, type ServerSpeed} from './server-speed.js';
 import type {RangeAssignment, KeyRange} from './table.js';
 
 /** Properties of a server that determine which keys it is assigned. */
@@ -136,15 +136,3 @@
   }
   return {moves, isUrgent};
 }
-
-/** The rate whose move equalizes the utilization of the two servers. */
-function rateToEqualize(
-  mostUtilized: ServerCapacity,
-  leastUtilized: ServerCapacity,
-  gap: number,
-): number {
-  const gapPerRate =
-    mostUtilized.serviceMs / 1000 / mostUtilized.slots +
-    leastUtilized.serviceMs / 1000 / leastUtilized.slots;
-  return gap / gapPerRate;
-}
--- a/packages/ranges/src/server-speed.ts
+++ b/packages/ranges/src/server-speed.ts
@@ -22,3 +22,15 @@
 export function utilization(server: ServerSpeed, rate: number): number {
   return (rate * server.serviceMs) / 1000 / server.slots;
 }
+
+/**
+ * The rate whose move equalizes the utilization of two servers that differ by
+ * `gap`.
+ */
+export function rateToEqualize(
+  from: ServerSpeed,
+  to: ServerSpeed,
+  gap: number,
+): number {
+  return gap / (utilization(from, 1) + utilization(to, 1));
+}
--- a/packages/ranges/test/spread.test.ts
+++ b/packages/ranges/test/spread.test.ts
@@ -1,4 +1,5 @@
 import tap from 'tap';
+import type {LatencyProfile} from '@banyandrum/ranges/late-answers.js';
 import {KEY_COUNT, rangeSize} from '@banyandrum/ranges/table.js';
 import {createRandom} from '@banyandrum/standins/seeded-random.js';
 import {
@@ -110,6 +111,15 @@
 const HOT_SHARE = 0.39;
 const STEP_MS = 50;
 
+const PROFILE: LatencyProfile = {
+  kinds: [{share: 1, relativeWork: 1, targetMs: 1_000}],
+  spread: [0.5, 0.6, 0.7, 0.8, 0.9, 1, 1.1, 1.2, 1.3, 1.9],
+};
+const PLACEMENTS = [
+  ['by utilization', null],
+  ['by latency', PROFILE],
+] as const;
+
 /** The share of requests that exceed the capacity of their server. */
 function unservedShare({serviceLeader}: TestLeader): number {
   const rates = new Map<string | null, number>();
@@ -134,37 +144,49 @@
 // are spread over half of all servers. Each key gets only one or two requests
 // per second, so counts of single keys didn't show the increase, and with a
 // plan every 0.4 s the range was only halved each time: 37 % of requests were
-// refused after 0.8 s, 26 % after 2 s, 9 % after 4.8 s.
-void tap.test('a range that becomes busy is balanced at once', async t => {
-  const random = createRandom(3);
-  const ids = Array.from({length: MANY_SERVERS}, (_, at) => `s${at}`);
-  const harness = createHarness(2, ids);
-  const leader = await harness.startLeader();
-  const addRequests = (hotShare: number): void => {
-    for (let left = (RATE * STEP_MS) / 1_000; left > 0; left--) {
-      const isHot = random() < hotShare;
-      const key = isHot
-        ? HOT_FROM + Math.floor(random() * HOT_KEYS)
-        : Math.floor(random() * KEY_COUNT);
-      leader.serviceLeader.load.add(key, 1);
-    }
-  };
-  const measureUnserved = async (
-    ms: number,
-    hotShare: number,
-  ): Promise<number> => {
-    let sum = 0;
-    for (let passed = 0; passed < ms; passed += STEP_MS) {
-      addRequests(hotShare);
-      await harness.advance(STEP_MS);
-      sum += unservedShare(leader);
-    }
-    return (sum * STEP_MS) / ms;
-  };
-  await measureUnserved(6_000, 0);
-  const first = await measureUnserved(2_000, HOT_SHARE);
-  const later = await measureUnserved(2_000, HOT_SHARE);
-  t.comment(`refused: ${first.toFixed(3)}, then ${later.toFixed(3)}`);
-  t.ok(first < 0.24, 'half the previous share in the first two seconds');
-  t.ok(later < 0.07, 'hardly any after that');
-});
+// refused after 0.8 s, 26 % after 2 s, 9 % after 4.8 s. By latency, it was 34 % and
+// then 18 % while a server gave only as much as another could process.
+for (const [name, profile] of PLACEMENTS) {
+  void tap.test(
+    `a range that becomes busy is balanced at once, ${name}`,
+    async t => {
+      const random = createRandom(3);
+      const ids = Array.from({length: MANY_SERVERS}, (_, at) => `s${at}`);
+      const harness = createHarness(2, ids, {
+        ...{
+          slots: SLOTS,
+          serviceMsOf: () => SERVICE_MS,
+          profile: () => profile,
+        },
+      });
+      const leader = await harness.startLeader();
+      const addRequests = (hotShare: number): void => {
+        for (let left = (RATE * STEP_MS) / 1_000; left > 0; left--) {
+          const isHot = random() < hotShare;
+          const key = isHot
+            ? HOT_FROM + Math.floor(random() * HOT_KEYS)
+            : Math.floor(random() * KEY_COUNT);
+          leader.serviceLeader.load.add(key, 1);
+        }
+      };
+      const measureUnserved = async (
+        ms: number,
+        hotShare: number,
+      ): Promise<number> => {
+        let sum = 0;
+        for (let passed = 0; passed < ms; passed += STEP_MS) {
+          addRequests(hotShare);
+          await harness.advance(STEP_MS);
+          sum += unservedShare(leader);
+        }
+        return (sum * STEP_MS) / ms;
+      };
+      await measureUnserved(6_000, 0);
+      const first = await measureUnserved(2_000, HOT_SHARE);
+      const later = await measureUnserved(2_000, HOT_SHARE);
+      t.comment(`refused: ${first.toFixed(3)}, then ${later.toFixed(3)}`);
+      t.ok(first < 0.24, 'half the previous share in the first two seconds');
+      t.ok(later < 0.07, 'hardly any after that');
+    },
+  );
+}
