--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -16,8 +16,6 @@
   readonly placement: 'utilization' | 'latency';
   /** The order of waiting requests of equal priority. */
   readonly queue: 'by_slack' | 'fair';
-  /** What the retry delay of a refused caller is based on. */
-  readonly retryAfter: 'service_time' | 'scheduled';
 }
 
 /** Settings of one router process. */
@@ -98,7 +96,6 @@
   requestTimes: 'per_service',
   placement: 'utilization',
   queue: 'by_slack',
-  retryAfter: 'service_time',
 };
 
 const DEFAULTS: SettingsDefaults = {
@@ -253,12 +250,6 @@
         ['by_slack', 'fair'],
         scheduling.queue,
       ),
-      retryAfter: choiceAt(
-        'scheduling',
-        'retry_after',
-        ['service_time', 'scheduled'],
-        scheduling.retryAfter,
-      ),
     },
     logging: {level: choiceAt('logging', 'level', LOG_LEVELS, 'info')},
     operators: {tokens: checkTokens(valueAt('operators', 'tokens') ?? [])},
