Check in the model that a leader may confirm the end of its own term

The range model gets steps for a successor that asks the previous leader whether its term has ended, for grants in transit, a lost process and a leader before the previous one. With all safeguards there is no violation; without each of endsTerm, drainsOrders, asksSameRun and inheritsWait two servers hold the range. In particular, another process at the leader's address proves nothing, because a cut may hold up a grant of the lost one.

--- a/packages/model/src/range-restore.ts
+++ b/packages/model/src/range-restore.ts
@@ -106,7 +106,8 @@
     asked: null,
     storeEpoch: state.storeEpoch,
   });
-  return {...next, newest: leader, terms: state.terms + 1};
+  const earlierWait = leader === 'L' ? AUTHORITY : state.earlierWait;
+  return {...next, newest: leader, terms: state.terms + 1, earlierWait};
 }
 
 /** A holding that nobody knows: it is free once all holds have lapsed. */
--- a/packages/model/src/range-spec.ts
+++ b/packages/model/src/range-spec.ts
@@ -17,6 +17,7 @@
   SERVER_RANGE_STEPS,
   WHOLE_RANGE_STEPS,
 } from './range-steps.js';
+import {TAKEOVER_STEPS} from './range-takeover.js';
 import type {RangeContext, RangeStep} from './range-rules.js';
 
 /** One step of one leader at one server. */
@@ -32,6 +33,7 @@
   ...SERVER_RANGE_STEPS,
   ...WHOLE_RANGE_STEPS,
   ...RESTORED_LEADER_STEPS,
+  ...TAKEOVER_STEPS,
   restore: RESTORE_STEP,
 };
 
@@ -93,6 +95,7 @@
     );
   return [
     ...toEvents({...WHOLE_RANGE_STEPS, restore: 0}, [leader], [server]),
+    ...toEvents(TAKEOVER_STEPS, [leader], [server]),
     ...toEvents(RESTORED_LEADER_STEPS, RANGE_LEADERS, [server]),
     ...toEvents(SERVER_RANGE_STEPS, [leader], RANGE_SERVERS),
     ...toEvents(LEADER_RANGE_STEPS, RANGE_LEADERS, [server]),
--- a/packages/model/src/range-state.ts
+++ b/packages/model/src/range-state.ts
@@ -54,6 +54,14 @@
   readonly boundsRemembered: boolean;
   /** A record of an earlier history is believed by nobody. */
   readonly distrustsCopies: boolean;
+  /** A leader that answers that its term has ended never acts in it again. */
+  readonly endsTerm: boolean;
+  /** It answers so only while none of its orders is in transit. */
+  readonly drainsOrders: boolean;
+  /** Another process at the leader's address proves nothing. */
+  readonly asksSameRun: boolean;
+  /** Its answer includes how long leaders before it may still act. */
+  readonly inheritsWait: boolean;
 }
 
 export const ALL_RANGE_SAFEGUARDS: RangeSafeguards = {
@@ -75,6 +83,10 @@
   confirmsRemembered: true,
   boundsRemembered: true,
   distrustsCopies: true,
+  endsTerm: true,
+  drainsOrders: true,
+  asksSameRun: true,
+  inheritsWait: true,
 };
 
 /** What may happen in one exploration; keeps each one exhaustible. */
@@ -93,6 +105,14 @@
   readonly powerLoss: boolean;
   /** Orders of each leader to each server that may be carried out late. */
   readonly lateOrders: boolean;
+  /** Whether N may ask L whether L's term has ended. */
+  readonly asksEnd?: boolean;
+  /** Whether orders of L may be in transit for a tick. */
+  readonly transit?: boolean;
+  /** Whether L's process may be lost while L is the newest leader. */
+  readonly processLoss?: boolean;
+  /** Whether a leader before L may still act at first. */
+  readonly earlierLeader?: boolean;
 }
 
 /** One run of a server and the range. */
@@ -113,6 +133,15 @@
   readonly age: number;
 }
 
+/** An order of L that hasn't arrived. */
+export interface SentGrant {
+  readonly server: RangeServer;
+  readonly fence: number;
+  readonly run: number;
+  /** Ticks since it was sent. */
+  readonly age: number;
+}
+
 /** The holding as a leader has it. */
 export interface RangeView {
   readonly server: RangeServer;
@@ -182,18 +211,30 @@
   readonly slowLeft: number;
   readonly suspendedLeft: number;
   readonly powerLossLeft: number;
+  /** The order of L in transit. */
+  readonly sent: SentGrant | null;
+  /** Whether the process that led as L still runs. */
+  readonly isLRunning: boolean;
+  /** Ticks for which a leader before L may act. */
+  readonly earlierActs: number;
+  /** The same as L counts it; never less. */
+  readonly earlierWait: number;
 }
 
 /** L leads and has just been confirmed; A has just been granted the range. */
 export function createInitialRange(scope: RangeScope): RangeState {
   const first = {server: 'A', run: 0, fence: 1} as const;
   const idle = {run: 0, left: 0, seen: 0};
+  const earlierActs = scope.earlierLeader === true ? AUTHORITY : 0;
+  const isFirst = earlierActs === 0;
+  // Until A has seen L's fence, the leader before L may renew there.
+  const foreign = isFirst ? 0 : earlierActs + HOLD + DRIFT;
   const view: RangeView = {
     ...first,
     phase: 'held',
-    lapse: HOLD + DRIFT,
+    lapse: isFirst ? HOLD + DRIFT : foreign,
     unproved: 0,
-    foreign: 0,
+    foreign,
   };
   const leader: LeaderRun = {
     authority: AUTHORITY,
@@ -212,7 +253,7 @@
     earlierLeft: 0,
     restoresLeft: scope.restores,
     record: first,
-    servers: {A: {...idle, left: HOLD, seen: 1}, B: idle},
+    servers: {A: {...idle, left: HOLD, seen: Number(isFirst)}, B: idle},
     leaders: {L: leader, N: {...leader, authority: 0, isOver: true}},
     top: {fence: 1, server: 'A'},
     hasSunk: false,
@@ -220,6 +261,10 @@
     slowLeft: scope.slowTicks,
     suspendedLeft: scope.suspendedTicks,
     powerLossLeft: Number(scope.powerLoss),
+    sent: null,
+    isLRunning: true,
+    earlierActs,
+    earlierWait: earlierActs,
   };
 }
 
@@ -268,6 +313,8 @@
     `${top.fence}${top.server}${Number(state.hasSunk)}`,
     `${state.restartsLeft}${state.slowLeft}`,
     `${state.suspendedLeft}${state.powerLossLeft}`,
+    serializeSent(state.sent),
+    `${Number(state.isLRunning)}${state.earlierActs}${state.earlierWait}`,
   ].join('|');
 }
 
@@ -284,6 +331,11 @@
   return `${own},${held},${times},${late.join(',')}`;
 }
 
+function serializeSent(sent: SentGrant | null): string {
+  if (sent === null) return '';
+  return `${sent.server}${sent.run}.${sent.fence}.${sent.age}`;
+}
+
 function serializeLate(late: LateGrant | null): string {
   return late === null ? '' : `${late.fence}.${late.run}.${late.age}`;
 }
--- a/packages/model/src/range-steps.ts
+++ b/packages/model/src/range-steps.ts
@@ -21,6 +21,7 @@
   type RangeContext,
   type RangeStep,
 } from './range-rules.js';
+import {ageSent, hasSent, mayTick} from './range-takeover.js';
 import {
   beginTerm,
   firstFence,
@@ -153,7 +154,7 @@
   },
   tickSlow: {
     says: 'a tick passes that P’s clock misses',
-    can: (_ctx, {slowLeft}) => slowLeft > 0,
+    can: (_ctx, state) => state.slowLeft > 0 && mayTick(state),
     next: (ctx, state, _leader, server) => ({
       ...passTick(ctx, state, server, null),
       slowLeft: state.slowLeft - 1,
@@ -165,13 +166,13 @@
 export const WHOLE_RANGE_STEPS = {
   tick: {
     says: 'a tick passes',
-    can: () => true,
+    can: (_ctx, state) => mayTick(state),
     next: (ctx, state) => passTick(ctx, state, null, null),
   },
   tickSuspended: {
     says: 'a tick passes while L’s host is suspended',
-    can: (_ctx, {suspendedLeft, leaders}) =>
-      suspendedLeft > 0 && !leaders.L.isOver,
+    can: (_ctx, state) =>
+      state.suspendedLeft > 0 && !state.leaders.L.isOver && mayTick(state),
     next: (ctx, state) => ({
       ...passTick(ctx, state, null, 'L'),
       suspendedLeft: state.suspendedLeft - 1,
@@ -190,7 +191,7 @@
       let next = setLeaderRun(state, 'L', {isOver: true});
       next = setLeaderRun(next, 'N', {isOver: true});
       for (const server of RANGE_SERVERS) next = restart(next, server);
-      return {...next, powerLossLeft: 0};
+      return {...next, powerLossLeft: 0, isLRunning: false, sent: null};
     },
   },
 } satisfies Readonly<Record<string, RangeStep>>;
@@ -208,7 +209,8 @@
   leader: RangeLeader,
 ): boolean {
   const {view} = state.leaders[leader];
-  if (!mayAct(ctx, state.leaders[leader])) return false;
+  if (!mayAct(ctx, state.leaders[leader]) || hasSent(state, leader))
+    return false;
   return view.phase === 'held' || (view.phase === 'moving' && view.foreign > 0);
 }
 
@@ -222,7 +224,7 @@
 
 function isMoving(state: RangeState, leader: RangeLeader): boolean {
   const {isOver, view} = state.leaders[leader];
-  return !isOver && view.phase === 'moving';
+  return !isOver && view.phase === 'moving' && !hasSent(state, leader);
 }
 
 /** Whether nobody holds the range any more, by the leader's count. */
@@ -358,7 +360,13 @@
   slow: RangeServer | null,
   suspended: RangeLeader | null,
 ): RangeState {
-  let next = {...state, earlierLeft: less(state.earlierLeft)};
+  let next: RangeState = {
+    ...state,
+    earlierLeft: less(state.earlierLeft),
+    earlierActs: less(state.earlierActs),
+    earlierWait: less(state.earlierWait),
+    sent: ageSent(state.sent),
+  };
   for (const server of RANGE_SERVERS) {
     if (server === slow) continue;
     next = setRun(next, server, ageServer(next.servers[server]));
--- a/packages/model/test/range-restore.test.ts
+++ b/packages/model/test/range-restore.test.ts
@@ -26,6 +26,7 @@
   ['a slow clock', {...RESTORED, slowTicks: 1}],
   ['a server restarts', {...RESTORED, restarts: 1}],
   ['a second restore', {...RESTORED, restores: 2}],
+  ['the earlier leader is asked', {...N_MOVES, asksEnd: true}],
 ];
 
 for (const [name, scope] of SCENARIOS) {
--- a/packages/model/test/range-spec.test.ts
+++ b/packages/model/test/range-spec.test.ts
@@ -24,6 +24,11 @@
 const RESTARTS = {...CALM, restarts: 1};
 const POWER = {...CALM, powerLoss: true};
 
+const ASKING: RangeScope = {...SLOW_N, lateOrders: false, asksEnd: true};
+const TRANSIT = {...ASKING, transit: true};
+const LOST_PROCESS = {...TRANSIT, processLoss: true};
+const EARLIER = {...ASKING, earlierLeader: true};
+
 const SCENARIOS: readonly (readonly [string, RangeScope])[] = [
   ['late orders', CALM],
   ['a slow clock', SLOW_N],
@@ -36,6 +41,13 @@
     'there and back, on time',
     {...CALM, moves: {L: 1, N: 2}, lateOrders: false},
   ],
+  ['the earlier leader is asked, late orders', {...CALM, asksEnd: true}],
+  ['the earlier leader is asked, a slow clock', {...SLOW_N, asksEnd: true}],
+  ['the earlier leader is asked, suspended', {...SUSPENDED, asksEnd: true}],
+  ['the earlier leader is asked, orders in transit', TRANSIT],
+  ['the earlier leader is asked, its process may be lost', LOST_PROCESS],
+  ['the earlier leader is asked, another before it acts', EARLIER],
+  ['the earlier leader is asked, all lose power', {...POWER, asksEnd: true}],
 ];
 
 for (const [name, scope] of SCENARIOS) {
@@ -69,6 +81,10 @@
   ['seesSuspension', SUSPENDED, BOTH],
   ['fencesRise', POWER, SUNK],
   ['provesEnds', CALM, BOTH],
+  ['endsTerm', ASKING, BOTH],
+  ['drainsOrders', TRANSIT, BOTH],
+  ['asksSameRun', LOST_PROCESS, BOTH],
+  ['inheritsWait', EARLIER, BOTH],
 ];
 
 for (const [guard, scope, violation] of REMOVALS) {
