Ask the previous leader whether its term has ended

After a change of leader, keys of a server that the new leader can't reach had no owner for 16 s, although the previous leader usually still runs and can tell that it acts no longer. Each further leader began that wait anew.

A term's record now names the leader's address and process. The new leader asks there; the same process confirms the end of its term once none of its calls to servers is in flight, and tells for how long leaders before it may act. Without such an answer the wait stays as it was: another process, a refused connection or an earlier version of the program proves nothing. The record with the leader's address, which earlier versions read, is unchanged.

--- a/packages/gateway/src/leadership.ts
+++ b/packages/gateway/src/leadership.ts
@@ -14,7 +14,7 @@
   createServiceLeader,
   type ServiceLeader,
 } from '@banyandrum/ranges/service-leader.js';
-import type {TableStore} from '@banyandrum/ranges/table-store.js';
+import type {TableStore, TermLeader} from '@banyandrum/ranges/table-store.js';
 import type {ListedServer} from '@banyandrum/ranges/leader-state.js';
 import type {RangeTable} from '@banyandrum/ranges/table.js';
 import {
@@ -23,7 +23,15 @@
 } from '@banyandrum/ranges/lease-timing.js';
 import {createChangeCoalescer} from './change-coalescer.js';
 import type {KeyCounts, ServedTables} from './key-owners.js';
+import {createOwnTerms, type OwnTerm} from './own-terms.js';
 import type {Platform} from './platform.js';
+import {
+  NOT_ENDED,
+  OTHER_RUN,
+  provePreviousEnd,
+  type TermEndAnswer,
+  type TermEndQuestion,
+} from './term-end.js';
 
 /** This router's role as the leader of all keyed services. */
 export interface Leadership {
@@ -46,6 +54,12 @@
   startTerm(): Promise<boolean>;
   /** Another router may have started a term: asks the platform at once. */
   checkTerm(): void;
+  /**
+   * Answers the leader of a later term, whose question ends this router's term.
+   */
+  answerTermEnd(question: TermEndQuestion): TermEndAnswer;
+  /** Whether the next leader may still ask if this router's term has ended. */
+  awaitsTermEndQuestion(): boolean;
   /** Ends the term because this router shuts down. */
   resign(): void;
   addRequestCounts(counts: KeyCounts): void;
@@ -74,6 +88,11 @@
   readonly bootId: string;
   /** The address at which other routers reach this one, `ip:port`. */
   readonly address: string;
+  /** Asks the router at the address; null without an answer. */
+  askTermEnd(
+    address: string,
+    question: TermEndQuestion,
+  ): Promise<TermEndAnswer | null>;
   keyedServices(): readonly string[];
   serversOf(service: string): readonly ListedServer[];
   hasEnded(server: string): boolean;
@@ -96,6 +115,11 @@
  * ms. Each check is one call; there are a few within `AUTHORITY_MS`.
  */
 const TERM_CHECK_MS = 2_500;
+/**
+ * How long after the end of its term a router that shuts down stays to answer
+ * the next leader, in ms: it reads the tables and the last term first.
+ */
+const ANSWER_GRACE_MS = 600;
 /** A term ends with this many fences left, reserved for moves in progress. */
 const RESERVED_FENCES = 2 ** 16;
 
@@ -108,6 +132,8 @@
   readonly epoch: number;
   readonly inherited: InheritedAssignments;
   readonly services: Map<string, ServiceLeader>;
+  /** What the next leader may ask about it. */
+  readonly own: OwnTerm;
   fence: number;
 }
 
@@ -129,6 +155,9 @@
   let isStarting = false;
   let confirmedAt = -Infinity;
   let tablesRevision = 0;
+  const ownTerms = createOwnTerms(clock);
+  /** Monotonic time until which the next leader may ask, in ms. */
+  let questionUntil = -Infinity;
   let cancelTick = (): void => undefined;
 
   const notifier = createChangeCoalescer(clock, () =>
@@ -158,6 +187,7 @@
     emit('leadership-ended', {epoch: term.epoch, why});
     stopServices(term);
     term = null;
+    questionUntil = clock.now() + ANSWER_GRACE_MS;
     tablesRevision++;
     notifier.notifyNow();
   };
@@ -186,16 +216,18 @@
   });
 
   const startNewServices = (ownTerm: Term): void => {
+    const {own} = ownTerm;
     for (const service of cfg.keyedServices()) {
       if (ownTerm.services.has(service)) continue;
       const serviceLeader = createServiceLeader({
         service,
         inherited: ownTerm.inherited.get(service) ?? null,
         earlierLeadersActUntil: priorAuthorityEnd(),
+        earlierTermsActUntil: own.earlierActUntil,
         areUnrecordedKeysFree,
         suspendAwareNow: cfg.suspendAwareNow,
         tableStore: tableStoreForTerm(ownTerm),
-        leaseClient: platform.orders,
+        leaseClient: own.countCalls(platform.orders),
         clock,
         timing: cfg.timing,
         servers: () => cfg.serversOf(service),
@@ -264,7 +296,9 @@
   const beginTerm = async (previous: Term | null): Promise<void> => {
     isStarting = true;
     const askedAt = cfg.suspendAwareNow();
-    const epoch = await platform.ledger.beginTerm(cfg.address);
+    const epoch = await platform.ledger.beginTerm(cfg.address, cfg.bootId);
+    // Leaders of earlier terms were confirmed before this term began.
+    const earlierActUntil = clock.now() + AUTHORITY_MS;
     const stored = epoch === null ? null : await platform.ledger.load();
     if (
       epoch === null ||
@@ -283,9 +317,12 @@
         ...{epoch, tables: stored.length, before: previous?.epoch ?? null},
         remembered: remembered.size,
       });
-      term = {epoch, inherited, services: new Map(), fence: 1};
+      const own = ownTerms.add(epoch, earlierActUntil);
+      term = {epoch, inherited, services: new Map(), own, fence: 1};
       tick(term);
       void checkPeriodically(term);
+      // What this router remembers counts from its own earlier term instead.
+      if (previous === null) void proveEarlierEnd(term);
     }
     isStarting = false;
   };
@@ -321,6 +358,46 @@
     }
   };
 
+  const observeTerm = (epoch: number): void => {
+    if (term === null || epoch <= term.epoch) return;
+    // A term that began after a restore knows less than this router.
+    if (storeEpochOfTerm(epoch) > storeEpochOfTerm(term.epoch)) {
+      return void continueInNewTerm(term);
+    }
+    endTerm('replaced');
+  };
+
+  const answerTermEnd = (question: TermEndQuestion): TermEndAnswer => {
+    const {run, epoch, successorEpoch} = question;
+    if (run !== cfg.bootId) return OTHER_RUN;
+    // After a restore of the store, this router may go on by what it remembers
+    // from that term.
+    if (storeEpochOfTerm(epoch) !== history.epoch()) return NOT_ENDED;
+    if (term?.epoch === epoch) observeTerm(successorEpoch);
+    // A term that is being started may be the one in question.
+    if (isStarting || (term !== null && term.epoch <= epoch)) return NOT_ENDED;
+    const answer = ownTerms.answerEnd(epoch);
+    if (answer.kind === 'ended') questionUntil = -Infinity;
+    return answer;
+  };
+
+  const askPreviousLeader = async (
+    {run, address}: TermLeader,
+    question: TermEndQuestion,
+  ): Promise<TermEndAnswer | null> =>
+    run === cfg.bootId
+      ? answerTermEnd(question)
+      : cfg.askTermEnd(address, question);
+
+  const proveEarlierEnd = (ownTerm: Term): Promise<void> =>
+    provePreviousEnd(
+      {
+        ...{clock, emit, ledger: platform.ledger, ask: askPreviousLeader},
+        goesOn: () => term === ownTerm,
+      },
+      ownTerm.own,
+    );
+
   history.subscribe((_epoch, previous) => {
     hasSeenRestore ||= previous !== null;
     if (term !== null) void continueInNewTerm(term);
@@ -330,14 +407,9 @@
     isLeading: () => term !== null,
     confirmationAgeMs: () => cfg.suspendAwareNow() - confirmedAt,
     epoch: () => term?.epoch ?? null,
-    observeTerm(epoch) {
-      if (term === null || epoch <= term.epoch) return;
-      // A term that began after a restore knows less than this router.
-      if (storeEpochOfTerm(epoch) > storeEpochOfTerm(term.epoch)) {
-        return void continueInNewTerm(term);
-      }
-      endTerm('replaced');
-    },
+    observeTerm,
+    answerTermEnd,
+    awaitsTermEndQuestion: () => clock.now() < questionUntil,
     tables() {
       if (term === null) return null;
       const serviceLeaders = [...term.services.values()];
--- a/packages/gateway/src/link-messages.ts
+++ b/packages/gateway/src/link-messages.ts
@@ -24,6 +24,7 @@
   encodeLeader,
 } from './link-codec.js';
 import type {Candidate} from './host-capacity.js';
+import type {TermEndQuestion} from './term-end.js';
 
 /** A slot request in wire format; `hello` has the router's data centre. */
 export type WireSlotRequest = Omit<SlotRequest, 'dataCentre'>;
@@ -173,8 +174,9 @@
 }
 
 /**
- * The gRPC service between routers: the leader stream, the offer, and attempts
- * that one router sends for another.
+ * The gRPC service between routers: the leader stream, the offer, the question
+ * whether a term has ended, and attempts that one router sends for another.
+ * Earlier versions of the program don't know that question.
  */
 export const LINK_SERVICE = {
   follow: {
@@ -195,6 +197,15 @@
     responseSerialize: encode,
     responseDeserialize: decode as (bytes: Buffer) => OfferReply,
   },
+  termEnd: {
+    path: '/banyandrum.Link/TermEnd',
+    requestStream: false,
+    responseStream: false,
+    requestSerialize: encode,
+    requestDeserialize: decode as (bytes: Buffer) => TermEndQuestion,
+    responseSerialize: encode,
+    responseDeserialize: decode,
+  },
   carry: {
     path: '/banyandrum.Link/Carry',
     requestStream: false,
--- a/packages/gateway/src/link-server.ts
+++ b/packages/gateway/src/link-server.ts
@@ -27,6 +27,7 @@
   type Subscriber,
   type BroadcasterConfig,
 } from './link-broadcaster.js';
+import type {TermEndAnswer, TermEndQuestion} from './term-end.js';
 import {
   pickCarriers,
   pickSuccessor,
@@ -266,9 +267,15 @@
     void cfg.onLeadershipOffered().then(leads => reply(null, {leads}));
   };
 
+  const termEnd = (
+    {request}: {readonly request: TermEndQuestion},
+    reply: sendUnaryData<TermEndAnswer>,
+  ): void => reply(null, cfg.leadership.answerTermEnd(request));
+
   server.addService(LINK_SERVICE, {
     follow,
     lead,
+    termEnd,
     carry: cfg.carryServer.handle,
   });
   await new Promise<void>((resolve, reject) => {
--- a/packages/gateway/src/link-stub.ts
+++ b/packages/gateway/src/link-stub.ts
@@ -8,11 +8,16 @@
 import type {CarryReply, CarryRequest} from './carry-messages.js';
 import {LINK_SERVICE, type Offer, type OfferReply} from './link-messages.js';
 import type {LinkStream} from './link-session.js';
+import type {TermEndQuestion} from './term-end.js';
 
 /** Calls to another router. */
 export interface LinkStub extends Client {
   follow(): LinkStream;
   lead(offer: Offer, onReply: OnReply<OfferReply>): ClientUnaryCall;
+  termEnd(
+    question: TermEndQuestion,
+    onReply: OnReply<unknown>,
+  ): ClientUnaryCall;
   carry(req: CarryRequest, onReply: OnReply<CarryReply>): ClientUnaryCall;
 }
 
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -24,6 +24,7 @@
 import type {EventLog} from './event-log.js';
 import {startRefreshLoops} from './refresh-loops.js';
 import {createKeyOwners, type ServedTables} from './key-owners.js';
+import {askTermEnd} from './ask-term-end.js';
 import {createLeadership} from './leadership.js';
 import {listAssignableServers} from './assignable-servers.js';
 import {limitConnections} from './limit-connections.js';
@@ -161,6 +162,7 @@
     emit,
     bootId,
     address: settings.listen.peers,
+    askTermEnd: (address, question) => askTermEnd(clock, address, question),
     keyedServices,
     timing: createLeaseTiming(settings.servers.holdMaxMs),
     serversOf: service => listAssignableServers(assignableServersCfg, service),
--- a/packages/gateway/src/stop-router.ts
+++ b/packages/gateway/src/stop-router.ts
@@ -59,7 +59,8 @@
   const isNeeded = (): boolean =>
     frontend.inFlight() > 0 ||
     carryServer.inFlight() > 0 ||
-    leadership.isLeading();
+    leadership.isLeading() ||
+    leadership.awaitsTermEndQuestion();
   while (isNeeded() && clock.now() < end) {
     await sleep(clock, DRAIN_POLL_MS);
   }
--- a/packages/gateway/test/leadership-restore.test.ts
+++ b/packages/gateway/test/leadership-restore.test.ts
@@ -9,6 +9,7 @@
   createManualClock,
   type ManualClock,
 } from '@banyandrum/standins/manual-clock.js';
+import {sleep} from '@banyandrum/base/clock.js';
 import {createRandom} from '@banyandrum/standins/seeded-random.js';
 import {
   createFakeCluster,
@@ -35,12 +36,17 @@
 const RECOVERY_MS = 36_000;
 /** While no router leads, one starts a term within this time, in ms. */
 const SUCCESSION_MS = 1_000;
+/** Longest delay of a question to the previous leader and its answer, in ms. */
+const MAX_ANSWER_MS = 400;
+/** Share of the answers that are lost. */
+const LOST_ANSWERS = 0.2;
 const KEYS = Array.from({length: 32}, (_, at) => at * 2_048);
 const SERVICE = 'rounds';
 
 interface Router {
   readonly leadership: Leadership;
   readonly access: StoreAccess;
+  readonly address: string;
 }
 
 interface Harness {
@@ -59,7 +65,7 @@
   const cluster = createFakeCluster(clock, random, ['a', 'b', 'c', 'd']);
   const store = createRestorableStore(clock, random);
   const unlisted = new Set<string>();
-  const routers = [0, 1, 2].map((at): Router => {
+  const routers: readonly Router[] = [0, 1, 2].map((at): Router => {
     const access = store.open();
     const {ledger, history} = access;
     const orders = cluster.createLeaseClient(at);
@@ -68,6 +74,13 @@
       ...{clock, suspendAwareNow: () => clock.now()},
       timing: createLeaseTiming(10_000),
       ...{bootId: `b${at}`, address: `10.0.1.${at}:7200`},
+      async askTermEnd(address, question) {
+        await sleep(clock, random() * MAX_ANSWER_MS);
+        const other = routers.find(each => each.address === address)!;
+        const answer = other.leadership.answerTermEnd(question);
+        await sleep(clock, random() * MAX_ANSWER_MS);
+        return random() < LOST_ANSWERS ? null : answer;
+      },
       emit: () => undefined,
       keyedServices: () => [SERVICE],
       serversOf: () =>
@@ -83,7 +96,7 @@
       runningKeys: () => [],
       isFirstStart: true,
     });
-    return {leadership, access};
+    return {leadership, access, address: `10.0.1.${at}:7200`};
   });
   return {
     ...{cluster, store, routers, unlisted, random, clock},
--- a/packages/gateway/test/leadership-scale.test.ts
+++ b/packages/gateway/test/leadership-scale.test.ts
@@ -42,6 +42,7 @@
   const clock = createManualClock(1_000);
   const ledger: TableStore = {
     beginTerm: async () => epoch,
+    previousLeader: async () => null,
     isNewestTerm: async () => true,
     lastLeader: async () => ({kind: 'read', address: null}),
     load: async () =>
@@ -70,6 +71,7 @@
     ...{clock, timing: createLeaseTiming(10_000), bootId: 'b1'},
     ...{address: '10.0.0.9:7200', emit: () => undefined},
     suspendAwareNow: () => clock.now(),
+    askTermEnd: async () => null,
     keyedServices: () => ['rounds'],
     serversOf: () => harness.servers,
     hasEnded: () => false,
--- a/packages/gateway/test/leadership.test.ts
+++ b/packages/gateway/test/leadership.test.ts
@@ -13,6 +13,7 @@
 
 const LEDGER: TableStore = {
   beginTerm: async () => 1,
+  previousLeader: async () => null,
   isNewestTerm: async () => isNewest,
   lastLeader: async () => ({kind: 'read', address: null}),
   load: async () => [],
@@ -43,6 +44,7 @@
     timing: createLeaseTiming(10_000),
     bootId: 'b1',
     address: '10.0.0.9:7200',
+    askTermEnd: async () => null,
     emit: () => undefined,
     keyedServices: () => ['rounds'],
     serversOf: () => [
--- a/packages/gateway/test/link.test.ts
+++ b/packages/gateway/test/link.test.ts
@@ -8,6 +8,7 @@
 } from 'node:net';
 import {createCanceller} from '@banyandrum/base/cancel.js';
 import {createClock} from '@banyandrum/base/clock.js';
+import {Server as GrpcServer, ServerCredentials} from '@grpc/grpc-js';
 import type {ServerInfo} from '@banyandrum/dispatch/backend.js';
 import {createBackends} from '@banyandrum/dispatch/backends.js';
 import {createSlotAllocator} from '@banyandrum/slots/slot-allocator.js';
@@ -20,8 +21,11 @@
   followLeader,
   type LinkClient,
 } from '@banyandrum/gateway/link-client.js';
+import {LINK_SERVICE} from '@banyandrum/gateway/link-messages.js';
 import {serveLinks} from '@banyandrum/gateway/link-server.js';
 import type {Candidate} from '@banyandrum/gateway/host-capacity.js';
+import {askTermEnd} from '@banyandrum/gateway/ask-term-end.js';
+import {OTHER_RUN, type TermEndAnswer} from '@banyandrum/gateway/term-end.js';
 import {
   createServerList,
   type ServerList,
@@ -86,6 +90,8 @@
   return address;
 }
 
+const ENDED: TermEndAnswer = {kind: 'ended', earlierMs: 250};
+
 const LEADING: Leadership = {
   isLeading: () => true,
   tables: () => new Map(),
@@ -93,6 +99,8 @@
   epoch: () => 1,
   confirmationAgeMs: () => 0,
   observeTerm: () => undefined,
+  answerTermEnd: ({run}) => (run === 'b1' ? ENDED : OTHER_RUN),
+  awaitsTermEndQuestion: () => false,
   startTerm: async () => true,
   checkTerm: () => undefined,
   resign: () => undefined,
@@ -341,3 +349,25 @@
   await waitUntil(async () => link.leader() !== null);
   return link;
 }
+
+// Guards against a proof from another process than the one that led, or from a
+// router of an earlier version, which doesn't know the question.
+void tap.test('only the process that led answers for its term', async t => {
+  const {proxy, close} = await startHarness();
+  const clock = createClock();
+  const ask = (address: string, run: string): ReturnType<typeof askTermEnd> =>
+    askTermEnd(clock, address, {run, epoch: 1, successorEpoch: 2});
+  t.same(await ask(proxy.address, 'b1'), ENDED);
+  t.same(await ask(proxy.address, 'b2'), OTHER_RUN);
+  proxy.stall();
+  t.equal(await ask(await freeAddress(), 'b1'), null, 'no process');
+  const earlier = new GrpcServer();
+  earlier.addService({lead: LINK_SERVICE.lead}, {lead: () => undefined});
+  const address = await freeAddress();
+  await new Promise(resolve =>
+    earlier.bindAsync(address, ServerCredentials.createInsecure(), resolve),
+  );
+  t.equal(await ask(address, 'b1'), null, 'an earlier version');
+  earlier.forceShutdown();
+  close();
+});
--- a/packages/gateway/test/restorable-store.ts
+++ b/packages/gateway/test/restorable-store.ts
@@ -1,7 +1,11 @@
 import type {Clock} from '@banyandrum/base/clock.js';
 import type {StoreHistory} from '@banyandrum/gateway/platform.js';
 import {storeEpochOfTerm, toTermEpoch} from '@banyandrum/ranges/fence.js';
-import type {TableStore, SaveResult} from '@banyandrum/ranges/table-store.js';
+import type {
+  TableStore,
+  SaveResult,
+  TermLeader,
+} from '@banyandrum/ranges/table-store.js';
 import type {RangeTable} from '@banyandrum/ranges/table.js';
 
 /** The records of terms and tables in the store. */
@@ -9,6 +13,8 @@
   readonly terms: number;
   readonly owner: number;
   readonly tables: ReadonlyMap<string, RangeTable>;
+  /** The leader of each term. */
+  readonly leaders: readonly TermLeader[];
 }
 
 /** A router's connection to the store. */
@@ -36,7 +42,10 @@
   clock: Clock,
   random: () => number,
 ): RestorableStore {
-  let records: StoreRecords = {terms: 0, owner: 0, tables: new Map()};
+  let records: StoreRecords = {
+    ...{terms: 0, owner: 0, tables: new Map()},
+    leaders: [],
+  };
   let storeEpoch = 1;
 
   const open = (): StoreAccess => {
@@ -93,16 +102,26 @@
         subscribe: listener => void listeners.add(listener),
       },
       ledger: {
-        async beginTerm() {
+        async beginTerm(address, run) {
+          const recordedEpoch = knownEpoch ?? 0;
           const epoch = await call(() => {
             const terms = records.terms + 1;
             const owner = toTermEpoch(storeEpoch, terms);
-            records = {...records, terms, owner};
+            const recorded = toTermEpoch(recordedEpoch, terms);
+            const leader = {epoch: recorded, address, run};
+            const leaders = [...records.leaders, leader];
+            records = {...records, terms, owner, leaders};
             return owner;
           });
           ownTerm = epoch ?? ownTerm;
           return epoch;
         },
+        async previousLeader() {
+          const previous = ownTerm - 1;
+          return call(
+            () => records.leaders.find(({epoch}) => epoch === previous) ?? null,
+          );
+        },
         isNewestTerm: () =>
           call(() => isOwnHistory() && records.owner === ownTerm).then(
             answer =>
--- a/packages/ranges/src/balancing.ts
+++ b/packages/ranges/src/balancing.ts
@@ -6,7 +6,12 @@
   type ListedServer,
 } from './leader-state.js';
 import type {KeyRate} from './key-load.js';
-import {createMergedLease, isSettled, type RangeLease} from './range-lease.js';
+import {
+  createMergedLease,
+  isConfirmed,
+  isSettled,
+  type RangeLease,
+} from './range-lease.js';
 import {moveRange} from './move-range.js';
 import {planMoves, type PlannedMove} from './planner.js';
 import {MAX_KEY, type KeyRange} from './table.js';
@@ -73,6 +78,7 @@
     const right = leader.leases[at + 1]!;
     if (left.assignment.server !== right.assignment.server) continue;
     if (!isSettled(left, now) || !isSettled(right, now)) continue;
+    if (!isConfirmed(left) || !isConfirmed(right)) continue;
     const both = createMergedLease(left, right, leader.nextFence(), now);
     replaceLeases(leader, [left, right], [both]);
     merged.push(both);
--- a/packages/ranges/src/leader-state.ts
+++ b/packages/ranges/src/leader-state.ts
@@ -24,6 +24,11 @@
    * Monotonic time until which leaders of earlier store epochs may act, in ms.
    */
   readonly earlierLeadersActUntil: number;
+  /**
+   * Monotonic time until which leaders of earlier terms may act, in ms. It
+   * never rises, and falls once their ends are proved.
+   */
+  earlierTermsActUntil(): number;
   /**
    * Whether it is certain that no server holds a lease on keys without an
    * assignment.
@@ -85,6 +90,8 @@
   readonly moveTargets: Set<string>;
   nextPlanAt: number;
   lastDecayAt: number;
+  /** The last known `earlierTermsActUntil`. */
+  earlierTermsEndAt: number;
   /** Writes the table; see `TableWriter.save`. */
   save(): Promise<boolean>;
   /** Moves the range because its server has lost or can't renew the lease. */
--- a/packages/ranges/src/range-lease.ts
+++ b/packages/ranges/src/range-lease.ts
@@ -87,6 +87,15 @@
   return isServed && pendingCall === null && lateGrantUntil <= now;
 }
 
+/**
+ * Whether no lease granted by an earlier leader can exist on the range. A range
+ * that is confirmed isn't merged with one that isn't: the merged one would keep
+ * the time of only one of their grants.
+ */
+export function isConfirmed({earlierLeaderGrantUntil}: RangeLease): boolean {
+  return earlierLeaderGrantUntil === 0;
+}
+
 /** Creates the state of a part of a split range, still at the same server. */
 export function createPartialLease(
   whole: RangeLease,
--- a/packages/ranges/src/service-leader.ts
+++ b/packages/ranges/src/service-leader.ts
@@ -22,7 +22,7 @@
 import {moveRange} from './move-range.js';
 import {createTableWriter} from './table-writer.js';
 import {splitEvenly, type RangeTable, type ServedRange} from './table.js';
-import {AUTHORITY_MS} from './lease-timing.js';
+import {shortenInheritedLeases} from './shorten-inherited.js';
 
 /** The leader of one service: assigns its keys to servers. */
 export interface ServiceLeader {
@@ -105,6 +105,7 @@
     moveTargets: new Set(),
     nextPlanAt: now + FIRST_PLAN_DELAY_MS,
     lastDecayAt: now,
+    earlierTermsEndAt: cfg.earlierTermsActUntil(),
     save: () => tableWriter.save(),
     reassign: (lease, reason) => void moveRange(leader, lease, reason),
   };
@@ -179,7 +180,7 @@
       now,
     );
     if (assignment.server === null) return lease;
-    const expiresAt = leader.timing.expiryOf(now + AUTHORITY_MS);
+    const expiresAt = leader.timing.expiryOf(leader.earlierTermsEndAt);
     return {
       ...lease,
       isServed: true,
@@ -207,6 +208,7 @@
 
 function tick(leader: LeaderState, evacuationMoves: EvacuationMoves): void {
   if (leader.isStopped || !leader.mayAct()) return;
+  shortenInheritedLeases(leader);
   const now = leader.clock.now();
   if (now - leader.lastDecayAt >= DECAY_INTERVAL_MS) {
     leader.load.decay(now - leader.lastDecayAt);
--- a/packages/ranges/src/table-store.ts
+++ b/packages/ranges/src/table-store.ts
@@ -14,6 +14,16 @@
   | {readonly kind: 'read'; readonly address: string | null}
   | {readonly kind: 'failed'};
 
+/** The leader of a term, as recorded with the term. */
+export interface TermLeader {
+  /** The term's epoch. */
+  readonly epoch: number;
+  /** The address at which other routers reach it, `ip:port`. */
+  readonly address: string;
+  /** Distinguishes its process from others at the same address. */
+  readonly run: string;
+}
+
 /**
  * Durable store of the range tables. Once a leader has started its term, no
  * write of an earlier leader is accepted, however late it arrives.
@@ -21,11 +31,17 @@
 export interface TableStore {
   /**
    * Starts a new leader term: fences off earlier leaders and stores this
-   * leader's address for the other routers. Resolves with the term's epoch, or
+   * leader's address for the other routers, and its process with the term. Resolves with the term's epoch, or
    * null if it could not be started. Epochs increase across restores of the
    * store (`fence.ts`).
    */
-  beginTerm(address: string): Promise<number | null>;
+  beginTerm(address: string, run: string): Promise<number | null>;
+  /**
+   * Reads the leader of the term directly before this one's. Resolves with null
+   * if it is unknown, for example because that term began before the store was
+   * restored or was started by an earlier version of the program.
+   */
+  previousLeader(): Promise<TermLeader | null>;
   /**
    * Whether no later term had been started when the call was made; null if that
    * is unknown, for example after a restore of the store.
--- a/packages/ranges/test/fake-cluster.ts
+++ b/packages/ranges/test/fake-cluster.ts
@@ -232,6 +232,7 @@
           newestTerm = term;
           return term;
         },
+        previousLeader: async () => null,
         isNewestTerm: async () => newestTerm === term,
         lastLeader: async () => ({kind: 'read', address: null}),
         load: async () => [...tables.values()],
--- a/packages/ranges/test/harness.ts
+++ b/packages/ranges/test/harness.ts
@@ -15,6 +15,8 @@
 import {createFakeCluster, type FakeCluster} from './fake-cluster.js';
 
 const TICK_MS = 50;
+/** Time until a grant in flight has been answered or reset, in ms. */
+const LONGEST_CALL_MS = 750;
 const FENCES_PER_TERM = 4_096;
 
 /** A leader under test. */
@@ -26,6 +28,10 @@
   isReplaced: boolean;
   /** When its successor was started, in ms; the leader doesn't know this. */
   replacedAt: number;
+  /** Time until which it counts with earlier leaders, in ms. */
+  earlierActUntil(): number;
+  /** Earlier leaders act no longer than until then, in ms. */
+  limitEarlier(until: number): void;
 }
 
 /** Leaders, and the fake cluster that they work with. */
@@ -42,6 +48,11 @@
   listSettledAt: number;
   /** Starts a leader that succeeds the previous one. */
   startLeader(): Promise<TestLeader>;
+  /**
+   * The previous leader ends its term and confirms that to the latest one, once
+   * none of its calls is in flight.
+   */
+  confirmEnd(): Promise<void>;
   /** Suspends the process of the latest leader. */
   freezeLatestLeader(): void;
   /** Advances the clock and runs the ticks of all running leaders. */
@@ -66,13 +77,18 @@
     async startLeader() {
       const tableStore = cluster.createTableStore();
       const number = leaders.length;
-      const epoch = (await tableStore.beginTerm(`10.0.1.${number}:7200`))!;
+      const epoch = (await tableStore.beginTerm(
+        `10.0.1.${number}:7200`,
+        `b${number}`,
+      ))!;
       const stored = (await tableStore.load())!;
+      let earlierActUntil = clock.now() + AUTHORITY_MS;
       let fence = 1;
       const serviceLeader = createServiceLeader({
         service: 'rounds',
         inherited: stored[0] ? inheritRecorded(stored[0], epoch) : null,
         earlierLeadersActUntil: -Infinity,
+        earlierTermsActUntil: () => earlierActUntil,
         areUnrecordedKeysFree: () => true,
         suspendAwareNow: () => clock.now(),
         tableStore,
@@ -107,12 +123,24 @@
       const leader: TestLeader = {
         ...{serviceLeader, isFrozen: false, isReplaced: false},
         replacedAt: Infinity,
+        earlierActUntil: () => earlierActUntil,
+        limitEarlier(until) {
+          earlierActUntil = Math.min(earlierActUntil, until);
+        },
       };
       const previous = leaders.at(-1);
       if (previous !== undefined) previous.replacedAt = clock.now();
       leaders.push(leader);
       return leader;
     },
+    async confirmEnd() {
+      const [previous, latest] = leaders.slice(-2);
+      previous!.isReplaced = true;
+      previous!.serviceLeader.stop();
+      await harness.advance(LONGEST_CALL_MS);
+      const now = clock.now();
+      latest!.limitEarlier(Math.max(now, previous!.earlierActUntil()));
+    },
     freezeLatestLeader() {
       leaders.at(-1)!.isFrozen = true;
     },
