--- a/packages/gateway/test/takeover.test.ts
+++ b/packages/gateway/test/takeover.test.ts
@@ -32,12 +32,13 @@
 }
 
 /** Routers, servers and a store without faults; time advances in steps. */
-function createHarness() {
-  const random = createRandom(1);
+function createHarness(seed: number) {
+  const random = createRandom(seed);
   const clock = createManualClock(1_000);
   const cluster = createFakeCluster(clock, random, ['a', 'b', 'c', 'd']);
   const store = createRestorableStore(clock, random);
   const ends: number[] = [];
+  const answerMs = (): number => ANSWER_MS * (1 + random());
   let runs = 0;
   let grantsInFlight = 0;
 
@@ -61,7 +62,7 @@
       timing: createLeaseTiming(10_000),
       ...{bootId: `b${runs++}`, address: addressOf(at)},
       async askTermEnd(address, question) {
-        await sleep(clock, ANSWER_MS);
+        await sleep(clock, answerMs());
         const other = routers.find((_, index) => addressOf(index) === address);
         if (!other!.answers) return null;
         return other!.leadership.answerTermEnd(question);
@@ -105,7 +106,7 @@
   };
 
   return {
-    ...{clock, cluster, routers, ends, advance},
+    ...{clock, cluster, routers, ends, random, advance},
     start: (at: number) => void routers[at]!.leadership.startTerm(),
     grantsInFlight: () => grantsInFlight,
     /** Time until every key has an owner, in ms. */
@@ -124,14 +125,16 @@
 }
 
 /** Creates a harness in which the first router leads, and no other may act. */
-async function startHarness() {
-  const harness = createHarness();
+async function startHarness(seed = 1) {
+  const harness = createHarness(seed);
   await harness.advance(100);
   harness.start(0);
   await harness.advance(AUTHORITY_MS + 3_000);
   return harness;
 }
 
+type Harness = Awaited<ReturnType<typeof startHarness>>;
+
 const addressOf = (at: number): string => `10.0.1.${at}:7200`;
 
 // Guards against keys of a lost server that stay without an owner for 16 s
@@ -253,3 +256,59 @@
   t.equal(ask('b0', epoch), 'not-ended', 'while a term is being started');
   harness.close();
 });
+
+/** For more seeds: `SEEDS=400 npx tap build/test/gateway/test/...`. */
+const SEEDS = Number(process.env['SEEDS'] ?? 40);
+const ROUNDS = 12;
+const MAX_ROUND_MS = 7_000;
+const CUT_ROUTER = 0.4;
+const RESTART = 0.15;
+
+/**
+ * Another router leads from now on. It can't reach one of the servers, and
+ * others can, among them the routers that led before and may not know yet.
+ */
+async function changeLeader(
+  {routers, cluster, random, start, advance}: Harness,
+  at: number,
+): Promise<void> {
+  cluster.servers.forEach(({unreachableBy}) => unreachableBy.clear());
+  const cutServer = Math.floor(random() * cluster.servers.length);
+  cluster.servers.forEach(({unreachableBy}, index) => {
+    // A replaced leader learns of its end from servers that it still reaches.
+    if (index === cutServer) unreachableBy.add(at);
+    else
+      routers.forEach(
+        (_, router) => router !== at && unreachableBy.add(router),
+      );
+  });
+  routers.forEach((router, index) => {
+    const isCut = index !== at && random() < CUT_ROUTER;
+    router.access.isUnreachable = isCut;
+    router.answers = index === at || !isCut || random() < CUT_ROUTER;
+    if (index !== at && random() < RESTART) router.restart();
+  });
+  start(at);
+  await advance(500 + random() * MAX_ROUND_MS);
+}
+
+// Guards against two owners of a key over chains of leaders, some of which are
+// cut off from the store or from the others, restart, or answer late.
+void tap.test('one owner per key over chains of leaders', async t => {
+  const violations: string[] = [];
+  let ends = 0;
+  for (let seed = 1; seed <= SEEDS; seed++) {
+    const harness = await startHarness(seed);
+    const {cluster, random, routers} = harness;
+    Object.assign(cluster.faultRates, {late: 0.02, unanswered: 0.02});
+    for (let round = 0; round < ROUNDS; round++)
+      await changeLeader(harness, Math.floor(random() * routers.length));
+    const [first] = cluster.violations;
+    if (first !== undefined) violations.push(`${seed}: ${first}`);
+    ends += harness.ends.length;
+    harness.close();
+  }
+  t.comment(`${ends} ends of terms were confirmed`);
+  t.ok(ends > SEEDS, 'the ends of terms are confirmed');
+  t.same(violations, []);
+});
