Inherit the wait after a restore of the store as well

After all routers were lost together with the store, a second leader (the host with more room, which had started 2.7 s later) began the wait for the leaders before the restore anew: keys had no server for 22.2 s in restored-owner.test. It now ends when the first leader's does: 15,900 ms in takeover.test.ts.

--- a/packages/gateway/test/takeover.test.ts
+++ b/packages/gateway/test/takeover.test.ts
@@ -106,7 +106,7 @@
   };
 
   return {
-    ...{clock, cluster, routers, ends, random, advance},
+    ...{clock, cluster, store, routers, ends, random, advance},
     start: (at: number) => void routers[at]!.leadership.startTerm(),
     grantsInFlight: () => grantsInFlight,
     /** Time until every key has an owner, in ms. */
@@ -221,6 +221,35 @@
   harness.close();
 });
 
+// Guards against a wait that a second leader begins anew after a restore of the
+// store, when nobody knows which server owns which keys: 22 s instead of 16 s.
+void tap.test('the wait after a restore is inherited', async t => {
+  const harness = await startHarness();
+  const {store, routers, clock, cluster} = harness;
+  const snapshot = store.takeSnapshot();
+  routers.forEach(router => router.restart());
+  store.restore(snapshot);
+  void routers[1]!.access.ledger.load();
+  await harness.advance(100);
+  harness.start(1);
+  const beganAt = clock.now();
+  await harness.advance(4_000);
+  void routers[2]!.access.ledger.load();
+  await harness.advance(100);
+  harness.start(2);
+  await harness.untilAllOwned();
+  const gapMs = clock.now() - beganAt;
+  t.comment(`${gapMs} ms`);
+  t.equal(harness.ends.length, 1);
+  t.ok(
+    gapMs >= UNPROVED_GAP_MS - 400,
+    `${gapMs} ms, leaders before are waited for`,
+  );
+  t.ok(gapMs < UNPROVED_GAP_MS + 1_000, `${gapMs} ms`);
+  t.same(cluster.violations, []);
+  harness.close();
+});
+
 // Guards against an end that is confirmed while a grant is in flight: it could
 // still reach its server afterwards.
 void tap.test('an end is confirmed once no call is in flight', async t => {
--- a/packages/model/src/range-takeover.ts
+++ b/packages/model/src/range-takeover.ts
@@ -109,6 +109,7 @@
   if (L.storeEpoch !== storeEpoch || N.storeEpoch !== storeEpoch) return false;
   if (!isLRunning && guards.asksSameRun) return false;
   if (sent !== null && isLRunning && guards.drainsOrders) return false;
+  if (N.view.phase === 'unknown') return N.view.lapse > 0;
   return N.view.foreign > 0 && KNOWN_PHASES.has(N.view.phase);
 }
 
@@ -122,11 +123,15 @@
 /** Only leaders before L may act from now on. */
 function proveEnd({guards}: RangeContext, state: RangeState): RangeState {
   const earlier = guards.inheritsWait ? state.earlierWait : 0;
-  const {foreign, unproved} = state.leaders.N.view;
-  const proved = Math.min(foreign, earlier + lapseTime(guards));
-  const next = setView(state, 'N', {
-    foreign: proved,
-    lapse: Math.max(proved, unproved),
-  });
+  const {foreign, unproved, phase, lapse} = state.leaders.N.view;
+  const until = earlier + lapseTime(guards);
+  const proved = Math.min(foreign, until);
+  const next = setView(
+    state,
+    'N',
+    phase === 'unknown'
+      ? {lapse: Math.min(lapse, until)}
+      : {foreign: proved, lapse: Math.max(proved, unproved)},
+  );
   return guards.endsTerm ? setLeaderRun(next, 'L', {isOver: true}) : next;
 }
--- a/packages/model/test/range-restore.test.ts
+++ b/packages/model/test/range-restore.test.ts
@@ -19,6 +19,8 @@
 const L_MOVES = {...RESTORED, moves: {L: 1, N: 0}};
 const N_MOVES = {...RESTORED, moves: {L: 0, N: 1}};
 
+const ASKING = {...RESTORED, slowTicks: 1, asksEnd: true};
+
 const SCENARIOS: readonly (readonly [string, RangeScope])[] = [
   ['the first leader moves', L_MOVES],
   ['the successor moves', N_MOVES],
@@ -27,6 +29,7 @@
   ['a server restarts', {...RESTORED, restarts: 1}],
   ['a second restore', {...RESTORED, restores: 2}],
   ['the earlier leader is asked', {...N_MOVES, asksEnd: true}],
+  ['the earlier leader is asked, a slow clock', ASKING],
 ];
 
 for (const [name, scope] of SCENARIOS) {
