--- a/packages/ranges/test/recovery.test.ts
+++ b/packages/ranges/test/recovery.test.ts
@@ -1,6 +1,7 @@
 import tap from 'tap';
 import {knownRed} from '@banyandrum/standins/known-red.js';
 import {createRandom} from '@banyandrum/standins/seeded-random.js';
+import {AUTHORITY_MS} from '@banyandrum/ranges/lease-timing.js';
 import {createHarness, type Harness} from './harness.js';
 
 const KEYS = Array.from({length: 64}, (_, at) => at * 1_024);
@@ -13,6 +14,14 @@
 /** The same for the evacuation of a data centre, in ms. */
 const MAX_EVACUATION_GAP_MS = 1_000;
 
+/**
+ * The same if a leader is lost with a server and its successor hands over after
+ * `SUCCESSOR_TERM_MS`, counted from there, in ms: the rest of the authority of
+ * the lost leader and a lease.
+ */
+const SUCCESSOR_TERM_MS = 6_000;
+const MAX_CHAIN_GAP_MS = 10_000;
+
 type Fault = (harness: Harness, random: () => number) => Promise<void>;
 
 /** Measures how long keys are without a server after `fault`, in ms. */
@@ -79,6 +88,30 @@
     },
     MAX_LOSS_GAP_MS,
   ],
+  [
+    'a server is lost as the leader changes',
+    async harness => {
+      // The first leader takes it that others before it may act for as long.
+      await harness.advance(AUTHORITY_MS);
+      failServer(harness);
+      await harness.startLeader();
+      await harness.confirmEnd();
+    },
+    MAX_LOSS_GAP_MS,
+  ],
+  [
+    'a server and the leader are lost, then the leader changes',
+    async harness => {
+      failServer(harness);
+      harness.freezeLatestLeader();
+      await harness.advance(SUCCESSION_MS);
+      await harness.startLeader();
+      await harness.advance(SUCCESSOR_TERM_MS);
+      await harness.startLeader();
+      await harness.confirmEnd();
+    },
+    MAX_CHAIN_GAP_MS,
+  ],
   [
     'a server leaves as planned',
     async ({unlisted}) => void unlisted.add('a'),
