--- a/packages/gateway/src/leadership.ts
+++ b/packages/gateway/src/leadership.ts
@@ -15,7 +15,7 @@
   type ServiceLeader,
 } from '@banyandrum/ranges/service-leader.js';
 import type {LatencyProfile} from '@banyandrum/ranges/late-answers.js';
-import type {TableStore} from '@banyandrum/ranges/table-store.js';
+import type {TableStore, TermLeader} from '@banyandrum/ranges/table-store.js';
 import type {ListedServer} from '@banyandrum/ranges/leader-state.js';
 import type {RangeTable} from '@banyandrum/ranges/table.js';
 import {
@@ -24,7 +24,15 @@
 } from '@banyandrum/ranges/lease-timing.js';
 import {createChangeCoalescer} from './change-coalescer.js';
 import type {KeyCounts, ServedTables} from './key-owners.js';
+import {createOwnTerms, type OwnTerm} from './own-terms.js';
 import type {Platform} from './platform.js';
+import {
+  NOT_ENDED,
+  OTHER_RUN,
+  provePreviousEnd,
+  type TermEndAnswer,
+  type TermEndQuestion,
+} from './term-end.js';
 
 /** This router's role as the leader of all keyed services. */
 export interface Leadership {
@@ -47,6 +55,12 @@
   startTerm(): Promise<boolean>;
   /** Another router may have started a term: asks the platform at once. */
   checkTerm(): void;
+  /**
+   * Answers the leader of a later term, whose question ends this router's term.
+   */
+  answerTermEnd(question: TermEndQuestion): TermEndAnswer;
+  /** Whether the next leader may still ask if this router's term has ended. */
+  awaitsTermEndQuestion(): boolean;
   /** Ends the term because this router shuts down. */
   resign(): void;
   /** Expected late answers per second, of services with a latency profile. */
@@ -77,6 +91,11 @@
   readonly bootId: string;
   /** The address at which other routers reach this one, `ip:port`. */
   readonly address: string;
+  /** Asks the router at the address; null without an answer. */
+  askTermEnd(
+    address: string,
+    question: TermEndQuestion,
+  ): Promise<TermEndAnswer | null>;
   keyedServices(): readonly string[];
   serversOf(service: string): readonly ListedServer[];
   hasEnded(server: string): boolean;
@@ -101,6 +120,11 @@
  * ms. Each check is one call; there are a few within `AUTHORITY_MS`.
  */
 const TERM_CHECK_MS = 2_500;
+/**
+ * How long after the end of its term a router that shuts down stays to answer
+ * the next leader, in ms: it reads the tables and the last term first.
+ */
+const ANSWER_GRACE_MS = 600;
 /** A term ends with this many fences left, reserved for moves in progress. */
 const RESERVED_FENCES = 2 ** 16;
 
@@ -113,6 +137,8 @@
   readonly epoch: number;
   readonly inherited: InheritedAssignments;
   readonly services: Map<string, ServiceLeader>;
+  /** What the next leader may ask about it. */
+  readonly own: OwnTerm;
   fence: number;
 }
 
@@ -134,6 +160,9 @@
   let isStarting = false;
   let confirmedAt = -Infinity;
   let tablesRevision = 0;
+  const ownTerms = createOwnTerms(clock);
+  /** Monotonic time until which the next leader may ask, in ms. */
+  let questionUntil = -Infinity;
   let cancelTick = (): void => undefined;
 
   const notifier = createChangeCoalescer(clock, () =>
@@ -163,6 +192,7 @@
     emit('leadership-ended', {epoch: term.epoch, why});
     stopServices(term);
     term = null;
+    questionUntil = clock.now() + ANSWER_GRACE_MS;
     tablesRevision++;
     notifier.notifyNow();
   };
@@ -191,16 +221,18 @@
   });
 
   const startNewServices = (ownTerm: Term): void => {
+    const {own} = ownTerm;
     for (const service of cfg.keyedServices()) {
       if (ownTerm.services.has(service)) continue;
       const serviceLeader = createServiceLeader({
         service,
         inherited: ownTerm.inherited.get(service) ?? null,
         earlierLeadersActUntil: priorAuthorityEnd(),
+        earlierTermsActUntil: own.earlierActUntil,
         areUnrecordedKeysFree,
         suspendAwareNow: cfg.suspendAwareNow,
         tableStore: tableStoreForTerm(ownTerm),
-        leaseClient: platform.orders,
+        leaseClient: own.countCalls(platform.orders),
         clock,
         timing: cfg.timing,
         servers: () => cfg.serversOf(service),
@@ -270,7 +302,9 @@
   const beginTerm = async (previous: Term | null): Promise<void> => {
     isStarting = true;
     const askedAt = cfg.suspendAwareNow();
-    const epoch = await platform.ledger.beginTerm(cfg.address);
+    const epoch = await platform.ledger.beginTerm(cfg.address, cfg.bootId);
+    // Leaders of earlier terms were confirmed before this term began.
+    const earlierActUntil = clock.now() + AUTHORITY_MS;
     const stored = epoch === null ? null : await platform.ledger.load();
     if (
       epoch === null ||
@@ -289,9 +323,12 @@
         ...{epoch, tables: stored.length, before: previous?.epoch ?? null},
         remembered: remembered.size,
       });
-      term = {epoch, inherited, services: new Map(), fence: 1};
+      const own = ownTerms.add(epoch, earlierActUntil);
+      term = {epoch, inherited, services: new Map(), own, fence: 1};
       tick(term);
       void checkPeriodically(term);
+      // What this router remembers counts from its own earlier term instead.
+      if (previous === null) void proveEarlierEnd(term);
     }
     isStarting = false;
   };
@@ -327,6 +364,46 @@
     }
   };
 
+  const observeTerm = (epoch: number): void => {
+    if (term === null || epoch <= term.epoch) return;
+    // A term that began after a restore knows less than this router.
+    if (storeEpochOfTerm(epoch) > storeEpochOfTerm(term.epoch)) {
+      return void continueInNewTerm(term);
+    }
+    endTerm('replaced');
+  };
+
+  const answerTermEnd = (question: TermEndQuestion): TermEndAnswer => {
+    const {run, epoch, successorEpoch} = question;
+    if (run !== cfg.bootId) return OTHER_RUN;
+    // After a restore of the store, this router may go on by what it remembers
+    // from that term.
+    if (storeEpochOfTerm(epoch) !== history.epoch()) return NOT_ENDED;
+    if (term?.epoch === epoch) observeTerm(successorEpoch);
+    // A term that is being started may be the one in question.
+    if (isStarting || (term !== null && term.epoch <= epoch)) return NOT_ENDED;
+    const answer = ownTerms.answerEnd(epoch);
+    if (answer.kind === 'ended') questionUntil = -Infinity;
+    return answer;
+  };
+
+  const askPreviousLeader = async (
+    {run, address}: TermLeader,
+    question: TermEndQuestion,
+  ): Promise<TermEndAnswer | null> =>
+    run === cfg.bootId
+      ? answerTermEnd(question)
+      : cfg.askTermEnd(address, question);
+
+  const proveEarlierEnd = (ownTerm: Term): Promise<void> =>
+    provePreviousEnd(
+      {
+        ...{clock, emit, ledger: platform.ledger, ask: askPreviousLeader},
+        goesOn: () => term === ownTerm,
+      },
+      ownTerm.own,
+    );
+
   history.subscribe((_epoch, previous) => {
     hasSeenRestore ||= previous !== null;
     if (term !== null) void continueInNewTerm(term);
@@ -336,14 +413,9 @@
     isLeading: () => term !== null,
     confirmationAgeMs: () => cfg.suspendAwareNow() - confirmedAt,
     epoch: () => term?.epoch ?? null,
-    observeTerm(epoch) {
-      if (term === null || epoch <= term.epoch) return;
-      // A term that began after a restore knows less than this router.
-      if (storeEpochOfTerm(epoch) > storeEpochOfTerm(term.epoch)) {
-        return void continueInNewTerm(term);
-      }
-      endTerm('replaced');
-    },
+    observeTerm,
+    answerTermEnd,
+    awaitsTermEndQuestion: () => clock.now() < questionUntil,
     tables() {
       if (term === null) return null;
       const serviceLeaders = [...term.services.values()];
