Hash texts and bound waits in one place each

FNV-1a stood three times (callers, routes, the order of carriers) and the maximum wait of a request twice, with another limit of the slack. Both are one function now. Values are the same: 435 checks of the tests of slots, request times, links, carriers and of the router behind a cut pass as before. The whole suite was not run again.

--- a/packages/dispatch/src/caller-hash.ts
+++ b/packages/dispatch/src/caller-hash.ts
@@ -1,5 +1,4 @@
-const FNV_OFFSET = 0x811c9dc5;
-const FNV_PRIME = 0x01000193;
+import {hashFnv1a} from '@banyandrum/base/fnv1a.js';
 
 /**
  * A 32-bit hash (FNV-1a) of a caller's address, the same in every process and
@@ -11,9 +10,5 @@
  * ```
  */
 export function hashCaller(address: string): number {
-  let hash = FNV_OFFSET;
-  for (let at = 0; at < address.length; at++) {
-    hash = Math.imul(hash ^ address.charCodeAt(at), FNV_PRIME);
-  }
-  return hash >>> 0 || 1;
+  return hashFnv1a(address) || 1;
 }
--- a/packages/gateway/src/leader-transfer.ts
+++ b/packages/gateway/src/leader-transfer.ts
@@ -1,3 +1,4 @@
+import {hashFnv1a} from '@banyandrum/base/fnv1a.js';
 import {
   pickLargestHost,
   type Candidate,
@@ -121,18 +122,12 @@
   return named.slice(0, MAX_CARRIERS).map(({address}) => address);
 }
 
-/** Parameters of the 32-bit FNV-1a hash. */
-const FNV_OFFSET = 0x811c9dc5;
-const FNV_PRIME = 0x01000193;
 /** A factor of MurmurHash3's finalizer, which spreads the last characters. */
 const MURMUR_FACTOR = 0x85ebca6b;
 
 /** Orders candidates differently for each router (rendezvous hashing). */
 function weightOf(router: string, candidate: string): number {
-  let hash = FNV_OFFSET;
-  for (const char of `${candidate} ${router}`) {
-    hash = Math.imul(hash ^ char.codePointAt(0)!, FNV_PRIME);
-  }
+  let hash = hashFnv1a(`${candidate} ${router}`);
   hash = Math.imul(hash ^ (hash >>> 16), MURMUR_FACTOR);
   return (hash ^ (hash >>> 13)) >>> 0;
 }
--- a/packages/slots/src/fair-admission.ts
+++ b/packages/slots/src/fair-admission.ts
@@ -1,8 +1,7 @@
 import type {FairTurns} from './fair-turns.js';
 import {
-  ACCEPTED_SERVICE_TIMES,
   capacityFor,
-  SLACK_SHARE,
+  maxWaitMsFor,
   type QueuePolicyConfig,
 } from './queue-policy.js';
 import {countAhead, type Waiter, type WaitQueue} from './wait-queue.js';
@@ -30,19 +29,8 @@
   const presentMs = (countAhead(queue, waiter) + 1) * serviceMs;
   const waitMs = turns.expectedWaitMs(waiter, presentMs, slots || 1);
   const {requestedAt, expiresAt} = waiter;
-  const maxMs = maxWaitMs(cfg, queue, waiter, serviceMs);
+  const maxMs = maxWaitMsFor(waiter, serviceMs, (priority, slackMs) =>
+    cfg.slackTracker.lowestMs(queue.service, priority, slackMs),
+  );
   return waitMs > Math.min(maxMs, expiresAt - requestedAt);
 }
-
-function maxWaitMs(
-  {slackTracker}: QueuePolicyConfig,
-  {service}: WaitQueue,
-  {priority, requestedAt, onTimeUntil}: Waiter,
-  serviceMs: number,
-): number {
-  const slackMs = onTimeUntil - requestedAt;
-  const acceptedMs = serviceMs * ACCEPTED_SERVICE_TIMES;
-  if (slackMs <= 0) return acceptedMs;
-  const maxMs = slackTracker.lowestMs(service, priority, slackMs);
-  return Math.max(acceptedMs, maxMs * SLACK_SHARE);
-}
--- a/packages/slots/src/queue-policy.ts
+++ b/packages/slots/src/queue-policy.ts
@@ -22,13 +22,13 @@
  * full slack, one answer in 12 was late at 1.8 times the servers' capacity. With
  * 0.7, one more request in 20 was refused at 0.8 times the capacity.
  */
-export const SLACK_SHARE = 0.8;
+const SLACK_SHARE = 0.8;
 /**
  * A wait of up to this many service times is always accepted. The load of a few
  * slots varies that much by chance: if each request that may be late is refused
  * then, servers are idle soon after, and callers come back to find them busy.
  */
-export const ACCEPTED_SERVICE_TIMES = 1;
+const ACCEPTED_SERVICE_TIMES = 1;
 
 /**
  * Returns the next request to serve: by priority, then those that can still
@@ -82,7 +82,10 @@
   const {requestedAt, expiresAt} = waiter;
   const capacity = capacityFor(cfg, queue);
   const waitMs = estimatedWaitMs(capacity, countAhead(queue, waiter) + 1);
-  const maxMs = maxWaitMsFor(cfg, queue, waiter, capacity.serviceMs);
+  const {slackTracker} = cfg;
+  const maxMs = maxWaitMsFor(waiter, capacity.serviceMs, (priority, slackMs) =>
+    slackTracker.maxWaitMs(queue.service, priority, slackMs),
+  );
   return waitMs > Math.min(maxMs, expiresAt - requestedAt);
 }
 
@@ -105,18 +108,19 @@
   return (count / (slots || 1)) * serviceMs;
 }
 
-/** Maximum wait of the request, in ms. */
-function maxWaitMsFor(
-  {slackTracker}: QueuePolicyConfig,
-  {service}: WaitQueue,
+/**
+ * Maximum wait of the request, in ms. `limitOf` returns the longest wait with
+ * which a request of this priority and slack still meets its target latency.
+ */
+export function maxWaitMsFor(
   {priority, requestedAt, onTimeUntil}: Waiter,
   serviceMs: number,
+  limitOf: (priority: number, slackMs: number) => number,
 ): number {
   const slackMs = onTimeUntil - requestedAt;
   const acceptedMs = serviceMs * ACCEPTED_SERVICE_TIMES;
   if (slackMs <= 0) return acceptedMs;
-  const maxMs = slackTracker.maxWaitMs(service, priority, slackMs);
-  return Math.max(acceptedMs, maxMs * SLACK_SHARE);
+  return Math.max(acceptedMs, limitOf(priority, slackMs) * SLACK_SHARE);
 }
 
 /**
