Log and measure how long requests may have waited unread

A request's age when it is read was not known, and the lag of timers doesn't show it: the record has a router that lost 258 of 286 callers within 6 ms of reading their requests, at a lag of 3 ms. The bound is the time since all open connections were last polled, or, for the first request of a connection, since none waited to be accepted. It is logged and counted only; nothing decides by it.

--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -35,6 +35,11 @@
   createRequestPipelines,
   type RequestPipelines,
 } from './request-pipelines.js';
+import {
+  MIN_DELAY_MS,
+  type ReadDelay,
+  type ReadDelayMonitor,
+} from './read-delay.js';
 import type {UnreadAnswers} from './unread-answers.js';
 import {
   sendResponse,
@@ -58,6 +63,7 @@
   isQuarantineKnown(): boolean;
   /** Event loop lag of this process, in ms. */
   lagMs(): number;
+  readonly delays: ReadDelayMonitor;
   /** Records a finished request in the metrics. */
   recordRequest(outcome: RequestOutcome): void;
 }
@@ -70,6 +76,8 @@
   /** `answered`, `rejected`, or the failure's code. */
   readonly outcome: string;
   readonly tookMs: number;
+  /** How long it may have waited unread, in ms. */
+  readonly readDelayMs: number;
 }
 
 /** The HTTP server that accepts callers' requests. */
@@ -145,6 +153,7 @@
     },
     (req, res) => void handleRequest(state, stripped, req, res),
   );
+  server.on('connection', cfg.delays.noteAccepted);
   return {
     server,
     inFlight: () => state.inFlight,
@@ -165,6 +174,7 @@
   res: ServerResponse,
 ): Promise<void> {
   const arrivedAt = state.clock.now();
+  const delay = state.delays.delayOf(req.socket);
   const canceller = createCanceller();
   let isReleased = false;
   const release = (): void => {
@@ -184,7 +194,7 @@
   });
   const {requestId} = state.forward.names;
   const id = headerValue(req, requestId) ?? createId();
-  const initial = {id, arrivedAt, signal: canceller.signal};
+  const initial = {id, arrivedAt, delay, signal: canceller.signal};
   const context: RequestContext = {...initial, route: null, askedMs: 0};
   const response = await routeRequest(state, stripped, req, context);
   const isGone = req.socket.destroyed;
@@ -201,23 +211,32 @@
 /** Logs the request and records it in the metrics. */
 function logAndCount(
   state: FrontendState,
-  {id, arrivedAt, route, askedMs}: RequestContext,
+  {id, arrivedAt, delay, route, askedMs}: RequestContext,
   response: FrontendResponse,
   isGone: boolean,
 ): void {
   const tookMs = Math.round(state.clock.now() - arrivedAt);
   const {status, outcome, verdict, server} = summarize(response);
   const routeName = route?.name ?? null;
-  state.recordRequest({route: routeName, status, outcome, tookMs});
+  state.recordRequest({
+    ...{route: routeName, status, outcome, tookMs},
+    readDelayMs: delay.ms > MIN_DELAY_MS ? delay.ms : 0,
+  });
   state.emit('request', {
     ...{id, route: routeName, status, outcome, verdict, server, tookMs},
     config: state.config()?.version ?? null,
     ...(response.kind === 'rejected' && configFields(state.configStatus())),
     ...(askedMs > 0 && {askedMs}),
+    ...(delay.ms > MIN_DELAY_MS && delayFields(delay)),
     ...(isGone && {isGone}),
   });
 }
 
+/** Tells how long the request may have waited unread. */
+function delayFields({ms, by}: ReadDelay): EventFields {
+  return {readDelayMs: Math.round(ms), readDelayBy: by};
+}
+
 /** Tells how up to date the configuration was that a request was refused by. */
 function configFields({ageMs, confirmedBy}: ConfigStatus): EventFields {
   return {configAgeMs: Math.round(ageMs), configBy: confirmedBy};
@@ -245,6 +264,7 @@
 interface RequestContext {
   readonly id: string;
   readonly arrivedAt: number;
+  readonly delay: ReadDelay;
   readonly signal: ReturnType<typeof createCanceller>['signal'];
   /** Null until a route is matched. */
   route: Route | null;
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -66,6 +66,8 @@
 
 /** Upper bounds in seconds: from fast responses to the longest timeouts. */
 const DURATION_BUCKETS = [0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8];
+/** Upper bounds in seconds. */
+const READ_DELAY_BUCKETS = [0.06, 0.125, 0.25, 0.5, 1, 2];
 /**
  * Further routes share one label, which bounds the number of time series:
  * configurations may add hundreds of routes.
@@ -102,6 +104,12 @@
     buckets: DURATION_BUCKETS,
     registers,
   });
+  const readDelays = new Histogram({
+    name: 'banyandrum_read_delay_seconds',
+    help: 'How long requests may have waited unread',
+    buckets: READ_DELAY_BUCKETS,
+    registers,
+  });
   const retries = new Counter({
     name: 'banyandrum_retries_total',
     help: 'Retries sent to servers, or withheld, by service and reason',
@@ -232,7 +240,8 @@
         res.end(text);
       });
     }),
-    recordRequest({route, status, outcome, tookMs}) {
+    recordRequest({route, status, outcome, tookMs, readDelayMs}) {
+      readDelays.observe(readDelayMs / 1_000);
       const label = labelOf(route);
       requests.inc({route: label, status, outcome});
       durations.observe({route: label}, tookMs / 1000);
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -35,6 +35,7 @@
 import {createLocalSlotProvider} from './local-slot-provider.js';
 import {joinRouterGroup} from './membership.js';
 import {monitorLoopLag} from './loop-lag.js';
+import {monitorReadDelay} from './read-delay.js';
 import {createMetrics, type MetricsSource} from './metrics.js';
 import type {Platform} from './platform.js';
 import {createQuarantinePage} from './quarantine-page.js';
@@ -332,6 +333,7 @@
     unixNow: Date.now,
   });
   const loopLag = monitorLoopLag(clock);
+  const readDelays = monitorReadDelay(clock, suspendAwareNow);
   const unread = createUnreadAnswers({
     ...{clock, emit},
     limits: {
@@ -387,6 +389,7 @@
     configApplyMs: settings.configuration.applyWithinMs,
     isQuarantineKnown: () => isQuarantineKnown(),
     lagMs: () => loopLag.lagMs(),
+    delays: readDelays,
     forward: {
       backends,
       paths,
@@ -479,6 +482,7 @@
   };
   const stopVitals = reportVitals(clock, emit, {
     lagMs: () => loopLag.lagMs(),
+    takeWorstDelay: readDelays.takeWorst,
     inFlight: () => frontend.inFlight(),
     isLeading: () => leadership.isLeading(),
     followers: () => linkServer.followers(),
@@ -524,6 +528,7 @@
   const shutDown = (): void => {
     isClosed = true;
     loopLag.stop();
+    readDelays.stop();
     requestTimes.stop();
     unread.stop();
     stopVitals();
--- a/packages/gateway/src/vitals.ts
+++ b/packages/gateway/src/vitals.ts
@@ -1,11 +1,14 @@
 import {performance} from 'node:perf_hooks';
 import type {Clock} from '@banyandrum/base/clock.js';
 import type {Emit} from '@banyandrum/dispatch/events.js';
+import type {ReadDelay} from './read-delay.js';
 
 /** Values that the periodic `vitals` event reports. */
 export interface VitalsSource {
   /** Current event loop lag, in ms. */
   lagMs(): number;
+  /** The longest delay of a read since the last call. */
+  takeWorstDelay(): ReadDelay;
   inFlight(): number;
   isLeading(): boolean;
   /** Number of routers that follow this one. */
@@ -48,9 +51,12 @@
       currentUtilization,
       lastUtilization,
     );
+    const delay = source.takeWorstDelay();
     emit('vitals', {
       busy: Math.round(utilization * 100) / 100,
       lagMs: Math.round(maxLagMs),
+      readDelayMs: Math.round(delay.ms),
+      readDelayBy: delay.by,
       inFlight: source.inFlight(),
       isLeading: source.isLeading(),
       followers: source.followers(),
--- a/packages/gateway/test/vitals.test.ts
+++ b/packages/gateway/test/vitals.test.ts
@@ -13,6 +13,7 @@
   let calls: Record<string, number> = {join: 5};
   const stop = reportVitals(clock, (_, fields) => void lines.push(fields), {
     lagMs: () => lagMs,
+    takeWorstDelay: () => ({ms: 40, by: 'accept'}),
     inFlight: () => 3,
     isLeading: () => true,
     followers: () => 80,
@@ -26,6 +27,7 @@
   await clock.advance(1_200);
   t.equal(lines.length, 1);
   t.match(lines[0], {lagMs: 250, followers: 80, waiting: 7});
+  t.match(lines[0], {readDelayMs: 40, readDelayBy: 'accept'});
   t.equal(lines[0]!['calls'], 'join:4 save:2');
   await clock.advance(2_200);
   t.match(lines[1], {lagMs: 0, calls: ''});
