Send no request on a connection that opens after its time limit

After a pause of the process the connection's opening is handled before the timer of the limit, so the request was written then, however late. The limit is now checked where the request is about to be written. The test failed before: with a limit of 50 ms and the process busy for 100 ms the server got the request.

--- a/packages/dispatch/src/attempt.ts
+++ b/packages/dispatch/src/attempt.ts
@@ -110,6 +110,7 @@
     // The connection isn't open yet; `onConnect` then aborts before writing.
     settleLost(reason, 'aborted before the request was written');
   };
+  const deadline = clock.now() + spec.withinMs;
   const cancelDeadline = clock.after(spec.withinMs, () => abort('timeout'));
   const cancelConnect =
     spec.connectWithinMs === undefined
@@ -129,6 +130,8 @@
       // undici resends a request after some connection losses. The server could
       // then run it twice, so the attempt ends as lost instead.
       if (isWritten) return abort('connection-lost');
+      // After a pause, the connection opens before the timer above fires.
+      if (clock.now() >= deadline) return abort('timeout');
       isWritten = true;
     },
     onHeaders(code, raw) {
--- a/packages/dispatch/test/attempt.test.ts
+++ b/packages/dispatch/test/attempt.test.ts
@@ -165,3 +165,21 @@
     await server.close();
   },
 );
+
+// Guards against sending a request after its time limit: after a pause its
+// connection opens before the timer of the limit fires.
+void tap.test('a connection that opens too late gets no request', async t => {
+  const heads: string[] = [];
+  const server = await listenRaw((_, head) => heads.push(head));
+  const connections = createServerConnections(server.origin, 1);
+  const attempt = startAttempt(connections.acquire()!, NAMES, createClock(), {
+    ...{method: 'POST', path: '/late', headers: [], body: null},
+    ...{requestId: 'late', withinMs: 50},
+  });
+  const end = performance.now() + 100;
+  while (performance.now() < end);
+  t.match(await attempt.result, {kind: 'lost', reason: 'timeout'});
+  await new Promise(resolve => setTimeout(resolve, 100));
+  t.same(heads, []);
+  await server.close();
+});
