Accept connections before handling requests, and count the time they lay unread

Callers' requests reached servers up to 2.3 s after the callers had left. The event loop accepts one connection a turn. A router that handled each request as soon as it was read, with more new connections than turns, as after a restart of all, read requests seconds late for as long as that lasted; the close of their connections was read a turn later still. A single pause did the same once.

Requests that may have waited unread are now held until one complete poll has taken place, so that a close behind them is known, and while connections are still accepted turn after turn, for 25 ms at a time. The time that they may have lain unread counts towards their time limit; those whose time is over are refused at once. A send waits for a complete poll where the last one is over 200 ms ago. A carrier does the same, and the time that connecting to it takes counts as well. A caller's end of its connection cancels its requests when it is read, not when the connection has been closed. A first pause refuses nobody any more.

Why it is enough: what reaches a server was read, and its close was not, in a poll that came after it; the check comes in the same turn as the write.

--- a/packages/dispatch/src/forward.ts
+++ b/packages/dispatch/src/forward.ts
@@ -88,9 +88,11 @@
 ): Promise<Reply | null> {
   const {cfg, req} = state;
   const {backend, connection, inFlightAtSend} = target;
+  const behind = cfg.catchUp();
+  if (behind !== null) await behind;
   const sentAt = cfg.clock.now();
   const withinMs = req.deadline - sentAt;
-  if (withinMs < MIN_SEND_MS) {
+  if (withinMs < MIN_SEND_MS || req.signal.aborted) {
     abandonTarget(target);
     return finalReply(state);
   }
--- a/packages/dispatch/test/forward.test.ts
+++ b/packages/dispatch/test/forward.test.ts
@@ -107,6 +107,7 @@
         ...{clock, routers: ROUTERS, random: () => 0},
       }),
       recordRetry: () => undefined,
+      catchUp: () => null,
       quarantine: createQuarantine(
         createSuspects(clock, () => undefined),
         createCrashDetector({clock, probe: async () => 'open'}),
--- a/packages/dispatch/test/request-times.test.ts
+++ b/packages/dispatch/test/request-times.test.ts
@@ -80,6 +80,7 @@
       basis: () => ({left: 0, share: 0, routers: 1, routersAgeMs: 0}),
     },
     recordRetry: () => undefined,
+    catchUp: () => null,
     quarantine: createQuarantine(
       createSuspects(clock, emit),
       createCrashDetector({clock, probe: async () => 'open'}),
--- a/packages/gateway/src/carry-client.ts
+++ b/packages/gateway/src/carry-client.ts
@@ -128,14 +128,15 @@
 
   const call = async (
     address: string,
-    req: CarryRequest,
-    withinMs: number,
+    createRequest: (withinMs: number) => CarryRequest,
+    deadline: number,
     signal: CancelSignal | null,
   ): Promise<CallResult> => {
     const peer = peerAt(address);
     if (!(await waitUntilConnected(peer)))
       return {kind: 'unsent', retryMs: FAILED_BACKOFF_MS};
     if (signal?.aborted) return {kind: 'lost', reason: 'cancelled'};
+    const withinMs = deadline - clock.now();
     return new Promise(resolve => {
       let reason: LossReason = 'carrier-lost';
       const cancelAs = (why: LossReason): void => {
@@ -152,7 +153,10 @@
         resolve({kind: 'lost', reason});
       };
       const onAbort = (): void => cancelAs('cancelled');
-      const pending: ClientUnaryCall = peer.stub.carry(req, onReply);
+      const pending: ClientUnaryCall = peer.stub.carry(
+        createRequest(withinMs),
+        onReply,
+      );
       // gRPC computes deadlines from the wall clock, which may jump.
       const cancelDeadline = clock.after(withinMs, () => cancelAs('timeout'));
       const cancelAck = clock.after(ACK_TIMEOUT_MS, () =>
@@ -165,12 +169,13 @@
 
   const send: Carriers['send'] = async (attempt, signal) => {
     const startedAt = clock.now();
+    const deadline = startedAt + attempt.withinMs;
     for (const by of usableCandidates()) {
-      const askedMs = clock.now() - startedAt;
-      if (askedMs > MAX_ASKING_MS) break;
-      const withinMs = attempt.withinMs - askedMs;
-      const request = {kind: 'send', attempt: {...attempt, withinMs}} as const;
-      const result = await call(by, request, withinMs, signal);
+      if (clock.now() - startedAt > MAX_ASKING_MS) break;
+      const createRequest = (withinMs: number): CarryRequest => ({
+        ...{kind: 'send', attempt: {...attempt, withinMs}},
+      });
+      const result = await call(by, createRequest, deadline, signal);
       if (result.kind === 'lost') {
         if (result.reason === 'carrier-lost') backOff(by, FAILED_BACKOFF_MS);
         return {kind: 'sent', by, result: lostOnTheWay(result.reason)};
@@ -193,7 +198,8 @@
     async probe(server) {
       for (const by of usableCandidates()) {
         const request = {kind: 'probe', server} as const;
-        const result = await call(by, request, PROBE_TIMEOUT_MS, null);
+        const deadline = clock.now() + PROBE_TIMEOUT_MS;
+        const result = await call(by, () => request, deadline, null);
         if (result.kind !== 'replied') continue;
         if (result.reply.kind === 'probed') return result.reply.result;
       }
--- a/packages/gateway/src/carry-messages.ts
+++ b/packages/gateway/src/carry-messages.ts
@@ -22,6 +22,8 @@
   /** It can't reach the server, but may be cut off itself. */
   | 'cut-off'
   | 'busy'
+  /** Its time was over, or the caller had left, when it was read. */
+  | 'too-late'
   | 'stopping';
 
 /** The carrier's reply. */
--- a/packages/gateway/src/carry-server.ts
+++ b/packages/gateway/src/carry-server.ts
@@ -19,6 +19,8 @@
   type sendUnaryData,
   type ServerUnaryCall,
 } from '@grpc/grpc-js';
+import {MIN_SEND_MS} from '@banyandrum/dispatch/forward-state.js';
+import {MIN_DELAY_MS} from './read-delay.js';
 import type {CarryReply, CarryRefusal, CarryRequest} from './carry-messages.js';
 
 /** Dependencies of `createCarryServer`. */
@@ -26,7 +28,12 @@
   extends Omit<SendConfig, 'carriers'>, ServerSignalsConfig {
   readonly backends: Backends;
   probe(backend: Backend): Promise<ProbeResult>;
+  /** Event loop lag that this process has had for a while, in ms. */
   lagMs(): number;
+  /** How long calls may have waited unread, in ms. */
+  pollDelayMs(): number;
+  /** As of `ForwardConfig`. */
+  catchUp(): Promise<void> | null;
 }
 
 type CarryCall = ServerUnaryCall<CarryRequest, CarryReply>;
@@ -82,6 +89,18 @@
   ): Promise<CarryReply> => {
     const {backends, paths} = cfg;
     const {server} = attempt;
+    const canceller = createCanceller();
+    call.on('cancelled', canceller.abort);
+    const {signal} = canceller;
+    const startedAt = cfg.clock.now();
+    const delayMs = cfg.pollDelayMs();
+    const behind = cfg.catchUp();
+    if (behind !== null) await behind;
+    const unreadMs = delayMs > MIN_DELAY_MS ? delayMs : 0;
+    const spentMs = unreadMs + cfg.clock.now() - startedAt;
+    const withinMs = attempt.withinMs - spentMs;
+    if (signal.aborted || withinMs < MIN_SEND_MS)
+      return {kind: 'refused', why: 'too-late'};
     const backend = backends.get(server);
     const why = findRefusal(backend);
     if (why !== null) return {kind: 'refused', why};
@@ -89,14 +108,12 @@
     const connection = backend!.connections.acquire(paths.trustedSince(server));
     if (connection === null) return {kind: 'refused', why: 'no-connection'};
     const sentAt = cfg.clock.now();
-    const canceller = createCanceller();
-    call.on('cancelled', canceller.abort);
     inFlight++;
     backend!.inFlight++;
     const sendCfg = {...cfg, carriers: NO_CARRIERS};
-    const {signal} = canceller;
+    const spec = {...attempt, withinMs};
     const result = await sendDirectly(
-      ...([sendCfg, backend!, connection, attempt, signal] as const),
+      ...([sendCfg, backend!, connection, spec, signal] as const),
     );
     backend!.inFlight--;
     inFlight--;
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -40,6 +40,7 @@
   type ReadDelay,
   type ReadDelayMonitor,
 } from './read-delay.js';
+import {MAX_HELD_MS, type RequestIntake} from './request-intake.js';
 import type {UnreadAnswers} from './unread-answers.js';
 import {
   sendResponse,
@@ -61,9 +62,10 @@
   readonly configApplyMs: number;
   /** Whether the list of quarantined requests is loaded. */
   isQuarantineKnown(): boolean;
-  /** Event loop lag of this process, in ms. */
-  lagMs(): number;
+  /** Event loop lag that this process has had for a while, in ms. */
+  sustainedLagMs(): number;
   readonly delays: ReadDelayMonitor;
+  readonly intake: RequestIntake;
   /** Records a finished request in the metrics. */
   recordRequest(outcome: RequestOutcome): void;
 }
@@ -121,11 +123,21 @@
  * up after 133 ms if their request is not read.
  */
 const MAX_LOOP_LAG_MS = 100;
+/**
+ * Requests that were held for more than this share of the time that is left are
+ * refused, so that others can still be answered in time.
+ */
+const MAX_HELD_SHARE = 0.5;
 /** `Retry-After` of an overloaded router, in ms; another router can answer. */
 const BUSY_RETRY_MS = 40;
 /** `Retry-After` of a router that is starting, in ms. */
 const STARTING_RETRY_MS = 300;
 
+const CALLER_LEFT: FrontendResponse = {
+  kind: 'failure',
+  failure: failure('not-run', 'cancelled', 'the caller has left'),
+};
+
 /**
  * Creates the frontend. The returned HTTP server is not listening yet.
  *
@@ -173,7 +185,7 @@
   req: IncomingMessage,
   res: ServerResponse,
 ): Promise<void> {
-  const arrivedAt = state.clock.now();
+  const readAt = state.clock.now();
   const delay = state.delays.delayOf(req.socket);
   const canceller = createCanceller();
   let isReleased = false;
@@ -194,10 +206,14 @@
   });
   const {requestId} = state.forward.names;
   const id = headerValue(req, requestId) ?? createId();
-  const initial = {id, arrivedAt, delay, signal: canceller.signal};
+  const initial = {id, readAt, delay, signal: canceller.signal};
   const context: RequestContext = {...initial, route: null, askedMs: 0};
-  const response = await routeRequest(state, stripped, req, context);
-  const isGone = req.socket.destroyed;
+  const held = state.intake.admit(delay);
+  if (held !== null) await held;
+  const response = canceller.signal.aborted
+    ? CALLER_LEFT
+    : await routeRequest(state, stripped, req, context);
+  const isGone = req.socket.destroyed || req.socket.readableEnded;
   if (!isGone) {
     // Only the last accepted request's response may close the connection.
     const isLast = (state.isClosing && pipelined.isNewest()) || !req.complete;
@@ -211,11 +227,11 @@
 /** Logs the request and records it in the metrics. */
 function logAndCount(
   state: FrontendState,
-  {id, arrivedAt, delay, route, askedMs}: RequestContext,
+  {id, readAt, delay, route, askedMs}: RequestContext,
   response: FrontendResponse,
   isGone: boolean,
 ): void {
-  const tookMs = Math.round(state.clock.now() - arrivedAt);
+  const tookMs = Math.round(state.clock.now() - readAt);
   const {status, outcome, verdict, server} = summarize(response);
   const routeName = route?.name ?? null;
   state.recordRequest({
@@ -263,7 +279,7 @@
 
 interface RequestContext {
   readonly id: string;
-  readonly arrivedAt: number;
+  readonly readAt: number;
   readonly delay: ReadDelay;
   readonly signal: ReturnType<typeof createCanceller>['signal'];
   /** Null until a route is matched. */
@@ -287,7 +303,7 @@
   if (!state.isQuarantineKnown()) {
     return notRun('quarantined requests not loaded yet', STARTING_RETRY_MS);
   }
-  if (state.lagMs() > MAX_LOOP_LAG_MS) {
+  if (state.sustainedLagMs() > MAX_LOOP_LAG_MS) {
     return notRun('event loop lag is too high', BUSY_RETRY_MS);
   }
   if (headerBytes(req) > config.limits.maxHeaderBytes) {
@@ -311,6 +327,16 @@
     };
   }
   const timeoutMs = callerTimeoutMs(names, req);
+  const unreadMs = context.delay.ms > MIN_DELAY_MS ? context.delay.ms : 0;
+  const deadline = deadlineOf(timeoutMs, route, context.readAt - unreadMs);
+  const leftMs = deadline - state.clock.now();
+  if (leftMs <= 0) {
+    return notRun('read after the caller’s timeout', BUSY_RETRY_MS);
+  }
+  const heldMs = state.clock.now() - context.readAt;
+  if (heldMs > Math.max(MAX_HELD_MS, leftMs * MAX_HELD_SHARE)) {
+    return notRun('too many requests wait to be handled', BUSY_RETRY_MS);
+  }
   context.askedMs = state.retryAges.observe(route.name, timeoutMs);
   const asked: DigestInput = {
     caller: req.socket.remoteAddress ?? '',
@@ -327,8 +353,9 @@
     headers: forwardedHeaders(stripped, req, id, names.requestId),
     route,
     service,
-    firstAskedAt: context.arrivedAt - context.askedMs,
-    deadline: deadlineOf(timeoutMs, route, context.arrivedAt),
+    // It arrived at any moment of that time, so half of it is expected.
+    firstAskedAt: context.readAt - unreadMs / 2 - context.askedMs,
+    deadline,
     signal: context.signal,
   });
 }
--- a/packages/gateway/src/loop-lag.ts
+++ b/packages/gateway/src/loop-lag.ts
@@ -7,6 +7,8 @@
    * doesn't count once it is over.
    */
   lagMs(): number;
+  /** The same without the timer that is overdue now, which may be the first. */
+  sustainedMs(): number;
   stop(): void;
 }
 
@@ -40,6 +42,7 @@
   return {
     // Includes the lag of the timer that is overdue now.
     lagMs: () => Math.max(0, clock.now() - dueAt, Math.min(...lags)),
+    sustainedMs: () => Math.min(...lags),
     stop: () => cancel(),
   };
 }
--- a/packages/gateway/src/read-delay.ts
+++ b/packages/gateway/src/read-delay.ts
@@ -22,7 +22,10 @@
    * Upper bound of the delay of what is read from open connections now, in ms.
    */
   pollDelayMs(): number;
-  /** Whether connections may still wait to be accepted. */
+  /**
+   * Whether a connection was accepted in each of the last turns, so that more
+   * are probably waiting.
+   */
   isAccepting(): boolean;
   /**
    * Runs `task` at the end of this turn of the event loop, after all callbacks
@@ -39,6 +42,9 @@
 /** Shorter delays, in ms, can't be told from none: two marks and their lag. */
 export const MIN_DELAY_MS = 60;
 
+/** Turns with an accepted connection after which more probably wait. */
+const STANDING_TURNS = 2;
+
 /**
  * Times of recurring callbacks that the event loop runs at most once a turn.
  * Between any two of them it has polled all open connections.
@@ -86,7 +92,8 @@
   const turns = newMarks();
   const unread = new WeakMap<Duplex, Accepted>();
   let accepted = 0;
-  let lastAcceptedAt = -Infinity;
+  /** Consecutive turns with an accepted connection. */
+  let acceptingTurns = 0;
   let queueEmptyAt = startedAt;
   let worst: ReadDelay = {ms: 0, by: 'poll'};
   let isTurnMarked = false;
@@ -107,7 +114,9 @@
     setImmediate(() => {
       isTurnMarked = false;
       // The next turn shows whether further connections wait.
-      if (mark(turns)) markTurn();
+      const hasAccepted = mark(turns);
+      acceptingTurns = hasAccepted ? acceptingTurns + 1 : 0;
+      if (hasAccepted) markTurn();
       const due = tasks;
       tasks = [];
       for (const task of due) task();
@@ -131,8 +140,7 @@
   return {
     noteAccepted(socket) {
       accepted++;
-      lastAcceptedAt = now();
-      unread.set(socket, {acceptedAt: lastAcceptedAt, queueEmptyAt});
+      unread.set(socket, {acceptedAt: now(), queueEmptyAt});
       markTurn();
     },
     delayOf(socket) {
@@ -147,7 +155,7 @@
       return noteDelay({ms: now() - polled, by: 'poll'});
     },
     pollDelayMs: () => now() - polledAfter(),
-    isAccepting: () => lastAcceptedAt >= polledAfter(),
+    isAccepting: () => acceptingTurns >= STANDING_TURNS,
     afterTurn(task) {
       tasks.push(task);
       markTurn();
--- a/packages/gateway/src/request-pipelines.ts
+++ b/packages/gateway/src/request-pipelines.ts
@@ -57,10 +57,13 @@
       closeListeners: new Set(),
     };
     connections.set(socket, connection);
-    socket.once('close', () => {
+    const close = (): void => {
       for (const onClose of connection.closeListeners) onClose();
       connection.closeListeners.clear();
-    });
+    };
+    // The server closes the connection after its end, but turns later.
+    socket.once('end', close);
+    socket.once('close', close);
     return connection;
   };
 
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -39,6 +39,7 @@
 import {createMetrics, type MetricsSource} from './metrics.js';
 import type {Platform} from './platform.js';
 import {createQuarantinePage} from './quarantine-page.js';
+import {createRequestIntake} from './request-intake.js';
 import {createRequestTimes} from './request-times.js';
 import {createRouterCount} from './router-count.js';
 import {createCarryServer} from './carry-server.js';
@@ -334,6 +335,10 @@
   });
   const loopLag = monitorLoopLag(clock);
   const readDelays = monitorReadDelay(clock, suspendAwareNow);
+  const intake = createRequestIntake({
+    delays: readDelays,
+    now: () => clock.now(),
+  });
   const unread = createUnreadAnswers({
     ...{clock, emit},
     limits: {
@@ -388,8 +393,9 @@
     configStatus: () => configKeeper.status(),
     configApplyMs: settings.configuration.applyWithinMs,
     isQuarantineKnown: () => isQuarantineKnown(),
-    lagMs: () => loopLag.lagMs(),
+    sustainedLagMs: loopLag.sustainedMs,
     delays: readDelays,
+    intake,
     forward: {
       backends,
       paths,
@@ -420,6 +426,7 @@
       clock,
       emit,
       routers: routerCount,
+      catchUp: intake.catchUp,
       ...(settings.scheduling.queue === 'fair' && {hashCaller}),
     },
   });
@@ -444,7 +451,9 @@
   const carryServer = createCarryServer({
     ...{...signalsCfg, backends, paths, clock, emit},
     probe: reach.probeDirectly,
-    lagMs: () => loopLag.lagMs(),
+    lagMs: loopLag.sustainedMs,
+    pollDelayMs: readDelays.pollDelayMs,
+    catchUp: intake.catchUp,
   });
   const linkServer = await serveLinks({
     listen: peers,
--- a/packages/gateway/test/carry.test.ts
+++ b/packages/gateway/test/carry.test.ts
@@ -88,6 +88,8 @@
     limits: createServerLimits({clock, emit}),
     rests: createServerRests({clock, emit}),
     lagMs: () => 0,
+    pollDelayMs: () => 0,
+    catchUp: () => null,
     noteLeaving: () => undefined,
   });
   const {grpcServer, address} = await startGrpc(carryServer);
