Serve callers that still wait after pauses in series

Cause: the upper bound of a request's age was taken off its time limit as if it were its age; after pauses in series that is the time since the first of them. Requests were refused as held for too long by a clock that runs during the pauses. At a paused leader timers refused all that waited before it read which slots had been released, and requests whose cancellation lay unread were given slots.

Now a request whose caller is known to wait, since its close would have been read, counts half of the bound against the caller's limit, its mean; the route's time counts from the reading. Held requests whose callers have left are ended at once and take no turn of others. The leader handles asks and its timer after a pause once all has been read, and doesn't count its own pause against those that wait.

--- a/packages/dispatch/src/forward-state.ts
+++ b/packages/dispatch/src/forward-state.ts
@@ -77,7 +77,7 @@
    * Resolves once this process has read what arrived during a pause, such as
    * the close of a caller's connection; null if there was no pause.
    */
-  readonly catchUp: () => Promise<void> | null;
+  readonly catchUp: (signal: CancelSignal) => Promise<void> | null;
 }
 
 /** State of a request across its attempts. */
--- a/packages/dispatch/src/forward.ts
+++ b/packages/dispatch/src/forward.ts
@@ -88,7 +88,7 @@
 ): Promise<Reply | null> {
   const {cfg, req} = state;
   const {backend, connection, inFlightAtSend} = target;
-  const behind = cfg.catchUp();
+  const behind = cfg.catchUp(req.signal);
   if (behind !== null) await behind;
   const sentAt = cfg.clock.now();
   const withinMs = req.deadline - sentAt;
--- a/packages/gateway/src/carry-server.ts
+++ b/packages/gateway/src/carry-server.ts
@@ -1,4 +1,4 @@
-import {createCanceller} from '@banyandrum/base/cancel.js';
+import {createCanceller, type CancelSignal} from '@banyandrum/base/cancel.js';
 import type {Backends} from '@banyandrum/dispatch/backends.js';
 import {
   NO_CARRIERS,
@@ -21,7 +21,7 @@
   type ServerUnaryCall,
 } from '@grpc/grpc-js';
 import type {CarryReply, CarryRefusal, CarryRequest} from './carry-messages.js';
-import {countedDelayMs} from './read-delay.js';
+import {expectedDelayMs} from './read-delay.js';
 
 /** Dependencies of `createCarryServer`. */
 export interface CarryServerConfig
@@ -33,7 +33,7 @@
   /** How long calls may have waited unread, in ms. */
   pollDelayMs(): number;
   /** As of `ForwardConfig`. */
-  catchUp(): Promise<void> | null;
+  catchUp(signal: CancelSignal): Promise<void> | null;
 }
 
 type CarryCall = ServerUnaryCall<CarryRequest, CarryReply>;
@@ -93,8 +93,9 @@
     call.on('cancelled', canceller.abort);
     const {signal} = canceller;
     const readAt = cfg.clock.now();
-    const unreadMs = countedDelayMs(cfg.pollDelayMs());
-    const behind = cfg.catchUp();
+    // A cancellation that lies unread is known once this router has caught up.
+    const unreadMs = expectedDelayMs(cfg.pollDelayMs(), attempt.withinMs);
+    const behind = cfg.catchUp(signal);
     if (behind !== null) await behind;
     const spentMs = unreadMs + cfg.clock.now() - readAt;
     const withinMs = attempt.withinMs - spentMs;
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -37,10 +37,11 @@
 } from './request-pipelines.js';
 import {
   countedDelayMs,
+  expectedDelayMs,
   type ReadDelay,
   type ReadDelayMonitor,
 } from './read-delay.js';
-import {MAX_HELD_MS, type RequestIntake} from './request-intake.js';
+import type {RequestIntake} from './request-intake.js';
 import type {UnreadAnswers} from './unread-answers.js';
 import {
   sendResponse,
@@ -92,8 +93,6 @@
   | 'loop-lag'
   /** It was read after its caller's time limit. */
   | 'read-late'
-  /** Too many requests wait to be handled. */
-  | 'held-too-long'
   /** Its path is unknown, but the configuration may be outdated. */
   | 'config-age';
 
@@ -221,7 +220,7 @@
     ...initial,
     ...{route: null, askedMs: 0, refusal: null},
   };
-  const held = state.intake.admit(delay);
+  const held = state.intake.admit(delay, canceller.signal);
   if (held !== null) await held;
   const response = canceller.signal.aborted
     ? CALLER_LEFT
@@ -346,8 +345,9 @@
     };
   }
   const timeoutMs = callerTimeoutMs(names, req);
-  const unreadMs = countedDelayMs(context.delay.ms);
-  const deadline = deadlineOf(timeoutMs, route, context.readAt - unreadMs);
+  const unreadMs = expectedDelayMs(context.delay.ms, timeoutMs);
+  const callerLeftMs = timeoutMs - unreadMs;
+  const deadline = deadlineOf(callerLeftMs, route, context.readAt);
   const late = refuseIfLate(state, context, deadline);
   if (late !== null) return late;
   context.askedMs = state.retryAges.observe(route.name, timeoutMs);
@@ -380,15 +380,8 @@
   context: RequestContext,
   deadline: number,
 ): FrontendResponse | null {
-  const now = clock.now();
-  const leftMs = deadline - now;
-  if (leftMs <= 0) {
-    return refuse(context, 'read-late', 'read after the caller’s timeout');
-  }
-  // Others that have waited for less can still be answered in time.
-  if (now - context.readAt <= Math.max(MAX_HELD_MS, leftMs)) return null;
-  const detail = 'too many requests wait to be handled';
-  return refuse(context, 'held-too-long', detail);
+  if (deadline > clock.now()) return null;
+  return refuse(context, 'read-late', 'read after the caller’s timeout');
 }
 
 /**
@@ -419,11 +412,11 @@
   return {kind: 'failure', failure: reason};
 }
 
+/** The route's time counts from the reading, the caller's from its sending. */
 function deadlineOf(
-  timeoutMs: number,
+  callerLeftMs: number,
   route: Route,
-  arrivedAt: number,
+  readAt: number,
 ): number {
-  const ms = Math.min(timeoutMs, route.timeoutMs);
-  return arrivedAt + ms - RESPONSE_MARGIN_MS;
+  return readAt + Math.min(callerLeftMs, route.timeoutMs) - RESPONSE_MARGIN_MS;
 }
--- a/packages/gateway/src/link-server.ts
+++ b/packages/gateway/src/link-server.ts
@@ -15,12 +15,14 @@
 import {
   HEARTBEAT_MS,
   LINK_SERVICE,
+  MAX_LINK_MESSAGE_BYTES,
   fromWireCounts,
   type EncodedMessage,
   type FollowerMessage,
   type LeaderMessage,
   type ListPosition,
   type OfferReply,
+  type WireSlotRequest,
 } from './link-messages.js';
 import type {ServerList} from './server-list.js';
 import {
@@ -70,6 +72,8 @@
   onLeadershipOffered(): Promise<boolean>;
   /** A follower requested a slot for the key. */
   noteRequest(service: string, key: number): void;
+  /** As of `RequestIntake`. */
+  whenCaughtUp(task: () => void): void;
 }
 
 /** The leader's end of the streams. */
@@ -130,8 +134,7 @@
   const server = new Server({
     'grpc.keepalive_time_ms': KEEPALIVE_MS,
     'grpc.keepalive_timeout_ms': KEEPALIVE_TIMEOUT_MS,
-    // Bodies are as large as the configuration allows.
-    'grpc.max_receive_message_length': -1,
+    'grpc.max_receive_message_length': MAX_LINK_MESSAGE_BYTES,
   });
 
   const broadcaster = createStateBroadcaster(cfg);
@@ -338,6 +341,32 @@
   ) => void;
 };
 
+/** Requests a slot for a follower's request. */
+function allocate(
+  cfg: HandlerContext,
+  {stream, pending, candidate}: Follower,
+  ask: number,
+  place: WireSlotRequest,
+): void {
+  if (!cfg.leadership.isLeading()) {
+    pending.delete(ask);
+    stream.write({kind: 'reply', ask, reply: {kind: 'unavailable'}});
+    return;
+  }
+  if (place.key !== null) cfg.noteRequest(place.service, place.key);
+  let isRefused = false;
+  const dataCentre = candidate?.dataCentre ?? '';
+  // Routers that don't tell callers apart have one account each.
+  const caller = place.caller ?? hashCaller(candidate?.address ?? '');
+  const request = {...place, dataCentre, caller};
+  const endSlot = cfg.allocator.ask(request, reply => {
+    isRefused = reply.kind !== 'granted';
+    if (isRefused) pending.delete(ask);
+    stream.write({kind: 'reply', ask, reply});
+  });
+  if (!isRefused) pending.set(ask, endSlot);
+}
+
 const MESSAGE_HANDLERS: MessageHandlers = {
   hello({onHello}, follower, hello) {
     const {address, room, dataCentre} = hello;
@@ -350,23 +379,12 @@
     follower.hasStartedTerm = true;
     leadership.observeTerm(epoch);
   },
-  ask(cfg, {stream, pending, candidate}, {ask, place}) {
-    if (!cfg.leadership.isLeading()) {
-      stream.write({kind: 'reply', ask, reply: {kind: 'unavailable'}});
-      return;
-    }
-    if (place.key !== null) cfg.noteRequest(place.service, place.key);
-    let isRefused = false;
-    const dataCentre = candidate?.dataCentre ?? '';
-    // Routers that don't tell callers apart have one account each.
-    const caller = place.caller ?? hashCaller(candidate?.address ?? '');
-    const request = {...place, dataCentre, caller};
-    const endSlot = cfg.allocator.ask(request, reply => {
-      isRefused = reply.kind !== 'granted';
-      if (isRefused) pending.delete(ask);
-      stream.write({kind: 'reply', ask, reply});
+  ask(cfg, follower, {ask, place}) {
+    const {pending} = follower;
+    pending.set(ask, () => undefined);
+    cfg.whenCaughtUp(() => {
+      if (pending.has(ask)) allocate(cfg, follower, ask, place);
     });
-    if (!isRefused) pending.set(ask, endSlot);
   },
   end({clock}, follower, {ask, how, tookMs, slowdown}) {
     const {pending} = follower;
--- a/packages/gateway/src/read-delay.ts
+++ b/packages/gateway/src/read-delay.ts
@@ -74,6 +74,22 @@
   return boundMs > MIN_DELAY_MS ? boundMs : 0;
 }
 
+/**
+ * The expected delay of a request, in ms, whose caller is known to wait still:
+ * it may have arrived at any time within the bound, but not longer ago than its
+ * caller's time limit. Counting the whole bound would refuse all callers after
+ * pauses in series, as if each had waited since before the first.
+ *
+ * @example
+ * ```ts
+ * expectedDelayMs(700, 2_000); // 350
+ * expectedDelayMs(1_900, 500); // 250
+ * ```
+ */
+export function expectedDelayMs(boundMs: number, limitMs: number): number {
+  return Math.min(countedDelayMs(boundMs), limitMs) / 2;
+}
+
 /**
  * Bounds the delay of reads from inside the process. The kernel doesn't tell
  * when data arrived, and the lag of timers says little about it: after a pause
--- a/packages/gateway/src/request-intake.ts
+++ b/packages/gateway/src/request-intake.ts
@@ -1,3 +1,4 @@
+import type {CancelSignal} from '@banyandrum/base/cancel.js';
 import {
   countedDelayMs,
   type ReadDelay,
@@ -8,14 +9,21 @@
 export interface RequestIntake {
   /**
    * Resolves when the request may be handled; null if it may be at once. By
-   * then a close that its caller had sent before is known.
+   * then a close that its caller had sent before is known, which aborts
+   * `signal`.
    */
-  admit(delay: ReadDelay): Promise<void> | null;
+  admit(delay: ReadDelay, signal: CancelSignal): Promise<void> | null;
   /**
    * Resolves when all that open connections had received has been read; null
    * if that can't be much.
    */
-  catchUp(): Promise<void> | null;
+  catchUp(signal: CancelSignal): Promise<void> | null;
+  /**
+   * Runs `task`, after a pause only once all that open connections had received
+   * has been read, such as cancellations of what `task` would do. Passes how
+   * long the pause was, in ms; 0 if there was none.
+   */
+  whenCaughtUp(task: (pausedMs: number) => void): void;
 }
 
 /** Dependencies of the intake. */
@@ -32,6 +40,7 @@
   readonly heldAt: number;
   /** Turns of the event loop until one complete poll has taken place. */
   turnsLeft: number;
+  readonly signal: CancelSignal;
   resume(): void;
 }
 
@@ -49,7 +58,7 @@
  * Once the oldest was held for longer, in ms, newer requests are handled as
  * well as the oldest: the newest can still be answered in time.
  */
-export const MAX_HELD_MS = 100;
+const MAX_HELD_MS = 100;
 /** The rest of the turn in which a request was read, and the next one. */
 const TURNS_UNTIL_POLLED = 2;
 /**
@@ -86,6 +95,7 @@
   const onTurnEnd = (): void => {
     isScheduled = false;
     for (const request of held) request.turnsLeft--;
+    resumeAborted();
     if (!mayHoldLonger()) resumeSome();
     schedule();
   };
@@ -93,6 +103,15 @@
   const mayHoldLonger = (): boolean =>
     delays.isAccepting() && now() - acceptingSince < MAX_ACCEPTING_MS;
 
+  /** Ends requests whose callers have left, which costs next to nothing. */
+  const resumeAborted = (): void => {
+    const aborted = held.filter(({signal}) => signal.aborted);
+    if (aborted.length === 0) return;
+    const waiting = held.filter(({signal}) => !signal.aborted);
+    held.splice(0, held.length, ...waiting);
+    for (const {resume} of aborted) resume();
+  };
+
   const resumeSome = (): void => {
     const unpolled = held.findIndex(({turnsLeft}) => turnsLeft > 0);
     const due = unpolled < 0 ? held.length : unpolled;
@@ -108,17 +127,23 @@
     acceptingSince = now();
   };
 
-  const hold = (): Promise<void> =>
+  const hold = (signal: CancelSignal): Promise<void> =>
     new Promise(resolve => {
       const turnsLeft = TURNS_UNTIL_POLLED;
       if (held.length === 0) acceptingSince = now();
-      held.push({heldAt: now(), turnsLeft, resume: resolve});
+      held.push({heldAt: now(), turnsLeft, signal, resume: resolve});
       schedule();
     });
 
   return {
-    admit: ({ms}) =>
-      countedDelayMs(ms) > 0 || delays.isAccepting() ? hold() : null,
-    catchUp: () => (delays.pollDelayMs() > MAX_BEHIND_MS ? hold() : null),
+    admit: ({ms}, signal) =>
+      countedDelayMs(ms) > 0 || delays.isAccepting() ? hold(signal) : null,
+    catchUp: signal =>
+      delays.pollDelayMs() > MAX_BEHIND_MS ? hold(signal) : null,
+    whenCaughtUp(task) {
+      const pausedMs = delays.pollDelayMs();
+      if (pausedMs <= MAX_BEHIND_MS) return task(0);
+      delays.afterTurn(() => delays.afterTurn(() => task(pausedMs)));
+    },
   };
 }
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -294,6 +294,7 @@
     limits: requestLimits,
     ...requestTimes.part,
     queue: settings.scheduling.queue,
+    whenCaughtUp: task => intake.whenCaughtUp(task),
   });
   const reportLeaving = (server: string): void => {
     if (!serverList.noteLeaving(server) || leadership.isLeading()) return;
@@ -488,6 +489,7 @@
     noteLeaving: reportLeaving,
     noteEvacuated: configKeeper.applyReported,
     noteRequest: (service, key) => keyOwners.noteRequest(service, key),
+    whenCaughtUp: intake.whenCaughtUp,
   });
   const addresses = {
     callers: await listenAt(frontend.server, callers),
--- a/packages/gateway/test/request-times-link.test.ts
+++ b/packages/gateway/test/request-times-link.test.ts
@@ -81,6 +81,7 @@
     onLeadershipOffered: async () => true,
     ...{noteReplaced: emit, noteLeaving: emit, noteRequest: emit},
     noteEvacuated: emit,
+    whenCaughtUp: task => task(),
   });
   const followerModel = createTimeModel({clock});
   const link = followLeader({
--- a/packages/slots/src/slot-allocator.ts
+++ b/packages/slots/src/slot-allocator.ts
@@ -95,6 +95,7 @@
  * ```
  */
 export function createSlotAllocator(cfg: SlotAllocatorConfig): SlotAllocator {
+  const {whenCaughtUp = (task): void => task(0)} = cfg;
   const queues = createWaitQueues(cfg);
   const capacities = createCapacityCache(cfg);
   const slackTracker = createSlackTracker();
@@ -210,12 +211,37 @@
       refuse(waiter, 'displaced');
   };
 
+  /**
+   * Doesn't count a pause of this process against requests that wait: otherwise
+   * all of them would be refused as overdue, before the slots that were released
+   * meanwhile are known.
+   */
+  const excusePause = (pausedMs: number): void => {
+    if (pausedMs === 0) return;
+    for (const queue of queues.all()) {
+      for (const waiter of waitersIn(queue)) {
+        const wasOnTime = waiter.onTimeUntil >= waiter.requestedAt;
+        if (wasOnTime) waiter.onTimeUntil += pausedMs;
+      }
+    }
+  };
+
   const scheduleReevaluation = (): void => {
     if (cancelReevaluation !== null) return;
-    cancelReevaluation = cfg.clock.after(REEVALUATION_MS, () => {
+    let isCancelled = false;
+    const run = (pausedMs: number): void => {
+      if (isCancelled) return;
       cancelReevaluation = null;
+      excusePause(pausedMs);
       serveAllQueues();
-    });
+    };
+    const cancelTimer = cfg.clock.after(REEVALUATION_MS, () =>
+      whenCaughtUp(run),
+    );
+    cancelReevaluation = () => {
+      isCancelled = true;
+      cancelTimer();
+    };
   };
 
   const serveAllQueues = (): void => {
