Cut off answers of servers that exceed a size limit

A server whose answer had no end was read until the time limit, and all of it kept: 400 MB in 3 s where the smallest host has 250, first at one router and then at the next, where the request was repeated. Cause: nothing limited an answer; the head and trailers alone were, by the HTTP client.

Now an answer may take answers.max_mib (head, body, chunk extensions, trailers, counted where the socket is read, since the HTTP client doesn't report extensions), a declared length over it ends at the head, and all answers in flight share answers.total_mib, a quarter of the host's memory.

--- a/packages/dispatch/src/attempt.ts
+++ b/packages/dispatch/src/attempt.ts
@@ -1,5 +1,6 @@
 import type {Clock} from '@banyandrum/base/clock.js';
 import type {Dispatcher} from 'undici';
+import type {ExceededLimit} from './answer-limits.js';
 import {resetConnection, type Connection} from './connections.js';
 import type {WireNames} from './wire.js';
 
@@ -32,6 +33,8 @@
   | 'not-connected'
   | 'connection-lost'
   | 'truncated'
+  /** The answer was larger than the limits allow. */
+  | 'too-large'
   | 'mismatched'
   | 'timeout'
   /** No answer came, and no other connection to the server can be opened. */
@@ -64,6 +67,7 @@
   abort(reason: 'timeout' | 'cancelled' | 'silent'): void;
 }
 
+const TOO_LARGE = 'the answer exceeds the size limits';
 const NO_FIELDS: Answer['fields'] = new Map();
 
 type Handler = Parameters<Dispatcher['dispatch']>[1];
@@ -84,7 +88,7 @@
   clock: Clock,
   spec: AttemptSpec,
 ): Attempt {
-  const chunks: Buffer[] = [];
+  let chunks: Buffer[] = [];
   let size = 0;
   let status = 0;
   let rawHeaders: string[] = [];
@@ -96,10 +100,23 @@
   const result = new Promise<AttemptResult>(resolve => {
     settle = resolve;
   });
+  const {answers} = connection;
+  const stopCounting = (): void => {
+    connection.onReceived = null;
+    answers.release(size);
+    size = 0;
+  };
   const settleLost = (reason: LossReason, detail: string): void => {
     cancelTimer();
+    stopCounting();
     settle({kind: 'lost', reason, isWritten, detail, fields});
   };
+  const exceed = (limit: ExceededLimit): void => {
+    if (abortReason !== null) return;
+    answers.noteExceeded(limit);
+    chunks = [];
+    abort('too-large');
+  };
   const abort = (reason: LossReason): void => {
     if (abortReason !== null) return;
     abortReason = reason;
@@ -133,6 +150,10 @@
       // After a pause, the connection opens before the timer above fires.
       if (clock.now() >= deadline) return abort('timeout');
       isWritten = true;
+      const before = connection.socket?.bytesRead ?? 0;
+      connection.onReceived = bytes => {
+        if (bytes - before > answers.maxBytes) exceed('answer');
+      };
     },
     onHeaders(code, raw) {
       if (code < 200) return true;
@@ -146,9 +167,16 @@
         fields = NO_FIELDS;
         abort('mismatched');
       }
+      const length = Number(fields.get('content-length') ?? 0);
+      if (length > answers.maxBytes) exceed('answer');
       return true;
     },
     onData(chunk) {
+      if (abortReason !== null) return true;
+      if (!answers.tryHold(chunk.length)) {
+        exceed('total');
+        return true;
+      }
       chunks.push(chunk);
       size += chunk.length;
       return true;
@@ -160,13 +188,15 @@
       }
       cancelTimer();
       connection.lastAnswerAt = clock.now();
+      stopCounting();
       const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
       const answer = {status, headers: rawHeaders, body, fields};
       settle({kind: 'answered', answer});
     },
     onError(err) {
       const reason = abortReason ?? lossReason(isWritten, status);
-      settleLost(reason, err.message);
+      const detail = reason === 'too-large' ? TOO_LARGE : err.message;
+      settleLost(reason, detail);
     },
   };
   connection.client.dispatch(
--- a/packages/dispatch/src/backend.ts
+++ b/packages/dispatch/src/backend.ts
@@ -1,3 +1,4 @@
+import type {AnswerLimits} from './answer-limits.js';
 import {
   createServerConnections,
   type ServerConnections,
@@ -85,12 +86,14 @@
   info: ServerInfo,
   connectionLimit: number,
   now: number,
+  answers?: AnswerLimits,
 ): Backend {
   return {
     info,
     connections: createServerConnections(
       `http://${info.address}`,
       connectionLimit,
+      answers,
     ),
     inFlight: 0,
     allocatedSlots: 0,
--- a/packages/dispatch/src/backends.ts
+++ b/packages/dispatch/src/backends.ts
@@ -1,4 +1,5 @@
 import type {Clock} from '@banyandrum/base/clock.js';
+import {createAnswerLimits, type AnswerLimits} from './answer-limits.js';
 import {
   createBackend,
   type Backend,
@@ -39,7 +40,8 @@
 }
 
 /**
- * Creates the set of servers. The state of a server is kept while it is listed.
+ * Creates the set of servers, whose answers share the limits `answers`. The state
+ * of a server is kept while it is listed.
  *
  * @example
  * ```ts
@@ -47,7 +49,10 @@
  * backends.update(list);
  * ```
  */
-export function createBackends(clock: Clock): Backends {
+export function createBackends(
+  clock: Clock,
+  answers: AnswerLimits = createAnswerLimits(),
+): Backends {
   const byId = new Map<string, Backend>();
   const byService = new Map<string, Backend[]>();
   const waitersByService = new Map<string, Set<() => void>>();
@@ -92,7 +97,9 @@
       for (const info of servers) {
         const known = byId.get(info.id);
         if (known === undefined) {
-          const backend = createBackend(info, limitOf(info.service), now);
+          const backend = createBackend(
+            ...([info, limitOf(info.service), now, answers] as const),
+          );
           backend.leavingSince = recordLeaving(info);
           backend.evacuation = evacuationOf(info);
           byId.set(info.id, backend);
--- a/packages/dispatch/src/connections.ts
+++ b/packages/dispatch/src/connections.ts
@@ -1,5 +1,6 @@
 import type {Socket} from 'node:net';
 import {buildConnector, Client} from 'undici';
+import {createAnswerLimits, type AnswerLimits} from './answer-limits.js';
 
 /** State of a connection's socket: open, closed by the server or failed. */
 export type SocketState = 'open' | 'ended' | 'broken';
@@ -13,6 +14,13 @@
   socketState: SocketState;
   /** Monotonic time of the last complete answer, in ms. */
   lastAnswerAt: number;
+  /** Limits of the answers on this connection. */
+  readonly answers: AnswerLimits;
+  /**
+   * Called with the number of bytes that the connection has received, before
+   * the HTTP client reads the last of them. Chunk extensions are seen only here.
+   */
+  onReceived: ((bytes: number) => void) | null;
 }
 
 /** Connection pool of this router for one server. */
@@ -62,6 +70,7 @@
 export function createServerConnections(
   origin: string,
   limit: number,
+  answers: AnswerLimits = createAnswerLimits(),
 ): ServerConnections {
   let maxOpen = limit;
   let isRetired = false;
@@ -86,7 +95,7 @@
       const idleConnection = acquireIdle(trustedSince);
       if (idleConnection !== null) return idleConnection;
       if (busy.size >= maxOpen) return null;
-      const connection = openConnection(origin);
+      const connection = openConnection(origin, answers);
       busy.add(connection);
       return connection;
     },
@@ -122,7 +131,7 @@
   socket?.resetAndDestroy();
 }
 
-function openConnection(origin: string): Connection {
+function openConnection(origin: string, answers: AnswerLimits): Connection {
   const connect = buildConnector({timeout: CONNECT_TIMEOUT_MS, noDelay: true});
   const client = new Client(origin, {
     pipelining: 1,
@@ -141,6 +150,7 @@
         // connection ends, even by a reset, and likewise a chunked body with
         // `connection: close`. Callers would get truncated answers as complete
         // ones, so these listeners, called first, record how it ended.
+        socket.on('readable', () => connection.onReceived?.(socket.bytesRead));
         socket.once('end', () => (connection.socketState = 'ended'));
         socket.once('error', () => (connection.socketState = 'broken'));
         callback(null, socket);
@@ -152,6 +162,8 @@
     socket: null,
     socketState: 'open',
     lastAnswerAt: -Infinity,
+    answers,
+    onReceived: null,
   };
   return connection;
 }
--- a/packages/dispatch/src/forward-state.ts
+++ b/packages/dispatch/src/forward-state.ts
@@ -92,6 +92,8 @@
   attemptCount: number;
   /** Whether a server could be reached neither from here nor by another way. */
   hasFoundNoWay: boolean;
+  /** Whether a server's answer exceeded the limits of answers. */
+  hadTooLargeAnswer: boolean;
   /** Servers that must not be chosen again. */
   readonly excluded: Set<string>;
   /** Set if an attempt's outcome is unknown or its answer can't be returned. */
--- a/packages/dispatch/src/forward.ts
+++ b/packages/dispatch/src/forward.ts
@@ -50,6 +50,7 @@
     sentCount: 0,
     attemptCount: 0,
     hasFoundNoWay: false,
+    hadTooLargeAnswer: false,
     excluded: new Set(),
     unknownOutcome: null,
     serverFailure: null,
--- a/packages/dispatch/src/handle-result.ts
+++ b/packages/dispatch/src/handle-result.ts
@@ -1,4 +1,4 @@
-import {failure} from '@banyandrum/base/failure.js';
+import {failure, type FailureCode} from '@banyandrum/base/failure.js';
 import {kindOf} from '@banyandrum/service-times/kind.js';
 import type {Answer, AttemptResult, LossReason} from './attempt.js';
 import {
@@ -31,6 +31,16 @@
   'carrier-lost',
 ]);
 
+/** Losses that speak for a server that fails, so that others are preferred. */
+const EJECTS: ReadonlySet<LossReason> = new Set([
+  'connection-lost',
+  'too-large',
+]);
+const CODES: Readonly<Partial<Record<LossReason, FailureCode>>> = {
+  timeout: 'deadline',
+  'too-large': 'truncated',
+};
+
 /** Whether the server answered that it didn't run the request. */
 function isRefusal(names: WireNames, result: AttemptResult): boolean {
   return result.kind === 'answered' && result.answer.fields.has(names.notRun);
@@ -146,15 +156,27 @@
   state.possibleRuns++;
   if (result.reason === 'timeout')
     backend.connections.closeIdleUnansweredSince(sentAt);
-  else if (result.reason === 'connection-lost' && !isCutOff)
+  else if (EJECTS.has(result.reason) && !isCutOff)
     ejectServer(cfg.emit, backend, now, evidence);
-  const code = result.reason === 'timeout' ? 'deadline' : 'connection-lost';
+  const code = CODES[result.reason] ?? 'connection-lost';
   state.unknownOutcome = failure('may-have-run', code, result.detail);
   if (req.route.kind === 'once') return failureReply(state.unknownOutcome);
+  if (result.reason === 'too-large' && !mayRepeatAfterTooLarge(state))
+    return finalReply(state);
   state.excluded.add(backend.info.id);
   return null;
 }
 
+/**
+ * Whether to try another server after an answer without end: once, since each
+ * such answer takes as much memory as one may. A key has no other server.
+ */
+function mayRepeatAfterTooLarge(state: ForwardState): boolean {
+  if (state.req.key !== null || state.hadTooLargeAnswer) return false;
+  state.hadTooLargeAnswer = true;
+  return true;
+}
+
 function handleRefusal(
   state: ForwardState,
   backend: Backend,
--- a/packages/gateway/src/link-messages.ts
+++ b/packages/gateway/src/link-messages.ts
@@ -175,6 +175,8 @@
 
 /** Maximum interval between two states that the leader sends, in ms. */
 export const HEARTBEAT_MS = 200;
+/** Limit of one message between routers, in bytes; bodies travel in one. */
+export const MAX_LINK_MESSAGE_BYTES = 64 * 1024 ** 2;
 /**
  * A follower closes the stream after this time without a message, in ms.
  * Requests that wait for a reply can then still be routed without the leader in
--- a/packages/gateway/src/link-stub.ts
+++ b/packages/gateway/src/link-stub.ts
@@ -6,7 +6,12 @@
   type ServiceError,
 } from '@grpc/grpc-js';
 import type {CarryReply, CarryRequest} from './carry-messages.js';
-import {LINK_SERVICE, type Offer, type OfferReply} from './link-messages.js';
+import {
+  LINK_SERVICE,
+  MAX_LINK_MESSAGE_BYTES,
+  type Offer,
+  type OfferReply,
+} from './link-messages.js';
 import type {LinkStream} from './link-session.js';
 import type {TermEndQuestion} from './term-end.js';
 
@@ -40,7 +45,6 @@
   return new LinkClientConstructor(address, credentials.createInsecure(), {
     'grpc.use_local_subchannel_pool': 1,
     'grpc.enable_http_proxy': 0,
-    // Bodies are as large as the configuration allows.
-    'grpc.max_receive_message_length': -1,
+    'grpc.max_receive_message_length': MAX_LINK_MESSAGE_BYTES,
   }) as unknown as LinkStub;
 }
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -45,6 +45,10 @@
   unreadBytes(): number;
   /** Connections closed because of them since the start. */
   unreadClosed(): number;
+  /** Size of the answers that servers are sending, in bytes. */
+  answerBytes(): number;
+  /** Answers of servers that exceeded each limit since the start. */
+  answersTooLarge(): Readonly<Record<string, number>>;
   /** Epoch of the platform's store; incremented by each restore. */
   storeEpoch(): number;
   /** Time since a leader told the number of routers, in ms. */
@@ -194,6 +198,10 @@
       'Connections closed as their callers read nothing',
       source.unreadClosed,
     ],
+    answer_bytes: [
+      'Size of the answers that servers are sending',
+      source.answerBytes,
+    ],
     store_epoch: [
       'Epoch of the store’s history; rises when it is restored from a copy',
       source.storeEpoch,
@@ -230,6 +238,17 @@
         refusals.inc({service, why}, count);
     },
   });
+  const tooLarge: Counter = new Counter({
+    name: 'banyandrum_answers_too_large_total',
+    help: 'Answers of servers that were cut off, by the limit they exceeded',
+    labelNames: ['limit'],
+    registers,
+    collect() {
+      tooLarge.reset();
+      for (const [limit, count] of Object.entries(source.answersTooLarge()))
+        tooLarge.inc({limit}, count);
+    },
+  });
   const routes = new Set<string>();
   const labelOf = (route: string | null): string => {
     if (route === null) return 'none';
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -1,6 +1,7 @@
 import {createServer} from 'node:http';
 import {createClock, type Clock} from '@banyandrum/base/clock.js';
 import {createId} from '@banyandrum/base/ids.js';
+import {createAnswerLimits} from '@banyandrum/dispatch/answer-limits.js';
 import {createBackends, type Backends} from '@banyandrum/dispatch/backends.js';
 import {hashCaller} from '@banyandrum/dispatch/caller-hash.js';
 import {createSlotAllocator} from '@banyandrum/slots/slot-allocator.js';
@@ -112,7 +113,8 @@
     externalPlatform,
   );
   const {platform} = storeCalls;
-  const backends = createBackends(clock);
+  const answers = createAnswerLimits(settings.answers);
+  const backends = createBackends(clock, answers);
   const serverList = createServerList(
     clock,
     emit,
@@ -379,6 +381,8 @@
     unreachableServers: paths.unreachableCount,
     unreadBytes: unread.bytes,
     unreadClosed: unread.closed,
+    answerBytes: answers.heldBytes,
+    answersTooLarge: answers.exceeded,
     carried: () => carryServer.inFlight(),
     storeEpoch: () => platform.history.epoch(),
     routersAgeMs: routerCount.ageMs,
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -1,4 +1,5 @@
 import type {OperatorToken, Role} from '@banyandrum/base/access.js';
+import type {AnswerSizes} from '@banyandrum/dispatch/answer-limits.js';
 import {parse} from 'smol-toml';
 import type {HostCapacity} from './host-capacity.js';
 
@@ -63,6 +64,8 @@
     /** Longest time in which a caller reads nothing of an answer, in ms. */
     readonly maxUnreadMs: number;
   };
+  /** Limits of what servers send as answers. */
+  readonly answers: AnswerSizes;
   readonly stop: {
     /** Time from the stop signal to the end of the process, in ms. */
     readonly graceMs: number;
@@ -104,11 +107,19 @@
 };
 
 const BYTES_PER_MIB = 1024 ** 2;
+const MB_PER_MIB = BYTES_PER_MIB / 1e6;
 /**
  * Limit of unread answers, in MiB: an eighth of the 250 MB that the smallest
  * hosts give the process. The rest is needed by the heap, of 200 MB at the most.
  */
 const DEFAULT_UNREAD_MIB = 32;
+/** Memory of a host that doesn't tell it, in MB: that of the smallest ones. */
+const DEFAULT_MEMORY_MB = 250;
+/** Share of the memory that answers may take while they are received. */
+const ANSWERS_SHARE = 1 / 4;
+/** So that some answers without end leave room for others. */
+const MAX_ANSWER_SHARE = 1 / 4;
+const DEFAULT_MAX_ANSWER_MIB = 16;
 
 /** An invalid setting; the message names its key. */
 export class SettingsError extends Error {
@@ -166,6 +177,22 @@
     parseDuration(`${section}.${key}`, stringAt(section, key, fallback));
   const addressAt = (section: string, key: string): string =>
     checkAddress(`${section}.${key}`, stringAt(section, key));
+  const sizeAt = (key: string, fallbackMib: number): number =>
+    checkPositive(`answers.${key}`, numberAt('answers', key, fallbackMib)) *
+    BYTES_PER_MIB;
+  const answerSizes = (): AnswerSizes => {
+    const memoryMb = numberAt('host', 'memory_mb', DEFAULT_MEMORY_MB);
+    const memoryMib = checkPositive('host.memory_mb', memoryMb) / MB_PER_MIB;
+    const totalBytes = sizeAt('total_mib', memoryMib * ANSWERS_SHARE);
+    const totalMib = totalBytes / BYTES_PER_MIB;
+    const defaultMaxMib = Math.min(
+      DEFAULT_MAX_ANSWER_MIB,
+      totalMib * MAX_ANSWER_SHARE,
+    );
+    const maxBytes = sizeAt('max_mib', defaultMaxMib);
+    if (maxBytes <= totalBytes) return {maxBytes, totalBytes};
+    throw new SettingsError('answers.max_mib: must not exceed total_mib');
+  };
   return {
     host: {
       name: stringAt('host', 'name'),
@@ -222,6 +249,7 @@
         durationAt('callers', 'unread_time', '10s'),
       ),
     },
+    answers: answerSizes(),
     stop: {graceMs: durationAt('stop', 'grace', '6s')},
     retries: {
       ratio: numberAt('retries', 'ratio', 0.2),
--- a/packages/gateway/test/settings.test.ts
+++ b/packages/gateway/test/settings.test.ts
@@ -51,6 +51,16 @@
     'ratio = 0.2\n[scheduling]\nqueue = "random"',
     /scheduling\.queue: matches none of by_slack, fair/,
   ],
+  [
+    'ratio = 0.2',
+    'ratio = 0.2\n[answers]\nmax_mib = 0',
+    /answers\.max_mib: must be more than 0/,
+  ],
+  [
+    'ratio = 0.2',
+    'ratio = 0.2\n[answers]\nmax_mib = 9\ntotal_mib = 8',
+    /answers\.max_mib: must not exceed total_mib/,
+  ],
   ['[host]', '[host', /./],
 ];
 
@@ -80,3 +90,13 @@
   t.equal(parseDuration('x', '2.5s'), 2_500);
   t.throws(() => parseDuration('x', '5'));
 });
+
+// Guards against limits that don't fit into the memory of a small host.
+void tap.test('limits of answers follow from the host’s memory', async t => {
+  const withMemory = (mb: number): string =>
+    VALID.replace('[listen]', `memory_mb = ${mb}\n[listen]`);
+  const small = parseSettings(withMemory(100)).answers;
+  t.ok(small.totalBytes <= 25e6 && small.maxBytes <= 6.25e6);
+  const large = parseSettings(withMemory(4_000)).answers;
+  t.equal(large.maxBytes, 16 * 1024 ** 2);
+});
