--- a/packages/gateway/src/carry-client.ts
+++ b/packages/gateway/src/carry-client.ts
@@ -23,6 +23,8 @@
 interface Peer {
   readonly stub: LinkStub;
   usedAt: number;
+  /** Monotonic times of the calls that it hasn't acknowledged, in ms. */
+  readonly unacknowledged: Set<{readonly sentAt: number}>;
 }
 
 /** What became of one call to one router. */
@@ -41,6 +43,11 @@
 const CONNECT_TIMEOUT_MS = 200;
 /** Time for another router to acknowledge a call, in ms. */
 const ACK_TIMEOUT_MS = 300;
+/**
+ * A router that hasn't acknowledged a call for this long, in ms, is asked after
+ * the others: it may stand still, and each call to it costs a retry.
+ */
+const SLOW_ACK_MS = 50;
 /** Timeout of a probe by another router, in ms. */
 const PROBE_TIMEOUT_MS = 500;
 /** A router that could not be used isn't asked again for this long, in ms. */
@@ -69,12 +76,21 @@
   const isUsable = (address: string): boolean =>
     (unusableUntil.get(address) ?? -Infinity) <= clock.now();
 
+  const isSlow = (address: string): boolean => {
+    const [oldest] = peers.get(address)?.unacknowledged ?? [];
+    return oldest !== undefined && clock.now() - oldest.sentAt > SLOW_ACK_MS;
+  };
+
   /** Routers to ask: the two nearest are first in turn. */
   const usableCandidates = (): readonly string[] => {
-    const usable = cfg.candidates().filter(isUsable);
+    const all = cfg.candidates().filter(isUsable);
+    const slow = all.filter(isSlow);
+    const usable = all.filter(address => !slow.includes(address));
+    usable.push(...slow);
     const [first, second, ...others] = usable;
     if (second === undefined) return usable;
-    const nearest = turn++ % 2 === 0 ? [first!, second] : [second, first!];
+    const isAlternating = turn++ % 2 === 1 && !slow.includes(second);
+    const nearest = isAlternating ? [second, first!] : [first!, second];
     return [...nearest, ...others].slice(0, MAX_CARRIERS_ASKED);
   };
 
@@ -111,7 +127,11 @@
       known.usedAt = clock.now();
       return known;
     }
-    const peer = {stub: createStub(address), usedAt: clock.now()};
+    const peer: Peer = {
+      stub: createStub(address),
+      usedAt: clock.now(),
+      unacknowledged: new Set(),
+    };
     peers.set(address, peer);
     if (peers.size === 1) scheduleIdleCheck();
     return peer;
@@ -143,9 +163,15 @@
         reason = why;
         pending.cancel();
       };
+      const sent = {sentAt: clock.now()};
+      peer.unacknowledged.add(sent);
+      const onAck = (): void => {
+        peer.unacknowledged.delete(sent);
+        cancelAck();
+      };
       const onReply = (err: ServiceError | null, reply?: CarryReply): void => {
         cancelDeadline();
-        cancelAck();
+        onAck();
         signal?.removeEventListener('abort', onAbort);
         if (err === null) return resolve({kind: 'replied', reply: reply!});
         if (err.code === status.UNIMPLEMENTED)
@@ -162,7 +188,7 @@
       const cancelAck = clock.after(ACK_TIMEOUT_MS, () =>
         cancelAs('carrier-lost'),
       );
-      pending.on('metadata', cancelAck);
+      pending.on('metadata', onAck);
       signal?.addEventListener('abort', onAbort);
     });
   };
--- a/packages/gateway/src/request-intake.ts
+++ b/packages/gateway/src/request-intake.ts
@@ -19,9 +19,10 @@
    */
   catchUp(signal: CancelSignal): Promise<void> | null;
   /**
-   * Runs `task`, after a pause only once all that open connections had received
-   * has been read, such as cancellations of what `task` would do. Passes how
-   * long the pause was, in ms; 0 if there was none.
+   * Runs `task`, after a pause only at the end of this turn of the event loop:
+   * by then most of what open connections had received has been read, such as
+   * cancellations of what `task` would do. Passes how long the pause was, in ms;
+   * 0 if there was none.
    */
   whenCaughtUp(task: (pausedMs: number) => void): void;
 }
@@ -143,7 +144,7 @@
     whenCaughtUp(task) {
       const pausedMs = delays.pollDelayMs();
       if (pausedMs <= MAX_BEHIND_MS) return task(0);
-      delays.afterTurn(() => delays.afterTurn(() => task(pausedMs)));
+      delays.afterTurn(() => task(pausedMs));
     },
   };
 }
--- a/packages/slots/src/slot-allocator.ts
+++ b/packages/slots/src/slot-allocator.ts
@@ -214,14 +214,17 @@
   /**
    * Doesn't count a pause of this process against requests that wait: otherwise
    * all of them would be refused as overdue, before the slots that were released
-   * meanwhile are known.
+   * meanwhile are known. Only once each, so that an overloaded leader, which
+   * pauses again and again, still refuses what it can't serve.
    */
   const excusePause = (pausedMs: number): void => {
     if (pausedMs === 0) return;
     for (const queue of queues.all()) {
       for (const waiter of waitersIn(queue)) {
         const wasOnTime = waiter.onTimeUntil >= waiter.requestedAt;
-        if (wasOnTime) waiter.onTimeUntil += pausedMs;
+        if (!wasOnTime || waiter.isExcused) continue;
+        waiter.isExcused = true;
+        waiter.onTimeUntil += pausedMs;
       }
     }
   };
@@ -295,6 +298,7 @@
         orderAt: now + slackMs,
         turn: 0,
         onTimeUntil: now + req.aimLeftMs - serviceMs,
+        isExcused: false,
         expiresAt: now + req.leftMs - serviceMs * MIN_SERVICE_TIMES_LEFT,
         grantedAt: 0,
         server: null,
