--- a/packages/gateway/src/carry-client.ts
+++ b/packages/gateway/src/carry-client.ts
@@ -48,6 +48,13 @@
  * the others: it may stand still, and each call to it costs a retry.
  */
 const SLOW_ACK_MS = 50;
+/**
+ * After so many attempts in a row for which no router had a way, they are lost
+ * servers rather than a cut of this router, and further attempts aren't carried
+ * for a time, in ms. If a router is cut off, others reach most of the servers.
+ */
+const MAX_FRUITLESS = 5;
+const FRUITLESS_PAUSE_MS = 300;
 /** Timeout of a probe by another router, in ms. */
 const PROBE_TIMEOUT_MS = 500;
 /** A router that could not be used isn't asked again for this long, in ms. */
@@ -71,6 +78,9 @@
   const peers = new Map<string, Peer>();
   const unusableUntil = new Map<string, number>();
   let turn = 0;
+  /** Attempts in a row for which no router had a way. */
+  let fruitless = 0;
+  let pausedUntil = -Infinity;
   let cancelIdleCheck = (): void => undefined;
 
   const isUsable = (address: string): boolean =>
@@ -193,9 +203,17 @@
     });
   };
 
+  const noteFruitless = (): void => {
+    fruitless++;
+    if (fruitless >= MAX_FRUITLESS)
+      pausedUntil = clock.now() + FRUITLESS_PAUSE_MS;
+  };
+
   const send: Carriers['send'] = async (attempt, signal) => {
+    if (clock.now() < pausedUntil) return {kind: 'unavailable'};
     const startedAt = clock.now();
     const deadline = startedAt + attempt.withinMs;
+    let isRefused = false;
     for (const by of usableCandidates()) {
       if (clock.now() - startedAt > MAX_ASKING_MS) break;
       const createRequest = (withinMs: number): CarryRequest => ({
@@ -211,10 +229,17 @@
         continue;
       }
       const {reply} = result;
-      if (reply.kind === 'sent')
+      if (reply.kind === 'sent') {
+        fruitless = 0;
         return {kind: 'sent', by, result: reply.result};
-      if (reply.kind === 'unreachable') return {kind: 'unreachable', by};
+      }
+      if (reply.kind === 'unreachable') {
+        noteFruitless();
+        return {kind: 'unreachable', by};
+      }
+      isRefused ||= reply.kind === 'refused' && reply.why === 'cut-off';
     }
+    if (isRefused) noteFruitless();
     return {kind: 'unavailable'};
   };
 
--- a/packages/gateway/src/carry-server.ts
+++ b/packages/gateway/src/carry-server.ts
@@ -28,6 +28,7 @@
   extends Omit<SendConfig, 'carriers'>, ServerSignalsConfig {
   readonly backends: Backends;
   probe(backend: Backend): Promise<ProbeResult>;
+  isLeading(): boolean;
   /** Event loop lag that this process has had for a while, in ms. */
   lagMs(): number;
   /** How long calls may have waited unread, in ms. */
@@ -49,6 +50,8 @@
 
 /** Attempts that are sent for other routers at a time. */
 const MAX_CARRIED = 256;
+/** The same of a leader, whose processor is needed for the slots of all. */
+const MAX_CARRIED_LEADING = 8;
 /**
  * Event loop lag above which this router refuses to carry, in ms, so that its
  * own callers don't have to wait for others.
@@ -71,7 +74,8 @@
 
   const findRefusal = (backend: Backend | undefined): CarryRefusal | null => {
     if (isClosing) return 'stopping';
-    if (inFlight >= MAX_CARRIED || cfg.lagMs() > MAX_LOOP_LAG_MS) return 'busy';
+    const limit = cfg.isLeading() ? MAX_CARRIED_LEADING : MAX_CARRIED;
+    if (inFlight >= limit || cfg.lagMs() > MAX_LOOP_LAG_MS) return 'busy';
     if (backend === undefined || backend.isReplaced) return 'unknown-server';
     if (backend.leavingSince !== null) return 'leaving';
     if (!mayServeOwnedKeys(backend, cfg.clock.now())) return 'evacuated';
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -1,5 +1,6 @@
 import {createServer} from 'node:http';
 import {createClock, type Clock} from '@banyandrum/base/clock.js';
+import {createPacedTask} from '@banyandrum/base/paced-task.js';
 import {createId} from '@banyandrum/base/ids.js';
 import {createAnswerLimits} from '@banyandrum/dispatch/answer-limits.js';
 import {createBackends, type Backends} from '@banyandrum/dispatch/backends.js';
@@ -78,6 +79,8 @@
  * the rest covers one read of the list.
  */
 const SERVER_LIST_SETTLE_MS = 1_500;
+/** Share of the time that reviews of all waiting requests may take. */
+const REVIEW_SHARE = 0.1;
 /**
  * Age of its last contact with the platform that a stopping leader reports, in
  * ms, so that its followers consider it out of contact.
@@ -145,7 +148,11 @@
     backends,
     carrierAddresses: () => {
       const followers = leadership.isLeading() ? linkServer.carriers() : [];
-      return [...new Set([...followers, ...linkClient.carriers()])];
+      const all = new Set([...followers, ...linkClient.carriers()]);
+      const leader = linkClient.leader();
+      // The leader's processor is needed for the slots of all.
+      if (leader !== null && all.size > 1) all.delete(leader);
+      return [...all];
     },
   });
   const {paths, carriers} = reach;
@@ -449,19 +456,23 @@
     res.writeHead(isReady() ? 200 : 503, {'content-length': 0});
     res.end();
   });
+  const review = createPacedTask(
+    ...([clock, slotAllocator.reevaluate, REVIEW_SHARE] as const),
+  );
   leadership.subscribe(() => {
     const tables = leadership.tables();
     if (tables === null) return slotAllocator.close();
     keyOwners.replaceTables(tables);
-    slotAllocator.reevaluate();
+    review.run();
   });
-  serverList.subscribe(() => slotAllocator.reevaluate());
+  serverList.subscribe(review.run);
 
   const {callers, readiness: readyAt, peers} = settings.listen;
   const carryServer = createCarryServer({
     ...{...signalsCfg, backends, paths, clock, emit},
     probe: reach.probeDirectly,
     lagMs: loopLag.sustainedMs,
+    isLeading: () => leadership.isLeading(),
     pollDelayMs: readDelays.pollDelayMs,
     catchUp: intake.catchUp,
   });
@@ -548,6 +559,7 @@
 
   const shutDown = (): void => {
     isClosed = true;
+    review.stop();
     loopLag.stop();
     readDelays.stop();
     requestTimes.stop();
--- a/packages/gateway/test/carry.test.ts
+++ b/packages/gateway/test/carry.test.ts
@@ -41,6 +41,8 @@
   readonly address: string;
   /** Requests that reached the server, with their bodies. */
   readonly arrivals: {readonly req: IncomingMessage; readonly body: Buffer}[];
+  /** Names of all logged events. */
+  readonly events: readonly string[];
   close(): void;
 }
 
@@ -51,6 +53,8 @@
   /** Further routers to ask, before the carrier. */
   readonly others?: readonly string[];
   readonly isLeaving?: boolean;
+  /** Whether the carrier leads. */
+  readonly isLeading?: boolean;
 }
 
 async function startHarness(options: HarnessOptions = {}): Promise<Harness> {
@@ -71,7 +75,8 @@
   });
   const {port} = server.address() as AddressInfo;
   const clock = createClock();
-  const emit = (): void => undefined;
+  const events: string[] = [];
+  const emit = (event: string): void => void events.push(event);
   const backends = createBackends(clock);
   backends.update([
     {
@@ -88,6 +93,7 @@
     limits: createServerLimits({clock, emit}),
     rests: createServerRests({clock, emit}),
     lagMs: () => 0,
+    isLeading: () => options.isLeading ?? false,
     pollDelayMs: () => 0,
     catchUp: () => null,
     noteLeaving: () => undefined,
@@ -100,7 +106,7 @@
     candidates: () => candidates,
   });
   return {
-    ...{server, carryServer, grpcServer, carriers, address, arrivals},
+    ...{server, carryServer, grpcServer, carriers, address, arrivals, events},
     close() {
       carriers.stop();
       grpcServer.forceShutdown();
@@ -263,6 +269,36 @@
   harness.close();
 });
 
+// Guards against routers that all ask the next leaders to reach servers which
+// nobody reaches: a new leader was too busy for anything else.
+void tap.test('lost servers don’t keep the carriers busy', async t => {
+  const harness = await startHarness();
+  harness.server.closeAllConnections();
+  await new Promise(resolve => harness.server.close(resolve));
+  const countAsked = (): number =>
+    harness.events.filter(event => event === 'carried').length;
+  for (let at = 0; at < 12; at++)
+    t.equal(describe(await send(harness)), 'unavailable');
+  t.equal(countAsked(), 5, 'not asked again for a while');
+  await sleep(350);
+  await send(harness);
+  t.equal(countAsked(), 6, 'then it is tried once more');
+  harness.close();
+});
+
+// Guards against a leader that is too busy to hand out slots, since others let
+// it send their requests.
+void tap.test('a leader carries few attempts at a time', async t => {
+  const harness = await startHarness({answerAfterMs: 300, isLeading: true});
+  const sending = Array.from({length: 20}, () => send(harness));
+  while (harness.arrivals.length === 0) await sleep(10);
+  t.ok(harness.carryServer.inFlight() <= 8);
+  const results = (await Promise.all(sending)).map(describe);
+  t.ok(results.includes('unavailable'), 'refused as not sent');
+  t.ok(harness.arrivals.length <= 8);
+  harness.close();
+});
+
 function sleep(ms: number): Promise<void> {
   return new Promise(resolve => setTimeout(resolve, ms));
 }
