Ask the last leader first after all routers have started again

The chosen router asks designated next leaders with more room first, but after a restart of all nobody knows them.

A process that has never followed a leader now offers the lead to the address of the last one, which had the room. It doesn't wait for a host that doesn't answer longer than for other offers.

--- a/packages/gateway/src/leader-election.ts
+++ b/packages/gateway/src/leader-election.ts
@@ -22,6 +22,8 @@
    */
   leaderContactAgeMs(): number | null;
   readLastLeader(): Promise<LeaderRead>;
+  /** Whether this process has followed a leader. */
+  hasFollowed(): boolean;
   /** Follows the leader at the address; false if no router leads there. */
   followAt(address: string): Promise<boolean>;
   /** Whether there are servers that this router can't reach and others can. */
@@ -59,6 +61,14 @@
  */
 const RESTORE_GRACE_MS = 2_000;
 
+/** What the search for a leader that works found. */
+type LeaderSearch =
+  | {readonly kind: 'found' | 'unknown'}
+  /** `last` is the address of the last leader, if another router led last. */
+  | {readonly kind: 'none'; readonly last: string | null};
+
+const NO_LEADER: LeaderSearch = {kind: 'none', last: null};
+
 /**
  * Creates the election logic. The platform chooses a router again whenever
  * routers join or leave, but a working leader is kept: each change of leader
@@ -88,25 +98,37 @@
   const isNeeded = (): boolean =>
     cfg.isChosen() && !cfg.isLeading() && !hasWorkingLeader();
 
-  const findLeader = async (): Promise<'found' | 'none' | 'unknown'> => {
+  const findLeader = async (): Promise<LeaderSearch> => {
     // A leader that is followed but doesn't work is replaced.
-    if (cfg.leaderContactAgeMs() !== null) return 'none';
+    if (cfg.leaderContactAgeMs() !== null) return NO_LEADER;
     const last = await cfg.readLastLeader();
-    if (last.kind === 'failed') return 'unknown';
-    if (last.address === null || last.address === cfg.self) return 'none';
-    return (await cfg.followAt(last.address)) ? 'found' : 'none';
+    if (last.kind === 'failed') return {kind: 'unknown'};
+    const {address} = last;
+    if (address === null || address === cfg.self) return NO_LEADER;
+    if (await cfg.followAt(address)) return {kind: 'found'};
+    return {kind: 'none', last: address};
+  };
+
+  const offerTo = async (address: string): Promise<boolean> => {
+    const isLeader = await cfg.offerLeadership(address);
+    cfg.emit('leading-offered', {to: address, leads: isLeader});
+    if (isLeader) await cfg.followAt(address);
+    return isLeader;
   };
 
   const elect = async (): Promise<void> => {
-    if ((await findLeader()) !== 'none' || !isNeeded()) return;
+    const search = await findLeader();
+    if (search.kind !== 'none' || !isNeeded()) return;
     cfg.emit('succession', {heardTouchMs: cfg.leaderContactAgeMs()});
     for (const {address, room} of cfg.deputies()) {
       const isBetter = cfg.isCutOff() || hasClearlyMoreCapacity(room, cfg.room);
       if (address === cfg.self || !isBetter) continue;
-      const isLeader = await cfg.offerLeadership(address);
-      cfg.emit('leading-offered', {to: address, leads: isLeader});
-      if (isLeader) return void (await cfg.followAt(address));
+      if (await offerTo(address)) return;
     }
+    // After a restart of all routers nobody knows the deputies, but the last
+    // leader had the capacity, and has probably started again, too.
+    const isFresh = !cfg.hasFollowed() && cfg.deputies().length === 0;
+    if (isFresh && search.last !== null && (await offerTo(search.last))) return;
     if (isNeeded()) await cfg.startTerm();
   };
 
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -286,6 +286,7 @@
     sinceRestoreMs: () => clock.now() - restoredAt,
     leaderContactAgeMs: () => linkClient.leaderContactAgeMs(),
     readLastLeader: () => platform.ledger.lastLeader(),
+    hasFollowed: () => linkClient.leaderAgeMs() < Infinity,
     followAt: linkClient.followAt,
     deputies: () => linkClient.deputies(),
     room: settings.host.room,
--- a/packages/gateway/test/leader-election.test.ts
+++ b/packages/gateway/test/leader-election.test.ts
@@ -20,6 +20,8 @@
   accepting?: readonly string[];
   /** Whether the router can't reach servers that others reach. */
   isCutOff?: boolean;
+  /** Whether the process has just started and knows no other router. */
+  isFresh?: boolean;
 }
 
 const SMALL = {processors: 0.27, linkMbps: 10};
@@ -48,6 +50,7 @@
       contacted.push(address);
       return conditions.isReachable ?? false;
     },
+    hasFollowed: () => conditions.isFresh !== true,
     room: SMALL,
     deputies: () => conditions.deputies ?? [],
     async offerLeadership(address) {
@@ -137,3 +140,18 @@
   t.equal((await electWith({...asked, leaderContactAgeMs: 2_500})).terms, 1);
   t.equal((await electWith(asked)).terms, 1, 'none is followed');
 });
+
+// Guards against a small host that leads after all routers have started again,
+// and hands the lead on while all keys wait.
+void tap.test(
+  'after a restart of all the last leader is asked first',
+  async t => {
+    const fresh = {isFresh: true, accepting: [OTHER]};
+    t.match(await electWith(fresh), {terms: 0});
+    t.ok((await electWith(fresh)).offered.includes(OTHER));
+    const lost = await electWith({isFresh: true});
+    t.match(lost, {terms: 1, offered: [OTHER]}, 'not waited for');
+    const first = {kind: 'read', address: null} as const;
+    t.match(await electWith({isFresh: true, last: first}), {offered: []});
+  },
+);
