--- a/packages/dispatch/src/attempt.ts
+++ b/packages/dispatch/src/attempt.ts
@@ -168,7 +168,8 @@
         abort('mismatched');
       }
       const length = Number(fields.get('content-length') ?? 0);
-      if (length > answers.maxBytes) exceed('answer');
+      const isTooLarge = length > answers.maxBytes;
+      if (isTooLarge && hasBody(spec.method, status)) exceed('answer');
       return true;
     },
     onData(chunk) {
@@ -211,6 +212,11 @@
   return {result, abort};
 }
 
+/** Whether an answer to this method with this status has a body. */
+function hasBody(method: string, status: number): boolean {
+  return method !== 'HEAD' && status !== 204 && status !== 304;
+}
+
 /** Whether an answer delimits its body and the whole body was received. */
 function isComplete(
   method: string,
@@ -219,7 +225,7 @@
   size: number,
   {socketState}: Connection,
 ): boolean {
-  if (method === 'HEAD' || status === 204 || status === 304) return true;
+  if (!hasBody(method, status)) return true;
   const length = fields.get('content-length');
   if (length !== undefined) return Number(length) === size;
   // A body that is delimited by the end of the connection can't be told from a
--- a/packages/dispatch/test/endless-answers.test.ts
+++ b/packages/dispatch/test/endless-answers.test.ts
@@ -84,12 +84,16 @@
   readonly tookMs: number;
 }
 
-async function send(origin: string, answers: AnswerLimits): Promise<Ended> {
+async function send(
+  origin: string,
+  answers: AnswerLimits,
+  method = 'GET',
+): Promise<Ended> {
   const connections = createServerConnections(origin, 1, answers);
   const connection = connections.acquire()!;
   const startedAt = performance.now();
   const attempt = startAttempt(connection, NAMES, createClock(), {
-    ...{method: 'GET', path: '/', headers: [], body: null, requestId: 'r1'},
+    ...{method, path: '/', headers: [], body: null, requestId: 'r1'},
     withinMs: LIMIT_MS,
   });
   const result = await attempt.result;
@@ -131,6 +135,17 @@
   t.same(answers.exceeded(), {answer: 1, total: 0});
 });
 
+// Guards against cutting off an answer that only tells how long a body is.
+void tap.test('a declared length without a body is no limit', async t => {
+  const server = await listenRaw(socket =>
+    socket.write(`HTTP/1.1 200 OK\r\ncontent-length: ${MAX_BYTES + 1}\r\n\r\n`),
+  );
+  t.teardown(() => server.close());
+  const answers = createAnswerLimits(SIZES);
+  const {result} = await send(server.origin, answers, 'HEAD');
+  t.equal(result.kind, 'answered');
+});
+
 // Guards against many answers that are each within the limit of one.
 void tap.test('answers in flight share a limit', async t => {
   const server = await listenRaw(socket => {
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -457,9 +457,8 @@
     res.writeHead(isReady() ? 200 : 503, {'content-length': 0});
     res.end();
   });
-  const review = createPacedTask(
-    ...([clock, slotAllocator.reevaluate, REVIEW_SHARE] as const),
-  );
+  const {reevaluate} = slotAllocator;
+  const review = createPacedTask(clock, reevaluate, REVIEW_SHARE);
   leadership.subscribe(() => {
     const tables = leadership.tables();
     if (tables === null) return slotAllocator.close();
