Take back what a leader excuses after its pause, and paced plans and reviews

A leader that excused its own pause, and read before it refused, kept what waited while it was overloaded (217 and 374 waiting).

--- a/packages/gateway/src/link-server.ts
+++ b/packages/gateway/src/link-server.ts
@@ -22,7 +22,6 @@
   type LeaderMessage,
   type ListPosition,
   type OfferReply,
-  type WireSlotRequest,
 } from './link-messages.js';
 import type {ServerList} from './server-list.js';
 import {
@@ -72,8 +71,6 @@
   onLeadershipOffered(): Promise<boolean>;
   /** A follower requested a slot for the key. */
   noteRequest(service: string, key: number): void;
-  /** As of `RequestIntake`. */
-  whenCaughtUp(task: () => void): void;
 }
 
 /** The leader's end of the streams. */
@@ -341,32 +338,6 @@
   ) => void;
 };
 
-/** Requests a slot for a follower's request. */
-function allocate(
-  cfg: HandlerContext,
-  {stream, pending, candidate}: Follower,
-  ask: number,
-  place: WireSlotRequest,
-): void {
-  if (!cfg.leadership.isLeading()) {
-    pending.delete(ask);
-    stream.write({kind: 'reply', ask, reply: {kind: 'unavailable'}});
-    return;
-  }
-  if (place.key !== null) cfg.noteRequest(place.service, place.key);
-  let isRefused = false;
-  const dataCentre = candidate?.dataCentre ?? '';
-  // Routers that don't tell callers apart have one account each.
-  const caller = place.caller ?? hashCaller(candidate?.address ?? '');
-  const request = {...place, dataCentre, caller};
-  const endSlot = cfg.allocator.ask(request, reply => {
-    isRefused = reply.kind !== 'granted';
-    if (isRefused) pending.delete(ask);
-    stream.write({kind: 'reply', ask, reply});
-  });
-  if (!isRefused) pending.set(ask, endSlot);
-}
-
 const MESSAGE_HANDLERS: MessageHandlers = {
   hello({onHello}, follower, hello) {
     const {address, room, dataCentre} = hello;
@@ -379,12 +350,23 @@
     follower.hasStartedTerm = true;
     leadership.observeTerm(epoch);
   },
-  ask(cfg, follower, {ask, place}) {
-    const {pending} = follower;
-    pending.set(ask, () => undefined);
-    cfg.whenCaughtUp(() => {
-      if (pending.has(ask)) allocate(cfg, follower, ask, place);
+  ask(cfg, {stream, pending, candidate}, {ask, place}) {
+    if (!cfg.leadership.isLeading()) {
+      stream.write({kind: 'reply', ask, reply: {kind: 'unavailable'}});
+      return;
+    }
+    if (place.key !== null) cfg.noteRequest(place.service, place.key);
+    let isRefused = false;
+    const dataCentre = candidate?.dataCentre ?? '';
+    // Routers that don't tell callers apart have one account each.
+    const caller = place.caller ?? hashCaller(candidate?.address ?? '');
+    const request = {...place, dataCentre, caller};
+    const endSlot = cfg.allocator.ask(request, reply => {
+      isRefused = reply.kind !== 'granted';
+      if (isRefused) pending.delete(ask);
+      stream.write({kind: 'reply', ask, reply});
     });
+    if (!isRefused) pending.set(ask, endSlot);
   },
   end({clock}, follower, {ask, how, tookMs, slowdown}) {
     const {pending} = follower;
--- a/packages/gateway/src/request-intake.ts
+++ b/packages/gateway/src/request-intake.ts
@@ -18,13 +18,6 @@
    * if that can't be much.
    */
   catchUp(signal: CancelSignal): Promise<void> | null;
-  /**
-   * Runs `task`, after a pause only at the end of this turn of the event loop:
-   * by then most of what open connections had received has been read, such as
-   * cancellations of what `task` would do. Passes how long the pause was, in ms;
-   * 0 if there was none.
-   */
-  whenCaughtUp(task: (pausedMs: number) => void): void;
 }
 
 /** Dependencies of the intake. */
@@ -141,10 +134,5 @@
       countedDelayMs(ms) > 0 || delays.isAccepting() ? hold(signal) : null,
     catchUp: signal =>
       delays.pollDelayMs() > MAX_BEHIND_MS ? hold(signal) : null,
-    whenCaughtUp(task) {
-      const pausedMs = delays.pollDelayMs();
-      if (pausedMs <= MAX_BEHIND_MS) return task(0);
-      delays.afterTurn(() => task(pausedMs));
-    },
   };
 }
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -1,6 +1,5 @@
 import {createServer} from 'node:http';
 import {createClock, type Clock} from '@banyandrum/base/clock.js';
-import {createPacedTask} from '@banyandrum/base/paced-task.js';
 import {createId} from '@banyandrum/base/ids.js';
 import {createAnswerLimits} from '@banyandrum/dispatch/answer-limits.js';
 import {createBackends, type Backends} from '@banyandrum/dispatch/backends.js';
@@ -79,8 +78,6 @@
  * the rest covers one read of the list.
  */
 const SERVER_LIST_SETTLE_MS = 1_500;
-/** Share of the time that reviews of all waiting requests may take. */
-const REVIEW_SHARE = 0.1;
 /**
  * Age of its last contact with the platform that a stopping leader reports, in
  * ms, so that its followers consider it out of contact.
@@ -304,7 +301,6 @@
     limits: requestLimits,
     ...requestTimes.part,
     queue: settings.scheduling.queue,
-    whenCaughtUp: task => intake.whenCaughtUp(task),
   });
   const reportLeaving = (server: string): void => {
     if (!serverList.noteLeaving(server) || leadership.isLeading()) return;
@@ -457,15 +453,13 @@
     res.writeHead(isReady() ? 200 : 503, {'content-length': 0});
     res.end();
   });
-  const {reevaluate} = slotAllocator;
-  const review = createPacedTask(clock, reevaluate, REVIEW_SHARE);
   leadership.subscribe(() => {
     const tables = leadership.tables();
     if (tables === null) return slotAllocator.close();
     keyOwners.replaceTables(tables);
-    review.run();
+    slotAllocator.reevaluate();
   });
-  serverList.subscribe(review.run);
+  serverList.subscribe(() => slotAllocator.reevaluate());
 
   const {callers, readiness: readyAt, peers} = settings.listen;
   const carryServer = createCarryServer({
@@ -504,7 +498,6 @@
     noteLeaving: reportLeaving,
     noteEvacuated: configKeeper.applyReported,
     noteRequest: (service, key) => keyOwners.noteRequest(service, key),
-    whenCaughtUp: intake.whenCaughtUp,
   });
   const addresses = {
     callers: await listenAt(frontend.server, callers),
@@ -559,7 +552,6 @@
 
   const shutDown = (): void => {
     isClosed = true;
-    review.stop();
     loopLag.stop();
     readDelays.stop();
     requestTimes.stop();
--- a/packages/ranges/src/service-leader.ts
+++ b/packages/ranges/src/service-leader.ts
@@ -1,4 +1,3 @@
-import {pauseAfterMs} from '@banyandrum/base/paced-task.js';
 import {expectedLate} from './assigned-load.js';
 import {startBalancingMoves, mergeNeighbours} from './balancing.js';
 import {confirmLease} from './confirm-lease.js';
@@ -79,11 +78,6 @@
  */
 const ADOPT_INTERVAL_MS = 0.5;
 const MAX_ADOPT_MS = 500;
-/**
- * Share of the time that plans may take: with many servers and overload, plans at
- * the shorter interval were a third of what a leader's processor did.
- */
-const PLAN_SHARE = 0.05;
 /** How long a new leader observes the load before the first plan, in ms. */
 const FIRST_PLAN_DELAY_MS = 700;
 
@@ -252,9 +246,6 @@
     maxMoves - leader.activeMoves,
   );
   if (isUrgent) leader.nextPlanAt = now + URGENT_PLAN_INTERVAL_MS;
-  const endedAt = leader.clock.now();
-  const pauseMs = pauseAfterMs(endedAt - now, PLAN_SHARE);
-  leader.nextPlanAt = Math.max(leader.nextPlanAt, endedAt + pauseMs);
 }
 
 /**
--- a/packages/slots/src/free-server.ts
+++ b/packages/slots/src/free-server.ts
@@ -32,12 +32,6 @@
   readonly limits: Pick<ServerLimits, 'limitOf' | 'hasToken' | 'takeToken'>;
   /** Order of the waiting requests of one priority; by slack by default. */
   readonly queue?: 'by_slack' | 'fair';
-  /**
-   * Runs `task`, after a pause of this process only once all that was received
-   * meanwhile has been read; passes the length of the pause, in ms. Without it
-   * tasks run at once.
-   */
-  whenCaughtUp?(task: (pausedMs: number) => void): void;
 }
 
 /**
--- a/packages/slots/src/slot-allocator.ts
+++ b/packages/slots/src/slot-allocator.ts
@@ -95,7 +95,6 @@
  * ```
  */
 export function createSlotAllocator(cfg: SlotAllocatorConfig): SlotAllocator {
-  const {whenCaughtUp = (task): void => task(0)} = cfg;
   const queues = createWaitQueues(cfg);
   const capacities = createCapacityCache(cfg);
   const slackTracker = createSlackTracker();
@@ -211,40 +210,12 @@
       refuse(waiter, 'displaced');
   };
 
-  /**
-   * Doesn't count a pause of this process against requests that wait: otherwise
-   * all of them would be refused as overdue, before the slots that were released
-   * meanwhile are known. Only once each, so that an overloaded leader, which
-   * pauses again and again, still refuses what it can't serve.
-   */
-  const excusePause = (pausedMs: number): void => {
-    if (pausedMs === 0) return;
-    for (const queue of queues.all()) {
-      for (const waiter of waitersIn(queue)) {
-        const wasOnTime = waiter.onTimeUntil >= waiter.requestedAt;
-        if (!wasOnTime || waiter.isExcused) continue;
-        waiter.isExcused = true;
-        waiter.onTimeUntil += pausedMs;
-      }
-    }
-  };
-
   const scheduleReevaluation = (): void => {
     if (cancelReevaluation !== null) return;
-    let isCancelled = false;
-    const run = (pausedMs: number): void => {
-      if (isCancelled) return;
+    cancelReevaluation = cfg.clock.after(REEVALUATION_MS, () => {
       cancelReevaluation = null;
-      excusePause(pausedMs);
       serveAllQueues();
-    };
-    const cancelTimer = cfg.clock.after(REEVALUATION_MS, () =>
-      whenCaughtUp(run),
-    );
-    cancelReevaluation = () => {
-      isCancelled = true;
-      cancelTimer();
-    };
+    });
   };
 
   const serveAllQueues = (): void => {
@@ -298,7 +269,6 @@
         orderAt: now + slackMs,
         turn: 0,
         onTimeUntil: now + req.aimLeftMs - serviceMs,
-        isExcused: false,
         expiresAt: now + req.leftMs - serviceMs * MIN_SERVICE_TIMES_LEFT,
         grantedAt: 0,
         server: null,
--- a/packages/slots/src/wait-queue.ts
+++ b/packages/slots/src/wait-queue.ts
@@ -18,9 +18,7 @@
    */
   turn: number;
   /** Latest start time that meets the target latency, monotonic, in ms. */
-  onTimeUntil: number;
-  /** Whether a pause of the leader was added to `onTimeUntil`. */
-  isExcused: boolean;
+  readonly onTimeUntil: number;
   /** Latest start time that leaves enough time to the deadline, in ms. */
   readonly expiresAt: number;
   /** Monotonic time at which it received a slot, in ms; 0 before. */
