--- a/packages/gateway/src/carry-server.ts
+++ b/packages/gateway/src/carry-server.ts
@@ -28,7 +28,6 @@
   extends Omit<SendConfig, 'carriers'>, ServerSignalsConfig {
   readonly backends: Backends;
   probe(backend: Backend): Promise<ProbeResult>;
-  isLeading(): boolean;
   /** Event loop lag that this process has had for a while, in ms. */
   lagMs(): number;
   /** How long calls may have waited unread, in ms. */
@@ -50,8 +49,6 @@
 
 /** Attempts that are sent for other routers at a time. */
 const MAX_CARRIED = 256;
-/** The same of a leader, whose processor is needed for the slots of all. */
-const MAX_CARRIED_LEADING = 8;
 /**
  * Event loop lag above which this router refuses to carry, in ms, so that its
  * own callers don't have to wait for others.
@@ -74,8 +71,7 @@
 
   const findRefusal = (backend: Backend | undefined): CarryRefusal | null => {
     if (isClosing) return 'stopping';
-    const limit = cfg.isLeading() ? MAX_CARRIED_LEADING : MAX_CARRIED;
-    if (inFlight >= limit || cfg.lagMs() > MAX_LOOP_LAG_MS) return 'busy';
+    if (inFlight >= MAX_CARRIED || cfg.lagMs() > MAX_LOOP_LAG_MS) return 'busy';
     if (backend === undefined || backend.isReplaced) return 'unknown-server';
     if (backend.leavingSince !== null) return 'leaving';
     if (!mayServeOwnedKeys(backend, cfg.clock.now())) return 'evacuated';
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -145,11 +145,7 @@
     backends,
     carrierAddresses: () => {
       const followers = leadership.isLeading() ? linkServer.carriers() : [];
-      const all = new Set([...followers, ...linkClient.carriers()]);
-      const leader = linkClient.leader();
-      // The leader's processor is needed for the slots of all.
-      if (leader !== null && all.size > 1) all.delete(leader);
-      return [...all];
+      return [...new Set([...followers, ...linkClient.carriers()])];
     },
   });
   const {paths, carriers} = reach;
@@ -466,7 +462,6 @@
     ...{...signalsCfg, backends, paths, clock, emit},
     probe: reach.probeDirectly,
     lagMs: loopLag.sustainedMs,
-    isLeading: () => leadership.isLeading(),
     pollDelayMs: readDelays.pollDelayMs,
     catchUp: intake.catchUp,
   });
