Keep keys at their servers while the store can't record a change

Callers saw keys refused for the whole of a store outage although no server and no leader was lost, the busiest keys first.

Cause: the leader began changes of ownership whether or not they could be recorded. A range that moved for balance or out of an evacuated data centre was released before its write, and waited for it. Merged and split ranges were not renewed before theirs, so that their leases lapsed after 3.6 s while routers went on sending requests.

Change: a range that could stay is withdrawn only if the table was stored within the last 200 ms, else after a write that succeeds. The leases that a merged or split range replaces are renewed until it is stored; none of these renewals is in flight when the new fence is sent, since a server would answer a lower one as if another leader had begun.

The random schedules of service-leader.test.ts, takeover.test.ts and leadership-restore.test.ts find no key with two owners.

--- a/packages/ranges/src/grant-lease.ts
+++ b/packages/ranges/src/grant-lease.ts
@@ -5,6 +5,7 @@
   type LeaderState,
 } from './leader-state.js';
 import type {LeaseCallResult} from './lease-client.js';
+import {settlePrevious} from './previous-leases.js';
 
 /** Delay before the next attempt after a grant that had no effect, in ms. */
 const RETRY_DELAY_MS = 150;
@@ -33,6 +34,7 @@
   leader: LeaderState,
   lease: RangeLease,
 ): Promise<void> {
+  if (lease.previous.length > 0) await settlePrevious(lease);
   if (leader.isStopped || !leader.mayAct()) return;
   const {assignment} = lease;
   const {leaseMs, grantTimeoutMs} = leader.timing;
--- a/packages/ranges/src/leader-state.ts
+++ b/packages/ranges/src/leader-state.ts
@@ -105,6 +105,8 @@
   earlierTermsEndAt: number;
   /** Writes the table; see `TableWriter.save`. */
   save(): Promise<boolean>;
+  /** Time since the table was last stored, in ms. */
+  sinceSavedMs(): number;
   /** Moves the range because its server has lost or can't renew the lease. */
   reassign(lease: RangeLease, reason: MoveReason): void;
 }
--- a/packages/ranges/src/move-range.ts
+++ b/packages/ranges/src/move-range.ts
@@ -15,6 +15,17 @@
 import type {KeyRange} from './table.js';
 import {RELEASE_TIMEOUT_MS} from './lease-timing.js';
 
+/**
+ * A range that could stay is moved only if the table was stored within this
+ * time, in ms: while the store is away, the keys would have no server until its
+ * return.
+ */
+const MAX_SAVE_AGE_MS = 200;
+/** Reasons for which a range moves although its server could keep it. */
+const OPTIONAL_REASONS: ReadonlySet<MoveReason> = new Set([
+  'load',
+  'evacuated',
+]);
 /** Interval at which a wait checks its condition, in ms. */
 const POLL_INTERVAL_MS = 50;
 /** Minimum timeout of a release call, in ms. */
@@ -36,6 +47,8 @@
   preferredServer: string | null = null,
 ): Promise<void> {
   if (lease.phase !== 'held') return;
+  if (OPTIONAL_REASONS.has(reason) && !(await isRecordable(leader, lease)))
+    return;
   lease.phase = 'moving';
   lease.isServed = false;
   leader.emit('range-leaves', {
@@ -61,6 +74,22 @@
   if (await saveAssignments(leader, [lease])) await grantLease(leader, lease);
 }
 
+/**
+ * Whether a move of the range can be recorded now. The range stays with its
+ * server meanwhile, and may not move any more after the wait.
+ */
+async function isRecordable(
+  leader: LeaderState,
+  lease: RangeLease,
+): Promise<boolean> {
+  if (leader.sinceSavedMs() <= MAX_SAVE_AGE_MS) return true;
+  if (lease.isMoveDue) return false;
+  lease.isMoveDue = true;
+  const isSaved = await leader.save();
+  lease.isMoveDue = false;
+  return isSaved && lease.phase === 'held' && leader.leases.includes(lease);
+}
+
 /**
  * Resolves once no server holds a lease on the range, with the handover data of
  * the previous server, or null.
--- a/packages/ranges/src/range-lease.ts
+++ b/packages/ranges/src/range-lease.ts
@@ -23,6 +23,8 @@
   phase: 'waiting' | 'held' | 'moving';
   /** Whether requests may be sent to the server. */
   isServed: boolean;
+  /** Whether it moves as soon as that can be recorded. */
+  isMoveDue: boolean;
   /**
    * The call in progress for this range, or null. Calls are made one at a time,
    * so that none overtakes another.
@@ -55,6 +57,11 @@
    * then.
    */
   confirmDeadline: number;
+  /**
+   * The leases that it replaces at the same server. While its assignment isn't
+   * stored, these are renewed in its place.
+   */
+  previous: readonly RangeLease[];
 }
 
 /** Creates the state of a new assignment, before its first grant. */
@@ -67,6 +74,7 @@
     source: 'recorded',
     phase: 'waiting',
     isServed: false,
+    isMoveDue: false,
     pendingCall: null,
     grantedAt: -Infinity,
     renewAt: now,
@@ -74,6 +82,7 @@
     lateGrantUntil: 0,
     earlierLeaderGrantUntil: 0,
     confirmDeadline: Infinity,
+    previous: [],
   };
 }
 
@@ -83,7 +92,8 @@
  */
 export function isSettled(lease: RangeLease, now: number): boolean {
   const {phase, source, isServed, pendingCall, lateGrantUntil} = lease;
-  if (phase !== 'held' || source !== 'recorded') return false;
+  if (phase !== 'held' || source !== 'recorded' || lease.isMoveDue)
+    return false;
   return isServed && pendingCall === null && lateGrantUntil <= now;
 }
 
@@ -109,6 +119,7 @@
     phase: 'waiting',
     pendingCall: null,
     renewAt: now,
+    previous: [whole],
   };
 }
 
@@ -130,6 +141,7 @@
     phase: 'waiting',
     pendingCall: null,
     renewAt: now,
+    previous: [left, right],
     expiresAt: Math.max(left.expiresAt, right.expiresAt),
     lateGrantUntil: Math.max(left.lateGrantUntil, right.lateGrantUntil),
     earlierLeaderGrantUntil: Math.max(
--- a/packages/ranges/src/service-leader.ts
+++ b/packages/ranges/src/service-leader.ts
@@ -6,6 +6,7 @@
   type EvacuationMoves,
 } from './evacuate-ranges.js';
 import {grantLease} from './grant-lease.js';
+import {renewPrevious} from './previous-leases.js';
 import {inheritRemembered, type InheritedAssignment} from './inheritance.js';
 import {regrantLease} from './regrant-lease.js';
 import {createKeyLoad, type KeyLoad} from './key-load.js';
@@ -113,6 +114,7 @@
     lastDecayAt: now,
     earlierTermsEndAt: cfg.earlierTermsActUntil(),
     save: () => tableWriter.save(),
+    sinceSavedMs: () => tableWriter.sinceSavedMs(),
     reassign: (lease, reason) => void moveRange(leader, lease, reason),
   };
   const evacuationMoves = createEvacuationMoves();
@@ -286,6 +288,7 @@
   listed: ReadonlySet<string>,
   now: number,
 ): void {
+  if (lease.phase === 'waiting') return renewPrevious(leader, lease, now);
   if (lease.phase !== 'held' || lease.pendingCall !== null) return;
   const {server} = lease.assignment;
   if (lease.source === 'unknown') {
--- a/packages/ranges/src/table-writer.ts
+++ b/packages/ranges/src/table-writer.ts
@@ -9,6 +9,8 @@
    * if this leader has been fenced off or stopped.
    */
   save(): Promise<boolean>;
+  /** Time since the last write that succeeded was started, in ms. */
+  sinceSavedMs(): number;
   stop(): void;
 }
 
@@ -37,13 +39,18 @@
   onFenced: () => void,
 ): TableWriter {
   let isStopped = false;
+  let savedAt = -Infinity;
   let lastWrite: Promise<boolean> = Promise.resolve(true);
   let nextWrite: Promise<boolean> | null = null;
 
   const write = async (): Promise<boolean> => {
     while (!isStopped) {
+      const startedAt = clock.now();
       const result: SaveResult = await tableStore.save(currentTable());
-      if (result === 'saved') return true;
+      if (result === 'saved') {
+        savedAt = startedAt;
+        return true;
+      }
       if (result === 'fenced') {
         isStopped = true;
         onFenced();
@@ -64,6 +71,7 @@
 
   return {
     save: () => (nextWrite ??= runNext()),
+    sinceSavedMs: () => clock.now() - savedAt,
     stop() {
       isStopped = true;
     },
