Let deputies succeed a leader that is certainly lost

Callers of keyed requests were refused for a second and longer after the loss of a leader, and again from an outage's end until the next leader began.

Cause: only a router that the platform chooses begins a term, and the platform chooses another one a second after the lost leader's last renewal, which starts anew when the store returns. The chosen router then waits 0.6 s for the lost leader. The deputies knew of the loss at once.

Change: a deputy opens a connection to the leader that it lost. If its host refuses, or doesn't answer and another router follows no leader either, the deputies begin in the order of their rank, 0.4 s apart, as soon as the platform answers them. A host that accepts connections is left to the platform: its leader may be late or suspended. Routers look for the next leader at the lost one last.

--- a/packages/gateway/src/leader-election.ts
+++ b/packages/gateway/src/leader-election.ts
@@ -13,6 +13,10 @@
   readonly self: string;
   /** Whether the platform's last recent answer chose this router to lead. */
   isChosen(): boolean;
+  /** Whether this router should succeed a leader that is certainly lost. */
+  isSuccessor(): boolean;
+  /** Whether no leader works at the address any more. */
+  isGone(address: string): boolean;
   isLeading(): boolean;
   /** Time since this router noticed a restore of the store, in ms. */
   sinceRestoreMs(): number;
@@ -39,7 +43,10 @@
 
 /** Decides whether this router becomes the leader. */
 export interface LeaderElection {
-  /** Runs an election if this router is chosen and no leader works. */
+  /**
+   * Runs an election if this router is chosen or the successor, and no leader
+   * works.
+   */
   runIfNeeded(): Promise<void>;
   /**
    * Handles the request of a router that follows no leader to lead; returns
@@ -96,7 +103,9 @@
   };
 
   const isNeeded = (): boolean =>
-    cfg.isChosen() && !cfg.isLeading() && !hasWorkingLeader();
+    (cfg.isChosen() || cfg.isSuccessor()) &&
+    !cfg.isLeading() &&
+    !hasWorkingLeader();
 
   const findLeader = async (): Promise<LeaderSearch> => {
     // A leader that is followed but doesn't work is replaced.
@@ -105,7 +114,8 @@
     if (last.kind === 'failed') return {kind: 'unknown'};
     const {address} = last;
     if (address === null || address === cfg.self) return NO_LEADER;
-    if (await cfg.followAt(address)) return {kind: 'found'};
+    const mayLead = !cfg.isGone(address);
+    if (mayLead && (await cfg.followAt(address))) return {kind: 'found'};
     return {kind: 'none', last: address};
   };
 
--- a/packages/gateway/src/link-client.ts
+++ b/packages/gateway/src/link-client.ts
@@ -38,8 +38,13 @@
   unreachableCount(): number;
   /** Called when the leader asks this router to lead in its place. */
   onLeadershipOffered(): void;
-  /** Called when the stream to the leader ended or timed out. */
-  onLeaderLost(): void;
+  /**
+   * Called when the stream to the leader at the address ended or timed out, and
+   * it named no other leader.
+   */
+  onLeaderLost(address: string): void;
+  /** Whether no leader works at the address any more. */
+  isGone(address: string): boolean;
 }
 
 /** The follower's end of the stream to the leader. */
@@ -80,6 +85,11 @@
   reportReplaced(server: string): void;
   /** Reports that a server announced that it is leaving. */
   reportLeaving(server: string): void;
+  /**
+   * Time since another router told this one that it follows no leader either,
+   * in ms.
+   */
+  leaderlessNeighbourAgeMs(): number;
   /** Whether any leader has sent this router its full state. */
   isSynced(): boolean;
   /** Reports requests during which servers crashed. */
@@ -142,11 +152,15 @@
   let carriers: readonly string[] = [];
   let heardAt = -Infinity;
   let neighbourListAt = -Infinity;
+  /** When another router told that it follows no leader, in ms. */
+  let leaderlessNeighbourAt = -Infinity;
   /** The leader that the last contacted router named. */
   let redirect: string | null = null;
   /** The pending `followAt`, whose address is tried next. */
   let followRequest: FollowRequest | null = null;
   let lastTryAt = -Infinity;
+  /** The last leader whose stream ended or timed out. */
+  let lostLeader = '';
   /** Guessed addresses tried since a leader was last followed. */
   let guesses = 0;
   /** The last address where no router led. */
@@ -189,6 +203,8 @@
       }
       const {isLeader: wasLeader, isSynced: wasSynced} = current;
       handleMessage(cfg, current, message);
+      if (message.kind === 'elsewhere' && message.leader === null)
+        leaderlessNeighbourAt = clock.now();
       neighbourListAt = Math.max(neighbourListAt, current.neighbourListAt);
       // Reports what this router learnt from another leader or without one.
       if (current.isSynced && !wasSynced) {
@@ -224,7 +240,9 @@
     }
     settleFollowRequest(leader, false);
     redirect = current.redirect;
-    if (current.isLeader) cfg.onLeaderLost();
+    if (!current.isLeader || redirect !== null) return;
+    lostLeader = leader;
+    cfg.onLeaderLost(leader);
   };
 
   /** Settles a pending `followAt`; any leader found satisfies it. */
@@ -288,11 +306,20 @@
     });
   };
 
-  /** The router that the platform chose, or one of the deputies, in turn. */
+  /**
+   * The router that the platform chose, or one of the deputies, in turn; the
+   * lost leader last, since it takes long not to answer.
+   */
   const guessAddress = (): string | null => {
     const deputyAddresses = deputies.map(({address}) => address);
     const candidates = [cfg.chosenAddress(), ...deputyAddresses].filter(
-      address => address !== null && address !== cfg.self.address,
+      address =>
+        address !== null &&
+        address !== cfg.self.address &&
+        !cfg.isGone(address),
+    );
+    candidates.sort(
+      (a, b) => Number(a === lostLeader) - Number(b === lostLeader),
     );
     return candidates[guesses++ % candidates.length] ?? null;
   };
@@ -340,6 +367,7 @@
     },
     leaderAgeMs: () => clock.now() - heardAt,
     neighbourAgeMs: () => clock.now() - neighbourListAt,
+    leaderlessNeighbourAgeMs: () => clock.now() - leaderlessNeighbourAt,
     leader: () => liveSession()?.leader ?? null,
     leaderContactAgeMs: () => liveSession()?.leaderContactAgeMs ?? null,
     relaysConfig: () => liveSession()?.relaysConfig ?? false,
--- a/packages/gateway/src/membership.ts
+++ b/packages/gateway/src/membership.ts
@@ -38,6 +38,11 @@
    * also while that fails, as it is replaced after some time without an answer.
    */
   isLeading(): boolean;
+  /**
+   * Whether this router may succeed a lost leader. It renews its membership at
+   * the same pace also while that fails: all wait for the platform's answer.
+   */
+  maySucceed?(): boolean;
   /**
    * Whether the leader works and has other deputies. This router doesn't join
    * then, since renewals cost three calls per second and router.
@@ -163,8 +168,11 @@
     retryAt = askedAt + intervalMs * (1 - random() * RETRY_SPREAD);
   };
 
-  const mayWait = (): boolean =>
-    !cfg.isLeading() && (cfg.reducesCalls === true || cfg.followsLeader());
+  const mayWait = (): boolean => {
+    if (cfg.isLeading()) return false;
+    if (cfg.followsLeader()) return true;
+    return cfg.reducesCalls === true && cfg.maySucceed?.() !== true;
+  };
 
   const pauseMs = (): number =>
     mayWait()
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -44,6 +44,8 @@
 import {createRequestTimes} from './request-times.js';
 import {createRouterCount} from './router-count.js';
 import {createCarryServer} from './carry-server.js';
+import {createDeputySuccession} from './deputy-succession.js';
+import {probeHost} from './probe-host.js';
 import {createServerList} from './server-list.js';
 import {measureSlotResponses} from './slot-response-times.js';
 import {createServerReach} from './server-reach.js';
@@ -217,6 +219,7 @@
     knowsDeputies: () =>
       storeCalls.isReduced && linkClient.deputies().length > 0,
     onReplaced: () => leadership.checkTerm(),
+    maySucceed: () => linkClient.isDeputy(),
     maySkipJoin: () =>
       !leadership.isLeading() &&
       linkClient.hasOtherDeputies() &&
@@ -258,7 +261,11 @@
     onLeadershipOffered() {
       if (!paths.isRouterCutOff()) void acceptLeadershipOffer();
     },
-    onLeaderLost: () => void election.runIfNeeded(),
+    onLeaderLost(address) {
+      succession.noteLeaderLost(address);
+      void election.runIfNeeded();
+    },
+    isGone: address => succession.isGone(address),
     unreachableCount: paths.unreachableCount,
     termEpoch: () => leadership.epoch(),
     onConfigCursor: cursor => configKeeper.onCursorAnnounced(cursor),
@@ -271,10 +278,21 @@
       configKeeper.applyRelayedPosition(position, leader),
     setRouterCount: recordRouterCount,
   });
+  const succession = createDeputySuccession({
+    ...{clock, emit, self: settings.listen.peers},
+    deputies: linkClient.deputies,
+    hasLeader: () => leadership.isLeading() || linkClient.leader() !== null,
+    contactAgeMs: () => routerGroup.contactAgeMs(),
+    leaderlessNeighbourAgeMs: linkClient.leaderlessNeighbourAgeMs,
+    probe: address => probeHost(clock, address),
+    onDue: () => void election.runIfNeeded(),
+  });
   const election = createLeaderElection({
     emit,
     self: settings.listen.peers,
     isChosen: () => routerGroup.isChosen(),
+    isSuccessor: () => !paths.isRouterCutOff() && succession.isDue(),
+    isGone: succession.isGone,
     isLeading: () => leadership.isLeading(),
     sinceRestoreMs: () => clock.now() - restoredAt,
     leaderContactAgeMs: () => linkClient.leaderContactAgeMs(),
--- a/packages/gateway/test/leader-election.test.ts
+++ b/packages/gateway/test/leader-election.test.ts
@@ -9,6 +9,10 @@
 /** The conditions that a chosen router finds. */
 interface Conditions {
   isChosen?: boolean;
+  /** Whether it is the deputy that should succeed a lost leader. */
+  isSuccessor?: boolean;
+  /** The address of a leader that is certainly lost. */
+  gone?: string;
   /** Another router asks it to lead. */
   isOffered?: boolean;
   leaderContactAgeMs?: number | null;
@@ -40,6 +44,8 @@
     emit: () => undefined,
     self: SELF,
     isChosen: () => conditions.isChosen ?? true,
+    isSuccessor: () => conditions.isSuccessor ?? false,
+    isGone: address => address === conditions.gone,
     sinceRestoreMs: () => Infinity,
     isLeading: () => terms > 0,
     isCutOff: () => conditions.isCutOff ?? false,
@@ -155,3 +161,21 @@
     t.match(await electWith({isFresh: true, last: first}), {offered: []});
   },
 );
+
+// Guards against a lost leader that is waited for until the platform has removed
+// it from the group, and against asking it once more whether it leads.
+void tap.test('a deputy succeeds a leader that is gone', async t => {
+  const gone = {isChosen: false, isSuccessor: true, gone: OTHER};
+  t.same(await electWith(gone), {terms: 1, contacted: [], offered: []});
+  const next = {kind: 'read', address: '10.0.0.5:7200'} as const;
+  t.match(
+    await electWith({...gone, last: next, isReachable: true}),
+    {terms: 0},
+    'another leader has begun',
+  );
+  t.match(
+    await electWith({...gone, leaderContactAgeMs: 300}),
+    {terms: 0},
+    'a working leader is kept',
+  );
+});
--- a/packages/gateway/test/link.test.ts
+++ b/packages/gateway/test/link.test.ts
@@ -165,6 +165,7 @@
     isLeading: () => false,
     onLeadershipOffered: () => undefined,
     onLeaderLost: () => undefined,
+    isGone: () => false,
     unreachableCount: () => 0,
     termEpoch: () => null,
     onConfigCursor: () => undefined,
--- a/packages/gateway/test/request-times-link.test.ts
+++ b/packages/gateway/test/request-times-link.test.ts
@@ -92,6 +92,7 @@
     limits: createServerLimits({clock, emit}),
     ...{chosenAddress: () => listen, isLeading: () => false},
     ...{onLeadershipOffered: emit, onLeaderLost: emit},
+    isGone: () => false,
     ...{unreachableCount: () => 0, termEpoch: () => null},
     ...{onConfigCursor: emit, applyConfig: emit, confirmConfig: emit},
     ...{applyPosition: () => true, setRouterCount: emit},
