Tell callers without an owner to return when a leader can be back

Callers of keyed requests were told to return after 0.15 s while no router led.

Cause: a constant that says nothing of what is missing.

--- a/packages/dispatch/src/find-target.ts
+++ b/packages/dispatch/src/find-target.ts
@@ -146,6 +146,7 @@
   if (req.key !== null) cfg.owners.noteRequest(req.service, req.key);
   for (;;) {
     if (req.signal.aborted) return null;
+    if (req.key !== null) state.retryAfterMs = cfg.leaderlessRetryMs();
     // Only the leader can limit a suspected request to one server at a time.
     const standing = cfg.quarantine.standingOf(req);
     if (standing !== 'unknown') {
--- a/packages/dispatch/src/forward-state.ts
+++ b/packages/dispatch/src/forward-state.ts
@@ -73,6 +73,11 @@
   readonly routers: RouterTotal;
   /** Hash of a caller's address; absent if callers aren't told apart. */
   readonly hashCaller?: (address: string) => number;
+  /**
+   * Retry delay for callers whose request only a leader could serve while there
+   * is none, in ms.
+   */
+  readonly leaderlessRetryMs: () => number;
   /**
    * Resolves once this process has read what arrived during a pause, such as
    * the close of a caller's connection; null if there was no pause.
--- a/packages/dispatch/test/forward.test.ts
+++ b/packages/dispatch/test/forward.test.ts
@@ -108,6 +108,7 @@
       }),
       recordRetry: () => undefined,
       catchUp: () => null,
+      leaderlessRetryMs: () => 300,
       quarantine: createQuarantine(
         createSuspects(clock, () => undefined),
         createCrashDetector({clock, probe: async () => 'open'}),
--- a/packages/dispatch/test/leaderless-state.ts
+++ b/packages/dispatch/test/leaderless-state.ts
@@ -37,6 +37,7 @@
       quarantine: {standingOf: () => 'unknown'},
       requestLimits: {takeShareToken: () => true},
       rests: {remainingMs: () => 0, count: () => 0},
+      leaderlessRetryMs: () => 300,
       ...openPaths(cfg.clock),
       ...cfg,
     },
--- a/packages/dispatch/test/request-times.test.ts
+++ b/packages/dispatch/test/request-times.test.ts
@@ -81,6 +81,7 @@
     },
     recordRetry: () => undefined,
     catchUp: () => null,
+    leaderlessRetryMs: () => 300,
     quarantine: createQuarantine(
       createSuspects(clock, emit),
       createCrashDetector({clock, probe: async () => 'open'}),
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -28,6 +28,7 @@
 import {createKeyOwners, type ServedTables} from './key-owners.js';
 import {askTermEnd} from './ask-term-end.js';
 import {createLeadership} from './leadership.js';
+import {createLeaderlessRetry} from './leaderless-retry.js';
 import {listAssignableServers} from './assignable-servers.js';
 import {limitConnections} from './limit-connections.js';
 import {followLeader} from './link-client.js';
@@ -455,6 +456,9 @@
       emit,
       routers: routerCount,
       catchUp: intake.catchUp,
+      leaderlessRetryMs: createLeaderlessRetry({
+        ...{clock, leaderAgeMs: linkClient.leaderAgeMs, random: Math.random},
+      }),
       ...(settings.scheduling.queue === 'fair' && {hashCaller}),
     },
   });
