--- a/packages/gateway/test/leader-followers.ts
+++ b/packages/gateway/test/leader-followers.ts
@@ -93,6 +93,7 @@
       isLeading: () => false,
       onLeadershipOffered: () => undefined,
       onLeaderLost: () => void view.followersLost++,
+      isGone: () => false,
       unreachableCount: () => 0,
       termEpoch: () => null,
       onConfigCursor: () => undefined,
