Let deputies replace a leader only after two silent probes

Change: a host must not answer two probes in a row; a loss is forgotten once there is a leader; each deputy waits 1.2 s for the one before it, longer than a term takes to begin on a slow store.

--- a/packages/gateway/src/deputy-succession.ts
+++ b/packages/gateway/src/deputy-succession.ts
@@ -40,6 +40,8 @@
   readonly lostAt: number;
   /** Whether its process has ended: its host refused a connection. */
   hasEnded: boolean;
+  /** Probes in a row without an answer. */
+  silentProbes: number;
   /** Whether it is known to be gone. */
   isGone: boolean;
   /**
@@ -57,7 +59,12 @@
  * Time for which each deputy leaves it to the one before it, in ms: it covers
  * the start of a term and the search for the new leader.
  */
-const RANK_DELAY_MS = 400;
+const RANK_DELAY_MS = 1_200;
+/**
+ * A host that doesn't answer for so many probes in a row is gone: a packet may be
+ * lost, and a connection that waits to be accepted looks the same.
+ */
+const MIN_SILENT_PROBES = 2;
 /** The platform must have answered within this time, in ms: two renewals. */
 const MAX_CONTACT_AGE_MS = 750;
 
@@ -85,15 +92,16 @@
     cfg.deputies().findIndex(({address}) => address === cfg.self);
 
   /** One that only this router can't reach may still lead the others. */
-  const isUnreachable = (lostAt: number, state: HostState): boolean =>
-    state === 'silent' &&
+  const isUnreachable = ({lostAt, silentProbes}: LostLeader): boolean =>
+    silentProbes >= MIN_SILENT_PROBES &&
     cfg.leaderlessNeighbourAgeMs() <= clock.now() - lostAt;
 
   const observe = (leader: LostLeader, state: HostState): void => {
     const {address, lostAt, isGone} = leader;
     // A process that listens there later is another one.
     leader.hasEnded ||= state === 'refused';
-    leader.isGone = leader.hasEnded || isUnreachable(lostAt, state);
+    leader.silentProbes = state === 'silent' ? leader.silentProbes + 1 : 0;
+    leader.isGone = leader.hasEnded || isUnreachable(leader);
     const isEligible =
       leader.isGone && cfg.contactAgeMs() <= MAX_CONTACT_AGE_MS;
     leader.eligibleSince = isEligible
@@ -122,13 +130,16 @@
       if (isDue()) cfg.onDue();
       await sleep(clock, CHECK_MS);
     }
+    // The next leader may be another process at the same address.
+    if (lost === leader) lost = null;
   };
 
   return {
     noteLeaderLost(address) {
       lost = {
         ...{address, lostAt: clock.now()},
-        ...{hasEnded: false, isGone: false, eligibleSince: null},
+        ...{hasEnded: false, silentProbes: 0},
+        ...{isGone: false, eligibleSince: null},
       };
       if (rank() >= 0) void watch(lost);
     },
--- a/packages/gateway/test/deputy-succession.test.ts
+++ b/packages/gateway/test/deputy-succession.test.ts
@@ -65,7 +65,7 @@
   const dueAt = await Promise.all(
     DEPUTIES.map(self => dueAfter({self, state: () => 'refused'})),
   );
-  t.same(dueAt, [0, 400, 800]);
+  t.same(dueAt, [0, 1_200, 2_400]);
   const other: Conditions = {self: '10.0.0.9:7200', state: () => 'refused'};
   t.equal(await dueAfter(other), null, 'no deputy');
 });
@@ -74,6 +74,11 @@
 void tap.test('a silent leader needs another witness', async t => {
   const state = (): HostState => 'silent';
   t.equal(await dueAfter({state}), null);
+  const once = await dueAfter({
+    state: now => (now < 50 ? 'silent' : 'open'),
+    witnessAt: 0,
+  });
+  t.equal(once, null, 'a single lost packet');
   t.equal(
     await dueAfter({state, witnessAt: -50}),
     null,
@@ -100,5 +105,29 @@
       dueAfter({self, state: () => 'refused', answersFrom: 4_500}),
     ),
   );
-  t.same(dueAt, [4_500, 4_900, 5_300]);
+  t.same(dueAt, [4_500, 5_700, 6_900]);
+});
+
+// Guards against leaders that replace each other in turn: a deputy that led and
+// was replaced must not take the leader of then for lost still.
+void tap.test('a loss is forgotten once there is a leader', async t => {
+  const clock = createManualClock(100_000);
+  let hasLeader = false;
+  const succession = createDeputySuccession({
+    ...{clock, emit: () => undefined, self: DEPUTIES[0]!},
+    deputies: () => [{address: DEPUTIES[0]!, room: ROOM, dataCentre: 'a'}],
+    hasLeader: () => hasLeader,
+    contactAgeMs: () => 100,
+    leaderlessNeighbourAgeMs: () => Infinity,
+    probe: async () => 'refused',
+    onDue: () => undefined,
+  });
+  succession.noteLeaderLost(LEADER);
+  await clock.advance(300);
+  t.ok(succession.isDue() && succession.isGone(LEADER));
+  hasLeader = true;
+  await clock.advance(300);
+  hasLeader = false;
+  await clock.advance(300);
+  t.notOk(succession.isDue() || succession.isGone(LEADER));
 });
