Tell only callers without an owner when a leader can be back

Callers whose owner is known and busy got the return time of an outage, too, in place of the 30 ms after a server's refusal; and a router whose own term had just ended told the longest time, as if no leader had been there since the one before.

--- a/packages/dispatch/src/find-target.ts
+++ b/packages/dispatch/src/find-target.ts
@@ -146,7 +146,7 @@
   if (req.key !== null) cfg.owners.noteRequest(req.service, req.key);
   for (;;) {
     if (req.signal.aborted) return null;
-    if (req.key !== null) state.retryAfterMs = cfg.leaderlessRetryMs();
+    if (isWithoutOwner(state)) state.retryAfterMs = cfg.leaderlessRetryMs();
     // Only the leader can limit a suspected request to one server at a time.
     const standing = cfg.quarantine.standingOf(req);
     if (standing !== 'unknown') {
@@ -166,6 +166,11 @@
   }
 }
 
+function isWithoutOwner({cfg, req}: ForwardState): boolean {
+  if (req.key === null) return false;
+  return cfg.owners.ownerOf(req.service, req.key).kind !== 'held';
+}
+
 /** Servers to exclude because of a rest period; empty for keyed requests. */
 function restingServers({cfg, req}: ForwardState): readonly string[] {
   if (req.key !== null || cfg.rests.count() === 0) return [];
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -168,6 +168,8 @@
     keyOwners.isReplaced(server) || serverList.isReplaced(server);
 
   let restoredAt = -Infinity;
+  /** When this router's last term ended, in ms. */
+  let termEndedAt = -Infinity;
   platform.history.subscribe((storeEpoch, before) => {
     if (before !== null) restoredAt = clock.now();
     emit('store-epoch', {storeEpoch, before});
@@ -457,7 +459,9 @@
       routers: routerCount,
       catchUp: intake.catchUp,
       leaderlessRetryMs: createLeaderlessRetry({
-        ...{clock, leaderAgeMs: linkClient.leaderAgeMs, random: Math.random},
+        ...{clock, random: Math.random},
+        leaderAgeMs: () =>
+          Math.min(linkClient.leaderAgeMs(), clock.now() - termEndedAt),
       }),
       ...(settings.scheduling.queue === 'fair' && {hashCaller}),
     },
@@ -473,7 +477,10 @@
   });
   leadership.subscribe(() => {
     const tables = leadership.tables();
-    if (tables === null) return slotAllocator.close();
+    if (tables === null) {
+      termEndedAt = clock.now();
+      return slotAllocator.close();
+    }
     keyOwners.replaceTables(tables);
     slotAllocator.reevaluate();
   });
