Ask a late leader for less

Callers saw nearly all keyed requests late or refused for ten seconds and longer, until another router led, once a leader had no processor time left.

Cause: nothing kept what the routers ask a leader within what it can do. Each request costs it 0.25 to 0.34 ms, a refusal as much as a grant. When more came in than it could handle, requests waited unread, replies and refusals came after the callers' time, callers repeated, followers left after 0.6 s of silence and came back.

Change: each router adapts by itself what it asks the leader for. If even the fastest reply of a period is 60 ms later than the network explains, it asks for 0.85 of what the leader replies to, and for more again once replies are in time. The rest is refused at once, the less urgent first and none under half the share of the most urgent, with a return time of 0.6 to 1 s. A request that is refused costs the leader nothing. Without a leader nothing is limited.

--- /dev/null
+++ b/packages/gateway/src/ask-admission.ts
@@ -0,0 +1,225 @@
+import type {Clock} from '@banyandrum/base/clock.js';
+import type {Emit} from '@banyandrum/dispatch/events.js';
+import type {
+  SlotProvider,
+  SlotRequest,
+  SlotResult,
+} from '@banyandrum/dispatch/slots.js';
+import {createDelayEstimator} from './transit-delay.js';
+
+/** What the admission of slot requests needs. */
+export interface AskAdmissionConfig {
+  readonly clock: Pick<Clock, 'now'>;
+  readonly emit: Emit;
+  /** Provider whose requests cost the leader processor time. */
+  readonly provider: SlotProvider;
+  /** Returns a number from 0 to 1, exclusive of 1. */
+  random(): number;
+}
+
+/** A provider that asks the leader for less while it is late. */
+export interface AdmittingSlotProvider extends SlotProvider {
+  /** The share of requests that the leader is asked for, from 0 to 1. */
+  admittedShare(): number;
+}
+
+/** Minimum length of a period after which the limit is adapted, in ms. */
+const PERIOD_MS = 250;
+/** A period goes on until it has as many replies, or for this time, in ms. */
+const MIN_REPLIES = 3;
+const MAX_PERIOD_MS = 1_000;
+/**
+ * The leader counts as late if even the fastest reply of a period took this much
+ * longer than the fastest recent one, in ms: some wait for no server.
+ */
+const LATE_MS = 60;
+/** A longer delay of the fastest recent reply isn't that of the network, in ms. */
+const MAX_NETWORK_MS = 50;
+/** Time constant of the rates of requests and replies, in ms. */
+const RATE_WINDOW_MS = 1_000;
+/**
+ * A late leader is asked for this part of what it replies to, so that what waits
+ * there becomes less. One that is in time again is asked for more by and by.
+ */
+const LATE_FACTOR = 0.85;
+/** Growth of the limit in a second: a part of it, and requests per second. */
+const GROWTH_SHARE = 0.25;
+const GROWTH_PER_SECOND = 4;
+/**
+ * Growth in a period up to the rate that it replied to as it became late: after
+ * a pause it can do as much as before.
+ */
+const RECOVERY_FACTOR = 2;
+/** A request that ends this soon, in ms, found no leader. */
+const NO_LEADER_MS = 10;
+/** Asked for at least this often, per second, to notice when it is in time. */
+const MIN_PER_SECOND = 1;
+/** Without a limit again once that is this many times what is requested. */
+const UNLIMITED_FACTOR = 1.3;
+/**
+ * Less urgent requests are admitted at least this often compared with the most
+ * urgent ones, so that none is starved.
+ */
+const MIN_RELATIVE_SHARE = 0.5;
+/** Mean return time of callers that the leader isn't asked for, in ms. */
+const RETRY_AFTER_MS = 800;
+/** Part by which return times differ. */
+const RETRY_SPREAD = 0.5;
+
+/**
+ * Creates the admission of slot requests. A leader without processor time is
+ * late with each reply and even with refusals, callers repeat, and it stays
+ * overloaded: in a burst it served one request in six for ten seconds. Only the
+ * routers can refuse without any cost for the leader. Each adapts its share by
+ * itself, by how late the fastest replies are.
+ *
+ * @example
+ * ```ts
+ * const slots = admitAsks({clock, emit, provider: link, random: Math.random});
+ * const slot = await slots.acquire(request, signal);
+ * ```
+ */
+export function admitAsks(cfg: AskAdmissionConfig): AdmittingSlotProvider {
+  const {clock, emit, provider, random} = cfg;
+  const delays = createDelayEstimator();
+  const unanswered = new Set<{readonly askedAt: number}>();
+  const requested = createRate(clock);
+  const answered = createRate(clock);
+  /** Requests per second that the leader is asked for. */
+  let limit = Infinity;
+  /** What it replied to as it became late, less a part, per second. */
+  let bearable = Infinity;
+  let wasLate = false;
+  let periodStart = clock.now();
+  let replies = 0;
+  let leastLateMs = Infinity;
+
+  /** Lateness of the fastest reply; Infinity if there is none to judge by. */
+  const lateness = (now: number): number => {
+    if (replies > 0) return leastLateMs;
+    const [oldest] = unanswered;
+    const waitedMs = oldest === undefined ? 0 : now - oldest.askedAt;
+    return waitedMs > PERIOD_MS ? waitedMs : Infinity;
+  };
+
+  const reducedLimit = (): number => {
+    const reduced = answered.current() * LATE_FACTOR;
+    if (!wasLate) bearable = reduced;
+    wasLate = true;
+    return Math.max(MIN_PER_SECOND, reduced);
+  };
+
+  const raisedLimit = (lastedMs: number): number => {
+    wasLate = false;
+    if (limit < bearable) return Math.min(bearable, limit * RECOVERY_FACTOR);
+    const growth = limit * GROWTH_SHARE + GROWTH_PER_SECOND;
+    const raised = limit + (growth * lastedMs) / 1_000;
+    return raised > requested.current() * UNLIMITED_FACTOR ? Infinity : raised;
+  };
+
+  const adapt = (): void => {
+    const now = clock.now();
+    const lastedMs = now - periodStart;
+    if (lastedMs < PERIOD_MS) return;
+    if (replies < MIN_REPLIES && lastedMs < MAX_PERIOD_MS) return;
+    const lateMs = lateness(now);
+    const isLate = lateMs < Infinity && lateMs > LATE_MS;
+    setLimit(isLate ? reducedLimit() : raisedLimit(lastedMs), lateMs);
+    periodStart = now;
+    replies = 0;
+    leastLateMs = Infinity;
+  };
+
+  const setLimit = (next: number, lateMs: number): void => {
+    const wasLimited = limit < Infinity;
+    limit = next;
+    const isLimited = limit < Infinity;
+    if (wasLimited === isLimited) return;
+    if (!isLimited) return emit('asks-unlimited', {});
+    emit('asks-limited', {
+      lateMs: Math.round(lateMs),
+      perSecond: Math.round(limit),
+    });
+  };
+
+  const admittedShare = (): number =>
+    limit === Infinity ? 1 : Math.min(1, limit / requested.current());
+
+  const admits = ({priority}: SlotRequest): boolean => {
+    const share = admittedShare();
+    if (share >= 1) return true;
+    const leastShare = share * MIN_RELATIVE_SHARE;
+    return random() < Math.max(leastShare, share ** (priority + 1));
+  };
+
+  const refusal = (): SlotResult => ({
+    kind: 'refused',
+    retryAfterMs: Math.round(
+      RETRY_AFTER_MS * (1 + (random() - 0.5) * RETRY_SPREAD),
+    ),
+    isUnheld: false,
+  });
+
+  const noteLateness = (lateMs: number): void => {
+    replies++;
+    answered.count();
+    leastLateMs = Math.min(leastLateMs, lateMs);
+  };
+
+  const noteReply = (askedAt: number): void => {
+    const tookMs = clock.now() - askedAt;
+    const networkMs = tookMs - delays.observe(askedAt, clock.now());
+    noteLateness(tookMs - Math.min(MAX_NETWORK_MS, networkMs));
+  };
+
+  /** Without a reply, only a long wait tells anything of the leader. */
+  const noteNoReply = (askedAt: number): void => {
+    const waitedMs = clock.now() - askedAt;
+    if (waitedMs > LATE_MS) noteLateness(waitedMs);
+    // Without a leader, this router chooses servers by itself.
+    else if (waitedMs < NO_LEADER_MS) setLimit(Infinity, 0);
+  };
+
+  return {
+    admittedShare,
+    async acquire(request, signal) {
+      requested.count();
+      adapt();
+      if (!admits(request)) return refusal();
+      const ask = {askedAt: clock.now()};
+      unanswered.add(ask);
+      const result = await provider.acquire(request, signal);
+      unanswered.delete(ask);
+      if (result.kind === 'unavailable') noteNoReply(ask.askedAt);
+      else noteReply(ask.askedAt);
+      return result;
+    },
+  };
+}
+
+/** A rate of events. */
+interface Rate {
+  count(): void;
+  /** Events per second, recent ones more than earlier ones. */
+  current(): number;
+}
+
+function createRate(clock: Pick<Clock, 'now'>): Rate {
+  let sum = 0;
+  let countedAt = clock.now();
+  const decay = (): void => {
+    const now = clock.now();
+    sum *= Math.exp((countedAt - now) / RATE_WINDOW_MS);
+    countedAt = now;
+  };
+  return {
+    count() {
+      decay();
+      sum++;
+    },
+    current() {
+      decay();
+      return (sum * 1_000) / RATE_WINDOW_MS;
+    },
+  };
+}
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -26,6 +26,7 @@
 import type {EventLog} from './event-log.js';
 import {startRefreshLoops} from './refresh-loops.js';
 import {createKeyOwners, type ServedTables} from './key-owners.js';
+import {admitAsks} from './ask-admission.js';
 import {askTermEnd} from './ask-term-end.js';
 import {createLeadership} from './leadership.js';
 import {createLeaderlessRetry} from './leaderless-retry.js';
@@ -371,7 +372,7 @@
       maxMs: settings.callers.maxUnreadMs,
     },
   });
-  const slotProvider = measureSlotResponses(
+  const measuredSlots = measureSlotResponses(
     createLocalSlotProvider({
       leadership,
       allocator: slotAllocator,
@@ -380,6 +381,9 @@
     }),
     clock,
   );
+  const slotProvider = admitAsks({
+    ...{clock, emit, provider: measuredSlots, random: Math.random},
+  });
   const metricsSource: MetricsSource = {
     routers: () => routerCount.current() ?? 0,
     isLeading: () => leadership.isLeading(),
@@ -531,7 +535,8 @@
   const stopVitals = reportVitals(clock, emit, {
     lagMs: () => loopLag.lagMs(),
     takeWorstDelay: readDelays.takeWorst,
-    takeSlotResponses: slotProvider.takeSummary,
+    takeSlotResponses: measuredSlots.takeSummary,
+    admittedShare: slotProvider.admittedShare,
     inFlight: () => frontend.inFlight(),
     isLeading: () => leadership.isLeading(),
     followers: () => linkServer.followers(),
--- a/packages/gateway/src/vitals.ts
+++ b/packages/gateway/src/vitals.ts
@@ -13,6 +13,8 @@
   takeWorstDelay(): ReadDelay;
   /** How long replies to slot requests took since the last call. */
   takeSlotResponses(): SlotResponseSummary;
+  /** The share of requests that this router asks the leader for. */
+  admittedShare(): number;
   inFlight(): number;
   isLeading(): boolean;
   /** Number of routers that follow this one. */
@@ -69,6 +71,7 @@
       slotReplies: slots.count,
       slotP10Ms: Math.round(slots.p10Ms),
       slotP99Ms: Math.round(slots.p99Ms),
+      admitted: Math.round(source.admittedShare() * 100) / 100,
       inFlight: source.inFlight(),
       isLeading: source.isLeading(),
       followers: source.followers(),
--- a/packages/gateway/test/leader-followers.ts
+++ b/packages/gateway/test/leader-followers.ts
@@ -1,13 +1,11 @@
 import {createCanceller} from '@banyandrum/base/cancel.js';
 import {createClock} from '@banyandrum/base/clock.js';
 import {createServerLimits} from '@banyandrum/dispatch/server-limits.js';
-import type {SlotRequest} from '@banyandrum/dispatch/slots.js';
+import type {SlotProvider, SlotRequest} from '@banyandrum/dispatch/slots.js';
 import {createSuspects} from '@banyandrum/dispatch/suspects.js';
 import {createKeyOwners} from '@banyandrum/gateway/key-owners.js';
-import {
-  followLeader,
-  type LinkClient,
-} from '@banyandrum/gateway/link-client.js';
+import {admitAsks} from '@banyandrum/gateway/ask-admission.js';
+import {followLeader} from '@banyandrum/gateway/link-client.js';
 import {createServerList} from '@banyandrum/gateway/server-list.js';
 import {MAX_KEY} from '@banyandrum/ranges/table.js';
 import {kindOf} from '@banyandrum/service-times/kind.js';
@@ -77,9 +75,9 @@
   let perSecond = 0;
   let due = 0;
   let tickAt = performance.now();
-  const links = Array.from({length: count}, (_, i) => {
-    const emit = (): void => undefined;
-    return followLeader({
+  const emit = (): void => undefined;
+  const links = Array.from({length: count}, (_, i) =>
+    followLeader({
       ...{clock, emit, list: createServerList(clock, emit, 2_000)},
       self: {
         address: `127.0.0.1:${i + 1}`,
@@ -102,13 +100,16 @@
       configPosition: () => null,
       applyPosition: () => true,
       setRouterCount: () => undefined,
-    });
-  });
+    }),
+  );
+  const providers = links.map(provider =>
+    admitAsks({...{clock, emit, provider, random: Math.random}}),
+  );
 
-  const request = async (link: LinkClient): Promise<void> => {
+  const request = async (slots: SlotProvider): Promise<void> => {
     const planned = createRequest(++lastId);
     for (let attempt = 0; attempt <= RETRIES; attempt++) {
-      const retryAfterMs = await attemptRequest(link, planned);
+      const retryAfterMs = await attemptRequest(slots, planned);
       if (retryAfterMs === null) return;
       await new Promise(resolve => setTimeout(resolve, retryAfterMs));
     }
@@ -116,14 +117,14 @@
 
   /** Returns when to retry, in ms; null if it isn't retried. */
   const attemptRequest = async (
-    link: LinkClient,
+    slots: SlotProvider,
     {heldMs, timeoutMs, ...req}: PlannedRequest,
   ): Promise<number | null> => {
     const now = performance.now();
     view.asked++;
     const canceller = createCanceller();
     const timer = setTimeout(() => canceller.abort(), timeoutMs);
-    const slot = await link.acquire(req, canceller.signal);
+    const slot = await slots.acquire(req, canceller.signal);
     clearTimeout(timer);
     const tookMs = performance.now() - now;
     if (slot.kind === 'unavailable') {
@@ -145,7 +146,7 @@
     due += ((now - tickAt) * perSecond) / 1_000;
     tickAt = now;
     for (; due >= 1; due--)
-      void request(links[Math.floor(Math.random() * links.length)]!);
+      void request(providers[Math.floor(Math.random() * count)]!);
   };
   const timer = setInterval(tick, TICK_MS);
 
--- a/packages/gateway/test/vitals.test.ts
+++ b/packages/gateway/test/vitals.test.ts
@@ -15,6 +15,7 @@
     lagMs: () => lagMs,
     takeWorstDelay: () => ({ms: 40, by: 'accept'}),
     takeSlotResponses: () => ({count: 50, p10Ms: 3.2, p99Ms: 410.7}),
+    admittedShare: () => 0.456,
     inFlight: () => 3,
     isLeading: () => true,
     followers: () => 80,
