Follow redirects without a pause

Callers were refused for want of an owner while routers knew who leads and did not ask it: each router that answered "not I" was left only at the next check of its stream, up to 100 ms later, once per redirect; and the chosen router waited as long before it offered the lead to the last leader.

Such a stream ends at once now if the answer names a leader, or if this router asked in order to decide who leads. One that only looks for a leader asks again at its usual pace, and a refused connection counts as before: the routers that search don't ask more often, and a last leader that is about to start has as much time as before.

--- a/packages/gateway/src/link-client.ts
+++ b/packages/gateway/src/link-client.ts
@@ -1,4 +1,4 @@
-import {sleep, type Clock} from '@banyandrum/base/clock.js';
+import type {Clock} from '@banyandrum/base/clock.js';
 import type {Emit} from '@banyandrum/dispatch/events.js';
 import type {SlotResult, SlotProvider} from '@banyandrum/dispatch/slots.js';
 import type {LimitRow} from '@banyandrum/dispatch/server-limits.js';
@@ -194,6 +194,12 @@
     const markClosed = (): void => {
       current.isOpen = false;
     };
+    let endWait = (): void => undefined;
+    const waitForCheck = (): Promise<void> =>
+      new Promise(resolve => {
+        endWait = resolve;
+        clock.after(STREAM_CHECK_MS, resolve);
+      });
     stream.on('data', message => {
       current.heardAt = clock.now();
       if (message.kind === 'lead') return cfg.onLeadershipOffered();
@@ -205,6 +211,10 @@
       handleMessage(cfg, current, message);
       if (message.kind === 'elsewhere' && message.leader === null)
         leaderlessNeighbourAt = clock.now();
+      if (message.kind === 'elsewhere' && !wasLeader && mayGoOn(current)) {
+        markClosed();
+        endWait();
+      }
       neighbourListAt = Math.max(neighbourListAt, current.neighbourListAt);
       // Reports what this router learnt from another leader or without one.
       if (current.isSynced && !wasSynced) {
@@ -228,7 +238,7 @@
     stream.on('end', markClosed);
     stream.on('error', markClosed);
     while (!isStopped && isAlive(current) && !cfg.isLeading()) {
-      await sleep(clock, STREAM_CHECK_MS);
+      await waitForCheck();
       sendCounts(current);
     }
     endSession(current);
@@ -245,6 +255,13 @@
     cfg.onLeaderLost(leader);
   };
 
+  /**
+   * Whether the answer of a router that doesn't lead is acted on at once. One
+   * that only looks for a leader asks again at its usual pace.
+   */
+  const mayGoOn = ({leader, redirect: next}: Session): boolean =>
+    next !== null || followRequest?.address === leader;
+
   /** Settles a pending `followAt`; any leader found satisfies it. */
   const settleFollowRequest = (address: string, isLeader: boolean): void => {
     if (
--- a/packages/gateway/test/link.test.ts
+++ b/packages/gateway/test/link.test.ts
@@ -110,6 +110,18 @@
   subscribe: () => undefined,
 };
 
+const NOT_LEADING: Leadership = {
+  ...LEADING,
+  isLeading: () => false,
+  tables: () => null,
+  epoch: () => null,
+};
+
+/** Interval at which a router checks its stream to another, in ms. */
+const STREAM_CHECK_MS = 100;
+/** Redirects that a router follows in a row. */
+const REDIRECTS = 3;
+
 const SLOT_REQUEST: SlotRequest = {
   id: 'r1',
   service: 'holds',
@@ -180,6 +192,7 @@
 async function startHarness(
   chosen?: () => string | null,
   leadership = LEADING,
+  leader: () => string | null = () => null,
 ): Promise<Harness> {
   const clock = createClock();
   const emit = (): void => undefined;
@@ -210,7 +223,7 @@
     noteEvacuated: () => undefined,
     config: () => null,
     configAgeMs: () => 0,
-    leader: () => null,
+    leader,
     self: {address: listen, dataCentre: 'a'},
     paths: {
       unreachableCount: () => 0,
@@ -338,6 +351,48 @@
   close();
 });
 
+// Guards against routers that reach the new leader late, since each router that
+// names another one is left only at the next check of its stream.
+void tap.test('a router follows redirects without a pause', async t => {
+  const leader = await startHarness();
+  let next = leader.proxy.address;
+  const harnesses = [leader];
+  for (let at = 0; at < REDIRECTS; at++) {
+    const named = next;
+    const harness = await startHarness(
+      () => null,
+      NOT_LEADING,
+      () => named,
+    );
+    harnesses.push(harness);
+    next = harness.proxy.address;
+  }
+  const startedAt = performance.now();
+  const link = await followAs(next, `${HOST}:3`);
+  t.equal(link.leader(), leader.proxy.address);
+  const tookMs = performance.now() - startedAt;
+  t.ok(tookMs < REDIRECTS * STREAM_CHECK_MS, `followed after ${tookMs} ms`);
+  link.stop();
+  for (const {close} of harnesses) close();
+});
+
+// Guards against a chosen router that learns late that nobody leads where the
+// last leader did, and that then offers the lead or leads late.
+void tap.test('a router learns at once that another does not lead', async t => {
+  const {proxy, link, close} = await startHarness(() => null, NOT_LEADING);
+  const times: number[] = [];
+  for (let at = 0; at < 3; at++) {
+    // Past the time for which the address isn't tried again.
+    if (at > 0) await new Promise(resolve => setTimeout(resolve, 600));
+    const startedAt = performance.now();
+    t.equal(await link.followAt(proxy.address), false, 'nobody leads there');
+    times.push(performance.now() - startedAt);
+  }
+  const fastestMs = Math.min(...times);
+  t.ok(fastestMs < STREAM_CHECK_MS, `known after ${fastestMs} ms`);
+  close();
+});
+
 // Guards against losing the leader while the platform rejects this router's
 // calls, so that it can't learn which router was chosen. It must find the next
 // leader among the deputies that the last one named. Listing the group instead,
