Find the accounts of a request without names put together

For each ask the leader joined service and owner to find a queue's accounts, turned the caller and the key into text, and looked the same flow up three to four times in a row; maps of hashed new text took most of the time of the fair turns.

Accounts are found by service and then owner, flows may be named by numbers, and fair shares remember the flow that they used last until flows are dropped.

--- a/packages/queueing/src/fair-shares.ts
+++ b/packages/queueing/src/fair-shares.ts
@@ -1,21 +1,27 @@
 import {createDecayingSum} from './decaying-sum.js';
+import type {FlowName} from './flows.js';
 
 /** Service time that flows ask for and get, and their fair share of it. */
 export interface FairShares {
   /** A request of the flow arrived. */
-  ask(name: string, costMs: number, now: number): void;
+  ask(name: FlowName, costMs: number, now: number): void;
   /** A request of the flow waits or is served. */
-  charge(name: string, costMs: number, now: number): void;
+  charge(name: FlowName, costMs: number, now: number): void;
   /** A charged request wasn't served. */
-  refund(name: string, costMs: number, now: number): void;
+  refund(name: FlowName, costMs: number, now: number): void;
   /**
    * How one more request of the flow compares with its fair share of `slots`.
    * Always `asks-less` while all flows together ask for less than the slots
    * offer.
    */
-  standing(name: string, costMs: number, slots: number, now: number): Standing;
+  standing(
+    name: FlowName,
+    costMs: number,
+    slots: number,
+    now: number,
+  ): Standing;
   /** Part of what the flow asks for that its fair share covers, 0 to 1. */
-  entitledPart(name: string, slots: number, now: number): number;
+  entitledPart(name: FlowName, slots: number, now: number): number;
   /** Number of slots that all flows together ask for. */
   slotsAsked(now: number): number;
   /** Flows that got the most service time, most first. */
@@ -83,22 +89,30 @@
  * ```
  */
 export function createFairShares(): FairShares {
-  const flows = new Map<string, Usage>();
+  const flows = new Map<FlowName, Usage>();
   const totalMs = createDecayingSum(HISTORY_MS, 0);
   let asks = 0;
   let asksSinceLevel = 0;
+  /** The flow that was used last, as its calls follow each other. */
+  let lastName: FlowName | null = null;
+  let lastUsage: Usage | null = null;
   let level = {maxMs: Infinity, slots: 0, at: -Infinity};
 
-  const usageOf = (name: string, now: number): Usage => {
-    const known = flows.get(name);
-    if (known !== undefined) return decay(known, now);
-    const usage = {askedMs: 0, takenMs: 0, at: now};
-    flows.set(name, usage);
-    return usage;
+  const usageOf = (name: FlowName, now: number): Usage => {
+    if (name === lastName && lastUsage !== null) return decay(lastUsage, now);
+    let usage = flows.get(name);
+    if (usage === undefined) {
+      usage = {askedMs: 0, takenMs: 0, at: now};
+      flows.set(name, usage);
+    }
+    lastName = name;
+    lastUsage = usage;
+    return decay(usage, now);
   };
 
   const cleanUp = (now: number): void => {
     asks = 0;
+    lastUsage = null;
     for (const [name, usage] of flows) {
       const {askedMs, takenMs} = decay(usage, now);
       if (Math.max(askedMs, takenMs) < FORGOTTEN_MS) flows.delete(name);
@@ -153,7 +167,11 @@
       const shares = [...flows].map(([name, usage]) => {
         const {askedMs, takenMs} = decay(usage, now);
         const slotsAsked = askedMs / HISTORY_MS;
-        return {name, slotsAsked, slotsTaken: takenMs / HISTORY_MS};
+        return {
+          name: String(name),
+          slotsAsked,
+          slotsTaken: takenMs / HISTORY_MS,
+        };
       });
       return shares.sort((a, b) => b.slotsTaken - a.slotsTaken).slice(0, count);
     },
--- a/packages/queueing/src/flows.ts
+++ b/packages/queueing/src/flows.ts
@@ -1,14 +1,17 @@
+/** Name of a flow; a number is cheaper to find than its text. */
+export type FlowName = string | number;
+
 /** Turns of callers, or of keys, among the waiting requests. */
 export interface Flows {
   /**
    * Reserves the flow's next turn, at `now` (virtual time) or later. The one
    * after it follows by `cost`, which is one by default.
    */
-  reserveTurn(name: string, now: number, cost?: number): number;
+  reserveTurn(name: FlowName, now: number, cost?: number): number;
   /** A request of the flow waits again, with the turn reserved before. */
-  rejoin(name: string, turn: number): void;
+  rejoin(name: FlowName, turn: number): void;
   /** A request of the flow no longer waits. */
-  leave(name: string, served: boolean, now: number, cost?: number): void;
+  leave(name: FlowName, served: boolean, now: number, cost?: number): void;
   /** Number of flows with waiting requests. */
   active(): number;
 }
@@ -45,7 +48,7 @@
 export function createFlows(
   {forgivenLead}: FlowsOptions = {forgivenLead: 1},
 ): Flows {
-  const flows = new Map<string, Flow>();
+  const flows = new Map<FlowName, Flow>();
   let active = 0;
   let departures = 0;
 
@@ -61,7 +64,7 @@
     }
   };
 
-  const flowOf = (name: string, next: number): Flow => {
+  const flowOf = (name: FlowName, next: number): Flow => {
     const known = flows.get(name);
     if (known !== undefined) return known;
     const flow = {next, queued: 0};
--- a/packages/slots/src/fair-turns.ts
+++ b/packages/slots/src/fair-turns.ts
@@ -8,7 +8,11 @@
   type FairShares,
   type Standing,
 } from '@banyandrum/queueing/fair-shares.js';
-import {createFlows, type Flows} from '@banyandrum/queueing/flows.js';
+import {
+  createFlows,
+  type FlowName,
+  type Flows,
+} from '@banyandrum/queueing/flows.js';
 import type {Capacity} from './capacity-cache.js';
 import type {Waiter, WaitQueue} from './wait-queue.js';
 
@@ -65,14 +69,14 @@
   readonly account: Account;
   readonly costMs: number;
   readonly rank: number;
-  readonly caller: string;
+  readonly caller: FlowName;
   readonly claims: readonly Claim[];
 }
 
 /** What a request holds of its caller's or its key's part. */
 interface Claim {
   readonly dimension: Dimension;
-  readonly name: string;
+  readonly name: FlowName;
   readonly standing: Standing;
   /** Charge for its turn, in ms; 0 if it is within the share. */
   readonly turnCostMs: number;
@@ -84,8 +88,6 @@
  * exceeds the pauses between the retries of a caller.
  */
 const ACCOUNT_TTL_MS = 10_000;
-/** Stands for the servers of a service in names of accounts. */
-const UNOWNED_QUEUE = '*';
 /**
  * Ranks of requests, in the order in which they are served: those whose caller
  * and key ask for less than their shares, those of which one or the other asks
@@ -141,16 +143,23 @@
  * ```
  */
 export function createFairTurns(clock: Clock): FairTurns {
-  /** Accounts of each queue by priority, highest first. */
-  const queues = new Map<string, Account[]>();
+  /** Accounts of each queue, by service and owner; by priority, highest first. */
+  const queues = new Map<string, Map<string | null, Account[]>>();
   /** Shares of callers of each keyed service and priority. */
   const services = new Map<string, FairShares>();
   const entries = new Map<Waiter, Entry>();
 
   const accountsFor = (queue: WaitQueue): Account[] => {
-    const name = nameOf(queue);
-    const accounts = queues.get(name) ?? [];
-    queues.set(name, accounts);
+    const {service, owner} = queue;
+    let ofService = queues.get(service);
+    if (ofService === undefined) {
+      ofService = new Map();
+      queues.set(service, ofService);
+    }
+    const known = ofService.get(owner);
+    if (known !== undefined) return known;
+    const accounts: Account[] = [];
+    ofService.set(owner, accounts);
     return accounts;
   };
 
@@ -161,6 +170,20 @@
     return shares;
   };
 
+  const addAccount = (
+    accounts: Account[],
+    queue: WaitQueue,
+    priority: number,
+    now: number,
+  ): Account => {
+    const wholeService =
+      queue.owner === null ? null : sharesOf(queue.service, priority);
+    const account = createAccount(queue, priority, wholeService, now);
+    const at = accounts.findIndex(each => each.priority > priority);
+    accounts.splice(at < 0 ? accounts.length : at, 0, account);
+    return account;
+  };
+
   const release = (waiter: Waiter, served: boolean): void => {
     const entry = entries.get(waiter);
     if (entry === undefined) return;
@@ -180,9 +203,9 @@
       const now = clock.now();
       const accounts = accountsFor(queue);
       const {priority} = waiter;
-      const wholeService =
-        queue.owner === null ? null : sharesOf(queue.service, priority);
-      const account = accountOf(accounts, queue, priority, wholeService, now);
+      const account =
+        accounts.find(each => each.priority === priority) ??
+        addAccount(accounts, queue, priority, now);
       account.usedAt = now;
       const slots = slotsLeft(accounts, account, capacity.slots, now);
       const costMs = Math.max(1, capacity.serviceMs);
@@ -200,7 +223,7 @@
       const {account, rank} = entry;
       const now = clock.now();
       const aheadMs = Math.max(presentMs, waiter.turn - account.now);
-      const accounts = queues.get(nameOf(account)) ?? [];
+      const accounts = queues.get(account.service)?.get(account.owner) ?? [];
       const overtaking = slotsOvertaking(accounts, account, rank, now);
       const minShare =
         account.owner === null ? MIN_QUEUE_SHARE : MIN_OWNER_QUEUE_SHARE;
@@ -208,37 +231,32 @@
     },
     cleanUp() {
       const expiredAt = clock.now() - ACCOUNT_TTL_MS;
-      for (const [name, accounts] of queues) {
-        if (accounts.every(({usedAt}) => usedAt < expiredAt))
-          queues.delete(name);
+      for (const ofService of queues.values()) {
+        for (const [owner, accounts] of ofService) {
+          if (accounts.every(({usedAt}) => usedAt < expiredAt))
+            ofService.delete(owner);
+        }
       }
     },
     *accounts() {
-      for (const accounts of queues.values()) yield* accounts;
+      for (const ofService of queues.values()) {
+        for (const accounts of ofService.values()) yield* accounts;
+      }
     },
   };
 }
 
-function nameOf({service, owner}: Pick<Account, 'service' | 'owner'>): string {
-  return `${service} ${owner ?? UNOWNED_QUEUE}`;
-}
-
 function isAccountOf(account: Account, {service, owner}: WaitQueue): boolean {
   return account.service === service && account.owner === owner;
 }
 
-/** Returns the account of the priority; creates it if there is none. */
-function accountOf(
-  accounts: Account[],
+function createAccount(
   {service, owner}: WaitQueue,
   priority: number,
   wholeService: FairShares | null,
   now: number,
 ): Account {
-  const at = accounts.findIndex(each => each.priority >= priority);
-  const known = accounts[at];
-  if (known?.priority === priority) return known;
-  const account: Account = {
+  return {
     ...{service, owner, priority, now: 0, usedAt: 0},
     callers: createDimension(),
     keys: createDimension(),
@@ -247,8 +265,6 @@
       createDecayingSum(RATE_MS, now),
     ),
   };
-  accounts.splice(at < 0 ? accounts.length : at, 0, account);
-  return account;
 }
 
 function createDimension(): Dimension {
@@ -284,8 +300,8 @@
   for (const other of accounts) {
     if (other.priority > account.priority) break;
     const ranks = other === account ? rank : RANKS;
-    for (const each of other.servedMs.slice(0, ranks))
-      servedMs += each.value(now);
+    for (let at = 0; at < ranks; at++)
+      servedMs += other.servedMs[at]!.value(now);
   }
   return servedMs / RATE_MS;
 }
@@ -305,14 +321,14 @@
   {req}: Waiter,
   cost: RequestCost,
 ): Entry {
-  const caller = String(req.caller ?? 0);
+  const caller = req.caller ?? 0;
   const callerClaim = claimCallerTurn(account, caller, req.key, cost);
   const {costMs} = cost;
   if (req.key === null) {
     const rank = rankOf(callerClaim.standing, 'asks-less');
     return {account, costMs, rank, caller, claims: [callerClaim]};
   }
-  const keyClaim = claimKeyTurn(account, caller, String(req.key), cost);
+  const keyClaim = claimKeyTurn(account, caller, req.key, cost);
   const rank = rankOf(callerClaim.standing, keyClaim.standing);
   return {account, costMs, rank, caller, claims: [callerClaim, keyClaim]};
 }
@@ -329,7 +345,9 @@
  */
 function turnOf({account, rank, claims}: Entry): number {
   if (rank < LAST_RANK) return rank - LAST_RANK;
-  return Math.max(account.now, ...claims.map(({turn}) => turn));
+  let latest = account.now;
+  for (const {turn} of claims) latest = Math.max(latest, turn);
+  return latest;
 }
 
 /**
@@ -338,7 +356,7 @@
  */
 function claimCallerTurn(
   account: Account,
-  caller: string,
+  caller: FlowName,
   key: number | null,
   cost: RequestCost,
 ): Claim {
@@ -346,7 +364,7 @@
   if (key === null || wholeService === null)
     return claimTurn(account, callers, caller, cost);
   const {slots, serviceSlots, costMs, now, isNew} = cost;
-  const part = keys.shares.entitledPart(String(key), slots, now);
+  const part = keys.shares.entitledPart(key, slots, now);
   if (isNew) wholeService.ask(caller, costMs * part, now);
   const standing = wholeService.standing(caller, costMs, serviceSlots, now);
   wholeService.charge(caller, costMs, now);
@@ -357,8 +375,8 @@
 /** What exceeds the share of a caller must not count against its keys either. */
 function claimKeyTurn(
   account: Account,
-  caller: string,
-  key: string,
+  caller: FlowName,
+  key: FlowName,
   cost: RequestCost,
 ): Claim {
   const {callers, keys, wholeService} = account;
@@ -373,7 +391,7 @@
 function claimTurn(
   account: Account,
   dimension: Dimension,
-  name: string,
+  name: FlowName,
   {slots, costMs, now}: RequestCost,
   askedMs = costMs,
   otherStanding: Standing = 'asks-less',
