Look up a service and a server once per estimate of a time

An estimate of a request's time looked up its service three times and its server up to four times, and the leader makes one for each free server that a request may go to.

Each is looked up once. The estimates are the same, bit by bit, as they are multiplied in the same order.

--- a/packages/service-times/src/time-model.ts
+++ b/packages/service-times/src/time-model.ts
@@ -124,6 +124,9 @@
  */
 const MIN_MERGED_SHARE = 0.5;
 
+/** The mean of a kind that isn't known. */
+const NO_SAMPLES: Readonly<MovingMean> = createMovingMean();
+
 /**
  * Creates a model of service times as the product of three factors, which change
  * at different rates: the work of the request's kind, the slowness of the
@@ -192,32 +195,36 @@
   };
 
   /** Work of the kind at a server of mean speed without slowdown, in ms. */
-  const workOf = (service: string, kind: number): number | null => {
-    const state = services.get(service);
+  const workOf = (
+    service: string,
+    state: ServiceState | undefined,
+    kind: number,
+  ): number | null => {
     if (state === undefined || state.work.samples === 0) return null;
     const meanMs = state.work.mean;
     if (kind === UNKNOWN_KIND) return meanMs;
-    const work = state.kinds.get(kind)?.work ?? createMovingMean();
+    const work = state.kinds.get(kind)?.work ?? NO_SAMPLES;
     if (work.samples >= WORK_SAMPLES) return work.mean;
     const priorMs = workElsewhere(service, kind, meanMs);
     return shrunkMean(work, priorMs, WORK_PRIOR_SAMPLES);
   };
 
-  const slownessOf = (server: string): number => {
-    const state = servers.get(server);
+  const slownessOf = (state: ServerState | undefined): number => {
     if (state === undefined) return 1;
     return rawSlowness(state) / levelOf(services.get(state.service));
   };
 
-  const usualSlowdown = (service: string, server: string): number => {
-    const ofService = services.get(service)?.slowdown;
-    if (ofService === undefined || ofService.samples === 0) return 1;
-    const state = servers.get(server);
-    if (state === undefined) return ofService.mean;
+  const usualSlowdown = (
+    ofService: ServiceState | undefined,
+    state: ServerState | undefined,
+  ): number => {
+    if (ofService === undefined || ofService.slowdown.samples === 0) return 1;
+    const meanSlowdown = ofService.slowdown.mean;
+    if (state === undefined) return meanSlowdown;
     const {slowdown, slowness} = state;
     // It answers without reporting a slowdown.
     if (slowdown.samples === 0 && slowness.samples > 0) return 1;
-    return shrunkMean(slowdown, ofService.mean, SLOWDOWN_PRIOR_SAMPLES);
+    return shrunkMean(slowdown, meanSlowdown, SLOWDOWN_PRIOR_SAMPLES);
   };
 
   const usualMs = (
@@ -225,14 +232,20 @@
     kind: number,
     server: string,
   ): number | null => {
-    const workMs = workOf(service, kind);
+    const ofService = services.get(service);
+    const workMs = workOf(service, ofService, kind);
     if (workMs === null) return null;
-    return workMs * slownessOf(server) * usualSlowdown(service, server);
+    const state = servers.get(server);
+    return workMs * slownessOf(state) * usualSlowdown(ofService, state);
   };
 
   /** Time of a request at the listed server relative to its work. */
-  const usualOf = (server: string): number =>
-    slownessOf(server) * usualSlowdown(servers.get(server)!.service, server);
+  const usualOf = (server: string): number => {
+    const state = servers.get(server)!;
+    return (
+      slownessOf(state) * usualSlowdown(services.get(state.service), state)
+    );
+  };
 
   /** Mean of that over the servers of the same service. */
   const meanUsual = (server: string): number => {
@@ -324,10 +337,10 @@
         ofService.spread.add(tookMs / usual);
       const unslowedMs = tookMs / noteSlowdown(ofService, ofServer, sample);
       addToMean(ofService.level, rawSlowness(ofServer), WORK_SAMPLES);
-      const workMs = unslowedMs / slownessOf(server);
+      const workMs = unslowedMs / slownessOf(ofServer);
       addToMean(ofService.work, workMs, WORK_SAMPLES);
       noteKind(ofService, kind, workMs);
-      const ratio = unslowedMs / workOf(service, kind)!;
+      const ratio = unslowedMs / workOf(service, ofService, kind)!;
       addToMean(ofServer.slowness, ratio, SERVER_SAMPLES);
       const isOld = clock.now() - ofService.published.at >= MAX_ROW_AGE_MS;
       if (isOld || hasNews(ofService.published, ofService.work))
@@ -335,11 +348,14 @@
       publishIfChanged(ofServer, usualFactor(ofServer));
     },
     expectedMs(service, kind, server) {
-      const usual = usualMs(service, kind, server);
-      if (usual === null) return null;
-      const reading = servers.get(server)?.reading ?? null;
+      const ofService = services.get(service);
+      const workMs = workOf(service, ofService, kind);
+      if (workMs === null) return null;
+      const state = servers.get(server);
+      const usually = usualSlowdown(ofService, state);
+      const usual = workMs * slownessOf(state) * usually;
+      const reading = state?.reading ?? null;
       if (reading === null) return usual;
-      const usually = usualSlowdown(service, server);
       const now = clock.now();
       const presently = expectedSlowdown(reading, usually, usual, now);
       return (usual * presently) / usually;
@@ -359,7 +375,7 @@
       const kinds = seen.map(([kind, count]) => ({
         kind,
         share: count / total,
-        workMs: workOf(service, kind)!,
+        workMs: workOf(service, state, kind)!,
       }));
       const all = {kind: UNKNOWN_KIND, share: 1, workMs: state.work.mean};
       return {
