Read an ask's capacity and the clock once, and skip empty queues

For each free server that a request may go to, and for each capacity, the leader read the clock to learn whether the server is cold, and put together two arrays to combine its limits. An ask computed the capacity of its service three times, and every 40 ms all empty queues were searched too.

A server that wasn't cold at an earlier time isn't cold now, so the clock is read for cold ones alone. Limits are combined without arrays, the capacity of the service is read once per ask, slack is kept by service and priority without a joined name, and empty queues are skipped.

--- a/packages/dispatch/src/cold-limits.ts
+++ b/packages/dispatch/src/cold-limits.ts
@@ -1,5 +1,5 @@
 import type {Clock} from '@banyandrum/base/clock.js';
-import {isCold} from './backend.js';
+import {isCold, type Backend} from './backend.js';
 import type {Backends} from './backends.js';
 import {createRateShare, type RateShare} from './rate-share.js';
 import {LEADERLESS_SHARE, type ServerLimits} from './server-limits.js';
@@ -59,6 +59,14 @@
   random = Math.random,
 }: ColdLimitsConfig): ColdLimits {
   const coldServers = new Map<string, ColdServer>();
+  /** The last time that was read: few servers are cold after it. */
+  let readAt = -Infinity;
+
+  const isColdNow = (backend: Backend): boolean => {
+    if (!isCold(backend, readAt)) return false;
+    readAt = clock.now();
+    return isCold(backend, readAt);
+  };
 
   const dropWarm = (now: number): void => {
     for (const [id, {until}] of coldServers) {
@@ -68,7 +76,7 @@
 
   const limitOf = (server: string): number | null => {
     const backend = backends.get(server);
-    if (backend === undefined || !isCold(backend, clock.now())) return null;
+    if (backend === undefined || !isColdNow(backend)) return null;
     return coldPerSecondOf(backend.info.service);
   };
 
@@ -113,9 +121,10 @@
 ): RequestLimits {
   return {
     limitOf(server) {
-      const limits = [a.limitOf(server), b.limitOf(server)];
-      const known = limits.filter(perSecond => perSecond !== null);
-      return known.length === 0 ? null : Math.min(...known);
+      const first = a.limitOf(server);
+      const second = b.limitOf(server);
+      if (first === null) return second;
+      return second === null ? first : Math.min(first, second);
     },
     hasToken: server => a.hasToken(server) && b.hasToken(server),
     takeToken(server) {
--- a/packages/slots/src/queue-policy.ts
+++ b/packages/slots/src/queue-policy.ts
@@ -145,10 +145,18 @@
 /** Capacity of the servers that serve the queue. */
 export function capacityFor(
   cfg: QueuePolicyConfig,
-  {service, owner}: WaitQueue,
+  queue: WaitQueue,
+): Capacity {
+  return capacityWithin(cfg, queue, cfg.capacities.of(queue.service));
+}
+
+/** Capacity of the servers that serve the queue, of `all` of its service. */
+export function capacityWithin(
+  cfg: QueuePolicyConfig,
+  {owner}: WaitQueue,
+  all: Capacity,
 ): Capacity {
-  const {backends, capacities} = cfg;
-  const all = capacities.of(service);
+  const {backends} = cfg;
   if (owner === null) return all;
   const backend = backends.get(owner);
   if (backend === undefined) return {slots: 1, serviceMs: 0, isLimited: false};
--- a/packages/slots/src/slack-tracker.ts
+++ b/packages/slots/src/slack-tracker.ts
@@ -35,25 +35,26 @@
  * ```
  */
 export function createSlackTracker(): SlackTracker {
-  const minSlackMs = new Map<string, number>();
+  /** By service and priority. */
+  const minSlackMs = new Map<string, Map<number, number>>();
   return {
     noteSlack(service, priority, slackMs) {
-      const key = keyOf(service, priority);
-      const minMs = minSlackMs.get(key) ?? slackMs;
+      let ofService = minSlackMs.get(service);
+      if (ofService === undefined) {
+        ofService = new Map();
+        minSlackMs.set(service, ofService);
+      }
+      const minMs = ofService.get(priority) ?? slackMs;
       const weight = slackMs < minMs ? DECREASE_WEIGHT : INCREASE_WEIGHT;
-      minSlackMs.set(key, minMs + weight * (slackMs - minMs));
+      ofService.set(priority, minMs + weight * (slackMs - minMs));
     },
     maxWaitMs(service, priority, slackMs) {
-      const minMs = minSlackMs.get(keyOf(service, priority)) ?? slackMs;
+      const minMs = minSlackMs.get(service)?.get(priority) ?? slackMs;
       return Math.min(slackMs, Math.sqrt(slackMs * minMs));
     },
     lowestMs(service, priority, slackMs) {
-      const minMs = minSlackMs.get(keyOf(service, priority)) ?? slackMs;
+      const minMs = minSlackMs.get(service)?.get(priority) ?? slackMs;
       return Math.min(slackMs, minMs);
     },
   };
 }
-
-function keyOf(service: string, priority: number): string {
-  return `${priority} ${service}`;
-}
--- a/packages/slots/src/slot-allocator.ts
+++ b/packages/slots/src/slot-allocator.ts
@@ -31,6 +31,7 @@
 import {createFairTurns} from './fair-turns.js';
 import {
   capacityFor,
+  capacityWithin,
   exceedsMaxWait,
   limitedWaitMs,
   findOverdue,
@@ -179,6 +180,7 @@
   };
 
   const serveQueue = (queue: WaitQueue): void => {
+    if (queueLength(queue) === 0) return;
     const now = cfg.clock.now();
     const skipped = new Set<Waiter>();
     for (;;) {
@@ -221,6 +223,7 @@
   const serveAllQueues = (): void => {
     let isWaiting = false;
     for (const queue of queues.all()) {
+      if (queueLength(queue) === 0) continue;
       refuseExpired(queue);
       serveQueue(queue);
       isWaiting ||= queueLength(queue) > 0;
@@ -228,9 +231,13 @@
     if (isWaiting) scheduleReevaluation();
   };
 
-  const assignTurn = (queue: WaitQueue, waiter: Waiter): void => {
-    const {slots} = capacities.of(queue.service);
-    turns?.assign(queue, waiter, capacityFor(policyCfg, queue), slots);
+  const assignTurn = (
+    queue: WaitQueue,
+    waiter: Waiter,
+    all = capacities.of(queue.service),
+  ): void => {
+    const capacity = capacityWithin(policyCfg, queue, all);
+    turns?.assign(queue, waiter, capacity, all.slots);
   };
 
   const enqueueOrRefuse = (queue: WaitQueue, waiter: Waiter): void => {
@@ -248,9 +255,9 @@
   return {
     ask(req, reply) {
       const now = cfg.clock.now();
-      const meanMs = capacities.of(req.service).serviceMs;
+      const capacity = capacities.of(req.service);
       const queue = queues.queueFor(req);
-      const time = requestTime(cfg, req, queue.owner, meanMs);
+      const time = requestTime(cfg, req, queue.owner, capacity.serviceMs);
       const serviceMs = time.ownMs;
       const {priority} = req;
       // The slack at the caller's first request. With the remaining slack,
@@ -280,7 +287,7 @@
         if (trials.has(req.trial)) return refuseTrial(waiter, 'trial-runs');
         trials.add(req.trial);
       }
-      assignTurn(queue, waiter);
+      assignTurn(queue, waiter, capacity);
       if (waiter.expiresAt < now) refuse(waiter, 'no-time');
       else if (countAhead(queue, waiter) > 0 || !tryGrant(waiter)) {
         enqueueOrRefuse(queue, waiter);
