--- a/packages/gateway/test/leader-work-followers.ts
+++ b/packages/gateway/test/leader-work-followers.ts
@@ -33,6 +33,7 @@
     isLeading: () => false,
     onLeadershipOffered: () => undefined,
     onLeaderLost: () => undefined,
+    isGone: () => false,
     unreachableCount: () => 0,
     termEpoch: () => null,
     onConfigCursor: () => undefined,
