Pick the deputies when the state goes to all, not for each that connects

Callers of keyed services waited while all routers joined a new leader: it ranked all of its followers anew at each `hello`, so that its work for one router grew with their number.

Cause: the broadcaster filtered and sorted all candidates at each send, also at those to one follower that had just connected.

Change: the deputies are picked anew when the state goes to all followers, which is at each heartbeat and each change, and while there are fewer than three. A follower that left is no deputy at the next such send, as before.

--- a/packages/gateway/src/host-capacity.ts
+++ b/packages/gateway/src/host-capacity.ts
@@ -62,7 +62,7 @@
 }
 
 /** If two deputies are lost together with the leader, one remains. */
-const MAX_DEPUTIES = 3;
+export const MAX_DEPUTIES = 3;
 
 /**
  * Picks the routers that should lead next: those with the highest capacity,
--- a/packages/gateway/src/link-broadcaster.ts
+++ b/packages/gateway/src/link-broadcaster.ts
@@ -17,6 +17,7 @@
 } from './link-messages.js';
 import {diffList, diffTables, digestServers} from './link-state.js';
 import {
+  MAX_DEPUTIES,
   pickDeputies,
   type Candidate,
   type HostCapacity,
@@ -65,7 +66,10 @@
 
 /** Sends the leader's state to the followers. */
 export interface StateBroadcaster {
-  /** Sends the state, or what changed in it, to some of `all`. */
+  /**
+   * Sends the state, or what changed in it, to some of `all`. The deputies are
+   * picked anew if it goes to all.
+   */
   send(some: Iterable<Subscriber>, all: Iterable<Subscriber>): void;
   /** Renews the bandwidth budget for full states; called at each heartbeat. */
   onHeartbeat(all: Iterable<Subscriber>): void;
@@ -130,7 +134,10 @@
     send(some, all) {
       const subscribers = [...all];
       const totals = {routers: subscribers.length + 1};
-      const next = shared.current(candidatesToLead(subscribers), totals);
+      // Looks at all followers, so not for each that connects.
+      if (some === all || shared.deputies().length < MAX_DEPUTIES)
+        shared.updateDeputies(candidatesToLead(subscribers));
+      const next = shared.current(totals);
       const changes = new Map<SharedState, EncodedMessage>();
       const {deputies, orders} = next;
       const heartbeat = encodeLazily(() => ({
@@ -221,7 +228,9 @@
 /** Tracks the state for followers; returns the same object until it changes. */
 function createSharedState(cfg: BroadcasterConfig): {
   /** `candidates` are the routers that may lead next. */
-  current(candidates: readonly Candidate[], totals: RouterTotals): SharedState;
+  updateDeputies(candidates: readonly Candidate[]): void;
+  deputies(): readonly Candidate[];
+  current(totals: RouterTotals): SharedState;
 } {
   const {leadership, list, clock, config} = cfg;
   let shared: SharedState = {
@@ -304,8 +313,9 @@
   };
 
   return {
-    current(candidates, {routers}) {
-      updateDeputies(candidates);
+    updateDeputies,
+    deputies: () => shared.deputies,
+    current({routers}) {
       updateTables(routers);
       updateList();
       updateConfig();
