Wait longer for the first message of a leader that accepts connections

Cause: the 0.6 s counted from the call, connecting included. When all routers connected at once, those at the end left before they heard the leader, and opened further streams whose whole state it had to send as well.

Change: until the first message of a stream a follower waits up to 2 s, if the other process has accepted the connection (the channel is ready, which takes an answer of that process). No slot request waits on such a stream: they end as `unavailable` at once, as before. A suspended process, a host without power and one that refuses are passed by after 0.6 s or sooner as before, and a router that doesn't lead still answers `elsewhere` at once. From the first message on, 0.6 s apply. The next attempt comes after 100 to 300 ms in place of 200 ms, so that those that left together don't return together.

--- a/packages/gateway/src/link-client.ts
+++ b/packages/gateway/src/link-client.ts
@@ -1,9 +1,11 @@
+import {connectivityState} from '@grpc/grpc-js';
 import {sleep, type Clock} from '@banyandrum/base/clock.js';
 import type {Emit} from '@banyandrum/dispatch/events.js';
 import type {SlotResult, SlotProvider} from '@banyandrum/dispatch/slots.js';
 import type {LimitRow} from '@banyandrum/dispatch/server-limits.js';
 import type {Suspect} from '@banyandrum/dispatch/suspect.js';
 import {
+  FIRST_MESSAGE_TIMEOUT_MS,
   LEADER_TIMEOUT_MS,
   toWireCounts,
   type OfferReply,
@@ -18,7 +20,7 @@
   type FollowerState,
   type Session,
 } from './link-session.js';
-import {createStub} from './link-stub.js';
+import {createStub, type LinkStub} from './link-stub.js';
 import {digestServers} from './link-state.js';
 import {repeat} from './repeat.js';
 import type {Candidate} from './host-capacity.js';
@@ -45,6 +47,8 @@
   onLeaderLost(address: string): void;
   /** Whether no leader works at the address any more. */
   isGone(address: string): boolean;
+  /** A number from 0 to 1 that spreads retries; `Math.random` if absent. */
+  random?(): number;
 }
 
 /** The follower's end of the stream to the leader. */
@@ -109,8 +113,12 @@
 const FAILED_ADDRESS_BACKOFF_MS = 500;
 /** Limit of connections made in a row, each redirected by the one before. */
 const MAX_REDIRECTS = 4;
-/** Delay before the next attempt to find the leader, in ms. */
-const RETRY_MS = 200;
+/**
+ * Delay before the next attempt to find the leader, in ms. Routers that left a
+ * late leader together would otherwise return together.
+ */
+const MIN_RETRY_MS = 100;
+const MAX_RETRY_MS = 300;
 /** Time to deliver the last message of a stream before it closes, in ms. */
 const FLUSH_MS = 300;
 /**
@@ -142,7 +150,9 @@
  * ```
  */
 export function followLeader(cfg: LinkClientConfig): LinkClient {
-  const {clock} = cfg;
+  const {clock, random = Math.random} = cfg;
+  const nextRetryMs = (): number =>
+    MIN_RETRY_MS + random() * (MAX_RETRY_MS - MIN_RETRY_MS);
   let session: Session | null = null;
   let isStopped = false;
   let isSynced = false;
@@ -158,7 +168,8 @@
   let redirect: string | null = null;
   /** The pending `followAt`, whose address is tried next. */
   let followRequest: FollowRequest | null = null;
-  let lastTryAt = -Infinity;
+  /** When a leader is looked for again, in ms. */
+  let retryAt = -Infinity;
   /** The last leader whose stream ended or timed out. */
   let lostLeader = '';
   /** Guessed addresses tried since a leader was last followed. */
@@ -173,8 +184,8 @@
   const liveSession = (): Session | null =>
     session !== null && session.isLeader && isAlive(session) ? session : null;
 
-  const isAlive = ({isOpen, heardAt: at}: Session): boolean =>
-    isOpen && clock.now() - at < LEADER_TIMEOUT_MS;
+  const isAlive = ({isOpen, heardAt: at, timeoutMs}: Session): boolean =>
+    isOpen && clock.now() - at < timeoutMs;
 
   const follow = async (leader: string): Promise<void> => {
     const stub = createStub(leader);
@@ -196,6 +207,8 @@
     };
     stream.on('data', message => {
       current.heardAt = clock.now();
+      current.hasAnswered = true;
+      current.timeoutMs = LEADER_TIMEOUT_MS;
       if (message.kind === 'lead') return cfg.onLeadershipOffered();
       if (message.kind === 'carriers') {
         carriers = message.addresses;
@@ -229,6 +242,7 @@
     stream.on('error', markClosed);
     while (!isStopped && isAlive(current) && !cfg.isLeading()) {
       await sleep(clock, STREAM_CHECK_MS);
+      awaitFirstMessage(current, stub);
       sendCounts(current);
     }
     endSession(current);
@@ -245,6 +259,17 @@
     cfg.onLeaderLost(leader);
   };
 
+  /**
+   * Waits longer for the first message of a process that has accepted the
+   * connection: it is only late. A suspended one accepts none.
+   */
+  const awaitFirstMessage = (current: Session, stub: LinkStub): void => {
+    if (current.hasAnswered) return;
+    const state = stub.getChannel().getConnectivityState(false);
+    if (state !== connectivityState.READY) return;
+    current.timeoutMs = FIRST_MESSAGE_TIMEOUT_MS;
+  };
+
   /** Settles a pending `followAt`; any leader found satisfies it. */
   const settleFollowRequest = (address: string, isLeader: boolean): void => {
     if (
@@ -329,7 +354,7 @@
   repeat(
     {clock, emit, name: 'link', pauseMs: LEADER_SEARCH_MS, goesOn},
     async () => {
-      if (followRequest === null && clock.now() - lastTryAt < RETRY_MS) return;
+      if (followRequest === null && clock.now() < retryAt) return;
       for (
         let redirects = 0;
         redirects < MAX_REDIRECTS && !cfg.isLeading();
@@ -339,7 +364,7 @@
         redirect = null;
         if (leader === null) return;
         await follow(leader);
-        lastTryAt = clock.now();
+        retryAt = clock.now() + nextRetryMs();
         if (redirect === null && followRequest === null) return;
       }
     },
--- a/packages/gateway/src/link-messages.ts
+++ b/packages/gateway/src/link-messages.ts
@@ -183,6 +183,13 @@
  * time.
  */
 export const LEADER_TIMEOUT_MS = 600;
+/**
+ * The same until the first message of a stream, from the time at which it was
+ * opened, if the other router has accepted the connection. No request waits for
+ * a reply on it yet. A router that left earlier would open another stream, whose
+ * state the late leader has to send as well.
+ */
+export const FIRST_MESSAGE_TIMEOUT_MS = 2_000;
 
 /** A router that may lead offers leadership to one with more capacity. */
 export interface Offer {
--- a/packages/gateway/src/link-session.ts
+++ b/packages/gateway/src/link-session.ts
@@ -10,6 +10,7 @@
 import type {KeyOwners, ServedTables} from './key-owners.js';
 import {
   HEARTBEAT_MS,
+  LEADER_TIMEOUT_MS,
   type FollowerMessage,
   type LeaderMessage,
   type ListPosition,
@@ -57,6 +58,10 @@
   /** Whether the leader has sent its full state. */
   isSynced: boolean;
   heardAt: number;
+  /** Whether any message was received. */
+  hasAnswered: boolean;
+  /** How long the other router may be silent, in ms. */
+  timeoutMs: number;
   readonly startedAt: number;
   /** When a router that doesn't lead told how new its list is, in ms. */
   neighbourListAt: number;
@@ -91,6 +96,8 @@
     suspects: new Map(),
     isSynced: false,
     heardAt: now,
+    hasAnswered: false,
+    timeoutMs: LEADER_TIMEOUT_MS,
     startedAt: now,
     neighbourListAt: -Infinity,
     isLeader: false,
