Count no messages at a leader, and list carriers only if asked for

grpc-js counts each message with its time for a diagnostic service that isn't served. At each heartbeat the leader listed all followers as possible carriers, though mostly no follower needs one.

The counts are turned off, and the list is made for the first follower that can't reach a server. What is sent is the same.

--- a/packages/gateway/src/link-server.ts
+++ b/packages/gateway/src/link-server.ts
@@ -132,6 +132,8 @@
     'grpc.keepalive_time_ms': KEEPALIVE_MS,
     'grpc.keepalive_timeout_ms': KEEPALIVE_TIMEOUT_MS,
     'grpc.max_receive_message_length': MAX_LINK_MESSAGE_BYTES,
+    // Nobody reads these counts, which are taken for each message.
+    'grpc.enable_channelz': 0,
   });
 
   const broadcaster = createStateBroadcaster(cfg);
@@ -179,10 +181,12 @@
   /** Tells those of `some` that can't reach servers which routers can. */
   const nameCarriers = (some: Iterable<Follower>): void => {
     if (!cfg.leadership.isLeading()) return;
-    const able = [...followers].flatMap(toCarrierCandidate);
+    let able: readonly CarrierCandidate[] | null = null;
     for (const follower of some) {
+      if (follower.unreachable === 0) continue;
       const [router] = toCarrierCandidate(follower);
-      if (router === undefined || router.unreachable === 0) continue;
+      if (router === undefined) continue;
+      able ??= [...followers].flatMap(toCarrierCandidate);
       const named = pickCarriers(router, able);
       // The leader's own processor is needed for the slots of all.
       const addresses =
