Begin a move in the step that decides on it

Cause: whether a move could be recorded was asked by an asynchronous function also where the answer was known. In the same step the range could be merged with its neighbour; the move then went on with the lease that had been replaced, while the merged one was renewed at the old server.

--- a/packages/ranges/src/move-range.ts
+++ b/packages/ranges/src/move-range.ts
@@ -50,8 +50,11 @@
   preferredServer: string | null = null,
 ): Promise<void> {
   if (lease.phase !== 'held') return;
-  if (OPTIONAL_REASONS.has(reason) && !(await isRecordable(leader, lease)))
-    return;
+  if (OPTIONAL_REASONS.has(reason) && leader.sinceSavedMs() > MAX_SAVE_AGE_MS) {
+    if (!(await waitForStore(leader, lease))) return;
+    // The range may have been merged or split during the wait.
+    if (lease.phase !== 'held' || !leader.leases.includes(lease)) return;
+  }
   lease.phase = 'moving';
   lease.isServed = false;
   leader.emit('range-leaves', {
@@ -78,21 +81,19 @@
 }
 
 /**
- * Whether a move of the range can be recorded now. The range stays with its
- * server meanwhile, and may not move any more after the wait.
+ * Resolves with whether a move of the range can be recorded now. The range stays
+ * with its server meanwhile.
  */
-async function isRecordable(
+async function waitForStore(
   leader: LeaderState,
   lease: RangeLease,
 ): Promise<boolean> {
-  if (leader.sinceSavedMs() <= MAX_SAVE_AGE_MS) return true;
   if (lease.isMoveDue) return false;
   lease.isMoveDue = true;
   const isSaved = await leader.save();
   lease.isMoveDue = false;
   // After a long wait, the next plan decides anew.
-  if (!isSaved || leader.sinceSavedMs() > MAX_WRITE_MS) return false;
-  return lease.phase === 'held' && leader.leases.includes(lease);
+  return isSaved && leader.sinceSavedMs() <= MAX_WRITE_MS;
 }
 
 /**
--- a/packages/ranges/test/replaced-lease.test.ts
+++ b/packages/ranges/test/replaced-lease.test.ts
@@ -49,3 +49,19 @@
   t.same(harness.cluster.violations, []);
   t.ok(serversOf(leader).every(server => server === 'other'));
 });
+
+// Guards against two owners of a range that is merged in the same step in which
+// its move out of an evacuated data centre begins.
+void tap.test('ranges merge as their data centre is evacuated', async t => {
+  for (let steps = 0; steps < 60; steps++) {
+    const harness = createHarness(steps + 1, ['evacuated', 'other']);
+    await harness.startLeader();
+    await harness.advance(1_000);
+    harness.unlisted.add('other');
+    await harness.advance(steps * STEP_MS);
+    harness.unlisted.delete('other');
+    harness.evacuated.add('evacuated');
+    await harness.advance(AFTER_MS);
+    t.same(harness.cluster.violations, [], `${steps} steps`);
+  }
+});
