Leave the wait for a server out of a leader's lateness

Cause: the lateness of a reply counted the wait for a slot. Where all servers are busy, or few requests are asked for, even the fastest of a period waits.

Change: a reply tells how long the request waited at the leader, and only the rest counts; fewer than three replies tell nothing. A router that leads limits nothing, and a leader of an earlier version isn't limited.

--- a/packages/dispatch/src/slots.ts
+++ b/packages/dispatch/src/slots.ts
@@ -49,7 +49,11 @@
 
 /** Reply to a slot request. */
 export type SlotReply =
-  | {readonly kind: 'granted'; readonly server: string}
+  | {
+      readonly kind: 'granted';
+      readonly server: string;
+      readonly waitedMs?: number;
+    }
   /** The request can't be answered in time. */
   | {
       readonly kind: 'refused';
@@ -58,6 +62,8 @@
        * Whether no server owns its key; otherwise, eligible servers are busy.
        */
       readonly isUnheld: boolean;
+      /** See `SlotResult`. */
+      readonly waitedMs?: number;
     }
   /** No leader is available; the router chooses a server itself. */
   | {readonly kind: 'unavailable'};
@@ -67,6 +73,11 @@
   | {
       readonly kind: 'granted';
       readonly server: string;
+      /**
+       * How long the request waited at the leader for a server, in ms; absent
+       * if this router leads, and from earlier versions of the program.
+       */
+      readonly waitedMs?: number;
       /**
        * Releases the slot; must be called once. `slowdown` is that of the
        * server's machine, if it was reported and is of use.
--- a/packages/gateway/src/ask-admission.ts
+++ b/packages/gateway/src/ask-admission.ts
@@ -23,12 +23,13 @@
 
 /** Minimum length of a period after which the limit is adapted, in ms. */
 const PERIOD_MS = 250;
-/** A period goes on until it has as many replies, or for this time, in ms. */
+/** Fewer replies in a period tell nothing: a packet may have been lost. */
 const MIN_REPLIES = 3;
+/** A period with fewer replies goes on for this time, in ms. */
 const MAX_PERIOD_MS = 1_000;
 /**
  * The leader counts as late if even the fastest reply of a period took this much
- * longer than the fastest recent one, in ms: some wait for no server.
+ * longer than the network and the wait for a server explain, in ms.
  */
 const LATE_MS = 60;
 /** A longer delay of the fastest recent reply isn't that of the network, in ms. */
@@ -76,7 +77,6 @@
 export function admitAsks(cfg: AskAdmissionConfig): AdmittingSlotProvider {
   const {clock, emit, provider, random} = cfg;
   const delays = createDelayEstimator();
-  const unanswered = new Set<{readonly askedAt: number}>();
   const requested = createRate(clock);
   const answered = createRate(clock);
   /** Requests per second that the leader is asked for. */
@@ -88,14 +88,6 @@
   let replies = 0;
   let leastLateMs = Infinity;
 
-  /** Lateness of the fastest reply; Infinity if there is none to judge by. */
-  const lateness = (now: number): number => {
-    if (replies > 0) return leastLateMs;
-    const [oldest] = unanswered;
-    const waitedMs = oldest === undefined ? 0 : now - oldest.askedAt;
-    return waitedMs > PERIOD_MS ? waitedMs : Infinity;
-  };
-
   const reducedLimit = (): number => {
     const reduced = answered.current() * LATE_FACTOR;
     if (!wasLate) bearable = reduced;
@@ -116,9 +108,8 @@
     const lastedMs = now - periodStart;
     if (lastedMs < PERIOD_MS) return;
     if (replies < MIN_REPLIES && lastedMs < MAX_PERIOD_MS) return;
-    const lateMs = lateness(now);
-    const isLate = lateMs < Infinity && lateMs > LATE_MS;
-    setLimit(isLate ? reducedLimit() : raisedLimit(lastedMs), lateMs);
+    const isLate = replies >= MIN_REPLIES && leastLateMs > LATE_MS;
+    setLimit(isLate ? reducedLimit() : raisedLimit(lastedMs), leastLateMs);
     periodStart = now;
     replies = 0;
     leastLateMs = Infinity;
@@ -139,24 +130,23 @@
   const admittedShare = (): number =>
     limit === Infinity ? 1 : Math.min(1, limit / requested.current());
 
-  const noteLateness = (lateMs: number): void => {
+  const noteReply = (askedAt: number, waitedMs: number): void => {
+    const now = clock.now();
+    const onTheWayMs = now - askedAt - waitedMs;
+    const networkMs = onTheWayMs - delays.observe(askedAt + waitedMs, now);
     replies++;
     answered.count();
+    const lateMs = onTheWayMs - Math.min(MAX_NETWORK_MS, networkMs);
     leastLateMs = Math.min(leastLateMs, lateMs);
   };
 
-  const noteReply = (askedAt: number): void => {
-    const tookMs = clock.now() - askedAt;
-    const networkMs = tookMs - delays.observe(askedAt, clock.now());
-    noteLateness(tookMs - Math.min(MAX_NETWORK_MS, networkMs));
-  };
-
-  /** Without a reply, only a long wait tells anything of the leader. */
-  const noteNoReply = (askedAt: number): void => {
-    const waitedMs = clock.now() - askedAt;
-    if (waitedMs > LATE_MS) noteLateness(waitedMs);
+  const noteResult = (askedAt: number, result: SlotResult): void => {
+    if (result.kind !== 'unavailable') {
+      if (result.waitedMs !== undefined) noteReply(askedAt, result.waitedMs);
+      return;
+    }
     // Without a leader, this router chooses servers by itself.
-    else if (waitedMs < NO_LEADER_MS) setLimit(Infinity, 0);
+    if (clock.now() - askedAt < NO_LEADER_MS) setLimit(Infinity, 0);
   };
 
   return {
@@ -165,12 +155,9 @@
       requested.count();
       adapt();
       if (random() >= admittedShare()) return cfg.whenLimited();
-      const ask = {askedAt: clock.now()};
-      unanswered.add(ask);
+      const askedAt = clock.now();
       const result = await provider.acquire(request, signal);
-      unanswered.delete(ask);
-      if (result.kind === 'unavailable') noteNoReply(ask.askedAt);
-      else noteReply(ask.askedAt);
+      noteResult(askedAt, result);
       return result;
     },
   };
--- a/packages/gateway/src/link-codec.ts
+++ b/packages/gateway/src/link-codec.ts
@@ -32,8 +32,14 @@
 type Origin = readonly [number, number];
 /** Kind, `ask`, outcome, time taken, slowdown if there is one. */
 type SlotEndRow = ['e', number, SlotOutcome, number, number?];
-/** Kind, `ask`, and the server of the granted slot or another reply. */
-type ReplyRow = ['r', number, string | Exclude<SlotReply, {kind: 'granted'}>];
+/**
+ * Kind, `ask`, the server of the granted slot or another reply, and for a
+ * granted one how long it waited; earlier versions of the program ignore that.
+ */
+type ReplyRow = [
+  ...['r', number, string | Exclude<SlotReply, {kind: 'granted'}>],
+  number?,
+];
 
 /** Index of the first excluded server in an `AskRow`. */
 const EXCLUDED_AT = 10;
@@ -120,17 +126,21 @@
   const {ask, reply} = message;
   if (reply.kind !== 'granted')
     return encode(['r', ask, reply] satisfies ReplyRow);
-  return Buffer.from(`["r",${ask},${JSON.stringify(reply.server)}]`);
+  const {server, waitedMs} = reply;
+  const waited = waitedMs === undefined ? '' : `,${waitedMs}`;
+  return Buffer.from(`["r",${ask},${JSON.stringify(server)}${waited}]`);
 }
 
 /** Decodes a message from the leader. */
 export function decodeLeader(bytes: Buffer): LeaderMessage {
   const decoded = decode(bytes) as LeaderMessage | ReplyRow;
   if (!Array.isArray(decoded)) return decoded;
-  const [, ask, serverOrReply] = decoded;
+  const [, ask, serverOrReply, waitedMs] = decoded;
   if (typeof serverOrReply !== 'string')
     return {kind: 'reply', ask, reply: serverOrReply};
-  return {kind: 'reply', ask, reply: {kind: 'granted', server: serverOrReply}};
+  const granted = {kind: 'granted', server: serverOrReply} as const;
+  const reply = waitedMs === undefined ? granted : {...granted, waitedMs};
+  return {kind: 'reply', ask, reply};
 }
 
 /** Empty if the request has neither, so that its row doesn't grow. */
--- a/packages/gateway/src/link-server.ts
+++ b/packages/gateway/src/link-server.ts
@@ -361,6 +361,7 @@
       return;
     }
     if (place.key !== null) cfg.noteRequest(place.service, place.key);
+    const readAt = cfg.clock.now();
     let isRefused = false;
     const dataCentre = candidate?.dataCentre ?? '';
     // Routers that don't tell callers apart have one account each.
@@ -369,7 +370,9 @@
     const endSlot = cfg.allocator.ask(request, reply => {
       isRefused = reply.kind !== 'granted';
       if (isRefused) pending.delete(ask);
-      stream.write({kind: 'reply', ask, reply});
+      const waitedMs = Math.round(cfg.clock.now() - readAt);
+      const told = reply.kind === 'unavailable' ? reply : {...reply, waitedMs};
+      stream.write({kind: 'reply', ask, reply: told});
     });
     if (!isRefused) pending.set(ask, endSlot);
   },
--- a/packages/gateway/src/link-session.ts
+++ b/packages/gateway/src/link-session.ts
@@ -131,6 +131,7 @@
   return {
     kind: 'granted',
     server: reply.server,
+    ...(reply.waitedMs !== undefined && {waitedMs: reply.waitedMs}),
     release: (how, tookMs, slowdown) =>
       sendEnd(session, number, how, tookMs, slowdown),
   };
