--- a/review/lib/lab.mjs
+++ b/review/lib/lab.mjs
@@ -229,7 +229,8 @@
   }
   for (const each of closables) each.close();
   await sleep(100);
-  if (process.env.KEEP !== '1') fs.rmSync(folder, {recursive: true, force: true});
+  if (process.env.KEEP !== '1')
+    fs.rmSync(folder, {recursive: true, force: true});
 }
 
 /** A configuration as the operator writes it, with one host. */
