--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -18,8 +18,8 @@
 const LEAVING = 20;
 const DRAIN_MS = 2_000;
 const ROUNDS = 10;
-const ROUND_MS = 9_000;
-const PER_SECOND = 160;
+const ROUND_MS = 8_000;
+const PER_SECOND = 190;
 const WORK_MS = 1_000;
 
 const record = lab.createRecord(HERE);
