--- a/review/lib/backend.mjs
+++ b/review/lib/backend.mjs
@@ -18,6 +18,7 @@
  */
 export async function startBackend(store, options) {
   const {id, service, zone = 'a', slots = 3, queue = 12, workMs = 20} = options;
+  const {port = 0, born} = options;
   const {
     isKeyed = false,
     host = '127.0.0.1',
@@ -168,9 +169,18 @@
     answer(connection, request, {status: 503, headers: ['Not-Executed', '1']});
   };
 
+  /** Long bodies are put together only once they are whole. */
+  const gather = connection => {
+    const {buffer, chunks} = connection;
+    connection.buffer = Buffer.concat([buffer, ...chunks]);
+    connection.chunks = [];
+    connection.size = 0;
+  };
+
   /** Takes the next request from what a connection has received. */
   const parse = connection => {
     if (connection.isBusy) return;
+    gather(connection);
     const {buffer} = connection;
     const end = buffer.indexOf('\r\n\r\n');
     if (end < 0) return;
@@ -184,7 +194,8 @@
       headers[line.slice(0, at).toLowerCase()] = line.slice(at + 1).trim();
     }
     const length = Number(headers['content-length'] ?? 0);
-    if (buffer.length < end + 4 + length) return;
+    connection.needed = end + 4 + length - buffer.length;
+    if (connection.needed > 0) return;
     const body = buffer.subarray(end + 4, end + 4 + length);
     connection.buffer = buffer.subarray(end + 4 + length);
     const [method, path] = first.split(' ');
@@ -195,23 +206,30 @@
   };
 
   const server = net.createServer(socket => {
-    const connection = {socket, buffer: Buffer.alloc(0), isBusy: false};
+    const connection = {
+      ...{socket, buffer: Buffer.alloc(0), isBusy: false},
+      ...{chunks: [], size: 0, needed: 0},
+    };
     sockets.add(socket);
     socket.setNoDelay(true);
     socket.on('data', chunk => {
-      connection.buffer = Buffer.concat([connection.buffer, chunk]);
+      connection.chunks.push(chunk);
+      connection.size += chunk.length;
+      if (connection.size < connection.needed) return;
+      gather(connection);
       parse(connection);
     });
     socket.on('error', () => undefined);
     socket.on('close', () => sockets.delete(socket));
   });
   await new Promise(resolve => {
-    server.listen(0, host, resolve);
+    server.listen(port, host, resolve);
   });
   const address = `${host}:${server.address().port}`;
   const beat = () => {
     store.put('keyed.servers', id, {
       address,
+      ...(born !== undefined && {born}),
       info: {service, version: 'v1', zone, slots},
       status: {state, sequence: sequence++, coldRemaining: '0ms'},
     });
@@ -226,6 +244,11 @@
       state = next;
       beat();
     },
+    /** Leaves without a report: the entry goes, and the server serves on. */
+    removeEntry() {
+      clearInterval(timer);
+      store.put('keyed.servers', id, null);
+    },
     close() {
       if (isClosed) return;
       isClosed = true;
--- a/review/lib/lab.mjs
+++ b/review/lib/lab.mjs
@@ -34,6 +34,14 @@
   }
 }
 
+/** Resolves with true once all routers are ready. */
+export function untilReady(routers) {
+  return until(async () => {
+    for (const router of routers) if (!(await router.isReady())) return false;
+    return true;
+  }, 20_000);
+}
+
 /** Fills in a template as DEPLOY.md describes it. */
 export function fill(template, fields) {
   const lookUp = (name, scopes) => {
