--- a/review/lib/backend.mjs
+++ b/review/lib/backend.mjs
@@ -122,8 +122,19 @@
     parse(connection);
   };
 
+  const rejectUnheld = (connection, request) => {
+    const headers = ['Not-Executed', '1', 'Instance-Id', id];
+    answer(connection, request, {status: 421, headers});
+  };
+
   const runNext = () => {
-    while (running < slots && waiting.length > 0) run(...waiting.shift());
+    while (running < slots && waiting.length > 0) {
+      const [connection, request] = waiting.shift();
+      const key = Number(request.headers['shard-key']);
+      // A release stops new work at once, that of queued requests as well.
+      if (!isKeyed || holds(key)) run(connection, request);
+      else rejectUnheld(connection, request);
+    }
   };
 
   const run = (connection, request) => {
