Take no copy of an answer for that of a renewal

What was seen: keys had two owners for 0.7 to 1.6 s (a server that sends its last answer again as a renewal arrives, and carries that out 2 to 4 s later). Cause: the answer to a lease call was trusted for its place on the connection. The copy counted as the renewal's answer, so the range moved right after its release, and the renewal, carried out then, made its first server hold the keys once more. Requests: an answer without an id no longer matches on a connection whose server returns ids.

--- a/packages/dispatch/src/attempt.ts
+++ b/packages/dispatch/src/attempt.ts
@@ -174,10 +174,11 @@
       const id = fields.get(names.requestId);
       // A late or duplicate answer to an earlier request. Later answers on this
       // connection can't be matched to requests either.
-      if (id !== undefined && id !== spec.requestId) {
+      if (isMismatched(connection, id, spec.requestId)) {
         fields = NO_FIELDS;
         abort('mismatched');
       }
+      connection.returnsIds ||= id !== undefined;
       const length = Number(fields.get('content-length') ?? 0);
       const isTooLarge = length > answers.maxBytes;
       if (isTooLarge && hasBody(spec.method, status)) exceed('answer');
@@ -224,6 +225,19 @@
   return {result, abort};
 }
 
+/**
+ * Whether the answer with this id belongs to another request. One without an id
+ * can't be told from a copy of an earlier one, so it only counts on connections
+ * of servers that return none.
+ */
+function isMismatched(
+  {returnsIds}: Connection,
+  id: string | undefined,
+  requestId: string,
+): boolean {
+  return id === undefined ? returnsIds : id !== requestId;
+}
+
 /** Whether an answer to this method with this status has a body. */
 function hasBody(method: string, status: number): boolean {
   return method !== 'HEAD' && status !== 204 && status !== 304;
--- a/packages/dispatch/src/connections.ts
+++ b/packages/dispatch/src/connections.ts
@@ -19,6 +19,8 @@
    * copy of a refusal may arrive late, where the next answer is expected.
    */
   readonly refusedIds: Set<string>;
+  /** Whether an answer on it had the id of its request. */
+  returnsIds: boolean;
   /** Limits of the answers on this connection. */
   readonly answers: AnswerLimits;
   /**
@@ -200,6 +202,7 @@
     socketState: 'open',
     lastAnswerAt: -Infinity,
     refusedIds: new Set(),
+    returnsIds: false,
     answers,
     onReceived: null,
   };
--- a/packages/dispatch/test/attempt.test.ts
+++ b/packages/dispatch/test/attempt.test.ts
@@ -317,6 +317,30 @@
   await server.close();
 });
 
+// Guards against taking a copy of an answer that has lost its id for the answer to
+// the next request: the caller would get that of another.
+void tap.test(
+  'an answer without an id matches only if none has one',
+  async t => {
+    const ids = ['x-request: r1\r\n', ''];
+    for (const [firstId, expected] of [
+      [ids[0], {reason: 'mismatched'}],
+      [ids[1], {answer: {status: 200}}],
+    ] as const) {
+      let answered = 0;
+      const server = await listenRaw(socket => {
+        const id = answered++ === 0 ? firstId : '';
+        socket.write(`${STATUS_LINE}${SIGNED}${id}content-length: 0\r\n\r\n`);
+      });
+      const connections = createServerConnections(server.origin, 1);
+      t.match(await sendOn(connections, 'r1'), {answer: {status: 200}});
+      t.match(await sendOn(connections, 'r2'), expected);
+      connections.retire();
+      await server.close();
+    }
+  },
+);
+
 // Guards against connections over the limit, which the server resets, when the
 // idle ones are of no use to a request.
 void tap.test(
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -53,6 +53,8 @@
   answerBytes(): number;
   /** Answers of servers that exceeded each limit since the start. */
   answersTooLarge(): Readonly<Record<string, number>>;
+  /** Answers to lease calls since the start, by how they were matched. */
+  leaseAnswers(): Readonly<Record<string, number>>;
   /** Epoch of the platform's store; incremented by each restore. */
   storeEpoch(): number;
   /** Time since a leader told the number of routers, in ms. */
@@ -258,6 +260,17 @@
         tooLarge.inc({limit}, count);
     },
   });
+  const leaseAnswers: Counter = new Counter({
+    name: 'banyandrum_lease_answers_total',
+    help: 'Answers to lease calls, by how they were matched to their calls',
+    labelNames: ['match'],
+    registers,
+    collect() {
+      leaseAnswers.reset();
+      for (const [match, count] of Object.entries(source.leaseAnswers()))
+        leaseAnswers.inc({match}, count);
+    },
+  });
   const routes = new Set<string>();
   const labelOf = (route: string | null): string => {
     if (route === null) return 'none';
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -40,6 +40,7 @@
 import {joinRouterGroup} from './membership.js';
 import {monitorLoopLag} from './loop-lag.js';
 import {monitorReadDelay} from './read-delay.js';
+import {createLeaseAnswers} from './lease-answers.js';
 import {createMetrics, type MetricsSource} from './metrics.js';
 import type {Platform} from './platform.js';
 import {createQuarantinePage} from './quarantine-page.js';
@@ -334,8 +335,10 @@
     noteLeaving: reportLeaving,
   };
   paths.subscribe(() => linkClient.reportUnreachable());
+  const leaseAnswers = createLeaseAnswers(platform.names, emit);
   platform.subscribeLeaseCallOutcomes(outcome => {
     reach.noteLeaseCall(outcome);
+    leaseAnswers.note(outcome);
     noteServerSignals(signalsCfg, outcome);
   });
   serverLimits.subscribe((row, isOwn) => {
@@ -418,6 +421,7 @@
     bodiesRefused: bodies.refused,
     answerBytes: answers.heldBytes,
     answersTooLarge: answers.exceeded,
+    leaseAnswers: leaseAnswers.counts,
     carried: () => carryServer.inFlight(),
     storeEpoch: () => platform.history.epoch(),
     routersAgeMs: routerCount.ageMs,
--- a/packages/gateway/test/leadership-scale.test.ts
+++ b/packages/gateway/test/leadership-scale.test.ts
@@ -56,7 +56,7 @@
   const grant: LeaseClient['grant'] = async ({fence}) => {
     harness.fences.push(fence);
     await simulateLatency();
-    return {kind: 'done', handover: null};
+    return {kind: 'done', handover: null, mayBeCopy: false};
   };
   const orders: LeaseClient = {
     grant,
@@ -64,7 +64,7 @@
     async release(assignment) {
       harness.onRelease(assignment);
       await simulateLatency();
-      return {kind: 'done', handover: null};
+      return {kind: 'done', handover: null, mayBeCopy: false};
     },
   };
   const history = createFakeHistory(() => clock.now());
--- a/packages/gateway/test/leadership.test.ts
+++ b/packages/gateway/test/leadership.test.ts
@@ -30,12 +30,12 @@
   let grants = 0;
   const grant: LeaseClient['grant'] = async () => {
     grants++;
-    return {kind: 'done', handover: null};
+    return {kind: 'done', handover: null, mayBeCopy: false};
   };
   const orders: LeaseClient = {
     grant,
     renew: grant,
-    release: async () => ({kind: 'done', handover: null}),
+    release: async () => ({kind: 'done', handover: null, mayBeCopy: false}),
   };
   const suspendAwareNow = createSuspendAwareTime(clock, () => wallNow);
   const history = createFakeHistory(() => clock.now());
--- a/packages/ranges/src/call-grant.ts
+++ b/packages/ranges/src/call-grant.ts
@@ -24,12 +24,29 @@
     if (leader.isStopped || !leader.mayAct()) return {kind: 'unsent'};
     return callGrant(leader, lease);
   }
-  if (result.kind === 'done') lease.fenceAcceptedAt = leader.clock.now();
+  if (result.kind === 'done') noteDone(leader, lease, result.mayBeCopy);
   // The server may have accepted the fence; no connection shows by which process.
   if (result.kind === 'unproved') lease.fenceAcceptedAt ??= -Infinity;
   return result;
 }
 
+function noteDone(
+  {clock, timing}: LeaderState,
+  lease: RangeLease,
+  mayBeCopy: boolean,
+): void {
+  const isNewFence = lease.fenceAcceptedAt === null;
+  lease.fenceAcceptedAt = clock.now();
+  if (mayBeCopy) {
+    lease.lateRenewalUntil = timing.expiryOf(clock.now());
+    return;
+  }
+  // A server that has accepted this fence rejects earlier leaders, so from now on
+  // only this leader can renew the lease, and not with an earlier fence.
+  lease.earlierLeaderGrantUntil = 0;
+  if (isNewFence) lease.lateRenewalUntil = 0;
+}
+
 function send(
   {leaseClient, timing}: LeaderState,
   {assignment, fenceAcceptedAt}: RangeLease,
--- a/packages/ranges/src/confirm-lease.ts
+++ b/packages/ranges/src/confirm-lease.ts
@@ -46,7 +46,8 @@
   if (result.kind !== 'done')
     emitCallResult(leader, 'confirm-failed', assignment, result);
   lease.renewAt = leader.clock.now() + RETRY_DELAY_MS;
-  CONFIRM_RESULT_HANDLERS[result.kind](leader, lease);
+  const isUnproved = result.kind === 'done' && result.mayBeCopy;
+  CONFIRM_RESULT_HANDLERS[isUnproved ? 'unproved' : result.kind](leader, lease);
 }
 
 type ConfirmResultHandler = (leader: LeaderState, lease: RangeLease) => void;
--- a/packages/ranges/src/grant-lease.ts
+++ b/packages/ranges/src/grant-lease.ts
@@ -60,9 +60,6 @@
   Record<LeaseCallResult['kind'], GrantResultHandler>
 > = {
   done(leader, lease, {sentAt, now}) {
-    // A server that has accepted this fence rejects earlier leaders, so from
-    // now on only this leader can renew the lease.
-    lease.earlierLeaderGrantUntil = 0;
     lease.grantedAt = now;
     lease.expiresAt = Math.max(
       leader.timing.expiryOf(now),
--- a/packages/ranges/src/lease-client.ts
+++ b/packages/ranges/src/lease-client.ts
@@ -3,7 +3,15 @@
 /** Result of a lease call to a server. */
 export type LeaseCallResult =
   /** The server has carried out the call. */
-  | {readonly kind: 'done'; readonly handover: string | null}
+  | {
+      readonly kind: 'done';
+      readonly handover: string | null;
+      /**
+       * Whether the answer may be a copy of one to an earlier call, so that this
+       * call may take effect seconds later.
+       */
+      readonly mayBeCopy: boolean;
+    }
   /** Rejected: the server has seen a higher fence for some of the keys. */
   | {readonly kind: 'fenced'}
   /**
--- a/packages/ranges/src/move-range.ts
+++ b/packages/ranges/src/move-range.ts
@@ -1,5 +1,6 @@
 import {sleep} from '@banyandrum/base/clock.js';
 import {loadByServer, NO_LOAD} from './assigned-load.js';
+import {takeNewFence} from './call-grant.js';
 import {grantLease} from './grant-lease.js';
 import {
   emitCallResult,
@@ -114,9 +115,7 @@
     return null;
   }
   if (reason === 'ended') return null;
-  // A delayed grant of an earlier leader could take effect after the release,
-  // unless the server has seen a higher fence first.
-  if (lease.earlierLeaderGrantUntil > 0) await grantLease(leader, lease);
+  await fenceOffLateGrants(leader, lease, reason);
   // Once the lease has expired, an answer is no longer needed; waiting longer
   // for an unresponsive server would only keep its keys unserved.
   const remainingMs = lease.expiresAt - leader.clock.now();
@@ -130,7 +129,10 @@
   if (result.kind === 'done') {
     // An unanswered grant could still take effect after the release.
     await waitUntil(leader, () =>
-      Math.max(lease.lateGrantUntil, lease.earlierLeaderGrantUntil),
+      Math.max(
+        ...[lease.lateGrantUntil, lease.lateRenewalUntil],
+        lease.earlierLeaderGrantUntil,
+      ),
     );
     return result.handover;
   }
@@ -141,6 +143,26 @@
   return null;
 }
 
+/**
+ * Lets the server see a higher fence than that of grants and renewals that may
+ * not have been carried out yet: those of an earlier leader, and those whose
+ * answer may have been a copy of another. They could take effect after the
+ * release. If the server has stopped answering, waiting for their expiry is
+ * shorter than a further grant would be.
+ */
+async function fenceOffLateGrants(
+  leader: LeaderState,
+  lease: RangeLease,
+  reason: MoveReason,
+): Promise<void> {
+  const now = leader.clock.now();
+  const isAnswering = reason !== 'lapsed' && lease.lateGrantUntil <= now;
+  const isRenewalLate = isAnswering && lease.lateRenewalUntil > now;
+  if (isRenewalLate) takeNewFence(leader, lease);
+  if (isRenewalLate || lease.earlierLeaderGrantUntil > 0)
+    await grantLease(leader, lease);
+}
+
 async function waitUntil(
   leader: LeaderState,
   time: () => number,
--- a/packages/ranges/src/previous-leases.ts
+++ b/packages/ranges/src/previous-leases.ts
@@ -39,9 +39,10 @@
   const fences = previous.map(({assignment}) => assignment.fence);
   // The renewals may have needed new fences.
   if (Math.max(...fences) > lease.assignment.fence) takeNewFence(leader, lease);
-  for (const {expiresAt, lateGrantUntil} of previous) {
+  for (const {expiresAt, lateGrantUntil, lateRenewalUntil} of previous) {
     lease.expiresAt = Math.max(lease.expiresAt, expiresAt);
     lease.lateGrantUntil = Math.max(lease.lateGrantUntil, lateGrantUntil);
+    lease.lateRenewalUntil = Math.max(lease.lateRenewalUntil, lateRenewalUntil);
   }
 }
 
--- a/packages/ranges/src/range-lease.ts
+++ b/packages/ranges/src/range-lease.ts
@@ -51,6 +51,12 @@
    * may exist, in ms.
    */
   lateGrantUntil: number;
+  /**
+   * Monotonic time until which a lease from a renewal may exist whose answer may
+   * have been a copy of another, in ms; 0 once the server has seen a fence above
+   * that of the renewal.
+   */
+  lateRenewalUntil: number;
   /**
    * Monotonic time until which a lease granted by an earlier leader may exist,
    * in ms; 0 once the server has seen this leader's fence for the range.
@@ -86,6 +92,7 @@
     renewAt: now,
     expiresAt: now,
     lateGrantUntil: 0,
+    lateRenewalUntil: 0,
     earlierLeaderGrantUntil: 0,
     confirmDeadline: Infinity,
     previous: [],
@@ -152,6 +159,7 @@
     previous: [left, right],
     expiresAt: Math.max(left.expiresAt, right.expiresAt),
     lateGrantUntil: Math.max(left.lateGrantUntil, right.lateGrantUntil),
+    lateRenewalUntil: Math.max(left.lateRenewalUntil, right.lateRenewalUntil),
     earlierLeaderGrantUntil: Math.max(
       left.earlierLeaderGrantUntil,
       right.earlierLeaderGrantUntil,
--- a/packages/ranges/test/fake-cluster.ts
+++ b/packages/ranges/test/fake-cluster.ts
@@ -40,6 +40,11 @@
   unanswered: number;
   /** A write to the table store fails. */
   unsaved: number;
+  /**
+   * In place of the answer to a renewal, the server sends an earlier one again,
+   * and carries the renewal out 0.5 to 3.5 s later.
+   */
+  copied: number;
 }
 
 /** Servers and a table store; checks that no key has two lease holders. */
@@ -47,6 +52,11 @@
   readonly servers: FakeServer[];
   readonly faultRates: FaultRates;
   readonly violations: string[];
+  /**
+   * Whether servers return the ids of lease calls, by which copies of answers
+   * are told from others; true by default.
+   */
+  returnsIds: boolean;
   /** Time that a server needs to release the keys, in ms; 0 by default. */
   releaseMs: (range: KeyRange) => number;
   createLeaseClient(leader: number): LeaseClient;
@@ -83,7 +93,9 @@
     leases: [],
     seenFences: [],
   }));
-  const faultRates: FaultRates = {late: 0, unanswered: 0, unsaved: 0};
+  const faultRates: FaultRates = {
+    ...{late: 0, unanswered: 0, unsaved: 0, copied: 0},
+  };
   const violations: string[] = [];
   const granted = new Map<number, {fence: number; holder: string}>();
   let tables = new Map<string, RangeTable>();
@@ -193,7 +205,7 @@
         clock.after(1 + random() * 4, () =>
           resolve(
             isDone
-              ? {kind: 'done', handover: `h${clock.now()}`}
+              ? {kind: 'done', handover: `h${clock.now()}`, mayBeCopy: false}
               : {kind: 'fenced'},
           ),
         );
@@ -202,10 +214,27 @@
 
   const sessions = createSessions(clock, servers);
 
+  /** The server sends a copy of an answer, and renews the lease later. */
+  const renewLate = (
+    assignment: RangeAssignment,
+    leaseMs: number,
+  ): LeaseCallResult => {
+    const server = servers.find(({id}) => id === assignment.server)!;
+    const {process} = server;
+    const expiresAt = clock.now() + leaseMs * MAX_CLOCK_SLOWDOWN;
+    clock.after(500 + random() * 3_000, () => {
+      if (server.process === process) applyGrant(server, assignment, expiresAt);
+    });
+    return cluster.returnsIds
+      ? {kind: 'unproved'}
+      : {kind: 'done', handover: null, mayBeCopy: true};
+  };
+
   const cluster: FakeCluster = {
     servers,
     faultRates,
     violations,
+    returnsIds: true,
     releaseMs: () => 0,
     holdersOf,
     createLeaseClient: leader => ({
@@ -214,7 +243,12 @@
         if (state === 'none') return {kind: 'session-lost'};
         // The connection was open to a process that has ended.
         if (state === 'reset') return {kind: 'unproved'};
-        return this.grant(assignment, leaseMs, timeoutMs);
+        if (faultRates.copied > 0 && random() < faultRates.copied)
+          return renewLate(assignment, leaseMs);
+        const result = await this.grant(assignment, leaseMs, timeoutMs);
+        return result.kind === 'done'
+          ? {...result, mayBeCopy: !cluster.returnsIds}
+          : result;
       },
       grant(assignment, leaseMs, timeoutMs) {
         return deliver(
--- a/packages/ranges/test/service-leader.test.ts
+++ b/packages/ranges/test/service-leader.test.ts
@@ -137,6 +137,7 @@
   'random faults': () => undefined,
   'random faults and lost leases': loseLeases,
   'random faults and restarted servers': restartServer,
+  'random faults and copied answers': copyAnswers,
 } as const;
 const CASES = Object.entries(FAULTS).flatMap(([faults, disturb]) =>
   SEEDS.map(seed => ({seed, faults, disturb})),
@@ -168,7 +169,8 @@
     t.same(cluster.violations, [], 'one holder, rising fences', {todo});
     unlisted.clear();
     for (const {unreachableBy} of cluster.servers) unreachableBy.clear();
-    Object.assign(cluster.faultRates, {late: 0, unanswered: 0, unsaved: 0});
+    const noFaults = {late: 0, unanswered: 0, unsaved: 0, copied: 0};
+    Object.assign(cluster.faultRates, noFaults);
     leader = await startLeader();
     await advance(25_000);
     t.equal(countUnserved(leader), 0, 'all keys are served again');
@@ -191,6 +193,12 @@
   if (random() < 0.5) loseLeases(disturbed);
 }
 
+/** Sends earlier answers again in place of those to renewals, without ids. */
+function copyAnswers({random, harness: {cluster}}: Disturbed): void {
+  cluster.returnsIds = false;
+  cluster.faultRates.copied = random() < 0.6 ? 0.5 : 0;
+}
+
 /** Ends the server's leases early, and reports some of its keys as not held. */
 function loseLeases({server, leader, random, harness}: Disturbed): void {
   const {serviceLeader} = leader;
@@ -210,6 +218,31 @@
   if (!set.delete(id) && set.size < 3) set.add(id);
 }
 
+// Guards against taking a copy of an answer for that of a renewal, which the
+// server carries out after it has released the keys: two servers would hold them.
+for (const returnsIds of [true, false]) {
+  const name = `copied answers to renewals, ${returnsIds ? 'with' : 'without'} ids`;
+  void tap.test(name, async t => {
+    for (let seed = 1; seed <= 8; seed++) {
+      const harness = createHarness(seed, ['a', 'b', 'c']);
+      const {cluster, unlisted, startLeader, advance} = harness;
+      cluster.returnsIds = returnsIds;
+      const leader = await startLeader();
+      await advance(1_000);
+      cluster.faultRates.copied = 1;
+      await advance(1_000);
+      cluster.faultRates.copied = 0;
+      unlisted.add('a');
+      await advance(500);
+      const servers = leader.serviceLeader.served().map(({server}) => server);
+      t.notOk(servers.includes('a'));
+      if (!returnsIds) t.notOk(servers.includes(null), 'moved at once');
+      await advance(6_000);
+      t.same(cluster.violations, [], `seed ${seed}`);
+    }
+  });
+}
+
 // Guards against releasing a part of a range whose grant wasn't answered: until
 // that grant can't take effect any more, no server may get the keys.
 void tap.test('a part whose grant is unanswered stays served', async t => {
