Take no entry of the list for a proof that a server has ended

Now only an answer at the server's address proves that it has ended: the release goes there first, and another instance answers it with 421 at once, so that keys of ended servers whose address is used again still move without a wait.

--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -171,8 +171,9 @@
     [...(configKeeper.current()?.services.values() ?? [])]
       .filter(({isKeyed}) => isKeyed)
       .map(({name}) => name);
-  const hasEnded = (server: string): boolean =>
-    keyOwners.isReplaced(server) || serverList.isReplaced(server);
+  // Only an answer at the server's address proves that. An entry at that address
+  // may be of another writer, while the server holds its keys.
+  const hasEnded = (server: string): boolean => keyOwners.isReplaced(server);
 
   let restoredAt = -Infinity;
   /** When this router's last term ended, in ms. */
--- a/packages/gateway/src/server-list.ts
+++ b/packages/gateway/src/server-list.ts
@@ -39,7 +39,10 @@
   /** Time since the platform confirmed this list, in ms. */
   ageMs(): number;
   has(id: string): boolean;
-  /** Whether a newer server is listed at the address of this one. */
+  /**
+   * Whether a newer server is listed at the address of this one. No proof that
+   * it has ended, as anyone may write entries.
+   */
   isReplaced(id: string): boolean;
   subscribe(listener: () => void): void;
 }
