Eject servers that answer nothing no longer than before

Cause: a server that had never answered was ejected for up to 15 s, also where a request did reach it, or where it was not reached on a busy machine. Now the longer ejection needs that the server was not reached, and is 4 s at most.

--- a/packages/dispatch/src/backend.ts
+++ b/packages/dispatch/src/backend.ts
@@ -81,11 +81,11 @@
 /** Maximum length of an ejection, in ms. */
 const MAX_EJECTION_MS = 2_000;
 /**
- * Maximum length for a server that has never answered, in ms. Its entry may be of
- * another writer and name nobody; many such entries would cost each request
- * several attempts.
+ * Maximum length for a server that has never answered and can't be reached, in
+ * ms. Its entry may be of another writer and name nobody; many such entries would
+ * cost each request several attempts.
  */
-const MAX_UNPROVEN_EJECTION_MS = 15_000;
+const MAX_UNREACHED_EJECTION_MS = 4_000;
 
 /** Creates the state of a backend server from its list entry. */
 export function createBackend(
@@ -205,12 +205,18 @@
 
 /**
  * Ejects the server for a time that doubles with each consecutive ejection.
- * Returns whether it was not ejected before.
+ * Returns whether it was not ejected before. `isReached` tells whether the
+ * request without an answer was sent to it.
  */
-export function eject(backend: Backend, now: number): boolean {
+export function eject(
+  backend: Backend,
+  now: number,
+  isReached: boolean,
+): boolean {
   if (backend.ejectedUntil > now) return false;
+  const isProven = isReached || hasEverAnswered(backend);
   backend.ejectionMs = Math.min(
-    hasEverAnswered(backend) ? MAX_EJECTION_MS : MAX_UNPROVEN_EJECTION_MS,
+    isProven ? MAX_EJECTION_MS : MAX_UNREACHED_EJECTION_MS,
     Math.max(MIN_EJECTION_MS, backend.ejectionMs * 2),
   );
   backend.ejectedUntil = now + backend.ejectionMs;
--- a/packages/dispatch/src/eject-server.ts
+++ b/packages/dispatch/src/eject-server.ts
@@ -26,7 +26,7 @@
   evidence: EjectionEvidence,
 ): void {
   const answerAgeMs = now - backend.lastAnswerAt;
-  if (!eject(backend, now)) return;
+  if (!eject(backend, now, evidence.outcome === 'lost')) return;
   emit('server-ejected', {
     server: backend.info.id,
     ...evidence,
--- a/packages/dispatch/test/leaderless-load.test.ts
+++ b/packages/dispatch/test/leaderless-load.test.ts
@@ -130,7 +130,7 @@
     if (isAccepted) return;
     cancelTimeout();
     backend.inFlight--;
-    eject(backend, now);
+    eject(backend, now, true);
     noteLoss(backend, now, 0);
     counts.reset++;
   };
