--- a/packages/dispatch/src/backend.ts
+++ b/packages/dispatch/src/backend.ts
@@ -228,7 +228,7 @@
   return lastAnswerAt > -Infinity;
 }
 
-/** Whether the server has never answered, and could not be reached either. */
+/** Whether the server was ejected before it answered anything. */
 export function isUnproven(backend: Backend): boolean {
   return backend.ejectionMs > 0 && !hasEverAnswered(backend);
 }
