--- a/packages/dispatch/src/retry-decision.ts
+++ b/packages/dispatch/src/retry-decision.ts
@@ -3,16 +3,18 @@
 /** Maximum attempts per request that reached a server. */
 const MAX_ATTEMPTS = 6;
 /**
- * Maximum attempts that reached none. They take a few ms each where connections
- * are refused, so that a request gets past many entries that name nobody.
+ * Maximum attempts that reached none, while they are quick: they take a few ms
+ * each where connections are refused, so that a request gets past many entries
+ * that name nobody.
  */
-const MAX_UNREACHED_ATTEMPTS = 40;
+const MAX_QUICK_UNREACHED = 40;
 /**
- * After this share of the target latency, a request that reached no server gets
- * no more such attempts than others: where connections time out, further ones
- * would only delay the refusal.
+ * Maximum attempts that reached none, once they have taken long: where
+ * connections time out, further ones would only delay the refusal.
  */
-const UNREACHED_SHARE = 0.5;
+const MAX_SLOW_UNREACHED = 6;
+/** Share of the target latency for which attempts that reach none are quick. */
+const QUICK_SHARE = 0.5;
 
 /** Why a request isn't sent to a server again. */
 export type RetryObstacle =
@@ -73,10 +75,9 @@
 function hasTriedEnough(state: ForwardState): boolean {
   const {cfg, req, attemptCount, sentCount} = state;
   const unreached = attemptCount - sentCount;
-  const quickUntil =
-    state.startedAt + req.route.targetLatencyMs * UNREACHED_SHARE;
+  const quickUntil = state.startedAt + req.route.targetLatencyMs * QUICK_SHARE;
   const isQuick = cfg.clock.now() < quickUntil;
-  return unreached >= (isQuick ? MAX_UNREACHED_ATTEMPTS : MAX_ATTEMPTS);
+  return unreached >= (isQuick ? MAX_QUICK_UNREACHED : MAX_SLOW_UNREACHED);
 }
 
 function recordRetry(state: ForwardState, outcome: RetryOutcome): void {
