Find the next leader among one's own deputies

What was seen: a leader that was cut off from the store, and replaced, followed nobody for as long as the cut lasted: until the end of an 18 s trial with 2 and with 4 real routers, on. It then routes without a leader, by guessed loads and old tables. Cause: routers guess the leader's address from the store's choice and from the deputies that the leader they followed had named. A former leader followed nobody, and can't ask the store; its own deputies were not among the guesses. Now they are, if the router has led since it last followed a leader. One that doesn't lead names the leader that it follows.

--- a/packages/gateway/src/link-broadcaster.ts
+++ b/packages/gateway/src/link-broadcaster.ts
@@ -82,6 +82,8 @@
   send(some: Iterable<Subscriber>, all: Iterable<Subscriber>): void;
   /** Renews the bandwidth budget for full states; called at each heartbeat. */
   onHeartbeat(all: Iterable<Subscriber>): void;
+  /** Routers that were picked last to lead next, the best first. */
+  deputies(): readonly Candidate[];
 }
 
 /**
@@ -148,6 +150,7 @@
   let budget = fullStateBudget(cfg.room);
 
   return {
+    deputies: shared.deputies,
     send(some, all) {
       const subscribers = [...all];
       const totals = {routers: subscribers.length + 1};
--- a/packages/gateway/src/link-client.ts
+++ b/packages/gateway/src/link-client.ts
@@ -49,6 +49,12 @@
   onLeaderLost(address: string): void;
   /** Whether no leader works at the address any more. */
   isGone(address: string): boolean;
+  /**
+   * Routers that this one designated to lead next, if it has led since it last
+   * followed a leader. It may be cut off from the platform, which knows who
+   * leads now.
+   */
+  ownDeputies(): readonly Candidate[];
   /** A number from 0 to 1 that spreads retries; `Math.random` if absent. */
   random?(): number;
 }
@@ -360,8 +366,11 @@
    * lost leader last, since it takes long not to answer.
    */
   const guessAddress = (): string | null => {
-    const deputyAddresses = deputies.map(({address}) => address);
-    const candidates = [cfg.chosenAddress(), ...deputyAddresses].filter(
+    const deputyAddresses = [...cfg.ownDeputies(), ...deputies].map(
+      ({address}) => address,
+    );
+    const addresses = new Set([cfg.chosenAddress(), ...deputyAddresses]);
+    const candidates = [...addresses].filter(
       address =>
         address !== null &&
         address !== cfg.self.address &&
--- a/packages/gateway/src/link-server.ts
+++ b/packages/gateway/src/link-server.ts
@@ -23,6 +23,7 @@
   type ListPosition,
   type OfferReply,
 } from './link-messages.js';
+import type {Candidate} from './host-capacity.js';
 import type {ServerList} from './server-list.js';
 import {
   createSubscriber,
@@ -79,6 +80,8 @@
   followers(): number;
   /** Followers that may send attempts for this router while it leads. */
   carriers(): readonly string[];
+  /** Routers that this one designated last to lead next, the best first. */
+  deputies(): readonly Candidate[];
   close(): void;
 }
 
@@ -294,6 +297,7 @@
   });
   return {
     followers: () => followers.size,
+    deputies: broadcaster.deputies,
     carriers() {
       if (ownCarriers !== null) return ownCarriers;
       const unreachable = Math.max(1, cfg.paths.unreachableCount());
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -173,7 +173,7 @@
       .map(({name}) => name);
   // Only an answer at the server's address proves that. An entry at that address
   // may be of another writer, while the server holds its keys.
-  const hasEnded = (server: string): boolean => keyOwners.isReplaced(server);
+  const hasEnded = keyOwners.isReplaced;
 
   let restoredAt = -Infinity;
   /** When this router's last term ended, in ms. */
@@ -278,6 +278,10 @@
       void election.runIfNeeded();
     },
     isGone: address => succession.isGone(address),
+    ownDeputies: () =>
+      clock.now() - termEndedAt < linkClient.leaderAgeMs()
+        ? linkServer.deputies()
+        : [],
     unreachableCount: paths.unreachableCount,
     termEpoch: () => leadership.epoch(),
     onConfigCursor: cursor => configKeeper.onCursorAnnounced(cursor),
--- a/packages/gateway/test/late-leader.test.ts
+++ b/packages/gateway/test/late-leader.test.ts
@@ -44,6 +44,7 @@
     onLeadershipOffered: () => undefined,
     onLeaderLost: () => undefined,
     isGone: () => false,
+    ownDeputies: () => [],
     unreachableCount: () => 0,
     termEpoch: () => null,
     onConfigCursor: () => undefined,
--- a/packages/gateway/test/leader-followers.ts
+++ b/packages/gateway/test/leader-followers.ts
@@ -92,6 +92,7 @@
       onLeadershipOffered: () => undefined,
       onLeaderLost: () => void view.followersLost++,
       isGone: () => false,
+      ownDeputies: () => [],
       unreachableCount: () => 0,
       termEpoch: () => null,
       onConfigCursor: () => undefined,
--- a/packages/gateway/test/leader-work-followers.ts
+++ b/packages/gateway/test/leader-work-followers.ts
@@ -34,6 +34,7 @@
     onLeadershipOffered: () => undefined,
     onLeaderLost: () => undefined,
     isGone: () => false,
+    ownDeputies: () => [],
     unreachableCount: () => 0,
     termEpoch: () => null,
     onConfigCursor: () => undefined,
--- a/packages/gateway/test/link.test.ts
+++ b/packages/gateway/test/link.test.ts
@@ -22,7 +22,7 @@
   type LinkClient,
 } from '@banyandrum/gateway/link-client.js';
 import {LINK_SERVICE} from '@banyandrum/gateway/link-messages.js';
-import {serveLinks} from '@banyandrum/gateway/link-server.js';
+import {serveLinks, type LinkServer} from '@banyandrum/gateway/link-server.js';
 import type {Candidate} from '@banyandrum/gateway/host-capacity.js';
 import {askTermEnd} from '@banyandrum/gateway/ask-term-end.js';
 import {OTHER_RUN, type TermEndAnswer} from '@banyandrum/gateway/term-end.js';
@@ -150,6 +150,8 @@
 /** A leader and a router that follows it through `proxy`. */
 interface Harness {
   readonly proxy: Proxy;
+  /** Of the leader. */
+  readonly server: LinkServer;
   readonly link: LinkClient;
   readonly leaderList: ServerList;
   readonly list: ServerList;
@@ -166,6 +168,7 @@
   self: Candidate,
   list: ServerList,
   chosen: () => string | null,
+  ownDeputies: () => readonly Candidate[] = () => [],
 ): LinkClient {
   const clock = createClock();
   const emit = (): void => undefined;
@@ -178,6 +181,7 @@
     onLeadershipOffered: () => undefined,
     onLeaderLost: () => undefined,
     isGone: () => false,
+    ownDeputies,
     unreachableCount: () => 0,
     termEpoch: () => null,
     onConfigCursor: () => undefined,
@@ -245,7 +249,7 @@
     chosen ?? (() => proxy.address),
   );
   return {
-    ...{proxy, link, leaderList, list},
+    ...{proxy, server, link, leaderList, list},
     close() {
       link.stop();
       server.close();
@@ -414,6 +418,30 @@
   successor.close();
 });
 
+// Guards against a router that has handed the lead over and can't reach the
+// platform, which alone knew who leads now: it must ask those that it designated.
+void tap.test('a former leader finds the next among its deputies', async t => {
+  const former = await startHarness();
+  const successor = await startHarness();
+  const deputy = await followAs(former.proxy.address, successor.proxy.address);
+  await waitUntil(async () =>
+    former.server
+      .deputies()
+      .some(({address}) => address === successor.proxy.address),
+  );
+  const link = startRouter(
+    {address: former.proxy.address, room: ROOM, dataCentre: 'a'},
+    createServerList(createClock(), () => undefined, 2_000),
+    () => null,
+    former.server.deputies,
+  );
+  await waitUntil(async () => link.leader() !== null);
+  t.equal(link.leader(), successor.proxy.address);
+  for (const each of [deputy, link]) each.stop();
+  former.close();
+  successor.close();
+});
+
 /**
  * Starts a router at `address`, a candidate to lead, that follows the leader.
  */
--- a/packages/gateway/test/request-times-link.test.ts
+++ b/packages/gateway/test/request-times-link.test.ts
@@ -93,6 +93,7 @@
     ...{chosenAddress: () => listen, isLeading: () => false},
     ...{onLeadershipOffered: emit, onLeaderLost: emit},
     isGone: () => false,
+    ownDeputies: () => [],
     ...{unreachableCount: () => 0, termEpoch: () => null},
     ...{onConfigCursor: emit, applyConfig: emit, confirmConfig: emit},
     ...{applyPosition: () => true, setRouterCount: emit},
