Log how a router's stop bore on a request

A 504 by the end of a stopping router reads like one by the caller's time limit, and no line told whether a request was read before or after the stop signal.

--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -55,7 +55,10 @@
 } from './write-response.js';
 
 /** Dependencies of the frontend. */
-export interface FrontendConfig extends RequestLogConfig {
+export interface FrontendConfig extends Omit<
+  RequestLogConfig,
+  'stoppingSince'
+> {
   readonly forward: ForwardConfig;
   readonly splitter: Splitter;
   /** Limits the answers that callers don't read. */
@@ -88,8 +91,9 @@
   applyLimits(config: RoutingConfig): void;
 }
 
-interface FrontendState extends FrontendConfig {
-  isClosing: boolean;
+interface FrontendState extends FrontendConfig, RequestLogConfig {
+  /** When this router was told to stop, monotonic, in ms. */
+  closingSince: number | null;
   /** When requests that are read now end at the latest, monotonic, in ms. */
   endsAt: number;
   isRefusing: boolean;
@@ -147,7 +151,8 @@
 export function createFrontend(cfg: FrontendConfig): Frontend {
   const state: FrontendState = {
     ...cfg,
-    isClosing: false,
+    closingSince: null,
+    stoppingSince: () => state.closingSince,
     endsAt: Infinity,
     isRefusing: false,
     pipelines: createRequestPipelines(),
@@ -169,7 +174,7 @@
     server,
     connections: createCallerConnections(server, cfg.openRequests),
     startClosing(endsAt) {
-      state.isClosing = true;
+      state.closingSince = cfg.clock.now();
       state.endsAt = endsAt;
     },
     startRefusing() {
@@ -196,7 +201,7 @@
   const initial = {id, readAt, delay, signal: canceller.signal};
   const context: RequestContext = {
     ...initial,
-    ...{route: null, askedMs: 0, refusal: null},
+    ...{route: null, askedMs: 0, refusal: null, isShortened: false},
   };
   const openRequest: OpenRequest = {
     ...{id, readAt},
@@ -228,7 +233,8 @@
   const isGone = req.socket.destroyed || req.socket.readableEnded;
   if (!isGone) {
     // Only the last accepted request's response may close the connection.
-    const isLast = (state.isClosing && pipelined.isNewest()) || !req.complete;
+    const isLast =
+      (state.closingSince !== null && pipelined.isNewest()) || !req.complete;
     if (isLast) pipelined.markLast();
     const {unread} = state;
     sendOrFail(state, {requestId, isLast, unread}, req, res, response);
@@ -330,10 +336,9 @@
   const timeoutMs = callerTimeoutMs(names, req);
   const unreadMs = expectedDelayMs(context.delay.ms, timeoutMs);
   const callerLeftMs = timeoutMs - unreadMs;
-  const deadline = Math.min(
-    deadlineOf(callerLeftMs, route, context.readAt),
-    state.endsAt,
-  );
+  const ownDeadline = deadlineOf(callerLeftMs, route, context.readAt);
+  const deadline = Math.min(ownDeadline, state.endsAt);
+  context.isShortened = deadline < ownDeadline;
   const late = refuseIfLate(state, context, deadline);
   if (late !== null) return late;
   context.askedMs = state.retryAges.observe(route.name, timeoutMs);
--- a/packages/gateway/src/log-request.ts
+++ b/packages/gateway/src/log-request.ts
@@ -1,4 +1,4 @@
-import type {CancelSignal} from '@banyandrum/base/cancel.js';
+import {STOPPING, type CancelSignal} from '@banyandrum/base/cancel.js';
 import type {Clock} from '@banyandrum/base/clock.js';
 import type {Emit, EventFields} from '@banyandrum/dispatch/events.js';
 import type {Route, RoutingConfig} from '@banyandrum/routing/config.js';
@@ -47,6 +47,8 @@
   askedMs: number;
   /** Why this router refused it before it looked for a server. */
   refusal: IntakeRefusal | null;
+  /** Whether it has less time than its caller, since the process ends. */
+  isShortened: boolean;
 }
 
 /** What the lines and metrics of requests are written with. */
@@ -55,6 +57,8 @@
   readonly emit: Emit;
   config(): RoutingConfig | null;
   configStatus(): ConfigStatus;
+  /** Monotonic time at which this router was told to stop; null before that. */
+  stoppingSince(): number | null;
   /** Records a finished request in the metrics. */
   recordRequest(outcome: RequestOutcome): void;
 }
@@ -92,9 +96,23 @@
     ...(askedMs > 0 && {askedMs}),
     ...(countedDelayMs(delay.ms) > 0 && delayFields(delay)),
     ...(isGone && {isGone}),
+    ...stopFields(context, state.stoppingSince()),
   });
 }
 
+/** Tells how the stop of this router bore on the request. */
+function stopFields(
+  {readAt, signal, isShortened}: RequestContext,
+  stoppingSince: number | null,
+): EventFields {
+  if (stoppingSince === null) return {};
+  return {
+    readAfterStopMs: Math.round(readAt - stoppingSince),
+    ...(isShortened && {isShortened}),
+    ...(signal.reason === STOPPING && {isBrokenOff: true}),
+  };
+}
+
 /** Tells how long the request may have waited unread. */
 function delayFields({ms, by}: ReadDelay): EventFields {
   return {readDelayMs: Math.round(ms), readDelayBy: by};
