Send nothing to a server that could outlast a stopping router

Callers saw a 504 of the router, 5.6 s after a planned stop's signal with a grace period of 6 s, in place of the answer that a server was working on, also for requests that can't be repeated.

Cause: until the process ended, a stopping router sent on what it read, what got a slot after a wait, and repeats, as long as the expected time fitted in; whatever took longer was broken off. Sending on is a promise that such a router can't keep.

Now, from the moment at which the load balancer has noticed the stop, a request is only sent to a server if its own time limit ends before the process. Others that no server has are refused at once with 503, which says that they were not run, and a short Retry-After: other routers serve them whole. That holds for requests that are read, that wait for a slot, whose body is being read, and that would be repeated; those whose time limit fits in are served as before.

--- a/packages/dispatch/src/find-target.ts
+++ b/packages/dispatch/src/find-target.ts
@@ -53,7 +53,7 @@
   const targetAt = req.firstAskedAt + req.route.targetLatencyMs;
   for (;;) {
     const leftMs = req.deadline - cfg.clock.now();
-    if (req.signal.aborted || leftMs < MIN_SEND_MS) return null;
+    if (req.sendSignal.aborted || leftMs < MIN_SEND_MS) return null;
     const standing = cfg.quarantine.standingOf(req);
     if (standing === 'quarantined') {
       refuseAsQuarantined(state, standing);
@@ -82,7 +82,7 @@
         ...(cfg.times !== undefined && {kind: kindOf(req.route.name)}),
         ...(cfg.hashCaller && {caller: cfg.hashCaller(req.caller)}),
       },
-      req.signal,
+      req.sendSignal,
     );
     if (slot.kind === 'refused') {
       logRefusedCaller(state);
@@ -146,7 +146,7 @@
   const waitUntil = waitDeadline(state);
   if (req.key !== null) cfg.owners.noteRequest(req.service, req.key);
   for (;;) {
-    if (req.signal.aborted) return null;
+    if (req.sendSignal.aborted) return null;
     if (isWithoutOwner(state)) state.retryAfterMs = cfg.leaderlessRetryMs();
     // Only the leader can limit a suspected request to one server at a time.
     const standing = cfg.quarantine.standingOf(req);
--- a/packages/dispatch/src/forward-state.ts
+++ b/packages/dispatch/src/forward-state.ts
@@ -42,7 +42,13 @@
   readonly firstAskedAt: number;
   /** Monotonic time by which the caller must receive the answer, in ms. */
   readonly deadline: number;
+  /** Aborted when the request ends, also while a server works on it. */
   readonly signal: CancelSignal;
+  /**
+   * Aborted when the request must not be sent to a server any more; one that
+   * works on it may answer. Also aborted with `signal`.
+   */
+  readonly sendSignal: CancelSignal;
 }
 
 /** Reply to the caller: a server's answer, or the reason why there is none. */
@@ -161,7 +167,7 @@
   const {req} = state;
   if (state.serverFailure !== null) return state.serverFailure;
   if (state.unknownOutcome !== null) return failureReply(state.unknownOutcome);
-  if (req.signal.aborted) return failureReply(cancelledFailure(req));
+  if (req.sendSignal.aborted) return failureReply(cancelledFailure(req));
   const {cause, retryAfterMs} = state;
   return failureReply(
     failure('not-run', cause, CAUSE_DETAILS[cause], retryAfterMs),
@@ -169,8 +175,8 @@
 }
 
 /** Why a request that no server has got was cancelled. */
-function cancelledFailure({signal}: ForwardRequest): Failure {
-  return signal.reason === STOPPING
+function cancelledFailure({sendSignal}: ForwardRequest): Failure {
+  return sendSignal.reason === STOPPING
     ? failure('not-run', 'stopping', 'this router stops', STOPPING_RETRY_MS)
     : failure('not-run', 'cancelled', 'the caller cancelled the request');
 }
--- a/packages/dispatch/src/forward.ts
+++ b/packages/dispatch/src/forward.ts
@@ -90,11 +90,11 @@
 ): Promise<Reply | null> {
   const {cfg, req} = state;
   const {backend, connection, inFlightAtSend} = target;
-  const behind = cfg.catchUp(req.signal);
+  const behind = cfg.catchUp(req.sendSignal);
   if (behind !== null) await behind;
   const sentAt = cfg.clock.now();
   const withinMs = req.deadline - sentAt;
-  if (withinMs < MIN_SEND_MS || req.signal.aborted) {
+  if (withinMs < MIN_SEND_MS || req.sendSignal.aborted) {
     abandonTarget(target);
     return finalReply(state);
   }
--- a/packages/dispatch/src/retry-decision.ts
+++ b/packages/dispatch/src/retry-decision.ts
@@ -40,7 +40,7 @@
  * ```
  */
 export function mayRetry(state: ForwardState): boolean {
-  if (state.req.signal.aborted) return false;
+  if (state.req.sendSignal.aborted) return false;
   const obstacle = findObstacle(state);
   if (obstacle !== null && state.sentCount > 0) recordRetry(state, obstacle);
   return obstacle === null;
--- a/packages/dispatch/test/forward.test.ts
+++ b/packages/dispatch/test/forward.test.ts
@@ -146,6 +146,7 @@
       caller: '10.0.0.9',
       contents: () => ({exact: 'c1', anyCaller: 'c2', anyQuery: 'c3'}),
       signal: createCanceller().signal,
+      sendSignal: createCanceller().signal,
     },
   );
   backends.update([]);
--- a/packages/dispatch/test/leaderless-state.ts
+++ b/packages/dispatch/test/leaderless-state.ts
@@ -43,7 +43,7 @@
     },
     req: {
       ...{id: 'r1', service, key, firstAskedAt: now},
-      ...{deadline: now + timeLeftMs, signal: createCanceller().signal},
+      ...{deadline: now + timeLeftMs, sendSignal: createCanceller().signal},
       route: {
         ...{targetLatencyMs, priority: 1, kind: 'idempotent'},
         homeRegions: null,
--- a/packages/dispatch/test/request-times.test.ts
+++ b/packages/dispatch/test/request-times.test.ts
@@ -104,6 +104,7 @@
     contents: () => ({exact: 'e', anyCaller: 'c', anyQuery: 'q'}),
     ...{service: 'holds', key: null, firstAskedAt: clock.now()},
     ...{deadline: clock.now() + 500, signal: createCanceller().signal},
+    sendSignal: createCanceller().signal,
   });
   await server.close();
   return observed;
--- a/packages/dispatch/test/retry-decision.test.ts
+++ b/packages/dispatch/test/retry-decision.test.ts
@@ -25,7 +25,7 @@
     },
     req: {
       ...{id: 'r1', service: 'holds', deadline: 1_000},
-      ...{route: {maxAttempts: 9}, signal: createCanceller().signal},
+      ...{route: {maxAttempts: 9}, sendSignal: createCanceller().signal},
     },
     ...{possibleRuns: 0, attemptCount: 1, sentCount: 1},
   } as unknown as ForwardState;
@@ -46,7 +46,7 @@
   const state = {
     cfg: {clock},
     req: {
-      ...{deadline: 1_000, signal: createCanceller().signal},
+      ...{deadline: 1_000, sendSignal: createCanceller().signal},
       route: {maxAttempts: 2, targetLatencyMs: 400},
     },
     ...{startedAt: 0, possibleRuns: 0, attemptCount: 39, sentCount: 0},
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -4,7 +4,11 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
-import {createCanceller, STOPPING} from '@banyandrum/base/cancel.js';
+import {
+  createCanceller,
+  STOPPING,
+  type CancelSignal,
+} from '@banyandrum/base/cancel.js';
 import {failure} from '@banyandrum/base/failure.js';
 import {createId} from '@banyandrum/base/ids.js';
 import {
@@ -14,6 +18,7 @@
 } from '@banyandrum/dispatch/content-digests.js';
 import {forward} from '@banyandrum/dispatch/forward.js';
 import type {ForwardConfig} from '@banyandrum/dispatch/forward-state.js';
+import type {WireNames} from '@banyandrum/dispatch/wire.js';
 import type {Route, RoutingConfig} from '@banyandrum/routing/config.js';
 import {matchRoute} from '@banyandrum/routing/match-route.js';
 import type {Splitter} from '@banyandrum/routing/split.js';
@@ -87,6 +92,11 @@
    * read from now on end before `endsAt`, a monotonic time in ms.
    */
   startClosing(endsAt: number): void;
+  /**
+   * Sends no request to a server from now on that may not end before the time
+   * given to `startClosing`; those that were not sent are refused.
+   */
+  stopSending(): void;
   /** Applies the configuration's connection timeouts. */
   applyLimits(config: RoutingConfig): void;
 }
@@ -96,6 +106,8 @@
   closingSince: number | null;
   /** When requests that are read now end at the latest, monotonic, in ms. */
   endsAt: number;
+  /** Whether requests that may end later than `endsAt` are refused. */
+  isSendingOver: boolean;
   isRefusing: boolean;
   readonly pipelines: RequestPipelines;
   readonly retryAges: RetryAges;
@@ -154,6 +166,7 @@
     closingSince: null,
     stoppingSince: () => state.closingSince,
     endsAt: Infinity,
+    isSendingOver: false,
     isRefusing: false,
     pipelines: createRequestPipelines(),
     retryAges: createRetryAges(),
@@ -177,6 +190,10 @@
       state.closingSince = cfg.clock.now();
       state.endsAt = endsAt;
     },
+    stopSending() {
+      state.isSendingOver = true;
+      cfg.openRequests.stopSending(state.endsAt);
+    },
     startRefusing() {
       state.isRefusing = true;
     },
@@ -196,17 +213,24 @@
   const readAt = state.clock.now();
   const delay = state.delays.delayOf(req.socket);
   const canceller = createCanceller();
+  const sending = createCanceller();
+  canceller.signal.addEventListener('abort', () =>
+    sending.abort(canceller.signal.reason),
+  );
   const {requestId} = state.forward.names;
   const id = headerValue(req, requestId) ?? createId();
   const initial = {id, readAt, delay, signal: canceller.signal};
   const context: RequestContext = {
     ...initial,
-    ...{route: null, askedMs: 0, refusal: null, isShortened: false},
+    ...{route: null, askedMs: 0, refusal: null},
+    ...{callerDeadline: Infinity, isShortened: false},
   };
   const openRequest: OpenRequest = {
     ...{id, readAt},
     routeName: () => context.route?.name ?? null,
     isAnswered: () => res.writableEnded,
+    deadline: () => context.callerDeadline,
+    stopSending: () => sending.abort(STOPPING),
     breakOff: () => canceller.abort(STOPPING),
   };
   const release = (): void => {
@@ -229,7 +253,7 @@
   const hasLeft = signal.aborted && signal.reason !== STOPPING;
   const response = hasLeft
     ? CALLER_LEFT
-    : await routeRequest(state, stripped, req, context);
+    : await routeRequest(state, stripped, req, context, sending.signal);
   const isGone = req.socket.destroyed || req.socket.readableEnded;
   if (!isGone) {
     // Only the last accepted request's response may close the connection.
@@ -267,10 +291,11 @@
   stripped: StrippedHeaders,
   req: IncomingMessage,
   context: RequestContext,
+  sendSignal: CancelSignal,
 ): Promise<FrontendResponse> {
   const config = state.config();
   const {names} = state.forward;
-  if (state.isRefusing) return refuse(context, 'stopping', 'this router stops');
+  if (state.isRefusing) return refuseAsStopping(context);
   if (config === null) {
     return refuse(context, 'starting', 'no configuration loaded yet');
   }
@@ -286,15 +311,23 @@
   const route = matchRoute(config, req.headers.host ?? '', req.url ?? '/');
   if (route === null) return refuseUnknownPath(state, context);
   context.route = route;
+  context.callerDeadline = callerDeadlineOf(names, req, route, context);
+  if (state.isSendingOver && context.callerDeadline > state.endsAt)
+    return refuseAsStopping(context);
   const service = state.splitter.next(route);
   const isKeyed = config.services.get(service)?.isKeyed ?? false;
   const key = isKeyed ? readKey(names, req) : null;
   if (isKeyed && key === null)
     return rejected(400, 'key header is missing or invalid');
-  const body = await readBody(req, config.limits.maxBodyBytes, state.bodies);
+  const body = await readBody(
+    req,
+    config.limits.maxBodyBytes,
+    state.bodies,
+    sendSignal,
+  );
   const {result} = body;
   if (result.kind !== 'read') return BODY_FAILURES[result.kind](context);
-  const target = {route, service, key, body: result.bytes};
+  const target = {route, service, key, body: result.bytes, sendSignal};
   const response = await forwardRequest(state, stripped, req, context, target);
   body.release();
   return response;
@@ -309,6 +342,7 @@
   'too-large': () => rejected(413, 'request body exceeds the size limit'),
   'no-memory': context =>
     refuse(context, 'body-memory', 'too many large bodies at present'),
+  stopping: refuseAsStopping,
   incomplete: () => ({
     kind: 'failure',
     failure: failure('not-run', 'cancelled', 'request body is incomplete'),
@@ -322,6 +356,8 @@
   /** Null if the service isn't divided by key. */
   readonly key: number | null;
   readonly body: Buffer | null;
+  /** As of `ForwardRequest`. */
+  readonly sendSignal: CancelSignal;
 }
 
 async function forwardRequest(
@@ -329,19 +365,18 @@
   stripped: StrippedHeaders,
   req: IncomingMessage,
   context: RequestContext,
-  {route, service, key, body}: RequestTarget,
+  {route, service, key, body, sendSignal}: RequestTarget,
 ): Promise<FrontendResponse> {
   const {id} = context;
   const {names} = state.forward;
-  const timeoutMs = callerTimeoutMs(names, req);
-  const unreadMs = expectedDelayMs(context.delay.ms, timeoutMs);
-  const callerLeftMs = timeoutMs - unreadMs;
-  const ownDeadline = deadlineOf(callerLeftMs, route, context.readAt);
-  const deadline = Math.min(ownDeadline, state.endsAt);
-  context.isShortened = deadline < ownDeadline;
+  const deadline = Math.min(context.callerDeadline, state.endsAt);
+  context.isShortened = deadline < context.callerDeadline;
   const late = refuseIfLate(state, context, deadline);
   if (late !== null) return late;
-  context.askedMs = state.retryAges.observe(route.name, timeoutMs);
+  context.askedMs = state.retryAges.observe(
+    route.name,
+    callerTimeoutMs(names, req),
+  );
   const asked: DigestInput = {
     caller: req.socket.remoteAddress ?? '',
     method: req.method ?? 'GET',
@@ -362,6 +397,7 @@
     firstAskedAt: context.readAt - context.askedMs,
     deadline,
     signal: context.signal,
+    sendSignal,
   });
 }
 
@@ -392,6 +428,11 @@
   return {kind: 'rejected', status, detail};
 }
 
+/** Refuses a request that another router can serve whole. */
+function refuseAsStopping(context: RequestContext): FrontendResponse {
+  return refuse(context, 'stopping', 'this router stops');
+}
+
 function refuse(
   context: RequestContext,
   why: IntakeRefusal,
@@ -404,10 +445,13 @@
 }
 
 /** The route's time counts from the reading, the caller's from its sending. */
-function deadlineOf(
-  callerLeftMs: number,
+function callerDeadlineOf(
+  names: WireNames,
+  req: IncomingMessage,
   route: Route,
-  readAt: number,
+  {delay, readAt}: RequestContext,
 ): number {
-  return readAt + Math.min(callerLeftMs, route.timeoutMs) - RESPONSE_MARGIN_MS;
+  const timeoutMs = callerTimeoutMs(names, req);
+  const leftMs = timeoutMs - expectedDelayMs(delay.ms, timeoutMs);
+  return readAt + Math.min(leftMs, route.timeoutMs) - RESPONSE_MARGIN_MS;
 }
--- a/packages/gateway/src/log-request.ts
+++ b/packages/gateway/src/log-request.ts
@@ -24,7 +24,7 @@
 export type IntakeRefusal =
   /** It knows no configuration, or not which requests are quarantined. */
   | 'starting'
-  /** The process ends. */
+  /** The process ends, perhaps before a server would answer. */
   | 'stopping'
   /** The event loop has lagged for a while. */
   | 'loop-lag'
@@ -47,6 +47,8 @@
   askedMs: number;
   /** Why this router refused it before it looked for a server. */
   refusal: IntakeRefusal | null;
+  /** Monotonic time by which its caller expects the answer, in ms. */
+  callerDeadline: number;
   /** Whether it has less time than its caller, since the process ends. */
   isShortened: boolean;
 }
--- a/packages/gateway/src/open-requests.ts
+++ b/packages/gateway/src/open-requests.ts
@@ -9,6 +9,16 @@
   routeName(): string | null;
   /** Whether its response only waits to be written. */
   isAnswered(): boolean;
+  /**
+   * Monotonic time by which it ends unless this router stops before, in ms;
+   * `Infinity` until its route is known.
+   */
+  deadline(): number;
+  /**
+   * Makes it end at once, with an answer, unless a server works on it; it is
+   * not sent to another one then.
+   */
+  stopSending(): void;
   /** Makes it end at once, with an answer that tells whether it may have run. */
   breakOff(): void;
 }
@@ -20,6 +30,11 @@
   count(): number;
   /** How many of them have a response that only waits to be written. */
   unwrittenCount(): number;
+  /**
+   * Sends none of them to a server any more that may not end before `endsAt`, a
+   * monotonic time in ms.
+   */
+  stopSending(endsAt: number): void;
   /** Makes all of them end at once, each with an answer. */
   breakOff(): void;
   /** Logs those that are open now as cut off, since the process ends. */
@@ -54,6 +69,10 @@
     delete: req => void open.delete(req),
     count: () => open.size,
     unwrittenCount: () => [...open].filter(req => req.isAnswered()).length,
+    stopSending(endsAt) {
+      const outlasting = [...open].filter(req => req.deadline() > endsAt);
+      for (const req of outlasting) req.stopSending();
+    },
     breakOff() {
       for (const req of [...open]) req.breakOff();
     },
--- a/packages/gateway/src/read-body.ts
+++ b/packages/gateway/src/read-body.ts
@@ -1,4 +1,5 @@
 import type {IncomingMessage} from 'node:http';
+import {STOPPING, type CancelSignal} from '@banyandrum/base/cancel.js';
 import type {BodyMemory} from './body-memory.js';
 
 /** Result of reading a request's body. */
@@ -8,6 +9,8 @@
   | {readonly kind: 'too-large'}
   /** The bodies of all requests take too much memory. */
   | {readonly kind: 'no-memory'}
+  /** This router stops before the whole body could be of use. */
+  | {readonly kind: 'stopping'}
   /** The connection closed before the whole body was received. */
   | {readonly kind: 'incomplete'};
 
@@ -28,8 +31,9 @@
 
 /**
  * Reads a request's body into memory, so that it can be sent again on a retry.
- * Resolves to `too-large` or `no-memory` as soon as that is known, without
- * reading the rest.
+ * Resolves to `too-large`, `no-memory` or, when `signal` is aborted because this
+ * router stops, to `stopping` as soon as that is known, without reading the
+ * rest.
  *
  * @example
  * ```ts
@@ -40,6 +44,7 @@
   req: IncomingMessage,
   maxBytes: number,
   memory: BodyMemory,
+  signal: CancelSignal | null = null,
 ): Promise<HeldBody> {
   const {headers} = req;
   const contentLength = headers['content-length'];
@@ -50,12 +55,13 @@
     return holdNothing({kind: 'too-large'});
   const receiver = length === null ? receiveChunks() : receiveInto(length);
   let held = 0;
-  const result = await receive(req, maxBytes, receiver, (bytes, size) => {
+  const tryHold = (bytes: number, size: number): boolean => {
     const needed = bytes * receiver.memoryPerByte;
     if (!memory.tryHold(needed, size)) return false;
     held += needed;
     return true;
-  });
+  };
+  const result = await receive(req, maxBytes, receiver, tryHold, signal);
   const release = (): void => {
     memory.release(held);
     held = 0;
@@ -73,20 +79,30 @@
   maxBytes: number,
   receiver: Receiver,
   tryHold: (bytes: number, size: number) => boolean,
+  signal: CancelSignal | null,
 ): Promise<BodyRead> {
-  return new Promise(resolve => {
+  return new Promise(resolveRead => {
     let size = 0;
+    const resolve = (read: BodyRead): void => {
+      signal?.removeEventListener('abort', onAbort);
+      resolveRead(read);
+    };
+    const onAbort = (): void => {
+      if (signal?.reason === STOPPING) giveUp('stopping');
+    };
     const onData = (chunk: Buffer): void => {
       size += chunk.length;
       if (size > maxBytes) return giveUp('too-large');
       if (!tryHold(chunk.length, size)) return giveUp('no-memory');
       receiver.add(chunk);
     };
-    const giveUp = (kind: 'too-large' | 'no-memory'): void => {
+    const giveUp = (kind: 'too-large' | 'no-memory' | 'stopping'): void => {
       req.off('data', onData);
       req.pause();
       resolve({kind});
     };
+    if (signal?.aborted) return onAbort();
+    signal?.addEventListener('abort', onAbort);
     req.on('data', onData);
     req.once('end', () => resolve({kind: 'read', bytes: receiver.bytes()}));
     req.once('close', () => {
--- a/packages/gateway/src/stop-router.ts
+++ b/packages/gateway/src/stop-router.ts
@@ -61,6 +61,8 @@
   // on a kept-alive connection as it closes was not read, so its caller retries
   // it.
   frontend.connections.stopListening();
+  // Other routers serve at once what would outlast this one.
+  frontend.stopSending();
   frontend.connections.closeIdle();
   const isNeeded = (): boolean =>
     openRequests.count() > 0 ||
