Leave servers most of a short grace period

Callers of a router whose grace period is set to 1 s or less saw a 504 of the router in place of the answer that a server was working on, 0.2 to 0.6 s after the signal.

Cause: 400 ms of any grace period were reserved for the exit, so that 0.6 s of 1 s were left for answers and none of 0.4 s. The reserve is at most a sixth of the period now, and the time to write the answers of requests that are broken off a part of it. From 2.4 s on nothing changes (400 and 150 ms).

planned-stop.test.ts, a server that answers after 0.7 of the grace period: broken off 0.21 and 0.61 s after the signal with 0.4 and 1 s -> served, stopped after 0.36 and 0.89 s.

--- a/packages/gateway/src/stop-router.ts
+++ b/packages/gateway/src/stop-router.ts
@@ -26,11 +26,13 @@
 
 /** Time for the load balancer to notice that a router isn't ready, in ms. */
 const BALANCER_NOTICE_MS = 2_300;
-/** Part of the grace period reserved for the exit of the process, in ms. */
+/** Time reserved for the exit of the process, in ms. */
 const EXIT_RESERVE_MS = 400;
+/** The reserve is no larger a part of a short grace period. */
+const MAX_EXIT_SHARE = 1 / 6;
 const DRAIN_POLL_MS = 50;
-/** Time to write the answers of requests that are broken off, in ms. */
-const BREAK_OFF_MS = 150;
+/** Part of the reserve for writing the answers of requests that are broken off. */
+const BREAK_OFF_SHARE = 0.375;
 const BREAK_OFF_POLL_MS = 10;
 
 /**
@@ -46,7 +48,8 @@
   const {clock, emit, graceMs, frontend, routers, leadership} = cfg;
   const {carryServer, openRequests} = cfg;
   const startedAt = clock.now();
-  const end = startedAt + graceMs - EXIT_RESERVE_MS;
+  const reserveMs = exitReserveMs(graceMs);
+  const end = startedAt + graceMs - reserveMs;
   emit('stopping', {inFlight: openRequests.count()});
   frontend.startClosing(end);
   carryServer.startClosing();
@@ -73,7 +76,7 @@
     await sleep(clock, DRAIN_POLL_MS);
     frontend.connections.closeIdle();
   }
-  const brokenOff = await breakOffRequests(cfg);
+  const brokenOff = await breakOffRequests(cfg, reserveMs * BREAK_OFF_SHARE);
   emit('stopped', {
     tookMs: Math.round(clock.now() - startedAt),
     brokenOff,
@@ -89,19 +92,22 @@
   cfg.closeAll();
 }
 
+function exitReserveMs(graceMs: number): number {
+  return Math.min(EXIT_RESERVE_MS, graceMs * MAX_EXIT_SHARE);
+}
+
 /**
- * Answers the requests that are left, and returns their number. A closed
+ * Answers the requests that are left within `limitMs`, and returns their number. A closed
  * connection would not tell callers which requests can be repeated.
  */
-async function breakOffRequests({
-  clock,
-  frontend,
-  openRequests,
-}: StopConfig): Promise<number> {
+async function breakOffRequests(
+  {clock, frontend, openRequests}: StopConfig,
+  limitMs: number,
+): Promise<number> {
   const brokenOff = openRequests.count();
   frontend.startRefusing();
   openRequests.breakOff();
-  const end = clock.now() + BREAK_OFF_MS;
+  const end = clock.now() + limitMs;
   while (openRequests.count() > 0 && clock.now() < end)
     await sleep(clock, BREAK_OFF_POLL_MS);
   return brokenOff;
