Refuse requests at the callers' interface that may outlast its stop

Callers of the product's own interface whose request arrived late in a planned stop, on a connection that was open, saw it aborted at the end of the grace period, with the verdict may-have-run, although other routers could have served it.

Cause: until the end of the grace period every request was handled, whatever its deadline. Once the balancer has noticed the stop, a request whose deadline is after the end is refused with not-run and a short retry delay; others are handled as before.

fates.test.ts: such a request was handled -> 503 after the notice, while one that fits in and one that came before the notice are served. The other tests of callers and the stop and hand-over tests of the router pass. Requests that already wait for a server there still get one until the end.

--- a/packages/callers/src/exchange.ts
+++ b/packages/callers/src/exchange.ts
@@ -41,6 +41,11 @@
   readonly stallMs: number;
   /** Whether to close connections after their response. */
   readonly draining: () => boolean;
+  /**
+   * Monotonic time by which requests that arrive now must end, in ms; those
+   * that may take longer are refused.
+   */
+  readonly endsAt: () => number;
 }
 
 /** A request whose headers have been received. */
@@ -55,6 +60,8 @@
 
 /** Time by which a handler may exceed its deadline, in ms. */
 const OVERRUN_MS = 250;
+/** Retry delay of requests that another router can serve whole, in ms. */
+const STOPPING_RETRY_MS = 40;
 
 interface Exchange extends Arrival {
   readonly cfg: ExchangeConfig;
@@ -98,6 +105,11 @@
   const admitted = admit(cfg.policyOf, req, fields, exchange.arrivedAt);
   if (admitted.err) return refuse(exchange, null, admitted.val);
   const {controls, deadline} = admitted.val;
+  if (deadline > cfg.endsAt()) {
+    const detail = 'the router is stopping';
+    const stopping = failure('not-run', 'stopping', detail, STOPPING_RETRY_MS);
+    return refuse(exchange, controls, stopping);
+  }
   if (expectsContinue) res.writeContinue();
   const taken = await takeBody(exchange, admitted.val);
   if (taken.err) return refuse(exchange, controls, taken.val);
--- a/packages/callers/src/service.ts
+++ b/packages/callers/src/service.ts
@@ -41,9 +41,10 @@
   inFlight(): number;
   /**
    * Stops gracefully. For at least `noticeMs`, readiness is off and connections
-   * close after their responses, while requests are still served; once none is
-   * in flight, the listener closes. After `graceMs` in total, the remaining
-   * requests are aborted and get their verdict. Resolves to their number.
+   * close after their responses, while requests are still served; from then on
+   * only those are whose deadline is before the end. Once none is in flight, the
+   * listener closes. After `graceMs` in total, the remaining requests are
+   * aborted and get their verdict. Resolves to their number.
    */
   stop(graceMs: number, noticeMs?: number): Promise<number>;
 }
@@ -57,6 +58,8 @@
   server: Server | null;
   ready: boolean;
   draining: boolean;
+  /** When requests that arrive now end at the latest, monotonic, in ms. */
+  endsAt: number;
   /** Set once stopping has begun; yields how many requests were aborted. */
   stopped: Promise<number> | null;
 }
@@ -93,6 +96,7 @@
     server: null,
     ready: false,
     draining: false,
+    endsAt: Infinity,
     stopped: null,
   };
   const serve = createServe(state, limits);
@@ -132,7 +136,8 @@
   const {inFlight, config} = state;
   const draining = (): boolean => state.draining;
   const {handle, policyOf, clock, log} = config;
-  const cfg = {handle, policyOf, clock, log, stallMs, draining};
+  const endsAt = (): number => state.endsAt;
+  const cfg = {handle, policyOf, clock, log, stallMs, draining, endsAt};
   return (req, res, expectsContinue) => {
     const probe = PROBES.get(req.url ?? '');
     if (probe !== undefined) return sendStatus(res, probe(state));
@@ -157,6 +162,7 @@
   state.draining = true;
   if (server === null) return 0;
   if (noticeMs > 0) await sleep(clock, Math.min(noticeMs, graceMs));
+  state.endsAt = end;
   const left = (): number => Math.max(0, end - clock.now());
   await inFlight.idleWithin(left());
   const closed = closeServer(server);
--- a/packages/callers/test/fates.test.ts
+++ b/packages/callers/test/fates.test.ts
@@ -5,7 +5,13 @@
 import {failure} from '@banyandrum/base/failure.js';
 import type {RequestHandler, ServiceRequest} from '@banyandrum/base/request.js';
 import {Err, Ok} from '@banyandrum/base/result.js';
-import {HELLO, exchangeRaw, finish, startCallers} from './fixture.js';
+import {
+  HELLO,
+  exchangeRaw,
+  finish,
+  startCallers,
+  type RawAnswer,
+} from './fixture.js';
 
 const REQUEST = 'GET /v1/holds/w7 HTTP/1.1\r\nhost: h\r\n';
 const ONE_REQUEST = `${REQUEST}connection: close\r\n\r\n`;
@@ -240,6 +246,38 @@
   t.equal(await finish(callers.clock, stopped), 1);
 });
 
+// Guards against handling requests late in a stop whose answer may come after
+// its end.
+void tap.test('a stop refuses late requests that may outlast it', async t => {
+  const gate = createGate();
+  let isNoticed = false;
+  const callers = await startCallers(req =>
+    isNoticed ? Promise.resolve(Ok(HELLO)) : gate.handle(req),
+  );
+  const first = exchangeRaw(callers.port, `${REQUEST}\r\n`);
+  while (callers.seen.length < 1) await callers.clock.advance(0);
+  const stopped = callers.callers.stop(1500, 500);
+  const withLimit = (ms: number): Promise<RawAnswer> =>
+    exchangeRaw(
+      callers.port,
+      `${REQUEST}banyandrum-deadline-ms: ${ms}\r\n\r\n`,
+    );
+  const noticed = withLimit(1_600);
+  while (callers.seen.length < 2) await callers.clock.advance(0);
+  await callers.clock.advance(500);
+  isNoticed = true;
+  const late = await withLimit(1_001);
+  t.equal(late.status, 503);
+  t.match(JSON.parse(late.body), {verdict: 'not-run', code: 'stopping'});
+  t.equal(late.headers.get('banyandrum-retry-after-ms'), '40');
+  t.equal(callers.seen.length, 2, 'it is not handled');
+  const fitting = await withLimit(1_000);
+  gate.open();
+  for (const answer of [await first, await noticed, fitting])
+    t.equal(answer.status, 200, 'served');
+  t.equal(await finish(callers.clock, stopped), 0);
+});
+
 function givenUp({signal}: ServiceRequest): Promise<void> {
   return new Promise(resolve => signal.addEventListener('abort', resolve));
 }
