Write no request to a server after a stopping router's last one

A request whose connection to its server was still being opened as a stopping router ended sending was written once it opened, up to 0.4 s later, or handed to another router after that, so that the server had less time than any other before the end of the process.

Cause: the end of sending was checked before an attempt, not while its connection was opened nor before each router that is asked to carry it. Now an attempt that isn't written ends at once, no carrier is asked any more, and the caller gets 503 (not run). Attempts that are written or at a carrier go on.

The tests of dispatch's forward and attempt pass.

--- a/packages/dispatch/src/attempt.ts
+++ b/packages/dispatch/src/attempt.ts
@@ -68,6 +68,8 @@
   readonly result: Promise<AttemptResult>;
   /** Aborts the request and resets its connection; `reason` is the result. */
   abort(reason: 'timeout' | 'cancelled' | 'silent'): void;
+  /** Cancels the request unless it was written. */
+  abortUnwritten(): void;
 }
 
 const TOO_LARGE = 'the answer exceeds the size limits';
@@ -222,7 +224,10 @@
     },
     handler,
   );
-  return {result, abort};
+  const abortUnwritten = (): void => {
+    if (!isWritten) abort('cancelled');
+  };
+  return {result, abort, abortUnwritten};
 }
 
 /**
--- a/packages/dispatch/src/carriers.ts
+++ b/packages/dispatch/src/carriers.ts
@@ -1,6 +1,6 @@
-import type {CancelSignal} from '@banyandrum/base/cancel.js';
 import type {AttemptResult} from './attempt.js';
 import type {ProbeResult} from './crash-detector.js';
+import type {AttemptSignals} from './send-attempt.js';
 
 /** One request to one server, to be sent by another router. */
 export interface CarriedAttempt {
@@ -38,7 +38,10 @@
 export interface Carriers {
   /** Whether a router is known that may take an attempt. */
   isAvailable(): boolean;
-  send(attempt: CarriedAttempt, signal: CancelSignal): Promise<CarriedResult>;
+  send(
+    attempt: CarriedAttempt,
+    signals: AttemptSignals,
+  ): Promise<CarriedResult>;
   /** Lets another router open a connection; null if none can tell. */
   probe(server: string): Promise<ProbeResult | null>;
 }
--- a/packages/dispatch/src/forward.ts
+++ b/packages/dispatch/src/forward.ts
@@ -106,7 +106,7 @@
     ...{body: req.body, isRepeatable: req.route.kind !== 'once'},
   };
   const result = await sendAttempt(
-    ...([cfg, backend, connection, spec, req.signal] as const),
+    ...([cfg, backend, connection, spec, req] as const),
   );
   backend.inFlight--;
   const slotOutcome = slotOutcomeOf(cfg.names, backend.info.id, result);
--- a/packages/dispatch/src/send-attempt.ts
+++ b/packages/dispatch/src/send-attempt.ts
@@ -19,6 +19,14 @@
   readonly emit: Emit;
 }
 
+/** What ends an attempt before its time limit. */
+export interface AttemptSignals {
+  /** Aborted when the request ends, also while a server works on it. */
+  readonly signal: CancelSignal;
+  /** Aborted when the request must not be sent any more. */
+  readonly sendSignal: CancelSignal;
+}
+
 /**
  * Time to open a connection before a carrier is asked instead, in ms. Hosts in
  * the same region answer within a few ms.
@@ -40,7 +48,7 @@
  *
  * @example
  * ```ts
- * const result = await sendAttempt(cfg, backend, connection, spec, signal);
+ * const result = await sendAttempt(cfg, backend, connection, spec, req);
  * ```
  */
 export async function sendAttempt(
@@ -48,16 +56,16 @@
   backend: Backend,
   connection: Connection | null,
   spec: CarriedAttempt,
-  signal: CancelSignal,
+  signals: AttemptSignals,
 ): Promise<AttemptResult> {
   const startedAt = cfg.clock.now();
-  if (connection === null) return carry(cfg, spec, signal, NO_WAY);
-  const result = await sendDirectly(cfg, backend, connection, spec, signal);
+  if (connection === null) return carry(cfg, spec, signals, NO_WAY);
+  const result = await sendDirectly(cfg, backend, connection, spec, signals);
   const isUnsent =
-    result.kind === 'lost' && !result.isWritten && !signal.aborted;
+    result.kind === 'lost' && !result.isWritten && !signals.sendSignal.aborted;
   const leftMs = spec.withinMs - (cfg.clock.now() - startedAt);
   if (!isUnsent || leftMs <= 0 || !cfg.carriers.isAvailable()) return result;
-  return carry(cfg, {...spec, withinMs: leftMs}, signal, result);
+  return carry(cfg, {...spec, withinMs: leftMs}, signals, result);
 }
 
 /** Sends a request to the server on an own connection, and releases that. */
@@ -66,7 +74,7 @@
   backend: Backend,
   connection: Connection,
   spec: CarriedAttempt,
-  signal: CancelSignal,
+  {signal, sendSignal}: AttemptSignals,
 ): Promise<AttemptResult> {
   const {clock, names, paths, carriers} = cfg;
   const sentAt = clock.now();
@@ -77,6 +85,7 @@
   });
   const cancel = (): void => attempt.abort('cancelled');
   signal.addEventListener('abort', cancel);
+  sendSignal.addEventListener('abort', attempt.abortUnwritten);
   const verify = async (): Promise<void> => {
     const isReached = await paths.verify(backend, sentAt);
     // One that can't be repeated waits on: its connection may still work.
@@ -92,6 +101,7 @@
   const result = await attempt.result;
   cancelWatch();
   signal.removeEventListener('abort', cancel);
+  sendSignal.removeEventListener('abort', attempt.abortUnwritten);
   backend.connections.release(connection, result.kind === 'answered');
   if (result.kind === 'answered') paths.noteReached(backend.info.id);
   else if (result.reason === 'not-connected')
@@ -132,11 +142,11 @@
 async function carry(
   {carriers, paths, clock, emit}: SendConfig,
   spec: CarriedAttempt,
-  signal: CancelSignal,
+  signals: AttemptSignals,
   unsent: Lost,
 ): Promise<AttemptResult> {
   const startedAt = clock.now();
-  const carried = await carriers.send(spec, signal);
+  const carried = await carriers.send(spec, signals);
   const carrier = carried.kind === 'unavailable' ? null : carried.by;
   const result = RESULTS[carried.kind](carried as never, unsent);
   if (carried.kind === 'unreachable') paths.noteOtherView(spec.server, false);
--- a/packages/gateway/src/carry-client.ts
+++ b/packages/gateway/src/carry-client.ts
@@ -1,8 +1,8 @@
-import type {CancelSignal} from '@banyandrum/base/cancel.js';
 import type {Clock} from '@banyandrum/base/clock.js';
 import type {AttemptResult, LossReason} from '@banyandrum/dispatch/attempt.js';
 import type {Carriers} from '@banyandrum/dispatch/carriers.js';
 import type {Emit} from '@banyandrum/dispatch/events.js';
+import type {AttemptSignals} from '@banyandrum/dispatch/send-attempt.js';
 import {status, type ClientUnaryCall, type ServiceError} from '@grpc/grpc-js';
 import type {CarryReply, CarryRequest} from './carry-messages.js';
 import {createStub, type LinkStub} from './link-stub.js';
@@ -32,6 +32,8 @@
   | {readonly kind: 'replied'; readonly reply: CarryReply}
   /** The call was not sent, or the router doesn't carry. */
   | {readonly kind: 'unsent'; readonly retryMs: number}
+  /** It must not be sent any more. */
+  | {readonly kind: 'withheld'}
   /** The call may have been carried out. */
   | {readonly kind: 'lost'; readonly reason: LossReason};
 
@@ -70,7 +72,7 @@
  * @example
  * ```ts
  * const carriers = createCarryClient({clock, emit, candidates});
- * const carried = await carriers.send(attempt, signal);
+ * const carried = await carriers.send(attempt, {signal, sendSignal});
  * ```
  */
 export function createCarryClient(cfg: CarryClientConfig): CarryClient {
@@ -160,12 +162,13 @@
     address: string,
     createRequest: (withinMs: number) => CarryRequest,
     deadline: number,
-    signal: CancelSignal | null,
+    signals: AttemptSignals | null,
   ): Promise<CallResult> => {
     const peer = peerAt(address);
     if (!(await waitUntilConnected(peer)))
       return {kind: 'unsent', retryMs: FAILED_BACKOFF_MS};
-    if (signal?.aborted) return {kind: 'lost', reason: 'cancelled'};
+    if (signals?.signal.aborted) return {kind: 'lost', reason: 'cancelled'};
+    if (signals?.sendSignal.aborted) return {kind: 'withheld'};
     const withinMs = deadline - clock.now();
     return new Promise(resolve => {
       let reason: LossReason = 'carrier-lost';
@@ -182,7 +185,7 @@
       const onReply = (err: ServiceError | null, reply?: CarryReply): void => {
         cancelDeadline();
         onAck();
-        signal?.removeEventListener('abort', onAbort);
+        signals?.signal.removeEventListener('abort', onAbort);
         if (err === null) return resolve({kind: 'replied', reply: reply!});
         if (err.code === status.UNIMPLEMENTED)
           return resolve({kind: 'unsent', retryMs: UNSUPPORTED_BACKOFF_MS});
@@ -199,7 +202,7 @@
         cancelAs('carrier-lost'),
       );
       pending.on('metadata', onAck);
-      signal?.addEventListener('abort', onAbort);
+      signals?.signal.addEventListener('abort', onAbort);
     });
   };
 
@@ -209,21 +212,23 @@
       pausedUntil = clock.now() + FRUITLESS_PAUSE_MS;
   };
 
-  const send: Carriers['send'] = async (attempt, signal) => {
+  const send: Carriers['send'] = async (attempt, signals) => {
     if (clock.now() < pausedUntil) return {kind: 'unavailable'};
     const startedAt = clock.now();
     const deadline = startedAt + attempt.withinMs;
     let isRefused = false;
     for (const by of usableCandidates()) {
       if (clock.now() - startedAt > MAX_ASKING_MS) break;
+      if (signals.sendSignal.aborted) break;
       const createRequest = (withinMs: number): CarryRequest => ({
         ...{kind: 'send', attempt: {...attempt, withinMs}},
       });
-      const result = await call(by, createRequest, deadline, signal);
+      const result = await call(by, createRequest, deadline, signals);
       if (result.kind === 'lost') {
         if (result.reason === 'carrier-lost') backOff(by, FAILED_BACKOFF_MS);
         return {kind: 'sent', by, result: lostOnTheWay(result.reason)};
       }
+      if (result.kind === 'withheld') break;
       if (result.kind === 'unsent') {
         backOff(by, result.retryMs);
         continue;
--- a/packages/gateway/src/carry-server.ts
+++ b/packages/gateway/src/carry-server.ts
@@ -115,8 +115,9 @@
     backend!.inFlight++;
     const sendCfg = {...cfg, carriers: NO_CARRIERS};
     const spec = {...attempt, withinMs};
+    const signals = {signal, sendSignal: signal};
     const result = await sendDirectly(
-      ...([sendCfg, backend!, connection, spec, signal] as const),
+      ...([sendCfg, backend!, connection, spec, signals] as const),
     );
     backend!.inFlight--;
     inFlight--;
--- a/packages/gateway/test/carry.test.ts
+++ b/packages/gateway/test/carry.test.ts
@@ -1,7 +1,7 @@
 import tap from 'tap';
 import {createServer, type IncomingMessage, type Server} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
-import {createCanceller} from '@banyandrum/base/cancel.js';
+import {createCanceller, STOPPING} from '@banyandrum/base/cancel.js';
 import {createClock} from '@banyandrum/base/clock.js';
 import {createBackends} from '@banyandrum/dispatch/backends.js';
 import type {
@@ -145,8 +145,9 @@
   {carriers}: Harness,
   part: Partial<CarriedAttempt> = {},
   signal = createCanceller().signal,
+  sendSignal = signal,
 ): Promise<CarriedResult> {
-  return carriers.send({...ATTEMPT, ...part}, signal);
+  return carriers.send({...ATTEMPT, ...part}, {signal, sendSignal});
 }
 
 /** The result's kinds, for comparison: `sent answered`, `sent lost timeout`. */
@@ -197,6 +198,31 @@
   harness.close();
 });
 
+// Guards against handing a request to a carrier after the last one may be sent.
+void tap.test('a stop hands no request to a carrier', async t => {
+  const harness = await startHarness();
+  const {signal} = createCanceller();
+  const sending = createCanceller();
+  const sent = send(harness, {}, signal, sending.signal);
+  sending.abort(STOPPING);
+  t.equal(describe(await sent), 'unavailable');
+  await sleep(50);
+  t.equal(harness.arrivals.length, 0);
+  harness.close();
+});
+
+// Guards against breaking off a carried request that its server works on.
+void tap.test('a stop awaits the result of a carrier', async t => {
+  const harness = await startHarness({answerAfterMs: 100});
+  const {signal} = createCanceller();
+  const sending = createCanceller();
+  const sent = send(harness, {}, signal, sending.signal);
+  while (harness.arrivals.length === 0) await sleep(10);
+  sending.abort(STOPPING);
+  t.equal(describe(await sent), 'sent answered');
+  harness.close();
+});
+
 // Guards against a promise that a request was not run that may have run, and
 // against sending it once more.
 void tap.test('a carrier that is lost leaves the outcome unknown', async t => {
