Reserve the ports of all tests outside of the ephemeral range

Cause: tests that must know an address before they listen on it took a free ephemeral port, closed it and bound it later.

--- a/packages/gateway/test/late-leader.test.ts
+++ b/packages/gateway/test/late-leader.test.ts
@@ -16,6 +16,7 @@
   type StateMessage,
 } from '@banyandrum/gateway/link-messages.js';
 import {createServerList} from '@banyandrum/gateway/server-list.js';
+import {reserveAddress} from '@banyandrum/standins/ports.js';
 
 const HOST = '127.0.0.1';
 /** Longer than a follower waits for a leader that it has heard, in ms. */
@@ -56,15 +57,6 @@
   });
 }
 
-async function freeAddress(): Promise<string> {
-  const server = createServer().listen(0, HOST);
-  await once(server, 'listening');
-  const {port} = server.address() as AddressInfo;
-  server.close();
-  await once(server, 'close');
-  return `${HOST}:${port}`;
-}
-
 /** A leader that sends its first message late, and then nothing. */
 async function startLateLeader(): Promise<{
   readonly address: string;
@@ -82,7 +74,7 @@
       },
     },
   );
-  const address = await freeAddress();
+  const address = await reserveAddress();
   await new Promise(resolve =>
     server.bindAsync(address, ServerCredentials.createInsecure(), resolve),
   );
--- a/packages/gateway/test/leader-rig.ts
+++ b/packages/gateway/test/leader-rig.ts
@@ -1,5 +1,4 @@
 import {openSync} from 'node:fs';
-import {createServer, type AddressInfo} from 'node:net';
 import {createClock} from '@banyandrum/base/clock.js';
 import type {ServerInfo} from '@banyandrum/dispatch/backend.js';
 import {createBackends} from '@banyandrum/dispatch/backends.js';
@@ -21,6 +20,7 @@
 } from '@banyandrum/ranges/table.js';
 import {createTimeModel} from '@banyandrum/service-times/time-model.js';
 import {createSlotAllocator} from '@banyandrum/slots/slot-allocator.js';
+import {reserveAddress} from '@banyandrum/standins/ports.js';
 
 /** The services of a leader under load; the first one is divided by key. */
 export const KEYED_SERVICE = 'keyed';
@@ -28,7 +28,6 @@
 
 const KEYED_SERVERS = 120;
 const PLAIN_SERVERS = 65;
-const HOST = '127.0.0.1';
 const ROOM = {processors: 1, linkMbps: 1_000};
 const DATA_CENTRES = 3;
 
@@ -85,7 +84,7 @@
     ownerOf: owners.ownerOf,
     onNotHeld: () => undefined,
   });
-  const listen = await freeAddress();
+  const listen = await reserveAddress();
   const server = await serveLinks({
     ...{listen, clock, emit, list, suspects, limits, times, room: ROOM},
     leadership: leadershipOf(tables),
@@ -183,14 +182,6 @@
   } as unknown as Leadership;
 }
 
-async function freeAddress(): Promise<string> {
-  const server = createServer();
-  await new Promise<void>(resolve => server.listen(0, HOST, resolve));
-  const {port} = server.address() as AddressInfo;
-  await new Promise(resolve => server.close(resolve));
-  return `${HOST}:${port}`;
-}
-
 /** Interval at which the processor time is compared with the limit, in ms. */
 const THROTTLE_MS = 5;
 /** Unused processor time that is kept for later, in ms. */
--- a/packages/gateway/test/leader-work-rig.ts
+++ b/packages/gateway/test/leader-work-rig.ts
@@ -2,7 +2,6 @@
 import {once} from 'node:events';
 import crypto from 'node:crypto';
 import {syncBuiltinESMExports} from 'node:module';
-import {createServer, type AddressInfo} from 'node:net';
 import {monitorEventLoopDelay} from 'node:perf_hooks';
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -25,8 +24,8 @@
   type ServerList,
 } from '@banyandrum/gateway/server-list.js';
 import {createSlotAllocator} from '@banyandrum/slots/slot-allocator.js';
+import {reserveAddress} from '@banyandrum/standins/ports.js';
 
-const HOST = '127.0.0.1';
 /** Capacity of the leader's host; the followers' is less. */
 const ROOM = {processors: 0.675, linkMbps: 100};
 
@@ -230,15 +229,6 @@
   }
 }
 
-async function freeAddress(): Promise<string> {
-  const server = createServer().listen(0, HOST);
-  await once(server, 'listening');
-  const {port} = server.address() as AddressInfo;
-  server.close();
-  await once(server, 'close');
-  return `${HOST}:${port}`;
-}
-
 /** A clock whose timers wait while `isHeld`. */
 function createHoldableClock(): {
   readonly clock: Clock;
@@ -291,7 +281,7 @@
     observeTerm: () => undefined,
     subscribe: () => undefined,
   } as unknown as Leadership;
-  const listen = await freeAddress();
+  const listen = await reserveAddress();
   const server = await serveLinks({
     ...{listen, clock, emit, leadership, room: ROOM, suspects, limits},
     allocator: createSlotAllocator({
--- a/packages/gateway/test/link.test.ts
+++ b/packages/gateway/test/link.test.ts
@@ -30,6 +30,7 @@
   createServerList,
   type ServerList,
 } from '@banyandrum/gateway/server-list.js';
+import {reserveAddress} from '@banyandrum/standins/ports.js';
 
 const HOST = '127.0.0.1';
 const ROOM = {processors: 1, linkMbps: 1_000};
@@ -83,13 +84,6 @@
   });
 }
 
-async function freeAddress(): Promise<string> {
-  const server = createServer();
-  const address = await listenAny(server);
-  await new Promise(resolve => server.close(resolve));
-  return address;
-}
-
 const ENDED: TermEndAnswer = {kind: 'ended', earlierMs: 250};
 
 const LEADING: Leadership = {
@@ -209,7 +203,7 @@
     ownerOf: () => ({kind: 'none'}),
     onNotHeld: () => undefined,
   });
-  const listen = await freeAddress();
+  const listen = await reserveAddress();
   const leaderList = createServerList(clock, emit, 2_000);
   const server = await serveLinks({
     ...{
@@ -325,7 +319,7 @@
 void tap.test('one asked to lead answers soon or counts as gone', async t => {
   const {proxy, link, close} = await startHarness();
   t.equal(await link.offerLeadership(proxy.address), true);
-  t.equal(await link.offerLeadership(await freeAddress()), false, 'refused');
+  t.equal(await link.offerLeadership(await reserveAddress()), false, 'refused');
   const open: Socket[] = [];
   const silent = createServer(socket => void open.push(socket));
   const address = await listenAny(silent);
@@ -465,10 +459,10 @@
   t.same(await ask(proxy.address, 'b1'), ENDED);
   t.same(await ask(proxy.address, 'b2'), OTHER_RUN);
   proxy.stall();
-  t.equal(await ask(await freeAddress(), 'b1'), null, 'no process');
+  t.equal(await ask(await reserveAddress(), 'b1'), null, 'no process');
   const earlier = new GrpcServer();
   earlier.addService({lead: LINK_SERVICE.lead}, {lead: () => undefined});
-  const address = await freeAddress();
+  const address = await reserveAddress();
   await new Promise(resolve =>
     earlier.bindAsync(address, ServerCredentials.createInsecure(), resolve),
   );
--- a/packages/gateway/test/request-times-link.test.ts
+++ b/packages/gateway/test/request-times-link.test.ts
@@ -1,5 +1,4 @@
 import tap from 'tap';
-import {createServer, type AddressInfo} from 'node:net';
 import {createCanceller} from '@banyandrum/base/cancel.js';
 import {createClock} from '@banyandrum/base/clock.js';
 import type {ServerInfo} from '@banyandrum/dispatch/backend.js';
@@ -13,6 +12,7 @@
 import {createServerList} from '@banyandrum/gateway/server-list.js';
 import {createTimeModel} from '@banyandrum/service-times/time-model.js';
 import {createSlotAllocator} from '@banyandrum/slots/slot-allocator.js';
+import {reserveAddress} from '@banyandrum/standins/ports.js';
 
 const HOST = '127.0.0.1';
 const ROOM = {processors: 1, linkMbps: 1_000};
@@ -31,14 +31,6 @@
   ...{slots: 2, isLeaving: false, coldMs: 0},
 };
 
-async function freeAddress(): Promise<string> {
-  const server = createServer();
-  await new Promise<void>(resolve => server.listen(0, HOST, resolve));
-  const {port} = server.address() as AddressInfo;
-  await new Promise(resolve => server.close(resolve));
-  return `${HOST}:${port}`;
-}
-
 async function waitUntil(isMet: () => boolean): Promise<void> {
   const end = performance.now() + 5_000;
   while (!isMet()) {
@@ -66,7 +58,7 @@
     ownerOf: () => ({kind: 'none'}),
     onNotHeld: () => undefined,
   });
-  const listen = await freeAddress();
+  const listen = await reserveAddress();
   const server = await serveLinks({
     ...{...common, listen, allocator, leadership: LEADING, room: ROOM},
     ...{list: createServerList(clock, emit, 2_000), times: leaderModel},
