Hold the body of an answer in memory in proportion to its size

A server that sent a body in chunks of one byte, or few bytes of a body in long chunk extensions, made a router run out of memory. The limits counted bytes of the body, but every chunk was kept as a view of its own, of some 100 bytes, which also kept the whole buffer that it was read into.

Chunks that are small, or a small part of their buffer, are now copied into blocks that grow with the body.

--- a/packages/dispatch/src/attempt.ts
+++ b/packages/dispatch/src/attempt.ts
@@ -1,6 +1,7 @@
 import type {Socket} from 'node:net';
 import type {Clock} from '@banyandrum/base/clock.js';
 import type {Dispatcher} from 'undici';
+import {createAnswerBody} from './answer-body.js';
 import type {ExceededLimit} from './answer-limits.js';
 import {resetConnection, type Connection} from './connections.js';
 import type {WireNames} from './wire.js';
@@ -93,7 +94,7 @@
   clock: Clock,
   spec: AttemptSpec,
 ): Attempt {
-  let chunks: Buffer[] = [];
+  const body = createAnswerBody();
   let size = 0;
   let status = 0;
   let rawHeaders: string[] = [];
@@ -119,7 +120,7 @@
   const exceed = (limit: ExceededLimit): void => {
     if (abortReason !== null) return;
     answers.noteExceeded(limit);
-    chunks = [];
+    body.clear();
     abort('too-large');
   };
   const abort = (reason: LossReason): void => {
@@ -192,7 +193,7 @@
         exceed('total');
         return true;
       }
-      chunks.push(chunk);
+      body.append(chunk);
       size += chunk.length;
       return true;
     },
@@ -205,8 +206,8 @@
       connection.lastAnswerAt = clock.now();
       if (fields.has(names.notRun)) connection.refusedIds.add(spec.requestId);
       stopCounting();
-      const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
-      const answer = {status, headers: rawHeaders, body, fields};
+      const content = body.toBuffer();
+      const answer = {status, headers: rawHeaders, body: content, fields};
       settle({kind: 'answered', answer});
     },
     onError(err) {
