Model a record without an answer over a restore of the store

A leader that moves a range may not know whether its record is in the store when the store is restored. store-epochs.md proposed to ask both servers, one after the other, by grants.

The model gets records without an answer (executed or lost), their repetition, and the safeguard doubtsRecords: such a range is unknown after the restore. Without it, the leader asks as was proposed.

--- a/packages/model/src/range-restore.ts
+++ b/packages/model/src/range-restore.ts
@@ -3,6 +3,7 @@
   EPOCH_FENCES,
   HOLD,
   setLeaderRun,
+  setRun,
   setView,
   TERM_FENCES,
   type RangeLeader,
@@ -54,6 +55,13 @@
       mayConfirm(ctx, state, leader) && !isEnded(state, leader),
     next: (_ctx, state, leader) => renewOld(state, leader) ?? state,
   },
+  releaseAsked: {
+    says: 'M has the range released by the first of the two',
+    can: (ctx, state, leader) =>
+      state.leaders[leader].view.phase === 'asked' &&
+      mayAct(ctx, state.leaders[leader]),
+    next: releaseAsked,
+  },
   forget: {
     says: 'M may ask for what it remembers no longer',
     can: ({guards}, {leaders}, leader) =>
@@ -117,11 +125,12 @@
 ): Partial<RangeView> {
   const lapse = state.earlierLeft + lapseTime(guards);
   const fence = firstFence(guards, {...state, terms: state.terms - 1});
-  return {phase: 'unknown', lapse, fence, unproved: 0, foreign: 0};
+  const none = {unproved: 0, foreign: 0, other: null};
+  return {phase: 'unknown', lapse, fence, ...none};
 }
 
 function goOn(
-  {guards}: RangeContext,
+  {guards, scope}: RangeContext,
   state: RangeState,
   leader: RangeLeader,
 ): RangeState {
@@ -131,17 +140,23 @@
     const fence = firstFence(guards, state);
     const foreign = AUTHORITY + lapseTime(guards);
     const holding = {...state.record, fence};
-    const taken = {lapse: foreign, unproved: 0, foreign};
+    const taken = {lapse: foreign, unproved: 0, foreign, other: null};
     const next = setView(begun, leader, {...holding, ...taken, phase: 'held'});
     return {...next, record: holding};
   }
-  if (view.phase === 'unknown') return loseTrack({guards}, begun, leader);
+  const isDoubted = view.other !== null && guards.doubtsRecords;
+  if (view.phase === 'unknown' || isDoubted)
+    return loseTrack({guards}, begun, leader);
   const isStill = view.phase === 'remembered';
   const confirmLeft = isStill ? Math.min(before, authority) : authority;
   const next = setLeaderRun(begun, leader, {confirmLeft});
   const foreign = state.earlierLeft + lapseTime(guards);
   const remembered = {lapse: foreign, unproved: 0, foreign};
-  const known = setView(next, leader, {...remembered, phase: 'remembered'});
+  const known = setView(next, leader, {
+    ...remembered,
+    ...(scope.asksRecordedFirst === true ? {} : swapOther(view)),
+    phase: 'remembered',
+  });
   return guards.confirmsRemembered ? known : takeOver(guards, known, leader);
 }
 
@@ -161,6 +176,24 @@
   return {...next, record: {server, run, fence}};
 }
 
+/** The server before the recorded one is asked first. */
+function swapOther({server, run, fence, other}: RangeView): Partial<RangeView> {
+  return other === null ? {} : {...other, other: {server, run, fence}};
+}
+
+function releaseAsked(
+  _ctx: RangeContext,
+  state: RangeState,
+  leader: RangeLeader,
+): RangeState {
+  const {server, other} = state.leaders[leader].view;
+  const released = setRun(state, server, {left: 0});
+  return setView(released, leader, {
+    ...other!,
+    ...{phase: 'remembered', other: null},
+  });
+}
+
 function mayConfirm(
   ctx: RangeContext,
   state: RangeState,
@@ -179,6 +212,8 @@
 ): RangeState {
   const renewed = isEnded(state, leader) ? null : renewOld(state, leader);
   if (renewed === null) return loseTrack({guards}, state, leader);
+  if (state.leaders[leader].view.other !== null)
+    return setView(renewed, leader, {phase: 'asked'});
   return takeOver(guards, renewed, leader);
 }
 
--- a/packages/model/src/range-state.ts
+++ b/packages/model/src/range-state.ts
@@ -54,6 +54,8 @@
   readonly boundsRemembered: boolean;
   /** A record of an earlier history is believed by nobody. */
   readonly distrustsCopies: boolean;
+  /** Over a restore, a record without an answer is believed neither way. */
+  readonly doubtsRecords: boolean;
   /** A leader that answers that its term has ended never acts in it again. */
   readonly endsTerm: boolean;
   /** It answers so only while none of its orders is in transit. */
@@ -83,6 +85,7 @@
   confirmsRemembered: true,
   boundsRemembered: true,
   distrustsCopies: true,
+  doubtsRecords: true,
   endsTerm: true,
   drainsOrders: true,
   asksSameRun: true,
@@ -101,6 +104,13 @@
   readonly suspendedTicks: number;
   /** Restores of the store from a copy of the first record. */
   readonly restores: number;
+  /** Whether a leader's records may have no answer. */
+  readonly unansweredRecords?: boolean;
+  /**
+   * Whom a leader without `doubtsRecords` asks first after a restore: the
+   * server that it recorded, or the one before it.
+   */
+  readonly asksRecordedFirst?: boolean;
   /** Whether all hosts and servers may lose power at once. */
   readonly powerLoss: boolean;
   /** Orders of each leader to each server that may be carried out late. */
@@ -142,17 +152,22 @@
   readonly age: number;
 }
 
-/** The holding as a leader has it. */
-export interface RangeView {
+/** A server, and the fence with which it has the range. */
+export interface RangeHolding {
   readonly server: RangeServer;
   readonly run: number;
   readonly fence: number;
+}
+
+/** The holding as a leader has it. */
+export interface RangeView extends RangeHolding {
   /**
    * - `held`: granted and renewed.
    * - `moving`: to be released.
    * - `released`: its holder gave it back.
    * - `lapsing`: its holder can't be asked, or didn't answer.
    * - `free`: its holder's run has ended.
+   * - `recording`: released; its record for another had no answer.
    */
   readonly phase:
     | 'held'
@@ -160,10 +175,15 @@
     | 'released'
     | 'lapsing'
     | 'free'
+    | 'recording'
     /** Known from before a restore of the store; not confirmed yet. */
     | 'remembered'
+    /** Without `doubtsRecords`: confirmed by the first, to be released. */
+    | 'asked'
     /** By a record of before a restore: anybody may hold it. */
     | 'unknown';
+  /** The other server, while a record had no answer; otherwise null. */
+  readonly other: RangeHolding | null;
   /** Ticks until each of these is surely over. */
   readonly lapse: number;
   readonly unproved: number;
@@ -200,7 +220,7 @@
   readonly earlierLeft: number;
   readonly restoresLeft: number;
   /** The record in the store. */
-  readonly record: Pick<RangeView, 'server' | 'run' | 'fence'>;
+  readonly record: RangeHolding;
   readonly servers: Readonly<Record<RangeServer, ServerRun>>;
   readonly leaders: Readonly<Record<RangeLeader, LeaderRun>>;
   /** The highest fence that a server took the range with, and which did. */
@@ -232,6 +252,7 @@
   const view: RangeView = {
     ...first,
     phase: 'held',
+    other: null,
     lapse: isFirst ? HOLD + DRIFT : foreign,
     unproved: 0,
     foreign,
@@ -324,13 +345,18 @@
   const {storeEpoch, confirmLeft} = leader;
   if (leader.isOver) return `x${storeEpoch},${late.join(',')}`;
   const {authority, asked, moved, view} = leader;
-  const {server, run, fence, phase, lapse, unproved, foreign} = view;
-  const held = `${server}${run}.${fence}${phase.slice(0, 2)}`;
+  const {phase, lapse, unproved, foreign} = view;
+  const other = view.other === null ? '' : serializeHolding(view.other);
+  const held = `${serializeHolding(view)}${phase.slice(0, 4)}${other}`;
   const times = `${lapse}.${unproved}.${foreign}`;
   const own = `${authority}${asked ?? '-'}${moved}.${storeEpoch}${confirmLeft}`;
   return `${own},${held},${times},${late.join(',')}`;
 }
 
+function serializeHolding({server, run, fence}: RangeHolding): string {
+  return `${server}${run}.${fence}`;
+}
+
 function serializeSent(sent: SentGrant | null): string {
   if (sent === null) return '';
   return `${sent.server}${sent.run}.${sent.fence}.${sent.age}`;
--- a/packages/model/src/range-steps.ts
+++ b/packages/model/src/range-steps.ts
@@ -8,6 +8,7 @@
   setView,
   type LateGrant,
   type LeaderRun,
+  type RangeHolding,
   type RangeLeader,
   type RangeServer,
   type RangeState,
@@ -94,6 +95,14 @@
       !guards.provesEnds && isMoving(state, leader),
     next: (_ctx, state, leader) => setView(state, leader, {phase: 'free'}),
   },
+  recordAgain: {
+    says: 'M repeats its record, the store answers',
+    can: (ctx, state, leader) =>
+      mayAct(ctx, state.leaders[leader]) &&
+      isOfHistory(ctx, state, leader) &&
+      state.leaders[leader].view.phase === 'recording',
+    next: recordAgain,
+  },
   ask: {
     says: 'M asks the store whether it still leads',
     can: (ctx, state, leader) => leader === 'L' && mayAsk(ctx, state),
@@ -123,12 +132,23 @@
 export const ORDER_RANGE_STEPS = {
   assign: {
     says: 'M records the range for P',
-    can: (ctx, state, leader) =>
-      mayAct(ctx, state.leaders[leader]) &&
-      isOfHistory(ctx, state, leader) &&
-      isFree(ctx, state, leader),
+    can: mayAssign,
     next: assign,
   },
+  recordUnheard: {
+    says: 'M records the range for P, the answer is lost',
+    can: (ctx, state, leader, server) =>
+      mayRecordUnheard(ctx, state, leader, server) && state.newest === leader,
+    next: (ctx, state, leader, server) => {
+      const next = awaitRecord(ctx, state, leader, server);
+      return {...next, record: nextHolding(state, leader, server)};
+    },
+  },
+  recordLost: {
+    says: 'M records the range for P, the write is lost',
+    can: mayRecordUnheard,
+    next: awaitRecord,
+  },
   obeyLate: {
     says: 'P obeys a late grant of M',
     can: (_ctx, state, leader, server) =>
@@ -313,8 +333,7 @@
   if (isShutOut && guards.fencesRecords && guards.recordsFirst) {
     return setLeaderRun(state, leader, {isOver: true});
   }
-  const {run} = state.servers[server];
-  const holding = {server, run, fence: view.fence + 1};
+  const holding = nextHolding(state, leader, server);
   const next = setLeaderRun(state, leader, {
     moved: moved + 1,
     view: {...view, ...holding, phase: 'held', lapse: 0, ...NOTHING_OPEN},
@@ -323,6 +342,66 @@
   return guards.recordsFirst ? {...next, record: holding} : next;
 }
 
+function mayAssign(
+  ctx: RangeContext,
+  state: RangeState,
+  leader: RangeLeader,
+): boolean {
+  if (!mayAct(ctx, state.leaders[leader])) return false;
+  return isOfHistory(ctx, state, leader) && isFree(ctx, state, leader);
+}
+
+function mayRecordUnheard(
+  ctx: RangeContext,
+  state: RangeState,
+  leader: RangeLeader,
+  server: RangeServer,
+): boolean {
+  if (ctx.scope.unansweredRecords !== true) return false;
+  if (server === state.leaders[leader].view.server) return false;
+  return mayAssign(ctx, state, leader);
+}
+
+function nextHolding(
+  {servers, leaders}: RangeState,
+  leader: RangeLeader,
+  server: RangeServer,
+): RangeHolding {
+  const {run} = servers[server];
+  return {server, run, fence: leaders[leader].view.fence + 1};
+}
+
+/** The leader doesn't know whether its record is in the store. */
+function awaitRecord(
+  _ctx: RangeContext,
+  state: RangeState,
+  leader: RangeLeader,
+  server: RangeServer,
+): RangeState {
+  const {view, moved} = state.leaders[leader];
+  const {server: from, run, fence} = view;
+  const target = nextHolding(state, leader, server);
+  return setLeaderRun(state, leader, {
+    moved: moved + 1,
+    view: {
+      ...{...view, ...target, ...NOTHING_OPEN, lapse: 0},
+      ...{phase: 'recording', other: {server: from, run, fence}},
+    },
+  });
+}
+
+function recordAgain(
+  _ctx: RangeContext,
+  state: RangeState,
+  leader: RangeLeader,
+): RangeState {
+  if (state.newest !== leader)
+    return setLeaderRun(state, leader, {isOver: true});
+  const {server, run, fence} = state.leaders[leader].view;
+  const next = setView(state, leader, {phase: 'held', other: null});
+  return {...next, record: {server, run, fence}};
+}
+
 const NOTHING_OPEN = {unproved: 0, foreign: 0};
 
 function succeed({guards}: RangeContext, state: RangeState): RangeState {
@@ -341,6 +420,7 @@
   const next = setView(begun, 'N', {
     ...holding,
     phase: 'held',
+    other: null,
     lapse: foreign,
     unproved: 0,
     foreign: guards.countsForeign ? foreign : 0,
