--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -52,6 +52,7 @@
 } from './request-pipelines.js';
 import {expectedDelayMs, type ReadDelayMonitor} from './read-delay.js';
 import type {RequestIntake} from './request-intake.js';
+import {createStopPhase, type StopPhase} from './stop-phase.js';
 import type {UnreadAnswers} from './unread-answers.js';
 import {
   sendResponse,
@@ -102,13 +103,7 @@
 }
 
 interface FrontendState extends FrontendConfig, RequestLogConfig {
-  /** When this router was told to stop, monotonic, in ms. */
-  closingSince: number | null;
-  /** When requests that are read now end at the latest, monotonic, in ms. */
-  endsAt: number;
-  /** Whether requests that may end later than `endsAt` are refused. */
-  isSendingOver: boolean;
-  isRefusing: boolean;
+  readonly stop: StopPhase;
   readonly pipelines: RequestPipelines;
   readonly retryAges: RetryAges;
 }
@@ -161,13 +156,11 @@
  * ```
  */
 export function createFrontend(cfg: FrontendConfig): Frontend {
+  const stop = createStopPhase();
   const state: FrontendState = {
     ...cfg,
-    closingSince: null,
-    stoppingSince: () => state.closingSince,
-    endsAt: Infinity,
-    isSendingOver: false,
-    isRefusing: false,
+    stop,
+    stoppingSince: stop.since,
     pipelines: createRequestPipelines(),
     retryAges: createRetryAges(),
   };
@@ -186,17 +179,12 @@
   return {
     server,
     connections: createCallerConnections(server, cfg.openRequests),
-    startClosing(endsAt) {
-      state.closingSince = cfg.clock.now();
-      state.endsAt = endsAt;
-    },
+    startClosing: endsAt => stop.start(cfg.clock.now(), endsAt),
     stopSending() {
-      state.isSendingOver = true;
-      cfg.openRequests.stopSending(state.endsAt);
-    },
-    startRefusing() {
-      state.isRefusing = true;
+      stop.endSending();
+      cfg.openRequests.stopSending(stop.endsAt());
     },
+    startRefusing: stop.finish,
     applyLimits({limits}) {
       server.headersTimeout = limits.headerTimeoutMs;
       server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
@@ -258,7 +246,7 @@
   if (!isGone) {
     // Only the last accepted request's response may close the connection.
     const isLast =
-      (state.closingSince !== null && pipelined.isNewest()) || !req.complete;
+      (state.stop.since() !== null && pipelined.isNewest()) || !req.complete;
     if (isLast) pipelined.markLast();
     const {unread} = state;
     sendOrFail(state, {requestId, isLast, unread}, req, res, response);
@@ -295,7 +283,7 @@
 ): Promise<FrontendResponse> {
   const config = state.config();
   const {names} = state.forward;
-  if (state.isRefusing) return refuseAsStopping(context);
+  if (state.stop.isOver()) return refuseAsStopping(context);
   if (config === null) {
     return refuse(context, 'starting', 'no configuration loaded yet');
   }
@@ -312,7 +300,7 @@
   if (route === null) return refuseUnknownPath(state, context);
   context.route = route;
   context.callerDeadline = callerDeadlineOf(names, req, route, context);
-  if (state.isSendingOver && context.callerDeadline > state.endsAt)
+  if (!state.stop.maySend(context.callerDeadline))
     return refuseAsStopping(context);
   const service = state.splitter.next(route);
   const isKeyed = config.services.get(service)?.isKeyed ?? false;
@@ -369,7 +357,7 @@
 ): Promise<FrontendResponse> {
   const {id} = context;
   const {names} = state.forward;
-  const deadline = Math.min(context.callerDeadline, state.endsAt);
+  const deadline = Math.min(context.callerDeadline, state.stop.endsAt());
   context.isShortened = deadline < context.callerDeadline;
   const late = refuseIfLate(state, context, deadline);
   if (late !== null) return late;
--- a/packages/gateway/src/stop-router.ts
+++ b/packages/gateway/src/stop-router.ts
@@ -97,8 +97,8 @@
 }
 
 /**
- * Answers the requests that are left within `limitMs`, and returns their number. A closed
- * connection would not tell callers which requests can be repeated.
+ * Answers the requests that are left within `limitMs`, and returns their number.
+ * A closed connection would not tell callers which requests can be repeated.
  */
 async function breakOffRequests(
   {clock, frontend, openRequests}: StopConfig,
