Read on a body whose request was cancelled before by its caller

No caller saw this: the frontend ends such requests before it reads their body. But given a signal that was aborted for another reason than a stop, readBody returned without listening to the request, and never settled.

read-body.test.ts: unfinished -> read, as when the signal is aborted during the reading; large-bodies.test.ts passes.

--- a/packages/gateway/src/read-body.ts
+++ b/packages/gateway/src/read-body.ts
@@ -87,8 +87,9 @@
       signal?.removeEventListener('abort', onAbort);
       resolveRead(read);
     };
+    const isStopping = (): boolean => signal?.reason === STOPPING;
     const onAbort = (): void => {
-      if (signal?.reason === STOPPING) giveUp('stopping');
+      if (isStopping()) giveUp('stopping');
     };
     const onData = (chunk: Buffer): void => {
       size += chunk.length;
@@ -101,7 +102,7 @@
       req.pause();
       resolve({kind});
     };
-    if (signal?.aborted) return onAbort();
+    if (isStopping()) return giveUp('stopping');
     signal?.addEventListener('abort', onAbort);
     req.on('data', onData);
     req.once('end', () => resolve({kind: 'read', bytes: receiver.bytes()}));
