Serve held requests that end before a stopping router

Now such requests are left to the check that follows when they are routed.

late-in-stop.test.ts: 503 in two of two runs -> served in two of two, all other tests of the file pass.

--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -217,7 +217,7 @@
     ...{id, readAt},
     routeName: () => context.route?.name ?? null,
     isAnswered: () => res.writableEnded,
-    deadline: () => context.callerDeadline,
+    deadline: () => (context.route === null ? null : context.callerDeadline),
     stopSending: () => sending.abort(STOPPING),
     breakOff: () => canceller.abort(STOPPING),
   };
--- a/packages/gateway/src/open-requests.ts
+++ b/packages/gateway/src/open-requests.ts
@@ -11,9 +11,9 @@
   isAnswered(): boolean;
   /**
    * Monotonic time by which it ends unless this router stops before, in ms;
-   * `Infinity` until its route is known.
+   * null until its route is known, when it is checked.
    */
-  deadline(): number;
+  deadline(): number | null;
   /**
    * Makes it end at once, with an answer, unless a server works on it; it is
    * not sent to another one then.
@@ -70,8 +70,10 @@
     count: () => open.size,
     unwrittenCount: () => [...open].filter(req => req.isAnswered()).length,
     stopSending(endsAt) {
-      const outlasting = [...open].filter(req => req.deadline() > endsAt);
-      for (const req of outlasting) req.stopSending();
+      for (const req of [...open]) {
+        const deadline = req.deadline();
+        if (deadline !== null && deadline > endsAt) req.stopSending();
+      }
     },
     breakOff() {
       for (const req of [...open]) req.breakOff();
