Give up a body up to the end of the connection without an uncaught error

The router logged an uncaught AssertionError for each answer without a length that it gave up: at its time limit, as its caller left, or as answers exceeded their limits. The attempt reset the connection and aborted its request at once; at the close of the connection the HTTP client then took that close for the end of the body, and completed a request that it had aborted before.

Once the head was received, the reset alone ends the attempt now, at the close that follows. What was counted of an answer that exceeds a limit is released at once, as before.

--- a/packages/dispatch/src/attempt.ts
+++ b/packages/dispatch/src/attempt.ts
@@ -121,6 +121,7 @@
     if (abortReason !== null) return;
     answers.noteExceeded(limit);
     body.clear();
+    stopCounting();
     abort('too-large');
   };
   const abort = (reason: LossReason): void => {
@@ -128,7 +129,9 @@
     abortReason = reason;
     if (abortDispatch !== null) {
       resetConnection(connection);
-      return abortDispatch();
+      // undici takes the end of the connection for that of a body without a
+      // length, and fails if its request was aborted before.
+      return status === 0 ? abortDispatch() : undefined;
     }
     // The connection isn't open yet; `onConnect` then aborts before writing.
     settleLost(reason, 'aborted before the request was written');
@@ -198,7 +201,8 @@
       return true;
     },
     onComplete() {
-      if (abortReason !== null) return settleLost(abortReason, 'aborted');
+      if (abortReason !== null)
+        return settleLost(abortReason, detailOf(abortReason, 'aborted'));
       if (!isComplete(spec.method, status, fields, size, connection)) {
         return settleLost('truncated', 'the answer is truncated');
       }
@@ -212,8 +216,7 @@
     },
     onError(err) {
       const reason = abortReason ?? lossReason(isWritten, status);
-      const detail = reason === 'too-large' ? TOO_LARGE : err.message;
-      settleLost(reason, detail);
+      settleLost(reason, detailOf(reason, err.message));
     },
   };
   connection.client.dispatch(
@@ -231,6 +234,10 @@
   return {result, abort, abortUnwritten};
 }
 
+function detailOf(reason: LossReason, otherwise: string): string {
+  return reason === 'too-large' ? TOO_LARGE : otherwise;
+}
+
 /**
  * Whether the answer with this id belongs to another request. One without an id
  * can't be told from a copy of an earlier one, so it only counts on connections
--- a/packages/dispatch/test/endless-answers.test.ts
+++ b/packages/dispatch/test/endless-answers.test.ts
@@ -32,6 +32,9 @@
   write();
 }
 
+const sleep = (ms: number): Promise<void> =>
+  new Promise(resolve => setTimeout(resolve, ms));
+
 interface Case {
   readonly name: string;
   readonly head: string;
@@ -206,3 +209,54 @@
   t.match(result, {kind: 'lost', reason: 'timeout'});
   t.ok(tookMs < LIMIT_MS + 500, `${Math.round(tookMs)} ms`);
 });
+
+const UNTIL_CLOSE = 'HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n';
+
+// Guards against an uncaught error where a body up to the end of the connection
+// is given up: the HTTP client takes the reset for its end.
+void tap.test('a body up to the end of the connection is given up', async t => {
+  const server = await listenRaw(socket => socket.write(`${UNTIL_CLOSE}part`));
+  t.teardown(() => server.close());
+  const uncaught: Error[] = [];
+  const note = (err: Error): void => void uncaught.push(err);
+  process.on('uncaughtException', note);
+  t.teardown(() => process.off('uncaughtException', note));
+  for (const reason of ['timeout', 'cancelled', 'silent'] as const) {
+    const answers = createAnswerLimits(SIZES);
+    const connections = createServerConnections(server.origin, 1, answers);
+    const connection = connections.acquire('r1')!;
+    const attempt = startAttempt(connection, NAMES, createClock(), {
+      ...{method: 'GET', path: '/', headers: [], body: null, requestId: 'r1'},
+      withinMs: LIMIT_MS,
+    });
+    await sleep(200);
+    const abortedAt = performance.now();
+    attempt.abort(reason);
+    t.match(await attempt.result, {kind: 'lost', reason});
+    t.ok(performance.now() - abortedAt < 200, 'ends at once');
+    connections.release(connection, false);
+    await sleep(100);
+    t.equal(answers.heldBytes(), 0, 'nothing is held afterwards');
+  }
+  t.same(uncaught, [], 'no error is left uncaught');
+});
+
+// Guards against the same where all answers together exceed their limit.
+void tap.test('bodies up to the end exceed the limit of all', async t => {
+  const server = await listenRaw(socket => {
+    socket.write(UNTIL_CLOSE);
+    socket.write('x'.repeat(MAX_BYTES * 0.75));
+  });
+  t.teardown(() => server.close());
+  const uncaught: Error[] = [];
+  const note = (err: Error): void => void uncaught.push(err);
+  process.on('uncaughtException', note);
+  t.teardown(() => process.off('uncaughtException', note));
+  const answers = createAnswerLimits(SIZES);
+  const all = Array.from({length: 12}, () => send(server.origin, answers));
+  await Promise.all(all);
+  await sleep(100);
+  t.equal(answers.exceeded().total, 10, 'two of twelve fit');
+  t.equal(answers.heldBytes(), 0);
+  t.same(uncaught, [], 'no error is left uncaught');
+});
