End an answer at once that is mostly no body

A head that doesn't end, interim answers, empty lines, trailers and chunk extensions were read up to the size limit of an answer or to the time limit of its request, and cost much more processor time and memory than a body.

An answer ends now as too large once it has 24 KiB, and 16 bytes for each byte of its body, that are no body. This is looked at after the HTTP client has read what came, and only where so much came.

Six tests with 56 KiB of each, then silence, failed at 3.0 s (the time limit), and pass; an answer with 15 KB of fields, 50,000 chunks of one byte and 6 KB of trailers is delivered. Open: heads or trailers of 16,000 fields that come in one piece still take 203 MB at the peak. Chunks of one byte end at the time limit as before, with 113 MB.

--- a/packages/dispatch/src/answer-limits.ts
+++ b/packages/dispatch/src/answer-limits.ts
@@ -25,6 +25,16 @@
   exceeded(): Readonly<Record<ExceededLimit, number>>;
 }
 
+/** Head and trailers of an answer, in bytes; the HTTP client allows 16 KiB. */
+const MAX_HEAD_BYTES = 24 * 1024;
+/** Chunk sizes and extensions allowed for each byte of a body, in bytes. */
+const FRAMING_PER_BODY_BYTE = 16;
+
+/** Whether so much was received that isn't the body as no answer needs. */
+export function isMostlyFraming(received: number, body: number): boolean {
+  return received - body > MAX_HEAD_BYTES + FRAMING_PER_BODY_BYTE * body;
+}
+
 const BYTES_PER_MIB = 1024 ** 2;
 
 /** Where the memory of the host isn't known. */
--- a/packages/dispatch/src/attempt.ts
+++ b/packages/dispatch/src/attempt.ts
@@ -2,7 +2,7 @@
 import type {Clock} from '@banyandrum/base/clock.js';
 import type {Dispatcher} from 'undici';
 import {createAnswerBody} from './answer-body.js';
-import type {ExceededLimit} from './answer-limits.js';
+import {isMostlyFraming, type ExceededLimit} from './answer-limits.js';
 import {resetConnection, type Connection} from './connections.js';
 import type {WireNames} from './wire.js';
 
@@ -100,6 +100,7 @@
   let rawHeaders: string[] = [];
   let fields = NO_FIELDS;
   let isWritten = false;
+  let isSettled = false;
   let abortReason: LossReason | null = null;
   let abortDispatch: (() => void) | null = null;
   let settle: (result: AttemptResult) => void = () => undefined;
@@ -108,6 +109,7 @@
   });
   const {answers} = connection;
   const stopCounting = (): void => {
+    isSettled = true;
     connection.onReceived = null;
     answers.release(size);
     size = 0;
@@ -167,7 +169,13 @@
       isWritten = true;
       const before = connection.socket?.bytesRead ?? 0;
       connection.onReceived = bytes => {
-        if (bytes - before > answers.maxBytes) exceed('answer');
+        const received = bytes - before;
+        if (received > answers.maxBytes) return exceed('answer');
+        if (!isMostlyFraming(received, size)) return;
+        // The HTTP client has read them by then; they may be the body.
+        queueMicrotask(() => {
+          if (!isSettled && isMostlyFraming(received, size)) exceed('answer');
+        });
       };
     },
     onHeaders(code, raw) {
--- a/packages/dispatch/test/endless-answers.test.ts
+++ b/packages/dispatch/test/endless-answers.test.ts
@@ -260,3 +260,55 @@
   t.equal(answers.heldBytes(), 0);
   t.same(uncaught, [], 'no error is left uncaught');
 });
+
+/** Within the limit of one answer, but little or nothing of it is a body. */
+const FRAMING_BYTES = 56 * KIB;
+const FRAMING_CASES: readonly Pick<Case, 'name' | 'head' | 'part'>[] = [
+  {
+    ...{name: 'header fields of four bytes', head: 'HTTP/1.1 200 OK\r\n'},
+    part: 'a:\r\n',
+  },
+  {name: 'a reason phrase', head: 'HTTP/1.1 200 ', part: 'x'},
+  {name: 'interim answers', head: '', part: 'HTTP/1.1 102 Processing\r\n\r\n'},
+  {name: 'empty lines before an answer', head: '', part: '\r\n'},
+  {
+    ...{name: 'trailers of four bytes', part: 'a:\r\n'},
+    head: `${CHUNKED}2\r\nok\r\n0\r\n`,
+  },
+  {name: 'a long chunk extension', head: `${CHUNKED}2;`, part: 'x'},
+];
+
+for (const {name, head, part} of FRAMING_CASES) {
+  // Guards against holding much that is no body, which costs many times its size.
+  void tap.test(`much that is no body: ${name}`, async t => {
+    const repeats = Math.ceil(FRAMING_BYTES / part.length);
+    const server = await listenRaw(socket =>
+      socket.write(head + part.repeat(repeats)),
+    );
+    t.teardown(() => server.close());
+    const answers = createAnswerLimits(SIZES);
+    const {result, tookMs} = await send(server.origin, answers);
+    t.equal(result.kind, 'lost');
+    if (result.kind !== 'lost') return;
+    t.equal(result.reason, 'too-large');
+    t.ok(tookMs < LIMIT_MS / 3, `ends at once, after ${Math.round(tookMs)} ms`);
+    t.equal(answers.heldBytes(), 0);
+  });
+}
+
+// Guards against taking the framing of small chunks, or a long head with its
+// trailers, for an answer without end.
+void tap.test('answers with much framing are delivered', async t => {
+  const fields = `x-a: ${'y'.repeat(1_000)}\r\n`.repeat(15);
+  const trailers = `x-b: ${'y'.repeat(1_000)}\r\n`.repeat(6);
+  const head = CHUNKED.replace('\r\n\r\n', `\r\n${fields}\r\n`);
+  const body = '1\r\nx\r\n'.repeat(50_000);
+  const server = await listenRaw(socket =>
+    socket.write(`${head}${body}0\r\n${trailers}\r\n`),
+  );
+  t.teardown(() => server.close());
+  const {result} = await send(server.origin, createAnswerLimits(SIZES));
+  t.equal(result.kind, 'answered');
+  if (result.kind !== 'answered') return;
+  t.equal(result.answer.body.length, 50_000);
+});
