Ask the former server of a move that was not recorded before a restore

Callers saw keys without a server for 16 s after a restore of the store if their range was being moved: any move whose record was not acknowledged counted as unknown. A record that was surely not carried out is known to no other leader, though: a leader that the store forgot can only have read the server before the move. That server is asked under the old fence, as for ranges that aren't moved. If it accepts, it holds the range alone, since no such leader can record a move any more; the model has this state as a release before the restore.

A lease keeps where it was moved from until a write that names its new server may have been carried out; a write that resolves with the new result `unsent` was not. A leader refuses writes itself once it has noticed a restore. A range that was being moved isn't served after the restore until its server accepts; before, it was served at once.

--- a/packages/gateway/src/leadership.ts
+++ b/packages/gateway/src/leadership.ts
@@ -217,7 +217,7 @@
    */
   const tableStoreForTerm = (ownTerm: Term): Pick<TableStore, 'save'> => ({
     save: async table =>
-      isStoreRestoredSince(ownTerm) ? 'failed' : platform.ledger.save(table),
+      isStoreRestoredSince(ownTerm) ? 'unsent' : platform.ledger.save(table),
   });
 
   const startNewServices = (ownTerm: Term): void => {
--- a/packages/gateway/test/restorable-store.ts
+++ b/packages/gateway/test/restorable-store.ts
@@ -88,7 +88,7 @@
 
     const save = (table: RangeTable): SaveResult => {
       if (records.owner > ownTerm && isOwnHistory()) return 'fenced';
-      if (!isOwnHistory()) return 'failed';
+      if (!isOwnHistory()) return 'unsent';
       const tables = new Map(records.tables).set(table.service, table);
       records = {...records, tables};
       return 'saved';
--- a/packages/ranges/src/confirm-lease.ts
+++ b/packages/ranges/src/confirm-lease.ts
@@ -1,6 +1,7 @@
 import {
   emitCallResult,
   saveAssignments,
+  toEventFields,
   type LeaderState,
 } from './leader-state.js';
 import {createRangeLease, type RangeLease} from './range-lease.js';
@@ -56,13 +57,17 @@
   Record<LeaseCallResult['kind'], ConfirmResultHandler>
 > = {
   done(leader, lease) {
-    const {expiresAt, earlierLeaderGrantUntil, assignment} = lease;
+    const {expiresAt, earlierLeaderGrantUntil, assignment, isServed} = lease;
     const now = leader.clock.now();
     const refenced = {...assignment, fence: leader.nextFence()};
     // Until the server has seen the new fence, it still accepts calls from a
     // leader whose term the restore removed.
     const carriedOver = {isServed: true, expiresAt, earlierLeaderGrantUntil};
     Object.assign(lease, createRangeLease(refenced, now), carriedOver);
+    if (!isServed) {
+      leader.emit('range-held', toEventFields(lease.assignment));
+      leader.onChange();
+    }
     void saveAssignments(leader, [lease]);
   },
   unproved(leader, lease) {
--- a/packages/ranges/src/inheritance.ts
+++ b/packages/ranges/src/inheritance.ts
@@ -6,6 +6,8 @@
 export interface InheritedAssignment {
   readonly assignment: RangeAssignment;
   readonly source: AssignmentSource;
+  /** Whether requests may be sent to the server at once. */
+  readonly isServed: boolean;
   /** See `RangeLease.confirmDeadline`. */
   readonly confirmDeadline: number;
 }
@@ -28,6 +30,7 @@
   return assignments.map(assignment => ({
     assignment,
     source: isFromCurrentEpoch(assignment, termEpoch) ? 'recorded' : 'unknown',
+    isServed: isFromCurrentEpoch(assignment, termEpoch),
     confirmDeadline: Infinity,
   }));
 }
@@ -53,20 +56,23 @@
  * Returns the assignments that a leader takes over from its own previous term
  * after a restore has removed that term's writes from the store. A new
  * assignment whose write was not acknowledged counts as `unknown`, because the
- * write may have succeeded. `authorityEndsAt` is when the authority of that
- * term ends, in ms on the suspend-aware clock.
+ * write may have succeeded. If none was carried out, leaders that the restore
+ * removed know the previous assignment only. `authorityEndsAt` is when the
+ * authority of that term ends, in ms on the suspend-aware clock.
  */
 export function inheritRemembered(
   leases: readonly RangeLease[],
   authorityEndsAt: number,
 ): readonly InheritedAssignment[] {
   return leases.map(lease => {
-    const {assignment, source, phase, isServed} = lease;
+    const {assignment, source, phase, isServed, movedFrom} = lease;
     const isUnacknowledged = phase === 'waiting' && !isServed;
-    const isKnown = source !== 'unknown' && !isUnacknowledged;
+    const isDoubtful = isUnacknowledged && movedFrom === null;
+    const isKnown = source !== 'unknown' && !isDoubtful;
     return {
-      assignment,
+      assignment: movedFrom ?? assignment,
       source: isKnown ? 'remembered' : 'unknown',
+      isServed: isKnown && isServed,
       confirmDeadline: Math.min(lease.confirmDeadline, authorityEndsAt),
     };
   });
--- a/packages/ranges/src/move-range.ts
+++ b/packages/ranges/src/move-range.ts
@@ -30,6 +30,12 @@
   'load',
   'evacuated',
 ]);
+/** Reasons for which the previous server can't confirm the range. */
+const UNKNOWN_HOLDER_REASONS: ReadonlySet<MoveReason> = new Set([
+  'free',
+  'unknown',
+  'ended',
+]);
 /** Interval at which a wait checks its condition, in ms. */
 const POLL_INTERVAL_MS = 50;
 /** Minimum timeout of a release call, in ms. */
@@ -69,13 +75,16 @@
   const target = await chooseTarget(leader, lease, preferredServer);
   if (target === null) return;
   const {from, to} = lease.assignment;
+  // The last calls may have needed another fence.
+  const former = {...lease.assignment, handover};
   const now = leader.clock.now();
   const assignment = {
     ...{from, to, handover},
     ...{server: target.id, address: target.address},
     fence: leader.nextFence(),
   };
-  Object.assign(lease, createRangeLease(assignment, now));
+  const movedFrom = UNKNOWN_HOLDER_REASONS.has(reason) ? null : former;
+  Object.assign(lease, createRangeLease(assignment, now), {movedFrom});
   const tookMs = Math.round(now - startedAt);
   leader.emit('range-assigned', {...toEventFields(lease.assignment), tookMs});
   if (await saveAssignments(leader, [lease])) await grantLease(leader, lease);
--- a/packages/ranges/src/range-lease.ts
+++ b/packages/ranges/src/range-lease.ts
@@ -68,6 +68,11 @@
    * then.
    */
   confirmDeadline: number;
+  /**
+   * The assignment that it had before a move, while no write that has the
+   * present one may have been carried out; otherwise null.
+   */
+  movedFrom: RangeAssignment | null;
   /**
    * The leases that it replaces at the same server. While its assignment isn't
    * stored, these are renewed in its place.
@@ -95,6 +100,7 @@
     lateRenewalUntil: 0,
     earlierLeaderGrantUntil: 0,
     confirmDeadline: Infinity,
+    movedFrom: null,
     previous: [],
   };
 }
--- a/packages/ranges/src/service-leader.ts
+++ b/packages/ranges/src/service-leader.ts
@@ -23,6 +23,7 @@
 } from './range-lease.js';
 import {moveRange} from './move-range.js';
 import {createTableWriter} from './table-writer.js';
+import {trackUnsentMoves} from './unsent-moves.js';
 import {splitEvenly, type RangeTable, type ServedRange} from './table.js';
 import {shortenInheritedLeases} from './shorten-inherited.js';
 
@@ -123,7 +124,7 @@
     assignments: leader.leases.map(({assignment}) => assignment),
   });
   const tableWriter = createTableWriter(
-    cfg.tableStore,
+    trackUnsentMoves(cfg.tableStore, () => leader.leases),
     cfg.clock,
     currentTable,
     () => {
@@ -197,12 +198,15 @@
       earlierLeaderGrantUntil: expiresAt,
     };
   },
-  /** The server continues to serve the range and confirms the known fence. */
-  remembered(leader, {assignment, confirmDeadline}) {
+  /**
+   * The server confirms the known fence. It continues to serve the range unless
+   * that was being moved.
+   */
+  remembered(leader, {assignment, isServed, confirmDeadline}) {
     const expiresAt = leader.timing.expiryOf(leader.earlierLeadersActUntil);
     return {
       ...createRangeLease(assignment, leader.clock.now()),
-      ...{source: 'remembered', phase: 'held', isServed: true},
+      ...{source: 'remembered', phase: 'held', isServed},
       ...{expiresAt, earlierLeaderGrantUntil: expiresAt, confirmDeadline},
     };
   },
--- a/packages/ranges/src/table-store.ts
+++ b/packages/ranges/src/table-store.ts
@@ -5,8 +5,10 @@
   | 'saved'
   /** A newer leader has started its term; this one must stop. */
   | 'fenced'
-  /** Not acknowledged; the write may be retried. */
-  | 'failed';
+  /** Not acknowledged; the write may have been carried out, or may be later. */
+  | 'failed'
+  /** This write was not carried out and never will be. */
+  | 'unsent';
 
 /** Result of reading the leader's address. */
 export type LeaderRead =
