--- a/review/lib-2/routers.mjs
+++ b/review/lib-2/routers.mjs
@@ -34,22 +34,28 @@
 for (const signal of ['SIGTERM', 'SIGINT'])
   process.on(signal, () => process.exit(2));
 
-/** Returns free ports. */
+/** Below the ports that the kernel gives to outgoing connections. */
+const FIRST_PORT = 12_000;
+const PORTS = 18_000;
+
+const isFree = port =>
+  new Promise(resolve => {
+    const server = createServer();
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+  });
+
+const taken = new Set();
+
+/** Returns free ports, none of them twice. */
 export async function freePorts(count) {
-  const servers = await Promise.all(
-    Array.from(
-      {length: count},
-      () =>
-        new Promise(resolve => {
-          const server = createServer();
-          server.listen(0, '127.0.0.1', () => resolve(server));
-        }),
-    ),
-  );
-  const ports = servers.map(server => server.address().port);
-  await Promise.all(
-    servers.map(server => new Promise(resolve => server.close(resolve))),
-  );
+  const ports = [];
+  while (ports.length < count) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORTS);
+    if (taken.has(port) || !(await isFree(port))) continue;
+    taken.add(port);
+    ports.push(port);
+  }
   return ports;
 }
 
