Copy the small chunks of a request's body into blocks

Callers saw: a router ended, out of heap, with all that it did for others, while a few clients sent bodies in chunks of a few bytes.

Cause: each chunk was kept as the HTTP parser hands it over. A chunk of one byte is an object of some 220 bytes, and was counted as two.

Why it works: the buffer that collects answers (body-buffer.ts, so far answer-body.ts) copies small chunks into blocks, so that memory follows the body's size, as the limit of all bodies assumes.

--- a/packages/dispatch/src/attempt.ts
+++ b/packages/dispatch/src/attempt.ts
@@ -1,7 +1,7 @@
 import type {Socket} from 'node:net';
 import type {Clock} from '@banyandrum/base/clock.js';
 import type {Dispatcher} from 'undici';
-import {createAnswerBody} from './answer-body.js';
+import {createBodyBuffer} from './body-buffer.js';
 import {isMostlyFraming, type ExceededLimit} from './answer-limits.js';
 import {resetConnection, type Connection} from './connections.js';
 import type {WireNames} from './wire.js';
@@ -94,7 +94,7 @@
   clock: Clock,
   spec: AttemptSpec,
 ): Attempt {
-  const body = createAnswerBody();
+  const body = createBodyBuffer();
   let size = 0;
   let status = 0;
   let rawHeaders: string[] = [];
--- a/packages/dispatch/src/answer-body.ts
+++ b/packages/dispatch/src/body-buffer.ts
@@ -1,5 +1,5 @@
 /** Collects the chunks of a body, with memory in proportion to its size. */
-export interface AnswerBody {
+export interface BodyBuffer {
   append(chunk: Buffer): void;
   /** The bytes of all chunks. */
   toBuffer(): Buffer;
@@ -16,12 +16,12 @@
  *
  * @example
  * ```ts
- * const body = createAnswerBody();
+ * const body = createBodyBuffer();
  * body.append(chunk);
  * deliver(body.toBuffer());
  * ```
  */
-export function createAnswerBody(): AnswerBody {
+export function createBodyBuffer(): BodyBuffer {
   let parts: Buffer[] = [];
   let size = 0;
   let block = Buffer.alloc(0);
--- a/packages/dispatch/test/answer-memory.test.ts
+++ b/packages/dispatch/test/answer-memory.test.ts
@@ -2,7 +2,7 @@
 import {runInNewContext} from 'node:vm';
 import tap from 'tap';
 import {createClock} from '@banyandrum/base/clock.js';
-import {createAnswerBody} from '@banyandrum/dispatch/answer-body.js';
+import {createBodyBuffer} from '@banyandrum/dispatch/body-buffer.js';
 import {createAnswerLimits} from '@banyandrum/dispatch/answer-limits.js';
 import {startAttempt} from '@banyandrum/dispatch/attempt.js';
 import {createServerConnections} from '@banyandrum/dispatch/connections.js';
@@ -86,7 +86,7 @@
   const sizes = [1, 3, 70_000, 1, 5_000, 64, 1, 300_000, 2, 2, 4_096, 4_095];
   const slab = Buffer.alloc(400_000);
   for (let at = 0; at < slab.length; at++) slab[at] = (at * 7) % 251;
-  const body = createAnswerBody();
+  const body = createBodyBuffer();
   const chunks = [...sizes, ...sizes].map((size, at) =>
     at % 2 === 0
       ? slab.subarray(at, at + size)
--- a/packages/gateway/src/read-body.ts
+++ b/packages/gateway/src/read-body.ts
@@ -1,5 +1,6 @@
 import type {IncomingMessage} from 'node:http';
 import {STOPPING, type CancelSignal} from '@banyandrum/base/cancel.js';
+import {createBodyBuffer} from '@banyandrum/dispatch/body-buffer.js';
 import type {BodyMemory} from './body-memory.js';
 
 /** Result of reading a request's body. */
@@ -128,10 +129,10 @@
 
 /** Receives chunks, which are copied once more when they are put together. */
 function receiveChunks(): Receiver {
-  const chunks: Buffer[] = [];
+  const body = createBodyBuffer();
   return {
     memoryPerByte: 2,
-    add: chunk => void chunks.push(chunk),
-    bytes: () => Buffer.concat(chunks),
+    add: body.append,
+    bytes: body.toBuffer,
   };
 }
--- a/packages/gateway/test/read-body.test.ts
+++ b/packages/gateway/test/read-body.test.ts
@@ -1,10 +1,25 @@
 import type {IncomingMessage} from 'node:http';
 import {PassThrough} from 'node:stream';
+import {setFlagsFromString} from 'node:v8';
+import {runInNewContext} from 'node:vm';
 import tap from 'tap';
 import {createCanceller, STOPPING} from '@banyandrum/base/cancel.js';
 import {createBodyMemory} from '@banyandrum/gateway/body-memory.js';
 import {readBody, type HeldBody} from '@banyandrum/gateway/read-body.js';
 
+const CHUNKS = 256 * 1024;
+/** Memory for a body of 256 KiB: itself, and as much again when it is whole. */
+const MAX_GROWTH_BYTES = 2 * 1024 ** 2;
+
+setFlagsFromString('--expose-gc');
+const collectGarbage = runInNewContext('gc') as () => void;
+
+function usedBytes(): number {
+  collectGarbage();
+  const {heapUsed, arrayBuffers} = process.memoryUsage();
+  return heapUsed + arrayBuffers;
+}
+
 /** Reads a body of which a part comes after the signal was aborted. */
 async function readAcrossAbort(
   isEarly: boolean,
@@ -34,3 +49,24 @@
     t.equal(cancelled.result.kind, 'read', name);
   }
 });
+
+// Guards against a body in chunks of one byte that takes hundreds of times its
+// size, so that some of them end the process.
+void tap.test('small chunks take no more memory than their bytes', async t => {
+  const stream = new PassThrough();
+  const headers = {'transfer-encoding': 'chunked'};
+  const req = Object.assign(stream, {headers}) as unknown as IncomingMessage;
+  const before = usedBytes();
+  const reading = readBody(req, 2 * CHUNKS, createBodyMemory(4 * CHUNKS));
+  for (let sent = 0; sent < CHUNKS; sent++) {
+    if (!stream.write(Buffer.alloc(1, 'x')))
+      await new Promise(resolve => stream.once('drain', resolve));
+  }
+  const growth = usedBytes() - before;
+  t.ok(growth <= MAX_GROWTH_BYTES, `${growth} bytes for ${CHUNKS}`);
+  stream.end();
+  const {result} = await reading;
+  t.ok(
+    result.kind === 'read' && result.bytes?.equals(Buffer.alloc(CHUNKS, 'x')),
+  );
+});
