End bodies that stall, and let the slowest make room

Callers saw: after a handful of clients had stopped short of the end of their bodies and stayed, uploads of others were refused with 503 for good.

Cause: reading a body ended with its last byte, its close or a stop only, and the limit of all bodies refused whatever came once it was reached.

Why it works: a body ends at the time limit of its request, from which on it is of no use, with 503 and a closed connection. Until then, where there is no room, the bodies that have arrived slowest for 0.5 s or more give up theirs, as they are the least likely to be whole in time.

--- a/packages/gateway/src/body-memory.ts
+++ b/packages/gateway/src/body-memory.ts
@@ -1,46 +1,120 @@
+import type {Clock} from '@banyandrum/base/clock.js';
+
 /** The memory that the bodies of callers' requests take together. */
 export interface BodyMemory {
-  /** Counts bytes of a body that takes `bodyBytes` so far; false if too many. */
-  tryHold(bytes: number, bodyBytes: number): boolean;
-  /** Ends the count of bytes that were held. */
-  release(bytes: number): void;
+  /**
+   * Starts to count a body that is being received. `evict` must end its reading
+   * and release its memory.
+   */
+  open(evict: () => void): BodyHolding;
   heldBytes(): number;
-  /** Number of bodies that were refused since the start. */
+  /** Number of bodies that were refused or evicted since the start. */
   refused(): number;
 }
 
+/** The memory of one body. */
+export interface BodyHolding {
+  /** Counts bytes of a body that takes `bodyBytes` so far; false if too many. */
+  tryHold(bytes: number, bodyBytes: number): boolean;
+  /** The body was received whole: it is held until it is released. */
+  complete(): void;
+  /** Ends the count; further calls do nothing. */
+  release(): void;
+}
+
+interface Holding {
+  readonly openedAt: number;
+  /** What counts towards the limit. */
+  bytes: number;
+  isComplete: boolean;
+  evict(): void;
+}
+
 /** Larger bodies leave a part of the memory to smaller ones, in bytes. */
 const SMALL_BODY_BYTES = 256 * 1024;
 /** Part of the memory that larger bodies may take. */
 const LARGE_BODIES_SHARE = 0.75;
+/** Bodies that are received for a shorter time, in ms, are not evicted. */
+const MIN_EVICTED_AGE_MS = 500;
 
 /**
  * Limits the memory of all bodies together, since each is held until its request
  * ends. A few large ones would otherwise end the process, with all that it does
  * for other callers.
  *
+ * Where there is no room, the bodies that arrive slowest give up theirs. Callers
+ * that stop short of the end of their bodies would otherwise keep all others
+ * from sending theirs.
+ *
  * @example
  * ```ts
- * const bodies = createBodyMemory(64 * 1024 ** 2);
- * if (!bodies.tryHold(chunk.length, size)) refuse();
+ * const bodies = createBodyMemory(64 * 1024 ** 2, clock);
+ * const holding = bodies.open(giveUp);
+ * if (!holding.tryHold(chunk.length, size)) refuse();
  * ```
  */
-export function createBodyMemory(maxBytes: number): BodyMemory {
+export function createBodyMemory(
+  maxBytes: number,
+  clock: Pick<Clock, 'now'>,
+): BodyMemory {
+  const maxLargeBytes = maxBytes * LARGE_BODIES_SHARE;
+  const holdings = new Set<Holding>();
   let held = 0;
   let refused = 0;
+
+  const bytesPerMs = ({bytes, openedAt}: Holding): number =>
+    bytes / (clock.now() - openedAt);
+
+  const isEvictable = ({isComplete, bytes, openedAt}: Holding): boolean =>
+    !isComplete && bytes > 0 && clock.now() - openedAt >= MIN_EVICTED_AGE_MS;
+
+  /** Evicts the slowest others if that makes enough room. */
+  const makeRoom = (needed: number, self: Holding): boolean => {
+    const candidates = [...holdings]
+      .filter(holding => holding !== self && isEvictable(holding))
+      .sort((a, b) => bytesPerMs(a) - bytesPerMs(b));
+    const evicted: Holding[] = [];
+    let room = 0;
+    for (const holding of candidates) {
+      if (room >= needed) break;
+      evicted.push(holding);
+      room += holding.bytes;
+    }
+    if (room < needed) return false;
+    refused += evicted.length;
+    for (const {evict} of evicted) evict();
+    return true;
+  };
+
   return {
-    tryHold(bytes, bodyBytes) {
-      const isLarge = bodyBytes > SMALL_BODY_BYTES;
-      const limit = isLarge ? maxBytes * LARGE_BODIES_SHARE : maxBytes;
-      if (held + bytes > limit) {
-        refused++;
-        return false;
-      }
-      held += bytes;
-      return true;
-    },
-    release(bytes) {
-      held -= bytes;
+    open(evict) {
+      const holding: Holding = {
+        ...{openedAt: clock.now(), bytes: 0},
+        ...{isComplete: false, evict},
+      };
+      holdings.add(holding);
+      const hold = (bytes: number): true => {
+        holding.bytes += bytes;
+        held += bytes;
+        return true;
+      };
+      return {
+        tryHold(bytes, bodyBytes) {
+          const isLarge = bodyBytes > SMALL_BODY_BYTES;
+          const excess = held + bytes - (isLarge ? maxLargeBytes : maxBytes);
+          if (excess <= 0 || makeRoom(excess, holding)) return hold(bytes);
+          refused++;
+          return false;
+        },
+        complete() {
+          holding.isComplete = true;
+        },
+        release() {
+          holdings.delete(holding);
+          held -= holding.bytes;
+          holding.bytes = 0;
+        },
+      };
     },
     heldBytes: () => held,
     refused: () => refused,
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -307,12 +307,13 @@
   const key = isKeyed ? readKey(names, req) : null;
   if (isKeyed && key === null)
     return rejected(400, 'key header is missing or invalid');
-  const body = await readBody(
-    req,
-    config.limits.maxBodyBytes,
-    state.bodies,
-    sendSignal,
-  );
+  const body = await readBody(req, {
+    clock: state.clock,
+    maxBytes: config.limits.maxBodyBytes,
+    memory: state.bodies,
+    signal: sendSignal,
+    deadline: Math.min(context.callerDeadline, state.stop.endsAt()),
+  });
   const {result} = body;
   if (result.kind !== 'read') return BODY_FAILURES[result.kind](context);
   const target = {route, service, key, body: result.bytes, sendSignal};
@@ -331,6 +332,7 @@
   'no-memory': context =>
     refuse(context, 'body-memory', 'too many large bodies at present'),
   stopping: refuseAsStopping,
+  late: context => refuse(context, 'read-late', 'the body was late'),
   incomplete: () => ({
     kind: 'failure',
     failure: failure('not-run', 'cancelled', 'request body is incomplete'),
--- a/packages/gateway/src/quarantine-page.ts
+++ b/packages/gateway/src/quarantine-page.ts
@@ -5,6 +5,7 @@
   type OperatorToken,
   type Role,
 } from '@banyandrum/base/access.js';
+import {createClock} from '@banyandrum/base/clock.js';
 import type {Suspects} from '@banyandrum/dispatch/suspects.js';
 import {createBodyMemory} from './body-memory.js';
 import {readBody} from './read-body.js';
@@ -28,6 +29,7 @@
 }
 
 const MAX_BODY_BYTES = 4_096;
+const BODY_TIMEOUT_MS = 10_000;
 const MAX_REASON_LENGTH = 500;
 
 /**
@@ -87,8 +89,12 @@
   operator: string,
   req: IncomingMessage,
 ): Promise<Answer> {
-  const memory = createBodyMemory(2 * MAX_BODY_BYTES);
-  const {result: body} = await readBody(req, MAX_BODY_BYTES, memory);
+  const clock = createClock();
+  const {result: body} = await readBody(req, {
+    ...{clock, maxBytes: MAX_BODY_BYTES},
+    memory: createBodyMemory(2 * MAX_BODY_BYTES, clock),
+    deadline: clock.now() + BODY_TIMEOUT_MS,
+  });
   if (body.kind !== 'read')
     return problem(413, 'the request body is too large');
   const request = parseClearRequest(body.bytes);
--- a/packages/gateway/src/read-body.ts
+++ b/packages/gateway/src/read-body.ts
@@ -1,5 +1,6 @@
 import type {IncomingMessage} from 'node:http';
 import {STOPPING, type CancelSignal} from '@banyandrum/base/cancel.js';
+import type {Clock} from '@banyandrum/base/clock.js';
 import {createBodyBuffer} from '@banyandrum/dispatch/body-buffer.js';
 import type {BodyMemory} from './body-memory.js';
 
@@ -12,6 +13,8 @@
   | {readonly kind: 'no-memory'}
   /** This router stops before the whole body could be of use. */
   | {readonly kind: 'stopping'}
+  /** It was not received by its deadline. */
+  | {readonly kind: 'late'}
   /** The connection closed before the whole body was received. */
   | {readonly kind: 'incomplete'};
 
@@ -22,71 +25,75 @@
   release(): void;
 }
 
+/** How a body is read. */
+export interface BodyReadConfig {
+  readonly clock: Clock;
+  readonly maxBytes: number;
+  readonly memory: BodyMemory;
+  /** Ends the reading if it is aborted because this router stops. */
+  readonly signal?: CancelSignal;
+  /** Monotonic time from which the body is of no use, in ms. */
+  readonly deadline?: number;
+}
+
 /** Bytes that were received, in the memory that they take until their end. */
 interface Receiver {
   /** Memory that each received byte takes. */
   readonly memoryPerByte: number;
   add(chunk: Buffer): void;
   bytes(): Buffer;
+  /** Frees the memory, though listeners still refer to this receiver. */
+  clear(): void;
 }
 
 /**
  * Reads a request's body into memory, so that it can be sent again on a retry.
- * Resolves to `too-large`, `no-memory` or, when `signal` is aborted because this
- * router stops, to `stopping` as soon as that is known, without reading the
- * rest.
+ * Resolves as soon as it is known that the body can't be used, without reading
+ * the rest.
  *
  * @example
  * ```ts
- * const {result, release} = await readBody(req, 1_048_576, bodies);
+ * const cfg = {clock, maxBytes: 1_048_576, memory: bodies};
+ * const {result, release} = await readBody(req, cfg);
  * ```
  */
-export async function readBody(
+export function readBody(
   req: IncomingMessage,
-  maxBytes: number,
-  memory: BodyMemory,
-  signal: CancelSignal | null = null,
+  cfg: BodyReadConfig,
 ): Promise<HeldBody> {
   const {headers} = req;
   const contentLength = headers['content-length'];
   const hasBody = contentLength !== undefined || 'transfer-encoding' in headers;
-  if (!hasBody) return holdNothing({kind: 'read', bytes: null});
+  if (!hasBody)
+    return Promise.resolve(holdNothing({kind: 'read', bytes: null}));
   const length = contentLength === undefined ? null : Number(contentLength);
-  if (length !== null && length > maxBytes)
-    return holdNothing({kind: 'too-large'});
+  if (length !== null && length > cfg.maxBytes)
+    return Promise.resolve(holdNothing({kind: 'too-large'}));
   const receiver = length === null ? receiveChunks() : receiveInto(length);
-  let held = 0;
-  const tryHold = (bytes: number, size: number): boolean => {
-    const needed = bytes * receiver.memoryPerByte;
-    if (!memory.tryHold(needed, size)) return false;
-    held += needed;
-    return true;
-  };
-  const result = await receive(req, maxBytes, receiver, tryHold, signal);
-  const release = (): void => {
-    memory.release(held);
-    held = 0;
-  };
-  if (result.kind !== 'read') release();
-  return {result, release};
+  return receive(req, cfg, receiver);
 }
 
 function holdNothing(result: BodyRead): HeldBody {
   return {result, release: () => undefined};
 }
 
+/** Ways in which the reading of a body is given up. */
+type GivenUp = 'too-large' | 'no-memory' | 'stopping' | 'late';
+
 function receive(
   req: IncomingMessage,
-  maxBytes: number,
+  {clock, maxBytes, memory, signal, deadline = Infinity}: BodyReadConfig,
   receiver: Receiver,
-  tryHold: (bytes: number, size: number) => boolean,
-  signal: CancelSignal | null,
-): Promise<BodyRead> {
+): Promise<HeldBody> {
   return new Promise(resolveRead => {
     let size = 0;
-    const resolve = (read: BodyRead): void => {
+    let cancelDeadline = (): void => undefined;
+    const resolve = (result: BodyRead): void => {
       signal?.removeEventListener('abort', onAbort);
-      resolveRead(read);
+      cancelDeadline();
+      if (result.kind === 'read') holding.complete();
+      else holding.release();
+      resolveRead({result, release: holding.release});
     };
     const isStopping = (): boolean => signal?.reason === STOPPING;
     const onAbort = (): void => {
@@ -95,16 +102,23 @@
     const onData = (chunk: Buffer): void => {
       size += chunk.length;
       if (size > maxBytes) return giveUp('too-large');
-      if (!tryHold(chunk.length, size)) return giveUp('no-memory');
+      const needed = chunk.length * receiver.memoryPerByte;
+      if (!holding.tryHold(needed, size)) return giveUp('no-memory');
       receiver.add(chunk);
     };
-    const giveUp = (kind: 'too-large' | 'no-memory' | 'stopping'): void => {
+    const giveUp = (kind: GivenUp): void => {
       req.off('data', onData);
       req.pause();
+      receiver.clear();
       resolve({kind});
     };
+    const holding = memory.open(() => giveUp('no-memory'));
     if (isStopping()) return giveUp('stopping');
     signal?.addEventListener('abort', onAbort);
+    if (deadline < Infinity) {
+      const leftMs = Math.max(deadline - clock.now(), 0);
+      cancelDeadline = clock.after(leftMs, () => giveUp('late'));
+    }
     req.on('data', onData);
     req.once('end', () => resolve({kind: 'read', bytes: receiver.bytes()}));
     req.once('close', () => {
@@ -116,7 +130,7 @@
 
 /** Receives a body of known length, which takes its size. */
 function receiveInto(length: number): Receiver {
-  const body = Buffer.allocUnsafe(length);
+  let body = Buffer.allocUnsafe(length);
   let size = 0;
   return {
     memoryPerByte: 1,
@@ -124,6 +138,9 @@
       size += chunk.copy(body, size);
     },
     bytes: () => body.subarray(0, size),
+    clear() {
+      body = Buffer.alloc(0);
+    },
   };
 }
 
@@ -134,5 +151,6 @@
     memoryPerByte: 2,
     add: body.append,
     bytes: body.toBuffer,
+    clear: body.clear,
   };
 }
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -400,7 +400,7 @@
     whenLimited: refuseForLateLeader,
   });
   const openRequests = createOpenRequests(emit);
-  const bodies = createBodyMemory(settings.callers.maxBodiesBytes);
+  const bodies = createBodyMemory(settings.callers.maxBodiesBytes, clock);
   const metricsSource: MetricsSource = {
     routers: () => routerCount.current() ?? 0,
     isLeading: () => leadership.isLeading(),
--- a/packages/gateway/test/read-body.test.ts
+++ b/packages/gateway/test/read-body.test.ts
@@ -4,10 +4,12 @@
 import {runInNewContext} from 'node:vm';
 import tap from 'tap';
 import {createCanceller, STOPPING} from '@banyandrum/base/cancel.js';
+import {createClock} from '@banyandrum/base/clock.js';
 import {createBodyMemory} from '@banyandrum/gateway/body-memory.js';
 import {readBody, type HeldBody} from '@banyandrum/gateway/read-body.js';
 
 const CHUNKS = 256 * 1024;
+const clock = createClock();
 /** Memory for a body of 256 KiB: itself, and as much again when it is whole. */
 const MAX_GROWTH_BYTES = 2 * 1024 ** 2;
 
@@ -30,8 +32,9 @@
   const req = Object.assign(stream, {headers}) as unknown as IncomingMessage;
   const canceller = createCanceller();
   if (isEarly) canceller.abort(reason);
-  const memory = createBodyMemory(1_024);
-  const reading = readBody(req, 1_024, memory, canceller.signal);
+  const memory = createBodyMemory(1_024, clock);
+  const {signal} = canceller;
+  const reading = readBody(req, {clock, maxBytes: 1_024, memory, signal});
   stream.write('o');
   canceller.abort(reason);
   stream.end('k');
@@ -57,7 +60,8 @@
   const headers = {'transfer-encoding': 'chunked'};
   const req = Object.assign(stream, {headers}) as unknown as IncomingMessage;
   const before = usedBytes();
-  const reading = readBody(req, 2 * CHUNKS, createBodyMemory(4 * CHUNKS));
+  const memory = createBodyMemory(4 * CHUNKS, clock);
+  const reading = readBody(req, {clock, maxBytes: 2 * CHUNKS, memory});
   for (let sent = 0; sent < CHUNKS; sent++) {
     if (!stream.write(Buffer.alloc(1, 'x')))
       await new Promise(resolve => stream.once('drain', resolve));
@@ -70,3 +74,18 @@
     result.kind === 'read' && result.bytes?.equals(Buffer.alloc(CHUNKS, 'x')),
   );
 });
+
+// Guards against bodies that stop short of their end and keep their memory, so
+// that others are refused for good.
+void tap.test('a body that stalls is given up at its deadline', async t => {
+  const headers = {'content-length': '10'};
+  const stream = new PassThrough();
+  const req = Object.assign(stream, {headers}) as unknown as IncomingMessage;
+  const memory = createBodyMemory(1_024, clock);
+  const deadline = clock.now() + 50;
+  const reading = readBody(req, {clock, maxBytes: 1_024, memory, deadline});
+  stream.write('short');
+  const {result} = await reading;
+  t.equal(result.kind, 'late');
+  t.equal(memory.heldBytes(), 0);
+});
