Hold a large body whatever its size while it is the only one

Callers saw: a body within the configured limit (67,108,864 bytes on the users' wire) was refused with 503 each time, on an idle router too: large bodies have three quarters of a quarter of the host's memory, 62.6 MiB of 350 MB, and half as much if they come in chunks.

Evidence: the new test of body-memory fails without the exception.

Why it works: only one such body is held at a time, and it counts as all that large bodies may take, so that small ones keep their part. On the smallest known host, of 250 MB, twice 64 MiB beside the process still fits.

--- a/packages/gateway/src/body-memory.ts
+++ b/packages/gateway/src/body-memory.ts
@@ -26,6 +26,7 @@
   readonly openedAt: number;
   /** What counts towards the limit. */
   bytes: number;
+  isLarge: boolean;
   isComplete: boolean;
   evict(): void;
 }
@@ -40,7 +41,8 @@
 /**
  * Limits the memory of all bodies together, since each is held until its request
  * ends. A few large ones would otherwise end the process, with all that it does
- * for other callers.
+ * for other callers. A large body is held whatever its size while there is no
+ * other one, and then counts as large bodies may together.
  *
  * Where there is no room, the bodies that arrive slowest give up theirs. Callers
  * that stop short of the end of their bodies would otherwise keep all others
@@ -60,6 +62,7 @@
   const maxLargeBytes = maxBytes * LARGE_BODIES_SHARE;
   const holdings = new Set<Holding>();
   let held = 0;
+  let largeCount = 0;
   let refused = 0;
 
   const bytesPerMs = ({bytes, openedAt}: Holding): number =>
@@ -90,9 +93,14 @@
     open(evict) {
       const holding: Holding = {
         ...{openedAt: clock.now(), bytes: 0},
-        ...{isComplete: false, evict},
+        ...{isLarge: false, isComplete: false, evict},
       };
       holdings.add(holding);
+      const noteLarge = (isLarge: boolean): void => {
+        if (holding.isLarge === isLarge) return;
+        holding.isLarge = isLarge;
+        largeCount += isLarge ? 1 : -1;
+      };
       const hold = (bytes: number): true => {
         holding.bytes += bytes;
         held += bytes;
@@ -100,7 +108,10 @@
       };
       return {
         tryHold(bytes, bodyBytes) {
-          const isLarge = bodyBytes > SMALL_BODY_BYTES;
+          noteLarge(bodyBytes > SMALL_BODY_BYTES);
+          const {isLarge} = holding;
+          if (isLarge && largeCount === 1)
+            return hold(Math.min(bytes, maxLargeBytes - holding.bytes));
           const excess = held + bytes - (isLarge ? maxLargeBytes : maxBytes);
           if (excess <= 0 || makeRoom(excess, holding)) return hold(bytes);
           refused++;
@@ -111,6 +122,7 @@
         },
         release() {
           holdings.delete(holding);
+          noteLarge(false);
           held -= holding.bytes;
           holding.bytes = 0;
         },
--- a/packages/gateway/test/body-memory.test.ts
+++ b/packages/gateway/test/body-memory.test.ts
@@ -69,3 +69,21 @@
   t.notOk(receive('next', 0).tryHold(3 * MIB, 3 * MIB));
   t.same(evicted, []);
 });
+
+// Guards against a body within the configured limit that is never served, as it
+// is larger than the memory for the bodies of all requests.
+void tap.test('the only large body may exceed the limit', async t => {
+  const {memory, receive} = createRig();
+  receive('small', 100_000);
+  const large = receive('large', 0);
+  t.ok(large.tryHold(6 * MIB, 6 * MIB));
+  t.ok(large.tryHold(6 * MIB, 12 * MIB));
+  const other = receive('other', 0);
+  t.notOk(other.tryHold(MIB, MIB), 'not beside a large one');
+  other.release();
+  t.ok(receive('small', 0).tryHold(200_000, 200_000), 'small ones have room');
+  large.release();
+  t.equal(memory.heldBytes(), 300_000);
+  const later = receive('later', 0);
+  t.ok(later.tryHold(12 * MIB, 12 * MIB));
+});
