Receive an answer of known length in one piece

Cause: an answer was collected in parts of one read each and joined at its end, which takes its size twice, and leaves the parts to the garbage collector, which doesn't count them: they lie outside of its heap.

An answer without a length is received as before.

--- a/packages/dispatch/src/attempt.ts
+++ b/packages/dispatch/src/attempt.ts
@@ -194,8 +194,9 @@
       }
       connection.returnsIds ||= id !== undefined;
       const length = Number(fields.get('content-length') ?? 0);
-      const isTooLarge = length > answers.maxBytes;
-      if (isTooLarge && hasBody(spec.method, status)) exceed('answer');
+      if (!hasBody(spec.method, status)) return true;
+      if (length > answers.maxBytes) exceed('answer');
+      else if (length > 0 && abortReason === null) body.expect(length);
       return true;
     },
     onData(chunk) {
--- a/packages/dispatch/src/body-buffer.ts
+++ b/packages/dispatch/src/body-buffer.ts
@@ -1,5 +1,7 @@
 /** Collects the chunks of a body, with memory in proportion to its size. */
 export interface BodyBuffer {
+  /** Takes the memory for a body of this length in one piece. */
+  expect(bytes: number): void;
   append(chunk: Buffer): void;
   /** The bytes of all chunks. */
   toBuffer(): Buffer;
@@ -33,8 +35,10 @@
     used = 0;
   };
 
+  const hasRoom = ({length}: Buffer): boolean => block.length - used >= length;
+
   const copy = (chunk: Buffer): void => {
-    if (block.length - used < chunk.length) {
+    if (!hasRoom(chunk)) {
       closeBlock();
       const next = Math.min(size, MAX_BLOCK_BYTES);
       block = Buffer.allocUnsafeSlow(Math.max(chunk.length, next));
@@ -44,8 +48,12 @@
   };
 
   return {
+    expect(bytes) {
+      closeBlock();
+      block = Buffer.allocUnsafeSlow(bytes);
+    },
     append(chunk) {
-      if (mayKeep(chunk)) {
+      if (!hasRoom(chunk) && mayKeep(chunk)) {
         closeBlock();
         parts.push(chunk);
       } else copy(chunk);
