Parse callers' requests at the pace of their answers

Callers saw: a router ended, out of heap, with all that it did for others, while some 20 clients sent requests ahead and read no answers, at any path, or bodies in small chunks that nobody read yet.

Cause: the HTTP server parses all of a read (64 KiB) in one turn, some 2,500 short requests of a connection or 11,000 chunks of one byte, each with its objects, before the first is answered. Nothing bounded the open requests of a connection, or of all; and all of a connection's requests asked for slots at once.

Why it works: the server gets a connection's bytes in small parts (paced-connections.ts), as many a turn as the open requests allow (parse-allowance.ts): none from 256 on a connection on; beyond callers.requests, one request a connection; beyond twice that, others are refused at once with 503. What is not parsed is bounded, too. Of requests sent ahead, four of a connection are forwarded at a time, one while many are open, and none while 64 KiB of its answers are unread, so that other callers get slots. Time limits count from the read, not from the parsing. Bodies, unread and unparsed bytes now take shares of the memory that the process itself leaves, as their sum exceeded small hosts.

--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -45,9 +45,21 @@
 } from './log-request.js';
 import type {OpenRequest, OpenRequests} from './open-requests.js';
 import type {BodyMemory} from './body-memory.js';
+import {
+  createPacedConnections,
+  wrapConnections,
+  type PacedConnections,
+} from './paced-connections.js';
+import {
+  hasTooManyRequests,
+  maxForwarded,
+  parseAllowance,
+} from './parse-allowance.js';
 import {readBody, type BodyRead} from './read-body.js';
 import {
   createRequestPipelines,
+  type PipelinedRequest,
+  type PipelineState,
   type RequestPipelines,
 } from './request-pipelines.js';
 import {expectedDelayMs, type ReadDelayMonitor} from './read-delay.js';
@@ -80,6 +92,16 @@
   readonly openRequests: OpenRequests;
   /** Limits the bodies of all requests together. */
   readonly bodies: BodyMemory;
+  /** Limits of what is taken from callers. */
+  readonly callerLimits: CallerLimits;
+}
+
+/** Limits of what is taken from callers, over all connections. */
+export interface CallerLimits {
+  /** Open requests above which each connection has one at a time. */
+  readonly maxRequests: number;
+  /** Bytes that were received and not parsed. */
+  readonly maxUnparsedBytes: number;
 }
 
 /** The HTTP server that accepts callers' requests. */
@@ -105,6 +127,7 @@
 interface FrontendState extends FrontendConfig, RequestLogConfig {
   readonly stop: StopPhase;
   readonly pipelines: RequestPipelines;
+  readonly paced: PacedConnections;
   readonly retryAges: RetryAges;
 }
 
@@ -157,11 +180,22 @@
  */
 export function createFrontend(cfg: FrontendConfig): Frontend {
   const stop = createStopPhase();
+  const pipelines = createRequestPipelines({
+    unreadBytes: cfg.unread.bytesOf,
+    maxForwarded: () =>
+      maxForwarded(cfg.openRequests.count(), cfg.callerLimits.maxRequests),
+  });
+  const paced = createPacedConnections({
+    clock: cfg.clock,
+    allowance: connection => allowanceOf(cfg, pipelines.stateOf(connection)),
+    maxHeldBytes: cfg.callerLimits.maxUnparsedBytes,
+  });
   const state: FrontendState = {
     ...cfg,
     stop,
     stoppingSince: stop.since,
-    pipelines: createRequestPipelines(),
+    pipelines,
+    paced,
     retryAges: createRetryAges(),
   };
   const stripped = strippedHeaders(cfg.forward.names);
@@ -172,10 +206,16 @@
       noDelay: true,
       requestTimeout: 0,
     },
-    (req, res) => void handleRequest(state, stripped, req, res),
+    (req, res) => {
+      void handleRequest(state, stripped, req, res);
+    },
   );
-  handleClientErrors(server, state.pipelines);
-  server.on('connection', cfg.delays.noteAccepted);
+  handleClientErrors(server, pipelines);
+  wrapConnections(server, socket => {
+    const connection = paced.wrap(socket);
+    cfg.delays.noteAccepted(connection);
+    return connection;
+  });
   return {
     server,
     connections: createCallerConnections(server, cfg.openRequests),
@@ -192,13 +232,25 @@
   };
 }
 
+/** Bytes of a connection that may be parsed in this turn. */
+function allowanceOf(
+  {openRequests, callerLimits}: FrontendConfig,
+  {open, isReceiving, isLast}: PipelineState,
+): number {
+  if (isLast) return 0;
+  return parseAllowance({
+    ...{onConnection: open, isReceiving},
+    ...{total: openRequests.count(), maxTotal: callerLimits.maxRequests},
+  });
+}
+
 async function handleRequest(
   state: FrontendState,
   stripped: StrippedHeaders,
   req: IncomingMessage,
   res: ServerResponse,
 ): Promise<void> {
-  const readAt = state.clock.now();
+  const readAt = state.paced.receivedAt(req.socket);
   const delay = state.delays.delayOf(req.socket);
   const canceller = createCanceller();
   const sending = createCanceller();
@@ -234,14 +286,21 @@
   res.once('close', () => {
     pipelined.finish();
     release();
+    state.paced.resume(req.socket);
   });
-  const held = state.intake.admit(delay, canceller.signal);
+  const isTooMany = hasTooManyRequests(
+    ...([state.openRequests.count(), state.callerLimits.maxRequests] as const),
+  );
+  if (isTooMany) context.refusal = 'request-limit';
+  const held = isTooMany ? null : state.intake.admit(delay, canceller.signal);
   if (held !== null) await held;
   const {signal} = canceller;
   const hasLeft = signal.aborted && signal.reason !== STOPPING;
   const response = hasLeft
     ? CALLER_LEFT
-    : await routeRequest(state, stripped, req, context, sending.signal);
+    : await routeRequest(state, stripped, req, context, {
+        ...{pipelined, sendSignal: sending.signal},
+      });
   const isGone = req.socket.destroyed || req.socket.readableEnded;
   if (!isGone) {
     // Only the last accepted request's response may close the connection.
@@ -274,15 +333,25 @@
   }
 }
 
+/** When a request may be forwarded. */
+interface RequestTurn {
+  readonly pipelined: PipelinedRequest;
+  /** As of `ForwardRequest`. */
+  readonly sendSignal: CancelSignal;
+}
+
 async function routeRequest(
   state: FrontendState,
   stripped: StrippedHeaders,
   req: IncomingMessage,
   context: RequestContext,
-  sendSignal: CancelSignal,
+  {pipelined, sendSignal}: RequestTurn,
 ): Promise<FrontendResponse> {
   const config = state.config();
   const {names} = state.forward;
+  if (context.refusal === 'request-limit') {
+    return refuse(context, 'request-limit', 'too many requests are open');
+  }
   if (state.stop.isOver()) return refuseAsStopping(context);
   if (config === null) {
     return refuse(context, 'starting', 'no configuration loaded yet');
@@ -316,8 +385,11 @@
   });
   const {result} = body;
   if (result.kind !== 'read') return BODY_FAILURES[result.kind](context);
+  const turn = pipelined.waitForTurn(sendSignal);
+  if (turn !== null) await turn;
   const target = {route, service, key, body: result.bytes, sendSignal};
   const response = await forwardRequest(state, stripped, req, context, target);
+  pipelined.endTurn();
   body.release();
   return response;
 }
--- a/packages/gateway/src/log-request.ts
+++ b/packages/gateway/src/log-request.ts
@@ -26,6 +26,8 @@
   | 'starting'
   /** The process ends, perhaps before a server would answer. */
   | 'stopping'
+  /** Too many requests are open. */
+  | 'request-limit'
   /** The event loop has lagged for a while. */
   | 'loop-lag'
   /** It was read after its caller's time limit. */
--- a/packages/gateway/src/request-pipelines.ts
+++ b/packages/gateway/src/request-pipelines.ts
@@ -1,4 +1,5 @@
 import type {Duplex} from 'node:stream';
+import type {CancelSignal} from '@banyandrum/base/cancel.js';
 
 /** A request among those that are pipelined on its connection. */
 export interface PipelinedRequest {
@@ -7,6 +8,13 @@
    * request's response may close it.
    */
   isNewest(): boolean;
+  /**
+   * Resolves when the request may be forwarded, or `signal` is aborted; null if
+   * it may be at once.
+   */
+  waitForTurn(signal: CancelSignal): Promise<void> | null;
+  /** Call when the request is forwarded no more. */
+  endTurn(): void;
   /** Call before writing a response that closes the connection. */
   markLast(): void;
   /** Call when the response is fully written. */
@@ -21,10 +29,34 @@
   hasLastResponse: boolean;
   /** Requests that are not finished; whether each was received whole. */
   readonly pending: Map<() => void, () => boolean>;
+  /** Whether the last request that was accepted was received whole. */
+  isNewestReceived: () => boolean;
+  /** Number of requests that are being forwarded. */
+  forwarded: number;
+  /** Starts the requests that wait for their turn, in order. */
+  readonly waiting: Set<() => void>;
   /** Whether it closes once the requests that were received are answered. */
   isBroken: boolean;
 }
 
+/** What is open on one connection. */
+export interface PipelineState {
+  /** Requests whose answers are not fully written. */
+  readonly open: number;
+  /** Whether the last of them has not been received whole. */
+  readonly isReceiving: boolean;
+  /** Whether a response closes the connection, and nothing more is read. */
+  readonly isLast: boolean;
+}
+
+/** Dependencies of the pipelines. */
+export interface RequestPipelinesConfig {
+  /** Bytes of answers that the caller has not read, of a connection. */
+  unreadBytes(socket: Duplex): number;
+  /** Requests of a connection that may be forwarded at a time. */
+  maxForwarded(): number;
+}
+
 /** Tracks pipelined requests on callers' connections. */
 export interface RequestPipelines {
   /**
@@ -38,6 +70,8 @@
     onClose: () => void,
     isReceived: () => boolean,
   ): PipelinedRequest | null;
+  /** What is open on a connection. */
+  stateOf(socket: Duplex): PipelineState;
   /**
    * Closes the connection once all requests that were received whole are
    * answered. Returns false if there is none.
@@ -45,6 +79,16 @@
   closeAfterAnswers(socket: Duplex): boolean;
 }
 
+/**
+ * Unread answers of a connection, in bytes, from which on its next requests wait
+ * until they are read.
+ */
+const MAX_UNREAD_BYTES = 64 * 1024;
+
+const NOTHING_OPEN: PipelineState = {
+  ...{open: 0, isReceiving: false, isLast: false},
+};
+
 /**
  * Tracks requests that callers pipeline, that is, send before earlier ones are
  * answered. Node's HTTP server writes responses in order and discards
@@ -58,7 +102,9 @@
  * if (request === null) return;
  * ```
  */
-export function createRequestPipelines(): RequestPipelines {
+export function createRequestPipelines(
+  cfg: RequestPipelinesConfig,
+): RequestPipelines {
   const connections = new WeakMap<Duplex, Connection>();
 
   const connectionOf = (socket: Duplex): Connection => {
@@ -68,6 +114,9 @@
       accepted: 0,
       hasLastResponse: false,
       pending: new Map(),
+      isNewestReceived: () => true,
+      forwarded: 0,
+      waiting: new Set(),
       isBroken: false,
     };
     connections.set(socket, connection);
@@ -81,10 +130,28 @@
     return connection;
   };
 
+  const mayForward = (socket: Duplex, {forwarded}: Connection): boolean =>
+    forwarded < cfg.maxForwarded() &&
+    cfg.unreadBytes(socket) < MAX_UNREAD_BYTES;
+
+  const startWaiting = (socket: Duplex, connection: Connection): void => {
+    for (const start of connection.waiting) {
+      if (!mayForward(socket, connection)) return;
+      start();
+    }
+  };
+
   const isAnswerDue = ({pending}: Connection): boolean =>
     [...pending.values()].some(isReceived => isReceived());
 
   return {
+    stateOf(socket) {
+      const connection = connections.get(socket);
+      if (connection === undefined) return NOTHING_OPEN;
+      const {pending, isNewestReceived, hasLastResponse} = connection;
+      const isReceiving = !isNewestReceived();
+      return {open: pending.size, isReceiving, isLast: hasLastResponse};
+    },
     closeAfterAnswers(socket) {
       const connection = connections.get(socket);
       if (connection === undefined || !isAnswerDue(connection)) return false;
@@ -95,14 +162,46 @@
       const connection = connectionOf(socket);
       if (connection.hasLastResponse) return null;
       const number = ++connection.accepted;
+      let hasTurn = false;
+      const takeTurn = (): null => {
+        hasTurn = true;
+        connection.forwarded++;
+        return null;
+      };
       connection.pending.set(onClose, isReceived);
+      connection.isNewestReceived = isReceived;
       return {
         isNewest: () => connection.accepted === number,
+        waitForTurn(signal) {
+          if (connection.waiting.size === 0 && mayForward(socket, connection))
+            return takeTurn();
+          return new Promise(resolve => {
+            const end = (): void => {
+              connection.waiting.delete(start);
+              signal.removeEventListener('abort', end);
+              resolve();
+            };
+            const start = (): void => {
+              takeTurn();
+              end();
+            };
+            connection.waiting.add(start);
+            signal.addEventListener('abort', end);
+            if (signal.aborted) end();
+          });
+        },
+        endTurn() {
+          if (!hasTurn) return;
+          hasTurn = false;
+          connection.forwarded--;
+          startWaiting(socket, connection);
+        },
         markLast() {
           connection.hasLastResponse = true;
         },
         finish() {
           connection.pending.delete(onClose);
+          startWaiting(socket, connection);
           if (connection.isBroken && !isAnswerDue(connection)) socket.destroy();
         },
       };
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -458,6 +458,7 @@
     intake,
     openRequests,
     bodies,
+    callerLimits: settings.callers,
     forward: {
       backends,
       paths,
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -61,6 +61,10 @@
   readonly callers: {
     /** Limit of the bodies of all requests together, in bytes. */
     readonly maxBodiesBytes: number;
+    /** Open requests above which each connection has one at a time. */
+    readonly maxRequests: number;
+    /** Limit of the bytes that were received and not parsed. */
+    readonly maxUnparsedBytes: number;
     /** Limit of the answers that callers have not read, in bytes. */
     readonly maxUnreadBytes: number;
     /** Longest time in which a caller reads nothing of an answer, in ms. */
@@ -110,15 +114,20 @@
 
 const BYTES_PER_MIB = 1024 ** 2;
 const MB_PER_MIB = BYTES_PER_MIB / 1e6;
-/**
- * Limit of unread answers, in MiB: an eighth of the 250 MB that the smallest
- * hosts give the process. The rest is needed by the heap, of 200 MB at the most.
- */
-const DEFAULT_UNREAD_MIB = 32;
+/** Share of it that answers may take which callers have not read. */
+const UNREAD_SHARE = 0.15;
 /** Memory of a host that doesn't tell it, in MB: that of the smallest ones. */
 const DEFAULT_MEMORY_MB = 250;
-/** Share of the memory that the bodies of requests may take. */
-const BODIES_SHARE = 1 / 4;
+/** What the process takes without any request, in MB. */
+const PROCESS_MB = 90;
+/** Part of a small memory that requests may take nevertheless. */
+const MIN_SPARE_SHARE = 1 / 4;
+/** Share of the spare memory that the bodies of requests may take. */
+const BODIES_SHARE = 0.35;
+/** Part of the memory for each request that may be open, in MiB. */
+const MIB_PER_REQUEST = 1 / 8;
+/** Share of it that received bytes may take until they are parsed. */
+const UNPARSED_SHARE = 1 / 16;
 /** Share of the memory that answers may take while they are received. */
 const ANSWERS_SHARE = 1 / 4;
 /** So that some answers without end leave room for others. */
@@ -184,15 +193,17 @@
   const sizeAt = (key: string, fallbackMib: number): number =>
     checkPositive(`answers.${key}`, numberAt('answers', key, fallbackMib)) *
     BYTES_PER_MIB;
-  const memoryMib =
-    checkPositive(
-      'host.memory_mb',
-      numberAt('host', 'memory_mb', DEFAULT_MEMORY_MB),
-    ) / MB_PER_MIB;
+  const memoryMb = checkPositive(
+    'host.memory_mb',
+    numberAt('host', 'memory_mb', DEFAULT_MEMORY_MB),
+  );
+  const memoryMib = memoryMb / MB_PER_MIB;
+  const spareMib =
+    Math.max(memoryMb - PROCESS_MB, memoryMb * MIN_SPARE_SHARE) / MB_PER_MIB;
   const bodiesBytes = (): number =>
     checkPositive(
       'callers.bodies_mib',
-      numberAt('callers', 'bodies_mib', memoryMib * BODIES_SHARE),
+      numberAt('callers', 'bodies_mib', spareMib * BODIES_SHARE),
     ) * BYTES_PER_MIB;
   const answerSizes = (): AnswerSizes => {
     const totalBytes = sizeAt('total_mib', memoryMib * ANSWERS_SHARE);
@@ -252,10 +263,15 @@
     },
     callers: {
       maxBodiesBytes: bodiesBytes(),
+      maxRequests: checkPositive(
+        'callers.requests',
+        numberAt('callers', 'requests', memoryMib / MIB_PER_REQUEST),
+      ),
+      maxUnparsedBytes: spareMib * UNPARSED_SHARE * BYTES_PER_MIB,
       maxUnreadBytes:
         checkPositive(
           'callers.unread_mib',
-          numberAt('callers', 'unread_mib', DEFAULT_UNREAD_MIB),
+          numberAt('callers', 'unread_mib', spareMib * UNREAD_SHARE),
         ) * BYTES_PER_MIB,
       maxUnreadMs: checkPositive(
         'callers.unread_time',
--- a/packages/gateway/src/unread-answers.ts
+++ b/packages/gateway/src/unread-answers.ts
@@ -29,6 +29,8 @@
   add(connection: AnswerConnection, bytes: number): UnreadAnswer;
   /** Size of all unread answers, in bytes. */
   bytes(): number;
+  /** Size of those of one connection, in bytes. */
+  bytesOf(connection: AnswerConnection): number;
   /** Number of connections with unread answers. */
   connections(): number;
   /** Number of connections closed for their unread answers so far. */
@@ -209,6 +211,7 @@
       };
     },
     bytes: () => totalBytes,
+    bytesOf: connection => holdings.get(connection)?.bytes ?? 0,
     connections: () => holdings.size,
     closed: () => closedCount,
     stop() {
