Bound the connections of callers, and close idle ones beyond it

Callers saw: while clients opened more connections than a router has descriptors, others could not connect to it, and it could not reach servers, other routers or the store.

Cause: nothing bounded the callers' connections.

Beyond that, a connection without a request makes room, first one on which none was answered, so that clients that send nothing go first.

--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -98,6 +98,8 @@
 
 /** Limits of what is taken from callers, over all connections. */
 export interface CallerLimits {
+  /** Connections that may be open. */
+  readonly maxConnections: number;
   /** Open requests above which each connection has one at a time. */
   readonly maxRequests: number;
   /** Bytes that were received and not parsed. */
@@ -207,18 +209,26 @@
       requestTimeout: 0,
     },
     (req, res) => {
+      res.once('close', () => connections.noteAnswered(req.socket));
       void handleRequest(state, stripped, req, res);
     },
   );
+  const connections = createCallerConnections({
+    ...{server, emit: cfg.emit, openRequests: cfg.openRequests},
+    openOn: connection => pipelines.stateOf(connection).open,
+    unparsedBytes: paced.heldBytes,
+    maxConnections: cfg.callerLimits.maxConnections,
+  });
   handleClientErrors(server, pipelines);
   wrapConnections(server, socket => {
     const connection = paced.wrap(socket);
     cfg.delays.noteAccepted(connection);
+    connections.add(connection);
     return connection;
   });
   return {
     server,
-    connections: createCallerConnections(server, cfg.openRequests),
+    connections,
     startClosing: endsAt => stop.start(cfg.clock.now(), endsAt),
     stopSending() {
       stop.endSending();
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -61,6 +61,8 @@
   readonly callers: {
     /** Limit of the bodies of all requests together, in bytes. */
     readonly maxBodiesBytes: number;
+    /** Connections that may be open. */
+    readonly maxConnections: number;
     /** Open requests above which each connection has one at a time. */
     readonly maxRequests: number;
     /** Limit of the bytes that were received and not parsed. */
@@ -124,6 +126,12 @@
 const MIN_SPARE_SHARE = 1 / 4;
 /** Share of the spare memory that the bodies of requests may take. */
 const BODIES_SHARE = 0.35;
+/** Descriptors of a host that doesn't tell them: those of the smallest ones. */
+const DEFAULT_DESCRIPTORS = 4_096;
+/** Descriptors that are left to files. */
+const FILE_DESCRIPTORS = 200;
+/** Share of the others for callers; servers, routers and the store need some. */
+const CALLERS_SHARE = 0.75;
 /** Part of the memory for each request that may be open, in MiB. */
 const MIB_PER_REQUEST = 1 / 8;
 /** Share of it that received bytes may take until they are parsed. */
@@ -200,6 +208,11 @@
   const memoryMib = memoryMb / MB_PER_MIB;
   const spareMib =
     Math.max(memoryMb - PROCESS_MB, memoryMb * MIN_SPARE_SHARE) / MB_PER_MIB;
+  const socketDescriptors =
+    checkPositive(
+      'host.max_descriptors',
+      numberAt('host', 'max_descriptors', DEFAULT_DESCRIPTORS),
+    ) - FILE_DESCRIPTORS;
   const bodiesBytes = (): number =>
     checkPositive(
       'callers.bodies_mib',
@@ -263,6 +276,14 @@
     },
     callers: {
       maxBodiesBytes: bodiesBytes(),
+      maxConnections: checkPositive(
+        'callers.connections',
+        numberAt(
+          'callers',
+          'connections',
+          Math.max(Math.floor(socketDescriptors * CALLERS_SHARE), 1),
+        ),
+      ),
       maxRequests: checkPositive(
         'callers.requests',
         numberAt('callers', 'requests', memoryMib / MIB_PER_REQUEST),
