Don't count an answer that waits in its pipeline as unread

Callers saw: a request of more than 10 s and one sent behind it on the connection; the second was answered by its server at once, and after 10 s the connection was closed without either answer.

Cause: an answer counts as unread from its end at the router, although it may not be written before those ahead of it.

The new test of unread-answers fails before.

Why it works: a caller owes progress only while bytes were handed to its connection and not taken.

--- a/packages/gateway/src/unread-answers.ts
+++ b/packages/gateway/src/unread-answers.ts
@@ -4,6 +4,8 @@
 
 /** A caller's connection. */
 export interface AnswerConnection {
+  /** Bytes that were written and not taken by the operating system. */
+  readonly writableLength?: number;
   once(event: 'close', listener: () => void): unknown;
   destroy(): unknown;
 }
@@ -99,7 +101,12 @@
   let checkedAt = -Infinity;
   let cancelCheck: (() => void) | null = null;
 
-  const stallMs = ({progressAt}: Holding): number => clock.now() - progressAt;
+  const stallMs = (holding: Holding): number => {
+    // An answer that waits behind an unanswered request is not the caller's fault.
+    const isCallerDue = holding.connection.writableLength !== 0;
+    if (!isCallerDue) holding.progressAt = clock.now();
+    return clock.now() - holding.progressAt;
+  };
 
   const forget = (connection: AnswerConnection): void => {
     const holding = holdings.get(connection);
--- a/packages/gateway/test/unread-answers.test.ts
+++ b/packages/gateway/test/unread-answers.test.ts
@@ -56,6 +56,19 @@
   t.equal(unread.connections(), 0);
 });
 
+// Guards against closing the connection of an answer that waits in its pipeline
+// behind a request that takes long: the server ran both.
+void tap.test('an answer that is not being written is not stalled', async t => {
+  const {clock, unread} = createHarness();
+  const connection = {...createFakeConnection('waits'), writableLength: 0};
+  unread.add(connection, 1_000);
+  await clock.advance(3 * MAX_MS);
+  t.equal(unread.closed(), 0);
+  connection.writableLength = 1_000;
+  await clock.advance(MAX_MS + 1_000);
+  t.equal(unread.closed(), 1, 'but once its caller does not read it');
+});
+
 // Guards against closing those first that hold little, or have just read.
 void tap.test('the largest and oldest are closed first', async t => {
   const {clock, unread} = createHarness();
