Notice a caller's close while its connection is not read

Callers saw nothing; servers worked on for callers that had pipelined requests and left.

Cause: with 16 KiB of answers that wait in a pipeline, the HTTP server stops reading the connection, and so its close.

The new test of paced-connections fails before.

Why it works: since callers' bytes are read ahead of the parser, the close arrives, and ends the connection at once if the HTTP server doesn't read it.

--- a/packages/gateway/src/paced-connections.ts
+++ b/packages/gateway/src/paced-connections.ts
@@ -200,8 +200,8 @@
     if (!mayReadAhead()) socket.pause();
   });
   socket.on('end', () => {
-    // Nobody waits for the answers to what was not parsed.
-    if (received.isEmpty()) connection.push(null);
+    // Nobody waits for the answers; a paused reader would not learn of it.
+    if (received.isEmpty() && !connection.isPaused()) connection.push(null);
     else connection.destroy();
   });
   return paced;
--- a/packages/gateway/test/paced-connections.test.ts
+++ b/packages/gateway/test/paced-connections.test.ts
@@ -91,6 +91,17 @@
   t.equal(paced.heldBytes(), 0);
 });
 
+// Guards against servers that work on for callers that have left while answers
+// wait in a pipeline, for which the HTTP server stops reading.
+void tap.test('a close is noticed while reading is paused', async t => {
+  const {caller, connection} = await startRig(t, () => 1_000);
+  connection.pause();
+  const closed = once(connection, 'close');
+  caller.end();
+  await closed;
+  t.ok(connection.destroyed);
+});
+
 // Guards against the unparsed bytes of many connections that exhaust the memory.
 void tap.test('no more is read than may be held', async t => {
   const {caller, paced} = await startRig(t, () => 0);
