Take an answer with a status above 599 for none

Callers saw: an answer with status 600 or 999, as a server in trouble had sent it. Statuses 000 and 099 ended as 502 before: the HTTP client refuses them.

Cause: only answers of the product's own interface were checked for HTTP's range.

Why it works: the attempt ends as lost, with 502 or another server where the request may be repeated; the connection is reset, and the server ejected as after a reset.

--- a/packages/dispatch/src/attempt.ts
+++ b/packages/dispatch/src/attempt.ts
@@ -40,6 +40,8 @@
   /** The answer was larger than the limits allow. */
   | 'too-large'
   | 'mismatched'
+  /** The answer's status is none in HTTP. */
+  | 'invalid-status'
   | 'timeout'
   /** No answer came, and no other connection to the server can be opened. */
   | 'silent'
@@ -73,6 +75,8 @@
   abortUnwritten(): void;
 }
 
+/** The highest status in HTTP; the HTTP client refuses those below 100. */
+const MAX_STATUS = 599;
 const TOO_LARGE = 'the answer exceeds the size limits';
 const NO_FIELDS: Answer['fields'] = new Map();
 
@@ -181,6 +185,7 @@
     onHeaders(code, raw) {
       if (code < 200) return true;
       status = code;
+      if (code > MAX_STATUS) abort('invalid-status');
       // Field values are bytes; decoding them as UTF-8 would change those beyond
       // ASCII, or make them invalid.
       rawHeaders = raw.map(each => each.toString('latin1'));
--- a/packages/dispatch/src/handle-result.ts
+++ b/packages/dispatch/src/handle-result.ts
@@ -37,6 +37,7 @@
 const EJECTS: ReadonlySet<LossReason> = new Set([
   'connection-lost',
   'too-large',
+  'invalid-status',
 ]);
 const CODES: Readonly<Partial<Record<LossReason, FailureCode>>> = {
   timeout: 'deadline',
