Limit requests to a server that is cold again for the same time

Callers saw: orders lost with a server that crashed. It had become cold again before its first cold time ended, and got 19 or 20 requests in a second from then on, of 14.3 that a cold server bears.

Cause: a server that writes its entry as it becomes cold always writes the same number, its whole cold time. The list took an entry with the number of the first one for no news, whenever it came, and the cold time ended as first reported.

Why it works: an entry is no news only if it counts down the known cold time. Cold anew for the same time is told by a millisecond more, since the routers that get the list by the leader compare the numbers.

Evidence: the new test of server-list fails before.

--- a/packages/gateway/src/server-list.ts
+++ b/packages/gateway/src/server-list.ts
@@ -180,22 +180,24 @@
 
   /**
    * The time for which the server is cold: as it was first reported, so that
-   * the list doesn't change with each entry in which less of it is left.
+   * the list doesn't change with each entry in which less of it is left. Cold
+   * anew for the same time, it is another number, so that all routers notice.
    */
   const newColdMs = (
     known: ServerInfo | undefined,
     {id, coldMs}: ServerInfo,
   ): number => {
     const now = clock.now();
-    const isUnchanged = known?.coldMs === coldMs;
     const isCountdown =
       coldMs > 0 &&
       now + coldMs <= (coldUntil.get(id) ?? 0) + COLD_TOLERANCE_MS;
-    if (known !== undefined && (isUnchanged || isCountdown))
-      return known.coldMs;
-    if (coldMs > 0) coldUntil.set(id, now + coldMs);
-    else coldUntil.delete(id);
-    return coldMs;
+    if (known !== undefined && isCountdown) return known.coldMs;
+    if (coldMs === 0) {
+      coldUntil.delete(id);
+      return 0;
+    }
+    coldUntil.set(id, now + coldMs);
+    return coldMs === known?.coldMs ? coldMs + 1 : coldMs;
   };
 
   const remove = (id: string): boolean => {
--- a/packages/gateway/test/server-list.test.ts
+++ b/packages/gateway/test/server-list.test.ts
@@ -238,3 +238,27 @@
   list.applyRead(read(6, [{kind: 'removed', id: 'bb'}]));
   t.equal(list.isReplaced('bb'), true);
 });
+
+// Guards against a server that is cold again for the same time and counts as warm
+// when its first cold time would have ended: it gets too much, and crashes.
+void tap.test('a server that is cold again is news', async t => {
+  const {clock, list} = createHarness();
+  const coldMsOf = (): number =>
+    list.snapshot()!.servers.find(({id}) => id === 'a')!.coldMs;
+  const report = (coldMs: number): number => {
+    list.applyRead(read(3, [listed(server('a', {coldMs}))]));
+    return coldMsOf();
+  };
+  t.equal(report(3_000), 3_000);
+  await clock.advance(900);
+  t.equal(report(2_100), 3_000, 'less is left of the same');
+  await clock.advance(2_000);
+  const again = report(3_000);
+  t.not(again, 3_000, 'another number');
+  t.ok(again > 3_000 && again <= 3_010);
+  await clock.advance(900);
+  t.equal(report(2_100), again);
+  await clock.advance(2_000);
+  t.equal(report(3_000), 3_000, 'and again');
+  t.equal(report(0), 0);
+});
