Close a connection only when its caller has read the last answer

Callers saw: answers cut off by a reset as a router stopped, where they pipelined requests and read slowly.

Cause: once the operating system had taken an answer with 'Connection: close', the connection was closed at once. What the caller sent until it had read that far met a closed socket, which resets the connection and drops what was not delivered.

Why it works: the router ends its side, and reads and drops what still comes until the caller closes, for 5 s at the most; a stopping router waits for that within its grace period. A request that crosses the close was not passed on, and its caller sends it again.

--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -3,15 +3,18 @@
 import type {Duplex} from 'node:stream';
 import type {Emit} from '@banyandrum/dispatch/events.js';
 import type {OpenRequests} from './open-requests.js';
+import type {SocketDuplex} from './socket-duplex.js';
 
 /** The connections of callers, and how they end as the router stops. */
 export interface CallerConnections {
   /** Counts a connection until it closes. */
-  add(connection: Duplex): void;
+  add(connection: SocketDuplex): void;
   /** Call when a request of the connection has been answered. */
   noteAnswered(connection: Duplex): void;
   /** Number of open connections. */
   count(): number;
+  /** Number of those that only wait for their callers to close them. */
+  lingeringCount(): number;
   /** Accepts no more connections; those that are open stay. */
   stopListening(): void;
   /**
@@ -55,12 +58,12 @@
 ): CallerConnections {
   const {server, openRequests} = cfg;
   /** Connections on which no request was answered, the oldest first. */
-  const unused = new Set<Duplex>();
+  const unused = new Set<SocketDuplex>();
   /** The others, by the time of their last answer. */
-  const used = new Set<Duplex>();
+  const used = new Set<SocketDuplex>();
   const count = (): number => unused.size + used.size;
 
-  const findIdle = (): Duplex | null => {
+  const findIdle = (): SocketDuplex | null => {
     for (const connections of [unused, used]) {
       for (const connection of connections) {
         if (cfg.openOn(connection) === 0) return connection;
@@ -69,12 +72,12 @@
     return null;
   };
 
-  const forget = (connection: Duplex): void => {
+  const forget = (connection: SocketDuplex): void => {
     unused.delete(connection);
     used.delete(connection);
   };
 
-  const evict = (newest: Duplex): void => {
+  const evict = (newest: SocketDuplex): void => {
     const evicted = findIdle() ?? newest;
     forget(evicted);
     evicted.destroy();
@@ -89,11 +92,14 @@
       connection.once('close', () => forget(connection));
     },
     noteAnswered(connection) {
-      if (connection.destroyed) return;
-      forget(connection);
-      used.add(connection);
+      const answered = connection as SocketDuplex;
+      if (answered.destroyed) return;
+      forget(answered);
+      used.add(answered);
     },
     count,
+    lingeringCount: () =>
+      [...unused, ...used].filter(each => each.isLingering()).length,
     // The HTTP server's own method closes idle connections as well.
     stopListening: () => void NetServer.prototype.close.call(server),
     closeIdle() {
--- a/packages/gateway/src/paced-connections.ts
+++ b/packages/gateway/src/paced-connections.ts
@@ -7,7 +7,7 @@
 /** Callers' connections, whose bytes are parsed at the pace of the answers. */
 export interface PacedConnections {
   /** Returns the connection that the HTTP server gets in place of `socket`. */
-  wrap(socket: Socket): Duplex;
+  wrap(socket: Socket): SocketDuplex;
   /** Call when more bytes of the connection may be allowed to be parsed. */
   resume(connection: Duplex): void;
   /** When the bytes were received that were parsed last; monotonic, in ms. */
@@ -192,6 +192,8 @@
   };
 
   socket.on('data', (bytes: Buffer) => {
+    // The caller is told to send it again on another connection.
+    if (connection.isLingering()) return;
     const at = clock.now();
     if (received.isEmpty()) parsedAt = at;
     received.add(bytes, at);
@@ -201,7 +203,8 @@
   });
   socket.on('end', () => {
     // Nobody waits for the answers; a paused reader would not learn of it.
-    if (received.isEmpty() && !connection.isPaused()) connection.push(null);
+    const isReading = received.isEmpty() && !connection.isPaused();
+    if (isReading && !connection.isLingering()) connection.push(null);
     else connection.destroy();
   });
   return paced;
--- a/packages/gateway/src/socket-duplex.ts
+++ b/packages/gateway/src/socket-duplex.ts
@@ -5,7 +5,10 @@
 export interface SocketDuplex extends Duplex {
   readonly remoteAddress: string | undefined;
   setTimeout(ms: number): unknown;
+  /** Closes the stream once all is written and the other side has read it. */
   destroySoon(): void;
+  /** Whether all is written, and only the other side's close is awaited. */
+  isLingering(): boolean;
 }
 
 /** What becomes of the socket's bytes. */
@@ -15,6 +18,13 @@
   onDestroyed(): void;
 }
 
+/**
+ * How long a written stream waits for the other side to close, in ms. A socket
+ * that is closed at once answers what arrives later by a reset, and the other side
+ * loses what it had not read.
+ */
+const LINGER_MS = 5_000;
+
 interface Part {
   readonly chunk: Buffer | string;
   readonly encoding: BufferEncoding;
@@ -59,14 +69,23 @@
   socket.on('error', err => stream.destroy(err));
   socket.on('close', () => stream.destroy());
   socket.on('timeout', () => stream.emit('timeout'));
+  let isLingering = false;
+  const linger = (): void => {
+    if (stream.destroyed) return;
+    isLingering = true;
+    const timer = setTimeout(() => stream.destroy(), LINGER_MS);
+    stream.once('close', () => clearTimeout(timer));
+    socket.resume();
+  };
   return Object.assign(stream, {
     remoteAddress: socket.remoteAddress,
     setTimeout: (ms: number) => socket.setTimeout(ms),
     destroySoon() {
       if (stream.writable) stream.end();
-      if (stream.writableFinished) stream.destroy();
-      else stream.once('finish', () => stream.destroy());
+      if (stream.writableFinished) linger();
+      else stream.once('finish', linger);
     },
+    isLingering: () => isLingering && !stream.destroyed,
   });
 }
 
--- a/packages/gateway/src/stop-router.ts
+++ b/packages/gateway/src/stop-router.ts
@@ -69,6 +69,7 @@
   frontend.connections.closeIdle();
   const isNeeded = (): boolean =>
     openRequests.count() > 0 ||
+    frontend.connections.lingeringCount() > 0 ||
     carryServer.inFlight() > 0 ||
     leadership.isLeading() ||
     leadership.awaitsTermEndQuestion();
