--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -116,8 +116,6 @@
 
 const BYTES_PER_MIB = 1024 ** 2;
 const MB_PER_MIB = BYTES_PER_MIB / 1e6;
-/** Share of it that answers may take which callers have not read. */
-const UNREAD_SHARE = 0.15;
 /** Memory of a host that doesn't tell it, in MB: that of the smallest ones. */
 const DEFAULT_MEMORY_MB = 250;
 /** What the process takes without any request, in MB. */
@@ -126,6 +124,10 @@
 const MIN_SPARE_SHARE = 1 / 4;
 /** Share of the spare memory that the bodies of requests may take. */
 const BODIES_SHARE = 0.35;
+/** Share of it that answers may take which callers have not read. */
+const UNREAD_SHARE = 0.15;
+/** Share of it that received bytes may take until they are parsed. */
+const UNPARSED_SHARE = 1 / 16;
 /** Descriptors of a host that doesn't tell them: those of the smallest ones. */
 const DEFAULT_DESCRIPTORS = 4_096;
 /** Descriptors that are left to files. */
@@ -134,8 +136,6 @@
 const CALLERS_SHARE = 0.75;
 /** Part of the memory for each request that may be open, in MiB. */
 const MIB_PER_REQUEST = 1 / 8;
-/** Share of it that received bytes may take until they are parsed. */
-const UNPARSED_SHARE = 1 / 16;
 /** Share of the memory that answers may take while they are received. */
 const ANSWERS_SHARE = 1 / 4;
 /** So that some answers without end leave room for others. */
