Send the remaining time for which a server is cold between routers

Callers saw servers that stayed limited after they were warm: followers took a server for cold for longer than it was, and logged a change each time. A server that turned cold again within 1 s of the first entry counted as warm up to 1 s too early. A router whose leader had the server cold from the first on never learnt of it, as the digest of its list doesn't show cold servers.

Cause: the list kept a server's cold time as first reported, without the moment at which it held. Passed on or repeated, it began anew, and a millisecond more had to tell a new cold time from a repeated one.

Why it works: the list keeps the end of the cold time on this router's clock, and what travels is the time that remains as it is sent. Of the ends that entries show the latest counts, within 50 ms: each is too late by the entry's delay at most. A leader always sends the servers that are cold to a follower that connects.

--- a/packages/dispatch/src/backend.ts
+++ b/packages/dispatch/src/backend.ts
@@ -16,8 +16,11 @@
   /** Number of requests that the server runs concurrently. */
   readonly slots: number;
   readonly isLeaving: boolean;
-  /** Remaining time for which the server is cold, as of its entry, in ms. */
-  readonly coldMs: number;
+  /**
+   * Monotonic time until which the server is cold by its entry, in ms; 0 if the
+   * entry has it warm.
+   */
+  readonly coldUntil: number;
 }
 
 /** An evacuation of a data centre, as known to this router. */
@@ -112,7 +115,7 @@
     lastAnswerAt: -Infinity,
     ejectedUntil: 0,
     ejectionMs: 0,
-    coldUntil: now + info.coldMs,
+    coldUntil: info.coldUntil,
     isReplaced: false,
     leavingSince: info.isLeaving ? now : null,
     evacuation: null,
--- a/packages/dispatch/src/backends.ts
+++ b/packages/dispatch/src/backends.ts
@@ -104,8 +104,8 @@
           backend.evacuation = evacuationOf(info);
           byId.set(info.id, backend);
         } else {
-          if (info.coldMs !== known.info.coldMs)
-            known.coldUntil = now + info.coldMs;
+          if (info.coldUntil !== known.info.coldUntil)
+            known.coldUntil = info.coldUntil;
           known.info = info;
           known.leavingSince = recordLeaving(info);
           known.evacuation = evacuationOf(info);
--- a/packages/gateway/src/link-broadcaster.ts
+++ b/packages/gateway/src/link-broadcaster.ts
@@ -348,7 +348,8 @@
     updateDeputies,
     deputies: () => shared.deputies,
     knownTo({listDigest, held}) {
-      const servers = listVersions.find(listDigest);
+      const listed = listVersions.find(listDigest);
+      const servers = listed && withoutCold(listed, shared.servers);
       if (held === null) return {known: {...NOTHING_KNOWN, servers}, kept: []};
       const {config, limits, suspects} = shared;
       const tables = tablesVersions.find(held.tables);
@@ -374,6 +375,20 @@
   };
 }
 
+/**
+ * The servers of a list that a follower has, without those that are cold in the
+ * current one: its digest doesn't tell whether it knows that.
+ */
+function withoutCold(
+  listed: readonly ServerInfo[],
+  current: readonly ServerInfo[],
+): readonly ServerInfo[] {
+  const cold = new Set(
+    current.filter(({coldUntil}) => coldUntil > 0).map(({id}) => id),
+  );
+  return cold.size === 0 ? listed : listed.filter(({id}) => !cold.has(id));
+}
+
 function hasSameRows(a: readonly Suspect[], b: readonly Suspect[]): boolean {
   return a.length === b.length && a.every((row, i) => row === b[i]);
 }
@@ -424,7 +439,7 @@
   next: SharedState,
   totals: RouterTotals,
 ): StateMessage {
-  const {list, room} = cfg;
+  const {list, room, clock} = cfg;
   const isNewConfig = known.config !== next.config;
   const {routers} = totals;
   const knownRows = new Set(known.suspects);
@@ -432,7 +447,7 @@
   return {
     ...heartbeatState(cfg, totals),
     tables: diffTables(known.tables, next.tables),
-    list: diffList(known.servers, next.servers),
+    list: diffList(known.servers, next.servers, clock.now()),
     listCursor: list.snapshot()?.cursor ?? null,
     config:
       isNewConfig && fitsLink(next.config, room, routers) ? next.config : null,
--- a/packages/gateway/src/link-session.ts
+++ b/packages/gateway/src/link-session.ts
@@ -256,7 +256,7 @@
     cfg.owners.replaceTables(session.tables);
   }
   if (state.list !== null) {
-    session.servers = applyList(session.servers, state.list);
+    session.servers = applyList(session.servers, state.list, session.heardAt);
   }
   const {servers} = session;
   const {listCursor} = state;
--- a/packages/gateway/src/link-state.ts
+++ b/packages/gateway/src/link-state.ts
@@ -1,5 +1,10 @@
 import {createHash} from 'node:crypto';
 import type {ServerInfo} from '@banyandrum/dispatch/backend.js';
+import {
+  fromServerEntry,
+  toServerEntry,
+  type ServerEntry,
+} from '@banyandrum/dispatch/server-entry.js';
 import type {ServedRange} from '@banyandrum/ranges/table.js';
 import type {ServedTables} from './key-owners.js';
 import {isSameServer} from './server-list.js';
@@ -8,7 +13,7 @@
 export interface ListDelta {
   /** Whether `put` is the whole list instead of changes. */
   readonly isWhole: boolean;
-  readonly put: readonly ServerInfo[];
+  readonly put: readonly ServerEntry[];
   /** Ids of servers that are no longer listed. */
   readonly gone: readonly string[];
 }
@@ -21,32 +26,40 @@
 
 /**
  * Returns the changes from one list to a later one, or null if there are none.
- * Without an earlier list it returns the whole later one.
+ * Without an earlier list it returns the whole later one. They are sent at the
+ * monotonic time `now`, in ms.
  */
 export function diffList(
   before: readonly ServerInfo[] | null,
-  now: readonly ServerInfo[],
+  after: readonly ServerInfo[],
+  now: number,
 ): ListDelta | null {
-  if (before === null) return {isWhole: true, put: now, gone: []};
-  if (before === now) return null;
+  const toEntry = (server: ServerInfo): ServerEntry =>
+    toServerEntry(server, now);
+  if (before === null)
+    return {isWhole: true, put: after.map(toEntry), gone: []};
+  if (before === after) return null;
   const known = new Map(before.map(server => [server.id, server]));
-  const put = now.filter(server => {
+  const put = after.filter(server => {
     const old = known.get(server.id);
     known.delete(server.id);
     return old === undefined || !isSameServer(old, server);
   });
   const gone = [...known.keys()];
-  return put.length + gone.length === 0 ? null : {isWhole: false, put, gone};
+  if (put.length + gone.length === 0) return null;
+  return {isWhole: false, put: put.map(toEntry), gone};
 }
 
-/** Applies changes to a list. */
+/** Applies changes to a list that arrived at the monotonic time `now`, in ms. */
 export function applyList(
   before: readonly ServerInfo[],
   {isWhole, put, gone}: ListDelta,
+  now: number,
 ): readonly ServerInfo[] {
-  if (isWhole) return put;
+  const changed = put.map(entry => fromServerEntry(entry, now));
+  if (isWhole) return changed;
   const servers = new Map(before.map(server => [server.id, server]));
-  for (const server of put) servers.set(server.id, server);
+  for (const server of changed) servers.set(server.id, server);
   for (const id of gone) servers.delete(id);
   return [...servers.values()];
 }
--- a/packages/gateway/src/platform.ts
+++ b/packages/gateway/src/platform.ts
@@ -1,5 +1,5 @@
-import type {ServerInfo} from '@banyandrum/dispatch/backend.js';
 import type {CompletedAttempt} from '@banyandrum/dispatch/completed-attempt.js';
+import type {ServerEntry} from '@banyandrum/dispatch/server-entry.js';
 import type {Suspect} from '@banyandrum/dispatch/suspect.js';
 import type {WireNames} from '@banyandrum/dispatch/wire.js';
 import type {TableStore, SaveResult} from '@banyandrum/ranges/table-store.js';
@@ -47,7 +47,7 @@
 
 /** A change to the list of backend servers. */
 export type ServerListChange =
-  | {readonly kind: 'listed'; readonly server: ServerInfo}
+  | {readonly kind: 'listed'; readonly server: ServerEntry}
   | {readonly kind: 'removed'; readonly id: string}
   /** An entry that can't be decoded. */
   | {
--- a/packages/gateway/src/server-list.ts
+++ b/packages/gateway/src/server-list.ts
@@ -4,6 +4,10 @@
   instanceStartedAt,
   serverName,
 } from '@banyandrum/dispatch/server-instance.js';
+import {
+  fromServerEntry,
+  toServerEntry,
+} from '@banyandrum/dispatch/server-entry.js';
 import type {Emit} from '@banyandrum/dispatch/events.js';
 import type {ServerListChange, ServerListRead} from './platform.js';
 
@@ -57,10 +61,12 @@
 const MAX_REMOVAL_GRACE_MS = 2_200;
 const REMOVAL_GRACE_MARGIN_MS = 200;
 /**
- * An entry that has the server cold for up to this much longer than earlier ones
- * is no news, in ms: entries arrive with varying delays.
+ * Differences between the ends of a cold time that are no news, in ms: entries
+ * arrive with varying delays. Between the known end and a later one the server
+ * would get too much.
  */
-const COLD_TOLERANCE_MS = 1_000;
+const MAX_IGNORED_COLD_MS = 50;
+const MAX_IGNORED_WARM_MS = 1_000;
 /**
  * Limit of remembered server instances, which are needed to detect that one
  * replaced another: a few weeks of restarts at the largest supported size, in
@@ -93,8 +99,6 @@
   const instances = new Map<string, string>();
   /** Address and order of first listing of each server ever listed. */
   const seen = new Map<string, {address: string; order: number}>();
-  /** Monotonic time until which servers are cold, in ms. */
-  const coldUntil = new Map<string, number>();
   const pendingRemovals = new Set<string>();
   /** Servers missing from a restored list that have time to register again. */
   const awaitingRegistration = new Set<string>();
@@ -164,8 +168,7 @@
     instances.set(serverName(server.id), server.id);
     if (pendingRemovals.delete(server.id)) version++;
     const known = servers.get(server.id);
-    const coldMs = newColdMs(known, server);
-    const next = {...server, coldMs};
+    const next = {...server, coldUntil: nextColdUntil(known, server)};
     servers.set(server.id, next);
     if (!seen.has(server.id)) {
       seen.set(server.id, {address: server.address, order: version});
@@ -173,35 +176,13 @@
       if (seen.size > MAX_REMEMBERED_INSTANCES) forgetOldest();
     }
     if (known !== undefined && isSameServer(known, next)) return false;
-    const {id, service, address, isLeaving} = server;
+    const {id, service, address, isLeaving, coldUntil} = next;
+    const coldMs = Math.max(0, Math.round(coldUntil - clock.now()));
     emit('server-listed', {server: id, service, address, isLeaving, coldMs});
     return true;
   };
 
-  /**
-   * The time for which the server is cold: as it was first reported, so that
-   * the list doesn't change with each entry in which less of it is left. Cold
-   * anew for the same time, it is another number, so that all routers notice.
-   */
-  const newColdMs = (
-    known: ServerInfo | undefined,
-    {id, coldMs}: ServerInfo,
-  ): number => {
-    const now = clock.now();
-    const isCountdown =
-      coldMs > 0 &&
-      now + coldMs <= (coldUntil.get(id) ?? 0) + COLD_TOLERANCE_MS;
-    if (known !== undefined && isCountdown) return known.coldMs;
-    if (coldMs === 0) {
-      coldUntil.delete(id);
-      return 0;
-    }
-    coldUntil.set(id, now + coldMs);
-    return coldMs === known?.coldMs ? coldMs + 1 : coldMs;
-  };
-
   const remove = (id: string): boolean => {
-    coldUntil.delete(id);
     if (!servers.delete(id)) return false;
     pendingRemovals.delete(id);
     if (instances.get(serverName(id)) === id) instances.delete(serverName(id));
@@ -228,7 +209,8 @@
   };
 
   const apply = (change: ServerListChange): boolean => {
-    if (change.kind === 'listed') return upsert(change.server);
+    if (change.kind === 'listed')
+      return upsert(fromServerEntry(change.server, clock.now()));
     if (change.kind === 'removed') {
       return removeAfterGrace(
         instances.get(serverName(change.id)) ?? change.id,
@@ -297,7 +279,7 @@
       cursor = snapshot.cursor;
       const results = [
         hasNewLeaving,
-        isNewer && applyWholeList(snapshot.servers.map(toListed), false),
+        isNewer && applyWholeList(toChanges(snapshot, clock.now()), false),
         applyDueRemovals(),
       ];
       if (results.includes(true)) notifyChanged();
@@ -355,8 +337,30 @@
   return (instanceStartedAt(id) ?? 0) < (instanceStartedAt(other) ?? 0);
 }
 
-function toListed(server: ServerInfo): ServerListChange {
-  return {kind: 'listed', server};
+/**
+ * Until when the server is cold. Each entry of one cold time shows an end that is
+ * too late by the entry's delay, and a later end may as well be that of another
+ * cold time, so the latest counts.
+ */
+function nextColdUntil(
+  known: ServerInfo | undefined,
+  {coldUntil}: ServerInfo,
+): number {
+  if (known === undefined || coldUntil === 0) return coldUntil;
+  const laterMs = coldUntil - known.coldUntil;
+  const isKnown =
+    laterMs <= MAX_IGNORED_COLD_MS && laterMs >= -MAX_IGNORED_WARM_MS;
+  return isKnown ? known.coldUntil : coldUntil;
+}
+
+function toChanges(
+  {servers}: ListSnapshot,
+  now: number,
+): readonly ServerListChange[] {
+  return servers.map(server => ({
+    kind: 'listed',
+    server: toServerEntry(server, now),
+  }));
 }
 
 /** Whether the two entries are equivalent for routing. */
@@ -364,7 +368,7 @@
   return (
     a.address === b.address &&
     a.isLeaving === b.isLeaving &&
-    a.coldMs === b.coldMs &&
+    a.coldUntil === b.coldUntil &&
     a.slots === b.slots &&
     a.service === b.service
   );
