Count the requests at a server that turns cold against its limit

Callers saw orders lost with servers that crash: a server that turns cold under load got the first token of its limit at once, beside the requests that it was at.

Why it works: what the leader has at the server as its limit begins has taken its tokens, at most those of one second, as the limit is one of requests a second.

Evidence: the new test of cold-limits fails before.

--- a/packages/dispatch/src/cold-limits.ts
+++ b/packages/dispatch/src/cold-limits.ts
@@ -44,7 +44,8 @@
  * Creates the limits. They answer the load of servers that start, or whose data
  * centre returns, under full traffic: a server without caches crashes under what
  * it bears when warm. The leader issues tokens for the whole rate; without one,
- * each router has a share.
+ * each router has a share. Requests at a server that turns cold again have taken
+ * their tokens, at most those of a second.
  *
  * @example
  * ```ts
@@ -89,7 +90,8 @@
     const known = coldServers.get(server);
     if (known !== undefined) return Object.assign(known, {perSecond, until});
     dropWarm(now);
-    const bucket = createTokenBucket(perSecond, now);
+    const taken = Math.min(backends.get(server)!.allocatedSlots, perSecond);
+    const bucket = createTokenBucket(perSecond, now, taken);
     const share = createRateShare(random);
     const created = {bucket, share, perSecond, until};
     coldServers.set(server, created);
--- a/packages/dispatch/src/token-bucket.ts
+++ b/packages/dispatch/src/token-bucket.ts
@@ -11,7 +11,7 @@
 const BURST_S = 0.25;
 
 /**
- * Creates a bucket that initially holds one token.
+ * Creates a bucket that initially holds one token, less those already `taken`.
  *
  * @example
  * ```ts
@@ -22,9 +22,10 @@
 export function createTokenBucket(
   perSecond: number,
   startedAt: number,
+  taken = 0,
 ): TokenBucket {
   let rate = perSecond;
-  let tokens = 1;
+  let tokens = 1 - taken;
   let refilledAt = startedAt;
 
   const refill = (now: number): void => {
--- a/packages/dispatch/test/cold-limits.test.ts
+++ b/packages/dispatch/test/cold-limits.test.ts
@@ -103,6 +103,20 @@
   t.equal(limits.limitOf('s1'), null);
 });
 
+// Guards against a server that turns cold under load and gets the tokens of its
+// limit beside the requests that it is at.
+void tap.test('requests at a server that turns cold count', async t => {
+  const {clock, backends, createLimits} = setUp(0);
+  const limits = createLimits();
+  backends.get('s1')!.allocatedSlots = 4;
+  backends.update([serverInfo(clock.now() + COLD_MS)]);
+  t.notOk(limits.hasToken('s1'));
+  await clock.advance(950);
+  t.notOk(limits.hasToken('s1'));
+  await clock.advance(100);
+  t.ok(limits.hasToken('s1'), 'after a second, however many they are');
+});
+
 void tap.test('an evacuated server counts as cold when it is back', async t => {
   const {clock, backends, createLimits} = setUp(0);
   const limits = createLimits();
