Read the list as often as a server that turns cold requires

Callers saw orders lost with a server that crashed: it had turned cold without a restart, and got up to 21 requests in a second, of 14.3 that it bears.

Cause: until the leader reads the server's entry, it hands out its slots as of a warm one. It read each 400 ms; a server that answers in 40 ms with four slots takes 40 requests in that time.

Without a leader few routers read as often, together, as a leader; many read as before.

--- a/packages/gateway/src/refresh-loops.ts
+++ b/packages/gateway/src/refresh-loops.ts
@@ -31,14 +31,17 @@
   updateConnectionLimits(): void;
   /** Adds this router's own request counts and service times, as the leader. */
   collectOwnMeasurements(): void;
+  /** Interval at which a leader reads the list of servers, in ms. */
+  listReadMs(): number;
+  /** Number of working routers, as far as it is known. */
+  routers(): number;
 }
 
-/** Interval at which the leader reads the list of servers, in ms. */
-const SERVER_LIST_READ_MS = 400;
 /**
  * Without a leader each router reads the list itself, at this share of
- * `leaveWithinMs`: 80 routers that read as often as a leader made 200 calls a
- * second, also during longer outages of the platform.
+ * `leaveWithinMs` at the latest: 80 routers that read as often as a leader made
+ * 200 calls a second, also during longer outages of the platform. Few routers
+ * read more often, together as often as a leader.
  */
 const NO_LEADER_READ_SHARE = 0.3;
 /** State that the leader confirmed within this time counts as fresh, in ms. */
@@ -88,7 +91,11 @@
  */
 export function startRefreshLoops(cfg: RefreshConfig): void {
   const {platform, leadership, list, link} = cfg;
-  const noLeaderReadMs = cfg.leaveWithinMs * NO_LEADER_READ_SHARE;
+  const noLeaderReadMs = (): number =>
+    Math.min(
+      cfg.leaveWithinMs * NO_LEADER_READ_SHARE,
+      cfg.listReadMs() * cfg.routers(),
+    );
   const mayRead = (): boolean => cfg.reads?.mayRead() ?? true;
   let lastReadAt = -Infinity;
   let isReading = false;
@@ -101,7 +108,7 @@
     if (isFollower && isTold && ageMs < FRESH_MS) return;
     const now = cfg.clock.now();
     const isKnown = list.cursor() !== null;
-    if (isFollower && isKnown && now - lastReadAt < noLeaderReadMs) return;
+    if (isFollower && isKnown && now - lastReadAt < noLeaderReadMs()) return;
     lastReadAt = now;
     isReading = true;
     const read = platform.readServers(list.cursor());
@@ -112,10 +119,7 @@
     );
   };
 
-  repeat(
-    {...cfg, name: 'servers', pauseMs: SERVER_LIST_READ_MS},
-    readListIfNeeded,
-  );
+  repeat({...cfg, name: 'servers', pauseMs: cfg.listReadMs}, readListIfNeeded);
   cfg.reads?.subscribe(() => {
     lastReadAt = -Infinity;
     if (cfg.goesOn()) void readListIfNeeded();
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -33,6 +33,7 @@
 import {createLeaderlessRetry} from './leaderless-retry.js';
 import {listAssignableServers} from './assignable-servers.js';
 import {limitConnections} from './limit-connections.js';
+import {listReadIntervalMs} from './list-read-interval.js';
 import {followLeader} from './link-client.js';
 import {serveLinks} from './link-server.js';
 import {listenAt} from './listen.js';
@@ -143,10 +144,9 @@
   const serverLimits = createServerLimits({clock, emit});
   const serviceConfig = (service: string): ServiceConfig | undefined =>
     configKeeper.current()?.services.get(service);
-  const coldLimits = createColdLimits({
-    ...{clock, backends},
-    coldPerSecondOf: service => serviceConfig(service)?.coldPerSecond ?? null,
-  });
+  const coldPerSecondOf = (service: string): number | null =>
+    serviceConfig(service)?.coldPerSecond ?? null;
+  const coldLimits = createColdLimits({clock, backends, coldPerSecondOf});
   const requestLimits = combineLimits(serverLimits, coldLimits);
   const serverRests = createServerRests({clock, emit});
   const reach = createServerReach({
@@ -590,6 +590,9 @@
     goesOn,
     keyedServices,
     updateConnectionLimits,
+    listReadMs: () =>
+      listReadIntervalMs({backends: backends.all(), coldPerSecondOf}),
+    routers: () => routerCount.current() ?? Infinity,
     collectOwnMeasurements() {
       recordRouterCount(linkServer.followers() + 1);
       leadership.addRequestCounts(keyOwners.drainCounts());
--- a/packages/gateway/test/router-group-sim.ts
+++ b/packages/gateway/test/router-group-sim.ts
@@ -355,6 +355,8 @@
     keyedServices: () => [...(keeper.current()?.services.keys() ?? [])],
     updateConnectionLimits: () => undefined,
     collectOwnMeasurements: () => undefined,
+    listReadMs: () => 400,
+    routers: () => Infinity,
   });
 
   /** Knows whom to ask: the listed router, or deputies of the last leader. */
