Leave others their turn while bodies in tiny chunks are parsed

Callers saw 503 with `overloaded`, or no answer in 4 s, while 30 others sent bodies in chunks of one byte, 8 kB each per 20 ms: 6 and 7 of 40 requests were answered.

Cause: the event loop's lag refuses them. In each turn of it, 64 KiB of each connection's body were parsed, which are 11,000 chunks of one byte; the bound counted bytes, not the work that they cost, and each connection had its own.

The new test of paced-connections fails before (16 parts of 2 ms each in a turn; 4 now).

Why it works: after 5 ms of a turn only new requests are parsed; what belongs to requests that have begun waits for the next turn, those that waited longest first. So neither the number of such clients nor the size of their chunks bounds how soon others are read.

--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -190,6 +190,7 @@
   const paced = createPacedConnections({
     clock: cfg.clock,
     allowance: connection => allowanceOf(cfg, pipelines.stateOf(connection)),
+    isReceiving: connection => pipelines.stateOf(connection).isReceiving,
     maxHeldBytes: cfg.callerLimits.maxUnparsedBytes,
   });
   const state: FrontendState = {
--- a/packages/gateway/src/paced-connections.ts
+++ b/packages/gateway/src/paced-connections.ts
@@ -21,6 +21,8 @@
   readonly clock: Pick<Clock, 'now'>;
   /** Bytes that may be parsed in one turn of the event loop; 0 for none now. */
   allowance(connection: Duplex): number;
+  /** Whether the connection's next bytes belong to a request that has begun. */
+  isReceiving(connection: Duplex): boolean;
   /** Limit of the bytes that were received and not parsed, of all connections. */
   readonly maxHeldBytes: number;
 }
@@ -30,6 +32,8 @@
   /** Parses what is allowed. */
   parse(): void;
   receivedAt(): number;
+  /** When bytes were parsed last; monotonic, in ms. */
+  parsedAt(): number;
   /** Bytes that were received and not parsed. */
   heldBytes(): number;
   /** Time since bytes were parsed, in ms. */
@@ -43,6 +47,8 @@
   heldBytes(): number;
   /** Number of the turn of the event loop. */
   turn(): number;
+  /** Whether bytes of requests that have begun must wait for the next turn. */
+  isBodyTimeUsed(): boolean;
   /** Parses on in the next turn. */
   parseNextTurn(paced: Paced): void;
 }
@@ -57,6 +63,12 @@
  * request of as few as 26.
  */
 const MAX_PARSED_BYTES = 4 * 1024;
+/**
+ * Time in a turn after which only new requests are parsed, in ms. Chunks of one
+ * byte take a thousand times as long a byte as large ones, and callers with such
+ * bodies would hold up all others.
+ */
+const BODY_TIME_PER_TURN_MS = 5;
 /** A connection is not closed for its unparsed bytes within this time, in ms. */
 const MIN_STALLED_MS = 500;
 
@@ -82,10 +94,13 @@
   const nextTurn = new Set<Paced>();
   let heldBytes = 0;
   let turn = 0;
+  let turnStartedAt = cfg.clock.now();
 
   const startTurn = (): void => {
     turn++;
-    const due = [...nextTurn];
+    turnStartedAt = cfg.clock.now();
+    // Those that waited the longest first: the time may not suffice for all.
+    const due = [...nextTurn].sort((a, b) => a.parsedAt() - b.parsedAt());
     nextTurn.clear();
     for (const paced of due) paced.parse();
   };
@@ -113,6 +128,8 @@
     },
     heldBytes: () => heldBytes,
     turn: () => turn,
+    isBodyTimeUsed: () =>
+      cfg.clock.now() - turnStartedAt > BODY_TIME_PER_TURN_MS,
     parseNextTurn(paced) {
       if (nextTurn.size === 0) setImmediate(startTurn);
       nextTurn.add(paced);
@@ -150,6 +167,8 @@
 
   const parse = (): void => {
     if (!isWanted || received.isEmpty()) return;
+    if (pacing.isBodyTimeUsed() && pacing.isReceiving(connection))
+      return pacing.parseNextTurn(paced);
     const left = leftThisTurn();
     if (left > 0) parsePart(Math.min(left, MAX_PARSED_BYTES));
     // Its requests may be answered by then; else `resume` is called.
@@ -187,6 +206,7 @@
   const paced: Paced = {
     ...{connection, parse},
     receivedAt: () => receivedAt,
+    parsedAt: () => parsedAt,
     heldBytes: received.heldBytes,
     stalledMs: () => clock.now() - parsedAt,
   };
--- a/packages/gateway/test/paced-connections.test.ts
+++ b/packages/gateway/test/paced-connections.test.ts
@@ -26,10 +26,11 @@
   t: Test,
   allowance: () => number,
   maxHeldBytes = 1024 ** 2,
+  clock = {now: () => performance.now()},
+  isReceiving = false,
 ): Promise<Rig> {
   const paced = createPacedConnections({
-    clock: {now: () => performance.now()},
-    ...{allowance, maxHeldBytes},
+    ...{clock, allowance, maxHeldBytes, isReceiving: () => isReceiving},
   });
   const server = createServer({allowHalfOpen: true});
   await listen(server, {ip: '127.0.0.1', port: 0, backlog: 8});
@@ -68,6 +69,39 @@
   t.equal(paced.heldBytes(), 0);
 });
 
+/** The most parts that are parsed in a turn, if each takes 2 ms. */
+async function mostPartsPerTurn(
+  t: Test,
+  isReceiving: boolean,
+): Promise<number> {
+  const bytes = 64 * 1024;
+  let now = 0;
+  const {caller, parts, connection} = await startRig(
+    ...([t, () => bytes, 2 * bytes, {now: () => now}, isReceiving] as const),
+  );
+  connection.on('data', () => {
+    now += 2;
+  });
+  caller.write(Buffer.alloc(bytes));
+  let most = 0;
+  while (parts.reduce((sum, part) => sum + part, 0) < bytes) {
+    const before = parts.length;
+    await nextTurn();
+    most = Math.max(most, parts.length - before);
+  }
+  return most;
+}
+
+// Guards against callers with bodies in chunks of one byte, which take so long to
+// parse that others' requests are refused for the lag of the event loop.
+void tap.test('bodies that are slow to parse wait for a turn', async t => {
+  const ofBodies = await mostPartsPerTurn(t, true);
+  // Three in 5 ms, and it may look between two turns.
+  t.ok(ofBodies <= 6, `${ofBodies} parts of bodies`);
+  const ofRequests = await mostPartsPerTurn(t, false);
+  t.ok(ofRequests > 6, `${ofRequests} parts of new requests, which don't wait`);
+});
+
 // Guards against a connection whose requests are never parsed, once it had none
 // allowed.
 void tap.test('a connection waits until it is resumed', async t => {
