Ask a slow server whether it is cold while the list can't be read

Callers saw orders lost with a server that crashed: it had turned cold while the store was down, and got 21 requests in a second, of 14.3 that it bears.

Cause: the same as with a store that answers: until the server's entry is read, it counts as warm. Without the store nobody reads it. Its health answers say it as well, and were read nowhere; no present probe could carry it, as they only open connections.

Why it works: an answer that took 1.5 times the server's usual time is a reason for the leader to ask its health endpoint, if reads of the list are missing. The answer makes it cold, and no entry that is read later shortens that. At most eight servers are asked at a time, each once in 0.5 s. Not covered: a router without a leader or with one that can't be asked, and a service without a health path.

--- /dev/null
+++ b/packages/dispatch/src/ask-health.ts
@@ -0,0 +1,46 @@
+import {get} from 'node:http';
+import type {Backend} from './backend.js';
+import {isOtherServer} from './server-instance.js';
+import type {WireNames} from './wire.js';
+
+/** Time limit of the answer's header, in ms. */
+const TIMEOUT_MS = 300;
+/** Limit of the answer's header, in bytes; its body isn't read. */
+const MAX_HEADER_BYTES = 8 * 1024;
+
+/**
+ * Asks the server's health endpoint, on a connection of its own. Resolves with the
+ * header fields of its answer; null if there is none, or another server's.
+ *
+ * @example
+ * ```ts
+ * const fields = await askHealth(names, backend, '/health');
+ * ```
+ */
+export function askHealth(
+  names: WireNames,
+  {info}: Backend,
+  path: string,
+): Promise<ReadonlyMap<string, string> | null> {
+  const separatorAt = info.address.lastIndexOf(':');
+  const host = info.address.slice(0, separatorAt);
+  const port = Number(info.address.slice(separatorAt + 1));
+  return new Promise(resolve => {
+    const opts = {host, port, path, agent: false, timeout: TIMEOUT_MS};
+    const req = get({...opts, maxHeaderSize: MAX_HEADER_BYTES}, res => {
+      const fields = new Map(
+        Object.entries(res.headers).map(([name, value]) => [
+          name,
+          String(value),
+        ]),
+      );
+      const isOther = isOtherServer(info.id, fields.get(names.serverId));
+      resolve(isOther ? null : fields);
+      res.on('error', () => undefined);
+      res.destroy();
+    });
+    req.on('timeout', () => req.destroy());
+    req.on('error', () => resolve(null));
+    req.on('close', () => resolve(null));
+  });
+}
--- a/packages/dispatch/src/wire.ts
+++ b/packages/dispatch/src/wire.ts
@@ -22,6 +22,11 @@
   readonly limit: string;
   /** `1` if the server is shutting down. */
   readonly leaving: string;
+  /**
+   * Remaining time for which the server is cold, in ms; in the answers of its
+   * health endpoint.
+   */
+  readonly coldMs: string;
   /** Seconds to send no requests to the server; set in its refusals. */
   readonly retryAfter: string;
   /** Key of the request. */
--- a/packages/dispatch/test/raw-server.ts
+++ b/packages/dispatch/test/raw-server.ts
@@ -23,6 +23,7 @@
   load: 'x-load',
   limit: 'x-limit',
   leaving: 'x-leaving',
+  coldMs: 'x-cold-ms',
   retryAfter: 'retry-after',
   key: 'x-key',
   serverId: 'x-server',
--- /dev/null
+++ b/packages/gateway/src/cold-check.ts
@@ -0,0 +1,91 @@
+import type {Clock} from '@banyandrum/base/clock.js';
+import {isCold, type Backend} from '@banyandrum/dispatch/backend.js';
+import type {WireNames} from '@banyandrum/dispatch/wire.js';
+import {readLimit} from '@banyandrum/dispatch/wire.js';
+import type {ServiceConfig} from '@banyandrum/routing/config.js';
+
+/** Asks servers whether they are cold while the list can't be read. */
+export interface ColdCheck {
+  /** Call with each answer, before it counts in the server's service time. */
+  noteAnswer(backend: Backend, tookMs: number): void;
+}
+
+/** Dependencies of `createColdCheck`. */
+export interface ColdCheckConfig {
+  readonly clock: Pick<Clock, 'now'>;
+  readonly names: Pick<WireNames, 'coldMs'>;
+  serviceConfig(service: string): ServiceConfig | undefined;
+  /** Time since the platform confirmed the list of servers, in ms. */
+  listAgeMs(): number;
+  /** Interval at which the list should be read, in ms. */
+  listReadMs(): number;
+  /** Header fields of the answer of its health endpoint; null if none came. */
+  askHealth(
+    backend: Backend,
+    path: string,
+  ): Promise<ReadonlyMap<string, string> | null>;
+  /** Called with the remaining time for which the server is cold, in ms. */
+  noteCold(server: string, coldMs: number): void;
+}
+
+/** Intervals of reads after which the list's entries don't tell as soon. */
+const MIN_MISSED_READS = 2;
+/** A cold server takes longer; the times of a warm one vary, too. */
+const SLOW_FACTOR = 1.5;
+/** A server is asked at most once in this time, in ms. */
+const MIN_INTERVAL_MS = 500;
+/** Servers that are asked at a time. */
+const MAX_CONCURRENT = 8;
+/** Longer cold times are taken for faults of the server, in ms. */
+const MAX_COLD_MS = 60_000;
+
+/**
+ * Creates the check. It answers the load of a warm server that turns cold while
+ * the platform's store is down: nobody reads its entry then, and it would crash. An
+ * answer that took long is a reason to ask, no proof.
+ *
+ * @example
+ * ```ts
+ * const check = createColdCheck({clock, names, serviceConfig, ...rest});
+ * check.noteAnswer(backend, 180);
+ * ```
+ */
+export function createColdCheck(cfg: ColdCheckConfig): ColdCheck {
+  const {clock} = cfg;
+  const askedAt = new Map<string, number>();
+  let pending = 0;
+
+  const isDue = ({info, serviceMs}: Backend, tookMs: number): boolean =>
+    serviceMs > 0 &&
+    tookMs > serviceMs * SLOW_FACTOR &&
+    pending < MAX_CONCURRENT &&
+    clock.now() - (askedAt.get(info.id) ?? -Infinity) >= MIN_INTERVAL_MS &&
+    cfg.listAgeMs() > cfg.listReadMs() * MIN_MISSED_READS;
+
+  const forgetOld = (): void => {
+    const since = clock.now() - MIN_INTERVAL_MS;
+    for (const [id, at] of askedAt) {
+      if (at <= since) askedAt.delete(id);
+    }
+  };
+
+  const ask = async (backend: Backend, path: string): Promise<void> => {
+    forgetOld();
+    askedAt.set(backend.info.id, clock.now());
+    pending++;
+    const fields = await cfg.askHealth(backend, path).finally(() => pending--);
+    const coldMs = readLimit(fields?.get(cfg.names.coldMs) ?? '') ?? 0;
+    if (coldMs > 0 && coldMs <= MAX_COLD_MS)
+      cfg.noteCold(backend.info.id, coldMs);
+  };
+
+  return {
+    noteAnswer(backend, tookMs) {
+      const service = cfg.serviceConfig(backend.info.service);
+      if (!service || service.coldPerSecond === null) return;
+      if (service.healthPath === undefined) return;
+      if (isCold(backend, clock.now()) || !isDue(backend, tookMs)) return;
+      void ask(backend, service.healthPath);
+    },
+  };
+}
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -19,7 +19,9 @@
 import {createLeaseTiming} from '@banyandrum/ranges/lease-timing.js';
 import type {ServiceConfig} from '@banyandrum/routing/config.js';
 import {createSplitter} from '@banyandrum/routing/split.js';
+import {askHealth} from '@banyandrum/dispatch/ask-health.js';
 import {createBodyMemory} from './body-memory.js';
+import {createColdCheck} from './cold-check.js';
 import {createConfigKeeper} from './config-keeper.js';
 import {evacuateBackends} from './evacuate-backends.js';
 import {createEvacuations} from './evacuations.js';
@@ -147,6 +149,8 @@
   const coldPerSecondOf = (service: string): number | null =>
     serviceConfig(service)?.coldPerSecond ?? null;
   const coldLimits = createColdLimits({clock, backends, coldPerSecondOf});
+  const listReadMs = (): number =>
+    listReadIntervalMs({backends: backends.all(), coldPerSecondOf});
   const requestLimits = combineLimits(serverLimits, coldLimits);
   const serverRests = createServerRests({clock, emit});
   const reach = createServerReach({
@@ -321,12 +325,19 @@
     offerLeadership: linkClient.offerLeadership,
     startTerm: acceptLeadershipOffer,
   });
+  const coldCheck = createColdCheck({
+    ...{clock, serviceConfig, names: platform.names},
+    ...{listAgeMs: serverList.ageMs, listReadMs},
+    askHealth: (backend, path) => askHealth(platform.names, backend, path),
+    noteCold: serverList.noteCold,
+  });
   const slotAllocator = createSlotAllocator({
     backends,
     clock,
     emit,
     ownerOf: (service, key) => keyOwners.ownerOf(service, key),
     onNotHeld: leadership.noteNotHeld,
+    onAnswer: coldCheck.noteAnswer,
     suspects,
     limits: requestLimits,
     ...requestTimes.part,
@@ -590,8 +601,7 @@
     goesOn,
     keyedServices,
     updateConnectionLimits,
-    listReadMs: () =>
-      listReadIntervalMs({backends: backends.all(), coldPerSecondOf}),
+    listReadMs,
     routers: () => routerCount.current() ?? Infinity,
     collectOwnMeasurements() {
       recordRouterCount(linkServer.followers() + 1);
--- a/packages/gateway/src/server-list.ts
+++ b/packages/gateway/src/server-list.ts
@@ -34,6 +34,11 @@
    * later lists. Returns whether it was not marked before.
    */
   noteLeaving(id: string): boolean;
+  /**
+   * The server itself says that it is cold for `coldMs` more, which no entry can
+   * shorten: those that are read later may have been written before.
+   */
+  noteCold(id: string, coldMs: number): void;
   /** Changes whenever the servers of the snapshot or their states change. */
   version(): number;
   /** Where the next read continues; null if it must read the whole list. */
@@ -99,6 +104,8 @@
   const instances = new Map<string, string>();
   /** Address and order of first listing of each server ever listed. */
   const seen = new Map<string, {address: string; order: number}>();
+  /** Monotonic time until which servers themselves said to be cold, in ms. */
+  const saidColdUntil = new Map<string, number>();
   const pendingRemovals = new Set<string>();
   /** Servers missing from a restored list that have time to register again. */
   const awaitingRegistration = new Set<string>();
@@ -168,7 +175,11 @@
     instances.set(serverName(server.id), server.id);
     if (pendingRemovals.delete(server.id)) version++;
     const known = servers.get(server.id);
-    const next = {...server, coldUntil: nextColdUntil(known, server)};
+    const coldUntil = Math.max(
+      nextColdUntil(known, server),
+      saidColdUntil.get(server.id) ?? 0,
+    );
+    const next = {...server, coldUntil};
     servers.set(server.id, next);
     if (!seen.has(server.id)) {
       seen.set(server.id, {address: server.address, order: version});
@@ -176,13 +187,14 @@
       if (seen.size > MAX_REMEMBERED_INSTANCES) forgetOldest();
     }
     if (known !== undefined && isSameServer(known, next)) return false;
-    const {id, service, address, isLeaving, coldUntil} = next;
+    const {id, service, address, isLeaving} = next;
     const coldMs = Math.max(0, Math.round(coldUntil - clock.now()));
     emit('server-listed', {server: id, service, address, isLeaving, coldMs});
     return true;
   };
 
   const remove = (id: string): boolean => {
+    saidColdUntil.delete(id);
     if (!servers.delete(id)) return false;
     pendingRemovals.delete(id);
     if (instances.get(serverName(id)) === id) instances.delete(serverName(id));
@@ -307,6 +319,17 @@
       if (hasChanged && cursor !== null) notifyChanged();
       return true;
     },
+    noteCold(id, coldMs) {
+      const known = servers.get(id);
+      if (known === undefined) return;
+      const saidUntil = clock.now() + coldMs;
+      const coldUntil = nextColdUntil(known, {...known, coldUntil: saidUntil});
+      if (coldUntil <= known.coldUntil) return;
+      saidColdUntil.set(id, coldUntil);
+      servers.set(id, {...known, coldUntil});
+      emit('server-says-cold', {server: id, coldMs: Math.round(coldMs)});
+      if (cursor !== null) notifyChanged();
+    },
     version: () => version,
     cursor: () => cursor,
     sinceNewServerMs: () => clock.now() - lastNewServerAt,
--- a/packages/gateway/test/carry.test.ts
+++ b/packages/gateway/test/carry.test.ts
@@ -27,7 +27,12 @@
 const NAMES: WireNames = {
   ...{requestId: 'x-request', deadlineMs: 'x-deadline', limit: 'x-limit'},
   ...{expectedServer: 'x-expect', signature: 'x-signature', load: 'x-load'},
-  ...{notRun: 'x-not-run', leaving: 'x-leaving', retryAfter: 'retry-after'},
+  ...{
+    notRun: 'x-not-run',
+    leaving: 'x-leaving',
+    retryAfter: 'retry-after',
+    coldMs: 'x-cold',
+  },
   ...{key: 'x-key', serverId: 'x-server'},
 };
 
--- a/packages/gateway/test/server-list.test.ts
+++ b/packages/gateway/test/server-list.test.ts
@@ -303,6 +303,28 @@
   t.equal(news, 1);
 });
 
+// Guards against an entry that was written before the server turned cold, and is
+// read after it said so itself.
+void tap.test('no entry shortens what the server itself said', async t => {
+  const {clock, list} = createHarness();
+  let news = 0;
+  list.subscribe(() => news++);
+  list.noteCold('a', 2_000);
+  t.equal(coldMsOf(list, clock), 2_000);
+  t.equal(news, 1);
+  list.noteCold('a', 1_900);
+  list.applyRead(read(3, [listed(server('a'))]));
+  t.equal(coldMsOf(list, clock), 2_000);
+  t.equal(news, 1, 'nothing new');
+  await clock.advance(2_500);
+  list.applyRead(read(4, [listed(server('a', {coldMs: 3_000}))]));
+  t.equal(coldMsOf(list, clock), 3_000, 'another cold time');
+  list.applyRead(read(5, [listed(server('a'))]));
+  t.equal(coldMsOf(list, clock), 0);
+  list.noteCold('unlisted', 2_000);
+  t.equal(news, 3);
+});
+
 /** The remaining time for which server `a` is cold by the list, in ms. */
 function coldMsOf(list: ServerList, clock: ManualClock): number {
   const {coldUntil} = list.snapshot()!.servers.find(({id}) => id === 'a')!;
--- a/packages/routing/src/config.ts
+++ b/packages/routing/src/config.ts
@@ -42,6 +42,8 @@
    * if that is unknown.
    */
   readonly coldPerSecond: number | null;
+  /** Path of its servers' health endpoint; absent if they have none. */
+  readonly healthPath?: string;
 }
 
 /** Limits on callers' requests and connections. */
--- a/packages/slots/src/free-server.ts
+++ b/packages/slots/src/free-server.ts
@@ -28,6 +28,8 @@
    * request that was sent at `sentAt` or later.
    */
   onNotHeld(service: string, key: number, server: string, sentAt: number): void;
+  /** Called with each answer before it counts in the server's service time. */
+  readonly onAnswer?: (backend: Backend, tookMs: number) => void;
   readonly suspects: Pick<Suspects, 'standingOf' | 'noteAlive'>;
   readonly limits: Pick<ServerLimits, 'limitOf' | 'hasToken' | 'takeToken'>;
   /** Order of the waiting requests of one priority; by slack by default. */
--- a/packages/slots/src/slot-allocator.ts
+++ b/packages/slots/src/slot-allocator.ts
@@ -385,7 +385,7 @@
 const UNREACHED: ReadonlySet<SlotOutcome> = new Set(['unreached', 'cut-off']);
 
 function releaseSlot(
-  {clock, suspects, emit, times}: SlotAllocatorConfig,
+  {clock, suspects, emit, times, onAnswer}: SlotAllocatorConfig,
   backend: Backend,
   {grantedAt, req}: Waiter,
   {outcome, tookMs, slowdown}: SlotEnd,
@@ -397,6 +397,7 @@
     const server = backend.info.id;
     const {service, kind = UNKNOWN_KIND} = req;
     suspects.noteAlive(server, grantedAt);
+    onAnswer?.(backend, tookMs);
     const sample = {service, kind, server, tookMs};
     times?.record({...sample, slowdown: slowdown ?? null});
   }
