Close a connection with bad bytes only when its answers were read

Callers saw an answer cut off by a reset, if they sent bytes that are no request behind a request, went on sending, and read slowly.

A connection on which no request can follow was closed as soon as the operating system had taken the last answer, at two places: behind the answer of an earlier request, and behind a 400 of our own. What the caller still sends then resets it, with what was not delivered.

Why it works: the router ends its side, reads on and drops until the caller closes, for 5 s at the most, as it does after a stop.

--- a/packages/gateway/src/client-errors.ts
+++ b/packages/gateway/src/client-errors.ts
@@ -1,6 +1,7 @@
 import {STATUS_CODES, type Server} from 'node:http';
 import type {Duplex} from 'node:stream';
 import type {RequestPipelines} from './request-pipelines.js';
+import {closeGracefully} from './socket-duplex.js';
 
 /** Statuses for errors of the HTTP parser; 400 for all others. */
 const STATUSES: Readonly<Record<string, number>> = {
@@ -31,6 +32,7 @@
     if (pipelines.closeAfterAnswers(socket)) return;
     const status = STATUSES[err.code ?? ''] ?? 400;
     const line = `HTTP/1.1 ${status} ${STATUS_CODES[status]}`;
-    socket.end(`${line}\r\nConnection: close\r\n\r\n`, () => socket.destroy());
+    socket.write(`${line}\r\nConnection: close\r\n\r\n`);
+    closeGracefully(socket);
   });
 }
--- a/packages/gateway/src/request-pipelines.ts
+++ b/packages/gateway/src/request-pipelines.ts
@@ -1,5 +1,6 @@
 import type {Duplex} from 'node:stream';
 import type {CancelSignal} from '@banyandrum/base/cancel.js';
+import {closeGracefully} from './socket-duplex.js';
 
 /** A request among those that are pipelined on its connection. */
 export interface PipelinedRequest {
@@ -202,7 +203,8 @@
         finish() {
           connection.pending.delete(onClose);
           startWaiting(socket, connection);
-          if (connection.isBroken && !isAnswerDue(connection)) socket.destroy();
+          if (connection.isBroken && !isAnswerDue(connection))
+            closeGracefully(socket);
         },
       };
     },
--- a/packages/gateway/src/socket-duplex.ts
+++ b/packages/gateway/src/socket-duplex.ts
@@ -89,6 +89,22 @@
   });
 }
 
+/**
+ * Closes a caller's connection once all is written and the caller has read it; at
+ * once if it can't wait for that.
+ *
+ * @example
+ * ```ts
+ * closeGracefully(req.socket);
+ * ```
+ */
+export function closeGracefully(
+  connection: Duplex & Partial<Pick<SocketDuplex, 'destroySoon'>>,
+): void {
+  if (connection.destroySoon === undefined) connection.destroy();
+  else connection.destroySoon();
+}
+
 /**
  * Writes the parts, and calls `done` as soon as the operating system has taken
  * them: mostly at once, sooner than the socket tells.
