Let all routers know, and without a leader find out, that a server is cold

Callers saw, in a soak, a keyed server that turned cold while the store was down and got 19 requests in a second, of 10.4 that it bears.

Cause: the leader had asked the server and knew; it was stopped, and the followers did not. They take a list from a leader only if its cursor is newer, and nothing was read. Without a leader nobody asked the server.

Why it works: later ends of cold times are adopted from any list of another router, as its leaving servers are; none becomes warm by that. A router without a leader looks at the answers to its own requests.

The new test of server-list fails before.

--- a/packages/dispatch/src/forward-state.ts
+++ b/packages/dispatch/src/forward-state.ts
@@ -6,6 +6,7 @@
 import type {Answer} from './attempt.js';
 import type {Carriers} from './carriers.js';
 import type {ContentDigests} from './content-digests.js';
+import type {Backend} from './backend.js';
 import type {Backends} from './backends.js';
 import type {RequestLimits} from './cold-limits.js';
 import type {Emit} from './events.js';
@@ -72,6 +73,8 @@
   /** Counts a decision on a retry, for the metrics. */
   readonly recordRetry: (service: string, outcome: RetryOutcome) => void;
   readonly quarantine: Quarantine;
+  /** Called with each answer before it counts in the server's service time. */
+  readonly onAnswer?: (backend: Backend, tookMs: number) => void;
   /** Learns the times of answers; absent if times aren't kept by route. */
   readonly times?: Pick<TimeModel, 'record'>;
   readonly clock: Clock;
--- a/packages/dispatch/src/handle-result.ts
+++ b/packages/dispatch/src/handle-result.ts
@@ -113,6 +113,7 @@
   }
   state.possibleRuns++;
   const hasFailed = isFailure(cfg.names, answer);
+  if (!hasFailed) cfg.onAnswer?.(backend, tookMs);
   noteAnswer(backend, now, tookMs, inFlightAtSend, hasFailed, load);
   if (!hasFailed) {
     cfg.times?.record({
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -490,6 +490,12 @@
       budget: retryBudget,
       recordRetry: metrics.recordRetry,
       quarantine: createQuarantine(suspects, crashDetector),
+      onAnswer(backend, tookMs) {
+        const hasLeader =
+          leadership.isLeading() || linkClient.leader() !== null;
+        // A leader hears of all answers.
+        if (!hasLeader) coldCheck.noteAnswer(backend, tookMs);
+      },
       ...signalsCfg,
       ...requestTimes.part,
       clock,
--- a/packages/gateway/src/server-list.ts
+++ b/packages/gateway/src/server-list.ts
@@ -159,6 +159,22 @@
     return newlyLeaving.map(({id}) => markLeaving(id)).includes(true);
   };
 
+  /**
+   * Adopts the later ends of cold times, even if the other router's list is older:
+   * a server may have told it.
+   */
+  const markListedCold = (listed: readonly ServerInfo[]): boolean => {
+    let hasChanged = false;
+    for (const {id, coldUntil} of listed) {
+      const known = servers.get(id);
+      if (known === undefined || coldUntil <= clock.now()) continue;
+      if (coldUntil <= known.coldUntil + MAX_IGNORED_COLD_MS) continue;
+      servers.set(id, {...known, coldUntil});
+      hasChanged = true;
+    }
+    return hasChanged;
+  };
+
   const upsert = (entry: ServerInfo): boolean => {
     awaitingRegistration.delete(entry.id);
     if (entry.isLeaving) rememberLeavingInstance(entry.id);
@@ -282,15 +298,16 @@
     },
     applySnapshot(snapshot, ageMs) {
       const hasNewLeaving = markListedLeaving(snapshot.servers);
+      const hasNewCold = markListedCold(snapshot.servers);
       if (cursor !== null && snapshot.cursor < cursor) {
-        if (hasNewLeaving) notifyChanged();
+        if (hasNewLeaving || hasNewCold) notifyChanged();
         return;
       }
       confirmedAt = Math.max(confirmedAt, clock.now() - ageMs);
       const isNewer = snapshot.cursor !== cursor;
       cursor = snapshot.cursor;
       const results = [
-        hasNewLeaving,
+        ...[hasNewLeaving, hasNewCold],
         isNewer && applyWholeList(toChanges(snapshot, clock.now()), false),
         applyDueRemovals(),
       ];
--- a/packages/gateway/test/server-list.test.ts
+++ b/packages/gateway/test/server-list.test.ts
@@ -325,6 +325,26 @@
   t.equal(news, 3);
 });
 
+// Guards against followers that take a server for warm since it told only their
+// leader, whose list has the same cursor, and is lost with it.
+void tap.test('a cold server is taken from any snapshot', async t => {
+  const {clock, list: leader} = createHarness();
+  const {list} = createHarness();
+  leader.noteCold('a', 2_000);
+  list.applySnapshot(leader.snapshot()!, 0);
+  t.equal(coldMsOf(list, clock), 2_000, 'at the same cursor');
+  leader.noteCold('a', 2_500);
+  list.applyRead(read(9, []));
+  list.applySnapshot(leader.snapshot()!, 0);
+  t.equal(coldMsOf(list, clock), 2_500, 'an older list');
+  const warm = leader.snapshot()!.servers.map(each => ({
+    ...each,
+    coldUntil: 0,
+  }));
+  list.applySnapshot({cursor: 2, servers: warm}, 0);
+  t.equal(coldMsOf(list, clock), 2_500, 'which makes none warm');
+});
+
 /** The remaining time for which server `a` is cold by the list, in ms. */
 function coldMsOf(list: ServerList, clock: ManualClock): number {
   const {coldUntil} = list.snapshot()!.servers.find(({id}) => id === 'a')!;
