Give back a request's turn and body memory if forwarding fails

Callers would have seen their connection's later requests wait for good, and fewer bodies accepted, after an unexpected error in forwarding: the turn and the memory were given back only after an answer. Found by reading; no run has shown it.

--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -399,10 +399,12 @@
   const turn = pipelined.waitForTurn(sendSignal);
   if (turn !== null) await turn;
   const target = {route, service, key, body: result.bytes, sendSignal};
-  const response = await forwardRequest(state, stripped, req, context, target);
-  pipelined.endTurn();
-  body.release();
-  return response;
+  try {
+    return await forwardRequest(state, stripped, req, context, target);
+  } finally {
+    pipelined.endTurn();
+    body.release();
+  }
 }
 
 /** How a request ends whose body could not be read. */
