Limit the time of a question to a server's health endpoint

A server that sends a header without an end would keep one of eight questions open for good; eight of them would end the check. The limit was one of silence.

The constants of the check say what they limit.

--- a/packages/dispatch/src/ask-health.ts
+++ b/packages/dispatch/src/ask-health.ts
@@ -3,7 +3,7 @@
 import {isOtherServer} from './server-instance.js';
 import type {WireNames} from './wire.js';
 
-/** Time limit of the answer's header, in ms. */
+/** Time limit for receiving the answer's header, in ms. */
 const TIMEOUT_MS = 300;
 /** Limit of the answer's header, in bytes; its body isn't read. */
 const MAX_HEADER_BYTES = 8 * 1024;
@@ -26,20 +26,18 @@
   const host = info.address.slice(0, separatorAt);
   const port = Number(info.address.slice(separatorAt + 1));
   return new Promise(resolve => {
-    const opts = {host, port, path, agent: false, timeout: TIMEOUT_MS};
+    const signal = AbortSignal.timeout(TIMEOUT_MS);
+    const opts = {host, port, path, agent: false, signal};
     const req = get({...opts, maxHeaderSize: MAX_HEADER_BYTES}, res => {
+      const entries = Object.entries(res.headers);
       const fields = new Map(
-        Object.entries(res.headers).map(([name, value]) => [
-          name,
-          String(value),
-        ]),
+        entries.map(([name, value]) => [name, String(value)]),
       );
       const isOther = isOtherServer(info.id, fields.get(names.serverId));
       resolve(isOther ? null : fields);
       res.on('error', () => undefined);
       res.destroy();
     });
-    req.on('timeout', () => req.destroy());
     req.on('error', () => resolve(null));
     req.on('close', () => resolve(null));
   });
--- a/packages/gateway/src/cold-check.ts
+++ b/packages/gateway/src/cold-check.ts
@@ -1,7 +1,6 @@
 import type {Clock} from '@banyandrum/base/clock.js';
 import {isCold, type Backend} from '@banyandrum/dispatch/backend.js';
-import type {WireNames} from '@banyandrum/dispatch/wire.js';
-import {readLimit} from '@banyandrum/dispatch/wire.js';
+import {readLimit, type WireNames} from '@banyandrum/dispatch/wire.js';
 import type {ServiceConfig} from '@banyandrum/routing/config.js';
 
 /** Asks servers whether they are cold while the list can't be read. */
@@ -28,13 +27,13 @@
   noteCold(server: string, coldMs: number): void;
 }
 
-/** Intervals of reads after which the list's entries don't tell as soon. */
-const MIN_MISSED_READS = 2;
-/** A cold server takes longer; the times of a warm one vary, too. */
+/** The list is late after this many times the interval of its reads. */
+const LATE_LIST_FACTOR = 2;
+/** An answer is slow from this multiple of the usual time on. */
 const SLOW_FACTOR = 1.5;
-/** A server is asked at most once in this time, in ms. */
+/** Minimum interval between two questions to a server, in ms. */
 const MIN_INTERVAL_MS = 500;
-/** Servers that are asked at a time. */
+/** Limit of servers that are asked at the same time. */
 const MAX_CONCURRENT = 8;
 /** Longer cold times are taken for faults of the server, in ms. */
 const MAX_COLD_MS = 60_000;
@@ -60,7 +59,7 @@
     tookMs > serviceMs * SLOW_FACTOR &&
     pending < MAX_CONCURRENT &&
     clock.now() - (askedAt.get(info.id) ?? -Infinity) >= MIN_INTERVAL_MS &&
-    cfg.listAgeMs() > cfg.listReadMs() * MIN_MISSED_READS;
+    cfg.listAgeMs() > cfg.listReadMs() * LATE_LIST_FACTOR;
 
   const forgetOld = (): void => {
     const since = clock.now() - MIN_INTERVAL_MS;
