--- a/packages/dispatch/src/ask-health.ts
+++ b/packages/dispatch/src/ask-health.ts
@@ -1,4 +1,5 @@
 import {get} from 'node:http';
+import {parseAddress} from '@banyandrum/base/address.js';
 import type {Backend} from './backend.js';
 import {isOtherServer} from './server-instance.js';
 import type {WireNames} from './wire.js';
@@ -22,13 +23,13 @@
   {info}: Backend,
   path: string,
 ): Promise<ReadonlyMap<string, string> | null> {
-  const separatorAt = info.address.lastIndexOf(':');
-  const host = info.address.slice(0, separatorAt);
-  const port = Number(info.address.slice(separatorAt + 1));
+  const address = parseAddress(info.address);
+  if (address === null) return Promise.resolve(null);
   return new Promise(resolve => {
     const signal = AbortSignal.timeout(TIMEOUT_MS);
-    const opts = {host, port, path, agent: false, signal};
-    const req = get({...opts, maxHeaderSize: MAX_HEADER_BYTES}, res => {
+    const opts = {host: address.ip, port: address.port, path, signal};
+    const limits = {agent: false, maxHeaderSize: MAX_HEADER_BYTES};
+    const req = get({...opts, ...limits}, res => {
       const entries = Object.entries(res.headers);
       const fields = new Map(
         entries.map(([name, value]) => [name, String(value)]),
