Ask a slow server as often as its entry should be read

Callers would see more requests at a server that turns cold while the store is down, on a busy machine: a warm server's late answer had it asked up to 0.5 s before, and it was not asked again so soon.

--- a/packages/gateway/src/cold-check.ts
+++ b/packages/gateway/src/cold-check.ts
@@ -16,7 +16,10 @@
   serviceConfig(service: string): ServiceConfig | undefined;
   /** Time since the platform confirmed the list of servers, in ms. */
   listAgeMs(): number;
-  /** Interval at which the list should be read, in ms. */
+  /**
+   * Interval at which the list should be read, in ms; a server is asked as often
+   * at most.
+   */
   listReadMs(): number;
   /** Header fields of the answer of its health endpoint; null if none came. */
   askHealth(
@@ -31,8 +34,6 @@
 const LATE_LIST_FACTOR = 2;
 /** An answer is slow from this multiple of the usual time on. */
 const SLOW_FACTOR = 1.5;
-/** Minimum interval between two questions to a server, in ms. */
-const MIN_INTERVAL_MS = 500;
 /** Limit of servers that are asked at the same time. */
 const MAX_CONCURRENT = 8;
 /** Longer cold times are taken for faults of the server, in ms. */
@@ -58,11 +59,11 @@
     serviceMs > 0 &&
     tookMs > serviceMs * SLOW_FACTOR &&
     pending < MAX_CONCURRENT &&
-    clock.now() - (askedAt.get(info.id) ?? -Infinity) >= MIN_INTERVAL_MS &&
+    clock.now() - (askedAt.get(info.id) ?? -Infinity) >= cfg.listReadMs() &&
     cfg.listAgeMs() > cfg.listReadMs() * LATE_LIST_FACTOR;
 
   const forgetOld = (): void => {
-    const since = clock.now() - MIN_INTERVAL_MS;
+    const since = clock.now() - cfg.listReadMs();
     for (const [id, at] of askedAt) {
       if (at <= since) askedAt.delete(id);
     }
--- a/packages/gateway/test/cold-check.test.ts
+++ b/packages/gateway/test/cold-check.test.ts
@@ -61,7 +61,10 @@
   await clock.advance(1);
   t.same(asked, ['s1'], 'once');
   t.same(cold, [['s1', 2_100]]);
-  await clock.advance(500);
+  await clock.advance(390);
+  check.noteAnswer(serverOf('s1'), 190);
+  t.same(asked, ['s1'], 'not before the list should have been read');
+  await clock.advance(10);
   check.noteAnswer(serverOf('s1'), 190);
   t.same(asked, ['s1', 's1'], 'and again later');
 });
