Read the list of servers on while a read gets no answer

Callers saw: orders lost with 502, as a server that had turned cold got the requests of a warm one and crashed (FAILBACK).

Cause: the next read waited for the one before, for up to its timeout of 1.2 s, though the list is read each 60 ms for servers that quick. One read without an answer left the leader blind for that long. The age of a list also counted from the answer of its read.

The list is known as of when its read was sent.

--- a/packages/gateway/src/refresh-loops.ts
+++ b/packages/gateway/src/refresh-loops.ts
@@ -5,6 +5,7 @@
 import type {KeyOwners} from './key-owners.js';
 import type {Leadership} from './leadership.js';
 import type {LinkClient} from './link-client.js';
+import {createListReads} from './list-reads.js';
 import type {Platform} from './platform.js';
 import {repeat} from './repeat.js';
 import type {ServerList} from './server-list.js';
@@ -90,39 +91,43 @@
  * ```
  */
 export function startRefreshLoops(cfg: RefreshConfig): void {
-  const {platform, leadership, list, link} = cfg;
+  const {platform, leadership, list, link, emit} = cfg;
   const noLeaderReadMs = (): number =>
     Math.min(
       cfg.leaveWithinMs * NO_LEADER_READ_SHARE,
       cfg.listReadMs() * cfg.routers(),
     );
   const mayRead = (): boolean => cfg.reads?.mayRead() ?? true;
-  let lastReadAt = -Infinity;
-  let isReading = false;
+  /** Whether reads that were held back may be sent. */
+  let isResumed = false;
+  const listReads = createListReads({clock: cfg.clock, platform, list});
 
   const readListIfNeeded = async (): Promise<void> => {
-    if (isReading || !mayRead()) return;
-    const ageMs = list.ageMs();
+    if (!mayRead()) return;
     const isFollower = !leadership.isLeading();
     const isTold = hasFreshLeaderState(link) || hasFreshNeighbourList(cfg);
-    if (isFollower && isTold && ageMs < FRESH_MS) return;
-    const now = cfg.clock.now();
+    if (isFollower && isTold && list.ageMs() < FRESH_MS) return;
+    const intervalMs = isFollower ? noLeaderReadMs() : cfg.listReadMs();
     const isKnown = list.cursor() !== null;
-    if (isFollower && isKnown && now - lastReadAt < noLeaderReadMs()) return;
-    lastReadAt = now;
-    isReading = true;
-    const read = platform.readServers(list.cursor());
-    list.applyRead(
-      await read.finally(() => {
-        isReading = false;
-      }),
-    );
+    const isEarly = listReads.sinceLastMs() < intervalMs && !isResumed;
+    if (isFollower && isKnown && isEarly) return;
+    isResumed = false;
+    await listReads.startIfDue(intervalMs);
+  };
+  const startListRead = (): void => {
+    readListIfNeeded().catch((err: Error) => {
+      const detail = err.stack ?? err.message;
+      emit('internal-error', {loop: 'servers', detail});
+    });
   };
 
-  repeat({...cfg, name: 'servers', pauseMs: cfg.listReadMs}, readListIfNeeded);
+  // The loop doesn't wait for the answer, so that it starts further reads.
+  repeat({...cfg, name: 'servers', pauseMs: cfg.listReadMs}, async () =>
+    startListRead(),
+  );
   cfg.reads?.subscribe(() => {
-    lastReadAt = -Infinity;
-    if (cfg.goesOn()) void readListIfNeeded();
+    isResumed = true;
+    if (cfg.goesOn()) startListRead();
   });
   repeat({...cfg, name: 'tables', pauseMs: TABLES_READ_MS}, async () => {
     if (mayRead()) await readStoredTables(cfg);
--- a/packages/gateway/src/server-list.ts
+++ b/packages/gateway/src/server-list.ts
@@ -19,8 +19,11 @@
 
 /** Keeps the newest list of backend servers that this router knows. */
 export interface ServerList {
-  /** Applies the result of a read of the platform's list. */
-  applyRead(read: ServerListRead): void;
+  /**
+   * Applies the result of a read of the platform's list that was sent at the
+   * monotonic time `sentAt`, in ms; now if absent.
+   */
+  applyRead(read: ServerListRead, sentAt?: number): void;
   /** Applies another router's list if it is newer. */
   applySnapshot(snapshot: ListSnapshot, ageMs: number): void;
   /**
@@ -278,7 +281,7 @@
   };
 
   return {
-    applyRead(read) {
+    applyRead(read, sentAt = clock.now()) {
       if (read.kind === 'failed') {
         lastFailureAt = clock.now();
         return;
@@ -293,7 +296,7 @@
         applyDueRemovals(),
       ];
       cursor = read.cursor;
-      confirmedAt = clock.now();
+      confirmedAt = Math.max(confirmedAt, sentAt);
       if (results.includes(true)) notifyChanged();
     },
     applySnapshot(snapshot, ageMs) {
--- a/packages/gateway/test/server-list.test.ts
+++ b/packages/gateway/test/server-list.test.ts
@@ -345,6 +345,17 @@
   t.equal(coldMsOf(list, clock), 2_500, 'which makes none warm');
 });
 
+// Guards against a list that counts as newer than it is, as its read was answered
+// late.
+void tap.test('a list is known as of when its read was sent', async t => {
+  const {clock, list} = createHarness();
+  await clock.advance(300);
+  list.applyRead(read(3, []), 10_050);
+  t.equal(list.ageMs(), 250);
+  list.applyRead(read(3, []), 10_020);
+  t.equal(list.ageMs(), 250, 'an earlier read changes nothing');
+});
+
 /** The remaining time for which server `a` is cold by the list, in ms. */
 function coldMsOf(list: ServerList, clock: ManualClock): number {
   const {coldUntil} = list.snapshot()!.servers.find(({id}) => id === 'a')!;
