Limit a cold server until it is known as warm

Callers saw: orders lost with 502, as a server that became cold again at the end of its cold time crashed (FAILBACK).

Cause: at the end of a cold time as it was known, each router lifted the limit by its own clock, whatever it had read since. The end may be a heartbeat old, and the server may have become cold again; with one read of its entry unanswered nobody knew.

The limit now holds until it is known as of that end that the server is warm: by a read that was sent then, or by the server itself. Without either it ends after another coldStart: whatever cold time began before the known end is over by then, so a warm server isn't starved through a long outage of the store. What the request would cost stays by the clock (server-cost.ts): that the server is slow is a guess, that it crashes isn't one to make. The end of a cold time is kept while it isn't confirmed, also by followers.

Evidence: the new tests of the limits and of the list failed on (no limit, and no end, once the clock had passed it).

--- a/packages/dispatch/src/cold-limits.ts
+++ b/packages/dispatch/src/cold-limits.ts
@@ -1,6 +1,7 @@
 import type {Clock} from '@banyandrum/base/clock.js';
 import {isCold, type Backend} from './backend.js';
 import type {Backends} from './backends.js';
+import type {Emit} from './events.js';
 import {createRateShare, type RateShare} from './rate-share.js';
 import {LEADERLESS_SHARE, type ServerLimits} from './server-limits.js';
 import {createTokenBucket, type TokenBucket} from './token-bucket.js';
@@ -13,7 +14,7 @@
 
 /** Limits on requests to cold servers. */
 export interface ColdLimits extends RequestLimits {
-  /** Number of cold servers. */
+  /** Number of servers that count as cold. */
   count(): number;
 }
 
@@ -26,6 +27,13 @@
    * routers together; null if that is unknown.
    */
   coldPerSecondOf(service: string): number | null;
+  /** How long a server of the service is cold after its start, in ms. */
+  coldMsOf(service: string): number;
+  /**
+   * Monotonic time as of which it is known whether the server is cold, in ms.
+   */
+  knownAt(server: string): number;
+  readonly emit: Emit;
   /** Returns a number from 0 to 1, exclusive of 1. */
   readonly random?: () => number;
 }
@@ -36,8 +44,8 @@
   readonly share: RateShare;
   /** Requests per second that it bears from all routers together. */
   perSecond: number;
-  /** Monotonic time until which it is cold, in ms. */
-  until: number;
+  /** Whether it is limited although its cold time should have ended. */
+  isHeld: boolean;
 }
 
 /**
@@ -47,55 +55,64 @@
  * each router has a share. Requests at a server that turns cold again have taken
  * their tokens, at most those of a second.
  *
+ * The limit outlasts the end of a cold time until it is known as of that end that
+ * the server is warm: it may have become cold again while the list was not read.
+ * Without any news, it ends when such a cold time would have ended as well.
+ *
  * @example
  * ```ts
- * const limits = createColdLimits({clock, backends, coldPerSecondOf});
+ * const limits = createColdLimits({clock, backends, coldPerSecondOf, ...rest});
  * if (limits.hasToken(server)) limits.takeToken(server);
  * ```
  */
-export function createColdLimits({
-  clock,
-  backends,
-  coldPerSecondOf,
-  random = Math.random,
-}: ColdLimitsConfig): ColdLimits {
+export function createColdLimits(cfg: ColdLimitsConfig): ColdLimits {
+  const {clock, backends, random = Math.random} = cfg;
   const coldServers = new Map<string, ColdServer>();
-  /** The last time that was read: few servers are cold after it. */
-  let readAt = -Infinity;
 
-  const isColdNow = (backend: Backend): boolean => {
-    if (!isCold(backend, readAt)) return false;
-    readAt = clock.now();
-    return isCold(backend, readAt);
+  const isHeld = ({info, coldUntil}: Backend, now: number): boolean =>
+    now < coldUntil + cfg.coldMsOf(info.service) &&
+    cfg.knownAt(info.id) < coldUntil;
+
+  const isLimited = (backend: Backend, now: number): boolean =>
+    backend.coldUntil > 0 && (isCold(backend, now) || isHeld(backend, now));
+
+  const limitOf = (server: string): number | null => {
+    const backend = backends.get(server);
+    if (backend === undefined || backend.coldUntil === 0) return null;
+    if (!isLimited(backend, clock.now())) return null;
+    return cfg.coldPerSecondOf(backend.info.service);
   };
 
-  const dropWarm = (now: number): void => {
-    for (const [id, {until}] of coldServers) {
-      if (until <= now) coldServers.delete(id);
+  const create = (backend: Backend, perSecond: number): ColdServer => {
+    for (const id of coldServers.keys()) {
+      if (limitOf(id) === null) coldServers.delete(id);
     }
+    const taken = Math.min(backend.allocatedSlots, perSecond);
+    const bucket = createTokenBucket(perSecond, clock.now(), taken);
+    const share = createRateShare(random);
+    const created = {bucket, share, perSecond, isHeld: false};
+    coldServers.set(backend.info.id, created);
+    return created;
   };
 
-  const limitOf = (server: string): number | null => {
-    const backend = backends.get(server);
-    if (backend === undefined || !isColdNow(backend)) return null;
-    return coldPerSecondOf(backend.info.service);
+  const noteHeld = (cold: ColdServer, {info, coldUntil}: Backend): void => {
+    const now = clock.now();
+    const wasHeld = cold.isHeld;
+    cold.isHeld = coldUntil <= now;
+    if (wasHeld || !cold.isHeld) return;
+    const knownAgeMs = Math.round(now - cfg.knownAt(info.id));
+    cfg.emit('server-held-cold', {server: info.id, knownAgeMs});
   };
 
   /** The state of the server if it is cold and has a limit; else null. */
   const coldServerOf = (server: string): ColdServer | null => {
     const perSecond = limitOf(server);
     if (perSecond === null) return null;
-    const now = clock.now();
-    const until = backends.get(server)!.coldUntil;
-    const known = coldServers.get(server);
-    if (known !== undefined) return Object.assign(known, {perSecond, until});
-    dropWarm(now);
-    const taken = Math.min(backends.get(server)!.allocatedSlots, perSecond);
-    const bucket = createTokenBucket(perSecond, now, taken);
-    const share = createRateShare(random);
-    const created = {bucket, share, perSecond, until};
-    coldServers.set(server, created);
-    return created;
+    const backend = backends.get(server)!;
+    const cold = coldServers.get(server) ?? create(backend, perSecond);
+    cold.perSecond = perSecond;
+    noteHeld(cold, backend);
+    return cold;
   };
 
   return {
@@ -111,7 +128,7 @@
     },
     count() {
       const now = clock.now();
-      return [...backends.all()].filter(each => isCold(each, now)).length;
+      return [...backends.all()].filter(each => isLimited(each, now)).length;
     },
   };
 }
--- a/packages/dispatch/test/cold-limits.test.ts
+++ b/packages/dispatch/test/cold-limits.test.ts
@@ -30,6 +30,8 @@
 interface Fixture {
   readonly clock: ManualClock;
   readonly backends: Backends;
+  /** Age of what is known of the server, in ms. */
+  knownAgeMs: number;
   createLimits(): ColdLimits;
 }
 
@@ -38,14 +40,18 @@
   const backends = createBackends(clock);
   backends.update([serverInfo(coldMs && clock.now() + coldMs)]);
   const random = createRandom(1);
-  return {
-    ...{clock, backends},
+  const fixture: Fixture = {
+    ...{clock, backends, knownAgeMs: 0},
     createLimits: () =>
       createColdLimits({
         ...{clock, backends, random},
         coldPerSecondOf: () => COLD_PER_SECOND,
+        coldMsOf: () => COLD_MS,
+        knownAt: () => clock.now() - fixture.knownAgeMs,
+        emit: () => undefined,
       }),
   };
+  return fixture;
 }
 
 /** Most arrivals in any second. */
@@ -117,6 +123,35 @@
   t.ok(limits.hasToken('s1'), 'after a second, however many they are');
 });
 
+// Guards against a server that turns cold again as its cold time ends, and gets the
+// requests of a warm one since a read of its entry got no answer.
+void tap.test('a limit holds until the server is known as warm', async t => {
+  const fixture = setUp(COLD_MS);
+  const {clock, createLimits} = fixture;
+  fixture.knownAgeMs = 60;
+  const limits = createLimits();
+  await clock.advance(COLD_MS);
+  t.equal(limits.limitOf('s1'), COLD_PER_SECOND, 'known as of 60 ms before');
+  t.equal(limits.count(), 1);
+  await clock.advance(59);
+  t.equal(limits.limitOf('s1'), COLD_PER_SECOND);
+  await clock.advance(1);
+  t.equal(limits.limitOf('s1'), null, 'known as of the end');
+  t.equal(limits.count(), 0);
+});
+
+// Guards against a warm server that gets few requests for as long as the store is
+// down.
+void tap.test('a limit without news ends', async t => {
+  const fixture = setUp(COLD_MS);
+  fixture.knownAgeMs = 60_000;
+  const limits = fixture.createLimits();
+  await fixture.clock.advance(2 * COLD_MS - 1);
+  t.equal(limits.limitOf('s1'), COLD_PER_SECOND);
+  await fixture.clock.advance(1);
+  t.equal(limits.limitOf('s1'), null, 'a second cold time would have ended');
+});
+
 void tap.test('an evacuated server counts as cold when it is back', async t => {
   const {clock, backends, createLimits} = setUp(0);
   const limits = createLimits();
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -148,7 +148,11 @@
     configKeeper.current()?.services.get(service);
   const coldPerSecondOf = (service: string): number | null =>
     serviceConfig(service)?.coldPerSecond ?? null;
-  const coldLimits = createColdLimits({clock, backends, coldPerSecondOf});
+  const coldLimits = createColdLimits({
+    ...{clock, emit, backends, coldPerSecondOf},
+    knownAt: serverList.coldKnownAt,
+    coldMsOf: service => serviceConfig(service)?.coldMs ?? 0,
+  });
   const listReadMs = (): number =>
     listReadIntervalMs({backends: backends.all(), coldPerSecondOf});
   const requestLimits = combineLimits(serverLimits, coldLimits);
--- a/packages/gateway/src/server-list.ts
+++ b/packages/gateway/src/server-list.ts
@@ -9,6 +9,7 @@
   toServerEntry,
 } from '@banyandrum/dispatch/server-entry.js';
 import type {Emit} from '@banyandrum/dispatch/events.js';
+import {createColdTimes, MAX_IGNORED_COLD_MS} from './cold-times.js';
 import type {ServerListChange, ServerListRead} from './platform.js';
 
 /** The list of backend servers at one position of its change log. */
@@ -42,6 +43,12 @@
    * shorten: those that are read later may have been written before.
    */
   noteCold(id: string, coldMs: number): void;
+  /** The server itself says that it was warm at the monotonic time `asOf`. */
+  noteWarm(id: string, asOf: number): void;
+  /**
+   * Monotonic time as of which it is known whether the server is cold, in ms.
+   */
+  coldKnownAt(id: string): number;
   /** Changes whenever the servers of the snapshot or their states change. */
   version(): number;
   /** Where the next read continues; null if it must read the whole list. */
@@ -68,13 +75,6 @@
  */
 const MAX_REMOVAL_GRACE_MS = 2_200;
 const REMOVAL_GRACE_MARGIN_MS = 200;
-/**
- * Differences between the ends of a cold time that are no news, in ms: entries
- * arrive with varying delays. Between the known end and a later one the server
- * would get too much.
- */
-const MAX_IGNORED_COLD_MS = 50;
-const MAX_IGNORED_WARM_MS = 1_000;
 /**
  * Limit of remembered server instances, which are needed to detect that one
  * replaced another: a few weeks of restarts at the largest supported size, in
@@ -107,8 +107,10 @@
   const instances = new Map<string, string>();
   /** Address and order of first listing of each server ever listed. */
   const seen = new Map<string, {address: string; order: number}>();
-  /** Monotonic time until which servers themselves said to be cold, in ms. */
-  const saidColdUntil = new Map<string, number>();
+  const coldTimes = createColdTimes({
+    clock,
+    entriesKnownAt: () => confirmedAt,
+  });
   const pendingRemovals = new Set<string>();
   /** Servers missing from a restored list that have time to register again. */
   const awaitingRegistration = new Set<string>();
@@ -122,6 +124,8 @@
   let restoredAt = -Infinity;
   let lastNewServerAt = clock.now();
 
+  const isRestoring = (): boolean => clock.now() - restoredAt <= removalGraceMs;
+
   const notifyChanged = (): void => {
     version++;
     listeners.forEach(listener => listener());
@@ -178,7 +182,7 @@
     return hasChanged;
   };
 
-  const upsert = (entry: ServerInfo): boolean => {
+  const upsert = (entry: ServerInfo, isOutdated: boolean): boolean => {
     awaitingRegistration.delete(entry.id);
     if (entry.isLeaving) rememberLeavingInstance(entry.id);
     const server = leavingInstances.has(entry.id)
@@ -194,10 +198,7 @@
     instances.set(serverName(server.id), server.id);
     if (pendingRemovals.delete(server.id)) version++;
     const known = servers.get(server.id);
-    const coldUntil = Math.max(
-      nextColdUntil(known, server),
-      saidColdUntil.get(server.id) ?? 0,
-    );
+    const coldUntil = coldTimes.endByEntry(known, server, isOutdated);
     const next = {...server, coldUntil};
     servers.set(server.id, next);
     if (!seen.has(server.id)) {
@@ -213,7 +214,7 @@
   };
 
   const remove = (id: string): boolean => {
-    saidColdUntil.delete(id);
+    coldTimes.forget(id);
     if (!servers.delete(id)) return false;
     pendingRemovals.delete(id);
     if (instances.get(serverName(id)) === id) instances.delete(serverName(id));
@@ -239,9 +240,10 @@
     return false;
   };
 
-  const apply = (change: ServerListChange): boolean => {
+  /** `isOutdated` is set if entries may be older than those known. */
+  const apply = (change: ServerListChange, isOutdated = false): boolean => {
     if (change.kind === 'listed')
-      return upsert(fromServerEntry(change.server, clock.now()));
+      return upsert(fromServerEntry(change.server, clock.now()), isOutdated);
     if (change.kind === 'removed') {
       return removeAfterGrace(
         instances.get(serverName(change.id)) ?? change.id,
@@ -264,12 +266,15 @@
     );
     if (isRestored) missing.forEach(id => awaitingRegistration.add(id));
     const expired = missing.filter(id => !awaitingRegistration.has(id));
-    const results = [...changes.map(apply), ...expired.map(removeAfterGrace)];
+    const results = [
+      ...changes.map(change => apply(change)),
+      ...expired.map(removeAfterGrace),
+    ];
     return results.includes(true);
   };
 
   const removeUnregistered = (): boolean => {
-    if (clock.now() - restoredAt <= removalGraceMs) return false;
+    if (isRestoring()) return false;
     return [...awaitingRegistration].map(removeAfterGrace).includes(true);
   };
 
@@ -288,15 +293,15 @@
       }
       const {isRestored = false} = read;
       if (isRestored) restoredAt = clock.now();
+      confirmedAt = Math.max(confirmedAt, sentAt);
       const results = [
         read.isWhole
           ? applyWholeList(read.changes, isRestored)
-          : read.changes.map(apply).includes(true),
+          : read.changes.map(change => apply(change)).includes(true),
         removeUnregistered(),
         applyDueRemovals(),
       ];
       cursor = read.cursor;
-      confirmedAt = Math.max(confirmedAt, sentAt);
       if (results.includes(true)) notifyChanged();
     },
     applySnapshot(snapshot, ageMs) {
@@ -342,14 +347,21 @@
     noteCold(id, coldMs) {
       const known = servers.get(id);
       if (known === undefined) return;
-      const saidUntil = clock.now() + coldMs;
-      const coldUntil = nextColdUntil(known, {...known, coldUntil: saidUntil});
-      if (coldUntil <= known.coldUntil) return;
-      saidColdUntil.set(id, coldUntil);
+      const coldUntil = coldTimes.endBySelf(known, coldMs);
+      if (coldUntil === null) return;
       servers.set(id, {...known, coldUntil});
       emit('server-says-cold', {server: id, coldMs: Math.round(coldMs)});
       if (cursor !== null) notifyChanged();
     },
+    noteWarm(id, asOf) {
+      const known = servers.get(id);
+      if (known === undefined) return;
+      const {coldUntil} = known;
+      if (coldUntil > coldTimes.knownAt(id) && coldUntil <= asOf)
+        emit('server-says-warm', {server: id});
+      coldTimes.noteWarm(id, asOf);
+    },
+    coldKnownAt: coldTimes.knownAt,
     version: () => version,
     cursor: () => cursor,
     sinceNewServerMs: () => clock.now() - lastNewServerAt,
@@ -380,22 +392,6 @@
   return (instanceStartedAt(id) ?? 0) < (instanceStartedAt(other) ?? 0);
 }
 
-/**
- * Until when the server is cold. Each entry of one cold time shows an end that is
- * too late by the entry's delay, and a later end may as well be that of another
- * cold time, so the latest counts.
- */
-function nextColdUntil(
-  known: ServerInfo | undefined,
-  {coldUntil}: ServerInfo,
-): number {
-  if (known === undefined || coldUntil === 0) return coldUntil;
-  const laterMs = coldUntil - known.coldUntil;
-  const isKnown =
-    laterMs <= MAX_IGNORED_COLD_MS && laterMs >= -MAX_IGNORED_WARM_MS;
-  return isKnown ? known.coldUntil : coldUntil;
-}
-
 function toChanges(
   {servers}: ListSnapshot,
   now: number,
--- a/packages/gateway/test/leader-rig.ts
+++ b/packages/gateway/test/leader-rig.ts
@@ -78,7 +78,9 @@
   const suspects = createSuspects(clock, emit);
   const limits = createServerLimits({clock, emit});
   const coldLimits = createColdLimits({
-    ...{clock, backends, coldPerSecondOf: () => 4},
+    ...{clock, emit, backends, knownAt: list.coldKnownAt},
+    coldPerSecondOf: () => 4,
+    coldMsOf: () => 3_000,
   });
   const times = createTimeModel({clock});
   const counts = {asks: 0, replies: 0, refusals: 0, ends: 0};
--- a/packages/gateway/test/server-list.test.ts
+++ b/packages/gateway/test/server-list.test.ts
@@ -345,15 +345,33 @@
   t.equal(coldMsOf(list, clock), 2_500, 'which makes none warm');
 });
 
-// Guards against a list that counts as newer than it is, as its read was answered
-// late.
+// Guards against a server that counts as warm by a read that was sent before its
+// cold time ended, and answered after.
 void tap.test('a list is known as of when its read was sent', async t => {
   const {clock, list} = createHarness();
   await clock.advance(300);
   list.applyRead(read(3, []), 10_050);
   t.equal(list.ageMs(), 250);
+  t.equal(list.coldKnownAt('a'), 10_050);
   list.applyRead(read(3, []), 10_020);
-  t.equal(list.ageMs(), 250, 'an earlier read changes nothing');
+  t.equal(list.coldKnownAt('a'), 10_050, 'an earlier read changes nothing');
+  list.noteWarm('a', 10_200);
+  t.equal(list.coldKnownAt('a'), 10_200, 'the server itself said so');
+  t.equal(list.coldKnownAt('bb'), 10_050);
+});
+
+// Guards against an end of a cold time that is forgotten by an entry of before it,
+// so that nothing holds the limit until the server is known as warm.
+void tap.test('an end is kept until the list is known as of it', async t => {
+  const {clock, list} = createHarness();
+  const endOfA = (): number =>
+    list.snapshot()!.servers.find(({id}) => id === 'a')!.coldUntil;
+  list.applyRead(read(3, [listed(server('a', {coldMs: 1_000}))]));
+  await clock.advance(1_010);
+  list.applyRead(read(4, [listed(server('a'))]), 10_990);
+  t.equal(endOfA(), 11_000);
+  list.applyRead(read(5, [listed(server('a'))]), 11_000);
+  t.equal(endOfA(), 0);
 });
 
 /** The remaining time for which server `a` is cold by the list, in ms. */
