Count the requests at a server each time it turns cold

Callers saw: nothing that was reported; a server that turns cold for a second time could get the tokens of its limit beside the requests that it is at.

Cause: the state of its limit was kept after a cold time until another server turned cold, so that the next cold time began with the tokens earned meanwhile. The state is dropped once the limit doesn't apply.

--- a/packages/dispatch/src/cold-limits.ts
+++ b/packages/dispatch/src/cold-limits.ts
@@ -107,7 +107,11 @@
   /** The state of the server if it is cold and has a limit; else null. */
   const coldServerOf = (server: string): ColdServer | null => {
     const perSecond = limitOf(server);
-    if (perSecond === null) return null;
+    if (perSecond === null) {
+      // A later cold time must count the requests that it is at by then.
+      coldServers.delete(server);
+      return null;
+    }
     const backend = backends.get(server)!;
     const cold = coldServers.get(server) ?? create(backend, perSecond);
     cold.perSecond = perSecond;
--- a/packages/dispatch/test/cold-limits.test.ts
+++ b/packages/dispatch/test/cold-limits.test.ts
@@ -123,6 +123,19 @@
   t.ok(limits.hasToken('s1'), 'after a second, however many they are');
 });
 
+// Guards against a server that turns cold a second time under load and gets the
+// tokens that it earned after its first cold time.
+void tap.test('requests at a server count each time it turns cold', async t => {
+  const {clock, backends, createLimits} = setUp(COLD_MS);
+  const limits = createLimits();
+  t.ok(limits.hasToken('s1'));
+  await clock.advance(COLD_MS + 1_000);
+  t.ok(limits.hasToken('s1'), 'warm');
+  backends.get('s1')!.allocatedSlots = 4;
+  backends.update([serverInfo(clock.now() + COLD_MS)]);
+  t.notOk(limits.hasToken('s1'));
+});
+
 // Guards against a server that turns cold again as its cold time ends, and gets the
 // requests of a warm one since a read of its entry got no answer.
 void tap.test('a limit holds until the server is known as warm', async t => {
