Take no server for warm by a restored list

A server that was known to be cold counted as warm as soon as an older copy of the store listed it as warm, and got the requests of a warm one until it wrote its entry again.

The end of a cold time that is known outlasts the first list after a restore, and until servers had time to write their entries again such a list is no proof that one is warm.

--- a/packages/gateway/src/server-list.ts
+++ b/packages/gateway/src/server-list.ts
@@ -46,7 +46,9 @@
   /** The server itself says that it was warm at the monotonic time `asOf`. */
   noteWarm(id: string, asOf: number): void;
   /**
-   * Monotonic time as of which it is known whether the server is cold, in ms.
+   * Monotonic time as of which it is known whether the server is cold, in ms. A
+   * list that was restored from a copy tells nothing new until servers had time to
+   * write their entries again.
    */
   coldKnownAt(id: string): number;
   /** Changes whenever the servers of the snapshot or their states change. */
@@ -109,7 +111,8 @@
   const seen = new Map<string, {address: string; order: number}>();
   const coldTimes = createColdTimes({
     clock,
-    entriesKnownAt: () => confirmedAt,
+    entriesKnownAt: () =>
+      isRestoring() ? Math.min(restoredFrom, confirmedAt) : confirmedAt,
   });
   const pendingRemovals = new Set<string>();
   /** Servers missing from a restored list that have time to register again. */
@@ -122,6 +125,8 @@
   let confirmedAt = -Infinity;
   let lastFailureAt = -Infinity;
   let restoredAt = -Infinity;
+  /** When the list was last confirmed before it was restored, in ms. */
+  let restoredFrom = -Infinity;
   let lastNewServerAt = clock.now();
 
   const isRestoring = (): boolean => clock.now() - restoredAt <= removalGraceMs;
@@ -267,7 +272,7 @@
     if (isRestored) missing.forEach(id => awaitingRegistration.add(id));
     const expired = missing.filter(id => !awaitingRegistration.has(id));
     const results = [
-      ...changes.map(change => apply(change)),
+      ...changes.map(change => apply(change, isRestored)),
       ...expired.map(removeAfterGrace),
     ];
     return results.includes(true);
@@ -292,7 +297,10 @@
         return;
       }
       const {isRestored = false} = read;
-      if (isRestored) restoredAt = clock.now();
+      if (isRestored) {
+        restoredFrom = isRestoring() ? restoredFrom : confirmedAt;
+        restoredAt = clock.now();
+      }
       confirmedAt = Math.max(confirmedAt, sentAt);
       const results = [
         read.isWhole
--- a/packages/gateway/test/server-list.test.ts
+++ b/packages/gateway/test/server-list.test.ts
@@ -374,6 +374,24 @@
   t.equal(endOfA(), 0);
 });
 
+// Guards against a cold server that counts as warm by its entry in a copy of the
+// store that is older.
+void tap.test('a restored list makes no server warm', async t => {
+  const {clock, list} = createHarness();
+  list.applyRead(read(3, [listed(server('a', {coldMs: 3_000}))]));
+  await clock.advance(1_000);
+  const copy = read(1, [listed(server('a')), listed(server('bb'))], true);
+  list.applyRead({...copy, isRestored: true} as ServerListRead);
+  t.equal(coldMsOf(list, clock), 2_000);
+  t.equal(list.coldKnownAt('a'), 10_000, 'nothing is known by the copy');
+  await clock.advance(2_200);
+  list.applyRead(read(1, []));
+  t.equal(list.coldKnownAt('a'), 10_000, 'servers have time to write again');
+  await clock.advance(1);
+  list.applyRead(read(1, []));
+  t.equal(list.coldKnownAt('a'), 13_201);
+});
+
 /** The remaining time for which server `a` is cold by the list, in ms. */
 function coldMsOf(list: ServerList, clock: ManualClock): number {
   const {coldUntil} = list.snapshot()!.servers.find(({id}) => id === 'a')!;
