Ask servers whether they are cold after a few unread requests

Cause: the health endpoint was asked only after an answer that took 1.5 times the server's usual time. The usual time of a server that was cold until now is that of a cold one, and on a busy machine the ratio is lost in noise.

While the list is late, a server is now asked after as many requests as it may get between two reads of the list (six, shared among the routers if there is no leader), and after each one while it is cold or may be; at most once in 50 ms and eight servers at a time. Its answer also ends a limit that outlasts the known cold time. An answer without the field says that it is warm only if servers of its kind were seen to send it. A slow answer stays a reason to ask. The new module cold-servers.ts is handed the concern whole; the router composes less.

--- a/packages/gateway/src/cold-check.ts
+++ b/packages/gateway/src/cold-check.ts
@@ -2,11 +2,16 @@
 import {isCold, type Backend} from '@banyandrum/dispatch/backend.js';
 import {readLimit, type WireNames} from '@banyandrum/dispatch/wire.js';
 import type {ServiceConfig} from '@banyandrum/routing/config.js';
+import {MAX_UNREAD_REQUESTS, MIN_INTERVAL_MS} from './list-read-interval.js';
 
 /** Asks servers whether they are cold while the list can't be read. */
 export interface ColdCheck {
+  /** Call with each request that is sent to the server, or is about to be. */
+  noteRequest(backend: Backend): void;
   /** Call with each answer, before it counts in the server's service time. */
   noteAnswer(backend: Backend, tookMs: number): void;
+  /** Number of questions since the start. */
+  asked(): number;
 }
 
 /** Dependencies of `createColdCheck`. */
@@ -16,11 +21,12 @@
   serviceConfig(service: string): ServiceConfig | undefined;
   /** Time since the platform confirmed the list of servers, in ms. */
   listAgeMs(): number;
-  /**
-   * Interval at which the list should be read, in ms; a server is asked as often
-   * at most.
-   */
+  /** Interval at which the list should be read, in ms. */
   listReadMs(): number;
+  /** Monotonic time as of which it is known whether a server is cold, in ms. */
+  knownAt(server: string): number;
+  /** Number of routers that send requests without a leader; 1 if there is one. */
+  senders(): number;
   /** Header fields of the answer of its health endpoint; null if none came. */
   askHealth(
     backend: Backend,
@@ -28,64 +34,151 @@
   ): Promise<ReadonlyMap<string, string> | null>;
   /** Called with the remaining time for which the server is cold, in ms. */
   noteCold(server: string, coldMs: number): void;
+  /** Called when the server was warm at the monotonic time `asOf`, in ms. */
+  noteWarm(server: string, asOf: number): void;
 }
 
-/** The list is late after this many times the interval of its reads. */
-const LATE_LIST_FACTOR = 2;
+/** What was sent to a server, and asked of it. */
+interface Asked {
+  /** Monotonic time as of which its state was known at the last request. */
+  knownAt: number;
+  /** Requests since then, or since the last question. */
+  requests: number;
+  /** Monotonic time of the last question, in ms. */
+  askedAt: number;
+  isPending: boolean;
+}
+
+/**
+ * The list is late after this many times the interval of its reads: a read that is
+ * on time takes a part of the interval.
+ */
+const LATE_LIST_FACTOR = 1.25;
+/** The same for a slow answer, which is a weaker reason to ask. */
+const LATE_LIST_FACTOR_FOR_ANSWERS = 2;
 /** An answer is slow from this multiple of the usual time on. */
 const SLOW_FACTOR = 1.5;
 /** Limit of servers that are asked at the same time. */
 const MAX_CONCURRENT = 8;
 /** Longer cold times are taken for faults of the server, in ms. */
 const MAX_COLD_MS = 60_000;
+/** A server without requests for this time is forgotten, in ms. */
+const FORGET_MS = 10_000;
 
 /**
  * Creates the check. It answers the load of a warm server that turns cold while
- * the platform's store is down: nobody reads its entry then, and it would crash. An
- * answer that took long is a reason to ask, no proof.
+ * the platform's store gives no answer: nobody reads its entry then, and it would
+ * crash. A server is asked after as many requests as it may get between two reads
+ * of the list, and after each one while it is or may be cold. An answer that took
+ * long is a reason to ask, no proof.
  *
  * @example
  * ```ts
  * const check = createColdCheck({clock, names, serviceConfig, ...rest});
+ * check.noteRequest(backend);
  * check.noteAnswer(backend, 180);
  * ```
  */
 export function createColdCheck(cfg: ColdCheckConfig): ColdCheck {
   const {clock} = cfg;
-  const askedAt = new Map<string, number>();
+  const servers = new Map<string, Asked>();
+  /** Services whose servers say in health answers that they are cold. */
+  const telling = new Set<string>();
   let pending = 0;
+  let asked = 0;
+
+  const healthPathOf = ({info}: Backend): string | null => {
+    const service = cfg.serviceConfig(info.service);
+    if (!service || service.coldPerSecond === null) return null;
+    return service.healthPath ?? null;
+  };
+
+  const stateOf = (id: string): Asked => {
+    const known = servers.get(id);
+    if (known !== undefined) return known;
+    const knownAt = cfg.knownAt(id);
+    const created = {knownAt, requests: 0, askedAt: -Infinity};
+    const state = {...created, isPending: false};
+    servers.set(id, state);
+    return state;
+  };
+
+  const isListLate = (factor: number): boolean =>
+    cfg.listAgeMs() > cfg.listReadMs() * factor;
 
-  const isDue = ({info, serviceMs}: Backend, tookMs: number): boolean =>
-    serviceMs > 0 &&
-    tookMs > serviceMs * SLOW_FACTOR &&
-    pending < MAX_CONCURRENT &&
-    clock.now() - (askedAt.get(info.id) ?? -Infinity) >= cfg.listReadMs() &&
-    cfg.listAgeMs() > cfg.listReadMs() * LATE_LIST_FACTOR;
+  const mayAsk = ({isPending, askedAt}: Asked, pauseMs: number): boolean =>
+    !isPending && pending < MAX_CONCURRENT && clock.now() - askedAt >= pauseMs;
 
   const forgetOld = (): void => {
-    const since = clock.now() - cfg.listReadMs();
-    for (const [id, at] of askedAt) {
-      if (at <= since) askedAt.delete(id);
+    const since = clock.now() - FORGET_MS;
+    for (const [id, {knownAt, askedAt, isPending}] of servers) {
+      if (!isPending && Math.max(knownAt, askedAt) <= since) servers.delete(id);
     }
   };
 
-  const ask = async (backend: Backend, path: string): Promise<void> => {
+  const noteHealth = (
+    {info: {id, service}}: Backend,
+    fields: ReadonlyMap<string, string>,
+    askedAt: number,
+  ): void => {
+    const text = fields.get(cfg.names.coldMs);
+    const coldMs = readLimit(text ?? '') ?? 0;
+    if (coldMs > MAX_COLD_MS) return;
+    if (coldMs > 0) {
+      telling.add(service);
+      return cfg.noteCold(id, coldMs);
+    }
+    // Without the header, it tells nothing unless others of its kind have sent it.
+    const isWarm =
+      text === undefined ? telling.has(service) : Number(text) === 0;
+    if (isWarm) cfg.noteWarm(id, askedAt);
+  };
+
+  const ask = async (
+    backend: Backend,
+    state: Asked,
+    path: string,
+  ): Promise<void> => {
     forgetOld();
-    askedAt.set(backend.info.id, clock.now());
+    const askedAt = clock.now();
+    Object.assign(state, {askedAt, requests: 0, isPending: true});
     pending++;
-    const fields = await cfg.askHealth(backend, path).finally(() => pending--);
-    const coldMs = readLimit(fields?.get(cfg.names.coldMs) ?? '') ?? 0;
-    if (coldMs > 0 && coldMs <= MAX_COLD_MS)
-      cfg.noteCold(backend.info.id, coldMs);
+    asked++;
+    const fields = await cfg.askHealth(backend, path).finally(() => {
+      pending--;
+      state.isPending = false;
+    });
+    if (fields !== null) noteHealth(backend, fields, askedAt);
+  };
+
+  /** Requests after which the server is asked, from this router. */
+  const requestsUntilAsked = (backend: Backend, knownAt: number): number => {
+    const mayBeCold = backend.coldUntil > Math.min(clock.now(), knownAt);
+    return mayBeCold ? 1 : MAX_UNREAD_REQUESTS / cfg.senders();
   };
 
   return {
+    noteRequest(backend) {
+      const path = healthPathOf(backend);
+      if (path === null) return;
+      const {id} = backend.info;
+      const state = stateOf(id);
+      const knownAt = cfg.knownAt(id);
+      if (knownAt > state.knownAt) Object.assign(state, {knownAt, requests: 0});
+      state.requests++;
+      if (state.requests < requestsUntilAsked(backend, knownAt)) return;
+      if (!isListLate(LATE_LIST_FACTOR)) return;
+      if (mayAsk(state, MIN_INTERVAL_MS)) void ask(backend, state, path);
+    },
     noteAnswer(backend, tookMs) {
-      const service = cfg.serviceConfig(backend.info.service);
-      if (!service || service.coldPerSecond === null) return;
-      if (service.healthPath === undefined) return;
-      if (isCold(backend, clock.now()) || !isDue(backend, tookMs)) return;
-      void ask(backend, service.healthPath);
+      const path = healthPathOf(backend);
+      const {info, serviceMs} = backend;
+      if (path === null || isCold(backend, clock.now())) return;
+      if (serviceMs === 0 || tookMs <= serviceMs * SLOW_FACTOR) return;
+      if (!isListLate(LATE_LIST_FACTOR_FOR_ANSWERS)) return;
+      const state = stateOf(info.id);
+      if (mayAsk(state, cfg.listReadMs())) void ask(backend, state, path);
     },
+    asked: () => asked,
   };
 }
--- a/packages/gateway/src/list-read-interval.ts
+++ b/packages/gateway/src/list-read-interval.ts
@@ -11,9 +11,9 @@
  * Requests that a server may get between two reads of the list. A server can turn
  * cold at any moment, and gets requests as a warm one until that is read.
  */
-const MAX_UNREAD_REQUESTS = 6;
+export const MAX_UNREAD_REQUESTS = 6;
 /** Limits of the interval, in ms; the longest bounds the news of all else. */
-const MIN_INTERVAL_MS = 50;
+export const MIN_INTERVAL_MS = 50;
 const MAX_INTERVAL_MS = 400;
 
 /**
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -33,6 +33,8 @@
   evacuatedInFlight(): number;
   /** Servers that started recently and get few requests. */
   coldServers(): number;
+  /** Questions to servers whether they are cold, since the start. */
+  coldQuestions(): number;
   /** Servers that reported a request limit. */
   limitedServers(): number;
   /** Servers whose requested rest period has not ended. */
@@ -180,6 +182,10 @@
       'Servers that get few requests after their start',
       source.coldServers,
     ],
+    cold_questions: [
+      'Questions to servers whether they are cold, as their list is late',
+      source.coldQuestions,
+    ],
     limited_servers: [
       'Servers that named a limit on requests',
       source.limitedServers,
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -9,10 +9,7 @@
 import {createQuarantine} from '@banyandrum/dispatch/quarantine.js';
 import {createRetryBudget} from '@banyandrum/dispatch/retry-budget.js';
 import {createCrashDetector} from '@banyandrum/dispatch/crash-detector.js';
-import {
-  combineLimits,
-  createColdLimits,
-} from '@banyandrum/dispatch/cold-limits.js';
+import {combineLimits} from '@banyandrum/dispatch/cold-limits.js';
 import {createServerLimits} from '@banyandrum/dispatch/server-limits.js';
 import {createServerRests} from '@banyandrum/dispatch/server-rests.js';
 import {noteServerSignals} from '@banyandrum/dispatch/server-signals.js';
@@ -21,7 +18,7 @@
 import type {ServiceConfig} from '@banyandrum/routing/config.js';
 import {createSplitter} from '@banyandrum/routing/split.js';
 import {createBodyMemory} from './body-memory.js';
-import {createColdCheck} from './cold-check.js';
+import {createColdServers} from './cold-servers.js';
 import {createConfigKeeper} from './config-keeper.js';
 import {evacuateBackends} from './evacuate-backends.js';
 import {createEvacuations} from './evacuations.js';
@@ -35,7 +32,6 @@
 import {createLeaderlessRetry} from './leaderless-retry.js';
 import {listAssignableServers} from './assignable-servers.js';
 import {limitConnections} from './limit-connections.js';
-import {listReadIntervalMs} from './list-read-interval.js';
 import {followLeader} from './link-client.js';
 import {serveLinks} from './link-server.js';
 import {listenAt} from './listen.js';
@@ -146,16 +142,15 @@
   const serverLimits = createServerLimits({clock, emit});
   const serviceConfig = (service: string): ServiceConfig | undefined =>
     configKeeper.current()?.services.get(service);
-  const coldPerSecondOf = (service: string): number | null =>
-    serviceConfig(service)?.coldPerSecond ?? null;
-  const coldLimits = createColdLimits({
-    ...{clock, emit, backends, coldPerSecondOf},
-    knownAt: serverList.coldKnownAt,
-    coldMsOf: service => serviceConfig(service)?.coldMs ?? 0,
+  const hasLeader = (): boolean =>
+    leadership.isLeading() || linkClient.leader() !== null;
+  const coldServers = createColdServers({
+    ...{clock, emit, backends, serviceConfig, names: platform.names},
+    list: serverList,
+    askHealth: (backend, path) => askHealth(platform.names, backend, path),
+    senders: () => (hasLeader() ? 1 : (routerCount.current() ?? Infinity)),
   });
-  const listReadMs = (): number =>
-    listReadIntervalMs({backends: backends.all(), coldPerSecondOf});
-  const requestLimits = combineLimits(serverLimits, coldLimits);
+  const requestLimits = combineLimits(serverLimits, coldServers.limits);
   const serverRests = createServerRests({clock, emit});
   const reach = createServerReach({
     clock,
@@ -244,7 +239,7 @@
       !leadership.isLeading() &&
       linkClient.hasOtherDeputies() &&
       !storeCalls.isPaused(),
-    followsLeader: () => leadership.isLeading() || linkClient.leader() !== null,
+    followsLeader: hasLeader,
     isLeading: leadership.isLeading,
   });
   const routerCount = createRouterCount(clock);
@@ -305,7 +300,7 @@
   const succession = createDeputySuccession({
     ...{clock, emit, self: settings.listen.peers},
     deputies: linkClient.deputies,
-    hasLeader: () => leadership.isLeading() || linkClient.leader() !== null,
+    hasLeader,
     contactAgeMs: () => routerGroup.contactAgeMs(),
     leaderlessNeighbourAgeMs: linkClient.leaderlessNeighbourAgeMs,
     probe: address => probeHost(clock, address),
@@ -329,19 +324,13 @@
     offerLeadership: linkClient.offerLeadership,
     startTerm: acceptLeadershipOffer,
   });
-  const coldCheck = createColdCheck({
-    ...{clock, serviceConfig, names: platform.names},
-    ...{listAgeMs: serverList.ageMs, listReadMs},
-    askHealth: (backend, path) => askHealth(platform.names, backend, path),
-    noteCold: serverList.noteCold,
-  });
   const slotAllocator = createSlotAllocator({
     backends,
     clock,
     emit,
     ownerOf: (service, key) => keyOwners.ownerOf(service, key),
     onNotHeld: leadership.noteNotHeld,
-    onAnswer: coldCheck.noteAnswer,
+    onAnswer: coldServers.check.noteAnswer,
     suspects,
     limits: requestLimits,
     ...requestTimes.part,
@@ -432,7 +421,8 @@
     quarantined: () => suspects.count('quarantined'),
     evacuatedDataCentres: () => evacuations.current().size,
     evacuatedInFlight: () => countEvacuatedInFlight(backends),
-    coldServers: () => coldLimits.count(),
+    coldServers: () => coldServers.limits.count(),
+    coldQuestions: () => coldServers.check.asked(),
     limitedServers: () => serverLimits.count(),
     restingServers: () => serverRests.count(),
     unreachableServers: paths.unreachableCount,
@@ -495,10 +485,8 @@
       recordRetry: metrics.recordRetry,
       quarantine: createQuarantine(suspects, crashDetector),
       onAnswer(backend, tookMs) {
-        const hasLeader =
-          leadership.isLeading() || linkClient.leader() !== null;
         // A leader hears of all answers.
-        if (!hasLeader) coldCheck.noteAnswer(backend, tookMs);
+        if (!hasLeader()) coldServers.check.noteAnswer(backend, tookMs);
       },
       ...signalsCfg,
       ...requestTimes.part,
@@ -611,7 +599,7 @@
     goesOn,
     keyedServices,
     updateConnectionLimits,
-    listReadMs,
+    listReadMs: coldServers.listReadMs,
     routers: () => routerCount.current() ?? Infinity,
     collectOwnMeasurements() {
       recordRouterCount(linkServer.followers() + 1);
--- a/packages/gateway/test/cold-check.test.ts
+++ b/packages/gateway/test/cold-check.test.ts
@@ -17,7 +17,12 @@
   readonly asked: string[];
   /** Servers that count as cold, with their times in ms. */
   readonly cold: (readonly [string, number])[];
+  /** Servers that count as warm, with the times as of which they do, in ms. */
+  readonly warm: (readonly [string, number])[];
   listAgeMs: number;
+  /** Time as of which the servers are known, in ms. */
+  knownAt: number;
+  senders: number;
   /** Header fields of each answer. */
   fields: ReadonlyMap<string, string> | null;
 }
@@ -31,7 +36,9 @@
   const clock = createManualClock(10_000);
   const rig = {
     ...{clock, asked: [] as string[], cold: [] as [string, number][]},
-    listAgeMs: 900,
+    warm: [] as [string, number][],
+    ...{listAgeMs: 900, knownAt: 9_100},
+    senders: 1,
     fields: new Map([['cold-ms', '2100']]) as Rig['fields'],
   };
   const check = createColdCheck({
@@ -41,7 +48,10 @@
       rig.asked.push(info.id);
       return rig.fields;
     },
+    knownAt: () => rig.knownAt,
+    senders: () => rig.senders,
     noteCold: (server, coldMs) => rig.cold.push([server, coldMs]),
+    noteWarm: (server, asOf) => rig.warm.push([server, asOf]),
   });
   return Object.assign(rig, {check});
 }
@@ -103,3 +113,96 @@
     t.same([rig.asked, rig.cold], [['s1'], []]);
   });
 }
+
+function sendRequests(check: ColdCheck, backend: Backend, count: number): void {
+  for (let at = 0; at < count; at++) check.noteRequest(backend);
+}
+
+// Guards against a server that turns cold while a read of the list gets no answer:
+// on a busy machine the times of its answers tell nothing.
+void tap.test('a server is asked after a few requests', async t => {
+  const {check, asked, cold, clock} = startRig();
+  sendRequests(check, serverOf('s1'), 5);
+  t.same(asked, []);
+  check.noteRequest(serverOf('s1'));
+  t.same(asked, ['s1']);
+  await clock.advance(1);
+  t.same(cold, [['s1', 2_100]]);
+  t.equal(check.asked(), 1);
+  sendRequests(check, serverOf('s1'), 20);
+  t.same(asked, ['s1'], 'once in 50 ms');
+  await clock.advance(49);
+  check.noteRequest(serverOf('s1'));
+  t.same(asked, ['s1', 's1']);
+});
+
+// Guards against questions beside the reads of a list that is on time.
+void tap.test('no server is asked while the list is on time', async t => {
+  const rig = startRig();
+  rig.listAgeMs = 500;
+  sendRequests(rig.check, serverOf('s1'), 20);
+  t.same(rig.asked, []);
+  await rig.clock.advance(1);
+  rig.listAgeMs = 501;
+  rig.check.noteRequest(serverOf('s1'));
+  t.same(rig.asked, ['s1'], 'the requests since the last read count');
+});
+
+void tap.test('requests before the last read do not count', async t => {
+  const rig = startRig();
+  sendRequests(rig.check, serverOf('s1'), 5);
+  rig.knownAt = 9_200;
+  sendRequests(rig.check, serverOf('s1'), 5);
+  t.same(rig.asked, []);
+});
+
+// Guards against routers without a leader that each send as many requests as one
+// router may.
+for (const [senders, count] of [
+  [3, 2],
+  [6, 1],
+  [77, 1],
+  [Infinity, 1],
+] as const) {
+  void tap.test(`${senders} routers without a leader`, async t => {
+    const rig = startRig();
+    rig.senders = senders;
+    sendRequests(rig.check, serverOf('s1'), count - 1);
+    t.same(rig.asked, []);
+    rig.check.noteRequest(serverOf('s1'));
+    t.same(rig.asked, ['s1']);
+  });
+}
+
+// Guards against a limit that outlasts the cold time while the store is down.
+void tap.test('a server that may still be cold is asked at once', async t => {
+  const rig = startRig();
+  rig.fields = new Map([['cold-ms', '0']]);
+  rig.check.noteRequest(serverOf('s1', 9_500));
+  await rig.clock.advance(1);
+  t.same([rig.asked, rig.cold], [['s1'], []]);
+  t.same(rig.warm, [['s1', 10_000]], 'as of the question');
+  rig.check.noteRequest(serverOf('s2', 12_000));
+  t.same(
+    rig.asked,
+    ['s1', 's2'],
+    'one that is cold, as it may become so again',
+  );
+});
+
+// Guards against servers that never say whether they are cold, and count as warm.
+void tap.test('an answer without the header is no news', async t => {
+  const rig = startRig();
+  rig.fields = new Map();
+  rig.check.noteRequest(serverOf('s1', 9_500));
+  await rig.clock.advance(1);
+  t.same(rig.warm, []);
+  rig.fields = new Map([['cold-ms', '300']]);
+  rig.check.noteRequest(serverOf('s2', 9_500));
+  await rig.clock.advance(1);
+  rig.fields = new Map();
+  await rig.clock.advance(50);
+  rig.check.noteRequest(serverOf('s1', 9_500));
+  await rig.clock.advance(1);
+  t.same(rig.warm, [['s1', 10_052]], 'one of its kind has sent it');
+});
