Ask servers after a restore of the store as well

Cause: whether the list is late was judged by when it was read. After a restore it is read on time and still tells nothing new of the servers. Lateness is now judged by what is known of the server itself.

Evidence: the tests of the questions pass as before.

--- a/packages/gateway/src/cold-check.ts
+++ b/packages/gateway/src/cold-check.ts
@@ -19,8 +19,6 @@
   readonly clock: Pick<Clock, 'now'>;
   readonly names: Pick<WireNames, 'coldMs'>;
   serviceConfig(service: string): ServiceConfig | undefined;
-  /** Time since the platform confirmed the list of servers, in ms. */
-  listAgeMs(): number;
   /** Interval at which the list should be read, in ms. */
   listReadMs(): number;
   /** Monotonic time as of which it is known whether a server is cold, in ms. */
@@ -50,12 +48,12 @@
 }
 
 /**
- * The list is late after this many times the interval of its reads: a read that is
- * on time takes a part of the interval.
+ * What is known of a server is late after this many times the interval of reads: a
+ * read that is on time takes a part of the interval.
  */
-const LATE_LIST_FACTOR = 1.25;
+const LATE_FACTOR = 1.25;
 /** The same for a slow answer, which is a weaker reason to ask. */
-const LATE_LIST_FACTOR_FOR_ANSWERS = 2;
+const LATE_FACTOR_FOR_ANSWERS = 2;
 /** An answer is slow from this multiple of the usual time on. */
 const SLOW_FACTOR = 1.5;
 /** Limit of servers that are asked at the same time. */
@@ -103,8 +101,8 @@
     return state;
   };
 
-  const isListLate = (factor: number): boolean =>
-    cfg.listAgeMs() > cfg.listReadMs() * factor;
+  const isLate = (knownAt: number, factor: number): boolean =>
+    clock.now() - knownAt > cfg.listReadMs() * factor;
 
   const mayAsk = ({isPending, askedAt}: Asked, pauseMs: number): boolean =>
     !isPending && pending < MAX_CONCURRENT && clock.now() - askedAt >= pauseMs;
@@ -167,7 +165,7 @@
       if (knownAt > state.knownAt) Object.assign(state, {knownAt, requests: 0});
       state.requests++;
       if (state.requests < requestsUntilAsked(backend, knownAt)) return;
-      if (!isListLate(LATE_LIST_FACTOR)) return;
+      if (!isLate(knownAt, LATE_FACTOR)) return;
       if (mayAsk(state, MIN_INTERVAL_MS)) void ask(backend, state, path);
     },
     noteAnswer(backend, tookMs) {
@@ -175,7 +173,7 @@
       const {info, serviceMs} = backend;
       if (path === null || isCold(backend, clock.now())) return;
       if (serviceMs === 0 || tookMs <= serviceMs * SLOW_FACTOR) return;
-      if (!isListLate(LATE_LIST_FACTOR_FOR_ANSWERS)) return;
+      if (!isLate(cfg.knownAt(info.id), LATE_FACTOR_FOR_ANSWERS)) return;
       const state = stateOf(info.id);
       if (mayAsk(state, cfg.listReadMs())) void ask(backend, state, path);
     },
--- a/packages/gateway/src/cold-servers.ts
+++ b/packages/gateway/src/cold-servers.ts
@@ -29,10 +29,7 @@
   readonly emit: Emit;
   readonly names: WireNames;
   readonly backends: Backends;
-  readonly list: Pick<
-    ServerList,
-    'ageMs' | 'coldKnownAt' | 'noteCold' | 'noteWarm'
-  >;
+  readonly list: Pick<ServerList, 'coldKnownAt' | 'noteCold' | 'noteWarm'>;
   serviceConfig(service: string): ServiceConfig | undefined;
   readonly askHealth: ColdCheckConfig['askHealth'];
   /** Number of routers that send requests without a leader; 1 if there is one. */
@@ -63,7 +60,6 @@
   const check = createColdCheck({
     ...{clock, names, serviceConfig, listReadMs, knownAt, senders},
     askHealth: cfg.askHealth,
-    listAgeMs: list.ageMs,
     noteCold: list.noteCold,
     noteWarm: list.noteWarm,
   });
--- a/packages/gateway/test/cold-check.test.ts
+++ b/packages/gateway/test/cold-check.test.ts
@@ -19,8 +19,7 @@
   readonly cold: (readonly [string, number])[];
   /** Servers that count as warm, with the times as of which they do, in ms. */
   readonly warm: (readonly [string, number])[];
-  listAgeMs: number;
-  /** Time as of which the servers are known, in ms. */
+  /** Time as of which the servers are known, in ms; it is 10,000 at the start. */
   knownAt: number;
   senders: number;
   /** Header fields of each answer. */
@@ -37,13 +36,12 @@
   const rig = {
     ...{clock, asked: [] as string[], cold: [] as [string, number][]},
     warm: [] as [string, number][],
-    ...{listAgeMs: 900, knownAt: 9_100},
-    senders: 1,
+    ...{knownAt: 9_100, senders: 1},
     fields: new Map([['cold-ms', '2100']]) as Rig['fields'],
   };
   const check = createColdCheck({
     ...{clock, names: {coldMs: 'cold-ms'}, serviceConfig: () => service},
-    ...{listAgeMs: () => rig.listAgeMs, listReadMs: () => 400},
+    listReadMs: () => 400,
     async askHealth({info}) {
       rig.asked.push(info.id);
       return rig.fields;
@@ -81,10 +79,10 @@
 
 void tap.test('it is not asked for what is known or of no use', async t => {
   const rig = startRig();
-  rig.listAgeMs = 700;
+  rig.knownAt = 9_300;
   rig.check.noteAnswer(serverOf('s1'), 190);
   t.same(rig.asked, [], 'its entry tells');
-  rig.listAgeMs = 900;
+  rig.knownAt = 9_100;
   rig.check.noteAnswer(serverOf('s1', 11_000), 190);
   t.same(rig.asked, [], 'it is cold');
   for (const service of [
@@ -139,11 +137,10 @@
 // Guards against questions beside the reads of a list that is on time.
 void tap.test('no server is asked while the list is on time', async t => {
   const rig = startRig();
-  rig.listAgeMs = 500;
+  rig.knownAt = 9_500;
   sendRequests(rig.check, serverOf('s1'), 20);
   t.same(rig.asked, []);
   await rig.clock.advance(1);
-  rig.listAgeMs = 501;
   rig.check.noteRequest(serverOf('s1'));
   t.same(rig.asked, ['s1'], 'the requests since the last read count');
 });
