Send a server that is asked no further requests until it has answered

Callers saw: orders lost with 502, as a server that turned cold while the store gave no answer and the leader was lost crashed (FAILBACK), on a busy machine.

Cause: the requests that wait for slots of a leader that is lost are sent at once, up to three for each slot of a server by each router. The question whether it is cold was sent beside the first two of them; the others didn't wait for its answer.

It is also asked after twice as many requests if the list is on time, as such a burst passes before the list is late.

--- a/packages/gateway/src/cold-check.ts
+++ b/packages/gateway/src/cold-check.ts
@@ -10,6 +10,11 @@
   noteRequest(backend: Backend): void;
   /** Call with each answer, before it counts in the server's service time. */
   noteAnswer(backend: Backend, tookMs: number): void;
+  /**
+   * Whether an answer is due that tells whether the server is cold: it should get
+   * no further requests until then.
+   */
+  isAwaited(server: string): boolean;
   /** Number of questions since the start. */
   asked(): number;
 }
@@ -45,6 +50,8 @@
   /** Monotonic time of the last question, in ms. */
   askedAt: number;
   isPending: boolean;
+  /** Whether the last question got no answer. */
+  isSilent: boolean;
 }
 
 /**
@@ -54,6 +61,11 @@
 const LATE_FACTOR = 1.25;
 /** The same for a slow answer, which is a weaker reason to ask. */
 const LATE_FACTOR_FOR_ANSWERS = 2;
+/**
+ * A server is asked in any case after this many times the requests: all that waited
+ * for slots of a leader that is lost may be sent at once.
+ */
+const BURST_FACTOR = 2;
 /** An answer is slow from this multiple of the usual time on. */
 const SLOW_FACTOR = 1.5;
 /** Limit of servers that are asked at the same time. */
@@ -67,8 +79,9 @@
  * Creates the check. It answers the load of a warm server that turns cold while
  * the platform's store gives no answer: nobody reads its entry then, and it would
  * crash. A server is asked after as many requests as it may get between two reads
- * of the list, and after each one while it is or may be cold. An answer that took
- * long is a reason to ask, no proof.
+ * of the list, and after each one while it is or may be cold; it gets no more until
+ * it has answered, unless its last answer was missing. An answer that took long is a
+ * reason to ask, no proof.
  *
  * @example
  * ```ts
@@ -96,7 +109,7 @@
     if (known !== undefined) return known;
     const knownAt = cfg.knownAt(id);
     const created = {knownAt, requests: 0, askedAt: -Infinity};
-    const state = {...created, isPending: false};
+    const state = {...created, isPending: false, isSilent: false};
     servers.set(id, state);
     return state;
   };
@@ -146,13 +159,20 @@
       pending--;
       state.isPending = false;
     });
+    state.isSilent = fields === null;
     if (fields !== null) noteHealth(backend, fields, askedAt);
   };
 
-  /** Requests after which the server is asked, from this router. */
+  /** Requests from this router after which the server is asked. */
   const requestsUntilAsked = (backend: Backend, knownAt: number): number => {
     const mayBeCold = backend.coldUntil > Math.min(clock.now(), knownAt);
-    return mayBeCold ? 1 : MAX_UNREAD_REQUESTS / cfg.senders();
+    return mayBeCold ? 1 : Math.max(1, MAX_UNREAD_REQUESTS / cfg.senders());
+  };
+
+  const isDue = (backend: Backend, {knownAt, requests}: Asked): boolean => {
+    const limit = requestsUntilAsked(backend, knownAt);
+    if (requests < limit) return false;
+    return isLate(knownAt, LATE_FACTOR) || requests >= limit * BURST_FACTOR;
   };
 
   return {
@@ -164,8 +184,7 @@
       const knownAt = cfg.knownAt(id);
       if (knownAt > state.knownAt) Object.assign(state, {knownAt, requests: 0});
       state.requests++;
-      if (state.requests < requestsUntilAsked(backend, knownAt)) return;
-      if (!isLate(knownAt, LATE_FACTOR)) return;
+      if (!isDue(backend, state)) return;
       if (mayAsk(state, MIN_INTERVAL_MS)) void ask(backend, state, path);
     },
     noteAnswer(backend, tookMs) {
@@ -177,6 +196,11 @@
       const state = stateOf(info.id);
       if (mayAsk(state, cfg.listReadMs())) void ask(backend, state, path);
     },
+    isAwaited(server) {
+      if (pending === 0) return false;
+      const state = servers.get(server);
+      return state !== undefined && state.isPending && !state.isSilent;
+    },
     asked: () => asked,
   };
 }
--- a/packages/gateway/src/cold-servers.ts
+++ b/packages/gateway/src/cold-servers.ts
@@ -71,11 +71,13 @@
   return {
     limits: {
       ...limits,
+      hasToken: server => limits.hasToken(server) && !check.isAwaited(server),
       takeToken(server) {
         limits.takeToken(server);
         noteRequest(server);
       },
       takeShareToken(server, routerCount) {
+        if (check.isAwaited(server)) return false;
         if (!limits.takeShareToken(server, routerCount)) return false;
         noteRequest(server);
         return true;
