Keep the count of unread requests through a long outage

Callers saw: nothing that was reported. While the list of servers was more than 10 s late, each question to one server dropped what was counted for the others, so that these were asked late or never; and one that was never cold counted as one that may be.

What was counted is now kept by the time of the last request. A cold server isn't asked for a burst of its own limit, as its list is on time. The interval of reads, computed from all servers, is computed once in 50 ms.

Evidence: the two new tests of the questions failed before.

--- a/packages/gateway/src/cold-check.ts
+++ b/packages/gateway/src/cold-check.ts
@@ -47,6 +47,8 @@
   knownAt: number;
   /** Requests since then, or since the last question. */
   requests: number;
+  /** Monotonic time of the last request or slow answer, in ms. */
+  usedAt: number;
   /** Monotonic time of the last question, in ms. */
   askedAt: number;
   isPending: boolean;
@@ -105,10 +107,11 @@
   };
 
   const stateOf = (id: string): Asked => {
+    const usedAt = clock.now();
     const known = servers.get(id);
-    if (known !== undefined) return known;
+    if (known !== undefined) return Object.assign(known, {usedAt});
     const knownAt = cfg.knownAt(id);
-    const created = {knownAt, requests: 0, askedAt: -Infinity};
+    const created = {knownAt, usedAt, requests: 0, askedAt: -Infinity};
     const state = {...created, isPending: false, isSilent: false};
     servers.set(id, state);
     return state;
@@ -122,8 +125,8 @@
 
   const forgetOld = (): void => {
     const since = clock.now() - FORGET_MS;
-    for (const [id, {knownAt, askedAt, isPending}] of servers) {
-      if (!isPending && Math.max(knownAt, askedAt) <= since) servers.delete(id);
+    for (const [id, {usedAt}] of servers) {
+      if (usedAt <= since) servers.delete(id);
     }
   };
 
@@ -163,16 +166,14 @@
     if (fields !== null) noteHealth(backend, fields, askedAt);
   };
 
-  /** Requests from this router after which the server is asked. */
-  const requestsUntilAsked = (backend: Backend, knownAt: number): number => {
-    const mayBeCold = backend.coldUntil > Math.min(clock.now(), knownAt);
-    return mayBeCold ? 1 : Math.max(1, MAX_UNREAD_REQUESTS / cfg.senders());
-  };
-
   const isDue = (backend: Backend, {knownAt, requests}: Asked): boolean => {
-    const limit = requestsUntilAsked(backend, knownAt);
-    if (requests < limit) return false;
-    return isLate(knownAt, LATE_FACTOR) || requests >= limit * BURST_FACTOR;
+    const unreadLimit = Math.max(1, MAX_UNREAD_REQUESTS / cfg.senders());
+    if (requests >= unreadLimit * BURST_FACTOR) return true;
+    const {coldUntil} = backend;
+    const mayBeCold =
+      coldUntil > 0 && coldUntil > Math.min(clock.now(), knownAt);
+    if (requests < (mayBeCold ? 1 : unreadLimit)) return false;
+    return isLate(knownAt, LATE_FACTOR);
   };
 
   return {
--- a/packages/gateway/src/cold-servers.ts
+++ b/packages/gateway/src/cold-servers.ts
@@ -12,7 +12,7 @@
   type ColdCheck,
   type ColdCheckConfig,
 } from './cold-check.js';
-import {listReadIntervalMs} from './list-read-interval.js';
+import {listReadIntervalMs, MIN_INTERVAL_MS} from './list-read-interval.js';
 import type {ServerList} from './server-list.js';
 
 /** What is known of cold servers, and the limits that follow from it. */
@@ -51,8 +51,16 @@
   const knownAt = list.coldKnownAt;
   const coldPerSecondOf = (service: string): number | null =>
     serviceConfig(service)?.coldPerSecond ?? null;
-  const listReadMs = (): number =>
-    listReadIntervalMs({backends: backends.all(), coldPerSecondOf});
+  let readMs = 0;
+  let readMsAt = -Infinity;
+  // Computed from all servers, and needed for many requests while the list is late.
+  const listReadMs = (): number => {
+    const now = clock.now();
+    if (now - readMsAt < MIN_INTERVAL_MS) return readMs;
+    readMsAt = now;
+    readMs = listReadIntervalMs({backends: backends.all(), coldPerSecondOf});
+    return readMs;
+  };
   const limits = createColdLimits({
     ...{clock, emit, backends, coldPerSecondOf, knownAt},
     coldMsOf: service => serviceConfig(service)?.coldMs ?? 0,
--- a/packages/gateway/test/cold-check.test.ts
+++ b/packages/gateway/test/cold-check.test.ts
@@ -231,3 +231,26 @@
   t.same(rig.asked, ['s1', 's1']);
   t.notOk(rig.check.isAwaited('s1'));
 });
+
+// Guards against requests that are forgotten as another server is asked, during an
+// outage of the store that is longer than a server's state is kept.
+void tap.test('requests count after a long outage', async t => {
+  const rig = startRig();
+  rig.knownAt = -60_000;
+  sendRequests(rig.check, serverOf('s1'), 5);
+  sendRequests(rig.check, serverOf('s2'), 6);
+  t.ok(rig.check.isAwaited('s2'));
+  rig.check.noteRequest(serverOf('s1'));
+  t.same(rig.asked, ['s2', 's1']);
+});
+
+// Guards against a question for each burst of a cold server's limit.
+void tap.test(
+  'a cold server is not asked while the list is on time',
+  async t => {
+    const rig = startRig();
+    rig.knownAt = 9_990;
+    sendRequests(rig.check, serverOf('s1', 12_000), 5);
+    t.same(rig.asked, []);
+  },
+);
