--- a/packages/gateway/src/cold-servers.ts
+++ b/packages/gateway/src/cold-servers.ts
@@ -15,7 +15,10 @@
 import {listReadIntervalMs, MIN_INTERVAL_MS} from './list-read-interval.js';
 import type {ServerList} from './server-list.js';
 
-/** What is known of cold servers, and the limits that follow from it. */
+/**
+ * What is known of cold servers, and the limits that follow from it. A server that is
+ * being asked whether it is cold gets no requests until it has answered.
+ */
 export interface ColdServers {
   readonly limits: ColdLimits;
   readonly check: ColdCheck;
--- a/packages/gateway/src/list-reads.ts
+++ b/packages/gateway/src/list-reads.ts
@@ -7,8 +7,8 @@
   /** Time since the newest read was sent, in ms. */
   sinceLastMs(): number;
   /**
-   * Starts a read unless others were sent lately. `intervalMs` is the interval at which
-   * reads should be answered.
+   * Starts a read unless others were sent lately. `intervalMs` is the interval at
+   * which reads should be answered.
    */
   startIfDue(intervalMs: number): Promise<void>;
 }
