--- a/packages/dispatch/src/cold-limits.ts
+++ b/packages/dispatch/src/cold-limits.ts
@@ -76,16 +76,14 @@
   const isLimited = (backend: Backend, now: number): boolean =>
     backend.coldUntil > 0 && (isCold(backend, now) || isHeld(backend, now));
 
-  const limitOf = (server: string): number | null => {
-    const backend = backends.get(server);
-    if (backend === undefined || backend.coldUntil === 0) return null;
-    if (!isLimited(backend, clock.now())) return null;
+  const limitOf = (backend: Backend | undefined): number | null => {
+    if (backend === undefined || !isLimited(backend, clock.now())) return null;
     return cfg.coldPerSecondOf(backend.info.service);
   };
 
   const create = (backend: Backend, perSecond: number): ColdServer => {
     for (const id of coldServers.keys()) {
-      if (limitOf(id) === null) coldServers.delete(id);
+      if (limitOf(backends.get(id)) === null) coldServers.delete(id);
     }
     const taken = Math.min(backend.allocatedSlots, perSecond);
     const bucket = createTokenBucket(perSecond, clock.now(), taken);
@@ -106,13 +104,13 @@
 
   /** The state of the server if it is cold and has a limit; else null. */
   const coldServerOf = (server: string): ColdServer | null => {
-    const perSecond = limitOf(server);
-    if (perSecond === null) {
+    const backend = backends.get(server);
+    const perSecond = limitOf(backend);
+    if (backend === undefined || perSecond === null) {
       // A later cold time must count the requests that it is at by then.
       coldServers.delete(server);
       return null;
     }
-    const backend = backends.get(server)!;
     const cold = coldServers.get(server) ?? create(backend, perSecond);
     cold.perSecond = perSecond;
     noteHeld(cold, backend);
@@ -120,7 +118,7 @@
   };
 
   return {
-    limitOf,
+    limitOf: server => limitOf(backends.get(server)),
     hasToken: server =>
       coldServerOf(server)?.bucket.hasToken(clock.now()) ?? true,
     takeToken: server => coldServerOf(server)?.bucket.take(clock.now()),
--- a/packages/gateway/src/config-reader.ts
+++ b/packages/gateway/src/config-reader.ts
@@ -1,6 +1,7 @@
 import type {Clock} from '@banyandrum/base/clock.js';
 import type {Emit} from '@banyandrum/dispatch/events.js';
 import type {ConfigRead} from './platform.js';
+import {logLoopError} from './repeat.js';
 import type {StoreReads} from './store-contact.js';
 
 /** Dependencies of the configuration reader. */
@@ -197,9 +198,8 @@
     try {
       return await cfg.read(waitMs);
     } catch (err) {
-      const {stack, message} = err as Error;
-      emit('internal-error', {loop: 'config', detail: stack ?? message});
-      return {kind: 'failed', detail: message};
+      logLoopError(emit, 'config', err as Error);
+      return {kind: 'failed', detail: (err as Error).message};
     }
   };
 
--- a/packages/gateway/src/refresh-loops.ts
+++ b/packages/gateway/src/refresh-loops.ts
@@ -7,7 +7,7 @@
 import type {LinkClient} from './link-client.js';
 import {createListReads} from './list-reads.js';
 import type {Platform} from './platform.js';
-import {repeat} from './repeat.js';
+import {logLoopError, repeat} from './repeat.js';
 import type {ServerList} from './server-list.js';
 import type {StoreReads} from './store-contact.js';
 
@@ -115,10 +115,7 @@
     await listReads.startIfDue(intervalMs);
   };
   const startListRead = (): void => {
-    readListIfNeeded().catch((err: Error) => {
-      const detail = err.stack ?? err.message;
-      emit('internal-error', {loop: 'servers', detail});
-    });
+    readListIfNeeded().catch(err => logLoopError(emit, 'servers', err));
   };
 
   // The loop doesn't wait for the answer, so that it starts further reads.
--- a/packages/gateway/src/repeat.ts
+++ b/packages/gateway/src/repeat.ts
@@ -26,8 +26,7 @@
       try {
         await task();
       } catch (err) {
-        const {stack, message} = err as Error;
-        emit('internal-error', {loop: name, detail: stack ?? message});
+        logLoopError(emit, name, err as Error);
         await sleep(clock, ERROR_PAUSE_MS);
       }
       const ms = typeof pauseMs === 'number' ? pauseMs : pauseMs();
@@ -37,6 +36,22 @@
   void run();
 }
 
+/**
+ * Logs an unexpected error of a loop.
+ *
+ * @example
+ * ```ts
+ * task().catch(err => logLoopError(emit, 'servers', err));
+ * ```
+ */
+export function logLoopError(
+  emit: Emit,
+  loop: string,
+  {stack, message}: Error,
+): void {
+  emit('internal-error', {loop, detail: stack ?? message});
+}
+
 /** Options of a loop. */
 export interface RepeatConfig {
   readonly clock: Clock;
