Count the requests between a read of the list and its late answer

Cause: the count of unread requests began anew when a read was answered, though the answer tells the state as of the moment at which the read was sent. On a busy machine that is late by tens of ms. And in a burst a server was asked only after 12 requests, which is more than a cold one may get in a second.

Now the requests since the read was sent count, and 9 in a burst are enough: with the next token these are 10.

--- a/packages/gateway/src/cold-check.ts
+++ b/packages/gateway/src/cold-check.ts
@@ -43,10 +43,11 @@
 
 /** What was sent to a server, and asked of it. */
 interface Asked {
-  /** Monotonic time as of which its state was known at the last request. */
-  knownAt: number;
-  /** Requests since then, or since the last question. */
-  requests: number;
+  /**
+   * Monotonic times of the requests since it was last asked, and since its state
+   * was last known as of the last request, in ms.
+   */
+  sentAt: readonly number[];
   /** Monotonic time of the last request or slow answer, in ms. */
   usedAt: number;
   /** Monotonic time of the last question, in ms. */
@@ -65,9 +66,10 @@
 const LATE_FACTOR_FOR_ANSWERS = 2;
 /**
  * A server is asked in any case after this many times the requests: all that waited
- * for slots of a leader that is lost may be sent at once.
+ * for slots of a leader that is lost may be sent at once. They and the next token
+ * have to stay within what a cold server bears.
  */
-const BURST_FACTOR = 2;
+const BURST_FACTOR = 1.5;
 /** An answer is slow from this multiple of the usual time on. */
 const SLOW_FACTOR = 1.5;
 /** Limit of servers that are asked at the same time. */
@@ -110,8 +112,7 @@
     const usedAt = clock.now();
     const known = servers.get(id);
     if (known !== undefined) return Object.assign(known, {usedAt});
-    const knownAt = cfg.knownAt(id);
-    const created = {knownAt, usedAt, requests: 0, askedAt: -Infinity};
+    const created = {sentAt: [], usedAt, askedAt: -Infinity};
     const state = {...created, isPending: false, isSilent: false};
     servers.set(id, state);
     return state;
@@ -155,7 +156,7 @@
   ): Promise<void> => {
     forgetOld();
     const askedAt = clock.now();
-    Object.assign(state, {askedAt, requests: 0, isPending: true});
+    Object.assign(state, {askedAt, sentAt: [], isPending: true});
     pending++;
     asked++;
     const fields = await cfg.askHealth(backend, path).finally(() => {
@@ -166,10 +167,14 @@
     if (fields !== null) noteHealth(backend, fields, askedAt);
   };
 
-  const isDue = (backend: Backend, {knownAt, requests}: Asked): boolean => {
+  /** Whether the server is due to be asked after this many unread requests. */
+  const isDue = (
+    {coldUntil}: Backend,
+    requests: number,
+    knownAt: number,
+  ): boolean => {
     const unreadLimit = Math.max(1, MAX_UNREAD_REQUESTS / cfg.senders());
     if (requests >= unreadLimit * BURST_FACTOR) return true;
-    const {coldUntil} = backend;
     const mayBeCold =
       coldUntil > 0 && coldUntil > Math.min(clock.now(), knownAt);
     if (requests < (mayBeCold ? 1 : unreadLimit)) return false;
@@ -183,9 +188,10 @@
       const {id} = backend.info;
       const state = stateOf(id);
       const knownAt = cfg.knownAt(id);
-      if (knownAt > state.knownAt) Object.assign(state, {knownAt, requests: 0});
-      state.requests++;
-      if (!isDue(backend, state)) return;
+      // A late answer tells nothing of the requests since its read was sent.
+      const unread = state.sentAt.filter(at => at >= knownAt);
+      state.sentAt = [...unread, clock.now()];
+      if (!isDue(backend, state.sentAt.length, knownAt)) return;
       if (mayAsk(state, MIN_INTERVAL_MS)) void ask(backend, state, path);
     },
     noteAnswer(backend, tookMs) {
