Count answered requests of a server that turns cold

Cause: only requests that were still at the server had taken tokens. Now a server that got a request within a second has its tokens taken, as one with requests in progress; one that was idle, as after an evacuation, begins with a token as before. The new test failed before: a token was there at once.

--- a/packages/dispatch/src/backend.ts
+++ b/packages/dispatch/src/backend.ts
@@ -55,6 +55,11 @@
   failureRate: number;
   /** Monotonic time of the last update of `failureRate`, in ms. */
   failureRateAt: number;
+  /**
+   * Monotonic time of the last request that this router sent to it, or allocated as
+   * leader, in ms; `-Infinity` before the first.
+   */
+  lastRequestAt: number;
   /** Monotonic time of the last answer, in ms; `-Infinity` before the first. */
   lastAnswerAt: number;
   /** Monotonic time until which other servers are preferred, in ms. */
@@ -112,6 +117,7 @@
     serviceMs: 0,
     failureRate: 0,
     failureRateAt: now,
+    lastRequestAt: -Infinity,
     lastAnswerAt: -Infinity,
     ejectedUntil: 0,
     ejectionMs: 0,
--- a/packages/dispatch/src/cold-limits.ts
+++ b/packages/dispatch/src/cold-limits.ts
@@ -38,6 +38,9 @@
   readonly random?: () => number;
 }
 
+/** A server that got a request within this time counts as used, in ms. */
+const RECENT_MS = 1_000;
+
 /** Rate control of one cold server. */
 interface ColdServer {
   readonly bucket: TokenBucket;
@@ -52,8 +55,8 @@
  * Creates the limits. They answer the load of servers that start, or whose data
  * centre returns, under full traffic: a server without caches crashes under what
  * it bears when warm. The leader issues tokens for the whole rate; without one,
- * each router has a share. Requests at a server that turns cold again have taken
- * their tokens, at most those of a second.
+ * each router has a share. Requests that a server got before it was known as cold
+ * have taken their tokens, at most those of a second.
  *
  * The limit outlasts the end of a cold time until it is known as of that end that
  * the server is warm: it may have become cold again while the list was not read.
@@ -85,8 +88,12 @@
     for (const id of coldServers.keys()) {
       if (limitOf(backends.get(id)) === null) coldServers.delete(id);
     }
-    const taken = Math.min(backend.allocatedSlots, perSecond);
-    const bucket = createTokenBucket(perSecond, clock.now(), taken);
+    const now = clock.now();
+    const isInUse = now - backend.lastRequestAt < RECENT_MS;
+    const taken = isInUse
+      ? perSecond
+      : Math.min(backend.allocatedSlots, perSecond);
+    const bucket = createTokenBucket(perSecond, now, taken);
     const share = createRateShare(random);
     const created = {bucket, share, perSecond, isHeld: false};
     coldServers.set(backend.info.id, created);
@@ -102,6 +109,11 @@
     cfg.emit('server-held-cold', {server: info.id, knownAgeMs});
   };
 
+  const noteRequest = (server: string): void => {
+    const backend = backends.get(server);
+    if (backend !== undefined) backend.lastRequestAt = clock.now();
+  };
+
   /** The state of the server if it is cold and has a limit; else null. */
   const coldServerOf = (server: string): ColdServer | null => {
     const backend = backends.get(server);
@@ -117,16 +129,25 @@
     return cold;
   };
 
+  const takeShare = (server: string, routerCount: number): boolean => {
+    const cold = coldServerOf(server);
+    if (cold === null) return true;
+    const rate = cold.perSecond * LEADERLESS_SHARE;
+    return cold.share.take(clock.now(), (1_000 * routerCount) / rate);
+  };
+
   return {
     limitOf: server => limitOf(backends.get(server)),
     hasToken: server =>
       coldServerOf(server)?.bucket.hasToken(clock.now()) ?? true,
-    takeToken: server => coldServerOf(server)?.bucket.take(clock.now()),
+    takeToken(server) {
+      coldServerOf(server)?.bucket.take(clock.now());
+      noteRequest(server);
+    },
     takeShareToken(server, routerCount) {
-      const cold = coldServerOf(server);
-      if (cold === null) return true;
-      const rate = cold.perSecond * LEADERLESS_SHARE;
-      return cold.share.take(clock.now(), (1_000 * routerCount) / rate);
+      if (!takeShare(server, routerCount)) return false;
+      noteRequest(server);
+      return true;
     },
     count() {
       const now = clock.now();
--- a/packages/dispatch/test/cold-limits.test.ts
+++ b/packages/dispatch/test/cold-limits.test.ts
@@ -123,6 +123,32 @@
   t.ok(limits.hasToken('s1'), 'after a second, however many they are');
 });
 
+// Guards against a server that turns cold, is known as cold late, and gets a token
+// beside the requests that it has answered since.
+void tap.test('requests that a server has answered count', async t => {
+  const {clock, backends, createLimits} = setUp(0);
+  const limits = createLimits();
+  limits.takeToken('s1');
+  await clock.advance(100);
+  backends.update([serverInfo(clock.now() + COLD_MS)]);
+  t.notOk(limits.hasToken('s1'));
+  await clock.advance(950);
+  t.notOk(limits.hasToken('s1'));
+  await clock.advance(100);
+  t.ok(limits.hasToken('s1'), 'after a second, however many they were');
+});
+
+// Guards against a server that was idle and gets nothing as its data centre returns.
+void tap.test('requests that were long ago do not count', async t => {
+  const {clock, backends, createLimits} = setUp(0);
+  const limits = createLimits();
+  t.ok(limits.takeShareToken('s1', 3));
+  limits.takeToken('s1');
+  await clock.advance(1_000);
+  backends.update([serverInfo(clock.now() + COLD_MS)]);
+  t.ok(limits.hasToken('s1'));
+});
+
 // Guards against a server that turns cold a second time under load and gets the
 // tokens that it earned after its first cold time.
 void tap.test('requests at a server count each time it turns cold', async t => {
