Let other routers ask a server whether it is cold

Cause: the health endpoint was asked only by the leader itself. Without an answer a server isn't waited for, so that one without such an endpoint goes on to be served.

Now a router that gets no answer within 50 ms lets those ask that carry its requests, and takes the first answer.

The unit tests of the carrier can't be built on the code before.

--- a/packages/gateway/src/carry-client.ts
+++ b/packages/gateway/src/carry-client.ts
@@ -17,6 +17,14 @@
 
 /** The carriers, and the end of the connections to them. */
 export interface CarryClient extends Carriers {
+  /**
+   * Lets another router ask the server's health endpoint; resolves with the header
+   * fields of the answer, or null if none can tell.
+   */
+  askHealth(
+    server: string,
+    path: string,
+  ): Promise<ReadonlyMap<string, string> | null>;
   stop(): void;
 }
 
@@ -57,8 +65,8 @@
  */
 const MAX_FRUITLESS = 5;
 const FRUITLESS_PAUSE_MS = 300;
-/** Timeout of a probe by another router, in ms. */
-const PROBE_TIMEOUT_MS = 500;
+/** Timeout of a question to another router, in ms. */
+const QUESTION_TIMEOUT_MS = 500;
 /** A router that could not be used isn't asked again for this long, in ms. */
 const FAILED_BACKOFF_MS = 500;
 /** The same for one whose version of the program doesn't carry. */
@@ -248,19 +256,32 @@
     return {kind: 'unavailable'};
   };
 
+  /** Asks one router after another until one can tell. */
+  const ask = async <T>(
+    request: CarryRequest,
+    answerOf: (reply: CarryReply) => T | null,
+  ): Promise<T | null> => {
+    for (const by of usableCandidates()) {
+      const deadline = clock.now() + QUESTION_TIMEOUT_MS;
+      const result = await call(by, () => request, deadline, null);
+      if (result.kind !== 'replied') continue;
+      const answer = answerOf(result.reply);
+      if (answer !== null) return answer;
+    }
+    return null;
+  };
+
   return {
     isAvailable: () => cfg.candidates().some(isUsable),
     send,
-    async probe(server) {
-      for (const by of usableCandidates()) {
-        const request = {kind: 'probe', server} as const;
-        const deadline = clock.now() + PROBE_TIMEOUT_MS;
-        const result = await call(by, () => request, deadline, null);
-        if (result.kind !== 'replied') continue;
-        if (result.reply.kind === 'probed') return result.reply.result;
-      }
-      return null;
-    },
+    probe: server =>
+      ask({kind: 'probe', server}, reply =>
+        reply.kind === 'probed' ? reply.result : null,
+      ),
+    askHealth: (server, path) =>
+      ask({kind: 'health', server, path}, reply =>
+        reply.kind === 'health' ? new Map(reply.fields) : null,
+      ),
     stop() {
       cancelIdleCheck();
       [...peers.keys()].forEach(closePeer);
--- a/packages/gateway/src/carry-messages.ts
+++ b/packages/gateway/src/carry-messages.ts
@@ -10,7 +10,9 @@
 export type CarryRequest =
   | {readonly kind: 'send'; readonly attempt: CarriedAttempt}
   /** Opens a connection to the server, to see whether it can be reached. */
-  | {readonly kind: 'probe'; readonly server: string};
+  | {readonly kind: 'probe'; readonly server: string}
+  /** Asks the server's health endpoint. */
+  | {readonly kind: 'health'; readonly server: string; readonly path: string};
 
 /** Why a carrier didn't send an attempt although it might reach the server. */
 export type CarryRefusal =
@@ -33,7 +35,12 @@
   | {readonly kind: 'unreachable'}
   /** The attempt was not sent. */
   | {readonly kind: 'refused'; readonly why: CarryRefusal}
-  | {readonly kind: 'probed'; readonly result: ProbeResult};
+  | {readonly kind: 'probed'; readonly result: ProbeResult}
+  /** Header fields of the server's answer. */
+  | {
+      readonly kind: 'health';
+      readonly fields: readonly (readonly [string, string])[];
+    };
 
 /** JSON forms, with bodies and header maps outside of them. */
 type WireRequest =
@@ -42,7 +49,7 @@
       readonly attempt: Omit<CarriedAttempt, 'body'>;
       readonly hasBody: boolean;
     }
-  | Extract<CarryRequest, {kind: 'probe'}>;
+  | Exclude<CarryRequest, {kind: 'send'}>;
 type WireResult =
   | {
       readonly kind: 'answered';
@@ -87,7 +94,7 @@
  * ```
  */
 export function encodeCarryRequest(req: CarryRequest): Buffer {
-  if (req.kind === 'probe') return encodeFrame(req, EMPTY);
+  if (req.kind !== 'send') return encodeFrame(req, EMPTY);
   const {body, ...attempt} = req.attempt;
   const head: WireRequest = {kind: 'send', attempt, hasBody: body !== null};
   return encodeFrame(head, body ?? EMPTY);
@@ -97,7 +104,7 @@
 export function decodeCarryRequest(bytes: Buffer): CarryRequest {
   const {head, body} = decodeFrame(bytes);
   const req = head as WireRequest;
-  if (req.kind === 'probe') return req;
+  if (req.kind !== 'send') return req;
   const attempt = {...req.attempt, body: req.hasBody ? body : null};
   return {kind: 'send', attempt};
 }
--- a/packages/gateway/src/carry-server.ts
+++ b/packages/gateway/src/carry-server.ts
@@ -28,6 +28,11 @@
   extends Omit<SendConfig, 'carriers'>, ServerSignalsConfig {
   readonly backends: Backends;
   probe(backend: Backend): Promise<ProbeResult>;
+  /** Header fields of the answer of its health endpoint; null if none came. */
+  askHealth(
+    backend: Backend,
+    path: string,
+  ): Promise<ReadonlyMap<string, string> | null>;
   /** Event loop lag that this process has had for a while, in ms. */
   lagMs(): number;
   /** How long calls may have waited unread, in ms. */
@@ -135,9 +140,28 @@
     return {kind: 'probed', result};
   };
 
+  const tellHealth = async (
+    server: string,
+    path: string,
+  ): Promise<CarryReply> => {
+    const backend = cfg.backends.get(server);
+    if (backend === undefined) return {kind: 'refused', why: 'unknown-server'};
+    const fields = await cfg.askHealth(backend, path);
+    if (fields === null) return replyUnreached();
+    return {kind: 'health', fields: [...fields]};
+  };
+
+  const carryOut = (call: CarryCall): Promise<CarryReply> => {
+    const {request} = call;
+    if (request.kind === 'probe') return probe(request.server);
+    if (request.kind === 'health')
+      return tellHealth(request.server, request.path);
+    return send(call, request.attempt);
+  };
+
   const log = (call: CarryCall, reply: CarryReply): void => {
     const {request} = call;
-    if (request.kind === 'probe') return;
+    if (request.kind !== 'send') return;
     const {server, requestId} = request.attempt;
     const outcome = reply.kind === 'sent' ? reply.result.kind : reply.kind;
     const why = reply.kind === 'refused' ? {why: reply.why} : {};
@@ -149,12 +173,7 @@
     handle(call, reply) {
       // Acknowledges the call: without it, the other router asks another one.
       call.sendMetadata(new Metadata());
-      const {request} = call;
-      const work =
-        request.kind === 'probe'
-          ? probe(request.server)
-          : send(call, request.attempt);
-      work.then(
+      carryOut(call).then(
         result => {
           log(call, result);
           reply(null, result);
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -52,7 +52,7 @@
 import {probeHost} from './probe-host.js';
 import {createServerList} from './server-list.js';
 import {measureSlotResponses} from './slot-response-times.js';
-import {createServerReach} from './server-reach.js';
+import {createServerReach, type ServerReach} from './server-reach.js';
 import {createServiceTimes, drainServiceTimes} from './service-times.js';
 import type {Settings} from './settings.js';
 import {shareSuspects} from './share-suspects.js';
@@ -147,15 +147,15 @@
   const coldServers = createColdServers({
     ...{clock, emit, backends, serviceConfig, names: platform.names},
     list: serverList,
-    askHealth: (backend, path) => askHealth(platform.names, backend, path),
+    askHealth: (backend, path) => reach.askHealth(backend, path),
     senders: () => (hasLeader() ? 1 : (routerCount.current() ?? Infinity)),
   });
   const requestLimits = combineLimits(serverLimits, coldServers.limits);
   const serverRests = createServerRests({clock, emit});
+  const askHealthDirectly: ServerReach['askHealth'] = (backend, path) =>
+    askHealth(platform.names, backend, path);
   const reach = createServerReach({
-    clock,
-    emit,
-    backends,
+    ...{clock, emit, backends, askHealthDirectly},
     carrierAddresses: () => {
       const followers = leadership.isLeading() ? linkServer.carriers() : [];
       return [...new Set([...followers, ...linkClient.carriers()])];
@@ -526,6 +526,7 @@
   const carryServer = createCarryServer({
     ...{...signalsCfg, backends, paths, clock, emit},
     probe: reach.probeDirectly,
+    askHealth: askHealthDirectly,
     lagMs: loopLag.sustainedMs,
     pollDelayMs: readDelays.pollDelayMs,
     catchUp: intake.catchUp,
--- a/packages/gateway/src/server-reach.ts
+++ b/packages/gateway/src/server-reach.ts
@@ -1,4 +1,4 @@
-import type {Clock} from '@banyandrum/base/clock.js';
+import {sleep, type Clock} from '@banyandrum/base/clock.js';
 import type {Backend} from '@banyandrum/dispatch/backend.js';
 import type {Backends} from '@banyandrum/dispatch/backends.js';
 import type {CompletedAttempt} from '@banyandrum/dispatch/completed-attempt.js';
@@ -22,6 +22,14 @@
   probe(backend: Backend): Promise<ProbeResult>;
   /** The same, but tells only what this router finds. */
   probeDirectly(backend: Backend): Promise<ProbeResult>;
+  /**
+   * Asks the server's health endpoint, through another router if this one gets no
+   * answer soon. Resolves with the header fields of the answer; null if none came.
+   */
+  askHealth(
+    backend: Backend,
+    path: string,
+  ): Promise<ReadonlyMap<string, string> | null>;
   /** Ends the probes and closes the connections to carriers. */
   stop(): void;
   /** Records what a lease call shows of the path to its server. */
@@ -35,8 +43,16 @@
   readonly backends: Backends;
   /** Addresses (`ip:port`) of routers that may carry, the nearest first. */
   carrierAddresses(): readonly string[];
+  /** Asks from this router only. */
+  readonly askHealthDirectly: ServerReach['askHealth'];
 }
 
+/**
+ * Other routers are asked for a server's health if it hasn't answered this one for
+ * this long, in ms: it gets no requests meanwhile.
+ */
+const OWN_ANSWER_MS = 50;
+
 /**
  * Creates the state of what this router reaches, and the client of carriers.
  *
@@ -80,6 +96,16 @@
     return 'silent';
   };
 
+  const askHealth: ServerReach['askHealth'] = async (backend, path) => {
+    const {id} = backend.info;
+    const own = paths.isOpen(id)
+      ? cfg.askHealthDirectly(backend, path)
+      : Promise.resolve(null);
+    const early = await Promise.race([own, sleep(clock, OWN_ANSWER_MS)]);
+    if (early) return early;
+    return firstKnown([own, carriers.askHealth(id, path)]);
+  };
+
   /** Lets another router try a server whose path failed, once. */
   const confirm = async (server: string): Promise<void> => {
     if (!paths.isUnconfirmed(server)) return;
@@ -92,6 +118,7 @@
     carriers,
     probe,
     probeDirectly,
+    askHealth,
     stop() {
       paths.stop();
       carriers.stop();
@@ -109,3 +136,15 @@
     },
   };
 }
+
+/** The first value that isn't null; null if there is none. */
+async function firstKnown<T>(
+  values: readonly Promise<T | null>[],
+): Promise<T | null> {
+  const known = values.map(async each => {
+    const value = await each;
+    if (value === null) throw new Error('unknown');
+    return value;
+  });
+  return Promise.any(known).catch(() => null);
+}
--- a/packages/gateway/test/carry.test.ts
+++ b/packages/gateway/test/carry.test.ts
@@ -3,7 +3,7 @@
 import type {AddressInfo, Socket} from 'node:net';
 import {createCanceller, STOPPING} from '@banyandrum/base/cancel.js';
 import {createClock} from '@banyandrum/base/clock.js';
-import {createBackends} from '@banyandrum/dispatch/backends.js';
+import {createBackends, type Backends} from '@banyandrum/dispatch/backends.js';
 import type {
   CarriedAttempt,
   CarriedResult,
@@ -21,6 +21,7 @@
   type CarryServer,
 } from '@banyandrum/gateway/carry-server.js';
 import {LINK_SERVICE} from '@banyandrum/gateway/link-messages.js';
+import {createServerReach} from '@banyandrum/gateway/server-reach.js';
 import {Server as GrpcServer, ServerCredentials} from '@grpc/grpc-js';
 
 const HOST = '127.0.0.1';
@@ -42,6 +43,7 @@
   readonly carryServer: CarryServer;
   readonly grpcServer: GrpcServer;
   readonly carriers: CarryClient;
+  readonly backends: Backends;
   /** `ip:port` of the carrier. */
   readonly address: string;
   /** Requests that reached the server, with their bodies. */
@@ -52,6 +54,8 @@
 }
 
 interface HarnessOptions {
+  /** Header fields of its health answer; null if the carrier gets none. */
+  readonly health?: ReadonlyMap<string, string> | null;
   /** Time until the server answers, in ms; null: never. */
   readonly answerAfterMs?: number | null;
   readonly responseBody?: Buffer;
@@ -90,6 +94,7 @@
   const probe = async (): Promise<'open'> => 'open';
   const carryServer = createCarryServer({
     ...{backends, clock, emit, names: NAMES, probe},
+    askHealth: async () => options.health ?? null,
     paths: createServerPaths({
       ...{clock, emit, backendOf: backends.get, probe: async () => 'silent'},
     }),
@@ -109,6 +114,7 @@
   });
   return {
     ...{server, carryServer, grpcServer, carriers, address, arrivals, events},
+    backends,
     close() {
       carriers.stop();
       grpcServer.forceShutdown();
@@ -317,3 +323,51 @@
 function sleep(ms: number): Promise<void> {
   return new Promise(resolve => setTimeout(resolve, ms));
 }
+
+const COLD = new Map([['x-cold', '2100']]);
+
+// Guards against a leader that is cut off from servers and store, and takes a server
+// that has turned cold for a warm one.
+for (const [name, own] of [
+  ['gets no answer', new Promise<null>(() => undefined)],
+  ['is refused', Promise.resolve(null)],
+] as const) {
+  void tap.test(`another router asks for one that ${name}`, async t => {
+    const harness = await startHarness({health: COLD});
+    const {backends, address} = harness;
+    const reach = createServerReach({
+      ...{clock: createClock(), emit: () => undefined, backends},
+      carrierAddresses: () => [address],
+      askHealthDirectly: () => own,
+    });
+    const fields = await reach.askHealth(backends.get('s1')!, '/health');
+    t.same(fields, COLD);
+    reach.stop();
+    harness.close();
+  });
+}
+
+// Guards against questions by others beside each own one.
+void tap.test('no other router asks if an answer comes', async t => {
+  const harness = await startHarness({health: new Map()});
+  const {backends, address} = harness;
+  const reach = createServerReach({
+    ...{clock: createClock(), emit: () => undefined, backends},
+    carrierAddresses: () => [address],
+    askHealthDirectly: async () => COLD,
+  });
+  t.same(await reach.askHealth(backends.get('s1')!, '/health'), COLD);
+  reach.stop();
+  harness.close();
+});
+
+void tap.test('a server that nobody reaches tells nothing', async t => {
+  const {carriers, close} = await startHarness({health: null});
+  t.equal(await carriers.askHealth('s1', '/health'), null);
+  t.equal(
+    await carriers.askHealth('s2', '/health'),
+    null,
+    'nor an unknown one',
+  );
+  close();
+});
