Let one other router that gets no answer end a question

Found by reading the change again: a server whose health endpoint hangs would have got no requests while up to six routers asked it one after another, 300 ms each. One that says it gets no answer either is enough now, and after 400 ms no further one is asked, as for attempts. The new test has a second router that would have told.

--- a/packages/gateway/src/carry-client.ts
+++ b/packages/gateway/src/carry-client.ts
@@ -256,17 +256,23 @@
     return {kind: 'unavailable'};
   };
 
-  /** Asks one router after another until one can tell. */
+  /**
+   * Asks one router after another until one can tell: `answerOf` returns undefined
+   * for the replies of those that can't. Null if none can.
+   */
   const ask = async <T>(
     request: CarryRequest,
-    answerOf: (reply: CarryReply) => T | null,
+    maxMs: number,
+    answerOf: (reply: CarryReply) => T | undefined,
   ): Promise<T | null> => {
+    const startedAt = clock.now();
     for (const by of usableCandidates()) {
+      if (clock.now() - startedAt > maxMs) break;
       const deadline = clock.now() + QUESTION_TIMEOUT_MS;
       const result = await call(by, () => request, deadline, null);
       if (result.kind !== 'replied') continue;
       const answer = answerOf(result.reply);
-      if (answer !== null) return answer;
+      if (answer !== undefined) return answer;
     }
     return null;
   };
@@ -275,13 +281,15 @@
     isAvailable: () => cfg.candidates().some(isUsable),
     send,
     probe: server =>
-      ask({kind: 'probe', server}, reply =>
-        reply.kind === 'probed' ? reply.result : null,
+      ask({kind: 'probe', server}, Infinity, reply =>
+        reply.kind === 'probed' ? reply.result : undefined,
       ),
+    // The server gets no requests meanwhile.
     askHealth: (server, path) =>
-      ask({kind: 'health', server, path}, reply =>
-        reply.kind === 'health' ? new Map(reply.fields) : null,
-      ),
+      ask({kind: 'health', server, path}, MAX_ASKING_MS, reply => {
+        if (reply.kind === 'health') return new Map(reply.fields);
+        return reply.kind === 'unreachable' ? null : undefined;
+      }),
     stop() {
       cancelIdleCheck();
       [...peers.keys()].forEach(closePeer);
--- a/packages/gateway/test/carry.test.ts
+++ b/packages/gateway/test/carry.test.ts
@@ -371,3 +371,16 @@
   );
   close();
 });
+
+// Guards against a server without a working health endpoint that gets no requests
+// while one router after another asks it.
+void tap.test('one other router that gets no answer is enough', async t => {
+  const silent = await startHarness({health: null});
+  const {carriers, close} = await startHarness({
+    health: COLD,
+    others: [silent.address],
+  });
+  t.equal(await carriers.askHealth('s1', '/health'), null);
+  close();
+  silent.close();
+});
