Name the function that asks a server's health once

Its type stood in four modules, and the carrier logged an unexpected error in its own words beside logLoopError. No change of behaviour.

--- a/packages/dispatch/src/ask-health.ts
+++ b/packages/dispatch/src/ask-health.ts
@@ -4,6 +4,15 @@
 import {isOtherServer} from './server-instance.js';
 import type {WireNames} from './wire.js';
 
+/** Header fields of the answer of a server's health endpoint. */
+export type HealthFields = ReadonlyMap<string, string>;
+
+/** Asks a server's health endpoint; null if there is no answer of this server. */
+export type AskHealth = (
+  backend: Backend,
+  path: string,
+) => Promise<HealthFields | null>;
+
 /** Time limit for receiving the answer's header, in ms. */
 const TIMEOUT_MS = 300;
 /** Limit of the answer's header, in bytes; its body isn't read. */
@@ -22,7 +31,7 @@
   names: WireNames,
   {info}: Backend,
   path: string,
-): Promise<ReadonlyMap<string, string> | null> {
+): Promise<HealthFields | null> {
   const address = parseAddress(info.address);
   if (address === null) return Promise.resolve(null);
   return new Promise(resolve => {
--- a/packages/gateway/src/carry-client.ts
+++ b/packages/gateway/src/carry-client.ts
@@ -1,4 +1,5 @@
 import type {Clock} from '@banyandrum/base/clock.js';
+import type {HealthFields} from '@banyandrum/dispatch/ask-health.js';
 import type {AttemptResult, LossReason} from '@banyandrum/dispatch/attempt.js';
 import type {Carriers} from '@banyandrum/dispatch/carriers.js';
 import type {Emit} from '@banyandrum/dispatch/events.js';
@@ -21,10 +22,7 @@
    * Lets another router ask the server's health endpoint; resolves with the header
    * fields of the answer, or null if none can tell.
    */
-  askHealth(
-    server: string,
-    path: string,
-  ): Promise<ReadonlyMap<string, string> | null>;
+  askHealth(server: string, path: string): Promise<HealthFields | null>;
   stop(): void;
 }
 
--- a/packages/gateway/src/carry-server.ts
+++ b/packages/gateway/src/carry-server.ts
@@ -1,4 +1,5 @@
 import {createCanceller, type CancelSignal} from '@banyandrum/base/cancel.js';
+import type {AskHealth} from '@banyandrum/dispatch/ask-health.js';
 import type {Backends} from '@banyandrum/dispatch/backends.js';
 import {
   NO_CARRIERS,
@@ -22,17 +23,14 @@
 } from '@grpc/grpc-js';
 import type {CarryReply, CarryRefusal, CarryRequest} from './carry-messages.js';
 import {expectedDelayMs} from './read-delay.js';
+import {logLoopError} from './repeat.js';
 
 /** Dependencies of `createCarryServer`. */
 export interface CarryServerConfig
   extends Omit<SendConfig, 'carriers'>, ServerSignalsConfig {
   readonly backends: Backends;
   probe(backend: Backend): Promise<ProbeResult>;
-  /** Header fields of the answer of its health endpoint; null if none came. */
-  askHealth(
-    backend: Backend,
-    path: string,
-  ): Promise<ReadonlyMap<string, string> | null>;
+  readonly askHealth: AskHealth;
   /** Event loop lag that this process has had for a while, in ms. */
   lagMs(): number;
   /** How long calls may have waited unread, in ms. */
@@ -179,10 +177,7 @@
           reply(null, result);
         },
         (err: Error) => {
-          cfg.emit('internal-error', {
-            loop: 'carry',
-            detail: String(err.stack),
-          });
+          logLoopError(cfg.emit, 'carry', err);
           reply(err);
         },
       );
--- a/packages/gateway/src/cold-check.ts
+++ b/packages/gateway/src/cold-check.ts
@@ -1,4 +1,5 @@
 import type {Clock} from '@banyandrum/base/clock.js';
+import type {AskHealth, HealthFields} from '@banyandrum/dispatch/ask-health.js';
 import {isCold, type Backend} from '@banyandrum/dispatch/backend.js';
 import {readLimit, type WireNames} from '@banyandrum/dispatch/wire.js';
 import type {ServiceConfig} from '@banyandrum/routing/config.js';
@@ -30,11 +31,7 @@
   knownAt(server: string): number;
   /** Number of routers that send requests without a leader; 1 if there is one. */
   senders(): number;
-  /** Header fields of the answer of its health endpoint; null if none came. */
-  askHealth(
-    backend: Backend,
-    path: string,
-  ): Promise<ReadonlyMap<string, string> | null>;
+  readonly askHealth: AskHealth;
   /** Called with the remaining time for which the server is cold, in ms. */
   noteCold(server: string, coldMs: number): void;
   /** Called when the server was warm at the monotonic time `asOf`, in ms. */
@@ -133,7 +130,7 @@
 
   const noteHealth = (
     {info: {id, service}}: Backend,
-    fields: ReadonlyMap<string, string>,
+    fields: HealthFields,
     askedAt: number,
   ): void => {
     const text = fields.get(cfg.names.coldMs);
--- a/packages/gateway/src/cold-servers.ts
+++ b/packages/gateway/src/cold-servers.ts
@@ -1,4 +1,5 @@
 import type {Clock} from '@banyandrum/base/clock.js';
+import type {AskHealth} from '@banyandrum/dispatch/ask-health.js';
 import type {Backends} from '@banyandrum/dispatch/backends.js';
 import {
   createColdLimits,
@@ -7,11 +8,7 @@
 import type {Emit} from '@banyandrum/dispatch/events.js';
 import type {WireNames} from '@banyandrum/dispatch/wire.js';
 import type {ServiceConfig} from '@banyandrum/routing/config.js';
-import {
-  createColdCheck,
-  type ColdCheck,
-  type ColdCheckConfig,
-} from './cold-check.js';
+import {createColdCheck, type ColdCheck} from './cold-check.js';
 import {listReadIntervalMs, MIN_INTERVAL_MS} from './list-read-interval.js';
 import type {ServerList} from './server-list.js';
 
@@ -34,7 +31,7 @@
   readonly backends: Backends;
   readonly list: Pick<ServerList, 'coldKnownAt' | 'noteCold' | 'noteWarm'>;
   serviceConfig(service: string): ServiceConfig | undefined;
-  readonly askHealth: ColdCheckConfig['askHealth'];
+  readonly askHealth: AskHealth;
   /** Number of routers that send requests without a leader; 1 if there is one. */
   senders(): number;
 }
--- a/packages/gateway/src/run-router.ts
+++ b/packages/gateway/src/run-router.ts
@@ -2,7 +2,7 @@
 import {createClock, type Clock} from '@banyandrum/base/clock.js';
 import {createId} from '@banyandrum/base/ids.js';
 import {createAnswerLimits} from '@banyandrum/dispatch/answer-limits.js';
-import {askHealth} from '@banyandrum/dispatch/ask-health.js';
+import {askHealth, type AskHealth} from '@banyandrum/dispatch/ask-health.js';
 import {createBackends, type Backends} from '@banyandrum/dispatch/backends.js';
 import {hashCaller} from '@banyandrum/dispatch/caller-hash.js';
 import {createSlotAllocator} from '@banyandrum/slots/slot-allocator.js';
@@ -52,7 +52,7 @@
 import {probeHost} from './probe-host.js';
 import {createServerList} from './server-list.js';
 import {measureSlotResponses} from './slot-response-times.js';
-import {createServerReach, type ServerReach} from './server-reach.js';
+import {createServerReach} from './server-reach.js';
 import {createServiceTimes, drainServiceTimes} from './service-times.js';
 import type {Settings} from './settings.js';
 import {shareSuspects} from './share-suspects.js';
@@ -152,7 +152,7 @@
   });
   const requestLimits = combineLimits(serverLimits, coldServers.limits);
   const serverRests = createServerRests({clock, emit});
-  const askHealthDirectly: ServerReach['askHealth'] = (backend, path) =>
+  const askHealthDirectly: AskHealth = (backend, path) =>
     askHealth(platform.names, backend, path);
   const reach = createServerReach({
     ...{clock, emit, backends, askHealthDirectly},
--- a/packages/gateway/src/server-reach.ts
+++ b/packages/gateway/src/server-reach.ts
@@ -1,4 +1,5 @@
 import {sleep, type Clock} from '@banyandrum/base/clock.js';
+import type {AskHealth} from '@banyandrum/dispatch/ask-health.js';
 import type {Backend} from '@banyandrum/dispatch/backend.js';
 import type {Backends} from '@banyandrum/dispatch/backends.js';
 import type {CompletedAttempt} from '@banyandrum/dispatch/completed-attempt.js';
@@ -24,12 +25,9 @@
   probeDirectly(backend: Backend): Promise<ProbeResult>;
   /**
    * Asks the server's health endpoint, through another router if this one gets no
-   * answer soon. Resolves with the header fields of the answer; null if none came.
+   * answer soon.
    */
-  askHealth(
-    backend: Backend,
-    path: string,
-  ): Promise<ReadonlyMap<string, string> | null>;
+  readonly askHealth: AskHealth;
   /** Ends the probes and closes the connections to carriers. */
   stop(): void;
   /** Records what a lease call shows of the path to its server. */
@@ -44,7 +42,7 @@
   /** Addresses (`ip:port`) of routers that may carry, the nearest first. */
   carrierAddresses(): readonly string[];
   /** Asks from this router only. */
-  readonly askHealthDirectly: ServerReach['askHealth'];
+  readonly askHealthDirectly: AskHealth;
 }
 
 /**
@@ -96,7 +94,7 @@
     return 'silent';
   };
 
-  const askHealth: ServerReach['askHealth'] = async (backend, path) => {
+  const askHealth: AskHealth = async (backend, path) => {
     const {id} = backend.info;
     const own = paths.isOpen(id)
       ? cfg.askHealthDirectly(backend, path)
